--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,249 @@
+// Package admission decides which waiting request an agent gives its target
+// next and which it refuses: a bounded queue with priority classes, fair
+// between customers by weight, aware of deadlines. It is pure: time and
+// requests in, verdicts out. It is not safe for concurrent use.
+package admission
+
+import (
+	"time"
+)
+
+// Limits bound the queue.
+type Limits struct {
+	// Length is the most requests that wait.
+	Length int
+	// Wait is the longest expected wait that is taken on, whatever the caller's deadline.
+	Wait time.Duration
+}
+
+// Item is one waiting request.
+type Item struct {
+	ID       string
+	Customer string
+	// Weight is the customer's share; Priority is 0 (first) to 3.
+	Weight   int
+	Priority int
+	// Cost is the target's time that the request takes before its first answer.
+	Cost time.Duration
+	// Deadline is when the caller stops waiting for the first token; zero is never.
+	Deadline time.Time
+	// Hashes are the prompt's boundaries, shortest first.
+	Hashes []uint64
+
+	start    float64
+	arrival  uint64
+	enqueued time.Time
+}
+
+// account is one customer's place in the fair order.
+type account struct {
+	// finish is the virtual time up to which the customer was served.
+	finish float64
+	queued int
+}
+
+// Queue is the state.
+type Queue struct {
+	limits   Limits
+	items    []*Item
+	accounts map[string]*account
+	// virtual is the start tag of the last request given to the target.
+	virtual  float64
+	arrivals uint64
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(l Limits) *Queue {
+	return &Queue{limits: l, accounts: map[string]*account{}}
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Cost returns the target's time that all waiting requests take.
+func (q *Queue) Cost() time.Duration {
+	var sum time.Duration
+	for _, item := range q.items {
+		sum += item.Cost
+	}
+	return sum
+}
+
+// Ahead returns the cost of the waiting requests that would go before a new
+// one of the customer.
+func (q *Queue) Ahead(customer string, priority int) time.Duration {
+	start := q.startTag(customer)
+	var sum time.Duration
+	for _, item := range q.items {
+		if item.Priority < priority || (item.Priority == priority && item.start <= start) {
+			sum += item.Cost
+		}
+	}
+	return sum
+}
+
+func (q *Queue) startTag(customer string) float64 {
+	a := q.accounts[customer]
+	if a == nil {
+		return q.virtual
+	}
+	return max(q.virtual, a.finish)
+}
+
+// Decision is what Push decided: Refused is empty when the request waits.
+// Evicted, where set, is a waiting request that gave its place up.
+type Decision struct {
+	Refused Reason
+	Evicted *Item
+	// RetryAfter is when room is expected, for whichever request was refused.
+	RetryAfter time.Duration
+}
+
+// Reason is why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	Taken    Reason = ""
+	Full     Reason = "queue_full"
+	TooLate  Reason = "deadline_unmet"
+	Canceled Reason = "canceled"
+)
+
+// Push puts a request into the queue. Busy is the target's time that requests
+// already given to it still take. A refusal is immediate and final.
+func (q *Queue) Push(item *Item, busy time.Duration, now time.Time) Decision {
+	wait := busy + q.Ahead(item.Customer, item.Priority)
+	if wait > q.limits.Wait {
+		return Decision{Refused: Full, RetryAfter: wait - q.limits.Wait + item.Cost}
+	}
+	if !item.Deadline.IsZero() && now.Add(wait+item.Cost).After(item.Deadline) {
+		return Decision{Refused: TooLate, RetryAfter: wait}
+	}
+	var evicted *Item
+	if len(q.items) >= q.limits.Length {
+		evicted = q.overdrawn(item)
+		if evicted == nil {
+			return Decision{Refused: Full, RetryAfter: q.meanCost()}
+		}
+		q.Remove(evicted.ID)
+	}
+	q.enqueue(item, now)
+	return Decision{Evicted: evicted, RetryAfter: busy + q.Cost()}
+}
+
+func (q *Queue) meanCost() time.Duration {
+	return q.Cost() / time.Duration(max(1, len(q.items)))
+}
+
+// overdrawn returns the waiting request that should give its place up to
+// item: the last in line, if it comes after item. So a customer that floods
+// the queue loses its own requests and nobody else's.
+func (q *Queue) overdrawn(item *Item) *Item {
+	last := &Item{Priority: item.Priority, start: q.startTag(item.Customer), arrival: q.arrivals + 1}
+	var victim *Item
+	for _, waiting := range q.items {
+		if before(last, waiting) {
+			last, victim = waiting, waiting
+		}
+	}
+	return victim
+}
+
+func (q *Queue) enqueue(item *Item, now time.Time) {
+	a := q.accounts[item.Customer]
+	if a == nil {
+		a = &account{}
+		q.accounts[item.Customer] = a
+	}
+	q.arrivals++
+	item.arrival = q.arrivals
+	item.enqueued = now
+	item.start = q.startTag(item.Customer)
+	a.finish = item.start + item.Cost.Seconds()/float64(max(1, item.Weight))
+	a.queued++
+	q.items = append(q.items, item)
+}
+
+// before is the order of service.
+func before(a, b *Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.arrival < b.arrival
+}
+
+// Next takes out the request to give to the target, the first in line that
+// hold does not hold back, or returns nil.
+func (q *Queue) Next(hold func(*Item) bool) *Item {
+	var next *Item
+	for _, item := range q.items {
+		if (next == nil || before(item, next)) && !hold(item) {
+			next = item
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	q.virtual = max(q.virtual, next.start)
+	q.take(next)
+	return next
+}
+
+// Expired takes out the requests whose caller has stopped waiting.
+func (q *Queue) Expired(now time.Time) []*Item {
+	var late []*Item
+	for _, item := range q.items {
+		if !item.Deadline.IsZero() && now.After(item.Deadline) {
+			late = append(late, item)
+		}
+	}
+	for _, item := range late {
+		q.refund(item)
+		q.take(item)
+	}
+	return late
+}
+
+// Remove takes out a request that was given up, and reports whether it waited.
+func (q *Queue) Remove(id string) bool {
+	for _, item := range q.items {
+		if item.ID == id {
+			q.refund(item)
+			q.take(item)
+			return true
+		}
+	}
+	return false
+}
+
+// refund gives a customer back the share of a request that never ran.
+func (q *Queue) refund(item *Item) {
+	a := q.accounts[item.Customer]
+	a.finish -= item.Cost.Seconds() / float64(max(1, item.Weight))
+}
+
+func (q *Queue) take(item *Item) {
+	for i, waiting := range q.items {
+		if waiting == item {
+			q.items = append(q.items[:i], q.items[i+1:]...)
+			break
+		}
+	}
+	a := q.accounts[item.Customer]
+	a.queued--
+	// A customer that was served up to the present has no history to keep.
+	if a.queued == 0 && a.finish <= q.virtual {
+		delete(q.accounts, item.Customer)
+	}
+}
+
+// Waited returns how long the item has waited by now.
+func (i *Item) Waited(now time.Time) time.Duration {
+	return now.Sub(i.enqueued)
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,237 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/api/keel/v1/keelv1connect"
+	"acaciakeel/configsync"
+	"acaciakeel/ledger"
+	"acaciakeel/link"
+	"acaciakeel/placement"
+	"acaciakeel/platform"
+	"acaciakeel/settings"
+	"acaciakeel/target"
+	"acaciakeel/telemetry"
+	"acaciakeel/vm"
+)
+
+// Agent is the process beside one target. Exactly one of runner and caller is set.
+type Agent struct {
+	settings    Settings
+	log         *logrus.Entry
+	registry    *prometheus.Registry
+	metrics     *metrics
+	follower    *configsync.Follower
+	config      *configsync.Server
+	links       *link.Pool
+	runner      *runner
+	caller      *caller
+	incarnation string
+	endpoints   endpoints
+
+	// homeTargets are the service's targets as last seen, since homeSince.
+	homeMu      sync.Mutex
+	homeTargets []string
+	homeSince   time.Time
+}
+
+// New returns an agent that has not begun to run.
+func New(s Settings, log *logrus.Logger) *Agent {
+	a := &Agent{
+		settings:    s,
+		log:         log.WithField("target", s.Target.Name),
+		registry:    telemetry.NewRegistry(),
+		links:       link.NewPool(link.Options{}),
+		incarnation: uuid.NewString(),
+	}
+	a.metrics = newMetrics(a.registry)
+	store := platform.NewClient(s.Platform.URL)
+	a.follower = configsync.NewFollower(configsync.Config{
+		Self:       s.Self.VM(vm.Agent),
+		Neighbours: s.Platform.Neighbours,
+		Store:      store,
+		Directory:  store,
+		Links:      a.links,
+		OnEvent:    a.configEvent,
+	})
+	a.config = configsync.NewServer(a.follower)
+	if s.Target.Kind == KindEngine {
+		a.runner = newRunner(s, target.NewEngine(s.Target.URL), a.metrics)
+	} else {
+		a.caller = a.newCaller(store)
+	}
+	a.endpoints = a.newEndpoints()
+	a.registerGauges()
+	return a
+}
+
+func (a *Agent) newCaller(store platform.Store) *caller {
+	l := a.settings.Ledger
+	return &caller{
+		service: target.NewService(a.settings.Target.URL),
+		claims: &claims{
+			store: store,
+			self:  claim{Target: a.settings.Target.Name, Incarnation: a.incarnation},
+			ttl:   seconds(l.ClaimTTLS),
+		},
+		started:     time.Now(),
+		margin:      settings.Millis(l.ClockMarginMS),
+		incarnation: a.incarnation,
+		slots:       a.settings.Queue.Slots,
+		metrics:     a.metrics,
+		home:        a.home,
+		ledger:      ledger.New(l.limits()),
+	}
+}
+
+// home reports whether this target is the first choice for a call's key among
+// the configured ones, and since when this process has seen the same ones.
+func (a *Agent) home(k ledger.Key) (bool, time.Time) {
+	a.homeMu.Lock()
+	defer a.homeMu.Unlock()
+	if len(a.homeTargets) == 0 {
+		return false, a.homeSince
+	}
+	return placement.CallOrder(a.homeTargets, k.IdempotencyKey)[0] == a.settings.Target.Name, a.homeSince
+}
+
+// watchHomes notes when the configured targets of this agent's service change.
+func (a *Agent) watchHomes(ctx context.Context) {
+	for {
+		changed := a.follower.Changed()
+		snapshot := a.follower.State().Snapshot
+		a.setHomes(snapshot.TargetsOfService(snapshot.Targets[a.settings.Target.Name].Service))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) setHomes(targets []string) {
+	a.homeMu.Lock()
+	defer a.homeMu.Unlock()
+	if slices.Equal(targets, a.homeTargets) {
+		return
+	}
+	a.homeTargets = targets
+	a.homeSince = time.Now()
+}
+
+func (a *Agent) configEvent(event string, err error) {
+	a.metrics.configEvents.WithLabelValues(event).Inc()
+	a.log.WithError(err).WithField("event", event).Debug("following the configuration failed")
+}
+
+func (a *Agent) registerGauges() {
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_config_revision", "Revision of the configuration in force.", func() float64 {
+		return float64(a.follower.Revision())
+	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_active", "Requests that wait, run or are being read.", func() float64 {
+		return float64(a.active())
+	})
+	if a.runner == nil {
+		return
+	}
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_queue_length", "Requests that wait for the engine.", func() float64 {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		return float64(a.runner.queue.Len())
+	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_cache_blocks", "Blocks in the view of the engine's cache.", func() float64 {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		return float64(a.runner.belief.view.Len())
+	})
+}
+
+// Handler serves the agent's messages, /metrics, /healthz and /readyz.
+func (a *Agent) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(keelv1connect.NewAgentServiceHandler(a))
+	mux.Handle(keelv1connect.NewConfigServiceHandler(a.config))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	return mux
+}
+
+func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if a.follower.Revision() == 0 {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	if a.runner != nil && !a.runner.up() {
+		http.Error(w, "the engine does not answer", http.StatusServiceUnavailable)
+	}
+}
+
+// Run keeps the agent going until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	go a.follower.Run(ctx)
+	if a.runner != nil {
+		go a.runner.watchCache(ctx)
+		a.runner.watchLoad(ctx)
+		return
+	}
+	go a.watchHomes(ctx)
+	a.sweepCalls(ctx)
+}
+
+// sweepInterval is how often old calls are looked for.
+const sweepInterval = 5 * time.Second
+
+func (a *Agent) sweepCalls(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.caller.claimLater(ctx)
+			a.caller.sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) active() int {
+	if a.runner != nil {
+		return a.runner.active()
+	}
+	return a.caller.active()
+}
+
+// drainInterval is how often a stop looks whether all has ended.
+const drainInterval = 20 * time.Millisecond
+
+// Drain refuses new work, truthfully as not run, and waits until all that
+// runs has ended and been read, or ctx ends. It reports whether all ended.
+func (a *Agent) Drain(ctx context.Context) bool {
+	a.config.Stop()
+	if a.runner != nil {
+		a.runner.stop()
+	} else {
+		a.caller.stop()
+	}
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for a.active() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/agent/ask.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/prefix"
+	"acaciakeel/target"
+)
+
+// ask answers an entry's question about one prompt.
+func (r *runner) ask(ctx context.Context, req *keelv1.AskRequest, now time.Time) *keelv1.AskResponse {
+	if r.settings.Target.Oracle {
+		return r.askTruth(ctx, req)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	expected := tokensAt(req.BoundaryTokens, r.belief.expected(req.Root, req.BoundaryHash, now))
+	wait := r.busy(now) + r.queue.Ahead(req.Customer, int(req.Priority))
+	answer := &keelv1.AskResponse{
+		CachedTokens: uint32(expected),
+		WaitUs:       uint32(wait.Microseconds()),
+		PrefillRate:  uint32(r.pace.rate),
+		Ready:        r.readyFor(req.Weights),
+		QueueLength:  uint32(r.queue.Len()),
+	}
+	if answer.Ready {
+		cost := r.pace.cost(max(0, int(req.PromptTokens)-expected))
+		r.reservations.Hold(req.Reservation, cost, now)
+	}
+	return answer
+}
+
+func (r *runner) readyFor(weights uint64) bool {
+	return !r.stopping && !r.draining && r.state.up && !r.state.loading &&
+		prefix.NameHash(r.state.weightsVersion) == weights
+}
+
+// askTruth answers from a stand-in engine's true state, for the oracle policy
+// of the bench.
+func (r *runner) askTruth(ctx context.Context, req *keelv1.AskRequest) *keelv1.AskResponse {
+	tokens := make([]int, len(req.BoundaryTokens))
+	for i, t := range req.BoundaryTokens {
+		tokens[i] = int(t)
+	}
+	truth, err := r.engine.Lookup(ctx, req.BoundaryHash, tokens)
+	if err != nil {
+		truth = target.LookupAnswer{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// What waits here, or is on its way to the engine, is as true as what the engine has.
+	expected := tokensAt(req.BoundaryTokens, r.belief.expected(req.Root, req.BoundaryHash, time.Now()))
+	wait := r.pace.cost(max(truth.PrefillTokens, r.prefillTokens)) + r.queue.Ahead(req.Customer, int(req.Priority))
+	return &keelv1.AskResponse{
+		CachedTokens: uint32(max(truth.CachedTokens, expected)),
+		WaitUs:       uint32(wait.Microseconds()),
+		PrefillRate:  uint32(r.pace.rate),
+		Ready:        err == nil && r.readyFor(req.Weights),
+	}
+}
--- /dev/null
+++ b/agent/call.go
@@ -0,0 +1,390 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/ledger"
+	"acaciakeel/refusal"
+	"acaciakeel/target"
+)
+
+// caller makes calls of the plain service beside the agent. Its mutex guards
+// the ledger and the counts.
+type caller struct {
+	service     *target.Service
+	claims      *claims
+	started     time.Time
+	margin      time.Duration
+	incarnation string
+	slots       int
+	metrics     *metrics
+	// home reports whether this agent is the first choice for a key among the
+	// configured targets, and since when those targets are the same.
+	home func(k ledger.Key) (bool, time.Time)
+
+	mu       sync.Mutex
+	ledger   *ledger.Ledger
+	running  int
+	stopping bool
+}
+
+// defaultCallTimeout serves calls whose entry gave no deadline.
+const defaultCallTimeout = 10 * time.Second
+
+// claimTimeout bounds the claiming of one call.
+const claimTimeout = 3 * time.Second
+
+func (c *caller) call(ctx context.Context, req *keelv1.CallRequest) *keelv1.CallResponse {
+	if req.RequireIncarnation != "" && req.RequireIncarnation != c.incarnation {
+		return c.refuse(refusal.New(refusal.Restarted, "send to the process that is there now", "the process that was meant is gone"))
+	}
+	if req.Idempotent {
+		return c.callIdempotent(ctx, req)
+	}
+	return c.callOnce(ctx, req)
+}
+
+func (c *caller) refuse(r *refusal.Error) *keelv1.CallResponse {
+	return &keelv1.CallResponse{Refusal: encodeRefusal(r), Incarnation: c.incarnation}
+}
+
+func (c *caller) enter() *refusal.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping {
+		return refusal.New(refusal.Stopping, "send to another entry or again at once", "the agent is stopping")
+	}
+	if c.running >= c.slots {
+		return refusal.New(refusal.QueueFull, "come back after the time in Retry-After", "all %d slots of the service are busy", c.slots).After(time.Second)
+	}
+	c.running++
+	return nil
+}
+
+func (c *caller) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+}
+
+func timeout(req *keelv1.CallRequest) time.Duration {
+	if req.DeadlineMs == 0 {
+		return defaultCallTimeout
+	}
+	return time.Duration(req.DeadlineMs) * time.Millisecond
+}
+
+func (c *caller) callIdempotent(ctx context.Context, req *keelv1.CallRequest) *keelv1.CallResponse {
+	if r := c.enter(); r != nil {
+		return c.refuse(r)
+	}
+	defer c.leave()
+	ctx, cancel := context.WithTimeout(ctx, timeout(req))
+	defer cancel()
+	answer, err := c.service.Do(ctx, serviceCall(req))
+	if err != nil {
+		return c.refuse(callRefusal(err))
+	}
+	return c.answered(ledger.Answer(answer), false)
+}
+
+func serviceCall(req *keelv1.CallRequest) target.Call {
+	return target.Call{
+		RequestID:      req.RequestId,
+		Method:         req.Method,
+		Path:           req.Path,
+		ContentType:    req.ContentType,
+		Body:           req.Body,
+		IdempotencyKey: req.IdempotencyKey,
+		OnlyOnce:       !req.Idempotent,
+	}
+}
+
+func (c *caller) answered(a ledger.Answer, replayed bool) *keelv1.CallResponse {
+	return &keelv1.CallResponse{
+		Status:      uint32(a.Status),
+		ContentType: a.ContentType,
+		Body:        a.Body,
+		Replayed:    replayed,
+		Incarnation: c.incarnation,
+	}
+}
+
+func callRefusal(err error) *refusal.Error {
+	if errors.Is(err, target.ErrNotSent) {
+		return refusal.New(refusal.TargetFailed, "another target takes the call", "%v", err)
+	}
+	return refusal.NewUnknown("the service's answer was lost: %v", err)
+}
+
+func ledgerKey(req *keelv1.CallRequest) ledger.Key {
+	return ledger.Key{Customer: req.Customer, Service: req.Service, IdempotencyKey: req.IdempotencyKey}
+}
+
+func bodyHash(req *keelv1.CallRequest) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(req.Method + "\x00" + req.Path + "\x00")
+	_, _ = d.Write(req.Body)
+	return d.Sum64()
+}
+
+// callOnce makes a call that may not be repeated: one send for each key,
+// whoever asks and however often.
+func (c *caller) callOnce(ctx context.Context, req *keelv1.CallRequest) *keelv1.CallResponse {
+	key := ledgerKey(req)
+	c.mu.Lock()
+	verdict, record := c.ledger.Begin(key, ledger.Attempt{RequestID: req.RequestId, Number: req.Attempt}, bodyHash(req), time.Now())
+	c.mu.Unlock()
+	c.metrics.calls.WithLabelValues(string(verdict)).Inc()
+	switch verdict {
+	case ledger.Run:
+		// The call goes on when its entry is gone: its outcome must be known
+		// to whoever asks next.
+		go c.runOnce(context.WithoutCancel(ctx), req, key, record)
+		return c.join(ctx, key, record, false)
+	case ledger.Join:
+		return c.join(ctx, key, record, true)
+	case ledger.Replay:
+		return c.answered(record.Answer, true)
+	case ledger.RefuseReused:
+		return c.refuse(refusal.New(refusal.KeyReused, "use a new Idempotency-Key for a new call", "this Idempotency-Key came with another call before"))
+	case ledger.RefuseAbandoned:
+		return c.refuse(refusal.New(refusal.AttemptAbandoned, "send the call again", "this attempt was given up as not run"))
+	case ledger.RefuseFull:
+		return c.refuse(refusal.New(refusal.LedgerFull, "come back after the time in Retry-After", "the ledger of calls is full").After(time.Second))
+	}
+	return c.refuse(refusal.NewUnknown("the answer to this call was lost"))
+}
+
+// join waits for the end of a call that runs.
+func (c *caller) join(ctx context.Context, key ledger.Key, record *ledger.Record, replayed bool) *keelv1.CallResponse {
+	c.mu.Lock()
+	done := record.Done
+	c.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return c.refuse(refusal.NewUnknown("the call still runs; ask again with the same Idempotency-Key"))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch record.State {
+	case ledger.Done:
+		return c.answered(record.Answer, replayed)
+	case ledger.Unknown:
+		return c.refuse(refusal.NewUnknown("the answer to this call was lost"))
+	}
+	return c.notRun(record)
+}
+
+// runOnce claims a call and sends it once.
+func (c *caller) runOnce(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) {
+	if r := c.enter(); r != nil {
+		c.notSent(key, record, r, claim{})
+		return
+	}
+	defer c.leave()
+	claimed, holder, r := c.permit(ctx, req, key, record)
+	if r != nil {
+		c.notSent(key, record, r, holder)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout(req))
+	defer cancel()
+	answer, err := c.service.Do(ctx, serviceCall(req))
+	if errors.Is(err, target.ErrNotSent) {
+		// The record still says Running, so nobody begins the call here while
+		// its claim is being given up.
+		c.releaseClaim(context.WithoutCancel(ctx), key, record, claimed)
+		c.notSent(key, record, callRefusal(err), claim{})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.ledger.Lost(key, time.Now())
+		return
+	}
+	c.ledger.Finish(key, ledger.Answer(answer), time.Now())
+}
+
+// permit decides whether the call may be sent: by a claim, whose revision it
+// returns, or without one where the key provably can't have run before.
+// docs/design/calls-once.md says why each case holds.
+func (c *caller) permit(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) (int64, claim, *refusal.Error) {
+	if req.FreshKey {
+		// No caller has this key, and its entry sends again only after a
+		// truthful "not run".
+		c.setUnrepeatable(record)
+		return 0, claim{}, nil
+	}
+	made, carriesTime := ledger.Made(key.IdempotencyKey)
+	home, since := c.home(key)
+	provable := carriesTime && home && c.freshness(since).Provable(made, time.Now())
+	if carriesTime && !home {
+		return 0, claim{}, notHome()
+	}
+	if carriesTime && !provable {
+		return 0, claim{}, refusal.NewUnknown("the key is older than the agent's process, or its clock is off; an earlier process may have run it")
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	result, holder, revision := c.claims.make(ctx, key)
+	c.metrics.claimWrites.WithLabelValues(string(result)).Inc()
+	switch {
+	case result == claimOurs:
+		c.setClaimed(record, true)
+		return revision, claim{}, nil
+	case result == claimOther && holder.Target == c.claims.self.Target:
+		return 0, claim{}, refusal.NewUnknown("an earlier process of this agent had the call")
+	case result == claimOther:
+		return 0, holder, heldElsewhere()
+	case provable:
+		c.metrics.calls.WithLabelValues("provably_new").Inc()
+		return 0, claim{}, nil
+	}
+	return 0, claim{}, c.platformDown(home, since)
+}
+
+func (c *caller) freshness(since time.Time) ledger.Freshness {
+	if c.started.After(since) {
+		since = c.started
+	}
+	return ledger.Freshness{Since: since, Margin: c.margin}
+}
+
+func notHome() *refusal.Error {
+	r := refusal.NewUnknown("this agent is not the home of the key")
+	r.Kind = refusal.NotHome
+	return r.After(time.Second)
+}
+
+// platformDown refuses a call that can't be claimed. It says "not run" only
+// at the key's home, and only while no earlier process of it can have run the
+// call within the time in which callers repeat themselves.
+func (c *caller) platformDown(home bool, since time.Time) *refusal.Error {
+	r := refusal.New(refusal.PlatformDown,
+		"come back after the time in Retry-After with the same key, or use UUIDv7 keys, which are served during an outage",
+		"the platform's service is down and the key can't be proved new").After(platformRetry)
+	if !home || time.Since(c.freshness(since).Since) < repeatWindow {
+		r.Outcome = refusal.Unknown
+	}
+	return r
+}
+
+// repeatWindow is how long callers may take to repeat a call.
+const repeatWindow = 5 * time.Minute
+
+// platformRetry is when to come back while the platform's service is down.
+const platformRetry = 2 * time.Second
+
+func (c *caller) setClaimed(record *ledger.Record, claimed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record.Claimed = claimed
+}
+
+func (c *caller) setUnrepeatable(record *ledger.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record.Unrepeatable = true
+}
+
+func (c *caller) releaseClaim(ctx context.Context, key ledger.Key, record *ledger.Record, revision int64) {
+	if revision == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	c.setClaimed(record, false)
+	c.claims.release(ctx, key, revision)
+}
+
+func heldElsewhere() *refusal.Error {
+	r := refusal.NewUnknown("another agent has this call")
+	r.Kind = refusal.HeldElsewhere
+	return r
+}
+
+// refused is what the record of a call that was not sent keeps, for those
+// who join it.
+type refused struct {
+	refusal *refusal.Error
+	holder  claim
+}
+
+// notSent ends a record of a call that this process did not send.
+func (c *caller) notSent(key ledger.Key, record *ledger.Record, r *refusal.Error, holder claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record.Refused = refused{refusal: r, holder: holder}
+	if r.Outcome == refusal.NotRun {
+		c.ledger.Withdraw(key, time.Now())
+		return
+	}
+	c.ledger.Doubt(key, time.Now())
+}
+
+func (c *caller) notRun(record *ledger.Record) *keelv1.CallResponse {
+	r, ok := record.Refused.(refused)
+	if !ok {
+		return c.refuse(refusal.NewUnknown("the call was withdrawn and begun again"))
+	}
+	answer := c.refuse(r.refusal)
+	answer.HolderTarget = r.holder.Target
+	answer.HolderIncarnation = r.holder.Incarnation
+	return answer
+}
+
+// abandon settles an attempt whose answer its entry has lost. Only the
+// incarnation that the attempt was sent to can say that it did not run.
+func (c *caller) abandon(req *keelv1.AbandonRequest) ledger.State {
+	if req.RequireIncarnation != c.incarnation {
+		return ledger.Unknown
+	}
+	key := ledger.Key{Customer: req.Customer, Service: req.Service, IdempotencyKey: req.IdempotencyKey}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Abandon(key, ledger.Attempt{RequestID: req.RequestId, Number: req.Attempt}, time.Now())
+}
+
+// claimLater claims the calls that ran without a claim while the platform's
+// service was down.
+func (c *caller) claimLater(ctx context.Context) {
+	c.mu.Lock()
+	keys := c.ledger.Unclaimed()
+	c.mu.Unlock()
+	for _, key := range keys {
+		result, _, _ := c.claims.make(ctx, key)
+		if result == claimFailed {
+			return
+		}
+		c.mu.Lock()
+		c.ledger.Claimed(key)
+		c.mu.Unlock()
+	}
+}
+
+func (c *caller) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Expire(now)
+}
+
+func (c *caller) active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running
+}
+
+func (c *caller) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+}
--- /dev/null
+++ b/agent/job.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"acaciakeel/admission"
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/stream"
+	"acaciakeel/target"
+)
+
+// phase is how far a job has come.
+type phase int
+
+const (
+	waiting phase = iota
+	prefilling
+	decoding
+	ended
+)
+
+// job is one attempt at a model request.
+type job struct {
+	id     string
+	req    *keelv1.GenerateRequest
+	item   *admission.Item
+	buffer *stream.Buffer
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// The rest is guarded by the runner's mutex.
+	phase phase
+	// claimed is the tokens that the agent believed to be cached when the job
+	// was given to the engine; missing is the rest.
+	claimed    int
+	missing    int
+	bootID     string
+	dispatched time.Time
+	readers    int
+	unread     time.Time
+	endedAt    time.Time
+}
+
+func jobID(requestID string, attempt uint32) string {
+	return fmt.Sprintf("%s.%d", requestID, attempt)
+}
+
+func newJob(req *keelv1.GenerateRequest, base int, now time.Time) *job {
+	ctx, cancel := context.WithCancel(context.Background())
+	j := &job{
+		id:     jobID(req.RequestId, req.Attempt),
+		req:    req,
+		buffer: stream.NewBuffer(base),
+		ctx:    ctx,
+		cancel: cancel,
+		unread: now,
+	}
+	j.item = &admission.Item{
+		ID:       j.id,
+		Customer: req.Customer,
+		Weight:   int(req.Weight),
+		Priority: int(req.Priority),
+		Hashes:   req.BoundaryHash,
+	}
+	if req.DeadlineMs > 0 {
+		j.item.Deadline = now.Add(time.Duration(req.DeadlineMs) * time.Millisecond)
+	}
+	return j
+}
+
+func (j *job) completion() target.Completion {
+	return target.Completion{
+		RequestID: j.id,
+		Model:     j.req.Model,
+		Adapter:   j.req.Adapter,
+		Prompt:    string(j.req.Prompt),
+		MaxTokens: int(j.req.MaxTokens),
+		Priority:  int(j.req.Priority),
+		CacheSalt: j.req.CacheSalt,
+	}
+}
--- /dev/null
+++ b/agent/runner.go
@@ -0,0 +1,338 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"acaciakeel/admission"
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/refusal"
+	"acaciakeel/settings"
+	"acaciakeel/stream"
+	"acaciakeel/target"
+)
+
+// engineState is what the agent's control goroutine knows of the engine.
+type engineState struct {
+	up             bool
+	bootID         string
+	weightsVersion string
+	loading        bool
+}
+
+// runner decides when each model request goes to the engine and keeps its
+// stream. Its mutex guards everything but settings and clients.
+type runner struct {
+	settings Settings
+	engine   *target.Engine
+	metrics  *metrics
+
+	mu           sync.Mutex
+	state        engineState
+	stopping     bool
+	draining     bool
+	queue        *admission.Queue
+	reservations *admission.Reservations
+	belief       *belief
+	pace         pace
+	jobs         map[string]*job
+	// running and prefillTokens are what the engine was given.
+	running       int
+	prefillTokens int
+	// hold is the mean time that a request keeps its slot after its first token.
+	hold time.Duration
+}
+
+func newRunner(s Settings, engine *target.Engine, m *metrics) *runner {
+	return &runner{
+		settings:     s,
+		engine:       engine,
+		metrics:      m,
+		queue:        admission.NewQueue(s.Queue.limits()),
+		reservations: admission.NewReservations(settings.Millis(s.Queue.ReservationMS)),
+		belief:       newBelief(),
+		pace:         pace{rate: s.Queue.PrefillRate},
+		jobs:         map[string]*job{},
+	}
+}
+
+// ready reports whether a request for weights can be taken now.
+func (r *runner) ready(weightsVersion string) *refusal.Error {
+	switch {
+	case r.stopping:
+		return refusal.New(refusal.Stopping, "send to another entry or again at once", "the agent is stopping")
+	case !r.state.up:
+		return refusal.New(refusal.NotReady, "another runner takes the request", "the engine does not answer")
+	case r.state.loading || r.draining:
+		return refusal.New(refusal.NotReady, "another runner takes the request", "the engine loads weights")
+	case r.state.weightsVersion != weightsVersion:
+		return refusal.New(refusal.NotReady, "another runner takes the request",
+			"the engine has weights %q, not %q", r.state.weightsVersion, weightsVersion)
+	}
+	return nil
+}
+
+// submit takes a new request into the queue, or returns the job that it is
+// already. A refusal is final and says "not run" truthfully: the request was
+// never given to the engine.
+func (r *runner) submit(req *keelv1.GenerateRequest, now time.Time) (*job, *refusal.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.jobs[jobID(req.RequestId, req.Attempt)]; j != nil {
+		return j, nil
+	}
+	r.reservations.Release(req.Reservation)
+	if err := r.ready(req.WeightsVersion); err != nil {
+		return nil, err
+	}
+	j := newJob(req, 0, now)
+	r.estimate(j, now)
+	decision := r.queue.Push(j.item, r.busy(now), now)
+	if decision.Refused != admission.Taken {
+		return nil, queueRefusal(decision.Refused, decision.RetryAfter)
+	}
+	if decision.Evicted != nil {
+		r.finish(r.jobs[decision.Evicted.ID], stream.Finish{Err: queueRefusal(admission.Full, decision.RetryAfter)}, now)
+	}
+	r.jobs[j.id] = j
+	count(r.belief.coming, req.BoundaryHash, 1)
+	r.dispatch(now)
+	return j, nil
+}
+
+func queueRefusal(reason admission.Reason, after time.Duration) *refusal.Error {
+	remedy := "come back after the time in Retry-After"
+	switch reason {
+	case admission.TooLate:
+		return refusal.New(refusal.DeadlineUnmet, remedy, "the queue is longer than the caller's deadline").After(after)
+	case admission.Canceled:
+		return refusal.New(refusal.Canceled, "nothing", "the caller left")
+	}
+	return refusal.New(refusal.QueueFull, remedy, "the target's queue is full").After(after)
+}
+
+// estimate works out what the engine would have to compute for j now.
+func (r *runner) estimate(j *job, now time.Time) {
+	j.claimed = tokensAt(j.req.BoundaryTokens, r.belief.cached(j.req.Root, j.req.BoundaryHash, now))
+	j.missing = max(1, int(j.req.PromptTokens)-j.claimed)
+	j.item.Cost = r.pace.cost(j.missing)
+}
+
+func tokensAt(tokens []uint32, i int) int {
+	if i < 0 {
+		return 0
+	}
+	return int(tokens[i])
+}
+
+// busy is the engine's time that is taken before the queue's first request:
+// its prefill, what is reserved, and a slot to come free.
+func (r *runner) busy(now time.Time) time.Duration {
+	busy := r.pace.cost(r.prefillTokens) + r.reservations.Cost(now)
+	if over := r.running + r.queue.Len() - r.settings.Queue.Slots; over >= 0 {
+		busy += r.hold * time.Duration(over+1) / time.Duration(r.settings.Queue.Slots)
+	}
+	return busy
+}
+
+// dispatch gives the engine as much as it should have.
+func (r *runner) dispatch(now time.Time) {
+	r.expire(now)
+	for r.running < r.settings.Queue.Slots && !r.draining && r.state.up {
+		item := r.queue.Next(func(item *admission.Item) bool { return r.holdBack(item, now) })
+		if item == nil {
+			return
+		}
+		r.begin(r.jobs[item.ID], now)
+	}
+}
+
+// holdBack keeps a request waiting while the engine has enough prefill ahead,
+// or while it computes a prefix of this very request: given both at once, the
+// engine would compute the shared tokens twice.
+func (r *runner) holdBack(item *admission.Item, now time.Time) bool {
+	j := r.jobs[item.ID]
+	r.estimate(j, now)
+	if r.prefillTokens > 0 && r.prefillTokens+j.missing > r.settings.Queue.PrefillTokens {
+		return true
+	}
+	shared := tokensAt(j.req.BoundaryTokens, r.belief.beingComputed(item.Hashes))
+	return shared > j.claimed
+}
+
+func (r *runner) begin(j *job, now time.Time) {
+	j.phase = prefilling
+	j.dispatched = now
+	j.bootID = r.state.bootID
+	r.running++
+	r.prefillTokens += j.missing
+	r.pace.begin(now)
+	count(r.belief.computing, j.item.Hashes, 1)
+	r.metrics.queueWait.Observe(j.item.Waited(now).Seconds())
+	go r.run(j)
+}
+
+// firstToken records that the engine has computed j's prompt.
+func (r *runner) firstToken(j *job, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.phase != prefilling {
+		return
+	}
+	r.endPrefill(j, true, now)
+	j.phase = decoding
+	if j.bootID == r.state.bootID {
+		count(r.belief.pinned, j.item.Hashes, 1)
+	}
+	r.dispatch(now)
+}
+
+func (r *runner) endPrefill(j *job, whole bool, now time.Time) {
+	r.pace.end(j.missing, whole, now)
+	r.prefillTokens -= j.missing
+	count(r.belief.computing, j.item.Hashes, -1)
+	count(r.belief.coming, j.item.Hashes, -1)
+}
+
+// end ends a job that the engine had.
+func (r *runner) end(j *job, f stream.Finish, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finish(j, f, now)
+	r.dispatch(now)
+}
+
+// holdWeight is the weight of one request in the mean time of a slot.
+const holdWeight = 0.1
+
+func (r *runner) finish(j *job, f stream.Finish, now time.Time) {
+	switch j.phase {
+	case ended:
+		return
+	case waiting:
+		count(r.belief.coming, j.item.Hashes, -1)
+	case prefilling:
+		r.endPrefill(j, false, now)
+		r.running--
+	case decoding:
+		r.running--
+		r.hold += time.Duration(holdWeight * float64(now.Sub(j.dispatched)-r.hold))
+		if j.bootID == r.state.bootID {
+			count(r.belief.pinned, j.item.Hashes, -1)
+			r.belief.vouch(j.item.Hashes, now)
+		}
+	}
+	j.phase = ended
+	j.endedAt = now
+	j.buffer.Close(f)
+	j.cancel()
+	r.noteTruth(j, f)
+}
+
+// noteTruth compares what was believed cached with what the engine used.
+func (r *runner) noteTruth(j *job, f stream.Finish) {
+	if f.Err != nil || f.PromptTokens == 0 {
+		return
+	}
+	over := max(0, j.claimed-f.CachedTokens-r.settings.blockSlack())
+	under := max(0, f.CachedTokens-j.claimed)
+	r.metrics.claims.WithLabelValues("held").Add(float64(min(j.claimed, f.CachedTokens)))
+	r.metrics.claims.WithLabelValues("over").Add(float64(over))
+	r.metrics.claims.WithLabelValues("under").Add(float64(under))
+}
+
+// blockSlack is the part of a claim that no engine can use: the prompt's last
+// block is computed again for its first token.
+func (Settings) blockSlack() int {
+	return 16
+}
+
+// expire refuses the waiting requests whose caller has stopped waiting.
+func (r *runner) expire(now time.Time) {
+	for _, item := range r.queue.Expired(now) {
+		r.finish(r.jobs[item.ID], stream.Finish{Err: queueRefusal(admission.TooLate, r.queue.Cost())}, now)
+	}
+}
+
+// abandon ends a job that its entry gave up.
+func (r *runner) abandon(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j == nil {
+		return
+	}
+	r.queue.Remove(id)
+	r.finish(j, stream.Finish{Err: queueRefusal(admission.Canceled, 0)}, now)
+	r.dispatch(now)
+}
+
+// setState takes the control goroutine's news of the engine. A new boot, or
+// an engine that is away, ends all belief about its cache at once.
+func (r *runner) setState(s engineState, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.up && s.bootID != r.state.bootID {
+		r.belief.view.Boot(s.bootID)
+		r.belief.forget()
+	}
+	r.state = s
+	r.dispatch(now)
+}
+
+// sweep forgets old jobs and ends those that nobody reads.
+func (r *runner) sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := settings.Millis(r.settings.Stream.KeptMS)
+	orphan := settings.Millis(r.settings.Stream.OrphanMS)
+	for id, j := range r.jobs {
+		switch {
+		case j.phase == ended && j.readers == 0 && now.Sub(j.endedAt) > kept:
+			delete(r.jobs, id)
+		case j.phase != ended && j.readers == 0 && now.Sub(j.unread) > orphan:
+			r.queue.Remove(id)
+			r.finish(j, stream.Finish{Err: queueRefusal(admission.Canceled, 0)}, now)
+			r.metrics.orphans.Inc()
+		}
+	}
+	r.dispatch(now)
+}
+
+func (r *runner) attach(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.readers++
+}
+
+func (r *runner) detach(j *job, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.readers--
+	j.unread = now
+}
+
+// active returns how many jobs have not ended or are still being read.
+func (r *runner) active() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, j := range r.jobs {
+		if j.phase != ended || j.readers > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *runner) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+func (r *runner) up() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.up
+}
--- /dev/null
+++ b/agent/watch.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"acaciakeel/cache"
+)
+
+// Times of watching an engine.
+const (
+	loadInterval = 100 * time.Millisecond
+	loadTimeout  = 400 * time.Millisecond
+	// awayAfter is how many failed load reports in a row make an engine away.
+	awayAfter = 2
+	// eventRetry is the pause before the event stream is opened again.
+	eventRetry = 50 * time.Millisecond
+	// resyncPause is the least time between two dumps of the engine's cache.
+	resyncPause = 200 * time.Millisecond
+	// resyncShare bounds the time spent on dumps: after one that took t, the
+	// next waits for t * resyncShare.
+	resyncShare = 50
+	dumpTimeout = 2 * time.Second
+)
+
+// watchLoad follows the engine's load report: which boot, which weights, or away.
+func (r *runner) watchLoad(ctx context.Context) {
+	failures := 0
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		failures = r.pollLoad(ctx, failures)
+		r.sweep(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *runner) pollLoad(ctx context.Context, failures int) int {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := r.engine.Load(ctx)
+	if err == nil {
+		r.setState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, loading: load.Loading}, time.Now())
+		return 0
+	}
+	failures++
+	if failures >= awayAfter {
+		r.setState(engineState{}, time.Now())
+	}
+	return failures
+}
+
+// watchCache follows the engine's cache events, from a dump on.
+func (r *runner) watchCache(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.resync(ctx) == nil {
+			r.followEvents(ctx)
+		}
+		select {
+		case <-time.After(eventRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *runner) resync(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	dump, err := r.engine.CacheDump(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if dump.BootID != r.state.bootID && r.state.up {
+		r.belief.forget()
+	}
+	r.belief.view.Resync(dump)
+	r.metrics.resyncs.Inc()
+	return nil
+}
+
+// followEvents applies events until their connection ends. A gap asks for a
+// dump, at a bounded rate, beside the stream.
+func (r *runner) followEvents(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gaps := make(chan struct{}, 1)
+	go r.resyncOnGaps(ctx, gaps)
+	r.mu.Lock()
+	seq := r.belief.view.Seq()
+	r.mu.Unlock()
+	err := r.engine.CacheEvents(ctx, seq, func(e cache.Event) {
+		if r.applyEvent(e) {
+			return
+		}
+		select {
+		case gaps <- struct{}{}:
+		default:
+		}
+	})
+	if err != nil && ctx.Err() == nil {
+		r.metrics.cacheEvents.WithLabelValues("disconnected").Inc()
+	}
+}
+
+// applyEvent reports whether the view is whole after the event.
+func (r *runner) applyEvent(e cache.Event) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	verdict := r.belief.view.Apply(e)
+	r.metrics.cacheEvents.WithLabelValues(string(verdict)).Inc()
+	return !r.belief.view.InDoubt()
+}
+
+func (r *runner) resyncOnGaps(ctx context.Context, gaps <-chan struct{}) {
+	for {
+		select {
+		case <-gaps:
+		case <-ctx.Done():
+			return
+		}
+		began := time.Now()
+		_ = r.resync(ctx)
+		pause := max(resyncPause, resyncShare*time.Since(began))
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cache/view.go
@@ -0,0 +1,188 @@
+// Package cache keeps an agent's view of its engine's prefix cache, made from
+// cache events that come late, out of step and with gaps. The view claims
+// only what it is sure of; the engine alone decides what it reuses.
+package cache
+
+// Event is one cache event of an engine.
+type Event struct {
+	BootID string
+	// Seq grows by one with every event of a boot.
+	Seq uint64
+	// Removed blocks left before Stored ones came. Stored is a run of a chain
+	// whose first block follows Parent.
+	Removed []uint64
+	Parent  uint64
+	Stored  []uint64
+}
+
+// Block is one cached block and the block before it in its chain.
+type Block struct {
+	Hash   uint64
+	Parent uint64
+}
+
+// Dump is everything an engine has cached after the event Seq.
+type Dump struct {
+	BootID string
+	Seq    uint64
+	Blocks []Block
+}
+
+// Verdict says what an event did to the view.
+type Verdict string
+
+// The verdicts on an event.
+const (
+	Applied   Verdict = "applied"
+	Duplicate Verdict = "duplicate"
+	// Gap: events before this one were lost, so older entries may be gone.
+	Gap Verdict = "gap"
+	// Rebooted: the engine came back empty.
+	Rebooted Verdict = "rebooted"
+)
+
+// entry is one block of the view. Epoch is the view's epoch when the block
+// was last known to be cached.
+type entry struct {
+	parent uint64
+	epoch  uint32
+}
+
+// View is the state. It is not safe for concurrent use.
+type View struct {
+	bootID string
+	seq    uint64
+	// epoch grows with every gap. A lost event may have removed any block, so
+	// blocks of an earlier epoch are not claimed until a dump or an event
+	// confirms them.
+	epoch  uint32
+	blocks map[uint64]entry
+	doubt  bool
+}
+
+// NewView returns an empty view of an engine that was not heard from yet.
+func NewView() *View {
+	return &View{blocks: map[uint64]entry{}}
+}
+
+// BootID returns the engine's boot that the view is of.
+func (v *View) BootID() string {
+	return v.bootID
+}
+
+// Seq returns the last event that the view took.
+func (v *View) Seq() uint64 {
+	return v.seq
+}
+
+// Len returns how many blocks the view holds, claimed or in doubt.
+func (v *View) Len() int {
+	return len(v.blocks)
+}
+
+// InDoubt reports whether events were lost since the last dump.
+func (v *View) InDoubt() bool {
+	return v.doubt
+}
+
+// Boot empties the view when the engine has another boot than the view's. A
+// dead engine's entries are never claimed after this returns.
+func (v *View) Boot(bootID string) bool {
+	if v.bootID == bootID {
+		return false
+	}
+	v.bootID = bootID
+	v.seq = 0
+	v.epoch = 0
+	v.doubt = false
+	v.blocks = map[uint64]entry{}
+	return true
+}
+
+// Apply takes one event.
+func (v *View) Apply(e Event) Verdict {
+	if v.Boot(e.BootID) {
+		v.take(e)
+		// The first events of the boot may have been missed.
+		v.doubt = e.Seq > 1
+		return Rebooted
+	}
+	if e.Seq <= v.seq {
+		return Duplicate
+	}
+	if e.Seq > v.seq+1 {
+		v.epoch++
+		v.doubt = true
+		v.take(e)
+		return Gap
+	}
+	v.take(e)
+	return Applied
+}
+
+func (v *View) take(e Event) {
+	v.seq = e.Seq
+	for _, hash := range e.Removed {
+		delete(v.blocks, hash)
+	}
+	parent := e.Parent
+	for _, hash := range e.Stored {
+		v.blocks[hash] = entry{parent: parent, epoch: v.epoch}
+		parent = hash
+	}
+}
+
+// Resync replaces the view by a dump. A dump older than the view is ignored.
+func (v *View) Resync(d Dump) bool {
+	v.Boot(d.BootID)
+	if d.Seq < v.seq {
+		return false
+	}
+	v.seq = d.Seq
+	v.doubt = false
+	v.blocks = make(map[uint64]entry, len(d.Blocks))
+	for _, b := range d.Blocks {
+		v.blocks[b.Hash] = entry{parent: b.Parent, epoch: v.epoch}
+	}
+	return true
+}
+
+// Holds reports whether the chain from root up to hash is claimed whole: an
+// engine can't use a block whose predecessors are gone.
+func (v *View) Holds(root, hash uint64) bool {
+	for range len(v.blocks) + 1 {
+		if hash == root {
+			return true
+		}
+		e, ok := v.blocks[hash]
+		if !ok || e.epoch != v.epoch {
+			return false
+		}
+		hash = e.parent
+	}
+	return false
+}
+
+// Confirm marks the chain up to hash as cached now, because the engine has
+// just said in an answer that it used it.
+func (v *View) Confirm(root, hash uint64) {
+	for range len(v.blocks) + 1 {
+		e, ok := v.blocks[hash]
+		if hash == root || !ok || e.epoch == v.epoch {
+			return
+		}
+		v.blocks[hash] = entry{parent: e.parent, epoch: v.epoch}
+		hash = e.parent
+	}
+}
+
+// Longest returns the index of the deepest of the boundary hashes, shortest
+// first, that is claimed whole, or -1.
+func (v *View) Longest(root uint64, hashes []uint64) int {
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if v.Holds(root, hashes[i]) {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/cmd/keelctl/main.go
@@ -0,0 +1,18 @@
+// Command keelctl is the resource API from a terminal.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"acaciakeel/ctl"
+)
+
+func main() {
+	err := ctl.Command(os.Stdout).Run(context.Background(), os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "keelctl:", err)
+	}
+	os.Exit(ctl.ExitCode(err))
+}
--- /dev/null
+++ b/configsync/neighbour.go
@@ -0,0 +1,107 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	keelv1 "acaciakeel/api/keel/v1"
+)
+
+// fetch takes a neighbour's state where it is newer, waiting up to wait.
+func (f *Follower) fetch(ctx context.Context, url string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
+	peer := f.config.Links.Peer(url)
+	clients := peer.Clients()
+	state := f.State()
+	answer, err := clients.Config.Fetch(ctx, connect.NewRequest(&keelv1.FetchRequest{
+		AboveRevision: uint64(state.Snapshot.Revision),
+		VmsHash:       state.VMsHash,
+		WaitMs:        uint32(wait.Milliseconds()),
+	}))
+	if err != nil {
+		peer.Renew(clients)
+		return fmt.Errorf("fetch from neighbour %s: %w", url, err)
+	}
+	if len(answer.Msg.State) == 0 {
+		return nil
+	}
+	var u update
+	if err := json.Unmarshal(answer.Msg.State, &u); err != nil {
+		return fmt.Errorf("decode state of neighbour %s: %w", url, err)
+	}
+	snapshot, err := state.Snapshot.With(u.Delta)
+	f.offer(snapshot, u.VMs)
+	return err
+}
+
+// Server answers neighbours' long polls. It implements ConfigServiceHandler.
+type Server struct {
+	follower *Follower
+	stopped  chan struct{}
+}
+
+// NewServer returns a server of the follower's state.
+func NewServer(f *Follower) *Server {
+	return &Server{follower: f, stopped: make(chan struct{})}
+}
+
+// Stop ends all long polls, so that a planned stop does not wait for them.
+// Call it once.
+func (s *Server) Stop() {
+	close(s.stopped)
+}
+
+var errStopping = errors.New("this process is stopping; ask another carrier")
+
+// maxFetchWait bounds what a neighbour can ask to wait.
+const maxFetchWait = 30 * time.Second
+
+// Fetch implements ConfigServiceHandler.
+func (s *Server) Fetch(ctx context.Context, req *connect.Request[keelv1.FetchRequest]) (*connect.Response[keelv1.FetchResponse], error) {
+	if req.Msg.RevisionOnly {
+		return connect.NewResponse(&keelv1.FetchResponse{Revision: uint64(s.follower.Revision())}), nil
+	}
+	wait := min(time.Duration(req.Msg.WaitMs)*time.Millisecond, maxFetchWait)
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		changed := s.follower.Changed()
+		state := s.follower.State()
+		if newerThan(state, req.Msg) {
+			return stateResponse(state, req.Msg)
+		}
+		select {
+		case <-changed:
+		case <-s.stopped:
+			return nil, connect.NewError(connect.CodeUnavailable, errStopping)
+		case <-deadline.C:
+			return connect.NewResponse(&keelv1.FetchResponse{}), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func newerThan(s *State, req *keelv1.FetchRequest) bool {
+	if s.Snapshot.Revision != int64(req.AboveRevision) {
+		return s.Snapshot.Revision > int64(req.AboveRevision)
+	}
+	return s.VMsHash != req.VmsHash && len(s.VMs) > 0
+}
+
+func stateResponse(s *State, req *keelv1.FetchRequest) (*connect.Response[keelv1.FetchResponse], error) {
+	data, err := s.encodeFor(int64(req.AboveRevision), req.VmsHash)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&keelv1.FetchResponse{
+		Revision: uint64(s.Snapshot.Revision),
+		State:    data,
+	}), nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/api/keel/v1/keelv1connect"
+	"acaciakeel/configsync"
+	"acaciakeel/link"
+	"acaciakeel/platform"
+	"acaciakeel/telemetry"
+	"acaciakeel/vm"
+)
+
+// Entry is the process that callers and operators talk to.
+type Entry struct {
+	settings     Settings
+	log          *logrus.Entry
+	registry     *prometheus.Registry
+	metrics      *metrics
+	store        platform.Store
+	follower     *configsync.Follower
+	configServer *configsync.Server
+	links        *link.Pool
+	table        atomic.Pointer[table]
+	opinions     *opinions
+	contracts    *contracts
+	budget       *budgets
+	incarnations *incarnations
+	stopping     atomic.Bool
+	// stopped closes when the last requests are to end.
+	stopped chan struct{}
+}
+
+// New returns an entry that has not begun to run.
+func New(s Settings, log *logrus.Logger) *Entry {
+	e := &Entry{
+		settings:     s,
+		log:          log.WithField("entry", s.Self.Name),
+		registry:     telemetry.NewRegistry(),
+		links:        link.NewPool(link.Options{}),
+		opinions:     newOpinions(),
+		contracts:    newContracts(),
+		budget:       newBudgets(s.Routing.RetryRatio),
+		incarnations: newIncarnations(),
+		stopped:      make(chan struct{}),
+	}
+	e.metrics = newMetrics(e.registry)
+	client := platform.NewClient(s.Platform.URL)
+	e.store = client
+	e.follower = configsync.NewFollower(configsync.Config{
+		Self:       s.Self.VM(vm.Entry),
+		Neighbours: s.Platform.Neighbours,
+		Store:      client,
+		Directory:  client,
+		Links:      e.links,
+		OnEvent:    e.configEvent,
+	})
+	e.configServer = configsync.NewServer(e.follower)
+	e.table.Store(newTable(e.follower.State()))
+	e.registerGauges()
+	return e
+}
+
+func (e *Entry) configEvent(event string, err error) {
+	e.metrics.configEvents.WithLabelValues(event).Inc()
+	e.log.WithError(err).WithField("event", event).Debug("following the configuration failed")
+}
+
+func (e *Entry) registerGauges() {
+	telemetry.NewGaugeFunc(e.registry, "keel_entry_config_revision", "Revision of the configuration in force.", func() float64 {
+		return float64(e.follower.Revision())
+	})
+	telemetry.NewGaugeFunc(e.registry, "keel_entry_link_bytes", "Bytes on the wire to and from the system's own processes.", func() float64 {
+		sent, received := e.links.Bytes()
+		return float64(sent + received)
+	})
+}
+
+// Run keeps the entry current until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	go e.follower.Run(ctx)
+	for {
+		changed := e.follower.Changed()
+		e.applyState()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// applyState swaps the routing table for that of the current state.
+func (e *Entry) applyState() {
+	t := newTable(e.follower.State())
+	old := e.table.Swap(t)
+	e.contracts.setEntries(t.state.Count(vm.Entry))
+	e.opinions.keep(t.agentURL)
+	if old.snapshot().Revision != t.snapshot().Revision {
+		e.log.WithFields(logrus.Fields{
+			"event":    "config_applied",
+			"revision": t.snapshot().Revision,
+			"targets":  len(t.agentURL),
+		}).Info("configuration in force")
+	}
+}
+
+// Handler serves callers, operators, the system's own messages, /metrics,
+// /healthz and /readyz.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", e.server("chat", e.completionEndpoint, decodeChat, e.encodeReply))
+	mux.Handle("POST /v1/completions", e.server("completion", e.completionEndpoint, decodeText, e.encodeReply))
+	mux.Handle("GET /v1/models", e.server("models", e.modelsEndpoint, decodeNothing, encodeJSON))
+	mux.Handle("/services/{service}/{path...}", e.server("call", e.callEndpoint, decodeCall, encodeCall))
+	mux.Handle(keelv1connect.NewConfigServiceHandler(e.configServer))
+	e.addOperatorRoutes(mux)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	return mux
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.stopping.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case e.follower.Revision() == 0:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	}
+}
+
+// stopNotice is how long an entry serves on after it has begun to say "not
+// ready", so that the balancer sends nothing to a closed door.
+const stopNotice = 2 * time.Second
+
+// Stopping makes the entry tell the balancer that it leaves, and returns once
+// the balancer has had time to notice. Requests are served all the while.
+func (e *Entry) Stopping(ctx context.Context) {
+	e.stopping.Store(true)
+	select {
+	case <-time.After(stopNotice):
+	case <-ctx.Done():
+	}
+	// Requests that only wait for changes end here.
+	close(e.stopped)
+	e.configServer.Stop()
+}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
+
+	"acaciakeel/operator"
+	"acaciakeel/refusal"
+	"acaciakeel/resource"
+)
+
+// resourceRequest is a decoded request of the resource API.
+type resourceRequest struct {
+	operator Operator
+	kind     resource.Kind
+	name     string
+	change   operator.Change
+	dryRun   bool
+	version  int64
+	after    string
+	afterRev int64
+	wait     time.Duration
+}
+
+func (e *Entry) addOperatorRoutes(mux *http.ServeMux) {
+	one := operator.PathResources + "/{kind}/{name}"
+	mux.Handle("GET "+operator.PathResources+"/{kind}", e.operatorServer("list", Reader, e.listEndpoint))
+	mux.Handle("GET "+one, e.operatorServer("get", Reader, e.getEndpoint))
+	mux.Handle("PUT "+one, e.operatorServer("put", Writer, e.putEndpoint))
+	mux.Handle("DELETE "+one, e.operatorServer("delete", Writer, e.deleteEndpoint))
+	mux.Handle("GET "+operator.PathWatch, e.operatorServer("watch", Reader, e.watchEndpoint))
+	mux.Handle("GET "+operator.PathStatus, e.operatorServer("status", Reader, e.statusEndpoint))
+}
+
+// operatorServer makes the handler of one operation for operators of a role.
+func (e *Entry) operatorServer(operation string, role Role, ep endpoint.Endpoint) http.Handler {
+	decode := func(ctx context.Context, r *http.Request) (any, error) {
+		o, err := e.operatorOf(r, role)
+		if err != nil {
+			return nil, err
+		}
+		return e.decodeResource(r, o)
+	}
+	return kithttp.NewServer(ep, decode, encodeJSON,
+		kithttp.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
+			id := uuid.Must(uuid.NewV7()).String()
+			ctx = context.WithValue(ctx, operationKey, operation)
+			return context.WithValue(ctx, callerKey, caller{requestID: id, received: time.Now()})
+		}),
+		kithttp.ServerErrorEncoder(e.encodeError),
+		kithttp.ServerFinalizer(e.logRequest),
+	)
+}
+
+func (e *Entry) operatorOf(r *http.Request, role Role) (Operator, error) {
+	hash := HashKey(bearerKey(r))
+	for _, o := range e.settings.Operators {
+		if o.KeyHash != hash {
+			continue
+		}
+		if role == Writer && o.Role != Writer {
+			return o, refusal.New(refusal.Forbidden, "use the key of an operator with role writer", "operator %s may only read", o.Name)
+		}
+		return o, nil
+	}
+	return Operator{}, refusal.New(refusal.Unauthorized, "send an operator's key as 'Authorization: Bearer KEY'", "no operator has this key")
+}
+
+func (e *Entry) decodeResource(r *http.Request, o Operator) (any, error) {
+	query := r.URL.Query()
+	req := resourceRequest{
+		operator: o,
+		kind:     resource.Kind(r.PathValue("kind")),
+		name:     r.PathValue("name"),
+		dryRun:   query.Get("dry_run") == "true",
+		after:    query.Get("after"),
+	}
+	if req.kind != "" && !slices.Contains(resource.Kinds(), req.kind) {
+		return nil, refusal.New(refusal.BadRequest, "use model, service, preference, customer or target", "there is no kind %q", req.kind)
+	}
+	req.version, _ = strconv.ParseInt(query.Get("version"), 10, 64)
+	req.afterRev, _ = strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	req.wait = min(time.Duration(wait)*time.Millisecond, maxOperatorWait)
+	if r.Method == http.MethodPut {
+		r.Body = http.MaxBytesReader(nil, r.Body, maxResourceBytes)
+		if err := decodeBody(r, &req.change); err != nil {
+			return nil, err
+		}
+	}
+	return req, nil
+}
+
+// Bounds of the resource API.
+const (
+	maxResourceBytes = 256 << 10
+	maxOperatorWait  = 30 * time.Second
+	pageSize         = 200
+)
+
+func (e *Entry) getEndpoint(_ context.Context, request any) (any, error) {
+	req := request.(resourceRequest)
+	r, ok := e.table.Load().snapshot().Resources[resource.Key(req.kind, req.name)]
+	if !ok {
+		return nil, refusal.New(refusal.NotFound, "see `keelctl get "+string(req.kind)+"`", "there is no %s %q", req.kind, req.name)
+	}
+	return r, nil
+}
+
+func (e *Entry) listEndpoint(_ context.Context, request any) (any, error) {
+	req := request.(resourceRequest)
+	snapshot := e.table.Load().snapshot()
+	list := operator.List{Revision: snapshot.Revision, Items: []resource.Resource{}}
+	for _, r := range snapshot.Resources {
+		if r.Kind == req.kind && r.Name > req.after {
+			list.Items = append(list.Items, r)
+		}
+	}
+	slices.SortFunc(list.Items, func(a, b resource.Resource) int { return strings.Compare(a.Name, b.Name) })
+	if len(list.Items) > pageSize {
+		list.Items = list.Items[:pageSize]
+		list.Next = list.Items[pageSize-1].Name
+	}
+	return list, nil
+}
+
+// watchEndpoint waits for changes after a revision. A watcher goes on from
+// the revision of the last answer, at any entry, without loss or repeat.
+func (e *Entry) watchEndpoint(ctx context.Context, request any) (any, error) {
+	req := request.(resourceRequest)
+	ctx, cancel := context.WithTimeout(ctx, req.wait)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := e.follower.Await(ctx, req.afterRev+1); err != nil && ctx.Err() == nil {
+		return nil, err
+	}
+	snapshot := e.follower.State().Snapshot
+	if snapshot.Revision <= req.afterRev {
+		return resource.Delta{Base: req.afterRev, Revision: req.afterRev}, nil
+	}
+	return snapshot.Since(req.afterRev), nil
+}
+
+// putEndpoint accepts a change: checked, then written by compare-and-swap.
+func (e *Entry) putEndpoint(ctx context.Context, request any) (any, error) {
+	req := request.(resourceRequest)
+	r := resource.Resource{
+		Kind:     req.kind,
+		Name:     req.name,
+		Version:  req.change.Version,
+		ChangeID: req.change.ChangeID,
+		Changed:  time.Now().UTC(),
+		Author:   req.operator.Name,
+		Spec:     req.change.Spec,
+	}
+	if r.ChangeID == "" {
+		r.ChangeID = uuid.NewString()
+	}
+	if err := resource.Validate(r, e.table.Load().snapshot()); err != nil {
+		return nil, refusal.New(refusal.Invalid, "correct it and apply again", "%s %q: %v", r.Kind, r.Name, err)
+	}
+	if req.dryRun {
+		return r, nil
+	}
+	version, err := e.write(ctx, r)
+	e.audit(req, "put", version, err)
+	if err != nil {
+		return nil, err
+	}
+	r.Version = version
+	e.awaitHere(ctx, version)
+	return r, nil
+}
+
+func (e *Entry) deleteEndpoint(ctx context.Context, request any) (any, error) {
+	req := request.(resourceRequest)
+	if err := resource.InUse(req.kind, req.name, e.table.Load().snapshot()); err != nil {
+		return nil, refusal.New(refusal.Invalid, "delete or change those first", "%v", err)
+	}
+	key := resource.Key(req.kind, req.name)
+	revision, err := e.remove(ctx, key, req.version)
+	e.audit(req, "delete", revision, err)
+	if err != nil {
+		return nil, err
+	}
+	e.awaitHere(ctx, revision)
+	return resource.Deletion{Key: key, Revision: revision}, nil
+}
+
+// awaitHereFor is how long an accepted change may take until this entry
+// itself reads it back; after that the answer goes out all the same.
+const awaitHereFor = time.Second
+
+func (e *Entry) awaitHere(ctx context.Context, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, awaitHereFor)
+	defer cancel()
+	e.follower.Hint(revision)
+	_ = e.follower.Await(ctx, revision)
+}
+
+// audit writes one line for each change that an operator asked for.
+func (e *Entry) audit(req resourceRequest, change string, version int64, err error) {
+	result := "accepted"
+	if err != nil {
+		result = string(refusal.From(err).Kind)
+	}
+	e.metrics.changes.WithLabelValues(result).Inc()
+	e.log.WithFields(map[string]any{
+		"event":     "audit",
+		"operator":  req.operator.Name,
+		"change":    change,
+		"kind":      req.kind,
+		"name":      req.name,
+		"version":   version,
+		"change_id": req.change.ChangeID,
+		"result":    result,
+	}).Info("operator's change")
+}
--- /dev/null
+++ b/entry/resume.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/refusal"
+)
+
+// resumePoint is what an event's id says, so that a caller can go on reading
+// through any entry: which attempt at which target, and where in the stream.
+type resumePoint struct {
+	requestID string
+	attempt   uint32
+	target    string
+	// base is the stream's offset at which the attempt began.
+	base int
+	// offset is the event's own.
+	offset int
+}
+
+// String returns the point as an SSE event id.
+func (p resumePoint) String() string {
+	return fmt.Sprintf("%s/%d/%s/%d/%d", p.requestID, p.attempt, p.target, p.base, p.offset)
+}
+
+// resumeFields is how many fields an event id has.
+const resumeFields = 5
+
+func parseResumePoint(id string) (resumePoint, error) {
+	fields := strings.Split(id, "/")
+	if len(fields) != resumeFields {
+		return resumePoint{}, fmt.Errorf("an event id has %d fields, not %d", resumeFields, len(fields))
+	}
+	p := resumePoint{requestID: fields[0], target: fields[2]}
+	_, err := fmt.Sscanf(strings.Join([]string{fields[1], fields[3], fields[4]}, " "), "%d %d %d", &p.attempt, &p.base, &p.offset)
+	if err != nil {
+		return resumePoint{}, fmt.Errorf("read event id: %w", err)
+	}
+	return p, nil
+}
+
+// resumeSession goes on with a stream that another entry began. Only the
+// agent of the attempt has its text, so there is no other runner to go on at.
+func (e *Entry) resumeSession(ctx context.Context, p *plan, point resumePoint) (*session, *refusal.Error) {
+	url, ok := e.table.Load().agentURL[point.target]
+	if !ok {
+		return nil, refusal.New(refusal.ResumeUnavailable, "send the request again without Last-Event-ID",
+			"target %q of the stream is not configured", point.target)
+	}
+	p.requestID = point.requestID
+	s := &session{entry: e, plan: p, attempt: point.attempt, events: make(chan event, eventBuffer)}
+	s.target = chosen{name: point.target, url: url}
+	s.assembler.ResumeAt(point.attempt, point.base, point.offset+1)
+	a := &attempt{entry: e, session: s, number: point.attempt, target: s.target}
+	a.request = &keelv1.GenerateRequest{RequestId: p.requestID, Customer: p.customer}
+	a.request = a.reattach()
+	go func() {
+		defer close(s.events)
+		s.err = a.run(ctx)
+	}()
+	return s, nil
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,111 @@
+// Package entry is the process that callers and operators talk to: it knows
+// customers by their keys, holds contracts, chooses the target of each
+// request, keeps streams whole, and serves the resource API. It holds no
+// cache state, so a restarted entry decides as its neighbours do.
+package entry
+
+import (
+	"encoding/hex"
+
+	"acaciakeel/problem"
+	"acaciakeel/settings"
+)
+
+// Settings of an entry.
+type Settings struct {
+	Self      settings.Self     `toml:"self"`
+	Platform  settings.Platform `toml:"platform"`
+	Log       settings.Log      `toml:"log"`
+	Limits    LimitSettings     `toml:"limits"`
+	Routing   RoutingSettings   `toml:"routing"`
+	Operators []Operator        `toml:"operator"`
+	// StopLimitMS is how long a planned stop waits for what runs. Default 60000.
+	StopLimitMS float64 `toml:"stop_limit_ms"`
+}
+
+// LimitSettings bound what callers send.
+type LimitSettings struct {
+	// BodyBytes is the largest body. Default 8388608.
+	BodyBytes int64 `toml:"body_bytes"`
+	// MaxTokens is the most tokens that a request may generate. Default 4096.
+	MaxTokens int `toml:"max_tokens"`
+	// DefaultTokens is how many a request generates that does not say. Default 256.
+	DefaultTokens int `toml:"default_tokens"`
+}
+
+// RoutingSettings are the times of the entry's own messages.
+type RoutingSettings struct {
+	// AskTimeoutMS bounds a question to an agent. Default 100.
+	AskTimeoutMS float64 `toml:"ask_timeout_ms"`
+	// SilenceMS is the silence on a stream after which it is resumed on a new
+	// connection: several heartbeats of the agents. Default 1000.
+	SilenceMS float64 `toml:"silence_ms"`
+	// RetryRatio is the retries allowed as a share of requests. Default 0.1.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// OtherDataCentreMS is the cost of a target in another data centre of the
+	// region, there and back. Default 1.
+	OtherDataCentreMS float64 `toml:"other_data_centre_ms"`
+}
+
+// Role is what an operator may do.
+type Role string
+
+// The roles of operators.
+const (
+	Reader Role = "reader"
+	Writer Role = "writer"
+)
+
+// Operator is one operator's key.
+type Operator struct {
+	// Name goes into the audit line of each change.
+	Name string `toml:"name"`
+	// KeyHash is the SHA-256 hash of the key in hex, as `keelctl hash-key` prints it.
+	KeyHash string `toml:"key_hash"`
+	// Role is reader or writer.
+	Role Role `toml:"role"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits:      LimitSettings{BodyBytes: 8 << 20, MaxTokens: 4096, DefaultTokens: 256},
+		Routing:     RoutingSettings{AskTimeoutMS: 100, SilenceMS: 1000, RetryRatio: 0.1, OtherDataCentreMS: 1},
+		StopLimitMS: 60000,
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate(ps *problem.List) {
+	s.Self.Validate(ps)
+	s.Platform.Validate(ps)
+	s.Log.Validate(ps)
+	settings.CheckPositive(ps, "limits.body_bytes", float64(s.Limits.BodyBytes))
+	settings.CheckPositive(ps, "limits.max_tokens", float64(s.Limits.MaxTokens))
+	settings.CheckPositive(ps, "limits.default_tokens", float64(s.Limits.DefaultTokens))
+	settings.CheckPositive(ps, "routing.ask_timeout_ms", s.Routing.AskTimeoutMS)
+	settings.CheckPositive(ps, "routing.silence_ms", s.Routing.SilenceMS)
+	settings.CheckPositive(ps, "routing.retry_ratio", s.Routing.RetryRatio)
+	settings.CheckPositive(ps, "stop_limit_ms", s.StopLimitMS)
+	if len(s.Operators) == 0 {
+		ps.Add("operator", "add an [[operator]] with name, key_hash and role", "none")
+	}
+	for _, o := range s.Operators {
+		o.validate(ps)
+	}
+}
+
+// keyHashBytes is the length of a SHA-256 hash.
+const keyHashBytes = 32
+
+func (o Operator) validate(ps *problem.List) {
+	if o.Name == "" {
+		ps.Add("operator.name", "name the operator for the audit log", "nothing")
+	}
+	if raw, err := hex.DecodeString(o.KeyHash); err != nil || len(raw) != keyHashBytes {
+		ps.Add("operator.key_hash", "use the 64 hex digits that `keelctl hash-key` prints", "%q", o.KeyHash)
+	}
+	if o.Role != Reader && o.Role != Writer {
+		ps.Add("operator.role", "use reader or writer", "%q", o.Role)
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/operator"
+)
+
+// statusTimeout bounds the question to each process for its revision.
+const statusTimeout = 500 * time.Millisecond
+
+// statusEndpoint tells what this entry knows, and which revision is in force
+// at each process.
+func (e *Entry) statusEndpoint(ctx context.Context, _ any) (any, error) {
+	t := e.table.Load()
+	s := operator.Status{
+		Entry:    e.settings.Self.Name,
+		Revision: t.snapshot().Revision,
+		InForce:  e.inForce(ctx, t),
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.snapshot().Targets)) {
+		spec := t.snapshot().Targets[name]
+		load, _ := e.opinions.load(name, 1)
+		s.Targets = append(s.Targets, operator.TargetStatus{
+			Name:       name,
+			Serves:     spec.Model + spec.Service,
+			DataCentre: spec.DataCentre,
+			State:      string(e.opinions.state(name)),
+			Leaving:    spec.Leaving || t.state.Leaving(name),
+			Inflight:   load,
+		})
+	}
+	return s, nil
+}
+
+// inForce asks every listed process for its revision. A process that does not
+// answer is given as -1.
+func (e *Entry) inForce(ctx context.Context, t *table) map[string]int64 {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	found := map[string]int64{e.settings.Self.Name: t.snapshot().Revision}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, v := range t.state.VMs {
+		if v.URL == "" || v.Name == e.settings.Self.Name {
+			continue
+		}
+		wg.Go(func() {
+			revision := e.revisionOf(ctx, v.URL)
+			mu.Lock()
+			defer mu.Unlock()
+			found[v.Name] = revision
+		})
+	}
+	wg.Wait()
+	return found
+}
+
+const unanswered = -1
+
+func (e *Entry) revisionOf(ctx context.Context, url string) int64 {
+	req := connect.NewRequest(&keelv1.FetchRequest{RevisionOnly: true})
+	response, err := e.links.Peer(url).Clients().Config.Fetch(ctx, req)
+	if err != nil {
+		return unanswered
+	}
+	return int64(response.Msg.Revision)
+}
--- /dev/null
+++ b/entry/transport.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
+
+	"acaciakeel/prefix"
+	"acaciakeel/refusal"
+	"acaciakeel/resource"
+)
+
+func itoa(n int) string {
+	return strconv.Itoa(n)
+}
+
+// caller is who sent a request.
+type caller struct {
+	requestID string
+	received  time.Time
+	name      string
+	contract  resource.Customer
+}
+
+type contextKey int
+
+const (
+	callerKey contextKey = iota
+	operationKey
+)
+
+// Headers of the callers' protocol.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerDeadline    = "X-Deadline-Ms"
+	headerLastEvent   = "Last-Event-ID"
+	headerIdempotency = "Idempotency-Key"
+	bearer            = "Bearer "
+)
+
+// server makes the HTTP handler of one operation of callers.
+func (e *Entry) server(operation string, ep endpoint.Endpoint, decode kithttp.DecodeRequestFunc, encode kithttp.EncodeResponseFunc) http.Handler {
+	return kithttp.NewServer(
+		ep,
+		e.authenticated(decode),
+		encode,
+		kithttp.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
+			id := uuid.Must(uuid.NewV7()).String()
+			ctx = context.WithValue(ctx, operationKey, operation)
+			return context.WithValue(ctx, callerKey, caller{requestID: id, received: time.Now()})
+		}),
+		kithttp.ServerErrorEncoder(e.encodeError),
+		kithttp.ServerFinalizer(e.logRequest),
+	)
+}
+
+func callerOf(ctx context.Context) caller {
+	c, _ := ctx.Value(callerKey).(caller)
+	return c
+}
+
+// authenticated finds the customer before anything of the body is read.
+func (e *Entry) authenticated(decode kithttp.DecodeRequestFunc) kithttp.DecodeRequestFunc {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		c := callerOf(ctx)
+		name, spec, ok := e.table.Load().snapshot().CustomerByKeyHash(HashKey(bearerKey(r)))
+		if !ok {
+			return nil, refusal.New(refusal.Unauthorized, "send a customer's key as 'Authorization: Bearer KEY'", "no customer has this key")
+		}
+		c.name, c.contract = name, spec
+		r.Body = http.MaxBytesReader(nil, r.Body, e.settings.Limits.BodyBytes)
+		return decode(context.WithValue(ctx, callerKey, c), r)
+	}
+}
+
+func bearerKey(r *http.Request) string {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	return key
+}
+
+// HashKey returns the hash by which a key is known.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func bodyError(err error) *refusal.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.New(refusal.BodyTooLarge, "send a smaller one", "the body is over %d bytes", tooLarge.Limit)
+	}
+	return refusal.New(refusal.BadRequest, "send JSON in OpenAI's format", "the body can't be read: %v", err)
+}
+
+func decodeBody(r *http.Request, into any) error {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		return bodyError(err)
+	}
+	return nil
+}
+
+func decodeChat(ctx context.Context, r *http.Request) (any, error) {
+	var body chatRequest
+	if err := decodeBody(r, &body); err != nil {
+		return nil, err
+	}
+	if len(body.Messages) == 0 {
+		return nil, refusal.New(refusal.BadRequest, "send at least one message", "messages is empty")
+	}
+	prompt, err := render(body.Messages)
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "send text messages in OpenAI's format", "%v", err)
+	}
+	c := &completion{chat: true, model: body.Model, prompt: prompt, stream: body.Stream, withUsage: body.StreamOptions.IncludeUsage}
+	c.maxTokens = body.MaxCompletionTokens
+	if c.maxTokens == nil {
+		c.maxTokens = body.MaxTokens
+	}
+	return c, c.fromHeaders(ctx, r)
+}
+
+func decodeText(ctx context.Context, r *http.Request) (any, error) {
+	var body textRequest
+	if err := decodeBody(r, &body); err != nil {
+		return nil, err
+	}
+	if body.Prompt == "" {
+		return nil, refusal.New(refusal.BadRequest, "send a prompt", "prompt is empty")
+	}
+	c := &completion{
+		model:     body.Model,
+		prompt:    prefix.Prompt{Text: []byte(body.Prompt)},
+		maxTokens: body.MaxTokens,
+		stream:    body.Stream,
+		withUsage: body.StreamOptions.IncludeUsage,
+	}
+	return c, c.fromHeaders(ctx, r)
+}
+
+func (c *completion) fromHeaders(ctx context.Context, r *http.Request) error {
+	c.caller = callerOf(ctx)
+	c.lastEventID = r.Header.Get(headerLastEvent)
+	raw := r.Header.Get(headerDeadline)
+	if raw == "" {
+		return nil
+	}
+	ms, err := strconv.ParseUint(raw, 10, 31)
+	if err != nil || ms == 0 {
+		return refusal.New(refusal.BadRequest, "use a whole number of milliseconds above 0", "%s is %q", headerDeadline, raw)
+	}
+	c.deadline = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+// encodeError answers with a refusal in OpenAI's error format.
+func (e *Entry) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
+	r := refusal.From(err)
+	e.metrics.refusals.WithLabelValues(string(r.Kind)).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestID, callerOf(ctx).requestID)
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		w.Header().Set("Retry-After-Ms", itoa(int(r.RetryAfter.Milliseconds())))
+	}
+	w.WriteHeader(r.Status())
+	_ = json.NewEncoder(w).Encode(newErrorBody(r, callerOf(ctx).requestID))
+}
+
+func newErrorBody(r *refusal.Error, requestID string) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:   fmt.Sprintf("%s; %s", r.Message, r.Remedy),
+		Type:      errorType(r.Status()),
+		Code:      string(r.Kind),
+		Outcome:   string(r.Outcome),
+		RequestID: requestID,
+	}}
+}
+
+// errorType returns OpenAI's error type for a status.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+// logRequest writes one line for each request.
+func (e *Entry) logRequest(ctx context.Context, code int, r *http.Request) {
+	c := callerOf(ctx)
+	operation, _ := ctx.Value(operationKey).(string)
+	e.metrics.requests.WithLabelValues(operation, itoa(code)).Inc()
+	e.log.WithFields(map[string]any{
+		"request_id": c.requestID,
+		"operation":  operation,
+		"status":     code,
+		"ms":         time.Since(c.received).Milliseconds(),
+		"path":       r.URL.Path,
+	}).Info("request")
+}
+
+// readBody reads a whole body.
+func readBody(r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/health/health.go
@@ -0,0 +1,97 @@
+// Package health keeps one entry's opinion of one target, from what its own
+// messages met: live, suspect or dead, and back by degrees. It is pure and
+// not safe for concurrent use.
+package health
+
+import "time"
+
+// State is an entry's opinion of a target.
+type State string
+
+// The states of a target.
+const (
+	Live State = "live"
+	// Suspect targets are asked, but with a penalty.
+	Suspect State = "suspect"
+	// Dead targets get one probe at a time.
+	Dead State = "dead"
+)
+
+// Constants of the opinion.
+const (
+	// deadAfter is how many failures in a row make a target dead.
+	deadAfter = 2
+	// firstPause and maxPause bound how long a dead target is left alone.
+	firstPause = 100 * time.Millisecond
+	maxPause   = 5 * time.Second
+	// maxPenalty is the cost of a target that has just failed; it halves
+	// every penaltyHalfLife, so that the target gets its work back by degrees.
+	maxPenalty      = 500 * time.Millisecond
+	penaltyHalfLife = time.Second
+	// forgotten is the penalty below which a target counts as live.
+	forgotten = 5 * time.Millisecond
+)
+
+// Target is the opinion of one target.
+type Target struct {
+	failures  int
+	pause     time.Duration
+	retryAt   time.Time
+	penalty   time.Duration
+	penaltyAt time.Time
+}
+
+// Failed counts one failure to reach the target or of the target itself.
+func (t *Target) Failed(now time.Time) {
+	t.failures++
+	t.penalty = maxPenalty
+	t.penaltyAt = now
+	if t.failures < deadAfter {
+		return
+	}
+	t.pause = min(max(2*t.pause, firstPause), maxPause)
+	t.retryAt = now.Add(t.pause)
+}
+
+// Succeeded counts one good answer.
+func (t *Target) Succeeded() {
+	t.failures = 0
+	t.pause = 0
+}
+
+// State returns the opinion now.
+func (t *Target) State(now time.Time) State {
+	switch {
+	case t.failures >= deadAfter:
+		return Dead
+	case t.Penalty(now) > 0:
+		return Suspect
+	}
+	return Live
+}
+
+// Usable reports whether the target may be asked now. A dead one may once its
+// pause is over, and the asking starts the next pause, so that one probe goes
+// at a time.
+func (t *Target) Usable(now time.Time) bool {
+	if t.failures < deadAfter {
+		return true
+	}
+	if now.Before(t.retryAt) {
+		return false
+	}
+	t.retryAt = now.Add(t.pause)
+	return true
+}
+
+// Penalty returns the cost that the doubt adds now.
+func (t *Target) Penalty(now time.Time) time.Duration {
+	p := t.penalty
+	for since := now.Sub(t.penaltyAt); p > 0 && since >= penaltyHalfLife; since -= penaltyHalfLife {
+		p /= 2
+		if p < forgotten {
+			return 0
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,161 @@
+// Package refusal holds the typed errors that acaciakeel answers with: what
+// kind it is, whether the request ran, what the caller can do, and when to
+// come back.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind is the reason of a refusal. Each kind is a label of the refusal
+// counters and a section of docs/operating/refusals.md.
+type Kind string
+
+// The kinds of refusal.
+const (
+	BadRequest        Kind = "bad_request"
+	BodyTooLarge      Kind = "body_too_large"
+	Unauthorized      Kind = "unauthorized"
+	Forbidden         Kind = "forbidden"
+	UnknownModel      Kind = "unknown_model"
+	UnknownService    Kind = "unknown_service"
+	NotFound          Kind = "not_found"
+	Conflict          Kind = "conflict"
+	Invalid           Kind = "invalid_resource"
+	ContractExceeded  Kind = "contract_exceeded"
+	QueueFull         Kind = "queue_full"
+	DeadlineUnmet     Kind = "deadline_unmet"
+	Stopping          Kind = "stopping"
+	NotReady          Kind = "target_not_ready"
+	NoTarget          Kind = "no_target"
+	TargetFailed      Kind = "target_failed"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	PlatformDown      Kind = "platform_down"
+	LedgerFull        Kind = "ledger_full"
+	KeyReused         Kind = "key_reused"
+	Canceled          Kind = "canceled"
+	RetryBudgetSpent  Kind = "retry_budget_spent"
+	AttemptAbandoned  Kind = "attempt_abandoned"
+	ResumeUnavailable Kind = "resume_unavailable"
+	HeldElsewhere     Kind = "held_elsewhere"
+	Restarted         Kind = "agent_restarted"
+	NotHome           Kind = "not_home"
+)
+
+// Outcome says whether the refused request ran.
+type Outcome string
+
+// The outcomes of a refused request.
+const (
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+	Ran     Outcome = "ran"
+)
+
+// Error is a typed refusal. Its message names the remedy.
+type Error struct {
+	Kind    Kind
+	Message string
+	Remedy  string
+	Outcome Outcome
+	// RetryAfter is when the caller should come back; 0 says nothing.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s; %s", e.Kind, e.Message, e.Remedy)
+}
+
+// New returns a refusal of a request that did not run.
+func New(kind Kind, remedy, format string, args ...any) *Error {
+	return &Error{
+		Kind:    kind,
+		Message: fmt.Sprintf(format, args...),
+		Remedy:  remedy,
+		Outcome: NotRun,
+	}
+}
+
+// NewUnknown returns the answer to a request whose outcome cannot be known.
+func NewUnknown(format string, args ...any) *Error {
+	return &Error{
+		Kind:    OutcomeUnknown,
+		Message: fmt.Sprintf(format, args...),
+		Remedy:  "ask again with the same Idempotency-Key, which can't run it twice; look the result up at the service before using a new one",
+		Outcome: Unknown,
+	}
+}
+
+// After returns a copy of e that names when to come back.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// From returns err as a refusal. Any other error becomes target_failed with
+// an unknown outcome, the one claim that is always true.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{
+		Kind:    TargetFailed,
+		Message: err.Error(),
+		Remedy:  "see the logs of the entry under this request id",
+		Outcome: Unknown,
+	}
+}
+
+var statuses = map[Kind]int{
+	BadRequest:        http.StatusBadRequest,
+	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	Unauthorized:      http.StatusUnauthorized,
+	Forbidden:         http.StatusForbidden,
+	UnknownModel:      http.StatusNotFound,
+	UnknownService:    http.StatusNotFound,
+	NotFound:          http.StatusNotFound,
+	Conflict:          http.StatusConflict,
+	Invalid:           http.StatusUnprocessableEntity,
+	ContractExceeded:  http.StatusTooManyRequests,
+	QueueFull:         http.StatusTooManyRequests,
+	DeadlineUnmet:     http.StatusTooManyRequests,
+	Stopping:          http.StatusServiceUnavailable,
+	NotReady:          http.StatusServiceUnavailable,
+	NoTarget:          http.StatusServiceUnavailable,
+	TargetFailed:      http.StatusBadGateway,
+	OutcomeUnknown:    http.StatusBadGateway,
+	PlatformDown:      http.StatusServiceUnavailable,
+	LedgerFull:        http.StatusServiceUnavailable,
+	KeyReused:         http.StatusUnprocessableEntity,
+	Canceled:          499,
+	RetryBudgetSpent:  http.StatusServiceUnavailable,
+	AttemptAbandoned:  http.StatusConflict,
+	ResumeUnavailable: http.StatusGone,
+	HeldElsewhere:     http.StatusServiceUnavailable,
+	Restarted:         http.StatusServiceUnavailable,
+	NotHome:           http.StatusServiceUnavailable,
+}
+
+// Status returns the HTTP status of e.
+func (e *Error) Status() int {
+	status, ok := statuses[e.Kind]
+	if !ok {
+		return http.StatusInternalServerError
+	}
+	return status
+}
+
+// Kinds returns every kind there is, for counters and documentation checks.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(statuses))
+	for kind := range statuses {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
--- /dev/null
+++ b/resource/delta.go
@@ -0,0 +1,86 @@
+package resource
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Deletion is a resource that was deleted.
+type Deletion struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+}
+
+// keptDeletions is how many deletions a snapshot remembers, so that it can
+// tell a neighbour that is behind only what has changed.
+const keptDeletions = 500
+
+// Delta is what changed between two revisions. At the size of two years from
+// now a snapshot is about a megabyte and changes 3,500 times a day: sent
+// whole it would alone exceed a node's budget.
+type Delta struct {
+	// Full: Changed holds every resource there is, and Base is of no account.
+	Full bool `json:"full,omitempty"`
+	// Base is the revision that the delta starts from.
+	Base     int64      `json:"base"`
+	Revision int64      `json:"revision"`
+	Changed  []Resource `json:"changed,omitempty"`
+	Deleted  []Deletion `json:"deleted,omitempty"`
+}
+
+// Since returns what changed after the revision base.
+func (s *Snapshot) Since(base int64) Delta {
+	d := Delta{Base: base, Revision: s.Revision, Full: base < s.floor || base > s.Revision}
+	for _, key := range slices.Sorted(maps.Keys(s.Resources)) {
+		if r := s.Resources[key]; d.Full || r.Version > base {
+			d.Changed = append(d.Changed, r)
+		}
+	}
+	for _, deletion := range s.deletions {
+		if !d.Full && deletion.Revision > base {
+			d.Deleted = append(d.Deleted, deletion)
+		}
+	}
+	return d
+}
+
+// With returns the snapshot after a delta. Resources that do not decode are
+// left out and reported, as by Build.
+func (s *Snapshot) With(d Delta) (*Snapshot, error) {
+	if d.Full {
+		return Build(d.Revision, d.Changed)
+	}
+	if d.Base > s.Revision {
+		return s, fmt.Errorf("a delta from revision %d does not fit revision %d; fetch again", d.Base, s.Revision)
+	}
+	resources := maps.Clone(s.Resources)
+	for _, r := range d.Changed {
+		key := Key(r.Kind, r.Name)
+		if r.Version > resources[key].Version {
+			resources[key] = r
+		}
+	}
+	for _, deletion := range d.Deleted {
+		if resources[deletion.Key].Version < deletion.Revision {
+			delete(resources, deletion.Key)
+		}
+	}
+	next, err := Build(d.Revision, slices.Collect(maps.Values(resources)))
+	next.floor = s.floor
+	next.deletions = mergeDeletions(s.deletions, d.Deleted)
+	if extra := len(next.deletions) - keptDeletions; extra > 0 {
+		next.floor = next.deletions[extra-1].Revision
+		next.deletions = next.deletions[extra:]
+	}
+	return next, err
+}
+
+func mergeDeletions(a, b []Deletion) []Deletion {
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, func(x, y Deletion) int {
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Key, y.Key))
+	})
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,185 @@
+// Package resource defines what operators set: Service, Target, Customer,
+// Model and Preference, their validation, and the immutable Snapshot that
+// every process works from.
+package resource
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Kind names a kind of resource.
+type Kind string
+
+// The kinds of resource.
+const (
+	KindService    Kind = "service"
+	KindTarget     Kind = "target"
+	KindCustomer   Kind = "customer"
+	KindModel      Kind = "model"
+	KindPreference Kind = "preference"
+)
+
+// Kinds lists the kinds in the order in which they are applied, so that a
+// resource comes after those it refers to.
+func Kinds() []Kind {
+	return []Kind{KindModel, KindService, KindPreference, KindCustomer, KindTarget}
+}
+
+// Resource is one resource as stored: its identity, its version and its spec.
+type Resource struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Version is the platform's revision at the last change; 0 is "not there yet".
+	Version int64 `json:"version,omitempty"`
+	// ChangeID identifies the write that made this version, so that a writer
+	// whose answer was lost can find out by reading whether it took effect.
+	ChangeID string          `json:"change_id,omitempty"`
+	Changed  time.Time       `json:"changed,omitzero"`
+	Author   string          `json:"author,omitempty"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Key returns the platform key that holds the resource.
+func Key(kind Kind, name string) string {
+	return fmt.Sprintf("%s%s/%s", KeyPrefix, kind, name)
+}
+
+// KeyPrefix starts the platform keys of all resources.
+const KeyPrefix = "acaciakeel/resources/"
+
+// Service is a plain service beside the model engines.
+type Service struct {
+	// IdempotentPaths are path prefixes whose calls may be repeated whatever
+	// their method. GET and HEAD may always be repeated; all else may not.
+	IdempotentPaths []string `json:"idempotent_paths,omitempty" toml:"idempotent_paths"`
+	// TimeoutMS bounds one call, in milliseconds. Default 10000.
+	TimeoutMS int `json:"timeout_ms,omitempty" toml:"timeout_ms"`
+}
+
+// Target is one back end: an engine (Model set) or a plain service instance
+// (Service set), with the agent beside it.
+type Target struct {
+	// Model is the model that an engine serves. Exactly one of Model and Service is set.
+	Model string `json:"model,omitempty" toml:"model"`
+	// Service is the service that a plain target is an instance of.
+	Service string `json:"service,omitempty" toml:"service"`
+	// AgentURL is where the target's agent serves the system's own messages.
+	AgentURL string `json:"agent_url" toml:"agent_url"`
+	// DataCentre and Region say where the target stands.
+	DataCentre string `json:"data_centre" toml:"data_centre"`
+	Region     string `json:"region,omitempty" toml:"region"`
+	// Leaving takes the target out of new work; what runs is finished.
+	Leaving bool `json:"leaving,omitempty" toml:"leaving"`
+	// ChecksFencing says that the target itself refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty" toml:"checks_fencing"`
+}
+
+// Customer is one customer's contract.
+type Customer struct {
+	// KeyHashes are the SHA-256 hashes, in hex, of the customer's API keys.
+	KeyHashes []string `json:"key_hashes" toml:"key_hashes"`
+	// Weight is the customer's share of a busy target. Default 1.
+	Weight int `json:"weight,omitempty" toml:"weight"`
+	// Priority is 0 (first) to 3. Default 1.
+	Priority *int `json:"priority,omitempty" toml:"priority"`
+	// RequestsPerSecond, TokensPerSecond and Streams are limits over all entries; 0 is none.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty" toml:"requests_per_second"`
+	TokensPerSecond   float64 `json:"tokens_per_second,omitempty" toml:"tokens_per_second"`
+	Streams           int     `json:"streams,omitempty" toml:"streams"`
+	// Preference names the routing preference. Default "default".
+	Preference string `json:"preference,omitempty" toml:"preference"`
+}
+
+// Model is a model that engines serve.
+type Model struct {
+	// WeightsVersion is the version that runners are to serve.
+	WeightsVersion string `json:"weights_version" toml:"weights_version"`
+	// BlockTokens is the engines' cache block. Default 16.
+	BlockTokens int `json:"block_tokens,omitempty" toml:"block_tokens"`
+	// PieceTokens is the engines' unit of prefill. Default 4000.
+	PieceTokens int `json:"piece_tokens,omitempty" toml:"piece_tokens"`
+	// Adapters are the names that callers may ask for as MODEL:ADAPTER.
+	Adapters []string `json:"adapters,omitempty" toml:"adapters"`
+	// MinRunners is how many runners stay in service while weights roll out. Default 1.
+	MinRunners int `json:"min_runners,omitempty" toml:"min_runners"`
+}
+
+// Preference is a routing preference: how prefix reuse weighs against waiting.
+type Preference struct {
+	// Policy is the placement policy. Default "keel"; the others are baselines.
+	Policy string `json:"policy,omitempty" toml:"policy"`
+	// MissWeight multiplies the cost of recomputing missed tokens. Default 1.
+	MissWeight float64 `json:"miss_weight,omitempty" toml:"miss_weight"`
+	// WaitWeight multiplies the cost of waiting. Default 1.
+	WaitWeight float64 `json:"wait_weight,omitempty" toml:"wait_weight"`
+	// LevelWidths are how many runners hold a level of a prefix before it
+	// spills, outermost first. Default [9, 3].
+	LevelWidths []int `json:"level_widths,omitempty" toml:"level_widths"`
+	// Candidates is how many agents are asked first. Default 3.
+	Candidates int `json:"candidates,omitempty" toml:"candidates"`
+	// WidenWaitMS asks the next runners when the best answer waits longer, in milliseconds. Default 60.
+	WidenWaitMS int `json:"widen_wait_ms,omitempty" toml:"widen_wait_ms"`
+}
+
+// Defaults of the fields that may be left out.
+const (
+	DefaultServiceTimeout = 10 * time.Second
+	DefaultWeight         = 1
+	DefaultPriority       = 1
+	MaxPriority           = 3
+	DefaultBlockTokens    = 16
+	DefaultPieceTokens    = 4000
+	DefaultMinRunners     = 1
+	DefaultCandidates     = 3
+	DefaultWidenWaitMS    = 60
+	DefaultPreference     = "default"
+	DefaultPolicy         = "keel"
+)
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// Timeout returns the bound on one call.
+func (s Service) Timeout() time.Duration {
+	if s.TimeoutMS == 0 {
+		return DefaultServiceTimeout
+	}
+	return time.Duration(s.TimeoutMS) * time.Millisecond
+}
+
+func (c Customer) withDefaults() Customer {
+	c.Weight = orDefault(c.Weight, DefaultWeight)
+	c.Preference = orDefault(c.Preference, DefaultPreference)
+	if c.Priority == nil {
+		priority := DefaultPriority
+		c.Priority = &priority
+	}
+	return c
+}
+
+func (m Model) withDefaults() Model {
+	m.BlockTokens = orDefault(m.BlockTokens, DefaultBlockTokens)
+	m.PieceTokens = orDefault(m.PieceTokens, DefaultPieceTokens)
+	m.MinRunners = orDefault(m.MinRunners, DefaultMinRunners)
+	return m
+}
+
+// WithDefaults returns p with each field that was left out set to its default.
+func (p Preference) WithDefaults() Preference {
+	p.Policy = orDefault(p.Policy, DefaultPolicy)
+	p.MissWeight = orDefault(p.MissWeight, 1)
+	p.WaitWeight = orDefault(p.WaitWeight, 1)
+	p.Candidates = orDefault(p.Candidates, DefaultCandidates)
+	p.WidenWaitMS = orDefault(p.WidenWaitMS, DefaultWidenWaitMS)
+	if len(p.LevelWidths) == 0 {
+		p.LevelWidths = []int{9, 3}
+	}
+	return p
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,90 @@
+// Package retry decides whether a request may be sent again. Only a request
+// that provably did not run, or that is idempotent, may be; and only while
+// the entry's and the customer's budgets last, so that a fault or a herd of
+// restarts does not grow the load.
+package retry
+
+import (
+	"time"
+
+	"acaciakeel/refusal"
+)
+
+// Reason is why a request is sent again; each is a label of the retry counter.
+type Reason string
+
+// The reasons for a retry.
+const (
+	Unreachable Reason = "unreachable"
+	TargetAway  Reason = "target_away"
+	Refused     Reason = "refused"
+	Interrupted Reason = "interrupted"
+	Continued   Reason = "continued"
+	Resumed     Reason = "resumed"
+)
+
+// Reasons returns every reason.
+func Reasons() []Reason {
+	return []Reason{Unreachable, TargetAway, Refused, Interrupted, Continued, Resumed}
+}
+
+// MaxSends is the most sends of one request, the first included.
+const MaxSends = 4
+
+// Budget allows retries as a share of recent requests. It is not safe for
+// concurrent use.
+type Budget struct {
+	ratio   float64
+	floor   float64
+	balance float64
+	last    time.Time
+}
+
+// maxBalance bounds what a quiet time saves up, in retries.
+const maxBalance = 20
+
+// NewBudget returns a budget of ratio retries a request and, for entries with
+// few requests, floor retries a second.
+func NewBudget(ratio, floor float64, now time.Time) *Budget {
+	return &Budget{ratio: ratio, floor: floor, balance: maxBalance / 2, last: now}
+}
+
+func (b *Budget) refill(now time.Time) {
+	b.add(b.floor * now.Sub(b.last).Seconds())
+	b.last = now
+}
+
+func (b *Budget) add(retries float64) {
+	b.balance = min(b.balance+retries, maxBalance)
+}
+
+// Request counts one request in.
+func (b *Budget) Request(now time.Time) {
+	b.refill(now)
+	b.add(b.ratio)
+}
+
+// Take takes one retry out and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.refill(now)
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
+
+// Allowed reports whether a request that ended with r may be sent again.
+func Allowed(r *refusal.Error, idempotent bool, sends int) bool {
+	if sends >= MaxSends {
+		return false
+	}
+	switch r.Kind {
+	case refusal.Stopping, refusal.NotReady, refusal.NoTarget, refusal.TargetFailed:
+		return r.Outcome == refusal.NotRun || idempotent
+	case refusal.QueueFull:
+		// One runner's full queue says nothing of another's.
+		return r.Outcome == refusal.NotRun && sends < 2
+	}
+	return false
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,62 @@
+// Package telemetry sets up a daemon's logs and metrics: one key=value line
+// an event, and counters by reason.
+package telemetry
+
+import (
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/sirupsen/logrus"
+)
+
+// NewLogger returns a logger that writes key=value lines to standard error.
+func NewLogger(level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: time.RFC3339Nano,
+	})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log
+}
+
+// NewRegistry returns a registry with the process's own metrics.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
+
+// NewCounter makes and registers a counter by labels.
+func NewCounter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+	r.MustRegister(c)
+	return c
+}
+
+// NewGaugeFunc registers a gauge that is read when scraped.
+func NewGaugeFunc(r *prometheus.Registry, name, help string, read func() float64) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// latencyBuckets are in seconds, dense around the targets of half a second
+// to the first token and tens of milliseconds between tokens.
+var latencyBuckets = []float64{
+	0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.2, 0.3, 0.4, 0.52, 0.75, 1, 2, 5, 10, 30,
+}
+
+// NewLatency makes and registers a histogram of seconds by labels.
+func NewLatency(r *prometheus.Registry, name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
+	r.MustRegister(h)
+	return h
+}
