--- a/agent/ask.go
+++ b/agent/ask.go
@@ -11,7 +11,7 @@
 
 // ask answers an entry's question about one prompt.
 func (r *runner) ask(ctx context.Context, req *keelv1.AskRequest, now time.Time) *keelv1.AskResponse {
-	if r.settings.Target.Oracle {
+	if req.Truth && r.settings.Target.Oracle {
 		return r.askTruth(ctx, req)
 	}
 	r.mu.Lock()
--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -28,6 +28,10 @@
 			engineCommand(),
 			serviceCommand(),
 			weightsCommand(),
+			demoCommand(),
+			httpCommand("get"),
+			httpCommand("put"),
+			httpCommand("post"),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -273,6 +273,7 @@
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second},
 			&cli.Int64Flag{Name: "revision", Usage: "wait for `REVISION`; 0 is the entry's own"},
+			&cli.IntFlag{Name: "processes", Usage: "wait until at least `N` processes are listed", Value: 1},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
@@ -283,14 +284,14 @@
 					return err
 				}
 				behind := behind(s, max(s.Revision, c.Int64("revision")))
-				if len(behind) == 0 {
+				if len(behind) == 0 && len(s.InForce) >= c.Int("processes") {
 					fmt.Fprintf(a.out, "revision %d is in force at %d processes\n", s.Revision, len(s.InForce))
 					return nil
 				}
 				select {
 				case <-time.After(waitPause):
 				case <-ctx.Done():
-					return fmt.Errorf("not in force yet at %v", behind)
+					return fmt.Errorf("not in force yet at %v; %d processes are listed", behind, len(s.InForce))
 				}
 			}
 		},
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -195,6 +195,7 @@
 		Weights:        prefix.NameHash(q.weights),
 		Root:           q.root,
 		Customer:       q.customer,
+		Truth:          q.preference.Policy == policyOracle,
 	}
 	req.BoundaryHash, req.BoundaryTokens = encodeChain(q.chain)
 	return req
