--- a/agent/runner.go
+++ b/agent/runner.go
@@ -36,6 +36,9 @@
 	belief       *belief
 	pace         pace
 	jobs         map[string]*job
+	// eventDue is when the events of a computed prompt must have come; zero
+	// while none are owed.
+	eventDue time.Time
 	// running and prefillTokens are what the engine was given.
 	running       int
 	prefillTokens int
@@ -172,6 +175,9 @@
 	go r.run(j)
 }
 
+// eventWorthy is how many computed tokens surely make a cache event: several blocks.
+const eventWorthy = 256
+
 // firstToken records that the engine has computed j's prompt.
 func (r *runner) firstToken(j *job, now time.Time) {
 	r.mu.Lock()
@@ -180,6 +186,9 @@
 		return
 	}
 	r.endPrefill(j, true, now)
+	if j.missing > eventWorthy && r.eventDue.IsZero() {
+		r.eventDue = now.Add(eventSilence)
+	}
 	j.phase = decoding
 	if j.bootID == r.state.bootID {
 		count(r.belief.pinned, j.item.Hashes, 1)
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -80,15 +80,23 @@
 		r.belief.forget()
 	}
 	r.belief.view.Resync(dump)
+	r.eventDue = time.Time{}
 	r.metrics.resyncs.Inc()
 	return nil
 }
 
-// followEvents applies events until their connection ends. A gap asks for a
-// dump, at a bounded rate, beside the stream.
+// eventSilence is how long events may stay away after the engine has computed
+// a prompt. A stream that has gone silent for good ends without an error; the
+// view would then grow old unnoticed.
+const eventSilence = 2 * time.Second
+
+// followEvents applies events until their connection ends, goes silent, or
+// the engine is on another boot. A gap asks for a dump, at a bounded rate,
+// beside the stream.
 func (r *runner) followEvents(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go r.endStaleEvents(ctx, cancel)
 	gaps := make(chan struct{}, 1)
 	go r.resyncOnGaps(ctx, gaps)
 	r.mu.Lock()
@@ -108,10 +116,38 @@
 	}
 }
 
+// endStaleEvents ends an event stream that can't be believed any more.
+func (r *runner) endStaleEvents(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if r.eventsStale(time.Now()) {
+			r.metrics.cacheEvents.WithLabelValues("silent").Inc()
+			cancel()
+			return
+		}
+	}
+}
+
+func (r *runner) eventsStale(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.up && r.state.bootID != r.belief.view.BootID() {
+		return true
+	}
+	return !r.eventDue.IsZero() && now.After(r.eventDue)
+}
+
 // applyEvent reports whether the view is whole after the event.
 func (r *runner) applyEvent(e cache.Event) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.eventDue = time.Time{}
 	verdict := r.belief.view.Apply(e)
 	r.metrics.cacheEvents.WithLabelValues(string(verdict)).Inc()
 	return !r.belief.view.InDoubt()
--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -29,6 +29,7 @@
 			serviceCommand(),
 			weightsCommand(),
 			demoCommand(),
+			benchCommand(),
 			httpCommand("get"),
 			httpCommand("put"),
 			httpCommand("post"),
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -304,6 +304,14 @@
 	})
 }
 
+// resetTruth begins the engine's own count anew.
+func (e *Engine) resetTruth() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.truth = Truth{}
+	e.computed = map[uint64]struct{}{}
+}
+
 func (e *Engine) endAll(reason string) {
 	for _, s := range e.byID {
 		s.end(reason)
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -52,6 +52,7 @@
 	mux.HandleFunc("POST /v1/orders", e.serveOrder)
 	mux.HandleFunc("POST /admin/crash", func(http.ResponseWriter, *http.Request) { e.Crash() })
 	mux.HandleFunc("POST /admin/faults", e.serveFaults)
+	mux.HandleFunc("POST /admin/reset", func(http.ResponseWriter, *http.Request) { e.resetTruth() })
 	mux.HandleFunc("GET /truth", e.serveTruth)
 	mux.HandleFunc("POST /truth/lookup", e.serveLookup)
 	mux.HandleFunc("GET /truth/computed", e.serveComputed)
@@ -179,19 +180,17 @@
 // serveEvents streams cache events, one JSON object a line, from ?after=SEQ.
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	e.mu.Lock()
-	boot := e.bootID
-	e.mu.Unlock()
+	boot := e.currentBoot()
 	w.Header().Set(headerBoot, boot)
 	out := http.NewResponseController(w)
 	_ = out.Flush()
 	encoder := json.NewEncoder(w)
 	for r.Context().Err() == nil {
 		events, wait, changed := e.events.ready(after)
+		if e.currentBoot() != boot {
+			panic(http.ErrAbortHandler)
+		}
 		for _, event := range events {
-			if event.BootID != boot {
-				panic(http.ErrAbortHandler)
-			}
 			_ = encoder.Encode(event)
 			after = event.Seq
 		}
@@ -207,6 +206,12 @@
 	}
 }
 
+func (e *Engine) currentBoot() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bootID
+}
+
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
 	faults := struct {
 		EventLoss    float64 `json:"event_loss"`
