--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func never(*Item) bool { return false }
+
+// TestSessions runs whole sessions of a queue from golden files. Commands:
+// push, next, remove, expire, at; each prints what the queue decided.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		q := NewQueue(Limits{Length: 4, Wait: 2 * time.Second})
+		now := start
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return runCommand(t, q, &now, d)
+		})
+	})
+}
+
+func runCommand(t *testing.T, q *Queue, now *time.Time, d *datadriven.TestData) string {
+	var id, customer string
+	ms, weight, priority, deadline, busy := 100, 1, 1, 0, 0
+	d.MaybeScanArgs(t, "id", &id)
+	d.MaybeScanArgs(t, "customer", &customer)
+	d.MaybeScanArgs(t, "ms", &ms)
+	d.MaybeScanArgs(t, "weight", &weight)
+	d.MaybeScanArgs(t, "priority", &priority)
+	d.MaybeScanArgs(t, "deadline", &deadline)
+	d.MaybeScanArgs(t, "busy", &busy)
+	switch d.Cmd {
+	case "push":
+		item := &Item{ID: id, Customer: customer, Weight: weight, Priority: priority, Cost: time.Duration(ms) * time.Millisecond}
+		if deadline > 0 {
+			item.Deadline = now.Add(time.Duration(deadline) * time.Millisecond)
+		}
+		decision := q.Push(item, time.Duration(busy)*time.Millisecond, *now)
+		return describe(q, decision)
+	case "next":
+		if item := q.Next(never); item != nil {
+			return item.ID + "\n"
+		}
+		return "nothing\n"
+	case "remove":
+		return fmt.Sprintf("%v\n", q.Remove(id))
+	case "at":
+		*now = start.Add(time.Duration(ms) * time.Millisecond)
+		out := ""
+		for _, item := range q.Expired(*now) {
+			out += "expired " + item.ID + "\n"
+		}
+		return out + fmt.Sprintf("waiting %d\n", q.Len())
+	}
+	return "unknown command\n"
+}
+
+func describe(q *Queue, d Decision) string {
+	if d.Refused != Taken {
+		return fmt.Sprintf("refused %s retry_after=%v\n", d.Refused, d.RetryAfter)
+	}
+	if d.Evicted != nil {
+		return fmt.Sprintf("taken, evicted %s\n", d.Evicted.ID)
+	}
+	return fmt.Sprintf("taken, waiting %d\n", q.Len())
+}
+
+// With one customer flooding, equal customers that always have work are
+// served equally, whatever the costs and the order of arrival.
+func TestFairBetweenCustomers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Limits{Length: 1000, Wait: time.Hour})
+		costs := rapid.SliceOfN(rapid.IntRange(1, 50), 5, 20).Draw(t, "costs")
+		id := 0
+		push := func(customer string) {
+			id++
+			cost := time.Duration(costs[id%len(costs)]) * time.Millisecond
+			q.Push(&Item{ID: fmt.Sprint(id), Customer: customer, Weight: 1, Priority: 1, Cost: cost}, 0, start)
+		}
+		customers := []string{"flooder", "a", "b"}
+		for range 30 {
+			push("flooder")
+		}
+		served := map[string]time.Duration{}
+		for range 60 {
+			for _, c := range customers {
+				push(c)
+			}
+			item := q.Next(never)
+			served[item.Customer] += item.Cost
+		}
+		for _, c := range customers {
+			if diff := (served[c] - served["a"]).Abs(); diff > 110*time.Millisecond {
+				t.Fatalf("served %v", served)
+			}
+		}
+	})
+}
+
+// No request is lost or served twice, whatever the order of pushes, evictions,
+// removals and expiries.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Limits{Length: 5, Wait: time.Hour})
+		ended := map[string]int{}
+		pushed := 0
+		now := start
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				pushed++
+				item := &Item{
+					ID:       fmt.Sprint(step),
+					Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+					Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+					Cost:     time.Millisecond,
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "deadline")) * time.Millisecond),
+				}
+				d := q.Push(item, 0, now)
+				if d.Refused != Taken {
+					ended[item.ID]++
+				}
+				if d.Evicted != nil {
+					ended[d.Evicted.ID]++
+				}
+			case 2:
+				if item := q.Next(never); item != nil {
+					ended[item.ID]++
+				}
+			case 3:
+				for _, item := range q.Expired(now) {
+					ended[item.ID]++
+				}
+			}
+		}
+		for item := q.Next(never); item != nil; item = q.Next(never) {
+			ended[item.ID]++
+		}
+		if len(ended) != pushed {
+			t.Fatalf("%d of %d requests ended", len(ended), pushed)
+		}
+		for id, times := range ended {
+			if times != 1 {
+				t.Fatalf("request %s ended %d times", id, times)
+			}
+		}
+	})
+}
+
+func TestReservations(t *testing.T) {
+	r := NewReservations(3 * time.Millisecond)
+	r.Hold(1, 50*time.Millisecond, start)
+	r.Hold(2, 20*time.Millisecond, start)
+	if got := r.Cost(start); got != 70*time.Millisecond {
+		t.Errorf("reserved %v, want 70ms", got)
+	}
+	r.Release(1)
+	if got := r.Cost(start.Add(time.Millisecond)); got != 20*time.Millisecond {
+		t.Errorf("reserved %v, want 20ms", got)
+	}
+	if got := r.Cost(start.Add(time.Second)); got != 0 {
+		t.Errorf("reserved %v after the time of reservations", got)
+	}
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,6 +148,16 @@
 		defer a.runner.mu.Unlock()
 		return float64(a.runner.queue.Len())
 	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_prefill_rate", "Measured prefill rate, tokens a second.", func() float64 {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		return a.runner.pace.rate
+	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_cache_lifetime_seconds", "How long cached blocks last after their last use; 0 while none is evicted.", func() float64 {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		return a.runner.belief.view.Lifetime() / 1000
+	})
 	telemetry.NewGaugeFunc(a.registry, "keel_agent_cache_blocks", "Blocks in the view of the engine's cache.", func() float64 {
 		a.runner.mu.Lock()
 		defer a.runner.mu.Unlock()
--- a/agent/ask.go
+++ b/agent/ask.go
@@ -22,12 +22,15 @@
 	answer := &keelv1.AskResponse{
 		CachedTokens: uint32(expected),
 		WaitUs:       uint32(wait.Microseconds()),
-		PrefillRate:  uint32(r.pace.rate),
+		PrefillRate:  uint32(r.pace.measured()),
 		Ready:        r.readyFor(req.Weights),
 		QueueLength:  uint32(r.queue.Len()),
+		LifetimeMs:   uint32(r.belief.view.Lifetime()),
 	}
 	if answer.Ready {
-		cost := r.pace.cost(max(0, int(req.PromptTokens)-expected))
+		// Only one of the agents asked will get the request: were each to
+		// reserve its whole cost, the others would look busy without being so.
+		cost := r.pace.cost(max(0, int(req.PromptTokens)-expected)) / time.Duration(max(1, req.Asked))
 		r.reservations.Hold(req.Reservation, cost, now)
 	}
 	return answer
@@ -57,7 +60,7 @@
 	return &keelv1.AskResponse{
 		CachedTokens: uint32(max(truth.CachedTokens, expected)),
 		WaitUs:       uint32(wait.Microseconds()),
-		PrefillRate:  uint32(r.pace.rate),
+		PrefillRate:  uint32(r.pace.measured()),
 		Ready:        err == nil && r.readyFor(req.Weights),
 	}
 }
--- a/agent/runner.go
+++ b/agent/runner.go
@@ -36,6 +36,7 @@
 	belief       *belief
 	pace         pace
 	jobs         map[string]*job
+	began        time.Time
 	// eventDue is when the events of a computed prompt must have come; zero
 	// while none are owed.
 	eventDue time.Time
@@ -56,6 +57,7 @@
 		belief:       newBelief(),
 		pace:         pace{rate: s.Queue.PrefillRate},
 		jobs:         map[string]*job{},
+		began:        time.Now(),
 	}
 }
 
@@ -193,9 +195,23 @@
 	if j.bootID == r.state.bootID {
 		count(r.belief.pinned, j.item.Hashes, 1)
 	}
+	r.touch(j, now)
 	r.dispatch(now)
 }
 
+// touch tells the view which blocks a request has used.
+func (r *runner) touch(j *job, now time.Time) {
+	r.belief.view.Tick(r.clock(now))
+	if n := len(j.item.Hashes); n > 0 {
+		r.belief.view.Touch(j.req.Root, j.item.Hashes[n-1])
+	}
+}
+
+// clock returns the milliseconds since the agent began.
+func (r *runner) clock(now time.Time) uint32 {
+	return uint32(now.Sub(r.began).Milliseconds()) + 1
+}
+
 func (r *runner) endPrefill(j *job, whole bool, now time.Time) {
 	r.pace.end(j.missing, whole, now)
 	r.prefillTokens -= j.missing
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -59,7 +59,7 @@
 	PrefillTokens int `toml:"prefill_tokens"`
 	// PrefillRate is the prefill rate assumed until it is measured, tokens a second. Default 20000.
 	PrefillRate float64 `toml:"prefill_rate"`
-	// ReservationMS is how long the answer to a question reserves time. Default 25.
+	// ReservationMS is how long the answer to a question reserves time: about as long as the request takes to follow. Default 3.
 	ReservationMS float64 `toml:"reservation_ms"`
 }
 
@@ -99,7 +99,7 @@
 			Slots:         16,
 			PrefillTokens: 6000,
 			PrefillRate:   20000,
-			ReservationMS: 25,
+			ReservationMS: 3,
 		},
 		Ledger: LedgerSettings{
 			Records:       20000,
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -148,6 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.eventDue = time.Time{}
+	r.belief.view.Tick(r.clock(time.Now()))
 	verdict := r.belief.view.Apply(e)
 	r.metrics.cacheEvents.WithLabelValues(string(verdict)).Inc()
 	return !r.belief.view.InDoubt()
--- a/cache/view.go
+++ b/cache/view.go
@@ -46,6 +46,9 @@
 type entry struct {
 	parent uint64
 	epoch  uint32
+	// used is when the block was stored or last seen in use, in milliseconds
+	// of the caller's clock.
+	used uint32
 }
 
 // View is the state. It is not safe for concurrent use.
@@ -58,6 +61,37 @@
 	epoch  uint32
 	blocks map[uint64]entry
 	doubt  bool
+	// now is the caller's clock, in milliseconds, and lifetime the mean time
+	// from a block's last use to its eviction; 0 while nothing is evicted.
+	now      uint32
+	lifetime float64
+}
+
+// lifetimeWeight is the weight of one evicted block in the mean lifetime.
+const lifetimeWeight = 0.01
+
+// Tick sets the clock by which the view tells how long blocks last.
+func (v *View) Tick(millis uint32) {
+	v.now = millis
+}
+
+// Lifetime returns for how many milliseconds blocks last after their last
+// use; 0 while the engine evicts nothing.
+func (v *View) Lifetime() float64 {
+	return v.lifetime
+}
+
+// Touch marks the chain up to hash as in use now.
+func (v *View) Touch(root, hash uint64) {
+	for range len(v.blocks) + 1 {
+		e, ok := v.blocks[hash]
+		if hash == root || !ok || e.used == v.now {
+			return
+		}
+		e.used = v.now
+		v.blocks[hash] = e
+		hash = e.parent
+	}
 }
 
 // NewView returns an empty view of an engine that was not heard from yet.
@@ -95,6 +129,7 @@
 	v.seq = 0
 	v.epoch = 0
 	v.doubt = false
+	v.lifetime = 0
 	v.blocks = map[uint64]entry{}
 	return true
 }
@@ -123,15 +158,28 @@
 func (v *View) take(e Event) {
 	v.seq = e.Seq
 	for _, hash := range e.Removed {
-		delete(v.blocks, hash)
+		v.evict(hash)
 	}
 	parent := e.Parent
 	for _, hash := range e.Stored {
-		v.blocks[hash] = entry{parent: parent, epoch: v.epoch}
+		v.blocks[hash] = entry{parent: parent, epoch: v.epoch, used: v.now}
 		parent = hash
 	}
 }
 
+func (v *View) evict(hash uint64) {
+	e, ok := v.blocks[hash]
+	if !ok {
+		return
+	}
+	delete(v.blocks, hash)
+	lasted := float64(v.now - e.used)
+	if v.lifetime == 0 {
+		v.lifetime = lasted
+	}
+	v.lifetime += lifetimeWeight * (lasted - v.lifetime)
+}
+
 // Resync replaces the view by a dump. A dump older than the view is ignored.
 func (v *View) Resync(d Dump) bool {
 	v.Boot(d.BootID)
@@ -140,9 +188,14 @@
 	}
 	v.seq = d.Seq
 	v.doubt = false
+	old := v.blocks
 	v.blocks = make(map[uint64]entry, len(d.Blocks))
 	for _, b := range d.Blocks {
-		v.blocks[b.Hash] = entry{parent: b.Parent, epoch: v.epoch}
+		used := v.now
+		if e, ok := old[b.Hash]; ok {
+			used = e.used
+		}
+		v.blocks[b.Hash] = entry{parent: b.Parent, epoch: v.epoch, used: used}
 	}
 	return true
 }
@@ -171,7 +224,8 @@
 		if hash == root || !ok || e.epoch == v.epoch {
 			return
 		}
-		v.blocks[hash] = entry{parent: e.parent, epoch: v.epoch}
+		e.epoch = v.epoch
+		v.blocks[hash] = e
 		hash = e.parent
 	}
 }
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -104,7 +104,7 @@
 		m = len(indices)
 	case policyPrefixHash:
 		m = len(indices)
-		levels = levels[min(1, len(levels)):min(2, len(levels))]
+		levels = levels[:min(1, len(levels))]
 	}
 	o := orderers.Get().(*placement.Orderer)
 	defer orderers.Put(o)
@@ -140,6 +140,7 @@
 		return placement.Pick(s.answers, 0, placement.Weights{Wait: 1})
 	case policyOracle:
 		s.ask(ctx, len(s.order))
+		placement.FillRates(s.answers)
 		return placement.Pick(s.answers, s.question.chain.Tokens, weights)
 	}
 	return s.widen(ctx, weights)
@@ -157,14 +158,16 @@
 }
 
 // widen asks the first runners in order, and the next ones as long as the
-// best answer would make the caller wait.
+// best answer would make the caller wait, for the queue or for its prefill:
+// somebody further down may hold the prefix, or have room for it.
 func (s *selection) widen(ctx context.Context, weights placement.Weights) int {
 	limit := float64(s.question.preference.WidenWaitMS) / 1000
 	best := -1
 	for len(s.answers) < min(maxAsked, len(s.order)) {
 		s.ask(ctx, min(len(s.answers)+s.question.preference.Candidates, len(s.order)))
+		placement.FillRates(s.answers)
 		best = placement.Pick(s.answers, s.question.chain.Tokens, weights)
-		if best >= 0 && s.answers[best].WaitSeconds <= limit {
+		if best >= 0 && placement.FirstToken(s.answers[best], s.question.chain.Tokens) <= limit {
 			break
 		}
 	}
@@ -178,6 +181,7 @@
 	from := len(s.answers)
 	s.answers = append(s.answers, make([]placement.Answer, n-from)...)
 	request := s.askRequest()
+	request.Asked = uint32(n - from)
 	var wg sync.WaitGroup
 	for i := from; i < n; i++ {
 		wg.Go(func() { s.answers[i] = s.askOne(ctx, s.runners[s.order[i]], request) })
@@ -229,11 +233,12 @@
 	e.opinions.succeeded(r.Name)
 	e.follower.Hint(int64(response.Msg.ConfigRevision))
 	a := placement.Answer{
-		Ready:          response.Msg.Ready,
-		CachedTokens:   int(response.Msg.CachedTokens),
-		WaitSeconds:    float64(response.Msg.WaitUs) / 1e6,
-		PrefillRate:    float64(response.Msg.PrefillRate),
-		PenaltySeconds: e.opinions.penalty(r.Name).Seconds(),
+		Ready:           response.Msg.Ready,
+		CachedTokens:    int(response.Msg.CachedTokens),
+		WaitSeconds:     float64(response.Msg.WaitUs) / 1e6,
+		PrefillRate:     float64(response.Msg.PrefillRate),
+		LifetimeSeconds: float64(response.Msg.LifetimeMs) / 1000,
+		PenaltySeconds:  e.opinions.penalty(r.Name).Seconds(),
 	}
 	if r.DataCentre != e.settings.Self.DataCentre {
 		a.LinkSeconds = e.settings.Routing.OtherDataCentreMS / 1000
--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	wasted, err := b.Fleet.Wasted(ctx, blockTokens)
+	wasted, err := b.Fleet.Waste(ctx, blockTokens)
 	if err != nil {
 		return err
 	}
@@ -178,17 +178,17 @@
 
 type report struct {
 	hitRate float64
-	wasted  int64
+	wasted  Waste
 	retried float64
 }
 
 func (b *Bench) report(policy string, outcomes []Outcome, r report) {
 	s := Summarize(outcomes, len(b.Fleet.Keys), func(o Outcome) bool { return o.Request.At >= b.Warmup })
 	equal := s.Useful[flooder+1:]
-	fmt.Fprintf(b.Out, "bench workload=%s scenario=%s policy=%s requests=%d hit_rate=%.4f wasted_tokens=%d ttft_p50_ms=%.1f ttft_p95_ms=%.1f ttft_p99_ms=%.1f refused=%d errors=%d fairness=%.4f retry_ratio=%.4f\n",
-		b.Profile.Name, b.Scenario, policy, s.Requests, r.hitRate, r.wasted,
+	fmt.Fprintf(b.Out, "bench workload=%s scenario=%s policy=%s requests=%d hit_rate=%.4f wasted_tokens=%d ttft_p50_ms=%.1f ttft_p95_ms=%.1f ttft_p99_ms=%.1f refused=%d errors=%d fairness=%.4f retry_ratio=%.4f recomputed_after_eviction=%d\n",
+		b.Profile.Name, b.Scenario, policy, s.Requests, r.hitRate, r.wasted.Total,
 		millis(s.FirstToken, 50), millis(s.FirstToken, 95), millis(s.FirstToken, 99),
-		s.Refused, s.Errors, Jain(equal), 1+r.retried/float64(max(1, len(outcomes))))
+		s.Refused, s.Errors, Jain(equal), 1+r.retried/float64(max(1, len(outcomes))), r.wasted.Again)
 	b.timeline(policy, outcomes)
 	if b.Scenario == Overload {
 		b.overload(policy, outcomes, s)
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -120,24 +120,37 @@
 	return sum, nil
 }
 
-// Wasted returns the tokens that were computed more than once over the whole
-// fleet: all computed less the distinct ones.
-func (f *Fleet) Wasted(ctx context.Context, blockTokens int) (int64, error) {
+// Waste is the prompt tokens that were computed more than once.
+type Waste struct {
+	// Total is all computed less the distinct ones over the whole fleet.
+	Total int64
+	// Again is the part that an engine had computed before and evicted; the
+	// rest was computed at several engines.
+	Again int64
+}
+
+// Waste returns the fleet's recomputation by the engines' own count.
+func (f *Fleet) Waste(ctx context.Context, blockTokens int) (Waste, error) {
 	distinct := map[uint64]struct{}{}
+	own := 0
 	for _, url := range f.Engines {
 		var hashes []uint64
 		if err := getJSON(ctx, url+"/truth/computed", &hashes); err != nil {
-			return 0, err
+			return Waste{}, err
 		}
+		own += len(hashes)
 		for _, h := range hashes {
 			distinct[h] = struct{}{}
 		}
 	}
 	truth, err := f.Truth(ctx)
 	if err != nil {
-		return 0, err
+		return Waste{}, err
 	}
-	return truth.ComputedTokens - int64(len(distinct)*blockTokens), nil
+	return Waste{
+		Total: truth.ComputedTokens - int64(len(distinct)*blockTokens),
+		Again: truth.ComputedTokens - int64(own*blockTokens),
+	}, nil
 }
 
 // Metric sums a counter over all entries, label sets included.
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,168 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"acaciakeel/prefix"
+)
+
+func runners(n int) []Runner {
+	out := make([]Runner, n)
+	for i := range out {
+		out[i] = NewRunner(fmt.Sprintf("runner-%d", i), fmt.Sprintf("dc-%d", i%3), "region", false)
+	}
+	return out
+}
+
+func all(n int) []int32 {
+	out := make([]int32, n)
+	for i := range out {
+		out[i] = int32(i)
+	}
+	return out
+}
+
+func levels(hashes ...uint64) []prefix.Boundary {
+	out := make([]prefix.Boundary, len(hashes))
+	for i, h := range hashes {
+		out[i] = prefix.Boundary{Hash: h, Tokens: 2000 * (i + 1)}
+	}
+	return out
+}
+
+// Prompts that share the outer level must be answered from one small subset,
+// whatever their inner levels, and every entry must find the same order.
+func TestOrderNests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(4, 60).Draw(t, "runners")
+		width := rapid.IntRange(1, 4).Draw(t, "width")
+		outer := rapid.Uint64().Draw(t, "outer")
+		a := rapid.Uint64().Draw(t, "inner a")
+		b := rapid.Uint64().Draw(t, "inner b")
+		var one, other Orderer
+		rs := runners(n)
+		first := one.Order(rs, all(n), levels(outer, a), []int{width}, n)
+		second := other.Order(rs, all(n), levels(outer, b), []int{width}, n)
+		if !sameSet(first[:width], second[:width]) {
+			t.Fatalf("subsets differ: %v and %v", first[:width], second[:width])
+		}
+		if fmt.Sprint(first[width:]) != fmt.Sprint(second[width:]) {
+			t.Fatalf("spill orders differ: %v and %v", first[width:], second[width:])
+		}
+		if len(first) != n || !sameSet(first, all(n)) {
+			t.Fatalf("not a permutation: %v", first)
+		}
+	})
+}
+
+// A runner that leaves must move only the prefixes that it held.
+func TestOrderMovesLittle(t *testing.T) {
+	rs := runners(18)
+	var o Orderer
+	for hash := uint64(1); hash <= 200; hash++ {
+		before := o.Order(rs, all(18), levels(hash), nil, 18)
+		gone := before[5]
+		var staying []int32
+		for _, i := range all(18) {
+			if i != gone {
+				staying = append(staying, i)
+			}
+		}
+		after := o.Order(rs, staying, levels(hash), nil, 18)
+		want := append(append([]int32{}, before[:5]...), before[6:]...)
+		if fmt.Sprint(after) != fmt.Sprint(want) {
+			t.Fatalf("order changed beyond the runner that left: %v, want %v", after, want)
+		}
+	}
+}
+
+func sameSet(a, b []int32) bool {
+	seen := map[int32]int{}
+	for _, i := range a {
+		seen[i]++
+	}
+	for _, i := range b {
+		seen[i]--
+	}
+	for _, n := range seen {
+		if n != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPick(t *testing.T) {
+	weights := Weights{Miss: 3, Wait: 1}
+	ready := func(cached int, wait float64) Answer {
+		return Answer{Ready: true, CachedTokens: cached, WaitSeconds: wait, PrefillRate: 40000}
+	}
+	for _, test := range []struct {
+		name    string
+		answers []Answer
+		want    int
+	}{
+		{"nobody is ready", []Answer{{}, {}}, -1},
+		{"the prefix wins over an idle runner", []Answer{ready(0, 0), ready(8000, 0.1)}, 1},
+		{"a long queue loses to recomputing", []Answer{ready(8000, 2), ready(0, 0)}, 1},
+		{"noise leaves the first in order", []Answer{ready(8000, 0.0015), ready(8000, 0)}, 0},
+		{"a suspect runner is left for later", []Answer{{Ready: true, CachedTokens: 8000, PrefillRate: 40000, PenaltySeconds: 0.5}, ready(8000, 0.1)}, 1},
+		{"a pressed cache gives way to an idle one", []Answer{
+			{Ready: true, PrefillRate: 40000, LifetimeSeconds: 1}, ready(0, 0.01)}, 1},
+		{"the other data centre is used when it is quicker", []Answer{
+			ready(8000, 0.05), {Ready: true, CachedTokens: 8000, PrefillRate: 40000, LinkSeconds: 0.001}}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Pick(test.answers, 8000, weights); got != test.want {
+				t.Errorf("picked %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestFilters(t *testing.T) {
+	rs := runners(4)
+	rs[1].Leaving = true
+	rs[2].Region = "elsewhere"
+	got := Apply(rs, nil, Staying, InRegion("region"), Except([]string{"runner-3"}))
+	if fmt.Sprint(got) != "[0]" {
+		t.Errorf("passed %v, want [0]", got)
+	}
+}
+
+// The mean stands in for a runner that was never measured; taken for slow it
+// would stay without work for ever.
+func TestFillRates(t *testing.T) {
+	answers := []Answer{{PrefillRate: 30000}, {}, {PrefillRate: 50000}}
+	FillRates(answers)
+	if answers[1].PrefillRate != 40000 {
+		t.Errorf("rate %v, want 40000", answers[1].PrefillRate)
+	}
+	none := []Answer{{}}
+	FillRates(none)
+	if none[0].PrefillRate != assumedRate {
+		t.Errorf("rate %v, want %v", none[0].PrefillRate, assumedRate)
+	}
+}
+
+func TestCallOrderIgnoresInputOrder(t *testing.T) {
+	a := CallOrder([]string{"x", "y", "z"}, "key")
+	b := CallOrder([]string{"z", "y", "x"}, "key")
+	if fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Errorf("%v and %v differ", a, b)
+	}
+}
+
+// BenchmarkOrder is a placement decision over the runners of two years from now.
+func BenchmarkOrder(b *testing.B) {
+	const n = 2100
+	rs, indices := runners(n), all(n)
+	var o Orderer
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		o.Order(rs, indices, levels(uint64(i), uint64(i)+1), []int{3}, 12)
+	}
+}
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -38,6 +38,9 @@
 	WaitSeconds float64
 	// PrefillRate is tokens a second, as measured by the agent.
 	PrefillRate float64
+	// LifetimeSeconds is how long cached blocks last there after their last
+	// use; 0 while none is evicted.
+	LifetimeSeconds float64
 	// PenaltySeconds is the entry's own doubt about the runner.
 	PenaltySeconds float64
 	// LinkSeconds is the time of a message there and back.
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -25,6 +25,10 @@
 // MaxLevels is how many of the outermost message ends placement nests by.
 const MaxLevels = 3
 
+// MinLevelTokens is how deep a message end must be to count as a level: a
+// shorter prefix costs less to compute anew than runners to be tied to it.
+const MinLevelTokens = 1500
+
 // Salt identifies whose cache entries a request may use, and of which weights.
 type Salt struct {
 	Customer       string
@@ -65,7 +69,8 @@
 
 // Chain is the boundaries of one prompt, shortest first.
 type Chain struct {
-	// Levels are the outermost message ends, outermost first, MaxLevels at most.
+	// Levels are the outermost message ends of MinLevelTokens and more,
+	// outermost first, MaxLevels at most. A shorter prompt has one: its first end.
 	Levels []Boundary
 	// Boundaries are all the points asked for, the levels among them.
 	Boundaries []Boundary
@@ -101,10 +106,13 @@
 		}
 		b := Boundary{Hash: hash, Tokens: i * blockTokens}
 		chain.Boundaries = append(chain.Boundaries, b)
-		if isLevel && len(chain.Levels) < MaxLevels {
+		if isLevel && b.Tokens >= MinLevelTokens && len(chain.Levels) < MaxLevels {
 			chain.Levels = append(chain.Levels, b)
 		}
 	}
+	if len(chain.Levels) == 0 {
+		chain.Levels = chain.Boundaries[:min(1, len(chain.Boundaries))]
+	}
 	chain.Boundaries = trim(chain.Boundaries)
 	return chain
 }
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -110,12 +110,12 @@
 type Preference struct {
 	// Policy is the placement policy. Default "keel"; the others are baselines.
 	Policy string `json:"policy,omitempty" toml:"policy"`
-	// MissWeight multiplies the cost of recomputing missed tokens. Default 1.
+	// MissWeight multiplies the cost of recomputing missed tokens. Default 3.
 	MissWeight float64 `json:"miss_weight,omitempty" toml:"miss_weight"`
 	// WaitWeight multiplies the cost of waiting. Default 1.
 	WaitWeight float64 `json:"wait_weight,omitempty" toml:"wait_weight"`
 	// LevelWidths are how many runners hold a level of a prefix before it
-	// spills, outermost first. Default [9, 3].
+	// spills, outermost first. Default [3].
 	LevelWidths []int `json:"level_widths,omitempty" toml:"level_widths"`
 	// Candidates is how many agents are asked first. Default 3.
 	Candidates int `json:"candidates,omitempty" toml:"candidates"`
@@ -134,6 +134,8 @@
 	DefaultMinRunners     = 1
 	DefaultCandidates     = 3
 	DefaultWidenWaitMS    = 60
+	DefaultLevelWidth     = 3
+	DefaultMissWeight     = 3
 	DefaultPreference     = "default"
 	DefaultPolicy         = "keel"
 )
@@ -174,12 +176,12 @@
 // WithDefaults returns p with each field that was left out set to its default.
 func (p Preference) WithDefaults() Preference {
 	p.Policy = orDefault(p.Policy, DefaultPolicy)
-	p.MissWeight = orDefault(p.MissWeight, 1)
+	p.MissWeight = orDefault(p.MissWeight, DefaultMissWeight)
 	p.WaitWeight = orDefault(p.WaitWeight, 1)
 	p.Candidates = orDefault(p.Candidates, DefaultCandidates)
 	p.WidenWaitMS = orDefault(p.WidenWaitMS, DefaultWidenWaitMS)
 	if len(p.LevelWidths) == 0 {
-		p.LevelWidths = []int{9, 3}
+		p.LevelWidths = []int{DefaultLevelWidth}
 	}
 	return p
 }
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,52 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"acaciakeel/refusal"
+)
+
+var start = time.Unix(1000, 0)
+
+// Entries that all fail at once must not double the load: over many requests
+// the retries stay near their share.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget(0.1, 0, start)
+	retries := 0
+	for range 1000 {
+		b.Request(start)
+		for b.Take(start) {
+			retries++
+		}
+	}
+	if retries < 100 || retries > 100+maxBalance {
+		t.Errorf("%d retries for 1000 requests", retries)
+	}
+}
+
+func TestAllowed(t *testing.T) {
+	ran := *refusal.New(refusal.TargetFailed, "", "")
+	ran.Outcome = refusal.Unknown
+	notRun := *refusal.New(refusal.TargetFailed, "", "")
+	for _, test := range []struct {
+		name       string
+		refused    *refusal.Error
+		idempotent bool
+		sends      int
+		want       bool
+	}{
+		{"may have run", &ran, false, 1, false},
+		{"may have run, but is idempotent", &ran, true, 1, true},
+		{"did not run", &notRun, false, 1, true},
+		{"too many sends", &notRun, true, MaxSends, false},
+		{"a final refusal", refusal.New(refusal.DeadlineUnmet, "", ""), true, 1, false},
+		{"a full queue, once", refusal.New(refusal.QueueFull, "", ""), true, 1, true},
+		{"a full queue, twice", refusal.New(refusal.QueueFull, "", ""), true, 2, false},
+		{"key in use elsewhere", refusal.NewUnknown(""), false, 1, false},
+	} {
+		if got := Allowed(test.refused, test.idempotent, test.sends); got != test.want {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
