--- a/agent/belief.go
+++ b/agent/belief.go
@@ -51,11 +51,22 @@
 	}
 }
 
+// maxRecent bounds the memory of ended requests; past it the old are dropped.
+const maxRecent = 4096
+
 // vouch remembers the boundaries of a request that has ended.
 func (b *belief) vouch(hashes []uint64, now time.Time) {
 	for _, h := range hashes {
 		b.recent[h] = now
 	}
+	if len(b.recent) <= maxRecent {
+		return
+	}
+	for h, at := range b.recent {
+		if now.Sub(at) > recentFor {
+			delete(b.recent, h)
+		}
+	}
 }
 
 // cached returns the index of the deepest boundary that is cached now, or -1.
--- a/cmd/acaciakeel-standin/bench.go
+++ b/cmd/acaciakeel-standin/bench.go
@@ -76,3 +76,14 @@
 		},
 	}
 }
+
+func plotBenchCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "plot-bench",
+		Usage:     "draw bench lines from standard input into a PNG file",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return load.PlotBench(os.Stdin, c.Args().First())
+		},
+	}
+}
--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -33,6 +33,7 @@
 			benchCommand(),
 			slopesCommand(),
 			soakCommand(),
+			plotBenchCommand(),
 			followCommand(),
 			benchConfigCommand(),
 			httpCommand("get"),
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -65,7 +65,7 @@
 // NewFollower returns a follower with an empty State.
 func NewFollower(c Config) *Follower {
 	f := &Follower{config: c, hint: make(chan int64, 1), changed: make(chan struct{})}
-	f.current.Store(newState(resource.Empty(), nil))
+	f.current.Store(newState(resource.Empty(), nil, lists{}))
 	if f.config.OnEvent == nil {
 		f.config.OnEvent = func(string, error) {}
 	}
@@ -228,7 +228,7 @@
 	if vms == nil {
 		vms = old.VMs
 	}
-	next := newState(s, vms)
+	next := newState(s, vms, old.earlier)
 	if s == old.Snapshot && next.VMsHash == old.VMsHash {
 		return
 	}
--- a/configsync/neighbour.go
+++ b/configsync/neighbour.go
@@ -36,7 +36,7 @@
 		return fmt.Errorf("decode state of neighbour %s: %w", url, err)
 	}
 	snapshot, err := state.Snapshot.With(u.Delta)
-	f.offer(snapshot, u.VMs)
+	f.offer(snapshot, u.VMs.apply(state.VMs))
 	return err
 }
 
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -37,7 +37,6 @@
    keelctl get customer lanzani -o json
    keelctl status                     what is in force where
    keelctl wait                       until all processes have the last change
-   keelctl top                        targets, hit rates, waits and refusals
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 somebody else changed the
 resource, 4 the resource is not valid, 5 the outcome is unknown: read, then
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -49,15 +49,7 @@
 		}
 		return e.decodeResource(r, o)
 	}
-	return kithttp.NewServer(ep, decode, encodeJSON,
-		kithttp.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
-			id := uuid.Must(uuid.NewV7()).String()
-			ctx = context.WithValue(ctx, operationKey, operation)
-			return context.WithValue(ctx, callerKey, caller{requestID: id, received: time.Now()})
-		}),
-		kithttp.ServerErrorEncoder(e.encodeError),
-		kithttp.ServerFinalizer(e.logRequest),
-	)
+	return kithttp.NewServer(ep, decode, encodeJSON, e.serverOptions(operation)...)
 }
 
 func (e *Entry) operatorOf(r *http.Request, role Role) (Operator, error) {
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -53,10 +53,13 @@
 
 // server makes the HTTP handler of one operation of callers.
 func (e *Entry) server(operation string, ep endpoint.Endpoint, decode kithttp.DecodeRequestFunc, encode kithttp.EncodeResponseFunc) http.Handler {
-	return kithttp.NewServer(
-		ep,
-		e.authenticated(decode),
-		encode,
+	return kithttp.NewServer(ep, e.authenticated(decode), encode, e.serverOptions(operation)...)
+}
+
+// serverOptions give a request its id, its errors their format and its end a
+// line in the log.
+func (e *Entry) serverOptions(operation string) []kithttp.ServerOption {
+	return []kithttp.ServerOption{
 		kithttp.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
 			id := uuid.Must(uuid.NewV7()).String()
 			ctx = context.WithValue(ctx, operationKey, operation)
@@ -64,7 +67,7 @@
 		}),
 		kithttp.ServerErrorEncoder(e.encodeError),
 		kithttp.ServerFinalizer(e.logRequest),
-	)
+	}
 }
 
 func callerOf(ctx context.Context) caller {
--- a/internal/load/micro.go
+++ b/internal/load/micro.go
@@ -25,10 +25,13 @@
 // memoryOf returns the bytes that the value made by build keeps.
 func memoryOf(build func() any) float64 {
 	var before, after runtime.MemStats
+	// Twice, since what finalizers free goes with the second.
+	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	kept := build()
 	runtime.GC()
+	runtime.GC()
 	runtime.ReadMemStats(&after)
 	runtime.KeepAlive(kept)
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
