--- a/agent/runner.go
+++ b/agent/runner.go
@@ -198,6 +198,7 @@
 	if f.Err != nil || f.PromptTokens == 0 {
 		return
 	}
+	r.confirm(j, f.CachedTokens)
 	over := max(0, j.claimed-f.CachedTokens-r.settings.blockSlack())
 	under := max(0, f.CachedTokens-j.claimed)
 	r.metrics.claims.WithLabelValues("held").Add(float64(min(j.claimed, f.CachedTokens)))
@@ -205,6 +206,20 @@
 	r.metrics.claims.WithLabelValues("under").Add(float64(under))
 }
 
+// confirm tells the view that the engine has just used a prompt's first
+// tokens, so that they are claimed again after a gap in its events.
+func (r *runner) confirm(j *job, cached int) {
+	if j.bootID != r.belief.view.BootID() {
+		return
+	}
+	for i := len(j.req.BoundaryTokens) - 1; i >= 0; i-- {
+		if int(j.req.BoundaryTokens[i]) <= cached {
+			r.belief.view.Confirm(j.req.Root, j.req.BoundaryHash[i])
+			return
+		}
+	}
+}
+
 // blockSlack is the part of a claim that no engine can use: the prompt's last
 // block is computed again for its first token.
 func (Settings) blockSlack() int {
--- a/entry/call.go
+++ b/entry/call.go
@@ -103,8 +103,6 @@
 		Idempotent:     idempotent(spec, c.method, c.path),
 		ConfigRevision: uint64(e.follower.Revision()),
 		DeadlineMs:     uint32(spec.Timeout().Milliseconds()),
-		Priority:       uint32(*c.caller.contract.Priority),
-		Weight:         uint32(c.caller.contract.Weight),
 	}
 	if c.key == "" {
 		// Without a key of its own the caller can't repeat the call; the
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -37,7 +37,6 @@
 	LedgerFull        Kind = "ledger_full"
 	KeyReused         Kind = "key_reused"
 	Canceled          Kind = "canceled"
-	RetryBudgetSpent  Kind = "retry_budget_spent"
 	AttemptAbandoned  Kind = "attempt_abandoned"
 	ResumeUnavailable Kind = "resume_unavailable"
 	HeldElsewhere     Kind = "held_elsewhere"
@@ -134,7 +133,6 @@
 	LedgerFull:        http.StatusServiceUnavailable,
 	KeyReused:         http.StatusUnprocessableEntity,
 	Canceled:          499,
-	RetryBudgetSpent:  http.StatusServiceUnavailable,
 	AttemptAbandoned:  http.StatusConflict,
 	ResumeUnavailable: http.StatusGone,
 	HeldElsewhere:     http.StatusServiceUnavailable,
