Give the integration tests ports that nothing else takes

Cause: in 3 repeats of the integration tests one failed ('apply model catalogue' answered by something that is no entry). Ports were found free and released before their process listened; they lay in the range from which the kernel gives outgoing connections theirs, and four tests run at once. Change: ports are counted up below that range; no check is eased. Conclusion: a fault of the harness, not of the product.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -99,14 +100,27 @@
 	return f
 }
 
+// nextPort counts up through ports below those that the kernel hands out by
+// itself, so that no connection or parallel test takes one between its being
+// found free and its process listening.
+var nextPort atomic.Int32
+
+const firstPort, lastPort = 11000, 19999
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // place gives a name an address, and a proxied one beside it where asked.
