Mend what a second reading of the change found

Change: one walk (update), one begin_fleet, send without the parameter, the check flattened. Behaviour, bounds and tests are as they were; the walk still ends on any chain, since a block already changed ends it. Left: bodies of the agent's gauges and the two daemons' following of the configuration are alike in shape; Queue and both Settings.Validate too.

--- a/cache/view.go
+++ b/cache/view.go
@@ -83,12 +83,21 @@
 
 // Touch marks the chain up to hash as in use now.
 func (v *View) Touch(root, hash uint64) {
-	for range len(v.blocks) + 1 {
+	v.update(root, hash, func(e *entry) bool {
+		done := e.used == v.now
+		e.used = v.now
+		return done
+	})
+}
+
+// update changes the entries of the chain from hash back to root, until change
+// reports one that had been changed already, as those before it then have.
+func (v *View) update(root, hash uint64, change func(e *entry) (done bool)) {
+	for hash != root {
 		e, ok := v.blocks[hash]
-		if hash == root || !ok || e.used == v.now {
+		if !ok || change(&e) {
 			return
 		}
-		e.used = v.now
 		v.blocks[hash] = e
 		hash = e.parent
 	}
@@ -219,15 +228,11 @@
 // Confirm marks the chain up to hash as cached now, because the engine has
 // just said in an answer that it used it.
 func (v *View) Confirm(root, hash uint64) {
-	for range len(v.blocks) + 1 {
-		e, ok := v.blocks[hash]
-		if hash == root || !ok || e.epoch == v.epoch {
-			return
-		}
+	v.update(root, hash, func(e *entry) bool {
+		done := e.epoch == v.epoch
 		e.epoch = v.epoch
-		v.blocks[hash] = e
-		hash = e.parent
-	}
+		return done
+	})
 }
 
 // Longest returns the index of the deepest of the boundary hashes, shortest
--- a/configsync/state.go
+++ b/configsync/state.go
@@ -139,10 +139,10 @@
 
 // apply returns the list after the update.
 func (u *vmUpdate) apply(old []vm.VM) []vm.VM {
-	if u == nil || u.Whole {
-		if u == nil {
-			return nil
-		}
+	if u == nil {
+		return nil
+	}
+	if u.Whole {
 		return u.Set
 	}
 	byName := map[string]vm.VM{}
--- a/entry/session.go
+++ b/entry/session.go
@@ -163,17 +163,18 @@
 	if len(s.sent) == 0 {
 		p.weights = s.entry.rollouts.serving(p, s.entry.table.Load().snapshot())
 	}
-	refused := s.attemptWith(ctx, p.weights)
+	refused := s.send(ctx)
 	if refused == nil || refused.Kind != refusal.NoTarget || p.weights == p.spec.WeightsVersion {
 		return refused
 	}
 	// No runner has the previous weights any more. Forward is the only way:
 	// no request moves to older ones.
 	p.weights = p.spec.WeightsVersion
-	return s.attemptWith(ctx, p.weights)
+	return s.send(ctx)
 }
 
-func (s *session) attemptWith(ctx context.Context, weights string) *refusal.Error {
+// send makes an attempt with the plan's weights.
+func (s *session) send(ctx context.Context) *refusal.Error {
 	p := s.plan
 	prompt := prefix.Prompt{Text: append(p.prompt.Text[:len(p.prompt.Text):len(p.prompt.Text)], s.sent...), Ends: p.prompt.Ends}
 	salt := p.salt()
@@ -182,7 +183,7 @@
 		customer:   p.customer,
 		priority:   *p.contract.Priority,
 		model:      p.model,
-		weights:    weights,
+		weights:    p.weights,
 		root:       prefix.Root(salt),
 		chain:      chain,
 		preference: p.preference,
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -16,12 +16,7 @@
   POLICIES=${POLICIES:-"least-load keel"}
 fi
 source scripts/fleet.sh
-rm -rf "$DIR"
-trap stop_fleet EXIT
-trap 'exit 130' INT TERM
-build_programs
-start_fleet
-apply_fleet >&2
+begin_fleet
 
 args=(--operator-key "$OPERATOR_KEY" --model "$MODEL" --service "$SERVICE" --workload "$WORKLOAD" --scenario "$SCENARIO")
 for ((i = 0; i < ENTRIES; i++)); do args+=(--entry "$(entry_url "$i")"); done
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -186,3 +186,14 @@
   keelctl apply -f "$DIR/fleet.toml" >"$DIR/apply.log"
   keelctl wait --timeout 20s --processes $((ENTRIES + RUNNERS + SERVICES))
 }
+
+# begin_fleet builds the programs and starts a fleet with its resources
+# applied; it ends with the script.
+begin_fleet() {
+  rm -rf "$DIR"
+  trap stop_fleet EXIT
+  trap 'exit 130' INT TERM
+  build_programs
+  start_fleet
+  apply_fleet >&2
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,12 +9,7 @@
 ENGINE_EXTRA=$'step_ms = 15.0\nresume_grace_ms = 5000.0'
 AGENT_EXTRA=$'[ledger]\nclock_margin_ms = 200.0'
 source scripts/fleet.sh
-rm -rf "$DIR"
-trap stop_fleet EXIT
-trap 'exit 130' INT TERM
-build_programs
-start_fleet
-apply_fleet >&2
+begin_fleet
 RANDOM=$SEED
 
 args=(--operator-key "$OPERATOR_KEY" --model "$MODEL" --service "$SERVICE" --seed "$SEED" --rate "$RATE" --duration "${DURATION}s")
