Bound old weights from the first naming that a runner missed

Cause: a second naming overwrote the time of the first, so a runner that had missed both counted as behind since the second only: requests began on weights replaced 8 to 12 s before (VERSION). Ruled out: late news (learnt 20 ms after the acknowledgement). Change: a history of namings for each model.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -25,6 +25,7 @@
 // Choice is a target for one request.
 type Choice struct {
 	Runner Runner
+	Model  string
 	// Weights is the version that the runner is believed to have; 0 for plain requests.
 	Weights int64
 	Chain   prefix.Chain
@@ -32,8 +33,9 @@
 	Cached int
 	// Wait is the expected wait before the request begins.
 	Wait time.Duration
-	// Home is another runner that holds more of the prompt; its address, or empty.
-	Home string
+	// Source is the address of another runner that is believed to hold more of
+	// the prompt, for the chosen one to fetch it from; empty where there is none.
+	Source string
 }
 
 // Figures of the cost.
@@ -74,8 +76,7 @@
 
 func (f *Fleet) usable(q Query, s *state, now time.Time) bool {
 	if q.Model != "" {
-		n := f.named[q.Model]
-		if s.weights[q.Model] < n.version && now.Sub(n.at) > q.OldWeightsFor {
+		if f.named[q.Model].behindFor(s.weights[q.Model], now) > q.OldWeightsFor {
 			return false
 		}
 		if now.Before(s.busyUntil) {
@@ -109,12 +110,12 @@
 // chooseCached ranks the targets by rendezvous of the deepest part that other
 // requests share, and takes the one with the least expected cost.
 func (f *Fleet) chooseCached(q Query, g *group, indices []int32, now time.Time) Choice {
-	newest := f.named[q.Model]
-	chain := q.Chain(newest.version)
+	newest := f.named[q.Model].newest()
+	chain := q.Chain(newest)
 	var o placement.Orderer
 	order := o.Order(g.placed, indices, chain.Levels, nil, min(askedMost, len(indices)))
 	answers := make([]placement.Answer, len(order))
-	chains := map[int64]prefix.Chain{newest.version: chain}
+	chains := map[int64]prefix.Chain{newest: chain}
 	for i, at := range order {
 		s := g.states[at]
 		answers[i] = f.answer(q, s, chains, now)
@@ -129,14 +130,46 @@
 	weights := s.weights[q.Model]
 	choice := Choice{
 		Runner:  s.runner,
+		Model:   q.Model,
 		Weights: weights,
 		Chain:   q.chainOf(chains, weights),
 		Cached:  f.cachedTokens(s, q.chainOf(chains, weights)),
 		Wait:    time.Duration(answers[best].WaitSeconds * float64(time.Second)),
 	}
+	choice.Source = f.source(g, order, s, choice, now)
 	return choice
 }
 
+// source returns the address of a runner with the same weights that is believed
+// to hold more of the prompt's shared parts than the chosen one. Moving a part
+// costs a small part of reading it again. Where this process knows of none, the
+// first in the ranking is asked, as the others send what they can there; a
+// miss costs a millisecond.
+func (f *Fleet) source(g *group, order []int32, chosen *state, c Choice, now time.Time) string {
+	shared := sharedTokens(c.Chain)
+	best, most := (*state)(nil), min(c.Cached, shared)
+	if most == shared {
+		return ""
+	}
+	for i, at := range order {
+		s := g.states[at]
+		if s == chosen || s.weights[c.Model] != c.Weights || s.health.State(now) != health.Live {
+			continue
+		}
+		cached := min(f.cachedTokens(s, c.Chain), shared)
+		if i == 0 {
+			cached = max(cached, most+1)
+		}
+		if cached > most {
+			best, most = s, cached
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.runner.Address
+}
+
 func (q Query) chainOf(chains map[int64]prefix.Chain, weights int64) prefix.Chain {
 	c, ok := chains[weights]
 	if !ok {
@@ -158,8 +191,7 @@
 	}
 	ahead := float64(s.prefill) * float64(1+f.sharers) / 2
 	a.WaitSeconds = ahead/f.rate + f.queueWait(s, now).Seconds()
-	n := f.named[q.Model]
-	if weights < n.version && now.Sub(n.at) > oldWeightsGrace {
+	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
 	return a
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,7 @@
 	mu       sync.Mutex
 	states   map[string]*state
 	services map[string]*group
-	named    map[string]naming
+	named    map[string]*history
 	rate     float64
 	sharers  int
 	zone     string
@@ -45,18 +45,49 @@
 	placed []placement.Runner
 }
 
-// naming is the newest version of a model's weights and when it was learnt.
+// naming is a version of a model's weights and when it was learnt that the
+// operators want it.
 type naming struct {
 	version int64
 	at      time.Time
 }
 
+// history is the versions named of one model, oldest first. Several may be
+// named before all runners have the first, and each has a bound of its own.
+type history struct {
+	namings []naming
+}
+
+// keptNamings bounds a history. A runner behind by more counts as behind since
+// the oldest one kept.
+const keptNamings = 16
+
+func (h *history) newest() int64 {
+	if h == nil || len(h.namings) == 0 {
+		return 0
+	}
+	return h.namings[len(h.namings)-1].version
+}
+
+// behindFor returns for how long newer weights than version have been wanted.
+func (h *history) behindFor(version int64, now time.Time) time.Duration {
+	if h == nil {
+		return 0
+	}
+	for _, n := range h.namings {
+		if n.version > version {
+			return now.Sub(n.at)
+		}
+	}
+	return 0
+}
+
 // New returns an empty view of a process in zone.
 func New(zone string) *Fleet {
 	return &Fleet{
 		states:   map[string]*state{},
 		services: map[string]*group{},
-		named:    map[string]naming{},
+		named:    map[string]*history{},
 		rate:     assumedRate,
 		sharers:  1,
 		zone:     zone,
@@ -85,10 +116,16 @@
 func (f *Fleet) Name(model string, version int64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.named[model].version {
+	h := f.named[model]
+	if version <= h.newest() {
 		return false
 	}
-	f.named[model] = naming{version: version, at: now}
+	if h == nil {
+		h = &history{}
+		f.named[model] = h
+	}
+	h.namings = append(h.namings, naming{version: version, at: now})
+	h.namings = h.namings[max(0, len(h.namings)-keptNamings):]
 	return true
 }
 
@@ -97,8 +134,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make(map[string]int64, len(f.named))
-	for model, n := range f.named {
-		out[model] = n.version
+	for model, h := range f.named {
+		out[model] = h.newest()
 	}
 	return out
 }
--- a/router/session.go
+++ b/router/session.go
@@ -158,7 +158,7 @@
 	if in.Model != "" {
 		send.Priority = in.priority()
 		send.Salt = in.salt(choice.Weights)
-		send.FetchFrom = choice.Home
+		send.FetchFrom = choice.Source
 	}
 	return send
 }
@@ -292,7 +292,9 @@
 	if s.in.Model != "" {
 		fields["weights"] = s.last.Weights
 		fields["cached"] = s.last.Cached
+		fields["source"] = s.last.Source
 		fields["input"] = s.in.Input
+		fields["output"] = s.in.Output
 		fields["wait_ms"] = s.last.Wait.Milliseconds()
 	}
 	if !s.firstAt.IsZero() {
