Read the runners' cache events in each entry

Cause: an entry knew only what it had sent itself, so it could not name a runner that holds what another entry had read. Change: a reading of each runner's cache events every 250 ms; parts are named by salt and id.

--- /dev/null
+++ b/fleet/events.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"acaciakeel/prefix"
+)
+
+// CacheEvent is one change of a runner's cache.
+type CacheEvent struct {
+	// Stored is set where the part is there now, and false where it left.
+	Stored bool
+	Salt   string
+	Part   string
+	// Tokens is how many of the part's tokens are stored now.
+	Tokens int
+}
+
+// CacheEvents is what changed since a number.
+type CacheEvents struct {
+	// Boot changes when the runner starts again, with an empty cache.
+	Boot int64
+	// Next is the number to ask from the next time.
+	Next int64
+	// Lost says that events between are gone.
+	Lost   bool
+	Events []CacheEvent
+}
+
+// EventReader reads a runner's cache events. Wait is how long the runner may
+// hold the answer back while there are none.
+type EventReader interface {
+	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
+}
+
+// EventWatch keeps the fleet's knowledge of the runners' caches current, so
+// that each process knows also what the others had read where. Belief only
+// steers: a runner alone decides what it reuses, and salts keep apart what must
+// not be shared.
+type EventWatch struct {
+	fleet  *Fleet
+	reader EventReader
+}
+
+// NewEventWatch returns a watch that has not begun.
+func NewEventWatch(f *Fleet, r EventReader) *EventWatch {
+	return &EventWatch{fleet: f, reader: r}
+}
+
+// Figures of the watch.
+const (
+	// readEvery is the pause between two readings of one runner; events come
+	// some 80 ms late anyway, and prompts take longer to read than that.
+	readEvery = 250 * time.Millisecond
+	// readPerSharer stretches the pause where many processes read: a runner
+	// holds a dozen readings at once.
+	readPerSharer = 30 * time.Millisecond
+	// readWait is how long a runner without news holds a reading back; shorter
+	// ones count as probes.
+	readWait = 200 * time.Millisecond
+)
+
+// Run reads until ctx ends.
+func (w *EventWatch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, s := range w.fleet.dueForEvents() {
+			go w.read(ctx, s)
+		}
+		pause := max(readEvery, time.Duration(w.fleet.Sharers())*readPerSharer)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// due is one reading to make.
+type due struct {
+	id      string
+	address string
+	since   int64
+}
+
+// dueForEvents returns the runners of models that are not being read now.
+func (f *Fleet) dueForEvents() []due {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []due
+	for id, s := range f.states {
+		if len(s.weights) == 0 || s.reading || s.runner.Draining {
+			continue
+		}
+		s.reading = true
+		out = append(out, due{id: id, address: s.runner.Address, since: s.next})
+	}
+	return out
+}
+
+func (w *EventWatch) read(ctx context.Context, d due) {
+	events, err := w.reader.CacheEvents(ctx, d.address, d.since, readWait)
+	w.fleet.took(d.id, events, err == nil, time.Now())
+}
+
+// took takes the events that a reading brought.
+func (f *Fleet) took(id string, e CacheEvents, ok bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[id]
+	if s == nil {
+		return
+	}
+	s.reading = false
+	if !ok {
+		return
+	}
+	if s.boot != 0 && s.boot != e.Boot {
+		s.cached = newParts()
+	}
+	s.boot, s.next = e.Boot, e.Next
+	for _, event := range e.Events {
+		hash := PartHash(prefix.Root(event.Salt), event.Part)
+		if event.Stored {
+			s.cached.use(hash, event.Tokens, s.capacity, now)
+		} else {
+			s.cached.forget(hash)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,13 @@
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
 	cached    *parts
+	// capacity bounds the tokens of cached.
+	capacity int
+	// boot and next say where the reading of the target's cache events stands.
+	boot int64
+	next int64
+	// reading is set while a call for events is under way.
+	reading bool
 	// busyUntil is until when an order is thought to keep new requests out.
 	busyUntil time.Time
 }
@@ -300,6 +307,7 @@
 	}
 	s.inflight++
 	s.prefill += missing
+	s.capacity = max(s.capacity, capacity)
 	before := 0
 	for _, b := range chain.Boundaries {
 		s.cached.use(b.Hash, b.Tokens-before, capacity, now)
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -1,9 +1,19 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"acaciakeel/prefix"
+)
+
+// PartHash names a part of a prompt under a salt, of which root is the hash.
+func PartHash(root uint64, id string) uint64 {
+	return prefix.Next(root, []byte(id))
+}
 
 // parts is what this process believes a runner has cached: the parts of the
-// prompts that it sent there, each by its chain hash, oldest use first out.
+// prompts that it sent there and those that the runner told of, each by its
+// hash, oldest use first out.
 type parts struct {
 	held   map[uint64]*part
 	tokens int
@@ -44,6 +54,13 @@
 	}
 }
 
+// forget takes a part out that the runner no longer has.
+func (p *parts) forget(hash uint64) {
+	if e := p.held[hash]; e != nil {
+		p.drop(e)
+	}
+}
+
 func (p *parts) drop(e *part) {
 	p.unlink(e)
 	delete(p.held, e.hash)
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	session  *lease.Session
 	store    *platform.Store
 	front    *platform.Front
+	events   *fleet.EventWatch
 	name     string
 	stopping chan struct{}
 }
@@ -80,6 +81,7 @@
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, log)
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
+	n.events = fleet.NewEventWatch(targets, runners)
 	bounds := router.Bounds{OldWeights: time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin}
 	retries := router.RetryBounds{
 		Ratio:  s.Bounds.RetryRatio,
@@ -98,6 +100,7 @@
 	go n.session.Run(ctx, n.enrol)
 	go n.view.holder.Run(ctx)
 	go n.seekSeat(ctx)
+	go n.events.Run(ctx)
 	front, err := n.listen(n.settings.Listen.Front, n.front)
 	if err != nil {
 		return err
--- a/router/request.go
+++ b/router/request.go
@@ -129,12 +129,11 @@
 // last part belongs to the request itself.
 func (r *Request) chain(salt string) prefix.Chain {
 	c := prefix.Chain{Tokens: r.Input}
-	hash := prefix.Root(salt)
+	root := prefix.Root(salt)
 	tokens := 0
 	for _, p := range r.Prefix {
-		hash = prefix.Next(hash, []byte(p.ID))
 		tokens += p.Tokens
-		c.Boundaries = append(c.Boundaries, prefix.Boundary{Hash: hash, Tokens: tokens})
+		c.Boundaries = append(c.Boundaries, prefix.Boundary{Hash: fleet.PartHash(root, p.ID), Tokens: tokens})
 	}
 	c.Tokens = max(c.Tokens, tokens)
 	switch n := len(c.Boundaries); n {
