Pack long runs; change first the weights of runners without them

Cause: an order waits for the runs in progress. Ruled out: the load itself (0.6 s where nothing long ran). Change: long requests fill few runners in an order that changes with the weights; runners without long runs are ordered first, the others when theirs have ended or after 4 s; the oldest weights first.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -14,6 +14,8 @@
 	// Model is empty for plain requests; Chain is nil then.
 	Model string
 	Chain func(weights int64) prefix.Chain
+	// Long is set for requests that will hold a slot for seconds.
+	Long bool
 	// Tried are targets that must not be chosen again.
 	Tried []string
 	// OldWeightsFor is for how long after newer weights were named runners
@@ -71,6 +73,11 @@
 	if q.Model == "" {
 		return f.chooseIdle(g, indices, now), true
 	}
+	if q.Long {
+		if s := f.chooseDense(q, g, indices); s != nil {
+			return f.choice(q, s, nil, nil, now), true
+		}
+	}
 	return f.chooseCached(q, g, indices, now), true
 }
 
@@ -116,28 +123,30 @@
 	order := o.Order(g.placed, indices, chain.Levels, nil, min(askedMost, len(indices)))
 	answers := make([]placement.Answer, len(order))
 	chains := map[int64]prefix.Chain{newest: chain}
+	first := true
 	for i, at := range order {
 		s := g.states[at]
 		answers[i] = f.answer(q, s, chains, now)
-		if i == 0 && answers[i].CachedTokens == 0 {
-			// Every process sends a prefix to the first in its order, so what
-			// this one has not sent itself is likely to be there.
-			answers[i].CachedTokens = sharedTokens(chain) / 2
+		if first && s.long == 0 {
+			// Every process sends a prefix to the first in its order that has no
+			// long runs, so what this one does not know of is likely to be there.
+			answers[i].CachedTokens = max(answers[i].CachedTokens, sharedTokens(chain)/2)
+			first = false
 		}
 	}
 	best := placement.Pick(answers, chain.Tokens, q.Weights)
-	s := g.states[order[best]]
+	c := f.choice(q, g.states[order[best]], g, order, now)
+	c.Wait = time.Duration(answers[best].WaitSeconds * float64(time.Second))
+	return c
+}
+
+// choice fills in what a request needs to know of its target.
+func (f *Fleet) choice(q Query, s *state, g *group, order []int32, now time.Time) Choice {
 	weights := s.weights[q.Model]
-	choice := Choice{
-		Runner:  s.runner,
-		Model:   q.Model,
-		Weights: weights,
-		Chain:   q.chainOf(chains, weights),
-		Cached:  f.cachedTokens(s, q.chainOf(chains, weights)),
-		Wait:    time.Duration(answers[best].WaitSeconds * float64(time.Second)),
-	}
-	choice.Source = f.source(g, order, s, choice, now)
-	return choice
+	c := Choice{Runner: s.runner, Model: q.Model, Weights: weights, Chain: q.Chain(weights)}
+	c.Cached = f.cachedTokens(s, c.Chain)
+	c.Source = f.source(g, order, s, c, now)
+	return c
 }
 
 // source returns the address of a runner with the same weights that is believed
@@ -148,7 +157,7 @@
 func (f *Fleet) source(g *group, order []int32, chosen *state, c Choice, now time.Time) string {
 	shared := sharedTokens(c.Chain)
 	best, most := (*state)(nil), min(c.Cached, shared)
-	if most == shared {
+	if most == shared || g == nil {
 		return ""
 	}
 	for i, at := range order {
@@ -194,6 +203,9 @@
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
+	if s.long > 0 && !q.Long {
+		a.PenaltySeconds += besideLong.Seconds()
+	}
 	return a
 }
 
--- /dev/null
+++ b/fleet/dense.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+
+	"acaciakeel/placement"
+	"acaciakeel/prefix"
+)
+
+// Figures of where long runs go.
+const (
+	// denseShare is the part of a runner's slots that long runs fill before the
+	// next runner gets some: the rest is for uneven entries and for short runs.
+	denseShare = 0.7
+	// besideLong is the cost of putting a short run with a long prompt beside
+	// long ones, which stand still while it is read.
+	besideLong = 40 * time.Millisecond
+)
+
+// chooseDense packs long runs onto few runners. A batch decodes many runs in
+// about the time of one, so packing costs little; and a runner without long
+// runs is done within a second once it is to load other weights, where one with
+// a few of them would stand nearly idle for seconds. All processes fill the
+// runners in the same order, which changes with the weights, so that runners
+// that still end old runs get no new ones. It returns nil where all are filled.
+func (f *Fleet) chooseDense(q Query, g *group, indices []int32) *state {
+	newest := f.named[q.Model].newest()
+	for _, current := range []bool{true, false} {
+		var group []int32
+		for _, i := range indices {
+			if (g.states[i].weights[q.Model] >= newest) == current {
+				group = append(group, i)
+			}
+		}
+		if s := f.firstWithRoom(q, g, group); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32) *state {
+	if len(indices) == 0 {
+		return nil
+	}
+	var o placement.Orderer
+	weights := g.states[indices[0]].weights[q.Model]
+	hash := prefix.NameHash(q.Model + " " + strconv.FormatInt(weights, 10))
+	level := []prefix.Boundary{{Hash: hash}}
+	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
+		s := g.states[i]
+		room := int(denseShare * float64(s.runner.Slots) / float64(f.sharers))
+		if s.long < max(1, room) {
+			return s
+		}
+	}
+	return nil
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,7 +19,9 @@
 	// of those without a first event yet.
 	inflight int
 	prefill  int
-	load     Load
+	// long counts those of them that hold a slot for seconds.
+	long   int
+	load   Load
 	loadAt   time.Time
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
@@ -233,14 +235,22 @@
 	return s != nil && !s.runner.Draining
 }
 
-// Inflight returns how many of this process's requests a target works on.
-func (f *Fleet) Inflight(id string) int {
+// Inflight returns how many of this process's requests a target works on, and
+// how many of those are long.
+func (f *Fleet) Inflight(id string) (all, long int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.states[id]; s != nil {
-		return s.inflight
+		return s.inflight, s.long
 	}
-	return 0
+	return 0, 0
+}
+
+// BehindFor returns for how long newer weights than version have been wanted.
+func (f *Fleet) BehindFor(model string, version int64, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.named[model].behindFor(version, now)
 }
 
 // Learn notes a version that a target was seen to have.
@@ -293,12 +303,24 @@
 	fleet   *Fleet
 	state   *state
 	prefill int
+	long    bool
 	done    bool
 }
 
-// Begin counts a request in: missing prompt tokens are to be read, and the
-// parts of its chain are taken for cached from now on.
-func (f *Fleet) Begin(id string, missing int, chain prefix.Chain, capacity int, now time.Time) *Ticket {
+// Stay is what a request brings to its target.
+type Stay struct {
+	// Missing is how many prompt tokens must be read.
+	Missing int
+	Chain   prefix.Chain
+	// Capacity is the target's memory for cached parts, in tokens.
+	Capacity int
+	// Long requests hold a slot for seconds.
+	Long bool
+}
+
+// Begin counts a request in. The parts of its chain are taken for cached from
+// now on.
+func (f *Fleet) Begin(id string, stay Stay, now time.Time) *Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
@@ -306,14 +328,17 @@
 		return &Ticket{fleet: f}
 	}
 	s.inflight++
-	s.prefill += missing
-	s.capacity = max(s.capacity, capacity)
+	s.prefill += stay.Missing
+	if stay.Long {
+		s.long++
+	}
+	s.capacity = max(s.capacity, stay.Capacity)
 	before := 0
-	for _, b := range chain.Boundaries {
-		s.cached.use(b.Hash, b.Tokens-before, capacity, now)
+	for _, b := range stay.Chain.Boundaries {
+		s.cached.use(b.Hash, b.Tokens-before, s.capacity, now)
 		before = b.Tokens
 	}
-	return &Ticket{fleet: f, state: s, prefill: missing}
+	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long}
 }
 
 // First notes the first event: the prompt has been read.
@@ -340,6 +365,9 @@
 	t.done = true
 	t.read()
 	t.state.inflight--
+	if t.long {
+		t.state.long--
+	}
 }
 
 // Forget drops what is believed cached at a target.
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -90,12 +91,20 @@
 func (h *Holder) input(model string, desired int64, runners []fleet.Runner) Input {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	in := Input{Model: model, Desired: desired, Runners: runners, Underway: map[string]bool{}, Inflight: map[string]int{}, AtOnce: AtOnce(len(runners))}
-	for id := range h.underway {
-		in.Underway[id] = true
+	in := Input{
+		Model:    model,
+		Desired:  desired,
+		Runners:  runners,
+		Underway: maps.Clone(h.underway),
+		Inflight: map[string]int{},
+		Long:     map[string]int{},
+		Behind:   map[string]time.Duration{},
+		AtOnce:   AtOnce(len(runners)),
 	}
+	now := time.Now()
 	for _, r := range runners {
-		in.Inflight[r.ID] = h.fleet.Inflight(r.ID)
+		in.Inflight[r.ID], in.Long[r.ID] = h.fleet.Inflight(r.ID)
+		in.Behind[r.ID] = h.fleet.BehindFor(model, r.Weights[model], now)
 	}
 	return in
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"acaciakeel/fleet"
 )
@@ -17,8 +18,12 @@
 	Runners []fleet.Runner
 	// Underway are the runners whose order has not ended, by id.
 	Underway map[string]bool
-	// Inflight is how many requests each runner works on, by id.
+	// Inflight is how many requests each runner works on, by id, and Long those
+	// of them that take seconds.
 	Inflight map[string]int
+	Long     map[string]int
+	// Behind is for how long each runner has been behind, by id.
+	Behind map[string]time.Duration
 	// AtOnce is the most orders under way.
 	AtOnce int
 }
@@ -39,8 +44,14 @@
 // loadsAtOnce is how many loads run at full speed beside each other.
 const loadsAtOnce = 3
 
-// Next returns the runners that get an order now: those with older weights, the
-// idlest first, as they are the soonest done and the least missed.
+// longPatience is how long runners with long runs are left to end them before
+// their order: no new ones go there meanwhile. The runs that remain then end
+// well within the bound on the whole rollout.
+const longPatience = 4 * time.Second
+
+// Next returns the runners that get an order now: those with the oldest weights
+// first, since their bound ends first, and of these the idlest, as they are the
+// soonest done and the least missed.
 func Next(in Input) []fleet.Runner {
 	room := in.AtOnce - len(in.Underway)
 	if room <= 0 {
@@ -48,12 +59,23 @@
 	}
 	var behind []fleet.Runner
 	for _, r := range in.Runners {
-		if r.Weights[in.Model] < in.Desired && !r.Draining && !in.Underway[r.ID] {
+		if in.due(r) {
 			behind = append(behind, r)
 		}
 	}
 	slices.SortFunc(behind, func(a, b fleet.Runner) int {
-		return cmp.Or(cmp.Compare(in.Inflight[a.ID], in.Inflight[b.ID]), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(in.Long[a.ID], in.Long[b.ID]),
+			cmp.Compare(a.Weights[in.Model], b.Weights[in.Model]),
+			cmp.Compare(in.Inflight[a.ID], in.Inflight[b.ID]),
+			cmp.Compare(a.ID, b.ID))
 	})
 	return behind[:min(room, len(behind))]
 }
+
+func (in Input) due(r fleet.Runner) bool {
+	if r.Weights[in.Model] >= in.Desired || r.Draining || in.Underway[r.ID] {
+		return false
+	}
+	return in.Long[r.ID] == 0 || in.Behind[r.ID] > longPatience
+}
--- a/router/session.go
+++ b/router/session.go
@@ -103,6 +103,7 @@
 	}
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
+		q.Long = in.long()
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
 	return s.router.fleet.Choose(q, time.Now())
@@ -116,7 +117,7 @@
 	s.last = choice
 	s.tried = append(s.tried, choice.Runner.ID)
 	f := s.router.fleet
-	s.ticket = f.Begin(choice.Runner.ID, max(0, s.in.Input-choice.Cached), choice.Chain, s.capacity(), time.Now())
+	s.ticket = f.Begin(choice.Runner.ID, s.stay(choice), time.Now())
 	defer s.ticket.End()
 	answer, err := s.router.sender.Send(ctx, s.newSend(choice))
 	if err != nil {
@@ -138,6 +139,15 @@
 	return s.whole(choice, answer)
 }
 
+func (s *session) stay(choice fleet.Choice) fleet.Stay {
+	return fleet.Stay{
+		Missing:  max(0, s.in.Input-choice.Cached),
+		Chain:    choice.Chain,
+		Capacity: s.capacity(),
+		Long:     s.in.long(),
+	}
+}
+
 // capacityShare is the part of a runner's memory that this process takes to
 // hold the parts it sent; running requests take the rest.
 const capacityShare = 0.75
