--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -40,6 +40,9 @@
 	return nil
 }
 
+// firstWithRoom returns the first runner in the order that has long runs and room
+// for more, or else the first that has none: while runners change weights, the
+// order's head changes with every one that is done, and must not spread the runs.
 func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32) *state {
 	if len(indices) == 0 {
 		return nil
@@ -48,12 +51,16 @@
 	weights := g.states[indices[0]].weights[q.Model]
 	hash := prefix.NameHash(q.Model + " " + strconv.FormatInt(weights, 10))
 	level := []prefix.Boundary{{Hash: hash}}
+	var empty *state
 	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
 		s := g.states[i]
 		room := int(denseShare * float64(s.runner.Slots) / float64(f.sharers))
-		if s.long < max(1, room) {
+		switch {
+		case s.long > 0 && s.long < max(1, room):
 			return s
+		case s.long == 0 && empty == nil:
+			empty = s
 		}
 	}
-	return nil
+	return empty
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,7 +22,7 @@
 	// long counts those of them that hold a slot for seconds.
 	long   int
 	load   Load
-	loadAt   time.Time
+	loadAt time.Time
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
 	cached    *parts
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -47,7 +47,7 @@
 // longPatience is how long runners with long runs are left to end them before
 // their order: no new ones go there meanwhile. The runs that remain then end
 // well within the bound on the whole rollout.
-const longPatience = 4 * time.Second
+const longPatience = 3 * time.Second
 
 // Next returns the runners that get an order now: those with the oldest weights
 // first, since their bound ends first, and of these the idlest, as they are the
