Keep shared parts in the store of KV cache and fetch them from there

Change: the first to read a prompt's shared parts sends them to the store; a choice that lacks them fetches from a runner or from the store, by whose events each entry knows what is there; belief is bounded by the runner's whole memory.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,8 +94,11 @@
 	MaxConns int
 	// Engine is nil for plain services.
 	Engine *Engine
-	// KVStore is the address of a store of kept KV cache; empty for other services.
-	KVStore string
+	// KVStore is the address of a store of kept KV cache, which is no target;
+	// empty for other services. Zone is where it stands, KVTokens its room.
+	KVStore  string
+	Zone     string
+	KVTokens int
 }
 
 // Customer is one holder of keys.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -31,13 +31,19 @@
 	// Weights is the version that the runner is believed to have; 0 for plain requests.
 	Weights int64
 	Chain   prefix.Chain
+	// Shared is how many prompt tokens other requests have in common with it.
+	Shared int
 	// Cached is how many prompt tokens are believed to need no prefill there.
 	Cached int
 	// Wait is the expected wait before the request begins.
 	Wait time.Duration
-	// Source is the address of another runner that is believed to hold more of
-	// the prompt, for the chosen one to fetch it from; empty where there is none.
+	// Source is the address of another runner or store that is believed to hold
+	// more of the prompt, for the chosen one to fetch it from; empty where there
+	// is none.
 	Source string
+	// SaveTo is the address of a store that is to get the prompt's parts; empty
+	// where it has them.
+	SaveTo string
 }
 
 // Figures of the cost.
@@ -144,8 +150,10 @@
 func (f *Fleet) choice(q Query, s *state, g *group, order []int32, now time.Time) Choice {
 	weights := s.weights[q.Model]
 	c := Choice{Runner: s.runner, Model: q.Model, Weights: weights, Chain: q.Chain(weights)}
-	c.Cached = f.cachedTokens(s, c.Chain)
+	c.Shared = sharedTokens(c.Chain)
+	c.Cached = s.cache.tokens(c.Chain)
 	c.Source = f.source(g, order, s, c, now)
+	c.SaveTo = f.saveTo(c.Chain, now)
 	return c
 }
 
@@ -165,14 +173,21 @@
 		if s == chosen || s.weights[c.Model] != c.Weights || s.health.State(now) != health.Live {
 			continue
 		}
-		cached := min(f.cachedTokens(s, c.Chain), shared)
+		cached := min(s.cache.tokens(c.Chain), shared)
 		if i == 0 {
-			cached = max(cached, most+1)
+			// Better than nothing, but no match for what is known.
+			cached = max(cached, 1)
 		}
 		if cached > most {
 			best, most = s, cached
 		}
 	}
+	// What runners dropped for want of memory a store may still hold.
+	for address, k := range f.stores {
+		if kept := min(k.cache.tokens(c.Chain), shared); kept > most {
+			return address
+		}
+	}
 	if best == nil {
 		return ""
 	}
@@ -193,7 +208,7 @@
 	chain := q.chainOf(chains, weights)
 	a := placement.Answer{
 		Ready:          true,
-		CachedTokens:   f.cachedTokens(s, chain),
+		CachedTokens:   s.cache.tokens(chain),
 		PrefillRate:    f.rate,
 		PenaltySeconds: s.health.Penalty(now).Seconds(),
 		LinkSeconds:    f.linkCost(s).Seconds(),
@@ -209,17 +224,6 @@
 	return a
 }
 
-func (f *Fleet) cachedTokens(s *state, chain prefix.Chain) int {
-	tokens := 0
-	for _, b := range chain.Boundaries {
-		if !s.cached.has(b.Hash) {
-			break
-		}
-		tokens = b.Tokens
-	}
-	return tokens
-}
-
 func sharedTokens(chain prefix.Chain) int {
 	if len(chain.Levels) == 0 {
 		return 0
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"acaciakeel/prefix"
 )
 
 // CacheEvent is one change of a runner's cache.
@@ -77,53 +75,47 @@
 
 // due is one reading to make.
 type due struct {
-	id      string
+	cache   *cache
 	address string
 	since   int64
 }
 
-// dueForEvents returns the runners of models that are not being read now.
+// dueForEvents returns the runners of models, and the stores of kept KV cache,
+// that are not being read now.
 func (f *Fleet) dueForEvents() []due {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []due
-	for id, s := range f.states {
-		if len(s.weights) == 0 || s.reading || s.runner.Draining {
-			continue
+	for _, s := range f.states {
+		if len(s.weights) > 0 && !s.runner.Draining {
+			out = s.cache.due(out, s.runner.Address)
 		}
-		s.reading = true
-		out = append(out, due{id: id, address: s.runner.Address, since: s.next})
+	}
+	for address, k := range f.stores {
+		out = k.cache.due(out, address)
 	}
 	return out
 }
 
+func (c *cache) due(out []due, address string) []due {
+	if c.reading {
+		return out
+	}
+	c.reading = true
+	return append(out, due{cache: c, address: address, since: c.next})
+}
+
 func (w *EventWatch) read(ctx context.Context, d due) {
 	events, err := w.reader.CacheEvents(ctx, d.address, d.since, readWait)
-	w.fleet.took(d.id, events, err == nil, time.Now())
+	w.fleet.took(d.cache, events, err == nil, time.Now())
 }
 
 // took takes the events that a reading brought.
-func (f *Fleet) took(id string, e CacheEvents, ok bool, now time.Time) {
+func (f *Fleet) took(c *cache, e CacheEvents, ok bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.states[id]
-	if s == nil {
-		return
-	}
-	s.reading = false
-	if !ok {
-		return
-	}
-	if s.boot != 0 && s.boot != e.Boot {
-		s.cached = newParts()
-	}
-	s.boot, s.next = e.Boot, e.Next
-	for _, event := range e.Events {
-		hash := PartHash(prefix.Root(event.Salt), event.Part)
-		if event.Stored {
-			s.cached.use(hash, event.Tokens, s.capacity, now)
-		} else {
-			s.cached.forget(hash)
-		}
+	c.reading = false
+	if ok {
+		c.take(e, now)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,14 +25,7 @@
 	loadAt time.Time
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
-	cached    *parts
-	// capacity bounds the tokens of cached.
-	capacity int
-	// boot and next say where the reading of the target's cache events stands.
-	boot int64
-	next int64
-	// reading is set while a call for events is under way.
-	reading bool
+	cache
 	// busyUntil is until when an order is thought to keep new requests out.
 	busyUntil time.Time
 }
@@ -42,6 +35,7 @@
 	mu       sync.Mutex
 	states   map[string]*state
 	services map[string]*group
+	stores   map[string]*keptStore
 	named    map[string]*history
 	rate     float64
 	sharers  int
@@ -96,6 +90,7 @@
 	return &Fleet{
 		states:   map[string]*state{},
 		services: map[string]*group{},
+		stores:   map[string]*keptStore{},
 		named:    map[string]*history{},
 		rate:     assumedRate,
 		sharers:  1,
@@ -155,7 +150,7 @@
 	defer f.mu.Unlock()
 	s := f.states[r.ID]
 	if s == nil {
-		s = &state{weights: map[string]int64{}, cached: newParts()}
+		s = &state{weights: map[string]int64{}, cache: newCache()}
 		f.states[r.ID] = s
 	}
 	moved := s.runner.Service != r.Service || s.runner.Address != r.Address || s.runner.Draining != r.Draining
@@ -332,12 +327,8 @@
 	if stay.Long {
 		s.long++
 	}
-	s.capacity = max(s.capacity, stay.Capacity)
-	before := 0
-	for _, b := range stay.Chain.Boundaries {
-		s.cached.use(b.Hash, b.Tokens-before, s.capacity, now)
-		before = b.Tokens
-	}
+	s.capacity = stay.Capacity
+	s.useAll(stay.Chain, now)
 	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long}
 }
 
@@ -370,15 +361,6 @@
 	}
 }
 
-// Forget drops what is believed cached at a target.
-func (f *Fleet) Forget(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
-		s.cached = newParts()
-	}
-}
-
 // IDs returns the targets known.
 func (f *Fleet) IDs() []string {
 	f.mu.Lock()
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -37,7 +37,7 @@
 }
 
 // use notes that a part was sent, and forgets the parts unused for longest
-// beyond capacity tokens.
+// beyond capacity tokens; a capacity of 0 is no bound.
 func (p *parts) use(hash uint64, tokens, capacity int, now time.Time) {
 	e := p.held[hash]
 	if e == nil {
@@ -49,7 +49,7 @@
 	}
 	e.used = now
 	p.push(e)
-	for p.tokens > capacity && p.tail != e {
+	for capacity > 0 && p.tokens > capacity && p.tail != e {
 		p.drop(p.tail)
 	}
 }
--- a/node/view.go
+++ b/node/view.go
@@ -74,6 +74,13 @@
 		return
 	}
 	v.config.Store(c)
+	var stores []fleet.KeptStore
+	for _, s := range c.Services {
+		if s.KVStore != "" {
+			stores = append(stores, fleet.KeptStore{Address: s.KVStore, Capacity: s.KVTokens, Zone: s.Zone})
+		}
+	}
+	v.fleet.SetStores(stores)
 	v.log.WithFields(logrus.Fields{"event": "config_applied", "version": c.Version, "routes": len(c.Routes), "customers": len(c.Customers)}).Info("configuration in force")
 }
 
--- a/router/request.go
+++ b/router/request.go
@@ -62,6 +62,8 @@
 	Salt string
 	// FetchFrom is the address of a target that holds more of the prompt.
 	FetchFrom string
+	// SaveTo is the address of a store that is to get the prompt's parts.
+	SaveTo string
 	// After is the last event that the client has of a stream that goes on.
 	After string
 }
--- a/router/session.go
+++ b/router/session.go
@@ -148,15 +148,12 @@
 	}
 }
 
-// capacityShare is the part of a runner's memory that this process takes to
-// hold the parts it sent; running requests take the rest.
-const capacityShare = 0.75
-
+// capacity is what a runner holds at most; what it has dropped of that it tells.
 func (s *session) capacity() int {
 	if s.in.service.Engine == nil {
 		return 0
 	}
-	return int(float64(s.in.service.Engine.CapacityTokens) * capacityShare)
+	return s.in.service.Engine.CapacityTokens
 }
 
 func (s *session) newSend(choice fleet.Choice) *Send {
@@ -169,6 +166,7 @@
 		send.Priority = in.priority()
 		send.Salt = in.salt(choice.Weights)
 		send.FetchFrom = choice.Source
+		send.SaveTo = choice.SaveTo
 	}
 	return send
 }
@@ -302,6 +300,7 @@
 	if s.in.Model != "" {
 		fields["weights"] = s.last.Weights
 		fields["cached"] = s.last.Cached
+		fields["shared"] = s.last.Shared
 		fields["source"] = s.last.Source
 		fields["input"] = s.in.Input
 		fields["output"] = s.in.Output
