Tell the other entries the own part of each runner's load and its weights

Cause: an entry guessed the others' load from its own and learnt of changed weights by the list, up to 2 s late, and avoided runners meanwhile. Change: a connect service between entries, told every 200 ms, stretched where there are many.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -80,7 +80,7 @@
 		return f.chooseIdle(g, indices, now), true
 	}
 	if q.Long {
-		if s := f.chooseDense(q, g, indices); s != nil {
+		if s := f.chooseDense(q, g, indices, now); s != nil {
 			return f.choice(q, s, nil, nil, now), true
 		}
 	}
@@ -133,7 +133,7 @@
 	for i, at := range order {
 		s := g.states[at]
 		answers[i] = f.answer(q, s, chains, now)
-		if first && s.long == 0 {
+		if first && s.sum(now).long == 0 {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
 			answers[i].CachedTokens = max(answers[i].CachedTokens, sharedTokens(chain)/2)
@@ -213,12 +213,12 @@
 		PenaltySeconds: s.health.Penalty(now).Seconds(),
 		LinkSeconds:    f.linkCost(s).Seconds(),
 	}
-	ahead := float64(s.prefill) * float64(1+f.sharers) / 2
-	a.WaitSeconds = ahead/f.rate + f.queueWait(s, now).Seconds()
+	total := s.sum(now)
+	a.WaitSeconds = float64(total.prefill)/f.rate + f.queueWait(s, now).Seconds()
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
-	if s.long > 0 && !q.Long {
+	if total.long > 0 && !q.Long {
 		a.PenaltySeconds += besideLong.Seconds()
 	}
 	return a
@@ -241,7 +241,7 @@
 	if slots == 0 {
 		return 0
 	}
-	busy := s.inflight * (1 + f.sharers) / 2
+	busy := s.sum(now).inflight
 	if now.Sub(s.loadAt) < loadValid {
 		others := s.load.Running + s.load.Waiting - s.ownAtLoad
 		busy = max(busy, s.inflight+max(0, others))
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -11,7 +11,8 @@
 // Figures of where long runs go.
 const (
 	// denseShare is the part of a runner's slots that long runs fill before the
-	// next runner gets some: the rest is for uneven entries and for short runs.
+	// next runner gets some: the rest is for what the others sent meanwhile and
+	// for short runs.
 	denseShare = 0.7
 	// besideLong is the cost of putting a short run with a long prompt beside
 	// long ones, which stand still while it is read.
@@ -24,7 +25,7 @@
 // a few of them would stand nearly idle for seconds. All processes fill the
 // runners in the same order, which changes with the weights, so that runners
 // that still end old runs get no new ones. It returns nil where all are filled.
-func (f *Fleet) chooseDense(q Query, g *group, indices []int32) *state {
+func (f *Fleet) chooseDense(q Query, g *group, indices []int32, now time.Time) *state {
 	newest := f.named[q.Model].newest()
 	for _, current := range []bool{true, false} {
 		var group []int32
@@ -33,7 +34,7 @@
 				group = append(group, i)
 			}
 		}
-		if s := f.firstWithRoom(q, g, group); s != nil {
+		if s := f.firstWithRoom(q, g, group, now); s != nil {
 			return s
 		}
 	}
@@ -43,7 +44,7 @@
 // firstWithRoom returns the first runner in the order that has long runs and room
 // for more, or else the first that has none: while runners change weights, the
 // order's head changes with every one that is done, and must not spread the runs.
-func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32) *state {
+func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32, now time.Time) *state {
 	if len(indices) == 0 {
 		return nil
 	}
@@ -54,11 +55,11 @@
 	var empty *state
 	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
 		s := g.states[i]
-		room := int(denseShare * float64(s.runner.Slots) / float64(f.sharers))
-		switch {
-		case s.long > 0 && s.long < max(1, room):
+		room := int(denseShare * float64(s.runner.Slots))
+		switch long := s.sum(now).long; {
+		case long > 0 && long < max(1, room):
 			return s
-		case s.long == 0 && empty == nil:
+		case long == 0 && empty == nil:
 			empty = s
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,7 +20,9 @@
 	inflight int
 	prefill  int
 	// long counts those of them that hold a slot for seconds.
-	long   int
+	long int
+	// others is what each other process said of its own part.
+	others map[string]shared
 	load   Load
 	loadAt time.Time
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
@@ -231,13 +233,14 @@
 	return s != nil && !s.runner.Draining
 }
 
-// Inflight returns how many of this process's requests a target works on, and
-// how many of those are long.
+// Inflight returns how many requests a target works on, and how many of those
+// are long, over all processes as far as they told.
 func (f *Fleet) Inflight(id string) (all, long int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.states[id]; s != nil {
-		return s.inflight, s.long
+		total := s.sum(time.Now())
+		return total.inflight, total.long
 	}
 	return 0, 0
 }
--- /dev/null
+++ b/fleet/share.go
@@ -0,0 +1,88 @@
+package fleet
+
+import "time"
+
+// Use is one process's part of a target's load, and what it learnt there.
+type Use struct {
+	Target   string
+	Inflight int
+	Long     int
+	Prefill  int
+	Weights  map[string]int64
+	// Busy is for how long an order keeps new requests out.
+	Busy time.Duration
+}
+
+// useValid is for how long another process's word about its load counts. It
+// outlasts two lost messages.
+const useValid = 1500 * time.Millisecond
+
+// Uses returns this process's part of the load of the targets that it uses or
+// learnt something new of.
+func (f *Fleet) Uses(now time.Time) []Use {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Use
+	for id, s := range f.states {
+		if s.inflight == 0 && len(s.weights) == 0 {
+			continue
+		}
+		u := Use{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill, Weights: map[string]int64{}}
+		u.Busy = max(0, s.busyUntil.Sub(now))
+		for model, version := range s.weights {
+			u.Weights[model] = version
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// shared is what another process said of one target.
+type shared struct {
+	use Use
+	at  time.Time
+}
+
+// Heard takes what another process said.
+func (f *Fleet) Heard(sender string, uses []Use, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		delete(s.others, sender)
+	}
+	for _, u := range uses {
+		s := f.states[u.Target]
+		if s == nil {
+			continue
+		}
+		for model, version := range u.Weights {
+			s.learn(model, version)
+		}
+		if until := now.Add(u.Busy); u.Busy > 0 && until.After(s.busyUntil) {
+			s.busyUntil = until
+		}
+		if s.others == nil {
+			s.others = map[string]shared{}
+		}
+		s.others[sender] = shared{use: u, at: now}
+	}
+}
+
+// sum is a target's load over all processes, as far as they told.
+type sum struct {
+	inflight int
+	long     int
+	prefill  int
+}
+
+func (s *state) sum(now time.Time) sum {
+	total := sum{inflight: s.inflight, long: s.long, prefill: s.prefill}
+	for _, o := range s.others {
+		if now.Sub(o.at) < useValid {
+			total.inflight += o.use.Inflight
+			total.long += o.use.Long
+			total.prefill += o.use.Prefill
+		}
+	}
+	return total
+}
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	store    *platform.Store
 	front    *platform.Front
 	events   *fleet.EventWatch
+	sharing  *sharing
 	name     string
 	stopping chan struct{}
 }
@@ -74,7 +75,7 @@
 	n.view = &view{
 		fleet:   targets,
 		log:     log,
-		members: map[string]bool{},
+		members: map[string]string{},
 		lapsed:  map[string]*time.Timer{},
 		keys:    ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/"},
 	}
@@ -85,6 +86,7 @@
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.events = fleet.NewEventWatch(targets, runners)
+	n.sharing = newSharing(n.name, targets, n.view)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	bounds := router.Bounds{OldWeights: n.view.oldWeights}
 	retries := router.RetryBounds{
@@ -104,6 +106,7 @@
 	defer endDuties()
 	go n.view.follower.Run(ctx)
 	go n.events.Run(ctx)
+	go n.sharing.run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
@@ -117,6 +120,9 @@
 	if err := n.serveMetrics(); err != nil {
 		return err
 	}
+	if err := n.serveSharing(); err != nil {
+		return err
+	}
 	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.settings.Listen.Front}).Info("serving")
 	<-stop
 	// A node that stops serves on for seconds. Were it to take a lease or the
@@ -170,7 +176,7 @@
 // enrol puts the node among the members under a new lease.
 func (n *Node) enrol(ctx context.Context, id store.LeaseID) {
 	key := n.view.keys.members + n.name
-	_, err := n.store.Put(ctx, key, []byte(n.settings.Name), 0, id)
+	_, err := n.store.Put(ctx, key, []byte(n.peerURL()), 0, id)
 	if err != nil {
 		n.log.WithError(err).WithField("event", "enrol_failed").Warn("the others count this node out until its next lease")
 	}
--- /dev/null
+++ b/node/sharing.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/api/keel/v1/keelv1connect"
+	"acaciakeel/fleet"
+	"acaciakeel/link"
+)
+
+// sharing tells the other nodes what this one sends where, and takes what they
+// tell. Nothing rests on it: without it each node goes by what it sees itself.
+type sharing struct {
+	name  string
+	fleet *fleet.Fleet
+	view  *view
+	links *link.Pool
+}
+
+func newSharing(name string, f *fleet.Fleet, v *view) *sharing {
+	return &sharing{name: name, fleet: f, view: v, links: link.NewPool(link.Options{})}
+}
+
+// Figures of the sharing.
+const (
+	// shareEvery is the pause between two tellings, the time of a short request.
+	shareEvery = 200 * time.Millisecond
+	// sharePerPeer stretches it where there are many, so that the cost of a node
+	// does not grow with their number.
+	sharePerPeer = 40 * time.Millisecond
+	// shareTimeout bounds one telling; the next one says more than a late one.
+	shareTimeout = 400 * time.Millisecond
+)
+
+func (s *sharing) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		peers := s.view.peers(s.name)
+		if len(peers) > 0 {
+			s.tell(ctx, peers)
+		}
+		select {
+		case <-time.After(max(shareEvery, time.Duration(len(peers))*sharePerPeer)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *sharing) tell(ctx context.Context, peers []string) {
+	request := &keelv1.ShareRequest{Sender: s.name, Uses: encodeUses(s.fleet.Uses(time.Now()))}
+	keep := make(map[string]bool, len(peers))
+	for _, url := range peers {
+		keep[url] = true
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			peer := s.links.Peer(url)
+			clients := peer.Clients()
+			if _, err := clients.Peer.Share(ctx, connect.NewRequest(request)); err != nil {
+				// A connection may have gone silent for good; the next telling
+				// goes over a new one.
+				peer.Renew(clients)
+			}
+		}()
+	}
+	s.links.Keep(keep)
+}
+
+// Share implements keelv1connect.PeerServiceHandler.
+func (s *sharing) Share(_ context.Context, r *connect.Request[keelv1.ShareRequest]) (*connect.Response[keelv1.ShareResponse], error) {
+	s.fleet.Heard(r.Msg.Sender, decodeUses(r.Msg.Uses), time.Now())
+	return connect.NewResponse(&keelv1.ShareResponse{}), nil
+}
+
+func encodeUses(uses []fleet.Use) []*keelv1.TargetUse {
+	out := make([]*keelv1.TargetUse, 0, len(uses))
+	for _, u := range uses {
+		w := &keelv1.TargetUse{
+			Target:        u.Target,
+			Inflight:      uint32(u.Inflight),
+			Long:          uint32(u.Long),
+			PrefillTokens: uint32(max(0, u.Prefill)),
+			BusyMs:        uint32(u.Busy.Milliseconds()),
+		}
+		for model, version := range u.Weights {
+			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeUses(uses []*keelv1.TargetUse) []fleet.Use {
+	out := make([]fleet.Use, 0, len(uses))
+	for _, w := range uses {
+		u := fleet.Use{
+			Target:   w.Target,
+			Inflight: int(w.Inflight),
+			Long:     int(w.Long),
+			Prefill:  int(w.PrefillTokens),
+			Weights:  map[string]int64{},
+			Busy:     time.Duration(w.BusyMs) * time.Millisecond,
+		}
+		for _, l := range w.Weights {
+			u.Weights[l.Model] = l.Version
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// peerAddress is where the node serves its peers: the first of the ports that
+// the platform leaves to the system's own messages.
+func (n *Node) peerAddress() string {
+	port := 0
+	if len(n.settings.Ports) > 0 {
+		port = n.settings.Ports[0]
+	}
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(port))
+}
+
+func (n *Node) peerURL() string {
+	return "http://" + n.peerAddress()
+}
+
+func (n *Node) serveSharing() error {
+	mux := http.NewServeMux()
+	mux.Handle(keelv1connect.NewPeerServiceHandler(n.sharing))
+	listener, err := net.Listen("tcp", n.peerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w; another process may hold the port", err)
+	}
+	server := link.NewServer(mux)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
--- a/node/view.go
+++ b/node/view.go
@@ -31,8 +31,9 @@
 
 	config atomic.Pointer[catalog.Config]
 
-	mu      sync.Mutex
-	members map[string]bool
+	mu sync.Mutex
+	// members are the nodes that serve, each with the URL of its peer service.
+	members map[string]string
 	// lapsed are the targets whose entries vanished around an outage of the
 	// store, with the timers that end their respite.
 	lapsed map[string]*time.Timer
@@ -173,7 +174,7 @@
 	if value == "" {
 		delete(v.members, key)
 	} else {
-		v.members[key] = true
+		v.members[key] = value
 	}
 	v.fleet.SetSharers(len(v.members))
 }
@@ -192,3 +193,16 @@
 	}
 	v.fleet.SetSharers(len(v.members))
 }
+
+// peers returns the URLs of the other nodes' peer services.
+func (v *view) peers(self string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []string
+	for key, url := range v.members {
+		if key != v.keys.members+self {
+			out = append(out, url)
+		}
+	}
+	return out
+}
