--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -39,6 +39,8 @@
 
 	mu       sync.Mutex
 	underway map[string]bool
+	// shortest is the least time from an order to its end, which is about a load.
+	shortest time.Duration
 }
 
 // NewHolder returns a holder named name, which is the machine's.
@@ -99,7 +101,7 @@
 		Inflight: map[string]int{},
 		Long:     map[string]int{},
 		Behind:   map[string]time.Duration{},
-		AtOnce:   AtOnce(len(runners)),
+		AtOnce:   AtOnce(len(runners), h.shortest),
 	}
 	now := time.Now()
 	for _, r := range runners {
@@ -178,6 +180,7 @@
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired)
+			h.loaded(time.Since(began))
 			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
 			return
 		}
@@ -189,6 +192,14 @@
 	}
 }
 
+func (h *Holder) loaded(took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.shortest == 0 || took < h.shortest {
+		h.shortest = took
+	}
+}
+
 func (h *Holder) event(name string, r fleet.Runner, model string, desired int64) *logrus.Entry {
 	return h.log.WithFields(logrus.Fields{"event": name, "runner": r.ID, "model": model, "weights": desired})
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -28,21 +28,31 @@
 	AtOnce int
 }
 
-// AtOnce returns how many of n runners get their order at the same time. A
-// runner first ends what it runs, which takes about as long as the load, and
-// loads slow down beyond three at once: so twice three keep three loading. Half
-// of the runners stay in service.
-func AtOnce(n int) int {
-	return max(1, min(maxAtOnce(n), n/2))
-}
+// loadsAtOnce is how many loads run at full speed beside each other; more share
+// that speed.
+const loadsAtOnce = 3
+
+// shortRun is how long a runner takes to end short runs before it loads.
+const shortRun = 600 * time.Millisecond
 
-// maxAtOnce grows with large fleets, whose weight store carries more loads.
-func maxAtOnce(n int) int {
-	return max(2*loadsAtOnce, n/3)
+// firstLoad is taken for the time of a load until one was seen.
+const firstLoad = 900 * time.Millisecond
+
+// AtOnce returns how many of n runners have their order under way at the same
+// time, if a load takes load (0: not known). A runner first ends its runs and
+// then loads; so many that about loadsAtOnce load, and no more, since each one
+// more is out of service for nothing. Half of the runners stay in service.
+func AtOnce(n int, load time.Duration) int {
+	if load <= 0 {
+		load = firstLoad
+	}
+	want := int(loadsAtOnce*float64(shortRun+load)/float64(load) + 0.5)
+	return max(1, min(want*max(1, n/fullRate), n/2))
 }
 
-// loadsAtOnce is how many loads run at full speed beside each other.
-const loadsAtOnce = 3
+// fullRate is how many runners one set of loadsAtOnce serves: larger fleets
+// have weight stores that carry more loads.
+const fullRate = 18
 
 // longPatience is how long runners with long runs are left to end them before
 // their order: no new ones go there meanwhile. The runs that remain then end
