--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -16,6 +16,8 @@
 	next int64
 	// reading is set while a call for events is under way.
 	reading bool
+	// silent is set while the last reading got no answer.
+	silent bool
 }
 
 func newCache() cache {
@@ -45,6 +47,9 @@
 
 // take takes the events that a reading brought.
 func (c *cache) take(e CacheEvents, now time.Time) {
+	if e.Boot == 0 {
+		return
+	}
 	if c.boot != 0 && c.boot != e.Boot {
 		c.cached = newParts()
 	}
@@ -103,6 +108,9 @@
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
 	for address, k := range f.stores {
+		if k.silent {
+			continue
+		}
 		if k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
 			return ""
 		}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -76,6 +76,7 @@
 	if len(indices) == 0 {
 		return Choice{}, false
 	}
+	indices = answering(g, indices)
 	if q.Model == "" {
 		return f.chooseIdle(g, indices, now), true
 	}
@@ -87,6 +88,21 @@
 	return f.chooseCached(q, g, indices, now), true
 }
 
+// answering leaves out the targets that answer nothing, unless that is all of
+// them: then it is more likely this process that is cut off for a moment.
+func answering(g *group, indices []int32) []int32 {
+	var out []int32
+	for _, i := range indices {
+		if !g.states[i].silent {
+			out = append(out, i)
+		}
+	}
+	if len(out) == 0 {
+		return indices
+	}
+	return out
+}
+
 func (f *Fleet) usable(q Query, s *state, now time.Time) bool {
 	if q.Model != "" {
 		if f.named[q.Model].behindFor(s.weights[q.Model], now) > q.OldWeightsFor {
@@ -170,7 +186,7 @@
 	}
 	for i, at := range order {
 		s := g.states[at]
-		if s == chosen || s.weights[c.Model] != c.Weights || s.health.State(now) != health.Live {
+		if s == chosen || s.weights[c.Model] != c.Weights || s.silent || s.health.State(now) != health.Live {
 			continue
 		}
 		cached := min(s.cache.tokens(c.Chain), shared)
@@ -184,6 +200,9 @@
 	}
 	// What runners dropped for want of memory a store may still hold.
 	for address, k := range f.stores {
+		if k.silent {
+			continue
+		}
 		if kept := min(k.cache.tokens(c.Chain), shared); kept > most {
 			return address
 		}
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -27,7 +27,8 @@
 }
 
 // EventReader reads a runner's cache events. Wait is how long the runner may
-// hold the answer back while there are none.
+// hold the answer back while there are none. An answer that refuses the reading
+// is no error but brings nothing; an error is a runner that does not answer.
 type EventReader interface {
 	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
 }
@@ -115,6 +116,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.reading = false
+	c.silent = !ok
 	if ok {
 		c.take(e, now)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -279,6 +279,23 @@
 	}
 }
 
+// Unreachable notes that no connection to a target could be made.
+func (f *Fleet) Unreachable(id string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.states[id]; s != nil {
+		s.health.Unreachable(now)
+	}
+}
+
+// Silent reports whether a target no longer answers anything.
+func (f *Fleet) Silent(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[id]
+	return s == nil || s.silent
+}
+
 // Succeeded notes a good answer.
 func (f *Fleet) Succeeded(id string) {
 	f.mu.Lock()
--- a/health/health.go
+++ b/health/health.go
@@ -53,6 +53,13 @@
 	t.retryAt = now.Add(t.pause)
 }
 
+// Unreachable counts a failure to connect: a target that answers nothing needs
+// no second sign.
+func (t *Target) Unreachable(now time.Time) {
+	t.failures = max(t.failures, deadAfter-1)
+	t.Failed(now)
+}
+
 // Succeeded counts one good answer.
 func (t *Target) Succeeded() {
 	t.failures = 0
--- a/router/session.go
+++ b/router/session.go
@@ -230,8 +230,12 @@
 func (s *session) unanswered(ctx context.Context, choice fleet.Choice, err error) result {
 	var send *SendError
 	sent := !errors.As(err, &send) || send.Sent
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case sent:
 		s.router.fleet.Failed(choice.Runner.ID, time.Now())
+	default:
+		s.router.fleet.Unreachable(choice.Runner.ID, time.Now())
 	}
 	if !sent {
 		refused := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "target %s can't be reached: %v", choice.Runner.ID, err).After(retryAfter)
