--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -35,8 +35,10 @@
 	Shared int
 	// Cached is how many prompt tokens are believed to need no prefill there.
 	Cached int
-	// Wait is the expected wait before the request begins.
-	Wait time.Duration
+	// Wait is the expected wait before the request begins, FirstToken that to
+	// its first token.
+	Wait       time.Duration
+	FirstToken time.Duration
 	// Source is the address of another runner or store that is believed to hold
 	// more of the prompt, for the chosen one to fetch it from; empty where there
 	// is none.
@@ -159,6 +161,7 @@
 	best := placement.Pick(answers, chain.Tokens, q.Weights)
 	c := f.choice(q, g.states[order[best]], g, order, now)
 	c.Wait = time.Duration(answers[best].WaitSeconds * float64(time.Second))
+	c.FirstToken = time.Duration(placement.FirstToken(answers[best], chain.Tokens) * float64(time.Second))
 	return c
 }
 
