Scale: dense runners filled by parts, loads by size, fewer readings

Change: an entry fills 1.5 times its even part; readings every 80 ms an entry; a part is kept in one store, by rendezvous; news gathers for 300 ms; uses are told only where there are some.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -107,20 +107,30 @@
 		return ""
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
+	address, k := f.storeOf(deepest)
+	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
+		return ""
+	}
+	for hash, at := range k.saving {
+		if now.Sub(at) >= saveAgain {
+			delete(k.saving, hash)
+		}
+	}
+	k.saving[deepest] = now
+	return address
+}
+
+// storeOf returns the store that keeps a part: the same one for all processes,
+// so that each part is kept once.
+func (f *Fleet) storeOf(part uint64) (string, *keptStore) {
+	best, score := "", uint64(0)
 	for address, k := range f.stores {
 		if k.silent {
 			continue
 		}
-		if k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
-			return ""
-		}
-		for hash, at := range k.saving {
-			if now.Sub(at) >= saveAgain {
-				delete(k.saving, hash)
-			}
+		if s := prefix.Score(prefix.NameHash(address), part); best == "" || s > score {
+			best, score = address, s
 		}
-		k.saving[deepest] = now
-		return address
 	}
-	return ""
+	return best, f.stores[best]
 }
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -14,6 +14,10 @@
 	// next runner gets some: the rest is for what the others sent meanwhile and
 	// for short runs.
 	denseShare = 0.7
+	// ownShare is how many times its even part of that one process fills: what
+	// the others sent in the meantime it does not know, and were all to fill the
+	// same runner until they hear of each other, it would overflow.
+	ownShare = 1.5
 	// besideLong is the cost of putting a short run with a long prompt beside
 	// long ones, which stand still while it is read.
 	besideLong = 40 * time.Millisecond
@@ -55,9 +59,10 @@
 	var empty *state
 	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
 		s := g.states[i]
-		room := int(denseShare * float64(s.runner.Slots))
+		room := denseShare * float64(s.runner.Slots)
+		own := room * min(1, ownShare/float64(f.sharers))
 		switch long := s.sum(now).long; {
-		case long > 0 && long < max(1, room):
+		case long > 0 && float64(long) < room && float64(s.long) < max(1, own):
 			return s
 		case long == 0 && empty == nil:
 			empty = s
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -53,8 +53,9 @@
 	// some 80 ms late anyway, and prompts take longer to read than that.
 	readEvery = 250 * time.Millisecond
 	// readPerSharer stretches the pause where many processes read: a runner
-	// holds a dozen readings at once.
-	readPerSharer = 30 * time.Millisecond
+	// holds no more than a dozen readings, some no more than eight, at once, and
+	// more count as probes.
+	readPerSharer = 80 * time.Millisecond
 	// readWait is how long a runner without news holds a reading back; shorter
 	// ones count as probes.
 	readWait = 200 * time.Millisecond
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,8 @@
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
 	cache
+	// learnt is when this process itself last saw that the weights had changed.
+	learnt time.Time
 	// busyUntil is until when an order is thought to keep new requests out.
 	busyUntil time.Time
 }
@@ -169,14 +171,15 @@
 
 // learn notes the version that a target has. Versions only grow within one
 // start of a target, so the list's older word never undoes newer knowledge.
-func (s *state) learn(model string, version int64) {
+func (s *state) learn(model string, version int64) bool {
 	if version <= s.weights[model] {
-		return
+		return false
 	}
 	s.weights[model] = version
 	// New weights make what was cached under older ones worthless.
 	s.cached = newParts()
 	s.busyUntil = time.Time{}
+	return true
 }
 
 // Remove takes a target out whose entry has gone.
@@ -253,11 +256,11 @@
 }
 
 // Learn notes a version that a target was seen to have.
-func (f *Fleet) Learn(id, model string, version int64) {
+func (f *Fleet) Learn(id, model string, version int64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil && version > 0 {
-		s.learn(model, version)
+	if s := f.states[id]; s != nil && s.learn(model, version) {
+		s.learnt = now
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 	f := New("z")
 	f.Name("m", 3, start)
 	f.Put(runner("a", 2))
-	f.Learn("a", "m", 3)
+	f.Learn("a", "m", 3, start)
 	f.Put(runner("a", 2))
 	c, ok := f.Choose(query(), start)
 	if !ok || c.Weights != 3 {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Use is one process's part of a target's load, and what it learnt there.
 type Use struct {
@@ -17,6 +20,10 @@
 // outlasts two lost messages.
 const useValid = 1500 * time.Millisecond
 
+// newsFor is for how long weights that a target was seen to have are told; then
+// the platform's list says so too.
+const newsFor = 2 * time.Second
+
 // Uses returns this process's part of the load of the targets that it uses or
 // learnt something new of.
 func (f *Fleet) Uses(now time.Time) []Use {
@@ -24,13 +31,13 @@
 	defer f.mu.Unlock()
 	var out []Use
 	for id, s := range f.states {
-		if s.inflight == 0 && len(s.weights) == 0 {
+		u := Use{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill, Busy: max(0, s.busyUntil.Sub(now))}
+		news := now.Sub(s.learnt) < newsFor
+		if s.inflight == 0 && u.Busy == 0 && !news {
 			continue
 		}
-		u := Use{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill, Weights: map[string]int64{}}
-		u.Busy = max(0, s.busyUntil.Sub(now))
-		for model, version := range s.weights {
-			u.Weights[model] = version
+		if news {
+			u.Weights = maps.Clone(s.weights)
 		}
 		out = append(out, u)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -44,7 +44,7 @@
 	watchWait = 1200 * time.Millisecond
 	// gather is how long news may wait for more of it; a configuration has
 	// seconds to come into force.
-	gather = 80 * time.Millisecond
+	gather = 300 * time.Millisecond
 	// staleMargin covers a watch that hears nothing for a second before it is
 	// cut, and the time from a request's arrival to its sending.
 	staleMargin = 1300 * time.Millisecond
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -145,7 +145,7 @@
 		sleep(ctx, pollEvery)
 		return
 	}
-	h.fleet.Learn(r.ID, model, report.Weights[model])
+	h.fleet.Learn(r.ID, model, report.Weights[model], time.Now())
 	if report.Weights[model] >= desired {
 		return
 	}
@@ -163,7 +163,7 @@
 	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
-		h.fleet.Learn(r.ID, model, desired)
+		h.fleet.Learn(r.ID, model, desired, time.Now())
 	case fleet.OrderAccepted:
 		h.await(ctx, r, model, desired)
 	default:
@@ -179,7 +179,7 @@
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
-			h.fleet.Learn(r.ID, model, desired)
+			h.fleet.Learn(r.ID, model, desired, time.Now())
 			h.loaded(time.Since(began))
 			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
 			return
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -28,9 +28,11 @@
 	AtOnce int
 }
 
-// loadsAtOnce is how many loads run at full speed beside each other; more share
-// that speed.
-const loadsAtOnce = 3
+// loadsAtOnce returns how many of n runners load at full speed beside each
+// other; more share that speed. Three at eighteen, seven and eight at forty.
+func loadsAtOnce(n int) int {
+	return max(3, n/5)
+}
 
 // shortRun is how long a runner takes to end short runs before it loads.
 const shortRun = 600 * time.Millisecond
@@ -46,14 +48,10 @@
 	if load <= 0 {
 		load = firstLoad
 	}
-	want := int(loadsAtOnce*float64(shortRun+load)/float64(load) + 0.5)
-	return max(1, min(want*max(1, n/fullRate), n/2))
+	want := int(float64(loadsAtOnce(n))*float64(shortRun+load)/float64(load) + 0.5)
+	return max(1, min(want, n/2))
 }
 
-// fullRate is how many runners one set of loadsAtOnce serves: larger fleets
-// have weight stores that carry more loads.
-const fullRate = 18
-
 // longPatience is how long runners with long runs are left to end them before
 // their order: no new ones go there meanwhile. The runs that remain then end
 // well within the bound on the whole rollout.
--- a/router/session.go
+++ b/router/session.go
@@ -203,7 +203,7 @@
 		f.Loaded(choice.Runner.ID, a.Load, time.Now())
 	}
 	if s.in.Model != "" && a.Own {
-		f.Learn(choice.Runner.ID, s.in.Model, a.Weights)
+		f.Learn(choice.Runner.ID, s.in.Model, a.Weights, time.Now())
 	}
 }
 
@@ -248,7 +248,7 @@
 	if version == 0 {
 		version = f.Named()[s.in.Model]
 	}
-	f.Learn(choice.Runner.ID, s.in.Model, version)
+	f.Learn(choice.Runner.ID, s.in.Model, version, time.Now())
 }
 
 // unanswered handles a send without an answer.
