Tell the other entries which parts were sent where

Cause: between two readings of events an entry does not know what the others have just had read, and has it read again. Change: a telling names the parts sent to a runner for the first time since the last one.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -24,13 +24,20 @@
 	return cache{cached: newParts()}
 }
 
-// useAll takes a chain's parts for cached.
-func (c *cache) useAll(chain prefix.Chain, now time.Time) {
+// useAll takes a chain's parts for cached and returns those that were not
+// before, but for the last, which no other request shares.
+func (c *cache) useAll(chain prefix.Chain, now time.Time) []Part {
+	var fresh []Part
 	before := 0
-	for _, b := range chain.Boundaries {
-		c.cached.use(b.Hash, b.Tokens-before, c.capacity, now)
+	for i, b := range chain.Boundaries {
+		tokens := b.Tokens - before
+		if i < len(chain.Boundaries)-1 && !c.cached.has(b.Hash) {
+			fresh = append(fresh, Part{Hash: b.Hash, Tokens: tokens})
+		}
+		c.cached.use(b.Hash, tokens, c.capacity, now)
 		before = b.Tokens
 	}
+	return fresh
 }
 
 // tokens returns how many of a chain's first tokens are believed cached.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,9 @@
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
 	ownAtLoad int
 	cache
+	// untold are the parts sent there for the first time that the other
+	// processes were not told of yet.
+	untold []Part
 	// learnt is when this process itself last saw that the weights had changed.
 	learnt time.Time
 	// busyUntil is until when an order is thought to keep new requests out.
@@ -178,6 +181,7 @@
 	s.weights[model] = version
 	// New weights make what was cached under older ones worthless.
 	s.cached = newParts()
+	s.untold = nil
 	s.busyUntil = time.Time{}
 	return true
 }
@@ -352,7 +356,7 @@
 		s.long++
 	}
 	s.capacity = stay.Capacity
-	s.useAll(stay.Chain, now)
+	s.untold = append(s.untold, s.useAll(stay.Chain, now)...)
 	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long}
 }
 
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -14,6 +14,14 @@
 	Weights  map[string]int64
 	// Busy is for how long an order keeps new requests out.
 	Busy time.Duration
+	// Parts are those that the process had read there since it told last.
+	Parts []Part
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	Hash   uint64
+	Tokens int
 }
 
 // useValid is for how long another process's word about its load counts. It
@@ -25,7 +33,8 @@
 const newsFor = 2 * time.Second
 
 // Uses returns this process's part of the load of the targets that it uses or
-// learnt something new of.
+// learnt something new of, to be told once: the parts that it had read there are
+// not returned again.
 func (f *Fleet) Uses(now time.Time) []Use {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -33,9 +42,10 @@
 	for id, s := range f.states {
 		u := Use{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill, Busy: max(0, s.busyUntil.Sub(now))}
 		news := now.Sub(s.learnt) < newsFor
-		if s.inflight == 0 && u.Busy == 0 && !news {
+		if s.inflight == 0 && u.Busy == 0 && !news && len(s.untold) == 0 {
 			continue
 		}
+		u.Parts, s.untold = s.untold, nil
 		if news {
 			u.Weights = maps.Clone(s.weights)
 		}
@@ -68,6 +78,9 @@
 		if until := now.Add(u.Busy); u.Busy > 0 && until.After(s.busyUntil) {
 			s.busyUntil = until
 		}
+		for _, p := range u.Parts {
+			s.cached.use(p.Hash, p.Tokens, s.capacity, now)
+		}
 		if s.others == nil {
 			s.others = map[string]shared{}
 		}
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -92,6 +92,10 @@
 		for model, version := range u.Weights {
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
+		for _, p := range u.Parts {
+			w.PartHash = append(w.PartHash, p.Hash)
+			w.PartTokens = append(w.PartTokens, uint32(p.Tokens))
+		}
 		out = append(out, w)
 	}
 	return out
@@ -111,6 +115,9 @@
 		for _, l := range w.Weights {
 			u.Weights[l.Model] = l.Version
 		}
+		for i := range min(len(w.PartHash), len(w.PartTokens)) {
+			u.Parts = append(u.Parts, fleet.Part{Hash: w.PartHash[i], Tokens: int(w.PartTokens[i])})
+		}
 		out = append(out, u)
 	}
 	return out
