Prove the platform's path against stand-ins that speak its protocol

A stand-in of the platform's targets (fails as told, counts what ran) beside that of its store; node_test.go runs a whole node against both over loopback: own headers, resumption after half an event, holds that run once, refusals that are true, keys that come and go and fail closed, weights by one holder, a planned stop, leaving targets, bad input.

--- a/cmd/acaciakeel-entry/platform.go
+++ b/cmd/acaciakeel-entry/platform.go
@@ -21,13 +21,23 @@
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run on the platform, by the settings that it writes, until SIGTERM",
-		Action: func(context.Context, *cli.Command) error {
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of /metrics, as the deploy file says", Value: 9464},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
 			settings, err := platform.LoadNode(platform.NodeFile())
 			if err != nil {
 				return err
 			}
 			log := telemetry.NewLoggerTo(telemetry.NewLines(os.Stdout), "info")
-			return node.New(settings, log).Serve(stopSignal(log))
+			stop := stopSignal(log)
+			n := node.New(settings, node.Options{MetricsPort: c.Int("metrics-port")}, log)
+			if err := n.Start(); err != nil {
+				return err
+			}
+			<-stop
+			n.Stop()
+			return nil
 		},
 	}
 }
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -233,3 +233,13 @@
 	}
 	return vms
 }
+
+// Set writes a key as the operator or a target does, who are not bound by
+// conditions.
+func (s *Store) Set(key string, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.values[key] = value{data: data, revision: s.revision}
+	s.publish(store.Event{Entry: store.Entry{Key: key, Value: data, Revision: s.revision}})
+}
--- /dev/null
+++ b/internal/standin/runner/runner.go
@@ -0,0 +1,258 @@
+// Package runner is a stand-in of the platform's targets: it speaks their
+// published protocol, counts what ran, and fails as told. It decides nothing
+// about load; its answers are made up.
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+
+	"acaciakeel/store"
+)
+
+// Fault is what goes wrong with the requests of one target.
+type Fault string
+
+// The faults.
+const (
+	None Fault = ""
+	// Shed refuses without running.
+	Shed Fault = "shed"
+	// LoseAnswer runs the request and closes the connection.
+	LoseAnswer Fault = "lose_answer"
+	// Crossed answers with the id of another request.
+	Crossed Fault = "crossed"
+	// Unsealed answers without vouching for the body.
+	Unsealed Fault = "unsealed"
+	// Broken stops a stream in the middle of its third event, but not one that
+	// goes on after an earlier event.
+	Broken Fault = "broken"
+	// Failing runs the request and answers 500.
+	Failing Fault = "failing"
+)
+
+// Events is how many events a whole stream has.
+const Events = 6
+
+// Seen is one request as it arrived.
+type Seen struct {
+	ID     string
+	Method string
+	URI    string
+	Header http.Header
+	Body   string
+	// Ran is set where the target worked on it.
+	Ran bool
+}
+
+// Runner is one target.
+type Runner struct {
+	ID      string
+	Service string
+	server  *httptest.Server
+
+	mu      sync.Mutex
+	fault   Fault
+	weights map[string]int64
+	orders  []Order
+	seen    []Seen
+	pace    time.Duration
+}
+
+// Order is an order as it arrived.
+type Order struct {
+	Op           string `json:"op"`
+	Model        string `json:"model"`
+	Version      int64  `json:"version"`
+	Mode         string `json:"mode"`
+	Holder       string `json:"holder"`
+	Fence        int64  `json:"fence"`
+	Precondition *int64 `json:"precondition"`
+}
+
+// Start starts a target on loopback with the given weights; nil for a plain service.
+func Start(id, service string, weights map[string]int64) *Runner {
+	r := &Runner{ID: id, Service: service, weights: weights}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", r.report)
+	mux.HandleFunc("POST /order", r.order)
+	mux.HandleFunc("GET /kv-events", r.events)
+	mux.HandleFunc("/", r.serve)
+	r.server = httptest.NewServer(mux)
+	return r
+}
+
+// Close ends the target.
+func (r *Runner) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Address returns IP:PORT.
+func (r *Runner) Address() string {
+	return r.server.Listener.Addr().String()
+}
+
+// SetFault changes what goes wrong, SetPace the pause before each event.
+func (r *Runner) SetFault(f Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// SetPace sets the pause before each event of a stream.
+func (r *Runner) SetPace(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace = d
+}
+
+// Seen returns the requests that arrived.
+func (r *Runner) Seen() []Seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Seen(nil), r.seen...)
+}
+
+// Orders returns the orders that arrived.
+func (r *Runner) Orders() []Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Order(nil), r.orders...)
+}
+
+// Entry returns the target's entry in the platform's list.
+func (r *Runner) Entry(state string) store.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	value, _ := json.Marshal(map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": "z1", "slots": 8, "state": state, "models": r.models(),
+	})
+	return store.Entry{Key: "servers/" + r.ID, Value: value}
+}
+
+func (r *Runner) models() []map[string]any {
+	out := []map[string]any{}
+	for name, version := range r.weights {
+		out = append(out, map[string]any{"name": name, "version": version})
+	}
+	return out
+}
+
+func (r *Runner) report(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": false, "seq_no": len(r.orders)})
+}
+
+func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
+	var o Order
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if req.Header.Get("Expect-Instance") != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if o.Precondition != nil && *o.Precondition != int64(len(r.orders)) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	r.orders = append(r.orders, o)
+	r.weights[o.Model] = o.Version
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
+	wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms"))
+	time.Sleep(time.Duration(wait) * time.Millisecond)
+	_, _ = io.WriteString(w, `{"boot_epoch":1,"next_token":1,"lost":false,"events":[]}`)
+}
+
+func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	fault, pace, refused := r.note(req, string(body))
+	switch {
+	case refused == http.StatusMisdirectedRequest:
+		w.Header().Set("Instance-Id", r.ID)
+		w.WriteHeader(refused)
+		return
+	case refused != 0:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(refused)
+		return
+	case fault == LoseAnswer:
+		panic(http.ErrAbortHandler)
+	}
+	r.answer(w, req, fault, pace)
+}
+
+// note keeps a request and returns the status by which it is refused unrun, or 0.
+func (r *Runner) note(req *http.Request, body string) (Fault, time.Duration, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := req.Header
+	refused := 0
+	version, hasVersion := h["Expect-Version"]
+	switch {
+	case h.Get("Expect-Instance") != "" && h.Get("Expect-Instance") != r.ID:
+		refused = http.StatusMisdirectedRequest
+	case hasVersion && version[0] != strconv.FormatInt(r.weights[h.Get("Model")], 10):
+		refused = http.StatusMisdirectedRequest
+	case r.fault == Shed:
+		refused = http.StatusServiceUnavailable
+	}
+	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0})
+	return r.fault, r.pace, refused
+}
+
+func (r *Runner) answer(w http.ResponseWriter, req *http.Request, fault Fault, pace time.Duration) {
+	h := w.Header()
+	h.Set("Request-Id", req.Header.Get("Request-Id"))
+	if fault == Crossed {
+		h.Set("Request-Id", "another")
+	}
+	if fault != Unsealed {
+		h.Set("Response-Seal", "seal-"+r.ID)
+	}
+	if fault == Failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if req.Header.Get("Model") == "" {
+		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("Request-Id"))
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	r.stream(w, req, fault, pace)
+}
+
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, fault Fault, pace time.Duration) {
+	first := 1
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	flush := http.NewResponseController(w)
+	for i := first; i <= Events; i++ {
+		time.Sleep(pace)
+		if fault == Broken && first == 1 && i == 3 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", i)
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = flush.Flush()
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,6 +16,7 @@
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
 	"acaciakeel/lease"
+	"acaciakeel/link"
 	"acaciakeel/platform"
 	"acaciakeel/rollout"
 	"acaciakeel/router"
@@ -35,6 +37,17 @@
 	sharing  *sharing
 	name     string
 	stopping chan struct{}
+	options  Options
+	doors    struct{ front, ready, metrics, peers door }
+	// cancel ends all the node does, endDuties what it does for others.
+	cancel    context.CancelFunc
+	endDuties context.CancelFunc
+}
+
+// Options are what the platform's settings do not say.
+type Options struct {
+	// MetricsPort is where metrics are served, as the deploy file says; 0 is any port.
+	MetricsPort int
 }
 
 // Figures of a node's duties.
@@ -60,9 +73,10 @@
 )
 
 // New returns a node that has not begun.
-func New(s platform.Node, log logrus.FieldLogger) *Node {
+func New(s platform.Node, o Options, log logrus.FieldLogger) *Node {
 	n := &Node{
 		settings: s,
+		options:  o,
 		log:      log,
 		registry: telemetry.NewRegistry(),
 		store:    platform.NewStore("http://" + s.Store.Address),
@@ -98,40 +112,54 @@
 	return n
 }
 
-// Serve serves until stop closes, then stops in order within the platform's grace.
-func (n *Node) Serve(stop <-chan struct{}) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	duties, endDuties := context.WithCancel(ctx)
-	defer endDuties()
-	go n.view.follower.Run(ctx)
-	go n.events.Run(ctx)
-	go n.sharing.run(ctx)
-	go n.session.Run(duties, n.enrol)
-	go n.view.holder.Run(duties)
-	go n.seekSeat(duties)
-	front, err := n.listen(n.settings.Listen.Front, n.front)
-	if err != nil {
+// Start opens the node's doors and begins its duties. Requests that come before
+// the first configuration are refused with the time to come back.
+func (n *Node) Start() error {
+	var err error
+	if n.doors.front, err = listen(n.settings.Listen.Front, server(n.front)); err != nil {
 		return err
 	}
-	if _, err := n.listen(n.settings.Listen.Ready, http.HandlerFunc(n.serveReady)); err != nil {
+	if n.doors.ready, err = listen(n.settings.Listen.Ready, server(http.HandlerFunc(n.serveReady))); err != nil {
 		return err
 	}
-	if err := n.serveMetrics(); err != nil {
+	if n.doors.metrics, err = listen(n.metricsAddress(), server(n.metricsHandler())); err != nil {
 		return err
 	}
-	if err := n.serveSharing(); err != nil {
+	if n.doors.peers, err = listen(n.peerAddress(), link.NewServer(n.sharing.handler())); err != nil {
 		return err
 	}
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.settings.Listen.Front}).Info("serving")
-	<-stop
+	ctx, cancel := context.WithCancel(context.Background())
+	duties, endDuties := context.WithCancel(ctx)
+	n.cancel, n.endDuties = cancel, endDuties
+	go n.view.follower.Run(ctx)
+	go n.events.Run(ctx)
+	go n.sharing.run(ctx)
+	go n.session.Run(duties, n.enrol)
+	go n.view.holder.Run(duties)
+	go n.seekSeat(duties)
+	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.doors.front.address}).Info("serving")
+	return nil
+}
+
+// Stop ends the node in order, within the platform's grace.
+func (n *Node) Stop() {
+	defer n.cancel()
 	// A node that stops serves on for seconds. Were it to take a lease or the
 	// seat again meanwhile, its orders would stand still until that lapses.
-	endDuties()
-	n.shutdown(front)
-	return nil
+	n.endDuties()
+	n.shutdown(n.doors.front.server)
+	for _, d := range []door{n.doors.front, n.doors.ready, n.doors.metrics, n.doors.peers} {
+		_ = d.server.Close()
+	}
 }
 
+// FrontAddress and ReadyAddress return where the started node serves clients
+// and the platform's question whether it is ready.
+func (n *Node) FrontAddress() string { return n.doors.front.address }
+
+// ReadyAddress returns where the platform asks whether the node is ready.
+func (n *Node) ReadyAddress() string { return n.doors.ready.address }
+
 // Bounds of the listeners. They outlast the limits that the configuration sets
 // on clients, which may change while connections are open.
 const (
@@ -140,24 +168,33 @@
 	maxHeader     = 64 << 10
 )
 
-func (n *Node) listen(address string, h http.Handler) (*http.Server, error) {
+// door is one address that the node serves.
+type door struct {
+	server  *http.Server
+	address string
+}
+
+func server(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+}
+
+func listen(address string, s *http.Server) (door, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w; another process may hold the port", err)
+		return door{}, fmt.Errorf("listen: %w; another process may hold the port", err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	go func() { _ = s.Serve(listener) }()
+	return door{server: s, address: listener.Addr().String()}, nil
 }
 
-// metricsPort is where the deploy file says that metrics are.
-const metricsPort = 9464
+func (n *Node) metricsAddress() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
+}
 
-func (n *Node) serveMetrics() error {
+func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-	_, err := n.listen(net.JoinHostPort(n.settings.IP, fmt.Sprint(metricsPort)), mux)
-	return err
+	return mux
 }
 
 // serveReady answers whether new connections are to come here.
@@ -176,7 +213,7 @@
 // enrol puts the node among the members under a new lease.
 func (n *Node) enrol(ctx context.Context, id store.LeaseID) {
 	key := n.view.keys.members + n.name
-	_, err := n.store.Put(ctx, key, []byte(n.peerURL()), 0, id)
+	_, err := n.store.Put(ctx, key, []byte("http://"+n.doors.peers.address), 0, id)
 	if err != nil {
 		n.log.WithError(err).WithField("event", "enrol_failed").Warn("the others count this node out until its next lease")
 	}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,448 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/internal/standin/kv"
+	"acaciakeel/internal/standin/runner"
+	"acaciakeel/platform"
+)
+
+// world is a node with its platform: a store, two runners of a model, two
+// targets of a plain service.
+type world struct {
+	t       *testing.T
+	store   *kv.Store
+	kv      *httptest.Server
+	node    *Node
+	runners []*runner.Runner
+	desks   []*runner.Runner
+	version int
+}
+
+const (
+	model    = "m"
+	goodKey  = "key-1"
+	otherKey = "key-2"
+)
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: kv.NewStore(0)}
+	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
+	for i := range 2 {
+		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
+		w.desks = append(w.desks, runner.Start(fmt.Sprintf("d%d", i), "desk", nil))
+	}
+	for _, r := range append(w.runners, w.desks...) {
+		w.store.Set(r.Entry("ready").Key, r.Entry("ready").Value)
+		t.Cleanup(r.Close)
+	}
+	w.configure(goodKey, otherKey)
+	w.node = w.startNode("n0")
+	t.Cleanup(w.kv.Close)
+	t.Cleanup(w.kv.CloseClientConnections)
+	return w
+}
+
+// startNode starts a node and waits until it is ready.
+func (w *world) startNode(name string) *Node {
+	w.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	settings := platform.Node{
+		Name: name, IP: "127.0.0.1", Zone: "z1", Ports: []int{0},
+		Listen: platform.Listen{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
+		Bounds: platform.Bounds{
+			GraceS: 8, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: 8000, LeaseMS: 3000,
+			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10,
+		},
+		Store: platform.StoreAt{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
+	}
+	n := New(settings, Options{}, log)
+	if err := n.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(n.cancel)
+	w.until("the node is ready", func() bool { return get(w.t, n.ReadyAddress()) == http.StatusOK })
+	return n
+}
+
+func get(t *testing.T, address string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + address + "/ready")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// patience bounds the waiting for something that must come; no test judges how
+// long it took.
+const patience = 20 * time.Second
+
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	w.t.Fatalf("waited in vain until %s", what)
+}
+
+// configure writes a new version of the configuration with the keys given.
+func (w *world) configure(keys ...string) {
+	w.version++
+	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": 5000, "target_latency_ms": 2000, "attempts": 2}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	value, _ := json.Marshal(map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
+			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1}),
+			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1}),
+			route("stock", "/stock/", "idempotent", "desk", nil),
+		},
+		"services": []any{
+			map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
+			map[string]any{"name": "desk", "max_conns": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "c1", "api_keys": keys}},
+	})
+	w.store.Set("op/config", value)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var ids int
+
+// send sends one attempt of a client, with a fresh id.
+func (w *world) send(method, path, body string, header map[string]string) answer {
+	w.t.Helper()
+	ids++
+	return w.sendTo(w.node, method, path, body, fmt.Sprintf("id-%d", ids), header)
+}
+
+func (w *world) sendTo(n *Node, method, path, body, id string, header map[string]string) answer {
+	w.t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.FrontAddress()+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Key", goodKey)
+	req.Header.Set("Deadline-Ms", "5000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func prompt() map[string]string {
+	return map[string]string{"Model": model, "Token-Count": "900,50", "Prefix-Hash": "aa:400,bb:300,cc:200"}
+}
+
+func (w *world) ran(targets []*runner.Runner) []runner.Seen {
+	var out []runner.Seen
+	for _, r := range targets {
+		for _, s := range r.Seen() {
+			if s.Ran {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+func whole() string {
+	var b strings.Builder
+	for i := 1; i <= runner.Events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// A client sends headers that are the system's own to set: another customer's
+// name, a salt, an older version. The target must get the system's values, and
+// never the key.
+func TestOwnHeadersAreNotTheClients(t *testing.T) {
+	w := newWorld(t)
+	header := prompt()
+	for _, name := range []string{"Tenant", "Cache-Salt", "Expect-Version", "Hold", "Kv-From", "Kv-Backup", "Pin-Ms"} {
+		header[name] = "9"
+	}
+	a := w.send("POST", "/draft/x?q=1", "dump", header)
+	if a.status != 200 || a.body != whole() {
+		t.Fatalf("answered %d %q (%v)", a.status, a.body, a.err)
+	}
+	seen := w.ran(w.runners)[0]
+	h := seen.Header
+	if h.Get("Tenant") != "c1" || h.Get("Key") != "" || h.Get("Expect-Version") != "1" || h.Get("Hold")+h.Get("Kv-From")+h.Get("Kv-Backup")+h.Get("Pin-Ms") != "" {
+		t.Errorf("the target got %v", h)
+	}
+	if h.Get("Cache-Salt") == "9" || h.Get("Cache-Salt") == "" {
+		t.Errorf("the target got the salt %q", h.Get("Cache-Salt"))
+	}
+	if seen.URI != "/draft/x?q=1" || seen.Body != "dump" {
+		t.Errorf("the target got %s with body %q", seen.URI, seen.Body)
+	}
+}
+
+// A runner stops in the middle of an event. The client must get each event once
+// and whole, in order, from a second run that goes on after the last.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	for _, r := range w.runners {
+		r.SetFault(runner.Broken)
+	}
+	a := w.send("POST", "/draft/x", "", prompt())
+	if a.err != nil || a.body != whole() {
+		t.Errorf("got %q (%v)", a.body, a.err)
+	}
+	var after []string
+	for _, s := range w.ran(w.runners) {
+		after = append(after, s.Header.Get("Last-Event-Id"))
+	}
+	slices.Sort(after)
+	if !slices.Equal(after, []string{"", "2"}) {
+		t.Errorf("runs went on after %q, want one from the start and one after event 2", after)
+	}
+}
+
+// The same fault on a stream that may not be resumed: the client's answer must
+// break off, so that it can't take it for whole, and nothing runs twice.
+func TestOtherStreamBreaksOff(t *testing.T) {
+	w := newWorld(t)
+	for _, r := range w.runners {
+		r.SetFault(runner.Broken)
+	}
+	a := w.send("POST", "/match/x", "", prompt())
+	if a.err == nil {
+		t.Errorf("the broken stream ended like a whole one: %q", a.body)
+	}
+	if strings.Contains(a.body, "tor") {
+		t.Errorf("half an event was passed on: %q", a.body)
+	}
+	if n := len(w.ran(w.runners)); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+// A hold runs and its answer is lost. Sent again it would sell the box twice;
+// and the client must not be told that nothing ran.
+func TestHoldRunsOnceWhenItsAnswerIsLost(t *testing.T) {
+	for _, fault := range []runner.Fault{runner.LoseAnswer, runner.Crossed, runner.Unsealed} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := newWorld(t)
+			for _, d := range w.desks {
+				d.SetFault(fault)
+			}
+			a := w.send("POST", "/hold/x", "box", nil)
+			if a.status != http.StatusBadGateway {
+				t.Errorf("answered %d, want 502, which promises nothing", a.status)
+			}
+			if n := len(w.ran(w.desks)); n != 1 {
+				t.Errorf("%d runs, want 1", n)
+			}
+		})
+	}
+}
+
+// A lookup may be repeated: the second target's answer makes the fault invisible.
+func TestLookupIsRepeated(t *testing.T) {
+	for _, fault := range []runner.Fault{runner.LoseAnswer, runner.Crossed, runner.Unsealed, runner.Failing} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := newWorld(t)
+			w.desks[0].SetFault(fault)
+			for i := range 4 {
+				if a := w.send("GET", "/stock/x", "", nil); a.status != 200 {
+					t.Errorf("lookup %d answered %d (%v)", i, a.status, a.err)
+				}
+			}
+		})
+	}
+}
+
+// Every target refuses unrun. The client must be told so, and when to come back.
+func TestRefusalIsTrue(t *testing.T) {
+	w := newWorld(t)
+	for _, d := range w.desks {
+		d.SetFault(runner.Shed)
+	}
+	a := w.send("POST", "/hold/x", "box", nil)
+	if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
+		t.Errorf("answered %d", a.status)
+	}
+	if a.header.Get("Retry-After") == "" {
+		t.Error("not told when to come back")
+	}
+	if n := len(w.ran(w.desks)); n != 0 {
+		t.Errorf("%d runs after a refusal", n)
+	}
+}
+
+// Keys are added and taken away; nothing may run under one that is gone.
+func TestKeysComeAndGo(t *testing.T) {
+	w := newWorld(t)
+	if a := w.send("GET", "/stock/x", "", map[string]string{"Key": "nobody's"}); a.status != http.StatusUnauthorized {
+		t.Errorf("an unknown key was answered %d", a.status)
+	}
+	w.configure(otherKey, "key-3")
+	w.until("the new key works", func() bool {
+		return w.send("GET", "/stock/x", "", map[string]string{"Key": "key-3"}).status == 200
+	})
+	if a := w.send("GET", "/stock/x", "", nil); a.status != http.StatusUnauthorized {
+		t.Errorf("the key that was taken away was answered %d", a.status)
+	}
+}
+
+// The store falls away. A key may be taken away meanwhile without any news of
+// it, so after the bound keyed requests must be refused, as not run, and new
+// connections sent elsewhere.
+func TestKeysFailClosedWithoutTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.kv.CloseClientConnections()
+	w.kv.Listener.Close()
+	w.until("the node says that it is not ready", func() bool { return get(t, w.node.ReadyAddress()) == http.StatusServiceUnavailable })
+	before := len(w.ran(w.desks))
+	a := w.send("GET", "/stock/x", "", nil)
+	if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+		t.Errorf("answered %d, Retry-After %q", a.status, a.header.Get("Retry-After"))
+	}
+	if len(w.ran(w.desks)) != before {
+		t.Error("a request ran under a key that could not be confirmed")
+	}
+}
+
+// New weights are named. One holder orders each runner once, on the condition
+// that nothing else was ordered meanwhile, and requests then use other salts.
+func TestWeightsRollOut(t *testing.T) {
+	w := newWorld(t)
+	w.send("POST", "/draft/x", "", prompt())
+	w.startNode("n1")
+	w.store.Set("op/version/"+model, []byte(`{"model":"m","version":2}`))
+	w.until("both runners have the new weights", func() bool {
+		return len(w.runners[0].Orders()) > 0 && len(w.runners[1].Orders()) > 0
+	})
+	w.until("requests run on them", func() bool {
+		w.send("POST", "/draft/x", "", prompt())
+		return slices.ContainsFunc(w.ran(w.runners), func(s runner.Seen) bool { return s.Header.Get("Expect-Version") == "2" })
+	})
+	holders, salts := map[string]bool{}, map[string]bool{}
+	for _, r := range w.runners {
+		if n := len(r.Orders()); n != 1 {
+			t.Errorf("%s got %d orders, want 1", r.ID, n)
+		}
+		for _, o := range r.Orders() {
+			holders[fmt.Sprint(o.Holder, o.Fence)] = true
+			if o.Precondition == nil || o.Mode != "block" {
+				t.Errorf("order %+v has no condition or cuts runs off", o)
+			}
+		}
+	}
+	for _, s := range w.ran(w.runners) {
+		salts[s.Header.Get("Expect-Version")+s.Header.Get("Cache-Salt")] = true
+	}
+	if len(holders) != 1 || len(salts) != 2 {
+		t.Errorf("holders %v, versions with salts %v, want one and two", holders, salts)
+	}
+}
+
+// A node is stopped while it passes a stream on: the stream must end whole, the
+// platform must hear at once that the node is not ready, and requests that
+// still come are served.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	w := newWorld(t)
+	for _, r := range w.runners {
+		r.SetPace(150 * time.Millisecond)
+	}
+	done := make(chan answer)
+	go func() { done <- w.sendTo(w.node, "POST", "/draft/x", "", "stream", prompt()) }()
+	w.until("the stream runs", func() bool { return len(w.ran(w.runners)) > 0 })
+	stopped := make(chan struct{})
+	go func() { w.node.Stop(); close(stopped) }()
+	w.until("the node says that it is not ready", func() bool { return get(t, w.node.ReadyAddress()) == http.StatusServiceUnavailable })
+	if a := w.send("GET", "/stock/x", "", nil); a.status != 200 {
+		t.Errorf("answered %d (%v) while stopping", a.status, a.err)
+	}
+	if a := <-done; a.err != nil || a.body != whole() {
+		t.Errorf("the stream was cut: %q (%v)", a.body, a.err)
+	}
+	<-stopped
+	if conn, err := net.Dial("tcp", w.node.FrontAddress()); err == nil {
+		conn.Close()
+		t.Error("the door is still open")
+	}
+}
+
+// A target says that it leaves, or its entry vanishes: no new work goes there.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	w := newWorld(t)
+	w.store.Set(w.desks[0].Entry("draining").Key, w.desks[0].Entry("draining").Value)
+	w.until("only the other one is used", func() bool {
+		before := len(w.desks[0].Seen())
+		for range 4 {
+			w.send("GET", "/stock/x", "", nil)
+		}
+		return len(w.desks[0].Seen()) == before
+	})
+}
+
+// Bad input gets a clear final answer and reaches no target.
+func TestBadInput(t *testing.T) {
+	w := newWorld(t)
+	for _, test := range []struct {
+		name   string
+		path   string
+		body   string
+		header map[string]string
+		want   int
+	}{
+		{"no route", "/nowhere/", "", nil, 404},
+		{"deadline is no number", "/hold/x", "", map[string]string{"Deadline-Ms": "soon"}, 400},
+		{"prefix without tokens", "/draft/x", "", map[string]string{"Model": model, "Prefix-Hash": "aa"}, 400},
+		{"token count without a comma", "/draft/x", "", map[string]string{"Model": model, "Token-Count": "7"}, 400},
+		{"body over the limit", "/hold/x", strings.Repeat("x", 1001), nil, 413},
+		{"header over the limit", "/hold/x", "", map[string]string{"X": strings.Repeat("x", 9000)}, 431},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if a := w.send("POST", test.path, test.body, test.header); a.status != test.want {
+				t.Errorf("answered %d %s, want %d", a.status, a.body, test.want)
+			}
+		})
+	}
+	if n := len(w.ran(append(w.runners, w.desks...))); n != 0 {
+		t.Errorf("%d runs", n)
+	}
+}
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -133,18 +132,8 @@
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(port))
 }
 
-func (n *Node) peerURL() string {
-	return "http://" + n.peerAddress()
-}
-
-func (n *Node) serveSharing() error {
+func (s *sharing) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(keelv1connect.NewPeerServiceHandler(n.sharing))
-	listener, err := net.Listen("tcp", n.peerAddress())
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w; another process may hold the port", err)
-	}
-	server := link.NewServer(mux)
-	go func() { _ = server.Serve(listener) }()
-	return nil
+	mux.Handle(keelv1connect.NewPeerServiceHandler(s))
+	return mux
 }
