Don't lose the seat to an older listing, nor hold it without knowing

Cause: a listing read before the seat's write and delivered after it showed no seat, so the process thought it lost; its lease went on, so nobody gave orders any more. The same stand-still after a write whose answer and read-back were both lost. Change: what is older than the seat's own revision says nothing of it; the watch's word adopts a seat whose write's outcome was unknown.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -16,8 +16,8 @@
 
 // Target takes what was read.
 type Target interface {
-	// Reset replaces everything known by a listing.
-	Reset(entries []store.Entry)
+	// Reset replaces everything known by a listing of the given revision.
+	Reset(entries []store.Entry, revision int64)
 	// Apply takes changes in their order.
 	Apply(events []store.Event)
 }
@@ -109,7 +109,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.target.Reset(listing.Entries)
+	f.target.Reset(listing.Entries, listing.Revision)
 	f.checked.Store(int64(began))
 	f.listed.Store(true)
 	f.log.WithFields(logrus.Fields{"event": "listed", "revision": listing.Revision, "keys": len(listing.Entries)}).Info("the store was read whole")
--- a/node/view.go
+++ b/node/view.go
@@ -180,9 +180,9 @@
 }
 
 // OwnRelisted implements platform.View.
-func (v *view) OwnRelisted(keys map[string]bool) {
+func (v *view) OwnRelisted(keys map[string]bool, revision int64) {
 	if !keys[v.keys.seat] {
-		v.seat.Seen("", 0)
+		v.seat.Seen("", revision)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/rollout/office.go
+++ b/rollout/office.go
@@ -50,11 +50,22 @@
 	return s.fence, held
 }
 
-// Seen notes what the store says of the key; an empty value is its absence.
+// Seen notes what the store says of the key at a revision; an empty value is
+// its absence. What is older than the seat's own taking says nothing of it: a
+// listing may have been read before and arrive after.
 func (s *Seat) Seen(value string, revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if revision < s.fence {
+		return
+	}
 	s.taken = value != ""
+	if value == s.name && s.fence == 0 && s.under != "" {
+		// A write whose outcome was unknown was carried out after all. Left
+		// alone, the seat would stay with a process that does not know of it.
+		s.adopt(revision)
+		return
+	}
 	if s.fence != 0 && (value != s.name || revision != s.fence) {
 		s.fence = 0
 		s.lost = clock.Now()
@@ -71,6 +82,7 @@
 		return false
 	}
 	s.seeking = true
+	s.under = lease
 	s.mu.Unlock()
 	fence, err := s.take(ctx, lease)
 	s.mu.Lock()
@@ -79,14 +91,19 @@
 	if errors.Is(err, store.ErrConflict) {
 		s.taken = true
 	}
-	if err != nil {
-		return false
+	if err != nil || s.fence != 0 {
+		return s.fence != 0
 	}
-	s.taken, s.fence, s.under = true, fence, lease
-	s.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("this process gives the orders now")
+	s.adopt(fence)
 	return true
 }
 
+// adopt notes that the seat is held under a fence; the caller holds mu.
+func (s *Seat) adopt(fence int64) {
+	s.taken, s.fence = true, fence
+	s.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("this process gives the orders now")
+}
+
 func (s *Seat) take(ctx context.Context, lease store.LeaseID) (int64, error) {
 	fence, err := s.store.Put(ctx, s.key, []byte(s.name), 0, lease)
 	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) {
--- a/rollout/office_test.go
+++ b/rollout/office_test.go
@@ -20,7 +20,9 @@
 	revision int64
 	// loseAnswer loses the answer of the next write after its effect.
 	loseAnswer bool
-	writes     int
+	// deaf fails reads.
+	deaf   bool
+	writes int
 }
 
 var errLost = errors.New("answer lost")
@@ -30,6 +32,9 @@
 func (m *memory) Revoke(context.Context, store.LeaseID) error                 { m.value = ""; return nil }
 
 func (m *memory) Get(context.Context, string) (store.Entry, error) {
+	if m.deaf {
+		return store.Entry{}, errLost
+	}
 	if m.value == "" {
 		return store.Entry{}, store.ErrNotFound
 	}
@@ -91,7 +96,7 @@
 	if err := session.End(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	seat.Seen("", 0)
+	seat.Seen("", m.revision+1)
 	if _, ok := seat.Held(); ok {
 		t.Error("the seat is held without a lease")
 	}
@@ -107,8 +112,35 @@
 	seat, _ := newSeat(t, m, "a")
 	seat.Seek(t.Context())
 	m.value = ""
-	seat.Seen("", 0)
+	seat.Seen("", m.revision+1)
 	if seat.Seek(t.Context()) || m.writes != 1 {
 		t.Errorf("the seat was sought again at once, with %d writes", m.writes)
 	}
 }
+
+// A listing is read, the seat is taken, and then the listing arrives, without
+// the seat. Taken for a loss, the seat stayed with a process that gave no
+// orders and kept its lease, and no runner changed its weights any more.
+func TestSeatOutlivesAnOlderListing(t *testing.T) {
+	m := &memory{revision: 10}
+	seat, _ := newSeat(t, m, "a")
+	seat.Seek(t.Context())
+	seat.Seen("", 10)
+	if _, ok := seat.Held(); !ok {
+		t.Error("an older listing took the seat away")
+	}
+}
+
+// The answer of the seat's write is lost, and so is that of reading it back. The
+// watch tells later that it was carried out; the process must then know.
+func TestSeatIsAdoptedWhenTheWatchTells(t *testing.T) {
+	m := &memory{loseAnswer: true, deaf: true}
+	seat, _ := newSeat(t, m, "a")
+	if seat.Seek(t.Context()) {
+		t.Fatal("took a seat of which nothing was known")
+	}
+	seat.Seen("a", m.revision)
+	if fence, ok := seat.Held(); !ok || fence != m.revision {
+		t.Errorf("held %v under fence %d, want %d", ok, fence, m.revision)
+	}
+}
