Turn to another target where one hangs; count time-outs against it

Change: a lookup waits three objectives where another target may still be asked; time-outs count as failures of the target, a client's leaving does not. Test: TestLookupIsRepeated/mute, which fails before.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -33,6 +33,8 @@
 	// Broken stops a stream in the middle of its third event, but not one that
 	// goes on after an earlier event.
 	Broken Fault = "broken"
+	// Mute runs the request and never answers, with its connections open.
+	Mute Fault = "mute"
 	// Failing runs the request and answers 500.
 	Failing Fault = "failing"
 )
@@ -195,6 +197,9 @@
 		return
 	case fault == LoseAnswer:
 		panic(http.ErrAbortHandler)
+	case fault == Mute:
+		<-req.Context().Done()
+		return
 	}
 	r.answer(w, req, fault, pace)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -119,7 +119,7 @@
 			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
 			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1}),
 			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1}),
-			route("stock", "/stock/", "idempotent", "desk", nil),
+			route("stock", "/stock/", "idempotent", "desk", map[string]any{"target_latency_ms": 100}),
 		},
 		"services": []any{
 			map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
@@ -281,7 +281,7 @@
 
 // A lookup may be repeated: the second target's answer makes the fault invisible.
 func TestLookupIsRepeated(t *testing.T) {
-	for _, fault := range []runner.Fault{runner.LoseAnswer, runner.Crossed, runner.Unsealed, runner.Failing} {
+	for _, fault := range []runner.Fault{runner.LoseAnswer, runner.Crossed, runner.Unsealed, runner.Failing, runner.Mute} {
 		t.Run(string(fault), func(t *testing.T) {
 			w := newWorld(t)
 			w.desks[0].SetFault(fault)
--- a/router/session.go
+++ b/router/session.go
@@ -136,7 +136,7 @@
 
 // attempt sends the request to one target and passes its answer on.
 func (s *session) attempt(ctx context.Context, choice fleet.Choice) result {
-	ctx, cancel := context.WithCancel(ctx)
+	attempt, cancel := s.attemptContext(ctx)
 	defer cancel()
 	s.sends++
 	s.last = choice
@@ -144,7 +144,7 @@
 	f := s.router.fleet
 	s.ticket = f.Begin(choice.Runner.ID, s.stay(choice), time.Now())
 	defer s.ticket.End()
-	answer, err := s.router.sender.Send(ctx, s.newSend(choice))
+	answer, err := s.router.sender.Send(attempt, s.newSend(choice))
 	if err != nil {
 		return s.unanswered(ctx, choice, err)
 	}
@@ -164,6 +164,26 @@
 	return s.whole(choice, answer)
 }
 
+// Figures of the patience with one target of a request that may be repeated.
+const (
+	// patienceFactor is how many objectives a target is given: by then it is
+	// more likely to hang than to be busy.
+	patienceFactor = 3
+	// minPatience is the least patience, some runs of a plain service.
+	minPatience = 200 * time.Millisecond
+)
+
+// attemptContext bounds one attempt where another target may still be asked. A
+// target that hangs keeps its connections open and its health good; only
+// the time that it takes shows it.
+func (s *session) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	r := s.in.route
+	if r.Kind != catalog.Idempotent || s.ran+1 >= r.Attempts || r.Objective <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, max(patienceFactor*r.Objective, minPatience))
+}
+
 func (s *session) stay(choice fleet.Choice) fleet.Stay {
 	return fleet.Stay{
 		Missing:  max(0, s.in.Input-choice.Cached),
@@ -256,7 +276,8 @@
 	var send *SendError
 	sent := !errors.As(err, &send) || send.Sent
 	switch {
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The client left, which says nothing of the target.
 	case sent:
 		s.router.fleet.Failed(choice.Runner.ID, time.Now())
 	default:
