--- a/node/node.go
+++ b/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -142,13 +141,13 @@
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
 	var err error
-	if n.doors.front, err = listen(n.settings.Listen.Front, server(n.front)); err != nil {
+	if n.doors.front, err = listen(n.settings.Listen.Front, newServer(n.front)); err != nil {
 		return err
 	}
-	if n.doors.ready, err = listen(n.settings.Listen.Ready, server(http.HandlerFunc(n.serveReady))); err != nil {
+	if n.doors.ready, err = listen(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady))); err != nil {
 		return err
 	}
-	if n.doors.metrics, err = listen(n.metricsAddress(), server(n.metricsHandler())); err != nil {
+	if n.doors.metrics, err = listen(n.metricsAddress(), newServer(n.metricsHandler())); err != nil {
 		return err
 	}
 	if n.doors.peers, err = listen(n.peerAddress(), link.NewServer(n.sharing.handler())); err != nil {
@@ -173,7 +172,7 @@
 	// A node that stops serves on for seconds. Were it to take a lease or the
 	// seat again meanwhile, its orders would stand still until that lapses.
 	n.endDuties()
-	n.shutdown(n.doors.front.server)
+	n.shutdown(n.doors.front)
 	for _, d := range []door{n.doors.front, n.doors.ready, n.doors.metrics, n.doors.peers} {
 		_ = d.server.Close()
 	}
@@ -186,33 +185,6 @@
 // ReadyAddress returns where the platform asks whether the node is ready.
 func (n *Node) ReadyAddress() string { return n.doors.ready.address }
 
-// Bounds of the listeners. They outlast the limits that the configuration sets
-// on clients, which may change while connections are open.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-	maxHeader     = 64 << 10
-)
-
-// door is one address that the node serves.
-type door struct {
-	server  *http.Server
-	address string
-}
-
-func server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-}
-
-func listen(address string, s *http.Server) (door, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return door{}, fmt.Errorf("listen: %w; another process may hold the port", err)
-	}
-	go func() { _ = s.Serve(listener) }()
-	return door{server: s, address: listener.Addr().String()}, nil
-}
-
 func (n *Node) metricsAddress() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
 }
@@ -278,7 +250,7 @@
 	stopMargin = 300 * time.Millisecond
 )
 
-func (n *Node) shutdown(front *http.Server) {
+func (n *Node) shutdown(front door) {
 	deadline := time.Now().Add(n.settings.Bounds.Grace() - stopMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -294,7 +266,8 @@
 	case <-sleep.C:
 	case <-ctx.Done():
 	}
-	if err := front.Shutdown(ctx); err != nil {
+	front.idle.end()
+	if err := front.server.Shutdown(ctx); err != nil {
 		n.log.WithError(err).WithField("event", "stop_cut").Warn("the grace ended before all requests did")
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -406,6 +407,35 @@
 	}
 }
 
+// A client keeps a connection open and sends its next request while the node
+// stops. It must get an answer, or find the connection closed before it sent;
+// never a closed connection after the whole request was read.
+func TestStopEndsIdleConnectionsUnread(t *testing.T) {
+	w := newWorld(t)
+	conn, err := net.Dial("tcp", w.node.FrontAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	ask := func(id string) (*http.Response, error) {
+		_, err := fmt.Fprintf(conn, "GET /stock/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nKey: %s\r\n\r\n", id, goodKey)
+		if err != nil {
+			return nil, err
+		}
+		return http.ReadResponse(in, nil)
+	}
+	if resp, err := ask("before"); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answered %v (%v)", resp, err)
+	} else if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	w.node.Stop()
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ended with %v, want its plain end", err)
+	}
+}
+
 // A target says that it leaves, or its entry vanishes: no new work goes there.
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	w := newWorld(t)
