Keep the shared retry bound; tell the others of orders at once

Change: what an entry saves up and gets with time are its parts of the extra; the holder tells of an order and its end at once; a runner that refuses for an order is left for 600 ms unless news comes. Test: TestSharedBudgetHoldsInABurst.

--- a/node/node.go
+++ b/node/node.go
@@ -105,11 +105,11 @@
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
-	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, log)
+	n.sharing = newSharing(n.name, targets, n.view)
+	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.sharing.soon, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.registerGauges()
 	n.events = fleet.NewEventWatch(targets, runners)
-	n.sharing = newSharing(n.name, targets, n.view)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	bounds := router.Bounds{OldWeights: n.view.oldWeights}
 	retries := router.RetryBounds{
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -22,10 +22,11 @@
 	fleet *fleet.Fleet
 	view  *view
 	links *link.Pool
+	now   chan struct{}
 }
 
 func newSharing(name string, f *fleet.Fleet, v *view) *sharing {
-	return &sharing{name: name, fleet: f, view: v, links: link.NewPool(link.Options{})}
+	return &sharing{name: name, fleet: f, view: v, links: link.NewPool(link.Options{}), now: make(chan struct{}, 1)}
 }
 
 // Figures of the sharing.
@@ -35,6 +36,8 @@
 	// sharePerPeer stretches it where there are many, so that the cost of a node
 	// does not grow with their number.
 	sharePerPeer = 40 * time.Millisecond
+	// shareGather is how long news that is to go out at once waits for more.
+	shareGather = 20 * time.Millisecond
 	// shareTimeout bounds one telling; the next one says more than a late one.
 	shareTimeout = 400 * time.Millisecond
 )
@@ -47,11 +50,22 @@
 		}
 		select {
 		case <-time.After(max(shareEvery, time.Duration(len(peers))*sharePerPeer)):
+		case <-s.now:
+			// What comes together goes out together.
+			time.Sleep(shareGather)
 		case <-ctx.Done():
 		}
 	}
 }
 
+// soon makes the next telling come at once.
+func (s *sharing) soon() {
+	select {
+	case s.now <- struct{}{}:
+	default:
+	}
+}
+
 func (s *sharing) tell(ctx context.Context, peers []string) {
 	request := &keelv1.ShareRequest{Sender: s.name, Uses: encodeUses(s.fleet.Uses(time.Now()))}
 	keep := make(map[string]bool, len(peers))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -35,23 +35,29 @@
 type Budget struct {
 	ratio   float64
 	floor   float64
+	most    float64
 	balance float64
 	last    time.Time
 }
 
-// maxBalance bounds what a quiet time saves up, in retries.
+// maxBalance bounds what a quiet time saves up, in retries, unless SetExtra
+// says otherwise.
 const maxBalance = 20
 
 // NewBudget returns a budget of ratio retries a request and, for entries with
 // few requests, floor retries a second.
 func NewBudget(ratio, floor float64, now time.Time) *Budget {
-	return &Budget{ratio: ratio, floor: floor, balance: maxBalance / 2, last: now}
+	return &Budget{ratio: ratio, floor: floor, most: maxBalance, balance: maxBalance / 2, last: now}
 }
 
-// SetFloor changes how many retries a second are allowed beside the ratio.
-func (b *Budget) SetFloor(floor float64, now time.Time) {
+// SetExtra says how many retries a second are allowed beside the ratio, and how
+// many a quiet time saves up. Where many processes share a bound, what each
+// saves up adds to what all send at once.
+func (b *Budget) SetExtra(floor, most float64, now time.Time) {
 	b.refill(now)
 	b.floor = floor
+	b.most = most
+	b.balance = min(b.balance, most)
 }
 
 func (b *Budget) refill(now time.Time) {
@@ -60,7 +66,7 @@
 }
 
 func (b *Budget) add(retries float64) {
-	b.balance = min(b.balance+retries, maxBalance)
+	b.balance = min(b.balance+retries, b.most)
 }
 
 // Request counts one request in.
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -49,3 +49,31 @@
 		}
 	}
 }
+
+// Twenty processes share a bound of 82 retries beyond a fifth of the requests in
+// any ten seconds. A rollout makes all of them retry at once after a quiet time:
+// the platform counted 651 where 624 were allowed, since each had saved up 20.
+func TestSharedBudgetHoldsInABurst(t *testing.T) {
+	const (
+		processes = 20
+		extra     = 82.0
+		window    = 10 * time.Second
+		each      = 130 // requests of each process in the window
+	)
+	now := time.Unix(1000, 0)
+	sent := 0
+	for range processes {
+		b := NewBudget(0.16, 0, now)
+		b.SetExtra(extra/4/window.Seconds()/processes, max(1, extra/4/processes), now.Add(time.Minute))
+		for i := range each {
+			at := now.Add(time.Minute + time.Duration(i)*window/each)
+			b.Request(at)
+			for b.Take(at) {
+				sent++
+			}
+		}
+	}
+	if allowed := 0.2*processes*each + extra; float64(sent) > allowed {
+		t.Errorf("%d retries, over %v", sent, allowed)
+	}
+}
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -36,6 +36,9 @@
 	services Services
 	log      logrus.FieldLogger
 	wake     chan struct{}
+	// told is called when there is news of a runner that the others should have
+	// at once: until then they send to one that refuses.
+	told func()
 
 	mu       sync.Mutex
 	underway map[string]bool
@@ -43,9 +46,10 @@
 	shortest time.Duration
 }
 
-// NewHolder returns a holder named name, which is the machine's.
-func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, log logrus.FieldLogger) *Holder {
-	return &Holder{name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}}
+// NewHolder returns a holder named name, which is the machine's. It calls told
+// when the other processes should hear of a runner at once.
+func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, told func(), log logrus.FieldLogger) *Holder {
+	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}}
 }
 
 // Wake makes the holder look at once.
@@ -175,11 +179,13 @@
 func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
 	h.fleet.Busy(r.ID, began.Add(busyGuard))
+	h.told()
 	sleep(ctx, pollFirst)
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired, time.Now())
+			h.told()
 			h.loaded(time.Since(began))
 			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
 			return
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -42,7 +42,10 @@
 // all processes, which know nothing of each other's use.
 const (
 	ratioShare = 0.8
-	extraShare = 0.5
+	// extraShare is the part of the extra that comes with time, savedShare the
+	// part that a quiet time saves up.
+	extraShare = 0.25
+	savedShare = 0.25
 )
 
 // budgets holds the retry budget of each service at this process.
@@ -78,6 +81,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	have := b.budget(service, now)
-	have.SetFloor(b.bounds.Extra*extraShare/b.bounds.Window.Seconds()/float64(sharers), now)
+	part := b.bounds.Extra / float64(sharers)
+	have.SetExtra(part*extraShare/b.bounds.Window.Seconds(), max(1, part*savedShare), now)
 	return have.Take(now)
 }
--- a/router/session.go
+++ b/router/session.go
@@ -227,9 +227,10 @@
 	}
 }
 
-// orderPause is for how long a runner that refuses because of an order is
-// left alone: loads of weights take some tenths of a second.
-const orderPause = 200 * time.Millisecond
+// orderPause is for how long a runner that refuses because of an order is left
+// alone: it ends its runs and loads for longer, and news of its weights ends the
+// pause.
+const orderPause = 600 * time.Millisecond
 
 // fullPause is for how long a full target is left alone: about one step of a batch.
 const fullPause = 30 * time.Millisecond
