Weigh each long run that stands still beside a long prompt

One cost for any number of long runs sent prompts beside forty of them as beside one. Change: 5 ms a run, 300 at most.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -243,8 +243,9 @@
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
-	if total.long > 0 && !q.Long {
-		a.PenaltySeconds += besideLong.Seconds()
+	if !q.Long {
+		beside := time.Duration(total.long) * besideLong
+		a.PenaltySeconds += min(beside, besideMost).Seconds()
 	}
 	return a
 }
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -18,9 +18,11 @@
 	// the others sent in the meantime it does not know, and were all to fill the
 	// same runner until they hear of each other, it would overflow.
 	ownShare = 1.5
-	// besideLong is the cost of putting a short run with a long prompt beside
-	// long ones, which stand still while it is read.
-	besideLong = 40 * time.Millisecond
+	// besideLong is the cost of putting a short run with a long prompt beside one
+	// long run, whose events come late while the prompt is read, and besideMost
+	// the most that this counts.
+	besideLong = 5 * time.Millisecond
+	besideMost = 300 * time.Millisecond
 )
 
 // chooseDense packs long runs onto few runners. A batch decodes many runs in
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -147,3 +147,15 @@
 		t.Errorf("chose %s with %d tokens cached", c.Runner.ID, c.Cached)
 	}
 }
+
+// A long prompt is read while all other runs of its runner stand still. It goes
+// to a runner without many long runs, though another is first in the order.
+func TestLongPromptsKeepAwayFromLongRuns(t *testing.T) {
+	f := named(New("z"), runner("a", 1), runner("b", 1))
+	first, _ := f.Choose(query(), start)
+	other := map[string]string{"a": "b", "b": "a"}[first.Runner.ID]
+	f.Heard("peer", []Use{{Target: first.Runner.ID, Inflight: 7, Long: 60}}, start)
+	if c, _ := f.Choose(query(), start); c.Runner.ID != other {
+		t.Errorf("chose %s, where 60 long runs stand still", c.Runner.ID)
+	}
+}
