End a begun stream with nothing else; promise nothing after a run

Cause (found by reading): where a stream had begun and no other runner could go on, the refusal's JSON was written behind the events and the answer ended like a whole one; a failure of the second runner's own likewise. And where a lookup may have run at one target, the second refused it and the budget allowed no third send, it was answered 503, "not run". Ruled out: the door (it had been told to refuse). Change: after the first event the only end is a broken connection; a refusal after a possible run has an unknown outcome.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -24,6 +24,10 @@
 	None Fault = ""
 	// Shed refuses without running.
 	Shed Fault = "shed"
+	// BrokenShed is Broken, and refuses unrun what goes on after an event;
+	// BrokenFailing answers 500 to that.
+	BrokenShed    Fault = "broken_shed"
+	BrokenFailing Fault = "broken_failing"
 	// LoseAnswer runs the request and closes the connection.
 	LoseAnswer Fault = "lose_answer"
 	// Crossed answers with the id of another request.
@@ -216,7 +220,7 @@
 		refused = http.StatusMisdirectedRequest
 	case hasVersion && version[0] != strconv.FormatInt(r.weights[h.Get("Model")], 10):
 		refused = http.StatusMisdirectedRequest
-	case r.fault == Shed:
+	case r.fault == Shed, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
 		refused = http.StatusServiceUnavailable
 	}
 	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0})
@@ -232,7 +236,7 @@
 	if fault != Unsealed {
 		h.Set("Response-Seal", "seal-"+r.ID)
 	}
-	if fault == Failing {
+	if fault == Failing || fault == BrokenFailing && req.Header.Get("Last-Event-Id") != "" {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
@@ -252,7 +256,7 @@
 	flush := http.NewResponseController(w)
 	for i := first; i <= Events; i++ {
 		time.Sleep(pace)
-		if fault == Broken && first == 1 && i == 3 {
+		if (fault == Broken || fault == BrokenShed || fault == BrokenFailing) && first == 1 && i == 3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", i)
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -241,6 +241,24 @@
 	}
 }
 
+// A stream breaks off after it has begun, and no other runner can go on with it:
+// all refuse, or answer with a failure of their own. Nothing but events may
+// follow in the answer, and it must not look whole.
+func TestBegunStreamEndsWithNothingElse(t *testing.T) {
+	for _, fault := range []runner.Fault{runner.BrokenShed, runner.BrokenFailing} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := newWorld(t)
+			for _, r := range w.runners {
+				r.SetFault(fault)
+			}
+			a := w.send("POST", "/draft/x", "", prompt())
+			if a.err == nil || !strings.HasPrefix(whole(), a.body) {
+				t.Errorf("got %q (%v)", a.body, a.err)
+			}
+		})
+	}
+}
+
 // The same fault on a stream that may not be resumed: the client's answer must
 // break off, so that it can't take it for whole, and nothing runs twice.
 func TestOtherStreamBreaksOff(t *testing.T) {
@@ -313,6 +331,21 @@
 	}
 }
 
+// One target runs a lookup and loses the answer, the other refuses unrun. The
+// client must not be told that nothing ran, in whichever order they were asked.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	w := newWorld(t)
+	w.desks[0].SetFault(runner.LoseAnswer)
+	w.desks[1].SetFault(runner.Shed)
+	for range 4 {
+		ran := len(w.ran(w.desks))
+		a := w.send("GET", "/stock/x", "", nil)
+		if len(w.ran(w.desks)) > ran && a.status != http.StatusBadGateway {
+			t.Errorf("answered %d after a run", a.status)
+		}
+	}
+}
+
 // Keys are added and taken away; nothing may run under one that is gone.
 func TestKeysComeAndGo(t *testing.T) {
 	w := newWorld(t)
--- a/router/session.go
+++ b/router/session.go
@@ -58,7 +58,7 @@
 	for {
 		choice, ok := s.choose()
 		if !ok {
-			return s.noTarget()
+			return s.giveUp(result{refused: s.noTarget()})
 		}
 		if refused := s.overloaded(choice); refused != nil {
 			return refused
@@ -86,6 +86,12 @@
 	if out.answer != nil {
 		return s.pass(out.answer)
 	}
+	if s.ran > 0 && out.refused.Outcome == refusal.NotRun {
+		// The last target did not run it, but an earlier one may have.
+		unknown := *out.refused
+		unknown.Outcome = refusal.Unknown
+		return &unknown
+	}
 	return out.refused
 }
 
@@ -158,6 +164,10 @@
 		f.Failed(choice.Runner.ID, time.Now())
 		return s.lost(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Runner.ID)
 	}
+	if s.begun && answer.Status >= 300 {
+		// The client has the head and the first events of another answer.
+		return s.lost(retry.Continued, "target %s answered %d in place of the rest of a stream", choice.Runner.ID, answer.Status)
+	}
 	if s.in.route.Kind == catalog.Stream && answer.Status < 300 {
 		return s.stream(choice, answer)
 	}
