Share the readings of cache events out among the entries

Cause: each of 21 entries read all 43 caches, 190 KB/s in bursts of a quarter of a second on links of 10 Mbit/s and cores of 0.144; the streams behind them came late. Change: beyond four entries each cache is read by two, by rendezvous of entry and address, which tell the others its changes and whether it answers. Up to four still read all. Whoever does not read a cache judges its silence by its readers' word.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -18,6 +18,11 @@
 	reading bool
 	// silent is set while the last reading got no answer.
 	silent bool
+	// unspread are the changes that this process's readings brought and that
+	// the other processes were not told of yet.
+	unspread []change
+	// words are what the processes that read it said last.
+	words map[string]word
 }
 
 func newCache() cache {
@@ -52,21 +57,37 @@
 	return tokens
 }
 
-// take takes the events that a reading brought.
-func (c *cache) take(e CacheEvents, now time.Time) {
-	if e.Boot == 0 {
+// change is one event of a cache, by the part's hash.
+type change struct {
+	part   Part
+	stored bool
+}
+
+// changes returns what events say, in their order.
+func changes(events []CacheEvent) []change {
+	out := make([]change, 0, len(events))
+	for _, e := range events {
+		hash := PartHash(prefix.Root(e.Salt), e.Part)
+		out = append(out, change{part: Part{Hash: hash, Tokens: e.Tokens}, stored: e.Stored})
+	}
+	return out
+}
+
+// take takes the changes up to the event before next of a cache's start.
+func (c *cache) take(boot, next int64, all []change, now time.Time) {
+	if boot == 0 {
 		return
 	}
-	if c.boot != 0 && c.boot != e.Boot {
+	if c.boot != 0 && c.boot != boot {
 		c.cached = newParts()
+		c.next = 0
 	}
-	c.boot, c.next = e.Boot, e.Next
-	for _, event := range e.Events {
-		hash := PartHash(prefix.Root(event.Salt), event.Part)
-		if event.Stored {
-			c.cached.use(hash, event.Tokens, c.capacity, now)
+	c.boot, c.next = boot, max(c.next, next)
+	for _, e := range all {
+		if e.stored {
+			c.cached.use(e.part.Hash, e.part.Tokens, c.capacity, now)
 		} else {
-			c.cached.forget(hash)
+			c.cached.forget(e.part.Hash)
 		}
 	}
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -52,19 +52,13 @@
 	// readEvery is the pause between two readings of one runner; events come
 	// some 80 ms late anyway, and prompts take longer to read than that.
 	readEvery = 250 * time.Millisecond
-	// readPerSharer stretches the pause where many processes read: a runner
-	// holds no more than a dozen readings, some no more than eight, at once, and
-	// more count as probes.
-	readPerSharer = 80 * time.Millisecond
 	// readWait is how long a runner without news holds a reading back; shorter
 	// ones count as probes.
 	readWait = 200 * time.Millisecond
 )
 
-// readersMost is how many processes may read the same runners. Beyond, each comes
-// round so seldom that its connections have ended meanwhile and its news is older
-// than what the processes tell each other; at 300 entries before 3,000 runners
-// the readings made 634 new connections a second and 136 MB at each entry.
+// readersMost is how many processes there may be for caches to be read. Beyond,
+// each tells too few of the others for the news to reach them all.
 const readersMost = 40
 
 // Run reads until ctx ends.
@@ -73,9 +67,8 @@
 		for _, s := range w.fleet.dueForEvents() {
 			go w.read(ctx, s)
 		}
-		pause := max(readEvery, time.Duration(w.fleet.Sharers())*readPerSharer)
 		select {
-		case <-time.After(pause):
+		case <-time.After(readEvery):
 		case <-ctx.Done():
 		}
 	}
@@ -89,22 +82,24 @@
 }
 
 // dueForEvents returns the runners of models, and the stores of kept KV cache,
-// that are not being read now.
+// that are this process's to read and are not being read now.
 func (f *Fleet) dueForEvents() []due {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.sharers > readersMost {
+	if f.members.count() > readersMost {
 		f.unread()
 		return nil
 	}
 	var out []due
 	for _, s := range f.states {
-		if len(s.weights) > 0 && !s.runner.Draining {
+		if len(s.weights) > 0 && !s.runner.Draining && f.members.reads(s.runner.Address) {
 			out = s.cache.due(out, s.runner.Address)
 		}
 	}
 	for address, k := range f.stores {
-		out = k.cache.due(out, address)
+		if f.members.reads(address) {
+			out = k.cache.due(out, address)
+		}
 	}
 	return out
 }
@@ -138,7 +133,13 @@
 	defer f.mu.Unlock()
 	c.reading = false
 	c.silent = !ok
-	if ok {
-		c.take(e, now)
+	c.words = nil
+	if !ok {
+		return
+	}
+	all := changes(e.Events)
+	c.take(e.Boot, e.Next, all, now)
+	if f.members.split() {
+		c.unspread = append(c.unspread, all...)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,9 +43,11 @@
 	states   map[string]*state
 	services map[string]*group
 	stores   map[string]*keptStore
-	named    map[string]*history
-	sharers  int
-	zone     string
+	// addressed are the targets by address.
+	addressed map[string]*state
+	named     map[string]*history
+	members   members
+	zone      string
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -57,12 +59,12 @@
 // New returns an empty view of a process in zone.
 func New(zone string) *Fleet {
 	return &Fleet{
-		states:   map[string]*state{},
-		services: map[string]*group{},
-		stores:   map[string]*keptStore{},
-		named:    map[string]*history{},
-		sharers:  1,
-		zone:     zone,
+		states:    map[string]*state{},
+		services:  map[string]*group{},
+		stores:    map[string]*keptStore{},
+		addressed: map[string]*state{},
+		named:     map[string]*history{},
+		zone:      zone,
 	}
 }
 
@@ -71,20 +73,6 @@
 // runner fed back on what they measure; docs/design/fleet.md has the trial.
 const prefillRate = 80000
 
-// SetSharers says how many processes send to the same targets.
-func (f *Fleet) SetSharers(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.sharers = max(1, n)
-}
-
-// Sharers returns how many processes send to the same targets.
-func (f *Fleet) Sharers() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.sharers
-}
-
 // Put takes a target's entry of the list.
 func (f *Fleet) Put(r Runner) {
 	f.mu.Lock()
@@ -133,7 +121,9 @@
 // regroup sorts targets under their services.
 func (f *Fleet) regroup() {
 	services := map[string]*group{}
+	f.addressed = make(map[string]*state, len(f.states))
 	for _, s := range f.states {
+		f.addressed[s.runner.Address] = s
 		g := services[s.runner.Service]
 		if g == nil {
 			g = &group{}
--- /dev/null
+++ b/fleet/readers.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"acaciakeel/prefix"
+)
+
+// members are the processes that send to the same targets.
+type members struct {
+	self uint64
+	all  []uint64
+}
+
+// Figures of who reads which cache's events.
+const (
+	// allReadMost is up to how many processes each reads all caches itself. A
+	// reading by each of 21 took 190 KB/s and came in bursts of a quarter of a
+	// second on links of 10 Mbit/s, behind which streams stood.
+	allReadMost = 4
+	// readersEach is how many of more processes read the same cache: one may be
+	// frozen or cut off until its lease ends.
+	readersEach = 2
+)
+
+// SetMembers says which processes send to the same targets, and which of them
+// is this one.
+func (f *Fleet) SetMembers(self string, names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members.self = prefix.NameHash(self)
+	f.members.all = f.members.all[:0]
+	for _, name := range names {
+		f.members.all = append(f.members.all, prefix.NameHash(name))
+	}
+}
+
+// Sharers returns how many processes send to the same targets.
+func (f *Fleet) Sharers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.count()
+}
+
+func (m *members) count() int {
+	return max(1, len(m.all))
+}
+
+// split reports whether the processes share the readings out among them.
+func (m *members) split() bool {
+	return len(m.all) > allReadMost
+}
+
+// reads reports whether this process reads the cache at address: it does if it
+// is among the first in the order that all processes find for that address.
+func (m *members) reads(address string) bool {
+	if !m.split() {
+		return true
+	}
+	if !slices.Contains(m.all, m.self) {
+		return false
+	}
+	hash := prefix.NameHash(address)
+	own, before := prefix.Score(m.self, hash), 0
+	for _, other := range m.all {
+		if prefix.Score(other, hash) > own {
+			before++
+		}
+	}
+	return before < readersEach
+}
+
+// CacheNews is what a process's readings of one cache brought, told to those
+// that do not read it.
+type CacheNews struct {
+	Address string
+	// Boot and Next are those of the last reading.
+	Boot int64
+	Next int64
+	// Stored are the parts that came, Dropped the hashes of those that left.
+	Stored  []Part
+	Dropped []uint64
+	// Silent is set where the last reading got no answer.
+	Silent bool
+}
+
+// word is what another process said of whether a cache's owner answers.
+type word struct {
+	silent bool
+	at     time.Time
+}
+
+// News returns what this process's readings brought since the last call, to be
+// told to the other processes; nothing where each reads for itself.
+func (f *Fleet) News() []CacheNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.members.split() {
+		return nil
+	}
+	var out []CacheNews
+	for _, s := range f.states {
+		out = f.newsOf(out, &s.cache, s.runner.Address)
+	}
+	for address, k := range f.stores {
+		out = f.newsOf(out, &k.cache, address)
+	}
+	return out
+}
+
+func (f *Fleet) newsOf(out []CacheNews, c *cache, address string) []CacheNews {
+	if !f.members.reads(address) || (c.boot == 0 && !c.silent) {
+		c.unspread = nil
+		return out
+	}
+	news := CacheNews{Address: address, Boot: c.boot, Next: c.next, Silent: c.silent}
+	for _, e := range lastOfEach(c.unspread) {
+		if e.stored {
+			news.Stored = append(news.Stored, e.part)
+		} else {
+			news.Dropped = append(news.Dropped, e.part.Hash)
+		}
+	}
+	c.unspread = nil
+	return append(out, news)
+}
+
+// lastOfEach returns the last change of each part, in order.
+func lastOfEach(all []change) []change {
+	last := make(map[uint64]int, len(all))
+	for i, e := range all {
+		last[e.part.Hash] = i
+	}
+	out := make([]change, 0, len(last))
+	for _, i := range last {
+		out = append(out, all[i])
+	}
+	slices.SortFunc(out, func(a, b change) int { return cmp.Compare(last[a.part.Hash], last[b.part.Hash]) })
+	return out
+}
+
+// HeardCaches takes what another process's readings brought.
+func (f *Fleet) HeardCaches(sender string, all []CacheNews, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range all {
+		if c := f.cacheAt(n.Address); c != nil {
+			c.hear(sender, n, f.members.reads(n.Address), now)
+		}
+	}
+}
+
+func (f *Fleet) cacheAt(address string) *cache {
+	if s := f.addressed[address]; s != nil {
+		return &s.cache
+	}
+	if k := f.stores[address]; k != nil {
+		return &k.cache
+	}
+	return nil
+}
+
+// hear takes another process's news of a cache. Whether its owner answers a
+// process judges itself where it reads the cache too.
+func (c *cache) hear(sender string, n CacheNews, reads bool, now time.Time) {
+	if n.Boot != c.boot || n.Next > c.next {
+		all := make([]change, 0, len(n.Stored)+len(n.Dropped))
+		for _, hash := range n.Dropped {
+			all = append(all, change{part: Part{Hash: hash}})
+		}
+		for _, p := range n.Stored {
+			all = append(all, change{part: p, stored: true})
+		}
+		c.take(n.Boot, n.Next, all, now)
+	}
+	if reads {
+		return
+	}
+	if c.words == nil {
+		c.words = map[string]word{}
+	}
+	c.words[sender] = word{silent: n.Silent, at: now}
+	c.silent = allSilent(c.words, now)
+}
+
+// allSilent reports whether all who said something lately got no answer: one
+// that got some may be the only one that is not cut off itself.
+func allSilent(words map[string]word, now time.Time) bool {
+	for _, w := range words {
+		if !w.silent && now.Sub(w.at) < useValid {
+			return false
+		}
+	}
+	return true
+}
--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,7 @@
 		lapsed:  map[string]*time.Timer{},
 		keys:    ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/"},
 	}
+	n.view.self = n.view.keys.members + n.name
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
@@ -210,7 +211,7 @@
 
 // enrol puts the node among the members under a new lease.
 func (n *Node) enrol(ctx context.Context, id store.LeaseID) {
-	key := n.view.keys.members + n.name
+	key := n.view.self
 	_, err := n.store.Put(ctx, key, []byte("http://"+n.doors.peers.address), 0, id)
 	if err != nil {
 		n.log.WithError(err).WithField("event", "enrol_failed").Warn("the others count this node out until its next lease")
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -47,7 +47,7 @@
 
 func (s *sharing) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		peers := told(s.name, s.view.peers(s.name))
+		peers := told(s.name, s.view.peers())
 		if len(peers) > 0 {
 			s.tell(ctx, peers)
 		}
@@ -84,7 +84,7 @@
 }
 
 func (s *sharing) tell(ctx context.Context, peers []string) {
-	request := &keelv1.ShareRequest{Sender: s.name, Uses: encodeUses(s.fleet.Uses(time.Now()))}
+	request := &keelv1.ShareRequest{Sender: s.name, Uses: encodeUses(s.fleet.Uses(time.Now())), Caches: encodeCaches(s.fleet.News())}
 	keep := make(map[string]bool, len(peers))
 	for _, url := range peers {
 		keep[url] = true
@@ -105,7 +105,9 @@
 
 // Share implements keelv1connect.PeerServiceHandler.
 func (s *sharing) Share(_ context.Context, r *connect.Request[keelv1.ShareRequest]) (*connect.Response[keelv1.ShareResponse], error) {
-	s.fleet.Heard(r.Msg.Sender, decodeUses(r.Msg.Uses), time.Now())
+	now := time.Now()
+	s.fleet.Heard(r.Msg.Sender, decodeUses(r.Msg.Uses), now)
+	s.fleet.HeardCaches(r.Msg.Sender, decodeCaches(r.Msg.Caches), now)
 	return connect.NewResponse(&keelv1.ShareResponse{}), nil
 }
 
@@ -145,14 +147,44 @@
 		for _, l := range w.Weights {
 			u.Weights[l.Model] = l.Version
 		}
-		for i := range min(len(w.PartHash), len(w.PartTokens)) {
-			u.Parts = append(u.Parts, fleet.Part{Hash: w.PartHash[i], Tokens: int(w.PartTokens[i])})
-		}
+		u.Parts = decodeParts(w.PartHash, w.PartTokens)
 		out = append(out, u)
 	}
 	return out
 }
 
+func decodeParts(hashes []uint64, tokens []uint32) []fleet.Part {
+	var out []fleet.Part
+	for i := range min(len(hashes), len(tokens)) {
+		out = append(out, fleet.Part{Hash: hashes[i], Tokens: int(tokens[i])})
+	}
+	return out
+}
+
+func encodeCaches(all []fleet.CacheNews) []*keelv1.CacheNews {
+	out := make([]*keelv1.CacheNews, 0, len(all))
+	for _, n := range all {
+		w := &keelv1.CacheNews{Address: n.Address, Boot: n.Boot, Next: n.Next, DroppedHash: n.Dropped, Silent: n.Silent}
+		for _, p := range n.Stored {
+			w.StoredHash = append(w.StoredHash, p.Hash)
+			w.StoredTokens = append(w.StoredTokens, uint32(p.Tokens))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeCaches(all []*keelv1.CacheNews) []fleet.CacheNews {
+	out := make([]fleet.CacheNews, 0, len(all))
+	for _, w := range all {
+		out = append(out, fleet.CacheNews{
+			Address: w.Address, Boot: w.Boot, Next: w.Next, Silent: w.Silent,
+			Stored: decodeParts(w.StoredHash, w.StoredTokens), Dropped: w.DroppedHash,
+		})
+	}
+	return out
+}
+
 // peerAddress is where the node serves its peers: the first of the ports that
 // the platform leaves to the system's own messages.
 func (n *Node) peerAddress() string {
--- a/node/view.go
+++ b/node/view.go
@@ -3,6 +3,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +33,9 @@
 
 	config atomic.Pointer[catalog.Config]
 
+	// self is this node's key among the members.
+	self string
+
 	mu sync.Mutex
 	// members are the nodes that serve, each with the URL of its peer service.
 	members map[string]string
@@ -176,7 +181,7 @@
 	} else {
 		v.members[key] = value
 	}
-	v.fleet.SetSharers(len(v.members))
+	v.fleet.SetMembers(v.self, slices.Collect(maps.Keys(v.members)))
 }
 
 // OwnRelisted implements platform.View.
@@ -191,16 +196,16 @@
 			delete(v.members, key)
 		}
 	}
-	v.fleet.SetSharers(len(v.members))
+	v.fleet.SetMembers(v.self, slices.Collect(maps.Keys(v.members)))
 }
 
 // peers returns the URLs of the other nodes' peer services.
-func (v *view) peers(self string) []string {
+func (v *view) peers() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []string
 	for key, url := range v.members {
-		if key != v.keys.members+self {
+		if key != v.self {
 			out = append(out, url)
 		}
 	}
