Tell the load of targets by datagrams, many times a second

Cause: at 21 entries each heard of the others' load every 800 ms, while the prompts that wait at a runner change within 50; the choice was blind, prompts stood behind each other and long runs overfilled runners (75 on 64 slots).

--- a/api/keel/v1/keelv1connect/keel.connect.go
+++ b/api/keel/v1/keelv1connect/keel.connect.go
@@ -289,7 +289,7 @@
 
 // PeerServiceClient is a client for the keel.v1.PeerService service.
 type PeerServiceClient interface {
-	// Share tells what the sender sees of the targets that it sends to.
+	// Share tells what the sender learnt of targets and caches.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
@@ -325,7 +325,7 @@
 
 // PeerServiceHandler is an implementation of the keel.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Share tells what the sender sees of the targets that it sends to.
+	// Share tells what the sender learnt of targets and caches.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,7 +22,7 @@
 	// long counts those of them that hold a slot for seconds.
 	long int
 	// others is what each other process said of its own part.
-	others map[string]shared
+	others map[string]told
 	load   Load
 	loadAt time.Time
 	// ownAtLoad is inflight as of load, to tell others' requests from one's own.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -96,7 +96,8 @@
 	chain := query().Chain(1)
 	shared := Part{Hash: chain.Boundaries[0].Hash, Tokens: 6000}
 	f.states["a"].capacity = 100000
-	f.Heard("other", []Use{{Target: "a", Parts: []Part{shared}, Prefill: 900000}}, start)
+	f.HeardFindings([]Finding{{Target: "a", Parts: []Part{shared}}}, start)
+	f.HeardLoad("other", []Occupancy{{Target: "a", Inflight: 1, Prefill: 900000}}, start)
 	c, _ := f.Choose(query(), start)
 	if c.Runner.ID != "b" || c.Source != "a:1" {
 		t.Errorf("chose %s with source %q, want the idle b that fetches from a", c.Runner.ID, c.Source)
@@ -154,7 +155,7 @@
 	f := named(New("z"), runner("a", 1), runner("b", 1))
 	first, _ := f.Choose(query(), start)
 	other := map[string]string{"a": "b", "b": "a"}[first.Runner.ID]
-	f.Heard("peer", []Use{{Target: first.Runner.ID, Inflight: 7, Long: 60}}, start)
+	f.HeardLoad("peer", []Occupancy{{Target: first.Runner.ID, Inflight: 7, Long: 60}}, start)
 	if c, _ := f.Choose(query(), start); c.Runner.ID != other {
 		t.Errorf("chose %s, where 60 long runs stand still", c.Runner.ID)
 	}
--- /dev/null
+++ b/fleet/occupancy.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Occupancy is one process's part of a target's load.
+type Occupancy struct {
+	Target string
+	// Inflight counts requests, Long those of them that take seconds.
+	Inflight int
+	Long     int
+	// Prefill is the prompt tokens that are still to be read.
+	Prefill int
+}
+
+// occupancyValid is for how long another process's word about its load counts. It
+// outlasts a few lost messages.
+const occupancyValid = 1500 * time.Millisecond
+
+// Occupied returns this process's part of the load of the most targets that it
+// uses, those with the most to read first.
+func (f *Fleet) Occupied(most int) []Occupancy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Occupancy
+	for id, s := range f.states {
+		if s.inflight > 0 {
+			out = append(out, Occupancy{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill})
+		}
+	}
+	slices.SortFunc(out, func(a, b Occupancy) int {
+		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(b.Inflight, a.Inflight), cmp.Compare(a.Target, b.Target))
+	})
+	return out[:min(most, len(out))]
+}
+
+// HeardLoad takes another process's whole part of the load.
+func (f *Fleet) HeardLoad(sender string, all []Occupancy, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		delete(s.others, sender)
+	}
+	for _, o := range all {
+		s := f.states[o.Target]
+		if s == nil {
+			continue
+		}
+		if s.others == nil {
+			s.others = map[string]told{}
+		}
+		s.others[sender] = told{load: o, at: now}
+	}
+}
+
+// told is what another process said of one target.
+type told struct {
+	load Occupancy
+	at   time.Time
+}
+
+// sum is a target's load over all processes, as far as they told.
+type sum struct {
+	inflight int
+	long     int
+	prefill  int
+}
+
+func (s *state) sum(now time.Time) sum {
+	total := sum{inflight: s.inflight, long: s.long, prefill: s.prefill}
+	for _, o := range s.others {
+		if now.Sub(o.at) < occupancyValid {
+			total.inflight += o.load.Inflight
+			total.long += o.load.Long
+			total.prefill += o.load.Prefill
+		}
+	}
+	return total
+}
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -23,6 +23,9 @@
 	// readersEach is how many of more processes read the same cache: one may be
 	// frozen or cut off until its lease ends.
 	readersEach = 2
+	// wordValid is for how long a reader's word that a cache's owner answers
+	// counts: until two further tellings should have come.
+	wordValid = 1500 * time.Millisecond
 )
 
 // SetMembers says which processes send to the same targets, and which of them
@@ -189,7 +192,7 @@
 // that got some may be the only one that is not cut off itself.
 func allSilent(words map[string]word, now time.Time) bool {
 	for _, w := range words {
-		if !w.silent && now.Sub(w.at) < useValid {
+		if !w.silent && now.Sub(w.at) < wordValid {
 			return false
 		}
 	}
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -83,7 +83,9 @@
 // stored and dropped again between two tellings is not held.
 func TestNewsOfCachesIsTold(t *testing.T) {
 	reader, other := pair(t)
-	stored := func(part string, on bool) CacheEvent { return CacheEvent{Stored: on, Salt: "s", Part: part, Tokens: 100} }
+	stored := func(part string, on bool) CacheEvent {
+		return CacheEvent{Stored: on, Salt: "s", Part: part, Tokens: 100}
+	}
 	events := CacheEvents{Boot: 7, Next: 4, Events: []CacheEvent{stored("x", true), stored("y", true), stored("x", false)}}
 	reader.took(&reader.states["a"].cache, events, true, start)
 	news := reader.News()
--- a/node/node.go
+++ b/node/node.go
@@ -154,12 +154,17 @@
 	if n.doors.peers, err = listen(n.peerAddress(), link.NewServer(n.sharing.handler())); err != nil {
 		return err
 	}
+	pulse, err := n.listenPulse()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	duties, endDuties := context.WithCancel(ctx)
 	n.cancel, n.endDuties = cancel, endDuties
 	go n.view.follower.Run(ctx)
 	go n.events.Run(ctx)
 	go n.sharing.run(ctx)
+	go pulse.run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -18,8 +18,8 @@
 	"acaciakeel/prefix"
 )
 
-// sharing tells the other nodes what this one sends where, and takes what they
-// tell. Nothing rests on it: without it each node goes by what it sees itself.
+// sharing tells the other nodes what this one learnt, and takes what they tell.
+// Nothing rests on it: without it each node goes by what it sees itself.
 type sharing struct {
 	name  string
 	fleet *fleet.Fleet
@@ -84,7 +84,7 @@
 }
 
 func (s *sharing) tell(ctx context.Context, peers []string) {
-	request := &keelv1.ShareRequest{Sender: s.name, Uses: encodeUses(s.fleet.Uses(time.Now())), Caches: encodeCaches(s.fleet.News())}
+	request := &keelv1.ShareRequest{Sender: s.name, Findings: encodeFindings(s.fleet.Findings(time.Now())), Caches: encodeCaches(s.fleet.News())}
 	keep := make(map[string]bool, len(peers))
 	for _, url := range peers {
 		keep[url] = true
@@ -106,25 +106,19 @@
 // Share implements keelv1connect.PeerServiceHandler.
 func (s *sharing) Share(_ context.Context, r *connect.Request[keelv1.ShareRequest]) (*connect.Response[keelv1.ShareResponse], error) {
 	now := time.Now()
-	s.fleet.Heard(r.Msg.Sender, decodeUses(r.Msg.Uses), now)
+	s.fleet.HeardFindings(decodeFindings(r.Msg.Findings), now)
 	s.fleet.HeardCaches(r.Msg.Sender, decodeCaches(r.Msg.Caches), now)
 	return connect.NewResponse(&keelv1.ShareResponse{}), nil
 }
 
-func encodeUses(uses []fleet.Use) []*keelv1.TargetUse {
-	out := make([]*keelv1.TargetUse, 0, len(uses))
-	for _, u := range uses {
-		w := &keelv1.TargetUse{
-			Target:        u.Target,
-			Inflight:      uint32(u.Inflight),
-			Long:          uint32(u.Long),
-			PrefillTokens: uint32(max(0, u.Prefill)),
-			BusyMs:        uint32(u.Busy.Milliseconds()),
-		}
-		for model, version := range u.Weights {
+func encodeFindings(all []fleet.Finding) []*keelv1.TargetFinding {
+	out := make([]*keelv1.TargetFinding, 0, len(all))
+	for _, found := range all {
+		w := &keelv1.TargetFinding{Target: found.Target, BusyMs: uint32(found.Busy.Milliseconds())}
+		for model, version := range found.Weights {
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
-		for _, p := range u.Parts {
+		for _, p := range found.Parts {
 			w.PartHash = append(w.PartHash, p.Hash)
 			w.PartTokens = append(w.PartTokens, uint32(p.Tokens))
 		}
@@ -133,22 +127,19 @@
 	return out
 }
 
-func decodeUses(uses []*keelv1.TargetUse) []fleet.Use {
-	out := make([]fleet.Use, 0, len(uses))
-	for _, w := range uses {
-		u := fleet.Use{
-			Target:   w.Target,
-			Inflight: int(w.Inflight),
-			Long:     int(w.Long),
-			Prefill:  int(w.PrefillTokens),
-			Weights:  map[string]int64{},
-			Busy:     time.Duration(w.BusyMs) * time.Millisecond,
+func decodeFindings(all []*keelv1.TargetFinding) []fleet.Finding {
+	out := make([]fleet.Finding, 0, len(all))
+	for _, w := range all {
+		found := fleet.Finding{
+			Target:  w.Target,
+			Weights: map[string]int64{},
+			Busy:    time.Duration(w.BusyMs) * time.Millisecond,
+			Parts:   decodeParts(w.PartHash, w.PartTokens),
 		}
 		for _, l := range w.Weights {
-			u.Weights[l.Model] = l.Version
+			found.Weights[l.Model] = l.Version
 		}
-		u.Parts = decodeParts(w.PartHash, w.PartTokens)
-		out = append(out, u)
+		out = append(out, found)
 	}
 	return out
 }
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,4 +12,5 @@
 for target in FuzzDecodeHead FuzzParsePrefix FuzzParseTokenCount FuzzDecodeConfig FuzzDecodeCacheEvent; do
   go test ./platform -run xxx -fuzz "^$target\$" -fuzztime "${SECONDS_EACH:-15}s"
 done
+go test ./node -run xxx -fuzz '^FuzzPulse$' -fuzztime "${SECONDS_EACH:-15}s"
 go test ./router -run xxx -fuzz '^FuzzReadEvent$' -fuzztime "${SECONDS_EACH:-15}s"
