--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -11,9 +11,9 @@
 // Figures of where long runs go.
 const (
 	// denseShare is the part of a runner's slots that long runs fill before the
-	// next runner gets some: the rest is for what the others sent meanwhile and
-	// for short runs.
-	denseShare = 0.7
+	// next runner gets some: the rest is for what the others sent within the last
+	// pulse. The fewer runners hold long runs, the more memory is left to prompts.
+	denseShare = 0.9
 	// ownShare is how many times its even part of that one process fills: what
 	// the others sent in the meantime it does not know, and were all to fill the
 	// same runner until they hear of each other, it would overflow.
