Weigh the time that a store's link is taken by a transfer to another zone

Change: the part of the transfer that another zone adds counts as cost of the runner. Test: TestFetchStaysInTheStoresZone, which fails without the change.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,10 +95,12 @@
 	// Engine is nil for plain services.
 	Engine *Engine
 	// KVStore is the address of a store of kept KV cache, which is no target;
-	// empty for other services. Zone is where it stands, KVTokens its room.
-	KVStore  string
-	Zone     string
-	KVTokens int
+	// empty for other services. Zone is where it stands, KVTokens its room,
+	// KVLinkMbps its link.
+	KVStore    string
+	Zone       string
+	KVTokens   int
+	KVLinkMbps float64
 }
 
 // Customer is one holder of keys.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -18,6 +18,8 @@
 	Long bool
 	// Tried are targets that must not be chosen again.
 	Tried []string
+	// TokenBytes is the size of one token's KV cache.
+	TokenBytes int
 	// OldWeightsFor is for how long after newer weights were named runners
 	// with older ones may begin requests.
 	OldWeightsFor time.Duration
@@ -239,6 +241,7 @@
 		PenaltySeconds: s.health.Penalty(now).Seconds(),
 		LinkSeconds:    f.linkCost(s).Seconds(),
 	}
+	a.LinkSeconds += f.farFetch(q, chain, s, a.CachedTokens).Seconds()
 	total := s.sum(now)
 	a.WaitSeconds = float64(total.prefill)/prefillRate + f.queueWait(s, now).Seconds()
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// Two runners may take a prompt that neither holds but a store does. Were the
+// zone of no account, every transfer from the store would cross zones for two
+// prompts in three, at twice the time of a link that all runners share.
+func TestFetchStaysInTheStoresZone(t *testing.T) {
+	near, far := runner("near", 1), runner("far", 1)
+	near.Zone, far.Zone = "store", "away"
+	for _, zone := range []string{"store", "away"} {
+		f := named(New(zone), near, far)
+		f.SetStores([]KeptStore{{Address: "s:1", Capacity: 1e6, Zone: "store", LinkMbps: 100000}})
+		q := query()
+		q.TokenBytes = 100000
+		if c, _ := f.Choose(q, start); c.Runner.ID != "near" {
+			t.Errorf("an entry in zone %s chose the runner %s", zone, c.Runner.ID)
+		}
+	}
+}
+
 // A prompt's shared parts are sent to the store once, by whoever reads them
 // first, and not again until the store had time to tell of them.
 func TestPromptIsSavedOnce(t *testing.T) {
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -11,13 +11,18 @@
 	cache
 	// saving is when each part was last sent there for the first time, until
 	// its event comes.
-	saving map[uint64]time.Time
+	saving   map[uint64]time.Time
+	zone     string
+	linkMbps float64
 }
 
-// KeptStore is the address of a store of kept KV cache and its room in tokens.
+// KeptStore is a store of kept KV cache.
 type KeptStore struct {
-	Address  string
+	Address string
+	// Capacity is its room in tokens.
 	Capacity int
+	Zone     string
+	LinkMbps float64
 }
 
 // SetStores says which stores of kept KV cache there are.
@@ -30,7 +35,7 @@
 		if have == nil {
 			have = &keptStore{cache: newCache(), saving: map[uint64]time.Time{}}
 		}
-		have.capacity = s.Capacity
+		have.capacity, have.zone, have.linkMbps = s.Capacity, s.Zone, s.LinkMbps
 		next[s.Address] = have
 	}
 	f.stores = next
@@ -60,6 +65,22 @@
 	return address
 }
 
+// farFetch returns how much longer a store's link is taken by what a runner
+// lacks of a prompt's shared parts where the runner stands in another zone: such
+// a transfer takes twice as long, and all runners share that link.
+func (f *Fleet) farFetch(q Query, chain prefix.Chain, s *state, cached int) time.Duration {
+	lacks := sharedTokens(chain) - cached
+	if lacks <= 0 {
+		return 0
+	}
+	_, k := f.storeOf(chain.Levels[len(chain.Levels)-1].Hash)
+	if k == nil || k.linkMbps <= 0 || k.zone == s.runner.Zone {
+		return 0
+	}
+	bits := float64(lacks) * float64(q.TokenBytes) * 8
+	return time.Duration(bits / (k.linkMbps * 1e6) * float64(time.Second))
+}
+
 // storeOf returns the store that keeps a part: the same one for all processes,
 // so that each part is kept once.
 func (f *Fleet) storeOf(part uint64) (string, *keptStore) {
--- a/node/view.go
+++ b/node/view.go
@@ -85,7 +85,7 @@
 	var stores []fleet.KeptStore
 	for _, s := range c.Services {
 		if s.KVStore != "" {
-			stores = append(stores, fleet.KeptStore{Address: s.KVStore, Capacity: s.KVTokens})
+			stores = append(stores, fleet.KeptStore{Address: s.KVStore, Capacity: s.KVTokens, Zone: s.Zone, LinkMbps: s.KVLinkMbps})
 		}
 	}
 	v.fleet.SetStores(stores)
--- a/router/session.go
+++ b/router/session.go
@@ -134,6 +134,7 @@
 	}
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
+		q.TokenBytes = in.service.Engine.TokenBytes
 		q.Long = in.long()
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
