One channel between entries: all they tell each other goes in datagrams

Cause: what one entry had read where reached the others after up to 800 ms, by calls that made a quarter of an entry's processor time, while a part stays in a runner's memory for one to two seconds; and two channels told of the same targets. Change: findings and cache news go with the load, in datagrams of a packet each; PeerService and its door go.

--- a/api/keel/v1/keelv1connect/keel.connect.go
+++ b/api/keel/v1/keelv1connect/keel.connect.go
@@ -27,8 +27,6 @@
 	AgentServiceName = "keel.v1.AgentService"
 	// ConfigServiceName is the fully-qualified name of the ConfigService service.
 	ConfigServiceName = "keel.v1.ConfigService"
-	// PeerServiceName is the fully-qualified name of the PeerService service.
-	PeerServiceName = "keel.v1.PeerService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -49,8 +47,6 @@
 	AgentServiceAbandonProcedure = "/keel.v1.AgentService/Abandon"
 	// ConfigServiceFetchProcedure is the fully-qualified name of the ConfigService's Fetch RPC.
 	ConfigServiceFetchProcedure = "/keel.v1.ConfigService/Fetch"
-	// PeerServiceShareProcedure is the fully-qualified name of the PeerService's Share RPC.
-	PeerServiceShareProcedure = "/keel.v1.PeerService/Share"
 )
 
 // AgentServiceClient is a client for the keel.v1.AgentService service.
@@ -286,75 +282,3 @@
 func (UnimplementedConfigServiceHandler) Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("keel.v1.ConfigService.Fetch is not implemented"))
 }
-
-// PeerServiceClient is a client for the keel.v1.PeerService service.
-type PeerServiceClient interface {
-	// Share tells what the sender learnt of targets and caches.
-	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
-}
-
-// NewPeerServiceClient constructs a client for the keel.v1.PeerService service. By default, it uses
-// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
-// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
-// connect.WithGRPCWeb() options.
-//
-// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
-// http://api.acme.com or https://acme.com/grpc).
-func NewPeerServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) PeerServiceClient {
-	baseURL = strings.TrimRight(baseURL, "/")
-	peerServiceMethods := v1.File_keel_v1_keel_proto.Services().ByName("PeerService").Methods()
-	return &peerServiceClient{
-		share: connect.NewClient[v1.ShareRequest, v1.ShareResponse](
-			httpClient,
-			baseURL+PeerServiceShareProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Share")),
-			connect.WithClientOptions(opts...),
-		),
-	}
-}
-
-// peerServiceClient implements PeerServiceClient.
-type peerServiceClient struct {
-	share *connect.Client[v1.ShareRequest, v1.ShareResponse]
-}
-
-// Share calls keel.v1.PeerService.Share.
-func (c *peerServiceClient) Share(ctx context.Context, req *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
-	return c.share.CallUnary(ctx, req)
-}
-
-// PeerServiceHandler is an implementation of the keel.v1.PeerService service.
-type PeerServiceHandler interface {
-	// Share tells what the sender learnt of targets and caches.
-	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
-}
-
-// NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
-// on which to mount the handler and the handler itself.
-//
-// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
-// and JSON codecs. They also support gzip compression.
-func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
-	peerServiceMethods := v1.File_keel_v1_keel_proto.Services().ByName("PeerService").Methods()
-	peerServiceShareHandler := connect.NewUnaryHandler(
-		PeerServiceShareProcedure,
-		svc.Share,
-		connect.WithSchema(peerServiceMethods.ByName("Share")),
-		connect.WithHandlerOptions(opts...),
-	)
-	return "/keel.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch r.URL.Path {
-		case PeerServiceShareProcedure:
-			peerServiceShareHandler.ServeHTTP(w, r)
-		default:
-			http.NotFound(w, r)
-		}
-	})
-}
-
-// UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
-type UnimplementedPeerServiceHandler struct{}
-
-func (UnimplementedPeerServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("keel.v1.PeerService.Share is not implemented"))
-}
--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -21,6 +21,9 @@
 	// unspread are the changes that this process's readings brought and that
 	// the other processes were not told of yet.
 	unspread []change
+	// spreadAt is when they were told last, spreadSilent what of silent then.
+	spreadAt     time.Time
+	spreadSilent bool
 	// words are what the processes that read it said last.
 	words map[string]word
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -57,9 +57,9 @@
 	readWait = 200 * time.Millisecond
 )
 
-// readersMost is how many processes there may be for caches to be read. Beyond,
+// ReadersMost is how many processes there may be for caches to be read. Beyond,
 // each tells too few of the others for the news to reach them all.
-const readersMost = 40
+const ReadersMost = 40
 
 // Run reads until ctx ends.
 func (w *EventWatch) Run(ctx context.Context) {
@@ -86,7 +86,7 @@
 func (f *Fleet) dueForEvents() []due {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members.count() > readersMost {
+	if f.members.count() > ReadersMost {
 		f.unread()
 		return nil
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,8 +33,10 @@
 	untold []Part
 	// learnt is when this process itself last saw that the weights had changed.
 	learnt time.Time
-	// busyUntil is until when an order is thought to keep new requests out.
-	busyUntil time.Time
+	// busyUntil is until when an order is thought to keep new requests out,
+	// metBusyUntil until when by what this process itself met.
+	busyUntil    time.Time
+	metBusyUntil time.Time
 }
 
 // Fleet is the view. It is safe for concurrent use.
@@ -103,7 +105,7 @@
 	// New weights make what was cached under older ones worthless.
 	s.cached = newParts()
 	s.untold = nil
-	s.busyUntil = time.Time{}
+	s.busyUntil, s.metBusyUntil = time.Time{}, time.Time{}
 	return true
 }
 
@@ -186,7 +188,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.states[id]; s != nil {
-		s.busyUntil = until
+		s.busyUntil, s.metBusyUntil = until, until
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -191,7 +191,7 @@
 		t.Fatalf("%d readings of one runner", n)
 	}
 	f.took(&f.states["a"].cache, CacheEvents{}, false, start)
-	f.SetMembers("m-0", memberNames(readersMost+1))
+	f.SetMembers("m-0", memberNames(ReadersMost+1))
 	if n := len(f.dueForEvents()); n != 0 {
 		t.Errorf("%d readings by one of many", n)
 	}
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -26,6 +26,8 @@
 	// wordValid is for how long a reader's word that a cache's owner answers
 	// counts: until two further tellings should have come.
 	wordValid = 1500 * time.Millisecond
+	// wordEvery is how often a reader says so where nothing changed.
+	wordEvery = 500 * time.Millisecond
 )
 
 // SetMembers says which processes send to the same targets, and which of them
@@ -96,8 +98,9 @@
 }
 
 // News returns what this process's readings brought since the last call, to be
-// told to the other processes; nothing where each reads for itself.
-func (f *Fleet) News() []CacheNews {
+// told to the other processes; nothing where each reads for itself. A cache
+// without changes is named now and then, as a sign that its owner answers.
+func (f *Fleet) News(now time.Time) []CacheNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.members.split() {
@@ -105,19 +108,23 @@
 	}
 	var out []CacheNews
 	for _, s := range f.states {
-		out = f.newsOf(out, &s.cache, s.runner.Address)
+		out = f.newsOf(out, &s.cache, s.runner.Address, now)
 	}
 	for address, k := range f.stores {
-		out = f.newsOf(out, &k.cache, address)
+		out = f.newsOf(out, &k.cache, address, now)
 	}
 	return out
 }
 
-func (f *Fleet) newsOf(out []CacheNews, c *cache, address string) []CacheNews {
+func (f *Fleet) newsOf(out []CacheNews, c *cache, address string, now time.Time) []CacheNews {
 	if !f.members.reads(address) || (c.boot == 0 && !c.silent) {
 		c.unspread = nil
 		return out
 	}
+	if len(c.unspread) == 0 && c.silent == c.spreadSilent && now.Sub(c.spreadAt) < wordEvery {
+		return out
+	}
+	c.spreadAt, c.spreadSilent = now, c.silent
 	news := CacheNews{Address: address, Boot: c.boot, Next: c.next, Silent: c.silent}
 	for _, e := range lastOfEach(c.unspread) {
 		if e.stored {
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -53,7 +53,7 @@
 		t.Errorf("%d readings, want both", n)
 	}
 	f.took(&f.states["a"].cache, CacheEvents{Boot: 1, Next: 2}, true, start)
-	if news := f.News(); len(news) != 0 {
+	if news := f.News(start); len(news) != 0 {
 		t.Errorf("news %+v though all read", news)
 	}
 }
@@ -88,7 +88,7 @@
 	}
 	events := CacheEvents{Boot: 7, Next: 4, Events: []CacheEvent{stored("x", true), stored("y", true), stored("x", false)}}
 	reader.took(&reader.states["a"].cache, events, true, start)
-	news := reader.News()
+	news := reader.News(start)
 	other.HeardCaches("reader", news, start)
 	hash := func(part string) uint64 { return changes([]CacheEvent{stored(part, true)})[0].part.Hash }
 	c := &other.states["a"].cache
@@ -112,7 +112,7 @@
 func TestSilenceIsTold(t *testing.T) {
 	reader, other := pair(t)
 	reader.took(&reader.states["a"].cache, CacheEvents{}, false, start)
-	other.HeardCaches("one", reader.News(), start)
+	other.HeardCaches("one", reader.News(start), start)
 	if !other.Silent("a") {
 		t.Fatal("the others did not hear that a is silent")
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -9,7 +9,9 @@
 type Finding struct {
 	Target  string
 	Weights map[string]int64
-	// Busy is for how long an order keeps new requests out.
+	// Busy is for how long an order keeps new requests out, as the process itself
+	// met it. Were it to pass on what it heard, each hop would add its delay, and
+	// the word would go round for good.
 	Busy time.Duration
 	// Parts are those that the process had read there since it told last.
 	Parts []Part
@@ -32,7 +34,7 @@
 	defer f.mu.Unlock()
 	var out []Finding
 	for id, s := range f.states {
-		found := Finding{Target: id, Busy: max(0, s.busyUntil.Sub(now))}
+		found := Finding{Target: id, Busy: max(0, s.metBusyUntil.Sub(now))}
 		news := now.Sub(s.learnt) < newsFor
 		if found.Busy == 0 && !news && len(s.untold) == 0 {
 			continue
--- a/link/link.go
+++ b/link/link.go
@@ -76,7 +76,6 @@
 type Clients struct {
 	Agent     keelv1connect.AgentServiceClient
 	Config    keelv1connect.ConfigServiceClient
-	Peer      keelv1connect.PeerServiceClient
 	transport *http.Transport
 }
 
@@ -136,7 +135,6 @@
 	return &Clients{
 		Agent:     keelv1connect.NewAgentServiceClient(client, p.url),
 		Config:    keelv1connect.NewConfigServiceClient(client, p.url),
-		Peer:      keelv1connect.NewPeerServiceClient(client, p.url),
 		transport: transport,
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
 	"acaciakeel/lease"
-	"acaciakeel/link"
 	"acaciakeel/platform"
 	"acaciakeel/rollout"
 	"acaciakeel/router"
@@ -33,11 +32,11 @@
 	store    *platform.Store
 	front    *platform.Front
 	events   *fleet.EventWatch
-	sharing  *sharing
+	pulse    *pulse
 	name     string
 	stopping chan struct{}
 	options  Options
-	doors    struct{ front, ready, metrics, peers door }
+	doors    struct{ front, ready, metrics door }
 	// cancel ends all the node does, endDuties what it does for others.
 	cancel    context.CancelFunc
 	endDuties context.CancelFunc
@@ -106,8 +105,8 @@
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
-	n.sharing = newSharing(n.name, targets, n.view)
-	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.sharing.soon, log)
+	n.pulse = newPulse(n.name, targets, n.view, log)
+	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.registerGauges()
 	n.events = fleet.NewEventWatch(targets, runners)
@@ -151,11 +150,7 @@
 	if n.doors.metrics, err = listen(n.metricsAddress(), newServer(n.metricsHandler())); err != nil {
 		return err
 	}
-	if n.doors.peers, err = listen(n.peerAddress(), link.NewServer(n.sharing.handler())); err != nil {
-		return err
-	}
-	pulse, err := n.listenPulse()
-	if err != nil {
+	if err = n.pulse.listen(n.pulseAddress()); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -163,8 +158,7 @@
 	n.cancel, n.endDuties = cancel, endDuties
 	go n.view.follower.Run(ctx)
 	go n.events.Run(ctx)
-	go n.sharing.run(ctx)
-	go pulse.run(ctx)
+	go n.pulse.run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
@@ -179,7 +173,7 @@
 	// seat again meanwhile, its orders would stand still until that lapses.
 	n.endDuties()
 	n.shutdown(n.doors.front)
-	for _, d := range []door{n.doors.front, n.doors.ready, n.doors.metrics, n.doors.peers} {
+	for _, d := range []door{n.doors.front, n.doors.ready, n.doors.metrics} {
 		_ = d.server.Close()
 	}
 }
@@ -217,7 +211,7 @@
 // enrol puts the node among the members under a new lease.
 func (n *Node) enrol(ctx context.Context, id store.LeaseID) {
 	key := n.view.self
-	_, err := n.store.Put(ctx, key, []byte("http://"+n.doors.peers.address), 0, id)
+	_, err := n.store.Put(ctx, key, []byte(n.pulse.address()), 0, id)
 	if err != nil {
 		n.log.WithError(err).WithField("event", "enrol_failed").Warn("the others count this node out until its next lease")
 	}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
-	"strings"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,57 +16,105 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/prefix"
 )
 
-// pulse tells the other nodes, many times a second and by datagrams, this one's
-// part of the targets' load, and takes theirs. A choice is as good as what it
-// knows of the prompts that wait at each target, which changes within tens of
-// milliseconds; a call by HTTP each time costs a small machine ten times as
-// much. A datagram that is lost leaves the one before it in force.
+// pulse tells the other nodes, many times a second and by datagrams, what this
+// one sends where and what it learnt, and takes what they tell. A choice is as
+// good as what it knows of the prompts that wait at each target, which changes
+// within tens of milliseconds; a call by HTTP each time costs a small machine
+// ten times as much. Nothing rests on a pulse: a lost one leaves the one before
+// it in force, and without any each node goes by what it sees itself.
 type pulse struct {
 	name  string
 	fleet *fleet.Fleet
 	view  *view
 	log   logrus.FieldLogger
+	now   chan struct{}
 	conn  *net.UDPConn
 }
 
+func newPulse(name string, f *fleet.Fleet, v *view, log logrus.FieldLogger) *pulse {
+	return &pulse{name: name, fleet: f, view: v, log: log, now: make(chan struct{}, 1)}
+}
+
 // Figures of the pulse.
 const (
 	// pulseEvery is the pause between two pulses, and pulsePerPeer stretches it
 	// where there are many: a node then sends and gets about 200 datagrams a
-	// second, 60 KB/s, however many there are.
+	// second, 60 to 100 KB/s, however many there are.
 	pulseEvery   = 50 * time.Millisecond
 	pulsePerPeer = 5 * time.Millisecond
+	// pulseSlow is the pause in fleets so large that each node hears of a small
+	// part of the others only: 24 peers and 500 bytes then make 12 KB/s.
+	pulseSlow = time.Second
+	// pulseGather is how long news that is to go out at once waits for more.
+	pulseGather = 20 * time.Millisecond
 	// pulseLoads is how many targets a pulse names: about as many fit one packet.
 	pulseLoads = 56
-	// pulseBytes bounds a datagram that is read.
-	pulseBytes = 4 << 10
+	// pulseBytes bounds a datagram that is read: the most that UDP carries.
+	pulseBytes = 64 << 10
+	// peersMost is how many peers a node tells: all of them in fleets of today. In
+	// larger ones the cost of a node is bounded, and each hears of about as many.
+	peersMost = 24
 )
 
-// listenPulse opens the socket of pulses beside the peers' door: same address,
-// same number of port.
-func (n *Node) listenPulse() (*pulse, error) {
-	address, err := netip.ParseAddrPort(n.doors.peers.address)
+// told returns the peers that a node tells, the same ones as long as they are
+// there, so that each hears the same nodes all the time.
+func told(self string, peers []string) []string {
+	hash := prefix.NameHash(self)
+	slices.SortFunc(peers, func(a, b string) int {
+		return cmp.Compare(prefix.Score(prefix.NameHash(a), hash), prefix.Score(prefix.NameHash(b), hash))
+	})
+	return peers[:min(peersMost, len(peers))]
+}
+
+// pulsePause returns the pause between two pulses of a node with so many peers.
+func pulsePause(peers int) time.Duration {
+	if peers > fleet.ReadersMost {
+		return pulseSlow
+	}
+	return max(pulseEvery, time.Duration(peers)*pulsePerPeer)
+}
+
+// soon makes the next pulse go out at once.
+func (p *pulse) soon() {
+	select {
+	case p.now <- struct{}{}:
+	default:
+	}
+}
+
+// listen opens the socket.
+func (p *pulse) listen(address string) error {
+	at, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for datagrams: %w", err)
+		return fmt.Errorf("listen for datagrams: %w; mend ip and port_range of the settings", err)
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
-		return nil, fmt.Errorf("listen for datagrams: %w; another process may hold the port", err)
+		return fmt.Errorf("listen for datagrams: %w; another process may hold the port", err)
 	}
-	return &pulse{name: n.name, fleet: n.view.fleet, view: n.view, log: n.log, conn: conn}, nil
+	return nil
+}
+
+// address returns where the others send to.
+func (p *pulse) address() string {
+	return p.conn.LocalAddr().String()
 }
 
-// run sends until ctx ends, which also ends the receiving.
+// run sends and receives until ctx ends.
 func (p *pulse) run(ctx context.Context) {
 	go p.receive()
 	defer p.conn.Close()
 	for ctx.Err() == nil {
-		peers := told(p.name, p.view.peers())
-		p.send(peers)
+		peers := p.view.peers()
+		p.send(told(p.name, peers))
 		select {
-		case <-time.After(max(pulseEvery, time.Duration(len(peers))*pulsePerPeer)):
+		case <-time.After(pulsePause(len(peers))):
+		case <-p.now:
+			// What comes together goes out together.
+			time.Sleep(pulseGather)
 		case <-ctx.Done():
 		}
 	}
@@ -74,19 +124,23 @@
 	if len(peers) == 0 {
 		return
 	}
-	message := &keelv1.LoadPulse{Sender: p.name, Loads: encodeLoads(p.fleet.Occupied(pulseLoads))}
-	datagram, err := proto.Marshal(message)
+	now := time.Now()
+	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now)}
+	datagrams, err := all.datagrams(p.name)
 	if err != nil {
-		p.log.WithError(err).WithField("event", "pulse_failed").Error("the load could not be encoded; the others do without it")
+		p.log.WithError(err).WithField("event", "pulse_failed").Error("the others choose without this node's news")
 		return
 	}
-	for _, url := range peers {
-		address, err := netip.ParseAddrPort(strings.TrimPrefix(url, "http://"))
+	for _, peer := range peers {
+		address, err := netip.ParseAddrPort(peer)
 		if err != nil {
+			p.log.WithError(err).WithFields(logrus.Fields{"event": "peer_unread", "peer": peer}).Warn("the address of a member can't be read; it is left out")
 			continue
 		}
-		// A datagram that can't be sent is like one that is lost: the next says more.
-		_, _ = p.conn.WriteToUDPAddrPort(datagram, address)
+		for _, datagram := range datagrams {
+			// A datagram that can't be sent is like one that is lost: the next says more.
+			_, _ = p.conn.WriteToUDPAddrPort(datagram, address)
+		}
 	}
 }
 
@@ -107,30 +161,25 @@
 }
 
 func (p *pulse) take(datagram []byte) {
-	var message keelv1.LoadPulse
+	var message keelv1.Pulse
 	if err := proto.Unmarshal(datagram, &message); err != nil {
 		p.log.WithError(err).WithField("event", "pulse_unread").Warn("a datagram is no pulse; it is left out")
 		return
 	}
-	p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), time.Now())
-}
-
-func encodeLoads(all []fleet.Occupancy) []*keelv1.TargetLoad {
-	out := make([]*keelv1.TargetLoad, 0, len(all))
-	for _, o := range all {
-		out = append(out, &keelv1.TargetLoad{
-			Target: o.Target, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)),
-		})
+	now := time.Now()
+	if message.WholeLoad {
+		p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), now)
 	}
-	return out
+	p.fleet.HeardFindings(decodeFindings(message.Findings), now)
+	p.fleet.HeardCaches(message.Sender, decodeCaches(message.Caches), now)
 }
 
-func decodeLoads(all []*keelv1.TargetLoad) []fleet.Occupancy {
-	out := make([]fleet.Occupancy, 0, len(all))
-	for _, w := range all {
-		out = append(out, fleet.Occupancy{
-			Target: w.Target, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens),
-		})
+// pulseAddress is where the node hears its peers: the first of the ports that
+// the platform leaves to the system's own messages.
+func (n *Node) pulseAddress() string {
+	port := 0
+	if len(n.settings.Ports) > 0 {
+		port = n.settings.Ports[0]
 	}
-	return out
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(port))
 }
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -48,7 +49,7 @@
 // Anything may arrive at a port. Bytes that are no pulse are left out, and one
 // of a target that is not known changes nothing.
 func FuzzPulse(f *testing.F) {
-	good, err := proto.Marshal(&keelv1.LoadPulse{Sender: "n", Loads: []*keelv1.TargetLoad{{Target: "r", Inflight: 3, PrefillTokens: 9}}})
+	good, err := proto.Marshal(&keelv1.Pulse{Sender: "n", WholeLoad: true, Loads: []*keelv1.TargetLoad{{Target: "r", Inflight: 3, PrefillTokens: 9}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -64,3 +65,36 @@
 		}
 	})
 }
+
+// Many parts are read within one pulse, after new weights. No datagram may grow
+// over a packet, where one lost piece loses all of it, and nothing may be missing.
+func TestPulseFitsPackets(t *testing.T) {
+	var all news
+	for i := range 40 {
+		all.loads = append(all.loads, fleet.Occupancy{Target: fmt.Sprintf("i-%09d", i), Inflight: 40, Long: 30, Prefill: 20000})
+		parts := make([]fleet.Part, 12)
+		all.findings = append(all.findings, fleet.Finding{Target: fmt.Sprintf("i-%09d", i), Parts: parts})
+		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Boot: 1, Next: 1 << 30, Stored: parts})
+	}
+	datagrams, err := all.datagrams("node")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sum keelv1.Pulse
+	for i, d := range datagrams {
+		if len(d) > 1400 {
+			t.Errorf("datagram %d has %d bytes", i, len(d))
+		}
+		var one keelv1.Pulse
+		if err := proto.Unmarshal(d, &one); err != nil {
+			t.Fatal(err)
+		}
+		if one.WholeLoad != (i == 0) {
+			t.Errorf("datagram %d claims whole load: %v", i, one.WholeLoad)
+		}
+		proto.Merge(&sum, &one)
+	}
+	if len(sum.Loads) != 40 || len(sum.Findings) != 40 || len(sum.Caches) != 40 {
+		t.Errorf("%d loads, %d findings, %d caches arrive of 40 each", len(sum.Loads), len(sum.Findings), len(sum.Caches))
+	}
+}
--- /dev/null
+++ b/node/pulsewire.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/fleet"
+)
+
+// datagramBytes is about how much a datagram holds, to fit one packet of 1,500
+// bytes; what can't be divided goes into a larger one.
+const datagramBytes = 1200
+
+// news is all that one pulse tells.
+type news struct {
+	loads    []fleet.Occupancy
+	findings []fleet.Finding
+	caches   []fleet.CacheNews
+}
+
+// datagrams encodes a pulse. The load stands whole in the first datagram, the
+// rest may be spread over several.
+func (p news) datagrams(sender string) ([][]byte, error) {
+	message := &keelv1.Pulse{Sender: sender, WholeLoad: true, Loads: encodeLoads(p.loads)}
+	var out [][]byte
+	flush := func() error {
+		datagram, err := proto.Marshal(message)
+		if err != nil {
+			return fmt.Errorf("encode a pulse: %w", err)
+		}
+		out = append(out, datagram)
+		message = &keelv1.Pulse{Sender: sender}
+		return nil
+	}
+	size := proto.Size(message)
+	room := func(part proto.Message) error {
+		more := proto.Size(part)
+		if size+more <= datagramBytes {
+			size += more
+			return nil
+		}
+		size = len(sender) + more
+		return flush()
+	}
+	for _, w := range encodeFindings(p.findings) {
+		if err := room(w); err != nil {
+			return nil, err
+		}
+		message.Findings = append(message.Findings, w)
+	}
+	for _, w := range encodeCaches(p.caches) {
+		if err := room(w); err != nil {
+			return nil, err
+		}
+		message.Caches = append(message.Caches, w)
+	}
+	if err := flush(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func encodeLoads(all []fleet.Occupancy) []*keelv1.TargetLoad {
+	out := make([]*keelv1.TargetLoad, 0, len(all))
+	for _, o := range all {
+		out = append(out, &keelv1.TargetLoad{
+			Target: o.Target, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)),
+		})
+	}
+	return out
+}
+
+func decodeLoads(all []*keelv1.TargetLoad) []fleet.Occupancy {
+	out := make([]fleet.Occupancy, 0, len(all))
+	for _, w := range all {
+		out = append(out, fleet.Occupancy{
+			Target: w.Target, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens),
+		})
+	}
+	return out
+}
+
+func encodeFindings(all []fleet.Finding) []*keelv1.TargetFinding {
+	out := make([]*keelv1.TargetFinding, 0, len(all))
+	for _, found := range all {
+		w := &keelv1.TargetFinding{Target: found.Target, BusyMs: uint32(found.Busy.Milliseconds())}
+		for model, version := range found.Weights {
+			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
+		}
+		for _, p := range found.Parts {
+			w.PartHash = append(w.PartHash, p.Hash)
+			w.PartTokens = append(w.PartTokens, uint32(p.Tokens))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeFindings(all []*keelv1.TargetFinding) []fleet.Finding {
+	out := make([]fleet.Finding, 0, len(all))
+	for _, w := range all {
+		found := fleet.Finding{
+			Target:  w.Target,
+			Weights: map[string]int64{},
+			Busy:    time.Duration(w.BusyMs) * time.Millisecond,
+			Parts:   decodeParts(w.PartHash, w.PartTokens),
+		}
+		for _, l := range w.Weights {
+			found.Weights[l.Model] = l.Version
+		}
+		out = append(out, found)
+	}
+	return out
+}
+
+func decodeParts(hashes []uint64, tokens []uint32) []fleet.Part {
+	var out []fleet.Part
+	for i := range min(len(hashes), len(tokens)) {
+		out = append(out, fleet.Part{Hash: hashes[i], Tokens: int(tokens[i])})
+	}
+	return out
+}
+
+func encodeCaches(all []fleet.CacheNews) []*keelv1.CacheNews {
+	out := make([]*keelv1.CacheNews, 0, len(all))
+	for _, n := range all {
+		w := &keelv1.CacheNews{Address: n.Address, Boot: n.Boot, Next: n.Next, DroppedHash: n.Dropped, Silent: n.Silent}
+		for _, p := range n.Stored {
+			w.StoredHash = append(w.StoredHash, p.Hash)
+			w.StoredTokens = append(w.StoredTokens, uint32(p.Tokens))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeCaches(all []*keelv1.CacheNews) []fleet.CacheNews {
+	out := make([]fleet.CacheNews, 0, len(all))
+	for _, w := range all {
+		out = append(out, fleet.CacheNews{
+			Address: w.Address, Boot: w.Boot, Next: w.Next, Silent: w.Silent,
+			Stored: decodeParts(w.StoredHash, w.StoredTokens), Dropped: w.DroppedHash,
+		})
+	}
+	return out
+}
--- a/node/sharing_test.go
+++ b/node/told_test.go
@@ -11,7 +11,7 @@
 func TestToldPeersAreFewAndStay(t *testing.T) {
 	var peers []string
 	for i := range 300 {
-		peers = append(peers, fmt.Sprintf("http://10.0.0.%d:1", i))
+		peers = append(peers, fmt.Sprintf("10.0.0.%d:1", i))
 	}
 	before := slices.Clone(told("self", slices.Clone(peers)))
 	if len(before) != peersMost {
--- a/node/view.go
+++ b/node/view.go
@@ -37,7 +37,7 @@
 	self string
 
 	mu sync.Mutex
-	// members are the nodes that serve, each with the URL of its peer service.
+	// members are the nodes that serve, each with the address that it hears the others at.
 	members map[string]string
 	// lapsed are the targets whose entries vanished around an outage of the
 	// store, with the timers that end their respite.
@@ -199,14 +199,14 @@
 	v.fleet.SetMembers(v.self, slices.Collect(maps.Keys(v.members)))
 }
 
-// peers returns the URLs of the other nodes' peer services.
+// peers returns the addresses at which the other nodes hear this one.
 func (v *view) peers() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []string
-	for key, url := range v.members {
+	for key, address := range v.members {
 		if key != v.self {
-			out = append(out, url)
+			out = append(out, address)
 		}
 	}
 	return out
