Tell the other entries which parts are on their way to a store

Change: the parts that an entry has sent to a store go out with its pulse. Test: TestPromptIsSavedByOneOfTwo.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -138,6 +138,27 @@
 	}
 }
 
+// Two entries get a prompt that is new within a moment. One send to the store is
+// enough; were both to send it, the store's link and room would go to what it has.
+func TestPromptIsSavedByOneOfTwo(t *testing.T) {
+	entry := func() *Fleet {
+		f := named(New("z"), runner("a", 1))
+		f.SetStores([]KeptStore{{Address: "s:1", Capacity: 1e6}})
+		return f
+	}
+	one, two := entry(), entry()
+	first, _ := one.Choose(query(), start)
+	two.HeardSaves(one.Saves(), start)
+	second, _ := two.Choose(query(), start.Add(time.Second))
+	third, _ := two.Choose(query(), start.Add(saveAgain+time.Second))
+	if first.SaveTo != "s:1" || second.SaveTo != "" || third.SaveTo != "s:1" {
+		t.Errorf("saved to %q, %q, %q", first.SaveTo, second.SaveTo, third.SaveTo)
+	}
+	if again := one.Saves(); len(again) != 0 {
+		t.Errorf("told twice: %v", again)
+	}
+}
+
 // Long runs fill one runner to its part before the next gets some, so that the
 // others are free of them when weights change.
 func TestLongRunsArePacked(t *testing.T) {
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -9,11 +9,13 @@
 // keptStore is a store of kept KV cache.
 type keptStore struct {
 	cache
-	// saving is when each part was last sent there for the first time, until
-	// its event comes.
-	saving   map[uint64]time.Time
-	zone     string
-	linkMbps float64
+	// saving is when each part was last sent there for the first time, by
+	// whichever process, until its event comes.
+	saving map[uint64]time.Time
+	// untoldSaves are those that the other processes were not told of yet.
+	untoldSaves []uint64
+	zone        string
+	linkMbps    float64
 }
 
 // KeptStore is a store of kept KV cache.
@@ -56,13 +58,56 @@
 	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
 		return ""
 	}
+	k.save(deepest, now)
+	k.untoldSaves = append(k.untoldSaves, deepest)
+	return address
+}
+
+func (k *keptStore) save(part uint64, now time.Time) {
 	for hash, at := range k.saving {
 		if now.Sub(at) >= saveAgain {
 			delete(k.saving, hash)
 		}
 	}
-	k.saving[deepest] = now
-	return address
+	k.saving[part] = now
+}
+
+// Saves are the parts that a process had sent to a store.
+type Saves struct {
+	Store string
+	Parts []uint64
+}
+
+// Saves returns the parts that this process had sent to stores since the last
+// call, to be told to the other processes: a part takes a second from its
+// first reading to the store's word that it is there, and were each process to
+// send it meanwhile, a third of all that stores get would be there already.
+func (f *Fleet) Saves() []Saves {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Saves
+	for address, k := range f.stores {
+		if len(k.untoldSaves) > 0 {
+			out = append(out, Saves{Store: address, Parts: k.untoldSaves})
+			k.untoldSaves = nil
+		}
+	}
+	return out
+}
+
+// HeardSaves takes what another process had sent to stores.
+func (f *Fleet) HeardSaves(all []Saves, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range all {
+		k := f.stores[s.Store]
+		if k == nil {
+			continue
+		}
+		for _, part := range s.Parts {
+			k.save(part, now)
+		}
+	}
 }
 
 // farFetch returns how much longer a store's link is taken by what a runner
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -125,7 +125,7 @@
 		return
 	}
 	now := time.Now()
-	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now)}
+	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves()}
 	datagrams, err := all.datagrams(p.name)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("the others choose without this node's news")
@@ -172,6 +172,7 @@
 	}
 	p.fleet.HeardFindings(decodeFindings(message.Findings), now)
 	p.fleet.HeardCaches(message.Sender, decodeCaches(message.Caches), now)
+	p.fleet.HeardSaves(decodeSaves(message.Saves), now)
 }
 
 // pulseAddress is where the node hears its peers: the first of the ports that
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -19,6 +19,7 @@
 	loads    []fleet.Occupancy
 	findings []fleet.Finding
 	caches   []fleet.CacheNews
+	saves    []fleet.Saves
 }
 
 // datagrams encodes a pulse. The load stands whole in the first datagram, the
@@ -57,6 +58,12 @@
 		}
 		message.Caches = append(message.Caches, w)
 	}
+	for _, w := range encodeSaves(p.saves) {
+		if err := room(w); err != nil {
+			return nil, err
+		}
+		message.Saves = append(message.Saves, w)
+	}
 	if err := flush(); err != nil {
 		return nil, err
 	}
@@ -147,3 +154,19 @@
 	}
 	return out
 }
+
+func encodeSaves(all []fleet.Saves) []*keelv1.StoreSaves {
+	out := make([]*keelv1.StoreSaves, 0, len(all))
+	for _, s := range all {
+		out = append(out, &keelv1.StoreSaves{Store: s.Store, PartHash: s.Parts})
+	}
+	return out
+}
+
+func decodeSaves(all []*keelv1.StoreSaves) []fleet.Saves {
+	out := make([]fleet.Saves, 0, len(all))
+	for _, w := range all {
+		out = append(out, fleet.Saves{Store: w.Store, Parts: w.PartHash})
+	}
+	return out
+}
