--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -187,7 +187,7 @@
 func (f *Fleet) source(g *group, order []int32, chosen *state, c Choice, now time.Time) string {
 	shared := sharedTokens(c.Chain)
 	best, most := (*state)(nil), min(c.Cached, shared)
-	if most == shared || g == nil {
+	if most == shared || g == nil || shared < movedLeast {
 		return ""
 	}
 	for i, at := range order {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -220,3 +220,19 @@
 		t.Error("a runner stays silent though nobody asks it any more")
 	}
 }
+
+// Short prompts share two hundred tokens, read in two milliseconds. Were they
+// sent to stores and fetched from them, they would push out the parts whose
+// reading takes fifty, and queue before those on the stores' links.
+func TestFewTokensAreNotMoved(t *testing.T) {
+	f := named(New("z"), runner("a", 1), runner("b", 1))
+	f.SetStores([]KeptStore{{Address: "s:1", Capacity: 1e6}})
+	q := query()
+	q.Chain = func(int64) prefix.Chain {
+		shared := prefix.Boundary{Hash: 1, Tokens: 200}
+		return prefix.Chain{Tokens: 900, Levels: []prefix.Boundary{shared}, Boundaries: []prefix.Boundary{shared, {Hash: 2, Tokens: 900}}}
+	}
+	if c, _ := f.Choose(q, start); c.SaveTo != "" || c.Source != "" {
+		t.Errorf("200 shared tokens are saved to %q and fetched from %q", c.SaveTo, c.Source)
+	}
+}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -43,6 +43,10 @@
 	f.stores = next
 }
 
+// movedLeast is the least shared tokens of a prompt that are worth a transfer: fewer
+// are read in a few milliseconds.
+const movedLeast = 512
+
 // saveAgain is after how long a part that was sent to a store and of which the
 // store said nothing is sent again.
 const saveAgain = 3 * time.Second
@@ -50,7 +54,7 @@
 // saveTo returns the store that a prompt's shared parts are to be sent to, or
 // "" where they are there already or on their way.
 func (f *Fleet) saveTo(chain prefix.Chain, now time.Time) string {
-	if len(chain.Levels) == 0 {
+	if sharedTokens(chain) < movedLeast {
 		return ""
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
