Cut long runs off by the order where they go on at another runner

Ruled out: loads themselves (0.45 s); fewer at once (the bound on old weights). Change: where only runs are left that can go on elsewhere, the order truncates them; entries keep the runner free for 0.3 s before, tell how many of their runs can go on, and do not hold the cut against the runner. Test: TestOnlyRunsThatGoOnElsewhereAreCutOff.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -153,7 +153,7 @@
 	for i, at := range order {
 		s := g.states[at]
 		answers[i] = f.answer(q, s, chains, now)
-		if first && s.sum(now).long == 0 {
+		if first && s.sum(now).Long == 0 {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
 			answers[i].CachedTokens = max(answers[i].CachedTokens, sharedTokens(chain)/2)
@@ -243,12 +243,12 @@
 	}
 	a.LinkSeconds += f.farFetch(q, chain, s, a.CachedTokens).Seconds()
 	total := s.sum(now)
-	a.WaitSeconds = float64(total.prefill)/prefillRate + f.queueWait(s, now).Seconds()
+	a.WaitSeconds = float64(total.Prefill)/prefillRate + f.queueWait(s, now).Seconds()
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
 	if !q.Long {
-		beside := time.Duration(total.long) * besideLong
+		beside := time.Duration(total.Long) * besideLong
 		a.PenaltySeconds += min(beside, besideMost).Seconds()
 	}
 	return a
@@ -271,7 +271,7 @@
 	if slots == 0 {
 		return 0
 	}
-	busy := s.sum(now).inflight
+	busy := s.sum(now).Inflight
 	if now.Sub(s.loadAt) < loadValid {
 		others := s.load.Running + s.load.Waiting - s.ownAtLoad
 		busy = max(busy, s.inflight+max(0, others))
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -64,7 +64,7 @@
 		s := g.states[i]
 		room := math.Floor(denseShare * float64(s.runner.Slots))
 		own := room * min(1, ownShare/float64(f.members.count()))
-		switch long := s.sum(now).long; {
+		switch long := s.sum(now).Long; {
 		case long > 0 && float64(long) < room && float64(s.long) < max(1, own):
 			return s
 		case long == 0 && empty == nil:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,8 @@
 	prefill  int
 	// long counts those of them that hold a slot for seconds.
 	long int
+	// resumable counts those that another target could go on with.
+	resumable int
 	// others is what each other process said of its own part.
 	others map[string]told
 	load   Load
@@ -162,16 +164,14 @@
 	return s != nil && !s.runner.Draining
 }
 
-// Inflight returns how many requests a target works on, and how many of those
-// are long, over all processes as far as they told.
-func (f *Fleet) Inflight(id string) (all, long int) {
+// Inflight returns a target's load over all processes, as far as they told.
+func (f *Fleet) Inflight(id string) Occupancy {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.states[id]; s != nil {
-		total := s.sum(time.Now())
-		return total.inflight, total.long
+		return s.sum(time.Now())
 	}
-	return 0, 0
+	return Occupancy{}
 }
 
 // Learn notes a version that a target was seen to have.
@@ -192,11 +192,12 @@
 	}
 }
 
-// Failed notes that a target failed a request.
+// Failed notes that a target failed a request. One that carries an order out may
+// end its streams for that, which says nothing of its health.
 func (f *Fleet) Failed(id string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.states[id]; s != nil && !now.Before(s.busyUntil) {
 		s.health.Failed(now)
 	}
 }
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -9,9 +9,11 @@
 // Occupancy is one process's part of a target's load.
 type Occupancy struct {
 	Target string
-	// Inflight counts requests, Long those of them that take seconds.
-	Inflight int
-	Long     int
+	// Inflight counts requests, Long those of them that take seconds, Resumable
+	// those that another target could go on with.
+	Inflight  int
+	Long      int
+	Resumable int
 	// Prefill is the prompt tokens that are still to be read.
 	Prefill int
 }
@@ -28,7 +30,7 @@
 	var out []Occupancy
 	for id, s := range f.states {
 		if s.inflight > 0 {
-			out = append(out, Occupancy{Target: id, Inflight: s.inflight, Long: s.long, Prefill: s.prefill})
+			out = append(out, Occupancy{Target: id, Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill})
 		}
 	}
 	slices.SortFunc(out, func(a, b Occupancy) int {
@@ -62,20 +64,15 @@
 	at   time.Time
 }
 
-// sum is a target's load over all processes, as far as they told.
-type sum struct {
-	inflight int
-	long     int
-	prefill  int
-}
-
-func (s *state) sum(now time.Time) sum {
-	total := sum{inflight: s.inflight, long: s.long, prefill: s.prefill}
+// sum returns a target's load over all processes, as far as they told.
+func (s *state) sum(now time.Time) Occupancy {
+	total := Occupancy{Target: s.runner.ID, Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill}
 	for _, o := range s.others {
 		if now.Sub(o.at) < occupancyValid {
-			total.inflight += o.load.Inflight
-			total.long += o.load.Long
-			total.prefill += o.load.Prefill
+			total.Inflight += o.load.Inflight
+			total.Long += o.load.Long
+			total.Resumable += o.load.Resumable
+			total.Prefill += o.load.Prefill
 		}
 	}
 	return total
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -46,6 +46,9 @@
 	Holder  string
 	Fence   int64
 	Orders  int64
+	// Truncate ends the streams of the requests that run there; otherwise they
+	// end first.
+	Truncate bool
 }
 
 // OrderResult is what became of an order.
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -12,7 +12,9 @@
 	state   *state
 	prefill int
 	long    bool
-	done    bool
+	// resumable is set while another target could go on with the request.
+	resumable bool
+	done      bool
 }
 
 // Stay is what a request brings to its target.
@@ -24,6 +26,8 @@
 	Capacity int
 	// Long requests hold a slot for seconds.
 	Long bool
+	// Resumable requests may go on at another target if this one ends them.
+	Resumable bool
 }
 
 // Begin counts a request in. The parts of its chain are taken for cached from
@@ -40,9 +44,12 @@
 	if stay.Long {
 		s.long++
 	}
+	if stay.Resumable {
+		s.resumable++
+	}
 	s.capacity = stay.Capacity
 	s.untold = append(s.untold, s.useAll(stay.Chain, now)...)
-	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long}
+	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long, resumable: stay.Resumable}
 }
 
 // First notes the first event: the prompt has been read.
@@ -72,4 +79,7 @@
 	if t.long {
 		t.state.long--
 	}
+	if t.resumable {
+		t.state.resumable--
+	}
 }
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -33,8 +33,7 @@
 	known := func() int {
 		sum := 0
 		for _, r := range second.view.fleet.IDs() {
-			all, _ := second.view.fleet.Inflight(r)
-			sum += all
+			sum += second.view.fleet.Inflight(r).Inflight
 		}
 		return sum
 	}
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -74,7 +74,7 @@
 	out := make([]*keelv1.TargetLoad, 0, len(all))
 	for _, o := range all {
 		out = append(out, &keelv1.TargetLoad{
-			Target: o.Target, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)),
+			Target: o.Target, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)), Resumable: uint32(o.Resumable),
 		})
 	}
 	return out
@@ -84,7 +84,7 @@
 	out := make([]fleet.Occupancy, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.Occupancy{
-			Target: w.Target, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens),
+			Target: w.Target, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens), Resumable: int(w.Resumable),
 		})
 	}
 	return out
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -110,7 +110,8 @@
 	}
 	now := time.Now()
 	for _, r := range runners {
-		in.Inflight[r.ID], in.Long[r.ID] = h.fleet.Inflight(r.ID)
+		load := h.fleet.Inflight(r.ID)
+		in.Inflight[r.ID], in.Long[r.ID] = load.Inflight, load.Long
 		in.Behind[r.ID] = h.fleet.BehindFor(model, r.Weights[model], now)
 	}
 	return in
@@ -144,6 +145,7 @@
 // bring brings one runner to the desired weights, or gives up so that the next
 // look decides anew.
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
+	truncate := h.clear(ctx, r)
 	report, err := h.orderer.Report(ctx, r.Address)
 	if err != nil {
 		h.event("report_failed", r, model, desired).WithError(err).Warn("the runner can't be asked; it is tried again")
@@ -164,8 +166,8 @@
 	if !ok {
 		return
 	}
-	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders})
-	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders}).WithError(err).Info("order given")
+	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
+	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
 		h.fleet.Learn(r.ID, model, desired, time.Now())
@@ -176,6 +178,34 @@
 	}
 }
 
+// Figures of cutting long runs off.
+const (
+	// clearFor is how long a runner is kept free of new requests before its long
+	// runs are cut off: until the others heard of it, and short runs end.
+	clearFor = 300 * time.Millisecond
+	// clearTries is how often that is waited for before the runs are left to end.
+	clearTries = 4
+)
+
+// clear prepares a runner that has only long runs left, and reports whether
+// these may be cut off: each must be one that goes on at another runner, after
+// its last event. Left to end, the last of them keep a runner of forty or sixty
+// slots out of service for four to six seconds.
+func (h *Holder) clear(ctx context.Context, r fleet.Runner) bool {
+	if h.fleet.Inflight(r.ID).Long == 0 {
+		return false
+	}
+	for range clearTries {
+		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		h.told()
+		clock.Sleep(ctx, clearFor)
+		if load := h.fleet.Inflight(r.ID); load.Inflight == load.Resumable {
+			return load.Inflight > 0
+		}
+	}
+	return false
+}
+
 // await waits for the end of an order, asking the runner.
 func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
--- /dev/null
+++ b/rollout/holder_test.go
@@ -0,0 +1,82 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciakeel/fleet"
+)
+
+// orders notes the orders that leave.
+type orders struct {
+	mu   sync.Mutex
+	sent []fleet.Order
+}
+
+func (o *orders) Report(context.Context, string) (fleet.Report, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	version := int64(1)
+	if len(o.sent) > 0 {
+		version = o.sent[len(o.sent)-1].Weights
+	}
+	return fleet.Report{Weights: map[string]int64{"m": version}}, nil
+}
+
+func (o *orders) Order(_ context.Context, order fleet.Order) (fleet.OrderResult, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent = append(o.sent, order)
+	return fleet.OrderAccepted, nil
+}
+
+type always struct{}
+
+func (always) Held() (int64, bool) { return 1, true }
+
+// bringOne brings one runner with the given requests at work to weights 2 and
+// returns the order that it got.
+func bringOne(t *testing.T, stays ...fleet.Stay) fleet.Order {
+	t.Helper()
+	f := fleet.New("z")
+	r := fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}}
+	f.Put(r)
+	for _, s := range stays {
+		f.Begin(r.ID, s, time.Now())
+	}
+	o := &orders{}
+	h := NewHolder("n", always{}, o, f, nil, func() {}, quiet())
+	h.bring(context.Background(), r, "m", 2)
+	if len(o.sent) != 1 {
+		t.Fatalf("%d orders", len(o.sent))
+	}
+	return o.sent[0]
+}
+
+// A runner has a few drafts left that run for seconds, and all its other slots
+// stand empty until they end. They are cut off, as each goes on elsewhere after
+// its last event; but never a run that can't, whose user would get half an
+// answer, and none where nothing long holds the runner up.
+func TestOnlyRunsThatGoOnElsewhereAreCutOff(t *testing.T) {
+	draft := fleet.Stay{Long: true, Resumable: true}
+	for _, test := range []struct {
+		name  string
+		stays []fleet.Stay
+		want  bool
+	}{
+		{"drafts alone", []fleet.Stay{draft, draft}, true},
+		{"a draft beside a check that can't go on", []fleet.Stay{draft, {}}, false},
+		{"a draft at its last attempt", []fleet.Stay{{Long: true}}, false},
+		{"short runs", []fleet.Stay{{Resumable: true}}, false},
+		{"nothing", nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			if got := bringOne(t, test.stays...).Truncate; got != test.want {
+				t.Errorf("cut off: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/router/session.go
+++ b/router/session.go
@@ -201,6 +201,8 @@
 		Chain:    choice.Chain,
 		Capacity: s.capacity(),
 		Long:     s.in.long(),
+		// The send that begins now counts as one that may have run.
+		Resumable: s.in.route.Repeatable() && s.ran+1 < s.in.route.Attempts && s.sends < retry.MaxSends,
 	}
 }
 
