Split the router's session by job; a remedy that this door has

The refusal after a run that can't be repeated named an Idempotency-Key as remedy, which the platform's door has not.

--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"acaciakeel/catalog"
+	"acaciakeel/fleet"
+	"acaciakeel/refusal"
+	"acaciakeel/retry"
+)
+
+// result is how one send ended.
+type result struct {
+	refused *refusal.Error
+	reason  retry.Reason
+	// again is set where another target may do better.
+	again bool
+	// answer is a failure of the target's own, passed on if nothing better comes.
+	answer *held
+}
+
+// held is a whole answer that waits to be passed on.
+type held struct {
+	head *Answer
+	body []byte
+}
+
+// done is the result of an answer that was passed on whole.
+var done = result{}
+
+// orderPause is for how long a runner that refuses because of an order is left
+// alone: it ends its runs and loads for longer, and news of its weights ends the
+// pause.
+const orderPause = 600 * time.Millisecond
+
+// fullPause is for how long a full target is left alone: about one step of a batch.
+const fullPause = 30 * time.Millisecond
+
+// notRun handles answers by which the target did not run the request.
+func (s *session) notRun(choice fleet.Choice, a *Answer) (result, bool) {
+	if !a.NotRun {
+		return result{}, false
+	}
+	now := time.Now()
+	f := s.router.fleet
+	kind := refusal.QueueFull
+	switch {
+	case a.Moved && a.Instance != "" && a.Instance != choice.Runner.ID:
+		f.Remove(choice.Runner.ID)
+		kind = refusal.NotReady
+	case a.Moved:
+		s.misjudged(choice, a)
+		kind = refusal.NotReady
+	case choice.Weights < f.Named()[s.in.Model]:
+		f.Busy(choice.Runner.ID, now.Add(orderPause))
+		kind = refusal.NotReady
+	default:
+		f.Busy(choice.Runner.ID, now.Add(fullPause))
+	}
+	refused := refusal.New(kind, "come back after the time in Retry-After", "target %s did not take the request (status %d)", choice.Runner.ID, a.Status).After(retryAfter)
+	return result{refused: refused, reason: retry.TargetAway, again: true}, true
+}
+
+// misjudged corrects the belief in a runner's weights after it said that they
+// are others: where it does not say which, it has most likely just loaded the
+// newest.
+func (s *session) misjudged(choice fleet.Choice, a *Answer) {
+	f := s.router.fleet
+	version := a.Weights
+	if version == 0 {
+		version = f.Named()[s.in.Model]
+	}
+	f.Learn(choice.Runner.ID, s.in.Model, version, time.Now())
+}
+
+// unanswered handles a send without an answer.
+func (s *session) unanswered(ctx context.Context, choice fleet.Choice, err error) result {
+	var send *SendError
+	sent := !errors.As(err, &send) || send.Sent
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The client left, which says nothing of the target.
+	case sent:
+		s.router.fleet.Failed(choice.Runner.ID, time.Now())
+	default:
+		s.router.fleet.Unreachable(choice.Runner.ID, time.Now())
+	}
+	if !sent {
+		refused := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "target %s can't be reached: %v", choice.Runner.ID, err).After(retryAfter)
+		return result{refused: refused, reason: retry.Unreachable, again: true}
+	}
+	s.ran++
+	return s.lost(retry.Interrupted, "target %s did not answer: %v", choice.Runner.ID, err)
+}
+
+// lost is the result of a send that may have run and has no answer to pass on.
+func (s *session) lost(reason retry.Reason, format string, args ...any) result {
+	refused := refusal.New(refusal.TargetFailed, "look the result up, or send again what may be repeated", format, args...)
+	refused.Outcome = refusal.Unknown
+	return result{refused: refused, reason: reason, again: s.repeatable()}
+}
+
+// repeatable reports whether another target may run the request too.
+func (s *session) repeatable() bool {
+	return s.in.route.Repeatable() && s.ran < s.in.route.Attempts
+}
+
+// maxAnswer bounds the body of an answer that is held whole, in bytes.
+const maxAnswer = 8 << 20
+
+// whole reads a whole answer before it is passed on, so that one that breaks
+// off can still become a retry or a clear failure.
+func (s *session) whole(choice fleet.Choice, a *Answer) result {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		s.router.fleet.Failed(choice.Runner.ID, time.Now())
+		return s.lost(retry.Interrupted, "the answer of target %s broke off: %v", choice.Runner.ID, err)
+	}
+	if a.Status >= 500 && s.in.route.Kind == catalog.Idempotent {
+		return result{reason: retry.Interrupted, again: s.repeatable(), answer: &held{a, body}}
+	}
+	s.router.fleet.Succeeded(choice.Runner.ID)
+	if refused := s.pass(&held{a, body}); refused != nil {
+		return result{refused: refused}
+	}
+	return done
+}
+
+// pass writes a whole answer.
+func (s *session) pass(h *held) *refusal.Error {
+	h.head.Length = int64(len(h.body))
+	s.begun = true
+	if err := s.reply.Begin(h.head); err != nil {
+		return clientLeft(err)
+	}
+	if err := s.reply.Write(h.body); err != nil {
+		return clientLeft(err)
+	}
+	return nil
+}
+
+func clientLeft(err error) *refusal.Error {
+	out := refusal.New(refusal.Interrupted, "none", "the client left: %v", err)
+	out.Outcome = refusal.Ran
+	return out
+}
--- /dev/null
+++ b/router/overload.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"acaciakeel/fleet"
+	"acaciakeel/refusal"
+)
+
+// overloadFactor is how many times its objective a request may be expected to
+// wait for its first token. Beyond it, it would only make those behind it late
+// too, and its runners read prompts whose clients have left.
+const overloadFactor = 0.75
+
+// overloaded refuses a request whose first token is expected too late, at once
+// and with the time until the backlog has shrunk.
+func (s *session) overloaded(choice fleet.Choice) *refusal.Error {
+	limit := time.Duration(overloadFactor * float64(s.in.route.Objective))
+	if s.ran > 0 || s.in.Model == "" || limit <= 0 || choice.FirstToken <= limit {
+		return nil
+	}
+	over := choice.FirstToken - limit
+	return refusal.New(refusal.QueueFull, "come back after the time in Retry-After",
+		"the first token is expected in %v, over %v", choice.FirstToken.Round(time.Millisecond), limit).After(over + minReturn + rand.N(minReturn))
+}
+
+// minReturn is the least time after which a refused client is asked back; twice
+// that spreads those refused together.
+const minReturn = 200 * time.Millisecond
+
+func (s *session) noTarget() *refusal.Error {
+	if s.ran > 0 {
+		out := refusal.New(refusal.OutcomeUnknown, "look the result up at the service; each attempt of a client has an id of its own here",
+			"no other target may be asked after one that may have run the request")
+		out.Outcome = refusal.Unknown
+		return out
+	}
+	return refusal.New(refusal.NoTarget, "come back after the time in Retry-After",
+		"none of the targets of service %s can take the request", s.in.service.Name).After(retryAfter)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -205,7 +205,7 @@
 	return refused
 }
 
-// budgetFor returns the retry budget of a service.
+// mayRetry takes one further send out of the budget and counts its reason.
 func (s *session) mayRetry(reason retry.Reason) bool {
 	if !s.router.budgets.take(s.in.service.Name, s.router.fleet.Sharers(), time.Now()) {
 		s.router.metrics.exhausted.Inc()
