Forget what dead entries said; keep no news for nobody

Cause, found by reading the change: each start of an entry has another name, and the load that a dead one told was kept for ever, though not counted; a node without peers never took its news, so findings and saves piled up. Change: words past their time are taken out when others come; news is taken before the peers are counted; sends to stores are forgotten once for each pulse in place of once for each part.

--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -45,6 +45,7 @@
 	defer f.mu.Unlock()
 	for _, s := range f.states {
 		delete(s.others, sender)
+		s.forgetOthers(now)
 	}
 	for _, o := range all {
 		s := f.states[o.Target]
@@ -58,6 +59,16 @@
 	}
 }
 
+// forgetOthers forgets the words of processes that say nothing any more: each
+// start of a process has another name.
+func (s *state) forgetOthers(now time.Time) {
+	for sender, o := range s.others {
+		if now.Sub(o.at) >= occupancyValid {
+			delete(s.others, sender)
+		}
+	}
+}
+
 // told is what another process said of one target.
 type told struct {
 	load Occupancy
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -196,10 +196,13 @@
 }
 
 // allSilent reports whether all who said something lately got no answer: one
-// that got some may be the only one that is not cut off itself.
+// that got some may be the only one that is not cut off itself. Older words are
+// taken out.
 func allSilent(words map[string]word, now time.Time) bool {
-	for _, w := range words {
-		if !w.silent && now.Sub(w.at) < wordValid {
+	for sender, w := range words {
+		if now.Sub(w.at) >= wordValid {
+			delete(words, sender)
+		} else if !w.silent {
 			return false
 		}
 	}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -62,18 +62,19 @@
 	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
 		return ""
 	}
-	k.save(deepest, now)
+	k.forgetSaves(now)
+	k.saving[deepest] = now
 	k.untoldSaves = append(k.untoldSaves, deepest)
 	return address
 }
 
-func (k *keptStore) save(part uint64, now time.Time) {
+// forgetSaves forgets the sends that a store would have told of by now.
+func (k *keptStore) forgetSaves(now time.Time) {
 	for hash, at := range k.saving {
 		if now.Sub(at) >= saveAgain {
 			delete(k.saving, hash)
 		}
 	}
-	k.saving[part] = now
 }
 
 // Saves are the parts that a process had sent to a store.
@@ -108,8 +109,9 @@
 		if k == nil {
 			continue
 		}
+		k.forgetSaves(now)
 		for _, part := range s.Parts {
-			k.save(part, now)
+			k.saving[part] = now
 		}
 	}
 }
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -129,11 +129,12 @@
 }
 
 func (p *pulse) send(peers []string) {
+	// News is taken also where nobody is told, or it would pile up.
+	now := time.Now()
+	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves()}
 	if len(peers) == 0 {
 		return
 	}
-	now := time.Now()
-	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves()}
 	datagrams, err := all.datagrams(p.name)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("the others choose without this node's news")
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -12,6 +12,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/prefix"
 )
 
 // Two entries choose among the same runners. What one sends, the other must know
@@ -97,3 +98,17 @@
 		t.Errorf("%d loads, %d findings, %d caches arrive of 40 each", len(sum.Loads), len(sum.Findings), len(sum.Caches))
 	}
 }
+
+// A node is alone. It tells nobody, and what it would have told must not pile up
+// in its memory over days.
+func TestAloneNothingPilesUp(t *testing.T) {
+	f := fleet.New("z")
+	f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
+	parts := []prefix.Boundary{{Hash: 1, Tokens: 400}, {Hash: 2, Tokens: 900}}
+	f.Begin("r", fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
+	p := &pulse{fleet: f}
+	p.send(nil)
+	if n := len(f.Findings(time.Now())); n != 0 {
+		t.Errorf("%d findings are kept for nobody", n)
+	}
+}
