--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -357,7 +357,14 @@
 	return string(out), err
 }
 
-// apply applies the fleet's resources and waits until all have them.
+// provableAfter is how long after its start, or after the last change of the
+// targets, an agent can't prove a key that carries its time to be new: the margin
+// of its clock by default, and some. Until then it answers such a call with an
+// unknown outcome, as an earlier process of it may have run it.
+const provableAfter = 2200 * time.Millisecond
+
+// apply applies the fleet's resources and waits until all have them, and the
+// agents of services can prove keys to be new.
 func (f *fleet) apply() {
 	f.t.Helper()
 	f.write("fleet.toml", f.manifest())
@@ -368,7 +375,10 @@
 	if out, err := f.keelctl("wait", "--timeout", "20s", "--processes", fmt.Sprint(processes)); err != nil {
 		f.t.Fatalf("wait: %v\n%s", err, out)
 	}
-	runners, _ := f.targets()
+	runners, services := f.targets()
+	if len(services) > 0 {
+		time.Sleep(provableAfter)
+	}
 	for _, name := range runners {
 		f.eventually("the agent of "+name+" sees its engine", func() bool {
 			resp, err := http.Get(f.direct("agent-"+name) + "/readyz")
