--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -368,6 +368,9 @@
 func (f *fleet) apply() {
 	f.t.Helper()
 	f.write("fleet.toml", f.manifest())
+	// An entry that just started has no configuration, even an empty one, and
+	// refuses operators' changes until it has.
+	f.eventually("the first entry is ready", func() bool { return f.ready("entry-0") })
 	if out, err := f.keelctl("apply", "-f", filepath.Join(f.dir, "fleet.toml")); err != nil {
 		f.t.Fatalf("apply: %v\n%s", err, out)
 	}
@@ -380,15 +383,18 @@
 		time.Sleep(provableAfter)
 	}
 	for _, name := range runners {
-		f.eventually("the agent of "+name+" sees its engine", func() bool {
-			resp, err := http.Get(f.direct("agent-"+name) + "/readyz")
-			if err != nil {
-				return false
-			}
-			resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
+		f.eventually("the agent of "+name+" sees its engine", func() bool { return f.ready("agent-" + name) })
+	}
+}
+
+// ready reports whether a process says that it is ready.
+func (f *fleet) ready(process string) bool {
+	resp, err := http.Get(f.direct(process) + "/readyz")
+	if err != nil {
+		return false
 	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 func (f *fleet) manifest() string {
