Encode parts of prompts in one place; drop what the datagrams made dead

Found by reading the whole change: findings and cache news each wrote the loop that encodes parts; the soak joined its targets in three places; link.Pool.Keep had no caller left since entries stopped calling each other.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -149,7 +149,7 @@
 // judge holds what the callers saw against what the targets saw.
 func (c *callers) judge() {
 	runs := map[string]int{}
-	for _, tg := range append(append([]*target{}, c.site.runners...), c.site.desks...) {
+	for _, tg := range c.site.targets() {
 		for _, s := range tg.Seen() {
 			if s.Ran {
 				runs[s.ID]++
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -164,7 +164,7 @@
 func (b *breaker) entry() *entry { return b.site.entries[b.random.IntN(len(b.site.entries))] }
 
 func (b *breaker) target() *target {
-	all := append(append([]*target{}, b.site.runners...), b.site.desks...)
+	all := b.site.targets()
 	return all[b.random.IntN(len(all))]
 }
 
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -107,7 +107,7 @@
 		defer ticker.Stop()
 		written := map[string]string{}
 		for {
-			for _, tg := range append(append([]*target{}, s.runners...), s.desks...) {
+			for _, tg := range s.targets() {
 				e := tg.EntryAt("ready", tg.proxy.Addr())
 				if written[e.Key] != string(e.Value) {
 					s.store.Set(e.Key, e.Value)
@@ -123,6 +123,10 @@
 	}()
 }
 
+func (s *site) targets() []*target {
+	return append(append([]*target{}, s.runners...), s.desks...)
+}
+
 func (s *site) newProxy(to string) *faultproxy.Proxy {
 	p, err := faultproxy.New(to)
 	if err != nil {
--- a/link/link.go
+++ b/link/link.go
@@ -55,18 +55,6 @@
 	return peer
 }
 
-// Keep drops the links to processes other than those at urls.
-func (p *Pool) Keep(urls map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for url, peer := range p.peers {
-		if !urls[url] {
-			peer.clients.Load().transport.CloseIdleConnections()
-			delete(p.peers, url)
-		}
-	}
-}
-
 // Bytes returns the bytes sent and received over all links.
 func (p *Pool) Bytes() (sent, received int64) {
 	return p.sent.Load(), p.got.Load()
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -97,10 +97,7 @@
 		for model, version := range found.Weights {
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
-		for _, p := range found.Parts {
-			w.PartHash = append(w.PartHash, p.Hash)
-			w.PartTokens = append(w.PartTokens, uint32(p.Tokens))
-		}
+		w.PartHash, w.PartTokens = encodeParts(found.Parts)
 		out = append(out, w)
 	}
 	return out
@@ -123,6 +120,14 @@
 	return out
 }
 
+func encodeParts(parts []fleet.Part) (hashes []uint64, tokens []uint32) {
+	for _, p := range parts {
+		hashes = append(hashes, p.Hash)
+		tokens = append(tokens, uint32(p.Tokens))
+	}
+	return hashes, tokens
+}
+
 func decodeParts(hashes []uint64, tokens []uint32) []fleet.Part {
 	var out []fleet.Part
 	for i := range min(len(hashes), len(tokens)) {
@@ -135,10 +140,7 @@
 	out := make([]*keelv1.CacheNews, 0, len(all))
 	for _, n := range all {
 		w := &keelv1.CacheNews{Address: n.Address, Boot: n.Boot, Next: n.Next, DroppedHash: n.Dropped, Silent: n.Silent}
-		for _, p := range n.Stored {
-			w.StoredHash = append(w.StoredHash, p.Hash)
-			w.StoredTokens = append(w.StoredTokens, uint32(p.Tokens))
-		}
+		w.StoredHash, w.StoredTokens = encodeParts(n.Stored)
 		out = append(out, w)
 	}
 	return out
