Decide packing, waits and refusals by the learnt forecast

Change: a run is long if it outlasts a load of weights; long runs are packed where reading their prompts leaves half of a runner's time to decode; waits come from the fit; a request is refused by its wait, not by its own size.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -14,8 +14,9 @@
 	// Model is empty for plain requests; Chain is nil then.
 	Model string
 	Chain func(weights int64) prefix.Chain
-	// Long is set for requests that will hold a slot for seconds.
-	Long bool
+	// Input is the number of prompt tokens, Output the most that may be generated.
+	Input  int
+	Output int
 	// Tried are targets that must not be chosen again.
 	Tried []string
 	// TokenBytes is the size of one token's KV cache.
@@ -24,6 +25,8 @@
 	// with older ones may begin requests.
 	OldWeightsFor time.Duration
 	Weights       placement.Weights
+
+	long bool
 }
 
 // Choice is a target for one request.
@@ -41,10 +44,16 @@
 	// its first token.
 	Wait       time.Duration
 	FirstToken time.Duration
+	// Known is set where FirstToken rests on enough that was observed for a
+	// request to be refused by it.
+	Known bool
 	// Source is the address of another runner or store that is believed to hold
 	// more of the prompt, for the chosen one to fetch it from; empty where there
 	// is none.
 	Source string
+	// Long is set for requests that are expected to hold a slot for longer than a
+	// load of weights takes.
+	Long bool
 	// SaveTo is the address of a store that is to get the prompt's parts; empty
 	// where it has them.
 	SaveTo string
@@ -84,7 +93,8 @@
 	if q.Model == "" {
 		return f.chooseIdle(g, indices, now), true
 	}
-	if q.Long {
+	q.long = f.long(q)
+	if q.long {
 		if s := f.chooseDense(q, g, indices, now); s != nil {
 			return f.choice(q, s, map[int64]prefix.Chain{}, nil, nil, now), true
 		}
@@ -163,7 +173,9 @@
 	best := placement.Pick(answers, chain.Tokens, q.Weights)
 	c := f.choice(q, g.states[order[best]], chains, g, order, now)
 	c.Wait = time.Duration(answers[best].WaitSeconds * float64(time.Second))
-	c.FirstToken = time.Duration(placement.FirstToken(answers[best], chain.Tokens) * float64(time.Second))
+	e := f.engine(q.Service)
+	c.FirstToken = e.Fixed(now) + time.Duration(placement.FirstToken(answers[best], chain.Tokens)*float64(time.Second))
+	c.Known = e.Known()
 	return c
 }
 
@@ -171,7 +183,7 @@
 // worked out before, by weights.
 func (f *Fleet) choice(q Query, s *state, chains map[int64]prefix.Chain, g *group, order []int32, now time.Time) Choice {
 	weights := s.version(q.Model)
-	c := Choice{Runner: s.runner, Model: q.Model, Weights: weights, Chain: q.chainOf(chains, weights)}
+	c := Choice{Runner: s.runner, Model: q.Model, Weights: weights, Chain: q.chainOf(chains, weights), Long: q.long}
 	c.Shared = sharedTokens(c.Chain)
 	c.Cached = s.cache.tokens(c.Chain)
 	c.Source = f.source(g, order, s, c, now)
@@ -237,17 +249,20 @@
 	a := placement.Answer{
 		Ready:          true,
 		CachedTokens:   s.cache.tokens(chain),
-		PrefillRate:    prefillRate,
 		PenaltySeconds: s.health.Penalty(now).Seconds(),
 		LinkSeconds:    f.linkCost(s).Seconds(),
 	}
 	a.LinkSeconds += f.farFetch(q, chain, s, a.CachedTokens).Seconds()
 	total := s.sum(now)
-	a.WaitSeconds = float64(total.Prefill)/prefillRate + f.queueWait(s, now).Seconds()
+	e := f.engine(q.Service)
+	if missing := chain.Tokens - a.CachedTokens; missing > 0 {
+		a.PrefillRate = float64(missing) / e.Reading(missing, chain.Tokens, now).Seconds()
+	}
+	a.WaitSeconds = (e.Backlog(total.Prefill, now) + f.queueWait(s, now)).Seconds()
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
-	if !q.Long {
+	if !q.long {
 		beside := time.Duration(total.Long) * besideLong
 		a.PenaltySeconds += min(beside, besideMost).Seconds()
 	}
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -63,6 +63,9 @@
 	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
 		s := g.states[i]
 		room := math.Floor(denseShare * float64(s.runner.Slots))
+		if !f.packable(q, room, now) {
+			return nil
+		}
 		own := room * min(1, ownShare/float64(f.members.count()))
 		switch long := s.sum(now).Long; {
 		case long > 0 && float64(long) < room && float64(s.long) < max(1, own):
--- /dev/null
+++ b/fleet/engines.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"time"
+
+	"acaciakeel/forecast"
+)
+
+// engine returns what is known of a service's engines; the caller holds mu.
+func (f *Fleet) engine(service string) *forecast.Engine {
+	e := f.engines[service]
+	if e == nil {
+		e = forecast.New()
+		f.engines[service] = e
+	}
+	return e
+}
+
+// long reports whether a request is expected to hold a slot for longer than a
+// load of weights takes: an order that waits for it then leaves its runner out of
+// service for more time than the load itself.
+func (f *Fleet) long(q Query) bool {
+	e := f.engine(q.Service)
+	held, seen := e.Hold(q.Output)
+	return seen && held > e.Load()
+}
+
+// decodeShare is the part of a runner's time that must be left to decoding where
+// long runs are packed: below it their tokens come at half of the pace at best,
+// and the runs hold their slots for twice as long.
+const decodeShare = 0.5
+
+// packable reports whether runs like this one may fill a runner: reading the
+// prompts of as many as fit must leave time to decode. Prompts of 17,000 tokens
+// for answers of 30 would take a packed runner thirty times the time that it has.
+func (f *Fleet) packable(q Query, room float64, now time.Time) bool {
+	e := f.engine(q.Service)
+	held, _ := e.Hold(q.Output)
+	reading := room * e.Reading(q.Input, q.Input, now).Seconds()
+	return reading < (1-decodeShare)*held.Seconds()
+}
+
+// Loaded notes how long a load of weights took a runner of a service.
+func (f *Fleet) WeightsLoaded(service string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engine(service).Loaded(took)
+}
+
+// Words returns what this process observed of engines, to be told to the others.
+func (f *Fleet) Words() []forecast.Word {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []forecast.Word
+	for service, e := range f.engines {
+		if w, ok := e.Word(service); ok {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// HeardWords takes what another process observed of engines.
+func (f *Fleet) HeardWords(sender string, all []forecast.Word, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range all {
+		f.engine(w.Service).Heard(sender, w, now)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"acaciakeel/forecast"
 	"acaciakeel/health"
 	"acaciakeel/placement"
 )
@@ -53,8 +54,10 @@
 	// addressed are the targets by address.
 	addressed map[string]*state
 	named     map[string]*history
-	members   members
-	zone      string
+	// engines are what was learnt of each service's.
+	engines map[string]*forecast.Engine
+	members members
+	zone    string
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -71,15 +74,11 @@
 		stores:    map[string]*keptStore{},
 		addressed: map[string]*state{},
 		named:     map[string]*history{},
+		engines:   map[string]*forecast.Engine{},
 		zone:      zone,
 	}
 }
 
-// prefillRate is how many prompt tokens a second a runner is taken to read: the
-// engines' 92,000 to 110,000, less what decoding takes. Rates measured for each
-// runner fed back on what they measure; docs/design/fleet.md has the trial.
-const prefillRate = 80000
-
 // Put takes a target's entry of the list.
 func (f *Fleet) Put(r Runner) {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -159,16 +159,30 @@
 	}
 }
 
+// learnRuns lets a fleet see runs of answers whose length is allowed to be output
+// tokens, each of which holds its slot for held after prompts that take read.
+func learnRuns(f *Fleet, id string, output int, read, held time.Duration) {
+	now := start
+	for range 20 {
+		ticket := f.Begin(id, Stay{Missing: 9000, Prompt: 9000, Output: output}, now)
+		ticket.First(now.Add(read))
+		ticket.Complete(now.Add(read + held))
+		ticket.End()
+		now = now.Add(10 * time.Millisecond)
+	}
+}
+
 // Long runs fill one runner to its part before the next gets some, so that the
 // others are free of them when weights change.
 func TestLongRunsArePacked(t *testing.T) {
 	f := named(New("z"), runner("a", 1), runner("b", 1), runner("c", 1))
+	learnRuns(f, "a", 800, 50*time.Millisecond, 3*time.Second)
 	q := query()
-	q.Long = true
+	q.Input, q.Output = 300, 800
 	used := map[string]int{}
 	for range 8 {
 		c, _ := f.Choose(q, start)
-		f.Begin(c.Runner.ID, Stay{Long: true}, start)
+		f.Begin(c.Runner.ID, Stay{Long: c.Long}, start)
 		used[c.Runner.ID]++
 	}
 	if len(used) != 2 {
@@ -176,6 +190,54 @@
 	}
 }
 
+// The archive's captions may be 480 tokens long and have 17,000 tokens of prompt.
+// Taken for long runs by the first alone, they were packed onto one runner, which
+// read prompts for thirty times the time that it had, while eight runners idled:
+// 155 of 254 were lost. A runner that reads half of its time is not to be packed.
+func TestRunsWithLongPromptsAreNotPacked(t *testing.T) {
+	f := named(New("z"), runner("a", 1), runner("b", 1), runner("c", 1))
+	learnRuns(f, "a", 800, 500*time.Millisecond, 3*time.Second)
+	q := query()
+	q.Input, q.Output = 9000, 800
+	used := map[string]int{}
+	for i := range 9 {
+		q.Chain = distinctChain(i)
+		c, _ := f.Choose(q, start)
+		f.Begin(c.Runner.ID, Stay{Missing: 9000, Prompt: 9000, Long: c.Long}, start)
+		used[c.Runner.ID]++
+	}
+	if len(used) != 3 || used["a"] > 4 || used["b"] > 4 || used["c"] > 4 {
+		t.Errorf("9 runs with long prompts went to %v, want about three on each runner", used)
+	}
+}
+
+// Answers of a second hold up no order where a load of weights takes two, but
+// they do where it takes half of one.
+func TestLongIsWhatOutlastsALoad(t *testing.T) {
+	for _, test := range []struct {
+		load time.Duration
+		want bool
+	}{{2 * time.Second, false}, {500 * time.Millisecond, true}} {
+		f := named(New("z"), runner("a", 1))
+		learnRuns(f, "a", 800, 50*time.Millisecond, time.Second)
+		f.WeightsLoaded("lm", test.load)
+		q := query()
+		q.Input, q.Output = 300, 800
+		if c, _ := f.Choose(q, start); c.Long != test.want {
+			t.Errorf("a run of a second is long: %v, beside a load of %v", c.Long, test.load)
+		}
+	}
+}
+
+// distinctChain returns prompts without a part in common with those of other i.
+func distinctChain(i int) func(int64) prefix.Chain {
+	return func(int64) prefix.Chain {
+		shared := prefix.Boundary{Hash: uint64(i+1) << 32, Tokens: 6000}
+		own := prefix.Boundary{Hash: uint64(i+1)<<32 + 1, Tokens: 9000}
+		return prefix.Chain{Tokens: 9000, Levels: []prefix.Boundary{shared}, Boundaries: []prefix.Boundary{shared, own}}
+	}
+}
+
 // A runner's place is taken by another with the same address: it is another
 // target, of which nothing is known but its entry.
 func TestReusedAddressIsAnotherTarget(t *testing.T) {
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciakeel/forecast"
 	"acaciakeel/prefix"
 )
 
@@ -10,18 +11,23 @@
 type Ticket struct {
 	fleet   *Fleet
 	state   *state
+	stay    Stay
 	prefill int
-	long    bool
-	// resumable is set while another target could go on with the request.
-	resumable bool
-	done      bool
+	// ahead is how many tokens were to be read there before.
+	ahead   int
+	began   time.Time
+	firstAt time.Time
+	done    bool
 }
 
 // Stay is what a request brings to its target.
 type Stay struct {
-	// Missing is how many prompt tokens must be read.
+	// Missing is how many prompt tokens must be read, Prompt how many there are.
 	Missing int
-	Chain   prefix.Chain
+	Prompt  int
+	// Output is the most tokens that may be generated.
+	Output int
+	Chain  prefix.Chain
 	// Capacity is the target's memory for cached parts, in tokens.
 	Capacity int
 	// Long requests hold a slot for seconds.
@@ -39,6 +45,7 @@
 	if s == nil {
 		return &Ticket{fleet: f}
 	}
+	t := &Ticket{fleet: f, state: s, stay: stay, prefill: stay.Missing, ahead: s.sum(now).Prefill, began: now}
 	s.inflight++
 	s.prefill += stay.Missing
 	if stay.Long {
@@ -49,14 +56,31 @@
 	}
 	s.capacity = stay.Capacity
 	s.untold = append(s.untold, s.useAll(stay.Chain, now)...)
-	return &Ticket{fleet: f, state: s, prefill: stay.Missing, long: stay.Long, resumable: stay.Resumable}
+	return t
 }
 
 // First notes the first event: the prompt has been read.
-func (t *Ticket) First() {
+func (t *Ticket) First(now time.Time) {
 	t.fleet.mu.Lock()
 	defer t.fleet.mu.Unlock()
+	if t.state == nil || !t.firstAt.IsZero() {
+		return
+	}
+	t.firstAt = now
 	t.read()
+	if t.stay.Prompt > 0 {
+		reading := forecast.Reading{Missing: t.stay.Missing, Prompt: t.stay.Prompt, Ahead: t.ahead, Took: now.Sub(t.began)}
+		t.fleet.engine(t.state.runner.Service).Read(reading, now)
+	}
+}
+
+// Complete notes that the answer ended whole.
+func (t *Ticket) Complete(now time.Time) {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	if t.state != nil && !t.firstAt.IsZero() {
+		t.fleet.engine(t.state.runner.Service).Ran(t.stay.Output, now.Sub(t.firstAt), now)
+	}
 }
 
 func (t *Ticket) read() {
@@ -76,10 +100,10 @@
 	t.done = true
 	t.read()
 	t.state.inflight--
-	if t.long {
+	if t.stay.Long {
 		t.state.long--
 	}
-	if t.resumable {
+	if t.stay.Resumable {
 		t.state.resumable--
 	}
 }
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -32,6 +32,8 @@
 	log   logrus.FieldLogger
 	now   chan struct{}
 	conn  *net.UDPConn
+	// toldEngines is when what was observed of engines was told last.
+	toldEngines time.Time
 }
 
 func newPulse(name string, f *fleet.Fleet, v *view, log logrus.FieldLogger) *pulse {
@@ -48,6 +50,9 @@
 	// pulseSlow is the pause in fleets so large that each node hears of a small
 	// part of the others only.
 	pulseSlow = time.Second
+	// enginesEvery is how often what was observed of engines is told: what a
+	// process observed in half a second changes little of what all know.
+	enginesEvery = 500 * time.Millisecond
 	// pulseGather is how long news that is to go out at once waits for more.
 	pulseGather = 20 * time.Millisecond
 	// pulseLoads is how many targets a pulse names: about as many fit one packet.
@@ -132,6 +137,9 @@
 	// News is taken also where nobody is told, or it would pile up.
 	now := time.Now()
 	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves()}
+	if now.Sub(p.toldEngines) >= enginesEvery {
+		all.engines, p.toldEngines = p.fleet.Words(), now
+	}
 	if len(peers) == 0 {
 		return
 	}
@@ -182,6 +190,7 @@
 	p.fleet.HeardFindings(decodeFindings(message.Findings), now)
 	p.fleet.HeardCaches(message.Sender, decodeCaches(message.Caches), now)
 	p.fleet.HeardSaves(decodeSaves(message.Saves), now)
+	p.fleet.HeardWords(message.Sender, decodeWords(message.Engines), now)
 }
 
 // pulseAddress is where the node hears its peers: the first of the ports that
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -8,6 +8,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/forecast"
 )
 
 // datagramBytes is about how much a datagram holds, to fit one packet of 1,500
@@ -20,6 +21,7 @@
 	findings []fleet.Finding
 	caches   []fleet.CacheNews
 	saves    []fleet.Saves
+	engines  []forecast.Word
 }
 
 // datagrams encodes a pulse. The load stands whole in the first datagram, the
@@ -64,6 +66,12 @@
 		}
 		message.Saves = append(message.Saves, w)
 	}
+	for _, w := range encodeWords(p.engines) {
+		if err := room(w); err != nil {
+			return nil, err
+		}
+		message.Engines = append(message.Engines, w)
+	}
 	if err := flush(); err != nil {
 		return nil, err
 	}
@@ -172,3 +180,44 @@
 	}
 	return out
 }
+
+func encodeWords(all []forecast.Word) []*keelv1.EngineWord {
+	out := make([]*keelv1.EngineWord, 0, len(all))
+	for _, word := range all {
+		w := &keelv1.EngineWord{
+			Service: word.Service, Weight: float32(word.Sums.Weight), LoadMs: uint32(word.Load.Milliseconds()),
+			RunSeconds: float32(word.Runs.Seconds), RunTokens: float32(word.Runs.Tokens),
+		}
+		for _, x := range word.Sums.Cross {
+			w.Cross = append(w.Cross, float32(x))
+		}
+		for _, x := range word.Sums.Right {
+			w.Right = append(w.Right, float32(x))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// decodeWords leaves out words of another shape, such as a later version's.
+func decodeWords(all []*keelv1.EngineWord) []forecast.Word {
+	out := make([]forecast.Word, 0, len(all))
+	for _, w := range all {
+		word := forecast.Word{
+			Service: w.Service, Load: time.Duration(w.LoadMs) * time.Millisecond,
+			Runs: forecast.Ratio{Seconds: float64(w.RunSeconds), Tokens: float64(w.RunTokens)},
+		}
+		if len(w.Cross) != len(word.Sums.Cross) || len(w.Right) != len(word.Sums.Right) {
+			continue
+		}
+		word.Sums.Weight = float64(w.Weight)
+		for i, x := range w.Cross {
+			word.Sums.Cross[i] = float64(x)
+		}
+		for i, x := range w.Right {
+			word.Sums.Right[i] = float64(x)
+		}
+		out = append(out, word)
+	}
+	return out
+}
--- a/router/describe.go
+++ b/router/describe.go
@@ -13,10 +13,12 @@
 		fields["source"] = s.last.Source
 		fields["input"] = s.in.Input
 		fields["output"] = s.in.Output
+		fields["expected_ms"] = s.last.FirstToken.Milliseconds()
 		fields["wait_ms"] = s.last.Wait.Milliseconds()
 	}
 	if !s.firstAt.IsZero() {
 		fields["first_ms"] = s.firstAt.Sub(s.in.Received).Milliseconds()
+		fields["pause_ms"] = s.pause.Milliseconds()
 	}
 }
 
--- a/router/overload.go
+++ b/router/overload.go
@@ -11,18 +11,18 @@
 // overloadFactor is how many times its objective a request may be expected to
 // wait for its first token. Beyond it, it would only make those behind it late
 // too, and its runners read prompts whose clients have left.
-const overloadFactor = 0.75
+const overloadFactor = 0.5
 
 // overloaded refuses a request whose first token is expected too late, at once
 // and with the time until the backlog has shrunk.
 func (s *session) overloaded(choice fleet.Choice) *refusal.Error {
 	limit := time.Duration(overloadFactor * float64(s.in.route.Objective))
-	if s.ran > 0 || s.in.Model == "" || limit <= 0 || choice.FirstToken <= limit {
+	if s.ran > 0 || s.in.Model == "" || limit <= 0 || !choice.Known || choice.Wait <= limit {
 		return nil
 	}
-	over := choice.FirstToken - limit
+	over := choice.Wait - limit
 	return refusal.New(refusal.QueueFull, "come back after the time in Retry-After",
-		"the first token is expected in %v, over %v", choice.FirstToken.Round(time.Millisecond), limit).After(over + minReturn + rand.N(minReturn))
+		"reading is expected to begin in %v, over %v", choice.Wait.Round(time.Millisecond), limit).After(over + minReturn + rand.N(minReturn))
 }
 
 // minReturn is the least time after which a refused client is asked back; twice
--- a/router/router.go
+++ b/router/router.go
@@ -147,23 +147,6 @@
 	return s.String()
 }
 
-// Figures by which a request counts as long before it has run.
-const (
-	// tokenTime is what one generated token takes in a batch at work: two to
-	// three times the engines' bare step.
-	tokenTime = 8 * time.Millisecond
-	// usedShare is the part of the tokens allowed that an answer has in the mean.
-	usedShare = 1.0 / 3
-	// longRun is from when on a run holds up an order that waits for it by more
-	// than the load of weights itself takes.
-	longRun = time.Second
-)
-
-// long reports whether the request is expected to hold a slot for seconds.
-func (in *admitted) long() bool {
-	return time.Duration(float64(in.Output)*usedShare)*tokenTime > longRun
-}
-
 // finish logs and counts how a request ended.
 func (r *Router) finish(ctx context.Context, in *admitted, s *session, refused *refusal.Error) *refusal.Error {
 	refused = r.settle(ctx, in, refused)
--- a/router/session.go
+++ b/router/session.go
@@ -27,6 +27,9 @@
 	last      fleet.Choice
 	ticket    *fleet.Ticket
 	firstAt   time.Time
+	// lastAt is when the last event was passed on, pause the longest between two.
+	lastAt time.Time
+	pause  time.Duration
 }
 
 func (s *session) run(ctx context.Context) *refusal.Error {
@@ -82,7 +85,7 @@
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
 		q.TokenBytes = in.service.Engine.TokenBytes
-		q.Long = in.long()
+		q.Input, q.Output = in.Input, in.Output
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
 	return s.router.fleet.Choose(q, time.Now())
@@ -145,9 +148,11 @@
 func (s *session) stay(choice fleet.Choice) fleet.Stay {
 	return fleet.Stay{
 		Missing:  max(0, s.in.Input-choice.Cached),
+		Prompt:   s.in.Input,
+		Output:   s.in.Output,
 		Chain:    choice.Chain,
 		Capacity: s.capacity(),
-		Long:     s.in.long(),
+		Long:     choice.Long,
 		// The send that begins now counts as one that may have run.
 		Resumable: s.in.route.Repeatable() && s.ran+1 < s.in.route.Attempts && s.sends < retry.MaxSends,
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -43,20 +43,29 @@
 			}
 			return s.lost(reason, "the stream of target %s broke off: %v", choice.Runner.ID, err)
 		}
-		if s.firstAt.IsZero() {
-			s.firstAt = time.Now()
-		}
-		s.ticket.First()
+		s.arrived(time.Now())
 		if err := s.forward(a, event); err != nil {
 			return result{refused: clientLeft(err)}
 		}
 	}
 }
 
+// arrived notes when an event came.
+func (s *session) arrived(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.ticket.First(now)
+}
+
 // ended passes the end of a stream on. What follows the last whole event is
 // the target's own and goes along.
 func (s *session) ended(choice fleet.Choice, a *Answer, rest []byte) result {
 	s.router.fleet.Succeeded(choice.Runner.ID)
+	s.ticket.Complete(time.Now())
 	if !s.begun || len(rest) > 0 {
 		if err := s.write(a, rest); err != nil {
 			return result{refused: clientLeft(err)}
