Learn how many runners load weights at once at full speed

Cause: nine runners, of which two load at full speed; the formula from fleets of 18 and 40 had four under way. Each was out of service for 4.2 s in place of 2.3. Change: the pace is learnt from how loads slow each other down, and a runner that is next ends its runs while another loads, then gets its order.

--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -43,14 +43,15 @@
 
 	mu       sync.Mutex
 	underway map[string]bool
-	// shortest is the least time from an order to its end, which is about a load.
-	shortest time.Duration
+	// loads are the loads under way, by when they began.
+	loads map[*oneLoad]bool
+	pace  pace
 }
 
 // NewHolder returns a holder named name, which is the machine's. It calls told
 // when the other processes should hear of a runner at once.
 func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, told func(), log logrus.FieldLogger) *Holder {
-	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}}
+	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}, loads: map[*oneLoad]bool{}}
 }
 
 // Wake makes the holder look at once.
@@ -106,7 +107,7 @@
 		Inflight: map[string]int{},
 		Long:     map[string]int{},
 		Behind:   map[string]time.Duration{},
-		AtOnce:   AtOnce(len(runners), h.shortest),
+		AtOnce:   h.pace.atOnce(len(runners), h.ending(time.Now())),
 	}
 	now := time.Now()
 	for _, r := range runners {
@@ -146,6 +147,8 @@
 // look decides anew.
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	truncate := h.clear(ctx, r)
+	load := h.awaitTurn(ctx, r)
+	defer h.endLoad(load)
 	report, err := h.orderer.Report(ctx, r.Address)
 	if err != nil {
 		h.event("report_failed", r, model, desired).WithError(err).Warn("the runner can't be asked; it is tried again")
@@ -172,7 +175,7 @@
 	case fleet.OrderHolds:
 		h.fleet.Learn(r.ID, model, desired, time.Now())
 	case fleet.OrderAccepted:
-		h.await(ctx, r, model, desired)
+		h.await(ctx, r, model, desired, load)
 	default:
 		clock.Sleep(ctx, pollEvery)
 	}
@@ -207,18 +210,23 @@
 }
 
 // await waits for the end of an order, asking the runner.
-func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
+func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64, load *oneLoad) {
 	began := time.Now()
 	h.fleet.Busy(r.ID, began.Add(busyGuard))
 	h.told()
-	clock.Sleep(ctx, pollFirst)
+	h.awaitEmpty(ctx, r, began)
+	h.beginLoad(load)
+	clock.Sleep(ctx, pollFirst-time.Since(began))
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired, time.Now())
 			h.told()
-			h.loaded(time.Since(began))
-			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
+			took := h.loaded(load)
+			h.fleet.WeightsLoaded(r.Service, took)
+			h.event("loaded", r, model, desired).WithFields(logrus.Fields{
+				"took_ms": time.Since(began).Milliseconds(), "load_ms": took.Milliseconds(),
+			}).Info("the runner has its weights")
 			return
 		}
 		if err == nil && !report.Busy {
@@ -229,14 +237,83 @@
 	}
 }
 
-func (h *Holder) loaded(took time.Duration) {
+// emptyEvery is how often the runs that an order waits for are counted: far below
+// the time of a load.
+const emptyEvery = 40 * time.Millisecond
+
+// awaitEmpty waits until a runner that got its order has ended its runs, as far as
+// the processes told; then it loads.
+func (h *Holder) awaitEmpty(ctx context.Context, r fleet.Runner, began time.Time) {
+	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Inflight(r.ID).Inflight > 0 {
+		if time.Since(began) > busyGuard/2 {
+			h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		}
+		clock.Sleep(ctx, emptyEvery)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.shortest == 0 || took < h.shortest {
-		h.shortest = took
+	h.pace.emptied(time.Since(began))
+}
+
+// oneLoad is a runner's turn to load: when the load began, which is zero while the
+// runner ends its runs, and how many turns were then taken.
+type oneLoad struct {
+	began  time.Time
+	beside int
+}
+
+// awaitTurn waits until fewer runners load than do so at full speed. A runner that
+// begins beside them takes longer and keeps a further one waiting; meanwhile this
+// one ends its runs and gets no new ones.
+func (h *Holder) awaitTurn(ctx context.Context, r fleet.Runner) *oneLoad {
+	for {
+		h.mu.Lock()
+		if ctx.Err() != nil || len(h.loads) < h.pace.full() {
+			l := &oneLoad{}
+			h.loads[l] = true
+			h.mu.Unlock()
+			return l
+		}
+		h.mu.Unlock()
+		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		h.told()
+		clock.Sleep(ctx, emptyEvery)
 	}
 }
 
+func (h *Holder) beginLoad(l *oneLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l.began, l.beside = time.Now(), len(h.loads)
+	time.AfterFunc(h.pace.expected(l.beside)-h.pace.lead(), h.Wake)
+}
+
+func (h *Holder) endLoad(l *oneLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.loads, l)
+}
+
+// ending returns how many loads are about to end; the caller holds mu.
+func (h *Holder) ending(now time.Time) int {
+	n := 0
+	for l := range h.loads {
+		if !l.began.IsZero() && now.Sub(l.began) >= h.pace.expected(l.beside)-h.pace.lead() {
+			n++
+		}
+	}
+	return n
+}
+
+// loaded teaches the pace a load that has just ended and returns how long it took.
+func (h *Holder) loaded(l *oneLoad) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	took := time.Since(l.began)
+	h.pace.loaded(took, float64(l.beside+len(h.loads))/2)
+	return took
+}
+
 func (h *Holder) event(name string, r fleet.Runner, model string, desired int64) *logrus.Entry {
 	return h.log.WithFields(logrus.Fields{"event": name, "runner": r.ID, "model": model, "weights": desired})
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -28,30 +28,6 @@
 	AtOnce int
 }
 
-// loadsAtOnce returns how many of n runners load at full speed beside each
-// other; more share that speed. Three at eighteen, seven and eight at forty.
-func loadsAtOnce(n int) int {
-	return max(3, n/5)
-}
-
-// shortRun is how long a runner takes to end short runs before it loads.
-const shortRun = 600 * time.Millisecond
-
-// firstLoad is taken for the time of a load until one was seen.
-const firstLoad = 900 * time.Millisecond
-
-// AtOnce returns how many of n runners have their order under way at the same
-// time, if a load takes load (0: not known). A runner first ends its runs and
-// then loads; so many that about loadsAtOnce load, and no more, since each one
-// more is out of service for nothing. Half of the runners stay in service.
-func AtOnce(n int, load time.Duration) int {
-	if load <= 0 {
-		load = firstLoad
-	}
-	want := int(float64(loadsAtOnce(n))*float64(shortRun+load)/float64(load) + 0.5)
-	return max(1, min(want, n/2))
-}
-
 // longPatience is how long runners with long runs are left to end them before
 // their order: no new ones go there meanwhile. The runs that remain then end
 // well within the bound on the whole rollout.
