Share what is known of loads; time a load from the end of its runner's runs

Change: loads are known to all entries by their pulses; a load is timed from when its runner has no runs; the most orders beside it count; a runner at whose address another answers is taken out.

--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -22,7 +22,7 @@
 func (f *Fleet) long(q Query) bool {
 	e := f.engine(q.Service)
 	held, seen := e.Hold(q.Output)
-	return seen && held > e.Load()
+	return seen && held > e.Loads.Load()
 }
 
 // decodeShare is the part of a runner's time that must be left to decoding where
@@ -40,11 +40,19 @@
 	return reading < (1-decodeShare)*held.Seconds()
 }
 
-// Loaded notes how long a load of weights took a runner of a service.
-func (f *Fleet) WeightsLoaded(service string, took time.Duration) {
+// WeightsLoaded notes how long a load of weights took a runner of a service, beside
+// how many others of n at most, with itself.
+func (f *Fleet) WeightsLoaded(service string, took time.Duration, beside, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.engine(service).Loaded(took)
+	f.engine(service).Loads.Loaded(took, beside, n)
+}
+
+// Loads returns what is known of a service's loads of weights.
+func (f *Fleet) Loads(service string) forecast.Loads {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine(service).Loads
 }
 
 // Words returns what this process observed of engines, to be told to the others.
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -65,8 +65,8 @@
 	// runs and allowed are the seconds that runs held their slots after their
 	// first token, and the tokens that they were allowed to generate.
 	runs Ratio
-	// load is how long a load of weights takes; 0 until one was seen.
-	load time.Duration
+	// Loads is what is known of loads of weights.
+	Loads Loads
 }
 
 // heard is another process's sums.
@@ -250,31 +250,3 @@
 	}
 	return seconds(all.Seconds / all.Tokens * float64(allowed)), true
 }
-
-// guessLoad is taken for the time of a load of weights until one was seen: the
-// order of the engines of today.
-const guessLoad = time.Second
-
-// loadRise is the part of the difference that a longer load adds. Most are
-// longer than the weights take, as the runner first ends its runs; one in some
-// that meets an idle runner tells the time.
-const loadRise = 0.05
-
-// Loaded takes how long a load of weights took.
-func (e *Engine) Loaded(took time.Duration) {
-	switch {
-	case took <= 0:
-	case e.load == 0 || took < e.load:
-		e.load = took
-	default:
-		e.load += time.Duration(loadRise * float64(took-e.load))
-	}
-}
-
-// Load returns the time that a load of weights takes.
-func (e *Engine) Load() time.Duration {
-	if e.load == 0 {
-		return guessLoad
-	}
-	return e.load
-}
--- a/forecast/engine_test.go
+++ b/forecast/engine_test.go
@@ -120,7 +120,7 @@
 	old, fresh := New(), New()
 	at := observe(old, m, 300, start, random)
 	old.Ran(480, time.Second, at)
-	old.Loaded(2 * time.Second)
+	old.Loads.Loaded(2*time.Second, 1, 9)
 	if fresh.Known() {
 		t.Error("an engine of which nothing was seen counts as known")
 	}
@@ -135,8 +135,8 @@
 	if held, ok := fresh.Hold(480); !ok || held < 900*time.Millisecond || held > 1100*time.Millisecond {
 		t.Errorf("a run is expected to take %v", held)
 	}
-	if !fresh.Known() || fresh.Load() != 2*time.Second {
-		t.Errorf("known %v, a load takes %v", fresh.Known(), fresh.Load())
+	if !fresh.Known() || fresh.Loads.Load() != 2*time.Second {
+		t.Errorf("known %v, a load takes %v", fresh.Known(), fresh.Loads.Load())
 	}
 }
 
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -185,7 +185,8 @@
 	out := make([]*keelv1.EngineWord, 0, len(all))
 	for _, word := range all {
 		w := &keelv1.EngineWord{
-			Service: word.Service, Weight: float32(word.Sums.Weight), LoadMs: uint32(word.Load.Milliseconds()),
+			Service: word.Service, Weight: float32(word.Sums.Weight), LoadMs: uint32(word.Loads.Alone.Milliseconds()),
+			LoadsAtOnce: float32(word.Loads.Width), LoadsCeiling: float32(word.Loads.Ceiling), LoadsSeen: uint32(word.Loads.Seen),
 			RunSeconds: float32(word.Runs.Seconds), RunTokens: float32(word.Runs.Tokens),
 		}
 		for _, x := range word.Sums.Cross {
@@ -204,7 +205,11 @@
 	out := make([]forecast.Word, 0, len(all))
 	for _, w := range all {
 		word := forecast.Word{
-			Service: w.Service, Load: time.Duration(w.LoadMs) * time.Millisecond,
+			Service: w.Service,
+			Loads: forecast.Loads{
+				Alone: time.Duration(w.LoadMs) * time.Millisecond,
+				Width: float64(w.LoadsAtOnce), Ceiling: float64(w.LoadsCeiling), Seen: int(w.LoadsSeen),
+			},
 			Runs: forecast.Ratio{Seconds: float64(w.RunSeconds), Tokens: float64(w.RunTokens)},
 		}
 		if len(w.Cross) != len(word.Sums.Cross) || len(w.Right) != len(word.Sums.Right) {
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -43,9 +43,8 @@
 
 	mu       sync.Mutex
 	underway map[string]bool
-	// loads are the loads under way, by when they began.
+	// loads are the orders under way.
 	loads map[*oneLoad]bool
-	pace  pace
 }
 
 // NewHolder returns a holder named name, which is the machine's. It calls told
@@ -107,9 +106,12 @@
 		Inflight: map[string]int{},
 		Long:     map[string]int{},
 		Behind:   map[string]time.Duration{},
-		AtOnce:   h.pace.atOnce(len(runners), h.ending(time.Now())),
 	}
 	now := time.Now()
+	if len(runners) > 0 {
+		known := h.fleet.Loads(runners[0].Service)
+		in.AtOnce = known.AtOnce(len(runners))
+	}
 	for _, r := range runners {
 		load := h.fleet.Inflight(r.ID)
 		in.Inflight[r.ID], in.Long[r.ID] = load.Inflight, load.Long
@@ -147,8 +149,6 @@
 // look decides anew.
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	truncate := h.clear(ctx, r)
-	load := h.awaitTurn(ctx, r)
-	defer h.endLoad(load)
 	report, err := h.orderer.Report(ctx, r.Address)
 	if err != nil {
 		h.event("report_failed", r, model, desired).WithError(err).Warn("the runner can't be asked; it is tried again")
@@ -174,8 +174,11 @@
 	switch result {
 	case fleet.OrderHolds:
 		h.fleet.Learn(r.ID, model, desired, time.Now())
+	case fleet.OrderMisdirected:
+		// Another runner has the address: this one has ended, whatever the list says.
+		h.fleet.Remove(r.ID)
 	case fleet.OrderAccepted:
-		h.await(ctx, r, model, desired, load)
+		h.await(ctx, r, model, desired)
 	default:
 		clock.Sleep(ctx, pollEvery)
 	}
@@ -210,20 +213,26 @@
 }
 
 // await waits for the end of an order, asking the runner.
-func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64, load *oneLoad) {
+func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
-	h.fleet.Busy(r.ID, began.Add(busyGuard))
-	h.told()
-	h.awaitEmpty(ctx, r, began)
-	h.beginLoad(load)
-	clock.Sleep(ctx, pollFirst-time.Since(began))
+	l := h.beginLoad(began)
+	defer h.endLoad(l)
+	ask := began.Add(pollFirst)
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
+		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		if time.Since(began) < emptyEvery {
+			h.told()
+		}
+		clock.Sleep(ctx, emptyEvery)
+		h.emptied(r, l)
+		if time.Now().Before(ask) {
+			continue
+		}
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired, time.Now())
 			h.told()
-			took := h.loaded(load)
-			h.fleet.WeightsLoaded(r.Service, took)
+			took := h.loaded(r, l)
 			h.event("loaded", r, model, desired).WithFields(logrus.Fields{
 				"took_ms": time.Since(began).Milliseconds(), "load_ms": took.Milliseconds(),
 			}).Info("the runner has its weights")
@@ -232,60 +241,39 @@
 		if err == nil && !report.Busy {
 			return
 		}
-		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
-		clock.Sleep(ctx, pollEvery)
+		ask = time.Now().Add(pollEvery)
 	}
 }
 
-// emptyEvery is how often the runs that an order waits for are counted: far below
+// emptyEvery is how often the runs that a load waits for are counted: far below
 // the time of a load.
-const emptyEvery = 40 * time.Millisecond
+const emptyEvery = 50 * time.Millisecond
 
-// awaitEmpty waits until a runner that got its order has ended its runs, as far as
-// the processes told; then it loads.
-func (h *Holder) awaitEmpty(ctx context.Context, r fleet.Runner, began time.Time) {
-	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Inflight(r.ID).Inflight > 0 {
-		if time.Since(began) > busyGuard/2 {
-			h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
-		}
-		clock.Sleep(ctx, emptyEvery)
+// emptied notes when a runner that got its order has ended its runs, as far as the
+// processes told; then it loads.
+func (h *Holder) emptied(r fleet.Runner, l *oneLoad) {
+	if !l.loads && h.fleet.Inflight(r.ID).Inflight == 0 {
+		l.loads, l.began = true, time.Now()
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.pace.emptied(time.Since(began))
 }
 
-// oneLoad is a runner's turn to load: when the load began, which is zero while the
-// runner ends its runs, and how many turns were then taken.
+// oneLoad is an order under way: when its load began, as far as known, and the
+// most orders, with itself, that went on meanwhile.
 type oneLoad struct {
 	began  time.Time
+	loads  bool
 	beside int
 }
 
-// awaitTurn waits until fewer runners load than do so at full speed. A runner that
-// begins beside them takes longer and keeps a further one waiting; meanwhile this
-// one ends its runs and gets no new ones.
-func (h *Holder) awaitTurn(ctx context.Context, r fleet.Runner) *oneLoad {
-	for {
-		h.mu.Lock()
-		if ctx.Err() != nil || len(h.loads) < h.pace.full() {
-			l := &oneLoad{}
-			h.loads[l] = true
-			h.mu.Unlock()
-			return l
-		}
-		h.mu.Unlock()
-		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
-		h.told()
-		clock.Sleep(ctx, emptyEvery)
-	}
-}
-
-func (h *Holder) beginLoad(l *oneLoad) {
+func (h *Holder) beginLoad(now time.Time) *oneLoad {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l.began, l.beside = time.Now(), len(h.loads)
-	time.AfterFunc(h.pace.expected(l.beside)-h.pace.lead(), h.Wake)
+	l := &oneLoad{began: now}
+	h.loads[l] = true
+	for other := range h.loads {
+		other.beside = max(other.beside, len(h.loads))
+	}
+	return l
 }
 
 func (h *Holder) endLoad(l *oneLoad) {
@@ -294,23 +282,14 @@
 	delete(h.loads, l)
 }
 
-// ending returns how many loads are about to end; the caller holds mu.
-func (h *Holder) ending(now time.Time) int {
-	n := 0
-	for l := range h.loads {
-		if !l.began.IsZero() && now.Sub(l.began) >= h.pace.expected(l.beside)-h.pace.lead() {
-			n++
-		}
-	}
-	return n
-}
-
-// loaded teaches the pace a load that has just ended and returns how long it took.
-func (h *Holder) loaded(l *oneLoad) time.Duration {
+// loaded notes a load that has just ended and returns how long it took.
+func (h *Holder) loaded(r fleet.Runner, l *oneLoad) time.Duration {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	took := time.Since(l.began)
-	h.pace.loaded(took, float64(l.beside+len(h.loads))/2)
+	took, beside := time.Since(l.began), l.beside
+	h.mu.Unlock()
+	if l.loads {
+		h.fleet.WeightsLoaded(r.Service, took, beside, len(h.fleet.Runners(r.Service)))
+	}
 	return took
 }
 
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"acaciakeel/fleet"
+	"acaciakeel/forecast"
 )
 
 func runnersAt(versions ...int64) []fleet.Runner {
@@ -52,7 +53,7 @@
 func TestRolloutEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		runners := runnersAt(rapid.SliceOfN(rapid.Int64Range(1, 3), 1, 30).Draw(t, "versions")...)
-		in := Input{Model: "m", Desired: 3, Runners: runners, AtOnce: new(pace).atOnce(len(runners), 0), Underway: map[string]bool{}}
+		in := Input{Model: "m", Desired: 3, Runners: runners, AtOnce: new(forecast.Loads).AtOnce(len(runners)), Underway: map[string]bool{}}
 		given := map[string]bool{}
 		for step := 0; step < 200; step++ {
 			if step == 5 {
