Choose runners with what they can fetch; count a store's link once; refuse by what reading costs

Cause: captions crowded on the three runners of the store's zone: a fetch from there across zones counted six times, a figure of other links, and a runner was chosen as if it had to read what another could send it in 10 ms; tags of 6 ms were refused for waits of 250 ms. Change: each runner is weighed with its best source, by times of moves that are learnt in the same fit (half of the reading of fetched tokens counts for what they push out); what left a cache is believed when its events say so; the link of a store counts once; what takes little reading may wait longer. A test changed: TestFetchStaysInTheStoresZone speaks of prompts that the store holds; now it says so to the fleet, as the unknown case is left to the order of runners.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciakeel/forecast"
 	"acaciakeel/health"
 	"acaciakeel/placement"
 	"acaciakeel/prefix"
@@ -44,13 +45,18 @@
 	// its first token.
 	Wait       time.Duration
 	FirstToken time.Duration
+	// Reading is the time that its runner takes to read what it lacks.
+	Reading time.Duration
 	// Known is set where FirstToken rests on enough that was observed for a
 	// request to be refused by it.
 	Known bool
-	// Source is the address of another runner or store that is believed to hold
-	// more of the prompt, for the chosen one to fetch it from; empty where there
-	// is none.
-	Source string
+	// Source is the address of another runner or store for the chosen one to fetch
+	// parts from; empty where there is none. Fetched is how many tokens more it is
+	// believed to hold, 0 where it is asked on the chance, and Moved what that
+	// takes.
+	Source  string
+	Fetched int
+	Moved   forecast.Moved
 	// Long is set for requests that are expected to hold a slot for longer than a
 	// load of weights takes.
 	Long bool
@@ -71,6 +77,9 @@
 	// oldWeightsCost is what older weights cost then: a fifth of the credit,
 	// weighed as waiting for a good part of the usual objective.
 	oldWeightsCost = 150 * time.Millisecond
+	// displaced is the part of the time to read fetched tokens that they cost by
+	// what they push out of the runner's cache, which others may ask for.
+	displaced = 0.5
 	// askedMost is how many of the ranked targets are compared: beyond these
 	// the rank says nothing, and load evens out among them.
 	askedMost = 24
@@ -96,7 +105,7 @@
 	q.long = f.long(q)
 	if q.long {
 		if s := f.chooseDense(q, g, indices, now); s != nil {
-			return f.choice(q, s, map[int64]prefix.Chain{}, nil, nil, now), true
+			return f.choice(q, s, map[int64]prefix.Chain{}, fetch{}, now), true
 		}
 	}
 	return f.chooseCached(q, g, indices, now), true
@@ -158,11 +167,13 @@
 	var o placement.Orderer
 	order := o.Order(g.placed, indices, chain.Levels, nil, min(askedMost, len(indices)))
 	answers := make([]placement.Answer, len(order))
+	fetches := make([]fetch, len(order))
 	chains := map[int64]prefix.Chain{newest: chain}
+	holdings := map[int64]holding{}
 	first := true
 	for i, at := range order {
 		s := g.states[at]
-		answers[i] = f.answer(q, s, chains, now)
+		answers[i], fetches[i] = f.answer(q, s, chains, f.holding(holdings, q, g, order, s, chains, now), now)
 		if first && s.sum(now).Long == 0 {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
@@ -171,69 +182,45 @@
 		}
 	}
 	best := placement.Pick(answers, chain.Tokens, q.Weights)
-	c := f.choice(q, g.states[order[best]], chains, g, order, now)
+	c := f.choice(q, g.states[order[best]], chains, fetches[best], now)
 	c.Wait = time.Duration(answers[best].WaitSeconds * float64(time.Second))
 	e := f.engine(q.Service)
 	c.FirstToken = e.Fixed(now) + time.Duration(placement.FirstToken(answers[best], chain.Tokens)*float64(time.Second))
+	missing := max(0, chain.Tokens-answers[best].CachedTokens)
+	c.Reading = e.Reading(missing, chain.Tokens, now)
 	c.Known = e.Known()
 	return c
 }
 
+// holding returns where a prompt's parts under a runner's weights are, worked out
+// once for all runners with the same.
+func (f *Fleet) holding(known map[int64]holding, q Query, g *group, order []int32, s *state, chains map[int64]prefix.Chain, now time.Time) holding {
+	weights := s.version(q.Model)
+	h, ok := known[weights]
+	if !ok {
+		h = f.holdingOf(g, order, q.Model, weights, q.chainOf(chains, weights), now)
+		known[weights] = h
+	}
+	return h
+}
+
 // choice fills in what a request needs to know of its target; chains are those
 // worked out before, by weights.
-func (f *Fleet) choice(q Query, s *state, chains map[int64]prefix.Chain, g *group, order []int32, now time.Time) Choice {
+func (f *Fleet) choice(q Query, s *state, chains map[int64]prefix.Chain, from fetch, now time.Time) Choice {
 	weights := s.version(q.Model)
 	c := Choice{Runner: s.runner, Model: q.Model, Weights: weights, Chain: q.chainOf(chains, weights), Long: q.long}
 	c.Shared = sharedTokens(c.Chain)
 	c.Cached = s.cache.tokens(c.Chain)
-	c.Source = f.source(g, order, s, c, now)
+	c.Source, c.Fetched, c.Moved = from.source, from.tokens, from.moved
+	if c.Source == "" && c.Shared >= movedLeast && c.Cached < c.Shared {
+		// Nobody is known to hold more; another process may just have had the prompt
+		// read and kept. A miss costs a millisecond.
+		c.Source, _ = f.storeOf(c.Chain.Levels[len(c.Chain.Levels)-1].Hash)
+	}
 	c.SaveTo = f.saveTo(c.Chain, now)
 	return c
 }
 
-// source returns the address of a runner with the same weights that is believed
-// to hold more of the prompt's shared parts than the chosen one. Moving a part
-// costs a small part of reading it again. Where this process knows of none, the
-// first in the ranking is asked, as the others send what they can there; a
-// miss costs a millisecond.
-func (f *Fleet) source(g *group, order []int32, chosen *state, c Choice, now time.Time) string {
-	shared := sharedTokens(c.Chain)
-	best, most := (*state)(nil), min(c.Cached, shared)
-	if most == shared || g == nil || shared < movedLeast {
-		return ""
-	}
-	for i, at := range order {
-		s := g.states[at]
-		if s == chosen || s.version(c.Model) != c.Weights || s.silent || s.health.State(now) != health.Live {
-			continue
-		}
-		cached := min(s.cache.tokens(c.Chain), shared)
-		if i == 0 {
-			// Better than nothing, but no match for what is known.
-			cached = max(cached, 1)
-		}
-		if cached > most {
-			best, most = s, cached
-		}
-	}
-	// What runners dropped for want of memory a store may still hold.
-	for address, k := range f.stores {
-		if k.silent {
-			continue
-		}
-		if kept := min(k.cache.tokens(c.Chain), shared); kept > most {
-			return address
-		}
-	}
-	if best != nil {
-		return best.runner.Address
-	}
-	// Nobody is known to hold more; another process may just have had the prompt
-	// read and kept.
-	address, _ := f.storeOf(c.Chain.Levels[len(c.Chain.Levels)-1].Hash)
-	return address
-}
-
 func (q Query) chainOf(chains map[int64]prefix.Chain, weights int64) prefix.Chain {
 	c, ok := chains[weights]
 	if !ok {
@@ -243,22 +230,27 @@
 	return c
 }
 
-func (f *Fleet) answer(q Query, s *state, chains map[int64]prefix.Chain, now time.Time) placement.Answer {
+func (f *Fleet) answer(q Query, s *state, chains map[int64]prefix.Chain, h holding, now time.Time) (placement.Answer, fetch) {
 	weights := s.version(q.Model)
 	chain := q.chainOf(chains, weights)
+	cached := s.cache.tokens(chain)
+	e := f.engine(q.Service)
+	from, _ := f.bestFetch(h, e, s, cached, chain.Tokens, now)
 	a := placement.Answer{
 		Ready:          true,
-		CachedTokens:   s.cache.tokens(chain),
+		CachedTokens:   cached + from.tokens,
 		PenaltySeconds: s.health.Penalty(now).Seconds(),
 		LinkSeconds:    f.linkCost(s).Seconds(),
 	}
-	a.LinkSeconds += f.farFetch(q, chain, s, a.CachedTokens).Seconds()
-	total := s.sum(now)
-	e := f.engine(q.Service)
+	if from.moved.Runner == 0 {
+		a.LinkSeconds += f.farFetch(q, chain, s, cached).Seconds()
+	}
+	a.LinkSeconds += displaced * e.Backlog(from.tokens, now).Seconds()
 	if missing := chain.Tokens - a.CachedTokens; missing > 0 {
 		a.PrefillRate = float64(missing) / e.Reading(missing, chain.Tokens, now).Seconds()
 	}
-	a.WaitSeconds = (e.Backlog(total.Prefill, now) + f.queueWait(s, now)).Seconds()
+	total := s.sum(now)
+	a.WaitSeconds = (e.Moving(from.moved, now) + e.Backlog(total.Prefill, now) + f.queueWait(s, now)).Seconds()
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
@@ -266,7 +258,7 @@
 		beside := time.Duration(total.Long) * besideLong
 		a.PenaltySeconds += min(beside, besideMost).Seconds()
 	}
-	return a
+	return a, from
 }
 
 func sharedTokens(chain prefix.Chain) int {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"acaciakeel/forecast"
+	"acaciakeel/placement"
 	"acaciakeel/prefix"
 )
 
@@ -18,6 +20,7 @@
 		Service:       "lm",
 		Model:         "m",
 		OldWeightsFor: 6 * time.Second,
+		Weights:       placement.Weights{Miss: 2, Wait: 1},
 		Chain: func(weights int64) prefix.Chain {
 			hash := uint64(weights) * 1000
 			shared := prefix.Boundary{Hash: hash + 1, Tokens: 6000}
@@ -104,6 +107,52 @@
 	}
 }
 
+// Twelve prompts that share 6,000 tokens come together while their holder has
+// two seconds of reading before it. All twelve waited there, next to a runner that
+// moves the shared part to itself in a hundredth of the time that reading it takes:
+// the first is worth its place in that runner's memory.
+func TestAFetchIsWeighedAgainstTheWait(t *testing.T) {
+	for _, test := range []struct {
+		backlog int
+		want    string
+	}{{2000, "a"}, {100000, "b"}} {
+		f := named(New("z"), runner("a", 1), runner("b", 1))
+		f.states["a"].capacity = 100000
+		f.HeardFindings([]Finding{{Target: "a", Parts: []Part{{Hash: query().Chain(1).Boundaries[0].Hash, Tokens: 6000}}}}, start)
+		f.HeardLoad("other", []Occupancy{{Target: "a", Inflight: 1, Prefill: test.backlog}}, start)
+		c, _ := f.Choose(query(), start)
+		if c.Runner.ID != test.want {
+			t.Errorf("with %d tokens before it the prompt went to %s (fetches %d from %q)", test.backlog, c.Runner.ID, c.Fetched, c.Source)
+		}
+	}
+}
+
+// A store's link is full, and what is asked of it takes longer than reading. Its
+// times are learnt, and runners fetch from there no more.
+func TestASlowSourceIsNotUsed(t *testing.T) {
+	f := named(New("z"), runner("a", 1))
+	f.SetStores([]KeptStore{{Address: "s:1", Capacity: 1e6, Zone: "z"}})
+	chain := query().Chain(1)
+	f.stores["s:1"].cached.use(chain.Boundaries[0].Hash, 6000, 0, start)
+	if c, _ := f.Choose(query(), start); c.Fetched != 6000 {
+		t.Errorf("%d tokens of 6000 are fetched before anything is known", c.Fetched)
+	}
+	now := start
+	for i := range 200 {
+		tokens := 200 + 100*(i%40)
+		read := f.Begin("a", Stay{Missing: tokens, Prompt: tokens}, now)
+		moved := f.Begin("a", Stay{Missing: 300, Prompt: 6300, Moved: forecast.Moved{Store: 6000}}, now)
+		read.First(now.Add(50*time.Millisecond + time.Duration(tokens)*20*time.Microsecond))
+		moved.First(now.Add(2 * time.Second))
+		read.End()
+		moved.End()
+		now = now.Add(20 * time.Millisecond)
+	}
+	if c, _ := f.Choose(query(), now); c.Fetched != 0 {
+		t.Errorf("%d tokens are fetched though two seconds of it were met", c.Fetched)
+	}
+}
+
 // Two runners may take a prompt that neither holds but a store does. Were the
 // zone of no account, every transfer from the store would cross zones for two
 // prompts in three, at twice the time of a link that all runners share.
@@ -119,6 +168,7 @@
 			shared := prefix.Boundary{Hash: uint64(i)<<32 + 1, Tokens: 6000}
 			return prefix.Chain{Tokens: 9000, Levels: []prefix.Boundary{shared}, Boundaries: []prefix.Boundary{shared}}
 		}
+		f.stores["s:1"].cached.use(uint64(i)<<32+1, 6000, 0, start)
 		if c, _ := f.Choose(q, start); c.Runner.ID != "near" {
 			t.Errorf("prompt %d: chose the runner %s", i, c.Runner.ID)
 		}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -116,11 +116,6 @@
 	}
 }
 
-// linkScarcity is how many times the time of a store's link counts against a
-// runner's own time: some ten runners fetch from one store. With 6 the grown
-// sites were best or near it, with 3 and 12 a little behind.
-const linkScarcity = 6
-
 // farFetch returns what it costs that a store's link is taken for longer by what
 // a runner lacks of a prompt's shared parts where the runner stands in another
 // zone: such a transfer takes twice as long, and all runners share that link.
@@ -134,7 +129,7 @@
 		return 0
 	}
 	bits := float64(lacks) * float64(q.TokenBytes) * 8
-	return time.Duration(linkScarcity * bits / (k.linkMbps * 1e6) * float64(time.Second))
+	return time.Duration(bits / (k.linkMbps * 1e6) * float64(time.Second))
 }
 
 // storeOf returns the store that keeps a part: the same one for all processes,
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -25,6 +25,8 @@
 	// Missing is how many prompt tokens must be read, Prompt how many there are.
 	Missing int
 	Prompt  int
+	// Moved is what a source is to send there first.
+	Moved forecast.Moved
 	// Output is the most tokens that may be generated.
 	Output int
 	Chain  prefix.Chain
@@ -69,7 +71,7 @@
 	t.firstAt = now
 	t.read()
 	if t.stay.Prompt > 0 {
-		reading := forecast.Reading{Missing: t.stay.Missing, Prompt: t.stay.Prompt, Ahead: t.ahead, Took: now.Sub(t.began)}
+		reading := forecast.Reading{Missing: t.stay.Missing, Prompt: t.stay.Prompt, Ahead: t.ahead, Moved: t.stay.Moved, Took: now.Sub(t.began)}
 		t.fleet.engine(t.state.runner.Service).Read(reading, now)
 	}
 }
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -28,10 +28,19 @@
 	Prompt  int
 	// Ahead is how many tokens of other prompts were to be read before.
 	Ahead int
+	// Moved is what was to be moved there before.
+	Moved Moved
 	// Took is the time from sending it to its first token.
 	Took time.Duration
 }
 
+// Moved is how many tokens are moved to a runner from another one or from a store
+// of kept parts, each as often as its way takes longer than within one zone.
+type Moved struct {
+	Runner int
+	Store  int
+}
+
 // Figures are what is known of a service's engines, in seconds.
 type Figures struct {
 	// Fixed is the time to the first token of a prompt that needs no reading.
@@ -40,11 +49,15 @@
 	// pairs of tokens, of which each attends to the other, prolongs it.
 	Token float64
 	Pairs float64
+	// Runner and Store are the times to move a thousand tokens to a runner from
+	// another one or from a store, with what waits there.
+	Runner float64
+	Store  float64
 }
 
 // guess is taken until something was observed: the order of the engines of
 // today. Nobody is refused by it (Engine.Known).
-var guess = Figures{Fixed: 0.05, Token: 0.016}
+var guess = Figures{Fixed: 0.05, Token: 0.016, Runner: 0.001, Store: 0.004}
 
 // Bounds of a fit.
 const (
@@ -53,6 +66,11 @@
 	leastToken = 0.0005
 	// guessWeight is how many observations the guess counts like.
 	guessWeight = 0.5
+	// movedWeight is the same for moves, of which there are fewer: in the squares
+	// of a thousand tokens by which they are weighed, some of ten thousand each.
+	movedWeight = 200
+	// leastMoved is the least time to move a thousand tokens.
+	leastMoved = 0.00002
 )
 
 // Engine is what is known of one service's engines. Its zero value knows nothing.
@@ -82,11 +100,11 @@
 }
 
 func (f Figures) vector() [terms]float64 {
-	return [terms]float64{f.Fixed, f.Token, f.Pairs}
+	return [terms]float64{f.Fixed, f.Token, f.Pairs, f.Runner, f.Store}
 }
 
 func (r Reading) features() [terms]float64 {
-	return [terms]float64{1, float64(r.Missing+r.Ahead) / 1e3, pairs(r.Missing, r.Prompt)}
+	return [terms]float64{1, float64(r.Missing+r.Ahead) / 1e3, pairs(r.Missing, r.Prompt), float64(r.Moved.Runner) / 1e3, float64(r.Moved.Store) / 1e3}
 }
 
 // pairs returns how many millions of pairs of tokens reading the last missing
@@ -112,7 +130,7 @@
 
 // Read takes one request's way to its first token.
 func (e *Engine) Read(r Reading, now time.Time) {
-	if r.Took <= 0 || float64(r.Ahead) > waitedMost*float64(r.Missing) {
+	if r.Took <= 0 || float64(r.Ahead) > waitedMost*float64(r.Missing+r.Moved.Runner+r.Moved.Store) {
 		return
 	}
 	features := r.features()
@@ -166,9 +184,8 @@
 	}
 	// The guess weighs as much as a short prompt and a long one would; beside
 	// them it fades away.
-	weight := [terms]float64{guessWeight / sq(guess.Fixed+shortest), guessWeight / sq(guess.Token+shortest), 0}
-	weight[2] = guessWeight
-	floor := [terms]float64{0, leastToken, 0}
+	weight := [terms]float64{guessWeight / sq(guess.Fixed+shortest), guessWeight / sq(guess.Token+shortest), guessWeight, movedWeight, movedWeight}
+	floor := [terms]float64{0, leastToken, 0, leastMoved, leastMoved}
 	e.fitted = all.fit(e.fitted, e.fitted, floor, weight)
 	return e.fitted
 }
@@ -178,7 +195,7 @@
 // Figures returns what is known.
 func (e *Engine) Figures(now time.Time) Figures {
 	f := e.current(now)
-	return Figures{Fixed: f[0], Token: f[1], Pairs: f[2]}
+	return Figures{Fixed: f[0], Token: f[1], Pairs: f[2], Runner: f[3], Store: f[4]}
 }
 
 // knownFrom is from how many observations on somebody may be refused by what
@@ -206,6 +223,12 @@
 	return seconds(f[1]*float64(missing)/1e3 + f[2]*pairs(missing, prompt))
 }
 
+// Moving returns the time that moving parts of a prompt takes.
+func (e *Engine) Moving(m Moved, now time.Time) time.Duration {
+	f := e.current(now)
+	return seconds((f[3]*float64(m.Runner) + f[4]*float64(m.Store)) / 1e3)
+}
+
 // Backlog returns the time that reading tokens of several prompts takes.
 func (e *Engine) Backlog(tokens int, now time.Time) time.Duration {
 	return seconds(e.current(now)[1] * float64(tokens) / 1e3)
--- a/forecast/fit.go
+++ b/forecast/fit.go
@@ -6,7 +6,7 @@
 )
 
 // terms is how many figures a line of sums is fitted for.
-const terms = 3
+const terms = 5
 
 // Sums are the sums of a weighted least-squares fit of terms figures to
 // observations. They add up: the sums of several processes are those of all
--- a/router/describe.go
+++ b/router/describe.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/sirupsen/logrus"
+import (
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+)
 
 func (s *session) describe(fields logrus.Fields) {
 	fields["service"] = s.in.service.Name
@@ -10,6 +14,11 @@
 		fields["weights"] = s.last.Weights
 		fields["cached"] = s.last.Cached
 		fields["shared"] = s.last.Shared
+		if levels := s.last.Chain.Levels; len(levels) > 0 {
+			// Requests with the same value share their prompt up to here.
+			fields["part"] = strconv.FormatUint(levels[len(levels)-1].Hash, 16)
+		}
+		fields["fetched"] = s.last.Fetched
 		fields["source"] = s.last.Source
 		fields["input"] = s.in.Input
 		fields["output"] = s.in.Output
--- a/router/overload.go
+++ b/router/overload.go
@@ -8,15 +8,34 @@
 	"acaciakeel/refusal"
 )
 
-// overloadFactor is how many times its objective a request may be expected to
-// wait for its first token. Beyond it, it would only make those behind it late
-// too, and its runners read prompts whose clients have left.
-const overloadFactor = 0.5
+// Figures of who is refused.
+const (
+	// overloadFactor is how many times its objective a request may be expected to
+	// wait before its prompt is read. Beyond it, it would only make those behind it
+	// late too, and its runners read prompts whose clients have left. What it takes
+	// to read itself does not count: it would shut the largest out.
+	overloadFactor = 0.5
+	// lightReading is the part of its objective up to which reading a request
+	// counts as light, and lightFactor bounds how long the lightest may wait.
+	lightReading = 0.1
+	lightFactor  = 2
+)
+
+// waitLimit returns how long a request may have to wait that takes its runner
+// reading to begin: one that takes little of its objective makes the others wait
+// for next to nothing, and late it is still worth more than the time it takes.
+func waitLimit(objective, reading time.Duration) time.Duration {
+	share := overloadFactor
+	if reading > 0 {
+		share = min(lightFactor, max(overloadFactor, overloadFactor*lightReading*objective.Seconds()/reading.Seconds()))
+	}
+	return time.Duration(share * float64(objective))
+}
 
 // overloaded refuses a request whose first token is expected too late, at once
 // and with the time until the backlog has shrunk.
 func (s *session) overloaded(choice fleet.Choice) *refusal.Error {
-	limit := time.Duration(overloadFactor * float64(s.in.route.Objective))
+	limit := waitLimit(s.in.route.Objective, choice.Reading)
 	if s.ran > 0 || s.in.Model == "" || limit <= 0 || !choice.Known || choice.Wait <= limit {
 		return nil
 	}
--- a/router/session.go
+++ b/router/session.go
@@ -147,7 +147,8 @@
 
 func (s *session) stay(choice fleet.Choice) fleet.Stay {
 	return fleet.Stay{
-		Missing:  max(0, s.in.Input-choice.Cached),
+		Missing:  max(0, s.in.Input-choice.Cached-choice.Fetched),
+		Moved:    choice.Moved,
 		Prompt:   s.in.Input,
 		Output:   s.in.Output,
 		Chain:    choice.Chain,
