Anchor the learnt figures; log them; believe no more cached than fits

Cause: after restarts the fit rested on a few short prompts, and prompts of 40,000 tokens were expected in 4 to 8 s (met: 1.4 s); one load timed too short made all others count as slowed. Change: the figures of before stand against few observations like one prompt of 15,000 tokens; the time of a load follows shorter ones by degrees; a line every ten seconds says what was learnt. Believing twice what fits where events are read is reverted.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -32,18 +32,6 @@
 	return cache{cached: newParts()}
 }
 
-// unreadSlack is how many times what fits is believed of a cache whose events are
-// read: these tell what left, and a bound only keeps lost ones from piling up.
-const unreadSlack = 2
-
-// bound is the most tokens that are believed cached; 0 is no bound.
-func (c *cache) bound() int {
-	if c.boot != 0 {
-		return unreadSlack * c.capacity
-	}
-	return c.capacity
-}
-
 // useAll takes a chain's parts for cached and returns those that were not
 // before, but for the last, which no other request shares.
 func (c *cache) useAll(chain prefix.Chain, now time.Time) []Part {
@@ -54,7 +42,7 @@
 		if i < len(chain.Boundaries)-1 && !c.cached.has(b.Hash) {
 			fresh = append(fresh, Part{Hash: b.Hash, Tokens: tokens})
 		}
-		c.cached.use(b.Hash, tokens, c.bound(), now)
+		c.cached.use(b.Hash, tokens, c.capacity, now)
 		before = b.Tokens
 	}
 	return fresh
@@ -100,7 +88,7 @@
 	c.boot, c.next = boot, max(c.next, next)
 	for _, e := range all {
 		if e.stored {
-			c.cached.use(e.part.Hash, e.part.Tokens, c.bound(), now)
+			c.cached.use(e.part.Hash, e.part.Tokens, c.capacity, now)
 		} else {
 			c.cached.forget(e.part.Hash)
 		}
--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -55,6 +55,19 @@
 	return f.engine(service).Loads
 }
 
+// Figures returns what was learnt of the engines of the services that run models.
+func (f *Fleet) Figures(now time.Time) map[string]forecast.Figures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]forecast.Figures{}
+	for service, e := range f.engines {
+		if e.Known() {
+			out[service] = e.Figures(now)
+		}
+	}
+	return out
+}
+
 // Words returns what this process observed of engines, to be told to the others.
 func (f *Fleet) Words() []forecast.Word {
 	f.mu.Lock()
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -64,11 +64,15 @@
 	// leastToken is the least time for a thousand tokens: no engine reads two
 	// million a second.
 	leastToken = 0.0005
-	// guessWeight is how many observations the guess counts like.
-	guessWeight = 0.5
-	// movedWeight is the same for moves, of which there are fewer: in the squares
-	// of a thousand tokens by which they are weighed, some of ten thousand each.
-	movedWeight = 200
+	// fixedWeight, tokenWeight, pairsWeight and movedWeight say how firmly the
+	// figures of before stand against what is observed, in the units of the sums:
+	// like a few short prompts, and like one of 15,000 tokens that takes half a
+	// second. Ten prompts of 300 tokens, whose times differ by 20 ms for other
+	// reasons, say nothing of how long one of 40,000 takes.
+	fixedWeight = 100
+	tokenWeight = 1000
+	pairsWeight = 50000
+	movedWeight = 1000
 	// leastMoved is the least time to move a thousand tokens.
 	leastMoved = 0.00002
 )
@@ -182,16 +186,12 @@
 		}
 		all.Merge(h.sums)
 	}
-	// The guess weighs as much as a short prompt and a long one would; beside
-	// them it fades away.
-	weight := [terms]float64{guessWeight / sq(guess.Fixed+shortest), guessWeight / sq(guess.Token+shortest), guessWeight, movedWeight, movedWeight}
+	weight := [terms]float64{fixedWeight, tokenWeight, pairsWeight, movedWeight, movedWeight}
 	floor := [terms]float64{0, leastToken, 0, leastMoved, leastMoved}
 	e.fitted = all.fit(e.fitted, e.fitted, floor, weight)
 	return e.fitted
 }
 
-func sq(x float64) float64 { return x * x }
-
 // Figures returns what is known.
 func (e *Engine) Figures(now time.Time) Figures {
 	f := e.current(now)
@@ -200,7 +200,7 @@
 
 // knownFrom is from how many observations on somebody may be refused by what
 // they say.
-const knownFrom = 8
+const knownFrom = 20
 
 // Known reports whether enough was observed for a request to be refused by it.
 func (e *Engine) Known() bool {
--- a/forecast/loads.go
+++ b/forecast/loads.go
@@ -23,6 +23,9 @@
 	// ceilingFades is the part by which the width at which loads were slowed is
 	// forgotten with each load at full speed: the platform may have changed.
 	ceilingFades = 0.005
+	// aloneFall is the part of the difference by which a shorter load lowers the
+	// time of a load: when one began is known to within the pulses of the others.
+	aloneFall = 0.3
 	// aloneRise is the part of the difference by which a longer load that none
 	// was beside raises the time of a load: new engines may take longer.
 	aloneRise = 0.3
@@ -56,8 +59,11 @@
 	}
 	l.Seen++
 	l.Width = l.width(n)
-	if l.Alone == 0 || took < l.Alone {
+	switch {
+	case l.Alone == 0:
 		l.Alone = took
+	case took < l.Alone:
+		l.Alone += time.Duration(aloneFall * float64(took-l.Alone))
 	}
 	slow := took.Seconds() / l.Alone.Seconds()
 	if slow > slowed && beside == 1 {
--- /dev/null
+++ b/node/figures.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/clock"
+)
+
+// figuresEvery is how often what was learnt of the engines is logged: often enough
+// to explain a choice, and six lines a minute for each service.
+const figuresEvery = 10 * time.Second
+
+// logFigures logs what the choices of the next seconds rest on.
+func (n *Node) logFigures(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, figuresEvery)
+		for service, f := range n.view.fleet.Figures(time.Now()) {
+			loads := n.view.fleet.Loads(service)
+			n.log.WithFields(logrus.Fields{
+				"event": "engine_figures", "service": service,
+				"fixed_ms": f.Fixed * 1e3, "thousand_tokens_ms": f.Token * 1e3, "million_pairs_ms": f.Pairs * 1e3,
+				"moved_runner_ms": f.Runner * 1e3, "moved_store_ms": f.Store * 1e3,
+				"load_ms": loads.Load().Milliseconds(), "loads_at_once": loads.Width, "loads_seen": loads.Seen,
+			}).Info("learnt from answers and loads")
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,7 @@
 	go n.view.follower.Run(ctx)
 	go n.events.Run(ctx)
 	go n.pulse.run(ctx)
+	go n.logFigures(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
