Keep runners apart for requests that take little to read

Cause: on the grown site one tag in four whose runner seemed idle waited over 400 ms: 24 entries learn of each other's captions a tenth of a second late, and a caption is read for half a second. Ruled out: one target or one entry that is worse than the others (all were alike). Change: what takes under a tenth of its objective to read has runners of its own, as many as it keeps half busy, the same for all entries; crossing costs a long prompt twice its reading, a light one half of the others' mean reading. A load's time comes from orders to idle runners, as the other measure fell to half of it and left one load at a time.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -18,6 +18,8 @@
 	// Input is the number of prompt tokens, Output the most that may be generated.
 	Input  int
 	Output int
+	// Objective is the time to the first token that is asked for.
+	Objective time.Duration
 	// Tried are targets that must not be chosen again.
 	Tried []string
 	// TokenBytes is the size of one token's KV cache.
@@ -27,7 +29,8 @@
 	OldWeightsFor time.Duration
 	Weights       placement.Weights
 
-	long bool
+	long  bool
+	light bool
 }
 
 // Choice is a target for one request.
@@ -102,7 +105,7 @@
 	if q.Model == "" {
 		return f.chooseIdle(g, indices, now), true
 	}
-	q.long = f.long(q)
+	q.long, q.light = f.long(q), f.light(q, now)
 	if q.long {
 		if s := f.chooseDense(q, g, indices, now); s != nil {
 			return f.choice(q, s, map[int64]prefix.Chain{}, fetch{}, now), true
@@ -170,11 +173,14 @@
 	fetches := make([]fetch, len(order))
 	chains := map[int64]prefix.Chain{newest: chain}
 	holdings := map[int64]holding{}
+	kept := f.keptLight(q, g, indices, now)
 	first := true
 	for i, at := range order {
 		s := g.states[at]
 		answers[i], fetches[i] = f.answer(q, s, chains, f.holding(holdings, q, g, order, s, chains, now), now)
-		if first && s.sum(now).Long == 0 {
+		whole := f.engine(q.Service).Reading(chain.Tokens-answers[i].CachedTokens, chain.Tokens, now)
+		answers[i].PenaltySeconds += f.apart(q, kept, at, whole, now).Seconds()
+		if first && s.sum(now).Long == 0 && (len(kept) == 0 || kept[at] == q.light) {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
 			answers[i].CachedTokens = max(answers[i].CachedTokens, sharedTokens(chain)/2)
@@ -188,6 +194,7 @@
 	c.FirstToken = e.Fixed(now) + time.Duration(placement.FirstToken(answers[best], chain.Tokens)*float64(time.Second))
 	missing := max(0, chain.Tokens-answers[best].CachedTokens)
 	c.Reading = e.Reading(missing, chain.Tokens, now)
+	e.Brought(c.Reading, q.light, now)
 	c.Known = e.Known()
 	return c
 }
--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -40,12 +40,12 @@
 	return reading < (1-decodeShare)*held.Seconds()
 }
 
-// WeightsLoaded notes how long a load of weights took a runner of a service, beside
-// how many others of n at most, with itself.
-func (f *Fleet) WeightsLoaded(service string, took time.Duration, beside, n int) {
+// WeightsLoaded notes how long a load of weights took a runner of a service since
+// its order and since its last run, beside how many others of n at most, with itself.
+func (f *Fleet) WeightsLoaded(service string, ordered, took time.Duration, beside, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.engine(service).Loads.Loaded(took, beside, n)
+	f.engine(service).Loads.Loaded(ordered, took, beside, n)
 }
 
 // Loads returns what is known of a service's loads of weights.
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -87,6 +87,9 @@
 	// runs and allowed are the seconds that runs held their slots after their
 	// first token, and the tokens that they were allowed to generate.
 	runs Ratio
+	// mix is the reading that this process brings, as of mixed.
+	mix   Mix
+	mixed time.Time
 	// Loads is what is known of loads of weights.
 	Loads Loads
 }
@@ -95,6 +98,7 @@
 type heard struct {
 	sums Sums
 	runs Ratio
+	mix  Mix
 	at   time.Time
 }
 
--- a/forecast/fit.go
+++ b/forecast/fit.go
@@ -61,7 +61,12 @@
 
 // fadeShare is what is left of an observation's weight after elapsed.
 func fadeShare(elapsed time.Duration) float64 {
-	return math.Exp(-min(max(elapsed, 0), fadeStep).Seconds() / memory.Seconds())
+	return fadeBy(min(max(elapsed, 0), fadeStep), memory)
+}
+
+// fadeBy is what is left after elapsed of what fades to a third in memory.
+func fadeBy(elapsed, memory time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / memory.Seconds())
 }
 
 // element returns a product of two features.
--- a/forecast/loads.go
+++ b/forecast/loads.go
@@ -23,9 +23,6 @@
 	// ceilingFades is the part by which the width at which loads were slowed is
 	// forgotten with each load at full speed: the platform may have changed.
 	ceilingFades = 0.005
-	// aloneFall is the part of the difference by which a shorter load lowers the
-	// time of a load: when one began is known to within the pulses of the others.
-	aloneFall = 0.3
 	// aloneRise is the part of the difference by which a longer load that none
 	// was beside raises the time of a load: new engines may take longer.
 	aloneRise = 0.3
@@ -51,19 +48,19 @@
 	Seen int
 }
 
-// Loaded takes a load that took so long beside others of a service with n
-// runners: beside is the most orders, with itself, that went on meanwhile.
-func (l *Loads) Loaded(took time.Duration, beside, n int) {
+// Loaded takes a load that ended so long after its order, and took so long since
+// the runner had no runs, as far as known, beside others of a service with n
+// runners: beside is the most orders, with itself, that went on meanwhile. Of the
+// orders, those of idle runners tell the time of a load; the other time may be too
+// short, and then only hides that a load was slowed down.
+func (l *Loads) Loaded(ordered, took time.Duration, beside, n int) {
 	if took <= 0 || beside <= 0 {
 		return
 	}
 	l.Seen++
 	l.Width = l.width(n)
-	switch {
-	case l.Alone == 0:
-		l.Alone = took
-	case took < l.Alone:
-		l.Alone += time.Duration(aloneFall * float64(took-l.Alone))
+	if l.Alone == 0 || ordered < l.Alone {
+		l.Alone = ordered
 	}
 	slow := took.Seconds() / l.Alone.Seconds()
 	if slow > slowed && beside == 1 {
--- a/forecast/loads_test.go
+++ b/forecast/loads_test.go
@@ -14,7 +14,8 @@
 		n := rapid.IntRange(1, 400).Draw(t, "runners")
 		var l Loads
 		for range rapid.IntRange(0, 30).Draw(t, "loads") {
-			l.Loaded(time.Duration(rapid.IntRange(0, 20000).Draw(t, "load ms"))*time.Millisecond, rapid.IntRange(0, 40).Draw(t, "beside"), n)
+			took := time.Duration(rapid.IntRange(0, 20000).Draw(t, "load ms")) * time.Millisecond
+			l.Loaded(took, took, rapid.IntRange(0, 40).Draw(t, "beside"), n)
 		}
 		if at := l.AtOnce(n); at < 1 || (n > 1 && at > n/2) {
 			t.Errorf("%d of %d at once", at, n)
@@ -33,10 +34,11 @@
 		n := full * rapid.IntRange(3, 6).Draw(t, "runners by that")
 		load := time.Duration(rapid.IntRange(300, 5000).Draw(t, "load ms")) * time.Millisecond
 		var l Loads
-		l.Loaded(load, 1, n)
-		for range 200 {
+		l.Loaded(load, load, 1, n)
+		for i := range 200 {
 			at := int(l.width(n) + 0.5)
-			l.Loaded(load*time.Duration(max(at, full))/time.Duration(full), at, n)
+			took := load * time.Duration(max(at, full)) / time.Duration(full)
+			l.Loaded(took+time.Duration(i%3)*load/4, took, at, n)
 		}
 		if at := l.width(n); at < float64(full)-1.5 || at > slowed*float64(full)+1 {
 			t.Errorf("%.1f taken to load at full speed, where %d do (%+v)", at, full, l)
@@ -52,7 +54,8 @@
 	for _, load := range []time.Duration{time.Second, 3 * time.Second} {
 		for range 150 {
 			at := int(l.width(20) + 0.5)
-			l.Loaded(load*time.Duration(max(at, 4))/4, at, 20)
+			took := load * time.Duration(max(at, 4)) / 4
+			l.Loaded(took, took, at, 20)
 		}
 		if at := l.width(20); at < 3 || at > 6 {
 			t.Errorf("%.1f taken to load at full speed, where 4 do with loads of %v (%+v)", at, load, l)
@@ -68,3 +71,17 @@
 		t.Errorf("%d at once, want six, of which three load", at)
 	}
 }
+
+// When a runner has no runs left is known by the word of others, which may come
+// with the end of the load. One such load of a tenth of the time made all others
+// count as slowed, and left one runner at a time to load.
+func TestALoadTimedTooShortChangesNothing(t *testing.T) {
+	l := Loads{Alone: 2 * time.Second, Width: 8, Seen: 20}
+	for range 20 {
+		l.Loaded(2100*time.Millisecond, 200*time.Millisecond, 8, 44)
+		l.Loaded(2500*time.Millisecond, 2100*time.Millisecond, 8, 44)
+	}
+	if l.Alone < 1900*time.Millisecond || int(l.width(44)) < 8 {
+		t.Errorf("a load is taken to last %v, %d at once", l.Alone, int(l.width(44)))
+	}
+}
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -232,7 +232,7 @@
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired, time.Now())
 			h.told()
-			took := h.loaded(r, l)
+			took := h.loaded(r, l, began)
 			h.event("loaded", r, model, desired).WithFields(logrus.Fields{
 				"took_ms": time.Since(began).Milliseconds(), "load_ms": took.Milliseconds(),
 			}).Info("the runner has its weights")
@@ -283,12 +283,12 @@
 }
 
 // loaded notes a load that has just ended and returns how long it took.
-func (h *Holder) loaded(r fleet.Runner, l *oneLoad) time.Duration {
+func (h *Holder) loaded(r fleet.Runner, l *oneLoad, ordered time.Time) time.Duration {
 	h.mu.Lock()
 	took, beside := time.Since(l.began), l.beside
 	h.mu.Unlock()
 	if l.loads {
-		h.fleet.WeightsLoaded(r.Service, took, beside, len(h.fleet.Runners(r.Service)))
+		h.fleet.WeightsLoaded(r.Service, time.Since(ordered), took, beside, len(h.fleet.Runners(r.Service)))
 	}
 	return took
 }
--- a/router/overload.go
+++ b/router/overload.go
@@ -15,10 +15,8 @@
 	// late too, and its runners read prompts whose clients have left. What it takes
 	// to read itself does not count: it would shut the largest out.
 	overloadFactor = 0.5
-	// lightReading is the part of its objective up to which reading a request
-	// counts as light, and lightFactor bounds how long the lightest may wait.
-	lightReading = 0.1
-	lightFactor  = 2
+	// lightFactor is the same for those that take next to nothing to read.
+	lightFactor = 2
 )
 
 // waitLimit returns how long a request may have to wait that takes its runner
@@ -27,7 +25,7 @@
 func waitLimit(objective, reading time.Duration) time.Duration {
 	share := overloadFactor
 	if reading > 0 {
-		share = min(lightFactor, max(overloadFactor, overloadFactor*lightReading*objective.Seconds()/reading.Seconds()))
+		share = min(lightFactor, max(overloadFactor, overloadFactor*fleet.LightReading*objective.Seconds()/reading.Seconds()))
 	}
 	return time.Duration(share * float64(objective))
 }
--- a/router/session.go
+++ b/router/session.go
@@ -85,7 +85,7 @@
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
 		q.TokenBytes = in.service.Engine.TokenBytes
-		q.Input, q.Output = in.Input, in.Output
+		q.Input, q.Output, q.Objective = in.Input, in.Output, in.route.Objective
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
 	return s.router.fleet.Choose(q, time.Now())
