Take weights found in a listing for no older than the view before

Ruled out: refusals by the wait. Change: an entry that had read the store before knows that they were not there then.

--- a/node/view.go
+++ b/node/view.go
@@ -97,13 +97,25 @@
 // runners that are behind at a node's start are mostly about to catch up.
 const unknownRest = 2 * time.Second
 
+// namedAt returns since when new weights are taken to be wanted. One that finds
+// them in a listing knows no more than that they were not there when its view was
+// last confirmed. When the store dropped its history as weights were named, taking
+// the naming for as old as may be left all entries with old weights for two
+// seconds: with 44 runners to change, every request of the next two was refused.
+func (v *view) namedAt(model string, listed bool, now time.Time) time.Time {
+	if !listed {
+		return now
+	}
+	earliest := now.Add(unknownRest - v.oldWeights)
+	if age, ok := v.follower.Age(); ok && v.fleet.Named()[model] > 0 && now.Add(-age).After(earliest) {
+		return now.Add(-age)
+	}
+	return earliest
+}
+
 // Named implements platform.View.
 func (v *view) Named(model string, version int64, listed bool) {
-	at := time.Now()
-	if listed {
-		at = at.Add(unknownRest - v.oldWeights)
-	}
-	if !v.fleet.Name(model, version, at) {
+	if !v.fleet.Name(model, version, v.namedAt(model, listed, time.Now())) {
 		return
 	}
 	v.log.WithFields(logrus.Fields{"event": "weights_named", "model": model, "weights": version}).Info("new weights are wanted")
--- /dev/null
+++ b/node/view_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/fleet"
+	"acaciakeel/follow"
+	"acaciakeel/rollout"
+	"acaciakeel/store"
+)
+
+// forgetful is a store that drops its history once, while weights are named.
+type forgetful struct {
+	store.Store
+	lists, watches int
+}
+
+func (s *forgetful) List(context.Context, string) (store.Listing, error) {
+	s.lists++
+	return store.Listing{Revision: int64(s.lists)}, nil
+}
+
+func (s *forgetful) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (store.Events, error) {
+	s.watches++
+	if s.watches == 1 {
+		return store.Events{Revision: after, Compacted: true}, nil
+	}
+	<-ctx.Done()
+	return store.Events{}, ctx.Err()
+}
+
+// naming tells a view of weights 1 at the first listing and of 2 at the second.
+type naming struct {
+	view   *view
+	listed int64
+	done   chan struct{}
+}
+
+func (n *naming) Reset([]store.Entry, int64) {
+	n.listed++
+	n.view.Named("m", n.listed, true)
+	if n.listed == 2 {
+		close(n.done)
+	}
+}
+
+func (n *naming) Apply([]store.Event) {}
+
+// The store drops its history as weights are named, and the entries find them in a
+// listing. A listing does not say since when; taken for as old as may be, all
+// runners with the weights before were out of use two seconds later, and of the
+// next requests none was served. But these entries had read the store a moment ago.
+func TestWeightsFoundInAListingAreNoOlderThanTheViewBefore(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet.New("z")
+	v := &view{fleet: f, log: log, oldWeights: 18 * time.Second}
+	v.holder = rollout.NewHolder("n", nil, nil, f, nil, func() {}, log)
+	n := &naming{view: v, done: make(chan struct{})}
+	v.follower = follow.New(&forgetful{}, "", follow.Timing{}, n, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go v.follower.Run(ctx)
+	<-n.done
+	now := time.Now()
+	if behind := f.BehindFor("m", 1, now); behind > 10*time.Second {
+		t.Errorf("weights 2 count as wanted for %v", behind)
+	}
+	if behind := f.BehindFor("m", 0, now); behind < 16*time.Second {
+		t.Errorf("weights 1, found by the first listing, count as wanted for %v only", behind)
+	}
+}
