Compare fewer runners where much is decided unseen; switches for mechanisms

Change: as many runners are compared as let the unseen decisions spread over all, six at least, 24 at most, by the learnt rate of long prompts and the measured age of news.

--- a/cmd/acaciakeel-entry/platform.go
+++ b/cmd/acaciakeel-entry/platform.go
@@ -12,6 +12,7 @@
 
 	"acaciakeel/node"
 	"acaciakeel/platform"
+	"acaciakeel/policy"
 	"acaciakeel/telemetry"
 )
 
@@ -23,16 +24,21 @@
 		Usage: "run on the platform, by the settings that it writes, until SIGTERM",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of /metrics, as the deploy file says", Value: 9464},
+			&cli.StringSliceFlag{Name: "without", Usage: "switch the `MECHANISM` off; may be given more than once"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			settings, err := platform.LoadNode(platform.NodeFile())
 			if err != nil {
 				return err
 			}
+			without, err := policy.Parse(c.StringSlice("without"))
+			if err != nil {
+				return fmt.Errorf("--without: %w", err)
+			}
 			lines := telemetry.NewLines(os.Stdout)
 			log := telemetry.NewLoggerTo(lines, "info")
 			stop := stopSignal(log)
-			n := node.New(settings, node.Options{MetricsPort: c.Int("metrics-port"), Dropped: lines.Dropped}, log)
+			n := node.New(settings, node.Options{MetricsPort: c.Int("metrics-port"), Dropped: lines.Dropped, Without: without}, log)
 			if err := n.Start(); err != nil {
 				return err
 			}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -6,6 +6,7 @@
 	"acaciakeel/forecast"
 	"acaciakeel/health"
 	"acaciakeel/placement"
+	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
 
@@ -84,8 +85,10 @@
 	// what they push out of the runner's cache, which others may ask for.
 	displaced = 0.5
 	// askedMost is how many of the ranked targets are compared: beyond these
-	// the rank says nothing, and load evens out among them.
-	askedMost = 24
+	// the rank says nothing, and load evens out among them. askedLeast is how many
+	// are compared however much is unseen.
+	askedMost  = 24
+	askedLeast = 6
 )
 
 // Choose picks a target; ok is false where none may be used.
@@ -106,7 +109,7 @@
 		return f.chooseIdle(g, indices, now), true
 	}
 	q.long, q.light = f.long(q), f.light(q, now)
-	if q.long {
+	if q.long && !f.off[policy.Packing] {
 		if s := f.chooseDense(q, g, indices, now); s != nil {
 			return f.choice(q, s, map[int64]prefix.Chain{}, fetch{}, now), true
 		}
@@ -168,7 +171,7 @@
 	newest := f.named[q.Model].newest()
 	chain := q.Chain(newest)
 	var o placement.Orderer
-	order := o.Order(g.placed, indices, chain.Levels, nil, min(askedMost, len(indices)))
+	order := o.Order(g.placed, indices, chain.Levels, nil, min(f.compared(q, len(indices), now), len(indices)))
 	answers := make([]placement.Answer, len(order))
 	fetches := make([]fetch, len(order))
 	chains := map[int64]prefix.Chain{newest: chain}
@@ -242,7 +245,10 @@
 	chain := q.chainOf(chains, weights)
 	cached := s.cache.tokens(chain)
 	e := f.engine(q.Service)
-	from, _ := f.bestFetch(h, e, s, cached, chain.Tokens, now)
+	var from fetch
+	if !f.off[policy.Fetching] {
+		from, _ = f.bestFetch(h, e, s, cached, chain.Tokens, now)
+	}
 	a := placement.Answer{
 		Ready:          true,
 		CachedTokens:   cached + from.tokens,
--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciakeel/forecast"
+	"acaciakeel/policy"
 )
 
 // engine returns what is known of a service's engines; the caller holds mu.
@@ -45,6 +46,9 @@
 func (f *Fleet) WeightsLoaded(service string, ordered, took time.Duration, beside, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.off[policy.Pace] {
+		return
+	}
 	f.engine(service).Loads.Loaded(ordered, took, beside, n)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"acaciakeel/forecast"
 	"acaciakeel/health"
 	"acaciakeel/placement"
+	"acaciakeel/policy"
 )
 
 // state is everything known of one target.
@@ -58,6 +59,9 @@
 	engines map[string]*forecast.Engine
 	members members
 	zone    string
+	off     policy.Off
+	// news is about how old the others' word of their load gets.
+	news newsAge
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -79,6 +83,16 @@
 	}
 }
 
+// Without switches mechanisms off, before the view is used.
+func (f *Fleet) Without(off policy.Off) {
+	f.off = off
+}
+
+// Off reports whether a mechanism is switched off.
+func (f *Fleet) Off(m policy.Mechanism) bool {
+	return f.off[m]
+}
+
 // Put takes a target's entry of the list.
 func (f *Fleet) Put(r Runner) {
 	f.mu.Lock()
--- a/fleet/light.go
+++ b/fleet/light.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciakeel/placement"
+	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
 
@@ -32,6 +33,9 @@
 // requests keep half busy; where that is half of them or more, or nothing heavy
 // comes, none are kept apart.
 func (f *Fleet) keptLight(q Query, g *group, indices []int32, now time.Time) map[int32]bool {
+	if f.off[policy.Apart] {
+		return nil
+	}
 	mix := f.engine(q.Service).Mix(now)
 	need := int(math.Ceil(mix.Light / lightBusy))
 	if need == 0 || mix.Heavy <= mix.Light || 2*need > len(indices) {
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -43,6 +43,7 @@
 func (f *Fleet) HeardLoad(sender string, all []Occupancy, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.news.note(sender, now)
 	for _, s := range f.states {
 		delete(s.others, sender)
 		s.forgetOthers(now)
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
 
@@ -54,7 +55,7 @@
 // saveTo returns the store that a prompt's shared parts are to be sent to, or
 // "" where they are there already or on their way.
 func (f *Fleet) saveTo(chain prefix.Chain, now time.Time) string {
-	if sharedTokens(chain) < movedLeast {
+	if sharedTokens(chain) < movedLeast || f.off[policy.Saving] {
 		return ""
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
@@ -121,7 +122,7 @@
 // zone: such a transfer takes twice as long, and all runners share that link.
 func (f *Fleet) farFetch(q Query, chain prefix.Chain, s *state, cached int) time.Duration {
 	lacks := sharedTokens(chain) - cached
-	if lacks <= 0 {
+	if lacks <= 0 || f.off[policy.FarLinks] {
 		return 0
 	}
 	_, k := f.storeOf(chain.Levels[len(chain.Levels)-1].Hash)
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciakeel/forecast"
+	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
 
@@ -70,7 +71,7 @@
 	}
 	t.firstAt = now
 	t.read()
-	if t.stay.Prompt > 0 {
+	if t.stay.Prompt > 0 && !t.fleet.off[policy.Learning] {
 		reading := forecast.Reading{Missing: t.stay.Missing, Prompt: t.stay.Prompt, Ahead: t.ahead, Moved: t.stay.Moved, Took: now.Sub(t.began)}
 		t.fleet.engine(t.state.runner.Service).Read(reading, now)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"acaciakeel/follow"
 	"acaciakeel/lease"
 	"acaciakeel/platform"
+	"acaciakeel/policy"
 	"acaciakeel/rollout"
 	"acaciakeel/router"
 	"acaciakeel/store"
@@ -48,6 +49,8 @@
 	MetricsPort int
 	// Dropped, where set, returns how many log lines were lost.
 	Dropped func() int64
+	// Without are the mechanisms that are switched off.
+	Without policy.Off
 }
 
 func (o Options) dropped() int64 {
@@ -92,6 +95,7 @@
 	}
 	runners := platform.NewRunners()
 	targets := fleet.New(s.Zone)
+	targets.Without(o.Without)
 	n.session = lease.NewSession(n.store, max(leaseTTL, time.Duration(s.Store.MinLeaseMS)*time.Millisecond), leaseMargin)
 	n.view = &view{
 		fleet:   targets,
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -16,6 +16,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
 
@@ -140,6 +141,9 @@
 	if now.Sub(p.toldEngines) >= enginesEvery {
 		all.engines, p.toldEngines = p.fleet.Words(), now
 	}
+	if p.fleet.Off(policy.Telling) {
+		all.loads = nil
+	}
 	if len(peers) == 0 {
 		return
 	}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,71 @@
+// Package policy names the mechanisms by which requests, loads and caches are
+// decided, so that each can be switched off alone: to measure what it is worth, or
+// to do without one that does harm.
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism is the name of one that can be switched off.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// Learning: figures of engines are fitted to what answers show. Without it the
+	// guess of the first seconds holds for good, and nobody is refused by it.
+	Learning Mechanism = "learning"
+	// Packing: long runs fill few runners.
+	Packing Mechanism = "packing"
+	// Apart: runners are kept for requests that take little to read.
+	Apart Mechanism = "apart"
+	// Fetching: runners are chosen with what they can fetch; without it only what
+	// they hold themselves counts, and a source is named on the chance.
+	Fetching Mechanism = "fetching"
+	// Saving: shared parts are sent to stores of kept cache.
+	Saving Mechanism = "saving"
+	// FarLinks: the time of a store's link that a transfer across zones takes counts.
+	FarLinks Mechanism = "far-links"
+	// FewCompared: fewer runners are compared where much is decided unseen.
+	FewCompared Mechanism = "few-compared"
+	// Refusing: requests are refused for their wait.
+	Refusing Mechanism = "refusing"
+	// LightWaits: what takes little to read may wait longer.
+	LightWaits Mechanism = "light-waits"
+	// Pace: how many runners load at once is learnt; without it a sixth of them do.
+	Pace Mechanism = "pace"
+	// Cutting: long runs that go on elsewhere are cut off by orders.
+	Cutting Mechanism = "cutting"
+	// Telling: entries tell each other their load.
+	Telling Mechanism = "telling"
+)
+
+// All returns every mechanism.
+func All() []Mechanism {
+	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Pace, Cutting, Telling}
+}
+
+// Off is the mechanisms that are switched off; nil is none.
+type Off map[Mechanism]bool
+
+// Parse reads the names of the mechanisms to switch off.
+func Parse(names []string) (Off, error) {
+	off := Off{}
+	for _, name := range names {
+		if !slices.Contains(All(), Mechanism(name)) {
+			return nil, fmt.Errorf("no mechanism is called %q; write one of %s", name, strings.Join(known(), ", "))
+		}
+		off[Mechanism(name)] = true
+	}
+	return off, nil
+}
+
+func known() []string {
+	out := make([]string, 0, len(All()))
+	for _, m := range All() {
+		out = append(out, string(m))
+	}
+	return out
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,18 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+)
+
+// A misspelt switch that is passed over would let an operator believe that a
+// mechanism is off.
+func TestUnknownMechanismsAreRefused(t *testing.T) {
+	off, err := Parse([]string{"apart", "pace"})
+	if err != nil || !off[Apart] || !off[Pace] || off[Packing] {
+		t.Errorf("switched off %v, %v", off, err)
+	}
+	if _, err = Parse([]string{"apart", "packs"}); err == nil || !strings.Contains(err.Error(), `"packs"`) || !strings.Contains(err.Error(), "packing") {
+		t.Errorf("%v does not name the mistake and what there is", err)
+	}
+}
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -10,6 +10,7 @@
 
 	"acaciakeel/clock"
 	"acaciakeel/fleet"
+	"acaciakeel/policy"
 )
 
 // Orderer reaches runners.
@@ -198,7 +199,7 @@
 // its last event. Left to end, the last of them keep a runner of forty or sixty
 // slots out of service for four to six seconds.
 func (h *Holder) clear(ctx context.Context, r fleet.Runner) bool {
-	if h.fleet.Inflight(r.ID).Long == 0 {
+	if h.fleet.Inflight(r.ID).Long == 0 || h.fleet.Off(policy.Cutting) {
 		return false
 	}
 	for range clearTries {
--- a/router/overload.go
+++ b/router/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciakeel/fleet"
+	"acaciakeel/policy"
 	"acaciakeel/refusal"
 )
 
@@ -33,8 +34,12 @@
 // overloaded refuses a request whose first token is expected too late, at once
 // and with the time until the backlog has shrunk.
 func (s *session) overloaded(choice fleet.Choice) *refusal.Error {
-	limit := waitLimit(s.in.route.Objective, choice.Reading)
-	if s.ran > 0 || s.in.Model == "" || limit <= 0 || !choice.Known || choice.Wait <= limit {
+	reading := choice.Reading
+	if s.router.fleet.Off(policy.LightWaits) {
+		reading = 0
+	}
+	limit := waitLimit(s.in.route.Objective, reading)
+	if s.ran > 0 || s.in.Model == "" || limit <= 0 || !choice.Known || s.router.fleet.Off(policy.Refusing) || choice.Wait <= limit {
 		return nil
 	}
 	over := choice.Wait - limit
