Let a share of the runners load at once; learn only the time of a load

Nobody sees when a runner that ends its runs begins to load, so whether it was slowed down can't be told.

--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"acaciakeel/forecast"
-	"acaciakeel/policy"
 )
 
 // engine returns what is known of a service's engines; the caller holds mu.
@@ -41,15 +40,12 @@
 	return reading < (1-decodeShare)*held.Seconds()
 }
 
-// WeightsLoaded notes how long a load of weights took a runner of a service since
-// its order and since its last run, beside how many others of n at most, with itself.
-func (f *Fleet) WeightsLoaded(service string, ordered, took time.Duration, beside, n int) {
+// WeightsLoaded notes how long after its order a runner of a service had loaded
+// weights.
+func (f *Fleet) WeightsLoaded(service string, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.off[policy.Pace] {
-		return
-	}
-	f.engine(service).Loads.Loaded(ordered, took, beside, n)
+	f.engine(service).Loads.Loaded(took)
 }
 
 // Loads returns what is known of a service's loads of weights.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -270,7 +270,7 @@
 	}{{2 * time.Second, false}, {500 * time.Millisecond, true}} {
 		f := named(New("z"), runner("a", 1))
 		learnRuns(f, "a", 800, 50*time.Millisecond, time.Second)
-		f.WeightsLoaded("lm", test.load, test.load, 1, 9)
+		f.WeightsLoaded("lm", test.load)
 		q := query()
 		q.Input, q.Output = 300, 800
 		if c, _ := f.Choose(q, start); c.Long != test.want {
--- a/forecast/engine_test.go
+++ b/forecast/engine_test.go
@@ -120,7 +120,7 @@
 	old, fresh := New(), New()
 	at := observe(old, m, 300, start, random)
 	old.Ran(480, time.Second, at)
-	old.Loads.Loaded(2*time.Second, 2*time.Second, 1, 9)
+	old.Loads.Loaded(2 * time.Second)
 	if fresh.Known() {
 		t.Error("an engine of which nothing was seen counts as known")
 	}
--- a/node/figures.go
+++ b/node/figures.go
@@ -23,7 +23,7 @@
 				"event": "engine_figures", "service": service,
 				"fixed_ms": f.Fixed * 1e3, "thousand_tokens_ms": f.Token * 1e3, "million_pairs_ms": f.Pairs * 1e3,
 				"moved_runner_ms": f.Runner * 1e3, "moved_store_ms": f.Store * 1e3,
-				"load_ms": loads.Load().Milliseconds(), "loads_at_once": loads.Width, "loads_seen": loads.Seen,
+				"load_ms": loads.Load().Milliseconds(), "loads_seen": loads.Seen,
 			}).Info("learnt from answers and loads")
 		}
 	}
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -185,8 +185,7 @@
 	out := make([]*keelv1.EngineWord, 0, len(all))
 	for _, word := range all {
 		w := &keelv1.EngineWord{
-			Service: word.Service, Weight: float32(word.Sums.Weight), LoadMs: uint32(word.Loads.Alone.Milliseconds()),
-			LoadsAtOnce: float32(word.Loads.Width), LoadsCeiling: float32(word.Loads.Ceiling), LoadsSeen: uint32(word.Loads.Seen),
+			Service: word.Service, Weight: float32(word.Sums.Weight), LoadMs: uint32(word.Loads.Alone.Milliseconds()), LoadsSeen: uint32(word.Loads.Seen),
 			Light: float32(word.Mix.Light), Heavy: float32(word.Mix.Heavy), Heavies: float32(word.Mix.Heavies),
 			RunSeconds: float32(word.Runs.Seconds), RunTokens: float32(word.Runs.Tokens),
 		}
@@ -208,8 +207,7 @@
 		word := forecast.Word{
 			Service: w.Service,
 			Loads: forecast.Loads{
-				Alone: time.Duration(w.LoadMs) * time.Millisecond,
-				Width: float64(w.LoadsAtOnce), Ceiling: float64(w.LoadsCeiling), Seen: int(w.LoadsSeen),
+				Alone: time.Duration(w.LoadMs) * time.Millisecond, Seen: int(w.LoadsSeen),
 			},
 			Mix:  forecast.Mix{Light: float64(w.Light), Heavy: float64(w.Heavy), Heavies: float64(w.Heavies)},
 			Runs: forecast.Ratio{Seconds: float64(w.RunSeconds), Tokens: float64(w.RunTokens)},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,8 +34,6 @@
 	Refusing Mechanism = "refusing"
 	// LightWaits: what takes little to read may wait longer.
 	LightWaits Mechanism = "light-waits"
-	// Pace: how many runners load at once is learnt; without it a sixth of them do.
-	Pace Mechanism = "pace"
 	// Cutting: long runs that go on elsewhere are cut off by orders.
 	Cutting Mechanism = "cutting"
 	// Telling: entries tell each other their load.
@@ -44,7 +42,7 @@
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Pace, Cutting, Telling}
+	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling}
 }
 
 // Off is the mechanisms that are switched off; nil is none.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -8,8 +8,8 @@
 // A misspelt switch that is passed over would let an operator believe that a
 // mechanism is off.
 func TestUnknownMechanismsAreRefused(t *testing.T) {
-	off, err := Parse([]string{"apart", "pace"})
-	if err != nil || !off[Apart] || !off[Pace] || off[Packing] {
+	off, err := Parse([]string{"apart", "saving"})
+	if err != nil || !off[Apart] || !off[Saving] || off[Packing] {
 		t.Errorf("switched off %v, %v", off, err)
 	}
 	if _, err = Parse([]string{"apart", "packs"}); err == nil || !strings.Contains(err.Error(), `"packs"`) || !strings.Contains(err.Error(), "packing") {
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -44,14 +44,12 @@
 
 	mu       sync.Mutex
 	underway map[string]bool
-	// loads are the orders under way.
-	loads map[*oneLoad]bool
 }
 
 // NewHolder returns a holder named name, which is the machine's. It calls told
 // when the other processes should hear of a runner at once.
 func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, told func(), log logrus.FieldLogger) *Holder {
-	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}, loads: map[*oneLoad]bool{}}
+	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}}
 }
 
 // Wake makes the holder look at once.
@@ -216,82 +214,24 @@
 // await waits for the end of an order, asking the runner.
 func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
-	l := h.beginLoad(began)
-	defer h.endLoad(l)
-	ask := began.Add(pollFirst)
+	h.fleet.Busy(r.ID, began.Add(busyGuard))
+	h.told()
+	clock.Sleep(ctx, pollFirst)
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
-		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
-		if time.Since(began) < emptyEvery {
-			h.told()
-		}
-		clock.Sleep(ctx, emptyEvery)
-		h.emptied(r, l)
-		if time.Now().Before(ask) {
-			continue
-		}
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.ID, model, desired, time.Now())
 			h.told()
-			took := h.loaded(r, l, began)
-			h.event("loaded", r, model, desired).WithFields(logrus.Fields{
-				"took_ms": time.Since(began).Milliseconds(), "load_ms": took.Milliseconds(),
-			}).Info("the runner has its weights")
+			h.fleet.WeightsLoaded(r.Service, time.Since(began))
+			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
 			return
 		}
 		if err == nil && !report.Busy {
 			return
 		}
-		ask = time.Now().Add(pollEvery)
-	}
-}
-
-// emptyEvery is how often the runs that a load waits for are counted: far below
-// the time of a load.
-const emptyEvery = 50 * time.Millisecond
-
-// emptied notes when a runner that got its order has ended its runs, as far as the
-// processes told; then it loads.
-func (h *Holder) emptied(r fleet.Runner, l *oneLoad) {
-	if !l.loads && h.fleet.Inflight(r.ID).Inflight == 0 {
-		l.loads, l.began = true, time.Now()
-	}
-}
-
-// oneLoad is an order under way: when its load began, as far as known, and the
-// most orders, with itself, that went on meanwhile.
-type oneLoad struct {
-	began  time.Time
-	loads  bool
-	beside int
-}
-
-func (h *Holder) beginLoad(now time.Time) *oneLoad {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	l := &oneLoad{began: now}
-	h.loads[l] = true
-	for other := range h.loads {
-		other.beside = max(other.beside, len(h.loads))
-	}
-	return l
-}
-
-func (h *Holder) endLoad(l *oneLoad) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.loads, l)
-}
-
-// loaded notes a load that has just ended and returns how long it took.
-func (h *Holder) loaded(r fleet.Runner, l *oneLoad, ordered time.Time) time.Duration {
-	h.mu.Lock()
-	took, beside := time.Since(l.began), l.beside
-	h.mu.Unlock()
-	if l.loads {
-		h.fleet.WeightsLoaded(r.Service, time.Since(ordered), took, beside, len(h.fleet.Runners(r.Service)))
+		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		clock.Sleep(ctx, pollEvery)
 	}
-	return took
 }
 
 func (h *Holder) event(name string, r fleet.Runner, model string, desired int64) *logrus.Entry {
