Read as a newcomer: what is expected of a choice in a function of its own; a test of the words on the wire

Cause: the choice did two jobs, and a comment promised a zero value that has no map. Change: no behaviour.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -181,8 +181,8 @@
 	for i, at := range order {
 		s := g.states[at]
 		answers[i], fetches[i] = f.answer(q, s, chains, f.holding(holdings, q, g, order, s, chains, now), now)
-		whole := f.engine(q.Service).Reading(chain.Tokens-answers[i].CachedTokens, chain.Tokens, now)
-		answers[i].PenaltySeconds += f.apart(q, kept, at, whole, now).Seconds()
+		reading := f.engine(q.Service).Reading(chain.Tokens-answers[i].CachedTokens, chain.Tokens, now)
+		answers[i].PenaltySeconds += f.apart(q, kept, at, reading, now).Seconds()
 		if first && s.sum(now).Long == 0 && (len(kept) == 0 || kept[at] == q.light) {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
@@ -192,14 +192,18 @@
 	}
 	best := placement.Pick(answers, chain.Tokens, q.Weights)
 	c := f.choice(q, g.states[order[best]], chains, fetches[best], now)
-	c.Wait = time.Duration(answers[best].WaitSeconds * float64(time.Second))
+	f.expect(&c, q, answers[best], chain.Tokens, now)
+	return c
+}
+
+// expect fills in what is expected of a choice by its target's answer.
+func (f *Fleet) expect(c *Choice, q Query, a placement.Answer, tokens int, now time.Time) {
 	e := f.engine(q.Service)
-	c.FirstToken = e.Fixed(now) + time.Duration(placement.FirstToken(answers[best], chain.Tokens)*float64(time.Second))
-	missing := max(0, chain.Tokens-answers[best].CachedTokens)
-	c.Reading = e.Reading(missing, chain.Tokens, now)
-	e.Brought(c.Reading, q.light, now)
+	c.Wait = time.Duration(a.WaitSeconds * float64(time.Second))
+	c.FirstToken = e.Fixed(now) + time.Duration(placement.FirstToken(a, tokens)*float64(time.Second))
+	c.Reading = e.Reading(max(0, tokens-a.CachedTokens), tokens, now)
 	c.Known = e.Known()
-	return c
+	e.Brought(c.Reading, q.light, now)
 }
 
 // holding returns where a prompt's parts under a runner's weights are, worked out
@@ -240,6 +244,8 @@
 	return c
 }
 
+// answer returns what is expected of a prompt at a runner, with the transfer that
+// it would begin with.
 func (f *Fleet) answer(q Query, s *state, chains map[int64]prefix.Chain, h holding, now time.Time) (placement.Answer, fetch) {
 	weights := s.version(q.Model)
 	chain := q.chainOf(chains, weights)
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -77,15 +77,15 @@
 	leastMoved = 0.00002
 )
 
-// Engine is what is known of one service's engines. Its zero value knows nothing.
+// Engine is what is known of one service's engines; New returns one.
 type Engine struct {
 	own    Sums
 	others map[string]heard
 	fitted [terms]float64
 	stale  bool
 	seen   time.Time
-	// runs and allowed are the seconds that runs held their slots after their
-	// first token, and the tokens that they were allowed to generate.
+	// runs is the time that runs held their slots after their first token, by the
+	// tokens that they were allowed to generate.
 	runs Ratio
 	// mix is the reading that this process brings, as of mixed.
 	mix   Mix
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -12,6 +12,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/forecast"
 	"acaciakeel/prefix"
 )
 
@@ -112,3 +113,29 @@
 		t.Errorf("%d findings are kept for nobody", n)
 	}
 }
+
+// What an entry observed of engines arrives as it was told, to the digits that a
+// float32 has; a word of another shape, as of a later version, is left out.
+func TestWordsOfEnginesArrive(t *testing.T) {
+	w := forecast.Word{
+		Service: "lm",
+		Runs:    forecast.Ratio{Seconds: 12.5, Tokens: 4800},
+		Loads:   forecast.Loads{Alone: 2100 * time.Millisecond, Seen: 7},
+		Mix:     forecast.Mix{Light: 0.5, Heavy: 4.25, Heavies: 12},
+	}
+	for i := range w.Sums.Cross {
+		w.Sums.Cross[i] = float64(i) + 0.5
+	}
+	for i := range w.Sums.Right {
+		w.Sums.Right[i] = float64(i) * 2
+	}
+	w.Sums.Weight = 40
+	if got := decodeWords(encodeWords([]forecast.Word{w})); len(got) != 1 || got[0] != w {
+		t.Errorf("%+v arrived, want %+v", got, w)
+	}
+	other := encodeWords([]forecast.Word{w})
+	other[0].Right = other[0].Right[1:]
+	if got := decodeWords(other); len(got) != 0 {
+		t.Errorf("%+v arrived of a word of another shape", got)
+	}
+}
