Work the mean reading of heavy requests and the order of light runners out once a choice

Cause: read once more, the choice summed what all entries bring for each runner that it compared, ranked the runners for light requests twice, and returned a cost that nobody took. Ruled out: a change of behaviour; the same values at the same moment. Change: each is worked out once.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -177,12 +177,14 @@
 	chains := map[int64]prefix.Chain{newest: chain}
 	holdings := map[int64]holding{}
 	kept := f.keptLight(q, g, indices, now)
+	e := f.engine(q.Service)
+	heavy := e.Mix(now).HeavyReading()
 	first := true
 	for i, at := range order {
 		s := g.states[at]
 		answers[i], fetches[i] = f.answer(q, s, chains, f.holding(holdings, q, g, order, s, chains, now), now)
-		reading := f.engine(q.Service).Reading(chain.Tokens-answers[i].CachedTokens, chain.Tokens, now)
-		answers[i].PenaltySeconds += f.apart(q, kept, at, reading, now).Seconds()
+		reading := e.Reading(chain.Tokens-answers[i].CachedTokens, chain.Tokens, now)
+		answers[i].PenaltySeconds += apart(q, kept, at, reading, heavy).Seconds()
 		if first && s.sum(now).Long == 0 && (len(kept) == 0 || kept[at] == q.light) {
 			// Every process sends a prefix to the first in its order that has no
 			// long runs, so what this one does not know of is likely to be there.
@@ -253,7 +255,7 @@
 	e := f.engine(q.Service)
 	var from fetch
 	if !f.off[policy.Fetching] {
-		from, _ = f.bestFetch(h, e, s, cached, chain.Tokens, now)
+		from = f.bestFetch(h, e, s, cached, chain.Tokens, now)
 	}
 	a := placement.Answer{
 		Ready:          true,
--- a/fleet/light.go
+++ b/fleet/light.go
@@ -45,8 +45,9 @@
 	level := []prefix.Boundary{{Hash: prefix.NameHash(q.Model + " light " + strconv.FormatInt(newest, 10))}}
 	kept := make(map[int32]bool, need)
 	var o placement.Orderer
+	order := o.Order(g.placed, indices, level, nil, len(indices))
 	for _, current := range []bool{true, false} {
-		for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
+		for _, i := range order {
 			if len(kept) < need && (g.states[i].version(q.Model) >= newest) == current {
 				kept[i] = true
 			}
@@ -61,13 +62,14 @@
 
 // apart returns what it costs a request to go to the runner at index i, where some
 // are kept for light ones: a heavy request keeps the light ones there waiting
-// while it is read, a light one elsewhere meets such a heavy one half-way.
-func (f *Fleet) apart(q Query, kept map[int32]bool, i int32, reading time.Duration, now time.Time) time.Duration {
+// while it is read, a light one elsewhere meets a heavy one half-way. reading is the
+// request's own, heavy the mean of the heavy ones.
+func apart(q Query, kept map[int32]bool, i int32, reading, heavy time.Duration) time.Duration {
 	switch {
 	case len(kept) == 0 || kept[i] == q.light:
 		return 0
 	case q.light:
-		return f.engine(q.Service).Mix(now).HeavyReading() / 2
+		return heavy / 2
 	}
 	return crossing * reading
 }
--- a/fleet/sources.go
+++ b/fleet/sources.go
@@ -67,7 +67,7 @@
 
 // bestFetch returns the transfer that leaves a runner with the least to wait for,
 // or none: reading a token takes an engine read, and moving it what was learnt.
-func (f *Fleet) bestFetch(h holding, e *forecast.Engine, s *state, cached, prompt int, now time.Time) (fetch, time.Duration) {
+func (f *Fleet) bestFetch(h holding, e *forecast.Engine, s *state, cached, prompt int, now time.Time) fetch {
 	best, cost := fetch{}, e.Reading(prompt-cached, prompt, now)
 	try := func(c fetch) {
 		c.tokens -= cached
@@ -88,7 +88,7 @@
 	if h.store != "" {
 		try(fetch{h.store, h.stored, forecast.Moved{Store: (h.stored - cached) * factor(h.zone, s.runner.Zone)}})
 	}
-	return best, cost
+	return best
 }
 
 func factor(from, to string) int {
