Sight: log and count connections closed with a request read and not answered

The HTTP server tells of a request once its head was read and decoded, and nothing of connections that end before. Each client's connection now knows the bytes read since something was last written to it; one closed by the node with such bytes is logged and counted, and a stop logs its steps with the connections open. No decision is changed.

--- a/node/door.go
+++ b/node/door.go
@@ -27,11 +27,14 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 }
 
-func listen(address string, s *http.Server) (door, error) {
+func listen(address string, s *http.Server, c *clients) (door, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return door{}, fmt.Errorf("listen: %w; another process may hold the port", err)
 	}
+	if c != nil {
+		listener = clientListener{Listener: listener, clients: c}
+	}
 	d := door{server: s, address: listener.Addr().String(), idle: &idleConns{conns: map[net.Conn]bool{}}}
 	s.ConnState = d.idle.note
 	go func() { _ = s.Serve(listener) }()
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	session  *lease.Session
 	store    *platform.Store
 	front    *platform.Front
+	clients  *clients
 	events   *fleet.EventWatch
 	pulse    *pulse
 	name     string
@@ -113,6 +114,7 @@
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.registerGauges()
+	n.clients = newClients(n.registry, log)
 	n.events = fleet.NewEventWatch(targets, runners)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	bounds := router.Bounds{OldWeights: n.view.oldWeights}
@@ -145,13 +147,13 @@
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
 	var err error
-	if n.doors.front, err = listen(n.settings.Listen.Front, newServer(n.front)); err != nil {
+	if n.doors.front, err = listen(n.settings.Listen.Front, newServer(n.front), n.clients); err != nil {
 		return err
 	}
-	if n.doors.ready, err = listen(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady))); err != nil {
+	if n.doors.ready, err = listen(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady)), nil); err != nil {
 		return err
 	}
-	if n.doors.metrics, err = listen(n.metricsAddress(), newServer(n.metricsHandler())); err != nil {
+	if n.doors.metrics, err = listen(n.metricsAddress(), newServer(n.metricsHandler()), nil); err != nil {
 		return err
 	}
 	if err = n.pulse.listen(n.pulseAddress()); err != nil {
@@ -261,6 +263,7 @@
 	defer cancel()
 	close(n.stopping)
 	n.front.Leave()
+	n.clients.stopping()
 	n.log.WithField("event", "stopping").Info("planned stop")
 	if err := n.session.End(ctx); err != nil {
 		n.log.WithError(err).WithField("event", "lease_end_failed").Warn("the others wait for the lease to lapse")
@@ -271,7 +274,9 @@
 	case <-sleep.C:
 	case <-ctx.Done():
 	}
+	n.log.WithFields(n.clients.tally()).WithField("event", "notice_over").Info("the door closes")
 	front.idle.end()
+	n.log.WithFields(n.clients.tally()).WithField("event", "idle_ended").Info("idle connections had their time")
 	if err := front.server.Shutdown(ctx); err != nil {
 		n.log.WithError(err).WithField("event", "stop_cut").Warn("the grace ended before all requests did")
 		return
