--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/door"
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
 	"acaciakeel/lease"
@@ -32,16 +33,20 @@
 	session  *lease.Session
 	store    *platform.Store
 	front    *platform.Front
-	clients  *clients
+	router   *router.Router
 	events   *fleet.EventWatch
 	pulse    *pulse
 	name     string
 	stopping chan struct{}
 	options  Options
-	doors    struct{ front, ready, metrics door }
+	doors    struct{ front, ready, metrics *door.Door }
 	// cancel ends all the node does, endDuties what it does for others.
 	cancel    context.CancelFunc
 	endDuties context.CancelFunc
+	// serving is what clients' requests are served under; interrupt ends it with
+	// the reason that requests are answered with.
+	serving   context.Context
+	interrupt context.CancelCauseFunc
 }
 
 // Options are what the platform's settings do not say.
@@ -94,6 +99,7 @@
 		name:     s.Name + "/" + uuid.NewString(),
 		stopping: make(chan struct{}),
 	}
+	n.serving, n.interrupt = context.WithCancelCause(context.Background())
 	runners := platform.NewRunners()
 	targets := fleet.New(s.Zone)
 	targets.Without(o.Without)
@@ -114,7 +120,6 @@
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.registerGauges()
-	n.clients = newClients(n.registry, log)
 	n.events = fleet.NewEventWatch(targets, runners)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	bounds := router.Bounds{OldWeights: n.view.oldWeights}
@@ -123,7 +128,8 @@
 		Extra:  s.Bounds.RetryExtra,
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
-	n.front = platform.NewFront(router.New(n.view, targets, runners, router.NewMetrics(n.registry), log, bounds, retries), n.view.limits)
+	n.router = router.New(n.view, targets, runners, router.NewMetrics(n.registry), log, bounds, retries)
+	n.front = platform.NewFront(n.router, n.view.limits)
 	return n
 }
 
@@ -146,17 +152,10 @@
 // Start opens the node's doors and begins its duties. Requests that come before
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
-	var err error
-	if n.doors.front, err = listen(n.settings.Listen.Front, newServer(n.front), n.clients); err != nil {
-		return err
-	}
-	if n.doors.ready, err = listen(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady)), nil); err != nil {
-		return err
-	}
-	if n.doors.metrics, err = listen(n.metricsAddress(), newServer(n.metricsHandler()), nil); err != nil {
+	if err := n.openDoors(); err != nil {
 		return err
 	}
-	if err = n.pulse.listen(n.pulseAddress()); err != nil {
+	if err := n.pulse.listen(n.pulseAddress()); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -169,28 +168,34 @@
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.doors.front.address}).Info("serving")
+	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.doors.front.Address()}).Info("serving")
 	return nil
 }
 
-// Stop ends the node in order, within the platform's grace.
-func (n *Node) Stop() {
-	defer n.cancel()
-	// A node that stops serves on for seconds. Were it to take a lease or the
-	// seat again meanwhile, its orders would stand still until that lapses.
-	n.endDuties()
-	n.shutdown(n.doors.front)
-	for _, d := range []door{n.doors.front, n.doors.ready, n.doors.metrics} {
-		_ = d.server.Close()
+func (n *Node) openDoors() error {
+	watch := door.Watch{
+		Log:        n.log,
+		Unanswered: telemetry.NewCounter(n.registry, "keel_node_connections_unanswered_total", "Connections closed with a request read and nothing answered.").WithLabelValues(),
+	}
+	front := newServer(n.front)
+	front.BaseContext = func(net.Listener) context.Context { return n.serving }
+	var err error
+	if n.doors.front, err = door.Open(n.settings.Listen.Front, front, watch); err != nil {
+		return err
+	}
+	if n.doors.ready, err = door.Open(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady)), watch); err != nil {
+		return err
 	}
+	n.doors.metrics, err = door.Open(n.metricsAddress(), newServer(n.metricsHandler()), watch)
+	return err
 }
 
 // FrontAddress and ReadyAddress return where the started node serves clients
 // and the platform's question whether it is ready.
-func (n *Node) FrontAddress() string { return n.doors.front.address }
+func (n *Node) FrontAddress() string { return n.doors.front.Address() }
 
 // ReadyAddress returns where the platform asks whether the node is ready.
-func (n *Node) ReadyAddress() string { return n.doors.ready.address }
+func (n *Node) ReadyAddress() string { return n.doors.ready.Address() }
 
 func (n *Node) metricsAddress() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
@@ -246,40 +251,3 @@
 		}
 	}
 }
-
-// Figures of a planned stop.
-const (
-	// stopNotice is how long the door stays open after the node has begun to
-	// say that it is not ready: the platform asks once a second and believes
-	// the second answer.
-	stopNotice = 2600 * time.Millisecond
-	// stopMargin is kept from the moment at which the platform kills the process.
-	stopMargin = 300 * time.Millisecond
-)
-
-func (n *Node) shutdown(front door) {
-	deadline := time.Now().Add(n.settings.Bounds.Grace() - stopMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	close(n.stopping)
-	n.front.Leave()
-	n.clients.stopping()
-	n.log.WithField("event", "stopping").Info("planned stop")
-	if err := n.session.End(ctx); err != nil {
-		n.log.WithError(err).WithField("event", "lease_end_failed").Warn("the others wait for the lease to lapse")
-	}
-	sleep := time.NewTimer(stopNotice)
-	defer sleep.Stop()
-	select {
-	case <-sleep.C:
-	case <-ctx.Done():
-	}
-	n.log.WithFields(n.clients.tally()).WithField("event", "notice_over").Info("the door closes")
-	front.idle.end()
-	n.log.WithFields(n.clients.tally()).WithField("event", "idle_ended").Info("idle connections had their time")
-	if err := front.server.Shutdown(ctx); err != nil {
-		n.log.WithError(err).WithField("event", "stop_cut").Warn("the grace ended before all requests did")
-		return
-	}
-	n.log.WithField("event", "stopped").Info("all requests ended")
-}
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,8 @@
 	metrics *Metrics
 	log     logrus.FieldLogger
 	bounds  Bounds
+	// leaving is until when requests may take, once the process is about to end.
+	leaving atomic.Pointer[time.Time]
 }
 
 // New returns a router.
@@ -115,6 +118,9 @@
 		return in, refusal.New(refusal.UnknownService, "tell the operators", "route %s leads to no service", in.route.Name)
 	}
 	in.limit = earliest(req.Deadline, in.route.Timeout, req.Received)
+	if until := r.leaving.Load(); until != nil && !in.endsBy(*until) {
+		return in, refusal.New(refusal.Stopping, "ask another entry", "this entry stops before the request is expected to end").After(leaveRetryAfter)
+	}
 	return in, nil
 }
 
@@ -176,6 +182,10 @@
 		return refused
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), ErrEnding):
+		out := refusal.New(refusal.Stopping, "ask another entry; look the result up where it may have run", "this entry stopped before the request ended").After(leaveRetryAfter)
+		out.Outcome = refused.Outcome
+		return out
 	case errors.Is(ctx.Err(), context.Canceled):
 		out := refusal.New(refusal.Canceled, "none", "the client left")
 		out.Outcome = refused.Outcome
