--- a/door/conns.go
+++ b/door/conns.go
@@ -17,8 +17,6 @@
 	mu       sync.Mutex
 	open     map[*conn]struct{}
 	accepted int
-	// arrived is when a connection or bytes on one came last.
-	arrived time.Time
 	// ending is when the door's end began.
 	ending time.Time
 }
@@ -38,21 +36,21 @@
 	owed int
 	// serving is set while the server works on a request.
 	serving bool
-	// framed is set for HTTP/2, where bytes also come that need no answer; the
-	// server's states tell of its requests.
+	// framed is set for HTTP/2, where bytes also come that need no answer, and
+	// whose own end tells the client which requests were taken.
 	framed bool
 	// left is set once the client has ended its side.
 	left bool
+	// hung is set while an idle connection has its last time.
+	hung bool
 }
 
 func (s *conns) add(c net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	added := &conn{Conn: c, conns: s, accepted: now}
+	added := &conn{Conn: c, conns: s, accepted: time.Now()}
 	s.open[added] = struct{}{}
 	s.accepted++
-	s.arrived = now
 	return added
 }
 
@@ -78,14 +76,14 @@
 	if c.readAt.IsZero() {
 		c.framed = bytes.HasPrefix(p, http2Preface)
 	}
-	if c.owed == 0 && !c.conns.ending.IsZero() {
+	if c.hung {
 		// The rest of the request may take as long as it needs: without this the
 		// time that an idle connection still has would cut it in the middle.
+		c.hung = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 	c.owed += len(p)
 	c.readAt = now
-	c.conns.arrived = now
 }
 
 // SetReadDeadline implements net.Conn. The server gives each connection that
@@ -93,9 +91,11 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	now := time.Now()
-	if !c.conns.ending.IsZero() && c.idle(now) {
-		t = now.Add(idleEnd)
+	if !c.conns.ending.IsZero() {
+		c.hang(time.Now())
+	}
+	if c.hung {
+		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -117,27 +117,41 @@
 // Figures of connections at the end of a door.
 const (
 	// idleEnd is for how long an idle connection may still bring a request. It is
-	// ended by the time-out of a read, which has read nothing.
+	// ended by the time-out of a read, which has read nothing: a connection closed
+	// from outside may just have been read.
 	idleEnd = 50 * time.Millisecond
 	// firstBytes is for how long a new connection is waited for: its client opened
 	// it to send a request, whose bytes were seen to take 0.7 s over a busy link.
 	firstBytes = 2 * time.Second
 )
 
-// busy reports whether somebody waits for an answer on a connection, or is
-// about to; the caller holds conns.mu.
-func (c *conn) busy(now time.Time) bool {
-	if c.left {
-		return c.serving
+// idle reports whether a connection waits for its client's next request, and
+// nobody for an answer on it; the caller holds conns.mu.
+func (c *conn) idle(now time.Time) bool {
+	if c.serving || c.framed {
+		return false
 	}
 	fresh := c.readAt.IsZero() && now.Sub(c.accepted) < firstBytes
-	return c.serving || fresh || (c.owed > 0 && !c.framed)
+	return c.left || (!fresh && c.owed == 0)
 }
 
-// idle reports whether a connection waits for its client's next request; the
-// caller holds conns.mu.
-func (c *conn) idle(now time.Time) bool {
-	return !c.busy(now) && !c.framed
+// hang gives an idle connection its last time, once; the caller holds conns.mu.
+func (c *conn) hang(now time.Time) {
+	if c.hung || !c.idle(now) {
+		return
+	}
+	c.hung = true
+	// A connection that fails here has ended already.
+	_ = c.Conn.SetReadDeadline(now.Add(idleEnd))
+}
+
+// CloseWrite ends the sending side, as the server does after an answer that
+// leaves a part of the request unread.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
 }
 
 // note takes the HTTP server's state of a connection.
@@ -178,38 +192,38 @@
 
 // tally is how the connections stand.
 type tally struct {
-	accepted, open, busy int
-	arrived              time.Time
+	accepted, open, framed, idle int
 }
 
+// tally counts the connections, and gives those that became idle their last
+// time once the door ends. Clients take that for a word to connect anew, to a
+// process that serves; a request that comes here late may have to be refused,
+// which costs one of their attempts.
 func (s *conns) tally() tally {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := tally{accepted: s.accepted, open: len(s.open), arrived: s.arrived}
+	t := tally{accepted: s.accepted, open: len(s.open)}
 	now := time.Now()
 	for c := range s.open {
-		if c.busy(now) {
-			t.busy++
+		if !s.ending.IsZero() {
+			c.hang(now)
+		}
+		if c.framed {
+			t.framed++
+		} else if c.idle(now) {
+			t.idle++
 		}
 	}
 	return t
 }
 
 func (t tally) fields(event string) logrus.Fields {
-	return logrus.Fields{"event": event, "accepted": t.accepted, "open": t.open, "busy": t.busy, "quiet_ms": time.Since(t.arrived).Milliseconds()}
+	return logrus.Fields{"event": event, "accepted": t.accepted, "open": t.open, "idle": t.idle}
 }
 
-// end lets the idle connections end, now and as more become idle. Clients take
-// that for a word to connect anew, to a process that serves; a request that
-// comes here late may have to be refused, which costs one of their attempts.
+// end begins the end of idle connections.
 func (s *conns) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ending = time.Now()
-	for c := range s.open {
-		if c.idle(s.ending) {
-			// A connection that fails here has ended already.
-			_ = c.Conn.SetReadDeadline(s.ending.Add(idleEnd))
-		}
-	}
 }
--- a/door/door.go
+++ b/door/door.go
@@ -15,7 +15,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -75,15 +75,9 @@
 	End time.Time
 }
 
-// Figures of an ordered end.
-const (
-	// quiet is for how long nothing has come from clients once a door takes it
-	// that nothing is on its way: bytes wait in the queue of a busy link for up to
-	// 0.7 s (measured on links of 10 Mbit/s), but not without others before them.
-	quiet = 300 * time.Millisecond
-	// look is the pause between two looks at the connections: short beside quiet.
-	look = 20 * time.Millisecond
-)
+// look is the pause between two looks at the connections: short beside the time
+// that an idle one still gets.
+const look = 20 * time.Millisecond
 
 // End ends the door in order and reports whether all requests were answered in
 // their own time. New connections are refused from now on, which a balancer takes
@@ -93,18 +87,33 @@
 	d.listener.end()
 	<-d.closed
 	d.conns.end()
-	d.conns.watch.Log.WithFields(d.conns.tally().fields("door_closed")).Info("no new connections are taken")
-	settled := func(t tally) bool { return t.busy == 0 && time.Since(t.arrived) >= quiet }
-	whole := d.await(e.Answers, settled)
+	d.tell("door_closed", "no new connections are taken")
+	whole := d.await(e.Answers, func(t tally) bool { return t.open == t.framed })
+	if whole {
+		whole = d.endFramed(e.Answers)
+	}
 	if !whole {
-		d.conns.watch.Log.WithFields(d.conns.tally().fields("interrupted")).Warn("requests are given up: the time for answers is over")
+		d.tell("interrupted", "requests are given up: the time for answers is over")
 		e.Interrupt()
-		d.await(e.End, func(t tally) bool { return t.busy == 0 })
+		d.await(e.End, func(t tally) bool { return t.open == t.framed+t.idle })
 	}
 	_ = d.server.Close()
 	return whole
 }
 
+func (d *Door) tell(event, what string) {
+	d.conns.watch.Log.WithFields(d.conns.tally().fields(event)).Info(what)
+}
+
+// endFramed ends the connections of HTTP/2, where the server tells the client
+// which requests it took. There must be no others: those the server would end
+// in the middle of a request.
+func (d *Door) endFramed(until time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return d.server.Shutdown(ctx) == nil
+}
+
 // await looks at the connections until they are as wanted or a time has come,
 // and reports whether they are.
 func (d *Door) await(until time.Time, wanted func(tally) bool) bool {
@@ -126,25 +135,31 @@
 type listener struct {
 	*net.TCPListener
 	conns *conns
+
+	mu sync.Mutex
 	// bound is until when connections are handed out though they never pause;
-	// nil until the end begins.
-	bound atomic.Pointer[time.Time]
+	// zero until the end begins.
+	bound time.Time
+	// until is how long the next one is waited for.
+	until time.Time
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	bound := l.bound.Load()
-	if err == nil {
-		if bound != nil {
-			l.wait(*bound)
+	for {
+		entered := time.Now()
+		c, err := l.AcceptTCP()
+		if err == nil {
+			l.more(time.Now())
+			return l.conns.add(c), nil
+		}
+		if !isTimeout(err) {
+			return nil, err
+		}
+		if l.empty(entered) {
+			return nil, net.ErrClosed
 		}
-		return l.conns.add(c), nil
-	}
-	if bound != nil && isTimeout(err) {
-		return nil, net.ErrClosed
 	}
-	return nil, err
 }
 
 // Figures of the end of a listener.
@@ -155,25 +170,47 @@
 	queueEmpty = 10 * time.Millisecond
 	// queueBound is for how long at most: beyond some hundred connections a second
 	// there may never be such a pause.
-	queueBound = 200 * time.Millisecond
+	queueBound = 300 * time.Millisecond
 )
 
 // end makes the listener hand out what waits in the kernel's queue, and then
 // end: connections left there would be reset with whole requests on them.
 func (l *listener) end() {
-	bound := time.Now().Add(queueBound)
-	l.bound.Store(&bound)
-	l.wait(bound)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.bound = now.Add(queueBound)
+	l.wait(now)
 }
 
-// wait gives the next connection until the queue is taken for empty.
-func (l *listener) wait(bound time.Time) {
-	until := time.Now().Add(queueEmpty)
-	if until.After(bound) {
-		until = bound
+// more waits for the next connection once the end has begun.
+func (l *listener) more(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.bound.IsZero() && now.Before(l.bound) {
+		l.wait(now)
 	}
+}
+
+// empty reports whether the queue is empty, as a wait that began at a moment
+// timed out. A wait that began too late has not looked at the queue, as on a
+// machine that stood still meanwhile; it is repeated.
+func (l *listener) empty(entered time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if entered.Before(l.until) || now.After(l.bound) {
+		return true
+	}
+	l.wait(now)
+	return false
+}
+
+// wait bounds the next wait for a connection; the caller holds mu.
+func (l *listener) wait(now time.Time) {
+	l.until = now.Add(queueEmpty)
 	// A listener that can't be given a time has ended already.
-	_ = l.SetDeadline(until)
+	_ = l.SetDeadline(l.until)
 }
 
 func isTimeout(err error) bool {
