--- a/node/node_test.go
+++ b/node/node_test.go
@@ -30,6 +30,8 @@
 	runners []*runner.Runner
 	desks   []*runner.Runner
 	version int
+	// graceS is the grace of the nodes started from now on, in seconds.
+	graceS float64
 }
 
 const (
@@ -40,7 +42,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: kv.NewStore(0)}
+	w := &world{t: t, store: kv.NewStore(0), graceS: 8}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
@@ -66,7 +68,7 @@
 		Name: name, IP: "127.0.0.1", Zone: "z1", Ports: []int{0},
 		Listen: platform.Listen{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
 		Bounds: platform.Bounds{
-			GraceS: 8, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: 8000, LeaseMS: 3000,
+			GraceS: w.graceS, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: 8000, LeaseMS: 3000,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10,
 		},
 		Store: platform.StoreAt{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
@@ -118,8 +120,8 @@
 		"version": w.version,
 		"routes": []any{
 			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
-			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1}),
-			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1}),
+			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1, "timeout_ms": 15000}),
+			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1, "timeout_ms": 15000}),
 			route("stock", "/stock/", "idempotent", "desk", map[string]any{"target_latency_ms": 100}),
 		},
 		"services": []any{
