--- a/cmd/acaciakeel-entry/platform.go
+++ b/cmd/acaciakeel-entry/platform.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -44,11 +45,16 @@
 			}
 			<-stop
 			n.Stop()
+			lines.Flush(lastLines)
 			return nil
 		},
 	}
 }
 
+// lastLines bounds the writing of the last log lines, within the margin that a
+// stop keeps from the end of the grace.
+const lastLines = 100 * time.Millisecond
+
 // stopSignal returns a channel that closes at the first SIGTERM or SIGINT. A
 // SIGHUP says that the settings file has changed: it is read again, and what
 // it says is taken at the next start, as addresses can't change before.
--- /dev/null
+++ b/door/door_test.go
@@ -0,0 +1,148 @@
+package door
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func open(t *testing.T, h http.HandlerFunc) *Door {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := &http.Server{Handler: h, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
+	d, err := Open("127.0.0.1:0", server, Watch{Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = d.Close() })
+	return d
+}
+
+// ample is a time within which everything that must come has come, on a busy
+// machine too.
+const ample = 20 * time.Second
+
+func ending(interrupt func()) Ending {
+	now := time.Now()
+	return Ending{Answers: now.Add(ample), Interrupt: interrupt, End: now.Add(2 * ample)}
+}
+
+func answer(in *bufio.Reader) (int, error) {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// Many clients connect and send at the very moment at which a door ends. Some of their connections wait in the kernel's
+// queue by then; those that the door closes without a look at the queue are reset with whole requests on them. The door is
+// kept from accepting until it ends, so that all of them wait there.
+func TestEndAnswersWhatWaitsInTheQueue(t *testing.T) {
+	const clients = 60
+	d := open(t, func(http.ResponseWriter, *http.Request) {})
+	d.conns.mu.Lock()
+	var conns []net.Conn
+	for range clients {
+		c, err := net.Dial("tcp", d.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	ended := make(chan bool)
+	go func() { ended <- d.End(ending(func() {})) }()
+	d.conns.mu.Unlock()
+	for i, c := range conns {
+		if status, err := answer(bufio.NewReader(c)); err != nil || status != http.StatusOK {
+			t.Errorf("client %d of %d: answered %d (%v)", i, clients, status, err)
+		}
+	}
+	if !<-ended {
+		t.Error("the end says that requests were given up")
+	}
+}
+
+// Clients use their kept connections without a pause while the door ends. Each of them must see its requests answered, up
+// to one that met the plain end of an idle connection before the door had read any of it.
+func TestEndLosesNothingOnBusyConnections(t *testing.T) {
+	var taken, answered sync.Map
+	d := open(t, func(w http.ResponseWriter, r *http.Request) { taken.Store(r.URL.Path, true) })
+	var clients sync.WaitGroup
+	for i := range 8 {
+		c, err := net.Dial("tcp", d.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(c)
+		clients.Go(func() {
+			defer c.Close()
+			for n := 0; ; n++ {
+				path := fmt.Sprintf("/%d/%d", i, n)
+				if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+					return
+				}
+				if _, err := answer(in); err != nil {
+					return
+				}
+				answered.Store(path, true)
+				time.Sleep(time.Duration(n%120) * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	if !d.End(ending(func() {})) {
+		t.Error("the end says that requests were given up")
+	}
+	clients.Wait()
+	taken.Range(func(path, _ any) bool {
+		if _, ok := answered.Load(path); !ok {
+			t.Errorf("%v was taken and not answered", path)
+		}
+		return true
+	})
+}
+
+// A request waits for something that never comes. When the time for answers is over it is interrupted, and gets the answer
+// that it then gives, before the door ends.
+func TestEndInterruptsWhatWaits(t *testing.T) {
+	ctx, interrupt := context.WithCancel(context.Background())
+	begun := make(chan struct{})
+	d := open(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-ctx.Done()
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	c, err := net.Dial("tcp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	e := ending(interrupt)
+	e.Answers = time.Now()
+	if d.End(e) {
+		t.Error("the end says that all was answered in its own time")
+	}
+	if status, err := answer(bufio.NewReader(c)); err != nil || status != http.StatusBadGateway {
+		t.Errorf("answered %d (%v)", status, err)
+	}
+}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -90,6 +90,10 @@
 	return err
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
 
 // message returns a request as a client writes it.
 func message(method, path, id string, header map[string]string) string {
