--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -23,6 +23,9 @@
 	seen   map[string]outcome
 	counts map[string]int
 	broken []string
+	// lost are the requests that ended without an answer where each must have
+	// one, by how they ended.
+	lost map[string][]string
 }
 
 // outcome is what a caller saw of one attempt.
@@ -88,12 +91,11 @@
 	return out.status == http.StatusOK && out.err == nil
 }
 
-func (c *callers) exchange(e *entry, route, id string, thing int) outcome {
-	out := outcome{route: route}
+// request returns one attempt at a route.
+func (c *callers) request(e *entry, route, id string, thing int) (*http.Request, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+e.front+"/"+route+"/x", strings.NewReader("body of "+id))
 	if err != nil {
-		c.violate("request %s: %v", id, err)
-		return out
+		return nil, err
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
@@ -104,6 +106,16 @@
 		req.Header.Set("Token-Count", "3000,500")
 		req.Header.Set("Prefix-Hash", fmt.Sprintf("aa:800,b%d:1200,c%s:1000", thing, id))
 	}
+	return req, nil
+}
+
+func (c *callers) exchange(e *entry, route, id string, thing int) outcome {
+	out := outcome{route: route}
+	req, err := c.request(e, route, id, thing)
+	if err != nil {
+		c.violate("request %s: %v", id, err)
+		return out
+	}
 	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
