Daemon: read the settings again at SIGHUP instead of ending

Cause: nobody took SIGHUP on the daemons, so it ended the process at once, with all requests that ran there. Signals were also taken only after the address was, so that a SIGTERM in between left connections in the kernel's queue.

Change: signals are taken before the first connection; SIGHUP reads the file again and logs what is wrong with it, as on the platform.

TestHangUpEndsNothing: the test process ended with 'signal: hangup' before, passes now, five runs under the race detector.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,6 +43,8 @@
 	Stop func(ctx context.Context)
 	// StopLimit bounds a planned stop.
 	StopLimit time.Duration
+	// Reread reads and checks the settings file again; Serve calls it at SIGHUP.
+	Reread func() error
 }
 
 // Exit codes of the daemons.
@@ -106,19 +108,26 @@
 	if err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
+	service.Reread = func() error { return p.Check(file) }
 	return service.Serve(p.Name)
 }
 
 // Serve serves until SIGTERM or SIGINT, then stops in order: new work is
 // refused or finished as the daemon sees fit, and open requests end before
-// the listener closes. A second signal ends the process at once.
+// the listener closes. A second signal ends the process at once. SIGHUP makes
+// it read the settings again and say what is wrong with them.
 func (s *Service) Serve(name string) error {
+	// Signals that nobody takes end the process, so they are taken before the
+	// first connection is.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go s.rereadAt(hangups)
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w; check self.listen", err)
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	server := link.NewServer(s.Handler)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -131,6 +140,18 @@
 	return s.shutdown(server, signals)
 }
 
+// rereadAt reads the settings again at each signal. They are in force from the
+// next start on: addresses can't change before.
+func (s *Service) rereadAt(hangups <-chan os.Signal) {
+	for range hangups {
+		err := s.Reread()
+		if err != nil {
+			err = fmt.Errorf("the settings in force stay: %w", err)
+		}
+		s.Log.WithError(err).WithField("event", "settings_changed").Info("settings are taken at the next start")
+	}
+}
+
 func (s *Service) shutdown(server *http.Server, signals <-chan os.Signal) error {
 	s.Log.WithField("event", "stopping").Info("planned stop")
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopLimit)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -23,8 +23,10 @@
 type daemon struct {
 	t       *testing.T
 	address string
-	// served counts requests that reached the handler.
+	// served counts requests that reached the handler, reread how often the
+	// settings were read again.
 	served atomic.Int64
+	reread atomic.Int64
 	ended  chan error
 }
 
@@ -44,6 +46,7 @@
 			d.served.Add(1)
 			_, _ = io.Copy(w, r.Body)
 		}),
+		Reread: func() error { d.reread.Add(1); return errors.New("no such setting") },
 	}
 	go func() { d.ended <- s.Serve("test") }()
 	d.until("it serves", d.takes)
@@ -73,9 +76,9 @@
 	return exchange(c, bufio.NewReader(c), head+rest) == nil
 }
 
-// stop sends the signal of a planned stop.
-func (d *daemon) stop() {
-	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+// signal sends a signal to this process.
+func (d *daemon) signal(s syscall.Signal) {
+	if err := syscall.Kill(os.Getpid(), s); err != nil {
 		d.t.Fatal(err)
 	}
 }
@@ -130,7 +133,7 @@
 			if !d.takes() {
 				t.Fatal("not served before the stop")
 			}
-			d.stop()
+			d.signal(syscall.SIGTERM)
 			d.until("no new connections are taken", func() bool { return !d.takes() })
 			if err := exchange(c, in, rest); err != nil {
 				t.Errorf("a request that was read whole got no answer: %v", err)
@@ -143,6 +146,32 @@
 	}
 }
 
+// An operator changes the settings file, makes a mistake in it, and sends the
+// daemon SIGHUP, as for other daemons. A caller is in the middle of a request.
+// The signal must not cost it its answer: where nobody takes it, it ends a
+// process at once, with all that runs there.
+func TestHangUpEndsNothing(t *testing.T) {
+	d := startDaemon(t)
+	c, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	d.signal(syscall.SIGHUP)
+	d.until("the settings are read again", func() bool { return d.reread.Load() > 0 })
+	if err := exchange(c, bufio.NewReader(c), rest); err != nil {
+		t.Errorf("a request got no answer: %v", err)
+	}
+	c.Close()
+	d.signal(syscall.SIGTERM)
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // The system's own processes talk over one HTTP/2 connection, and go on to call
 // a daemon that stops. Each call must be answered, or fail before it was sent
 // to a process that is there: then its sender may take it elsewhere.
@@ -173,7 +202,7 @@
 		})
 	}
 	d.until("calls are answered", func() bool { return answered.Load() > 0 })
-	d.stop()
+	d.signal(syscall.SIGTERM)
 	wg.Wait()
 	if err := <-d.ended; err != nil {
 		t.Error(err)
