--- /dev/null
+++ b/door/door.go
@@ -0,0 +1,219 @@
+// Package door serves HTTP at an address and ends in order: each request that
+// was read gets its answer, and no connection is closed while one may be on it.
+//
+// The HTTP server's own shutdown does not do that. It looks at whether it shuts
+// down after it has read a request's head, and ends the connection without a
+// word; it closes connections by states that change some time after bytes were
+// read; and it closes its listener with connections waiting in the kernel's
+// queue. Where clients keep coming, each of these leaves a client that has sent
+// a whole request with neither an answer nor a refusal.
+package door
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Watch is where a door tells of itself.
+type Watch struct {
+	Log logrus.FieldLogger
+	// Unanswered, where set, counts connections closed with a request read and
+	// nothing answered.
+	Unanswered prometheus.Counter
+}
+
+// Door is one address that is served.
+type Door struct {
+	server   *http.Server
+	listener *listener
+	conns    *conns
+	// closed ends once the listener has.
+	closed chan struct{}
+}
+
+// Open serves an address with a server, whose ConnState the door takes over.
+func Open(address string, server *http.Server, w Watch) (*Door, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w; another process may hold the port", err)
+	}
+	s := &conns{watch: w, open: map[*conn]struct{}{}}
+	d := &Door{server: server, conns: s, closed: make(chan struct{}), listener: &listener{TCPListener: l.(*net.TCPListener), conns: s}}
+	server.ConnState = s.note
+	go func() {
+		defer close(d.closed)
+		_ = server.Serve(d.listener)
+	}()
+	return d, nil
+}
+
+// Address returns IP:PORT.
+func (d *Door) Address() string {
+	return d.listener.Addr().String()
+}
+
+// Close ends the door at once.
+func (d *Door) Close() error {
+	return d.server.Close()
+}
+
+// Ending is how a door ends.
+type Ending struct {
+	// Answers is until when requests may take; then Interrupt is called, upon
+	// which each request still served is to get its last answer.
+	Answers   time.Time
+	Interrupt func()
+	// End is when the door ends in any case.
+	End time.Time
+}
+
+// look is the pause between two looks at the connections: short beside the time
+// that an idle one still gets.
+const look = 20 * time.Millisecond
+
+// End ends the door in order and reports whether all requests were answered in
+// their own time. New connections are refused from now on, which a balancer takes
+// for a word to try another process; what has come on open ones, or is on its
+// way on new ones, is served.
+func (d *Door) End(e Ending) bool {
+	d.listener.end()
+	<-d.closed
+	d.conns.end()
+	d.tell("door_closed", "no new connections are taken")
+	whole := d.await(e.Answers, func(t tally) bool { return t.open == t.framed })
+	if whole {
+		whole = d.endFramed(e.Answers)
+	}
+	if !whole {
+		d.tell("interrupted", "requests are given up: the time for answers is over")
+		e.Interrupt()
+		d.await(e.End, func(t tally) bool { return t.open == t.framed+t.idle })
+	}
+	_ = d.server.Close()
+	return whole
+}
+
+func (d *Door) tell(event, what string) {
+	d.conns.watch.Log.WithFields(d.conns.tally().fields(event)).Info(what)
+}
+
+// endFramed ends the connections of HTTP/2, where the server tells the client
+// which requests it took. There must be no others: those the server would end
+// in the middle of a request.
+func (d *Door) endFramed(until time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return d.server.Shutdown(ctx) == nil
+}
+
+// await looks at the connections until they are as wanted or a time has come,
+// and reports whether they are.
+func (d *Door) await(until time.Time, wanted func(tally) bool) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	ticker := time.NewTicker(look)
+	defer ticker.Stop()
+	for !wanted(d.conns.tally()) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// listener hands out connections that the door knows.
+type listener struct {
+	*net.TCPListener
+	conns *conns
+
+	mu sync.Mutex
+	// bound is until when connections are handed out though they never pause;
+	// zero until the end begins.
+	bound time.Time
+	// until is how long the next one is waited for.
+	until time.Time
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		entered := time.Now()
+		c, err := l.AcceptTCP()
+		if err == nil {
+			l.more(time.Now())
+			return l.conns.add(c), nil
+		}
+		if !isTimeout(err) {
+			return nil, err
+		}
+		if l.empty(entered) {
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// Figures of the end of a listener.
+const (
+	// queueEmpty is for how long no connection came out of the kernel's queue once
+	// the queue is taken for empty; one that waits there is handed out at once, so
+	// this only covers the scheduler of a small machine.
+	queueEmpty = 10 * time.Millisecond
+	// queueBound is for how long at most: beyond some hundred connections a second
+	// there may never be such a pause.
+	queueBound = 300 * time.Millisecond
+)
+
+// end makes the listener hand out what waits in the kernel's queue, and then
+// end: connections left there would be reset with whole requests on them.
+func (l *listener) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.bound = now.Add(queueBound)
+	l.wait(now)
+}
+
+// more waits for the next connection once the end has begun.
+func (l *listener) more(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.bound.IsZero() && now.Before(l.bound) {
+		l.wait(now)
+	}
+}
+
+// empty reports whether the queue is empty, as a wait that began at a moment
+// timed out. A wait that began too late has not looked at the queue, as on a
+// machine that stood still meanwhile; it is repeated.
+func (l *listener) empty(entered time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if entered.Before(l.until) || now.After(l.bound) {
+		return true
+	}
+	l.wait(now)
+	return false
+}
+
+// wait bounds the next wait for a connection; the caller holds mu.
+func (l *listener) wait(now time.Time) {
+	l.until = now.Add(queueEmpty)
+	// A listener that can't be given a time has ended already.
+	_ = l.SetDeadline(l.until)
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
