Daemon: answer whatever is read at a planned stop

Cause: net/http's Shutdown closes connections by states that lag behind what was read, drops what it has read once it has begun, and closes its listener with connections in the kernel's queue; at the stop limit the process ended with what still ran, without a word to its callers.

Change: the daemons serve through a door. The listener ends once its queue is empty, connections of HTTP/1 end by a time-out of their own when nothing is owed on them, then HTTP/2 is told to end. Answers on HTTP/1 say from the signal on that the connection closes. What outlasts the stop limit has its context canceled with the refusal to answer with, and a second for that.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,13 +10,16 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"acaciakeel/door"
 	"acaciakeel/link"
+	"acaciakeel/refusal"
 )
 
 // Version is the product's version.
@@ -41,7 +44,9 @@
 	Handler http.Handler
 	// Stop refuses or finishes what there is, until ctx ends.
 	Stop func(ctx context.Context)
-	// StopLimit bounds a planned stop.
+	// StopLimit is how long requests may take once a stop has begun. Then the
+	// context of those still served is canceled, with a *refusal.Error as the
+	// cause that they are to be answered with.
 	StopLimit time.Duration
 	// Reread reads and checks the settings file again; Serve calls it at SIGHUP.
 	Reread func() error
@@ -113,9 +118,9 @@
 }
 
 // Serve serves until SIGTERM or SIGINT, then stops in order: new work is
-// refused or finished as the daemon sees fit, and open requests end before
-// the listener closes. A second signal ends the process at once. SIGHUP makes
-// it read the settings again and say what is wrong with them.
+// refused or finished as the daemon sees fit, and whatever is read gets an
+// answer. A second signal ends the process at once. SIGHUP makes it read the
+// settings again and say what is wrong with them.
 func (s *Service) Serve(name string) error {
 	// Signals that nobody takes end the process, so they are taken before the
 	// first connection is.
@@ -124,20 +129,32 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go s.rereadAt(hangups)
-	listener, err := net.Listen("tcp", s.Listen)
+	serving, interrupt := context.WithCancelCause(context.Background())
+	defer interrupt(nil)
+	var leaving atomic.Bool
+	server := link.NewServer(closing(s.Handler, &leaving))
+	server.BaseContext = func(net.Listener) context.Context { return serving }
+	d, err := door.Open(s.Listen, server, door.Watch{Log: s.Log})
 	if err != nil {
-		return fmt.Errorf("listen: %w; check self.listen", err)
+		return fmt.Errorf("%w; check self.listen", err)
 	}
-	server := link.NewServer(s.Handler)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
 	s.Log.WithFields(logrus.Fields{"event": "started", "program": name, "listen": s.Listen, "version": Version}).Info("serving")
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-signals:
-	}
-	return s.shutdown(server, signals)
+	<-signals
+	leaving.Store(true)
+	s.shutdown(d, func() { interrupt(errEnding()) }, signals)
+	return nil
+}
+
+// closing makes answers on HTTP/1 close their connections once a daemon leaves,
+// so that callers come back on new ones, to processes that stay. HTTP/2 has a
+// word of its own for the end of a connection.
+func closing(h http.Handler, leaving *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // rereadAt reads the settings again at each signal. They are in force from the
@@ -152,20 +169,39 @@
 	}
 }
 
-func (s *Service) shutdown(server *http.Server, signals <-chan os.Signal) error {
+// lastAnswers is kept after the stop limit for the answers to requests that are
+// given up: an agent that is slow to answer an entry costs up to that.
+const lastAnswers = time.Second
+
+// errEnding is the cause with which the context of requests is canceled that
+// outlast a stop.
+func errEnding() error {
+	r := refusal.New(refusal.Stopping, "look the result up, or ask again with the same Idempotency-Key", "this process stopped before the request ended")
+	r.Outcome = refusal.Unknown
+	return r
+}
+
+func (s *Service) shutdown(d *door.Door, interrupt func(), signals <-chan os.Signal) {
 	s.Log.WithField("event", "stopping").Info("planned stop")
-	ctx, cancel := context.WithTimeout(context.Background(), s.StopLimit)
-	defer cancel()
-	go func() {
-		<-signals
+	ended := make(chan bool, 1)
+	go func() { ended <- s.end(d, interrupt) }()
+	select {
+	case <-signals:
 		s.Log.WithField("event", "stop_forced").Warn("second signal; ending at once")
-		cancel()
-	}()
-	s.Stop(ctx)
-	if err := server.Shutdown(ctx); err != nil {
-		s.Log.WithError(err).WithField("event", "stop_cut").Warn("the stop limit cut what was still open")
-		return nil
+	case whole := <-ended:
+		if !whole {
+			s.Log.WithField("event", "stop_cut").Warn("the stop limit cut what was still open")
+			return
+		}
+		s.Log.WithField("event", "stopped").Info("all requests ended")
 	}
-	s.Log.WithField("event", "stopped").Info("all requests ended")
-	return nil
+}
+
+// end stops in order and reports whether all requests ended within the limit.
+func (s *Service) end(d *door.Door, interrupt func()) bool {
+	answers := time.Now().Add(s.StopLimit)
+	ctx, cancel := context.WithDeadline(context.Background(), answers)
+	defer cancel()
+	s.Stop(ctx)
+	return d.End(door.Ending{Answers: answers, Interrupt: interrupt, End: answers.Add(lastAnswers)})
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -30,7 +30,7 @@
 	ended  chan error
 }
 
-func startDaemon(t *testing.T) *daemon {
+func startDaemon(t *testing.T, limit time.Duration) *daemon {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -41,9 +41,14 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &Service{
-		Log: log, Listen: d.address, Stop: func(context.Context) {}, StopLimit: patience,
+		Log: log, Listen: d.address, Stop: func(context.Context) {}, StopLimit: limit,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			d.served.Add(1)
+			if r.URL.Path == endless {
+				<-r.Context().Done()
+				_, _ = io.WriteString(w, context.Cause(r.Context()).Error())
+				return
+			}
 			_, _ = io.Copy(w, r.Body)
 		}),
 		Reread: func() error { d.reread.Add(1); return errors.New("no such setting") },
@@ -73,7 +78,8 @@
 		return false
 	}
 	defer c.Close()
-	return exchange(c, bufio.NewReader(c), head+rest) == nil
+	_, err = ask(c, bufio.NewReader(c), head+rest)
+	return err == nil
 }
 
 // signal sends a signal to this process.
@@ -89,19 +95,29 @@
 	rest = "X: y\r\n\r\n"
 )
 
-// exchange sends text and reads one answer.
-func exchange(c net.Conn, in *bufio.Reader, text string) error {
+// endless is the path of requests that end only with their context.
+const endless = "/endless"
+
+// reply is what a caller sees of an answer.
+type reply struct {
+	body string
+	// last is set where the daemon says that it closes the connection.
+	last bool
+}
+
+// ask sends text and reads one answer.
+func ask(c net.Conn, in *bufio.Reader, text string) (reply, error) {
 	_ = c.SetDeadline(time.Now().Add(patience))
 	if _, err := io.WriteString(c, text); err != nil {
-		return err
+		return reply{}, err
 	}
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return err
+		return reply{}, err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
+	body, err := io.ReadAll(resp.Body)
+	return reply{body: string(body), last: resp.Close}, err
 }
 
 // A caller has sent half of a request's head when the daemon is told to stop,
@@ -113,7 +129,7 @@
 func TestStopAnswersWhatIsRead(t *testing.T) {
 	for _, kept := range []bool{false, true} {
 		t.Run(fmt.Sprintf("kept=%v", kept), func(t *testing.T) {
-			d := startDaemon(t)
+			d := startDaemon(t, patience)
 			c, err := net.Dial("tcp", d.address)
 			if err != nil {
 				t.Fatal(err)
@@ -121,7 +137,7 @@
 			defer c.Close()
 			in := bufio.NewReader(c)
 			if kept {
-				if err := exchange(c, in, head+rest); err != nil {
+				if _, err := ask(c, in, head+rest); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -135,9 +151,13 @@
 			}
 			d.signal(syscall.SIGTERM)
 			d.until("no new connections are taken", func() bool { return !d.takes() })
-			if err := exchange(c, in, rest); err != nil {
+			a, err := ask(c, in, rest)
+			if err != nil {
 				t.Errorf("a request that was read whole got no answer: %v", err)
 			}
+			if !a.last {
+				t.Error("the caller isn't told to take another connection")
+			}
 			c.Close()
 			if err := <-d.ended; err != nil {
 				t.Error(err)
@@ -146,12 +166,41 @@
 	}
 }
 
+// A request takes longer than a stop may. It must end with an answer that says
+// so, and that it may have run; its caller could not tell a connection that only
+// closes from a network that failed.
+func TestStopLimitIsAnswered(t *testing.T) {
+	d := startDaemon(t, 100*time.Millisecond)
+	c, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	before := d.served.Load()
+	answered := make(chan error, 1)
+	go func() {
+		a, err := ask(c, bufio.NewReader(c), strings.Replace(head+rest, "/", endless, 1))
+		if err == nil && a.body != errEnding().Error() {
+			err = fmt.Errorf("answered %q", a.body)
+		}
+		answered <- err
+	}()
+	d.until("the request runs", func() bool { return d.served.Load() > before })
+	d.signal(syscall.SIGTERM)
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // An operator changes the settings file, makes a mistake in it, and sends the
 // daemon SIGHUP, as for other daemons. A caller is in the middle of a request.
 // The signal must not cost it its answer: where nobody takes it, it ends a
 // process at once, with all that runs there.
 func TestHangUpEndsNothing(t *testing.T) {
-	d := startDaemon(t)
+	d := startDaemon(t, patience)
 	c, err := net.Dial("tcp", d.address)
 	if err != nil {
 		t.Fatal(err)
@@ -162,7 +211,7 @@
 	}
 	d.signal(syscall.SIGHUP)
 	d.until("the settings are read again", func() bool { return d.reread.Load() > 0 })
-	if err := exchange(c, bufio.NewReader(c), rest); err != nil {
+	if _, err := ask(c, bufio.NewReader(c), rest); err != nil {
 		t.Errorf("a request got no answer: %v", err)
 	}
 	c.Close()
@@ -176,7 +225,7 @@
 // a daemon that stops. Each call must be answered, or fail before it was sent
 // to a process that is there: then its sender may take it elsewhere.
 func TestStopLosesNoStream(t *testing.T) {
-	d := startDaemon(t)
+	d := startDaemon(t, patience)
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{Protocols: &protocols}
