Door: let HTTP/2 write its last answers at the end of the time for answers

Cause: once requests were given up, the door waited for the connections of HTTP/1 only and then closed all: a call over HTTP/2 got GOAWAY and its end in place of the answer that it had just been given.

Change: HTTP/2 is told to end there too, within the time for last answers; and connections of HTTP/1 that are idle then end by their own time-outs.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -170,28 +170,29 @@
 // so, and that it may have run; its caller could not tell a connection that only
 // closes from a network that failed.
 func TestStopLimitIsAnswered(t *testing.T) {
-	d := startDaemon(t, 100*time.Millisecond)
-	c, err := net.Dial("tcp", d.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	before := d.served.Load()
-	answered := make(chan error, 1)
-	go func() {
-		a, err := ask(c, bufio.NewReader(c), strings.Replace(head+rest, "/", endless, 1))
-		if err == nil && a.body != errEnding().Error() {
-			err = fmt.Errorf("answered %q", a.body)
-		}
-		answered <- err
-	}()
-	d.until("the request runs", func() bool { return d.served.Load() > before })
-	d.signal(syscall.SIGTERM)
-	if err := <-answered; err != nil {
-		t.Error(err)
-	}
-	if err := <-d.ended; err != nil {
-		t.Error(err)
+	for _, framed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("http2=%v", framed), func(t *testing.T) {
+			d := startDaemon(t, 100*time.Millisecond)
+			client := newClient(framed)
+			defer client.CloseIdleConnections()
+			before := d.served.Load()
+			answered := make(chan error, 1)
+			go func() {
+				body, err := call(client, d.address+endless)
+				if err == nil && body != errEnding().Error() {
+					err = fmt.Errorf("answered %q", body)
+				}
+				answered <- err
+			}()
+			d.until("the request runs", func() bool { return d.served.Load() > before })
+			d.signal(syscall.SIGTERM)
+			if err := <-answered; err != nil {
+				t.Error(err)
+			}
+			if err := <-d.ended; err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
@@ -226,18 +227,15 @@
 // to a process that is there: then its sender may take it elsewhere.
 func TestStopLosesNoStream(t *testing.T) {
 	d := startDaemon(t, patience)
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: &protocols}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport}
+	client := newClient(true)
+	defer client.CloseIdleConnections()
 	before := d.served.Load()
 	var answered atomic.Int64
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
 			for {
-				err := call(client, d.address)
+				_, err := call(client, d.address)
 				if err == nil {
 					answered.Add(1)
 					continue
@@ -261,12 +259,22 @@
 	}
 }
 
-func call(client *http.Client, address string) error {
-	resp, err := client.Post("http://"+address, "text/plain", strings.NewReader("x"))
+// newClient returns a client of HTTP/2, as the system's own processes have, or
+// of HTTP/1.
+func newClient(framed bool) *http.Client {
+	var protocols http.Protocols
+	protocols.SetHTTP1(!framed)
+	protocols.SetUnencryptedHTTP2(framed)
+	return &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+}
+
+// call makes one call and returns the body of its answer.
+func call(client *http.Client, where string) (string, error) {
+	resp, err := client.Post("http://"+where, "text/plain", strings.NewReader("x"))
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
 }
--- a/door/door.go
+++ b/door/door.go
@@ -95,7 +95,9 @@
 	if !whole {
 		d.tell("interrupted", "requests are given up: the time for answers is over")
 		e.Interrupt()
-		d.await(e.End, func(t tally) bool { return t.open == t.framed+t.idle })
+		if d.await(e.End, func(t tally) bool { return t.open == t.framed }) {
+			d.endFramed(e.End)
+		}
 	}
 	_ = d.server.Close()
 	return whole
