Entry: tell callers when a stop outlasts its limit

Cause: at the end of its stop limit the process ended with what still ran: callers got a closed connection, without an outcome and without the id under which the log has their request. With the daemons' door the context of such requests is canceled, which the entry took for its callers' leaving.

Change: a process that ends gives the refusal as the cause, and the entry answers with that: stopping, outcome unknown. A call that may run once is not settled by asking its agent then, as there is no time for it, and the agent is not blamed.

--- a/entry/call.go
+++ b/entry/call.go
@@ -246,6 +246,11 @@
 		e.opinions.succeeded(name)
 		return p.read(response.Msg)
 	}
+	if ending := endingOf(ctx); ending != nil {
+		// That is no sign of the agent, and leaves no time to ask it what became of
+		// the call.
+		return nil, ending
+	}
 	peer.Renew(clients)
 	e.opinions.failed(name)
 	if isDial(err) {
--- a/entry/session.go
+++ b/entry/session.go
@@ -93,6 +93,9 @@
 			return nil
 		}
 		if ctx.Err() != nil {
+			if ending := endingOf(ctx); ending != nil {
+				return ending
+			}
 			return refusal.New(refusal.Canceled, "nothing", "the caller left")
 		}
 		if len(s.sent) > 0 && refused.Outcome == refusal.NotRun {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -78,9 +78,10 @@
 	runners, services, entries int
 	// workMS is the time of one call at a service, in milliseconds.
 	workMS int
-	// engine and agent are TOML lines for all of a kind.
+	// engine, agent and entry are TOML lines for all of a kind.
 	engine string
 	agent  string
+	entry  string
 }
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
@@ -197,7 +198,7 @@
 func (f *fleet) startEntries() {
 	for i := range f.options.entries {
 		name := fmt.Sprintf("entry-%d", i)
-		f.write(name+".toml", f.selfSettings(name)+fmt.Sprintf("[[operator]]\nname = \"test\"\nkey_hash = %q\nrole = \"writer\"\n", entry.HashKey(operatorKey)))
+		f.write(name+".toml", f.options.entry+"\n"+f.selfSettings(name)+fmt.Sprintf("[[operator]]\nname = \"test\"\nkey_hash = %q\nrole = \"writer\"\n", entry.HashKey(operatorKey)))
 		f.list(name, "entry", false)
 		f.spawnDaemon(name)
 	}
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -125,8 +125,9 @@
 	d.MaybeScanArgs(t, "services", &o.services)
 	d.MaybeScanArgs(t, "entries", &o.entries)
 	d.MaybeScanArgs(t, "work", &o.workMS)
-	engineLines, agentLines, _ := strings.Cut(d.Input, "--agent--\n")
-	o.engine, o.agent = engineLines, agentLines
+	engineLines, rest, _ := strings.Cut(d.Input, "--agent--\n")
+	o.engine = engineLines
+	o.agent, o.entry, _ = strings.Cut(rest, "--entry--\n")
 	s.fleet = newFleet(t, o)
 	return ""
 }
