Fleet: what is kept of a target belongs to one life of it

Cause: a target may start again under its id, and everything was kept by the id alone, so a new life inherited the former one's load, cached parts, weights and bad name, and the former life's requests were counted out of it.

Ruled out: resetting fields in place (a ticket of the former life would then count itself out of the new one's load), and comparing lives at each caller (one that forgets brings a former life back).

Change: fleet.Life is id and start. Every way into the view goes by a life, and one function decides what a word is about: the first word of a later life puts a new state in the place of the former, an older one is about nothing, one without a start is of the life at hand. The list's entry says `born`; attempts, observations and tried targets carry their life. Parts that the former life was to send to stores are sent anew.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -21,8 +21,8 @@
 	Output int
 	// Objective is the time to the first token that is asked for.
 	Objective time.Duration
-	// Tried are targets that must not be chosen again.
-	Tried []string
+	// Tried are lives of targets that must not be chosen again; a later one may.
+	Tried []Life
 	// TokenBytes is the size of one token's KV cache.
 	TokenBytes int
 	// OldWeightsFor is for how long after newer weights were named runners
@@ -100,7 +100,7 @@
 		return Choice{}, false
 	}
 	usable := func(r *placement.Runner) bool { return f.usable(q, f.states[r.Name], now) }
-	indices := placement.Apply(g.placed, nil, placement.Staying, placement.Except(q.Tried), usable)
+	indices := placement.Apply(g.placed, nil, placement.Staying, placement.Except(f.present(q.Tried)), usable)
 	if len(indices) == 0 {
 		return Choice{}, false
 	}
@@ -233,7 +233,7 @@
 		// read and kept. A miss costs a millisecond.
 		c.Source, _ = f.storeOf(c.Chain.Levels[len(c.Chain.Levels)-1].Hash)
 	}
-	c.SaveTo = f.saveTo(c.Chain, now)
+	c.SaveTo = f.saveTo(c.Chain, s.runner.ID, now)
 	return c
 }
 
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -17,6 +17,8 @@
 
 // CacheEvents is what changed since a number.
 type CacheEvents struct {
+	// Born is the start of the life that answers; 0 for stores.
+	Born int64
 	// Boot changes when the runner starts again, with an empty cache.
 	Boot int64
 	// Next is the number to ask from the next time.
@@ -76,7 +78,9 @@
 
 // due is one reading to make.
 type due struct {
-	cache   *cache
+	cache *cache
+	// target is the runner that is read; empty for a store.
+	target  string
 	address string
 	since   int64
 }
@@ -92,13 +96,13 @@
 	}
 	var out []due
 	for _, s := range f.states {
-		if len(s.weights) > 0 && !s.runner.Draining && f.members.reads(s.runner.Address) {
-			out = s.cache.due(out, s.runner.Address)
+		if s.hasWeights() && !s.runner.Draining && f.members.reads(s.runner.Address) {
+			out = s.cache.due(out, s.runner.ID, s.runner.Address)
 		}
 	}
 	for address, k := range f.stores {
 		if f.members.reads(address) {
-			out = k.cache.due(out, address)
+			out = k.cache.due(out, "", address)
 		}
 	}
 	return out
@@ -114,19 +118,32 @@
 	}
 }
 
-func (c *cache) due(out []due, address string) []due {
+func (c *cache) due(out []due, target, address string) []due {
 	if c.reading {
 		return out
 	}
 	c.reading = true
-	return append(out, due{cache: c, address: address, since: c.next})
+	return append(out, due{cache: c, target: target, address: address, since: c.next})
 }
 
 func (w *EventWatch) read(ctx context.Context, d due) {
 	events, err := w.reader.CacheEvents(ctx, d.address, d.since, readWait)
+	if err == nil && d.target != "" && !w.fleet.Hear(Life{ID: d.target, Born: events.Born}) {
+		w.fleet.discard(d.cache)
+		return
+	}
+	// Where a later life answered, this cache is the former one's, which nobody
+	// looks at any more; that of the new life is read from its first event.
 	w.fleet.took(d.cache, events, err == nil, time.Now())
 }
 
+// discard ends a reading that a former life answered.
+func (f *Fleet) discard(c *cache) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.reading = false
+}
+
 // took takes the events that a reading brought.
 func (f *Fleet) took(c *cache, e CacheEvents, ok bool, now time.Time) {
 	f.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,14 @@
 	// metBusyUntil until when by what this process itself met.
 	busyUntil    time.Time
 	metBusyUntil time.Time
+	// fresh is set while nobody was told yet that this life follows another,
+	// and lifeTold is when that was told first.
+	fresh    bool
+	lifeTold time.Time
+}
+
+func newState() *state {
+	return &state{weights: map[string]int64{}, guessed: map[string]int64{}, cache: newCache()}
 }
 
 // Fleet is the view. It is safe for concurrent use.
@@ -62,6 +70,8 @@
 	off     policy.Off
 	// news is about how old the others' word of their load gets.
 	news newsAge
+	// reborn is told of each later life of a target.
+	reborn func(now, former Life)
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -93,15 +103,19 @@
 	return f.off[m]
 }
 
-// Put takes a target's entry of the list.
-func (f *Fleet) Put(r Runner) {
+// Put takes a target's entry of the list, and reports whether it is of the life
+// that holds.
+func (f *Fleet) Put(r Runner) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.states[r.ID]
+	if f.states[r.ID] == nil {
+		f.states[r.ID] = newState()
+	}
+	s := f.about(r.Life())
 	if s == nil {
-		s = &state{weights: map[string]int64{}, guessed: map[string]int64{}, cache: newCache()}
-		f.states[r.ID] = s
+		return false
 	}
+	r.Born = s.runner.Born
 	moved := s.runner.Service != r.Service || s.runner.Address != r.Address || s.runner.Draining != r.Draining
 	s.runner = r
 	for model, version := range r.Weights {
@@ -111,6 +125,7 @@
 	if moved {
 		f.regroup()
 	}
+	return true
 }
 
 // learn notes the version that a target has. Versions only grow within one
@@ -125,6 +140,11 @@
 	return true
 }
 
+// hasWeights reports whether the target runs a model.
+func (s *state) hasWeights() bool {
+	return len(s.weights)+len(s.guessed) > 0
+}
+
 // version returns the version that a target is taken to have.
 func (s *state) version(model string) int64 {
 	return max(s.weights[model], s.guessed[model])
@@ -143,10 +163,10 @@
 // loaded those. A guess steers this process's own requests only. Were it told, or
 // taken by the holder of the orders, a wrong one would keep the order away that
 // makes it true.
-func (f *Fleet) Guess(id, model string) {
+func (f *Fleet) Guess(l Life, model string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, newest := f.states[id], f.named[model].newest()
+	s, newest := f.about(l), f.named[model].newest()
 	if s == nil || newest <= s.version(model) {
 		return
 	}
@@ -165,6 +185,17 @@
 	f.regroup()
 }
 
+// Ended takes a life out that was seen to have ended, whatever the list says. A
+// later one stays.
+func (f *Fleet) Ended(l Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holds(l) {
+		delete(f.states, l.ID)
+		f.regroup()
+	}
+}
+
 // regroup sorts targets under their services.
 func (f *Fleet) regroup() {
 	services := map[string]*group{}
@@ -199,57 +230,56 @@
 	return out
 }
 
-// Live reports whether a target is still listed and takes new work.
-func (f *Fleet) Live(id string) bool {
+// Live reports whether a life holds, is still listed and takes new work.
+func (f *Fleet) Live(l Life) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.states[id]
-	return s != nil && !s.runner.Draining
+	return f.holds(l) && !f.states[l.ID].runner.Draining
 }
 
 // Inflight returns a target's load over all processes, as far as they told.
-func (f *Fleet) Inflight(id string) Occupancy {
+func (f *Fleet) Inflight(l Life) Occupancy {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.about(l); s != nil {
 		return s.sum(time.Now())
 	}
 	return Occupancy{}
 }
 
 // Learn notes a version that a target was seen to have.
-func (f *Fleet) Learn(id, model string, version int64, now time.Time) {
+func (f *Fleet) Learn(l Life, model string, version int64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil && s.learn(model, version) {
+	if s := f.about(l); s != nil && s.learn(model, version) {
 		s.learnt = now
 	}
 }
 
 // Busy notes that an order keeps new requests out of a target until a time.
-func (f *Fleet) Busy(id string, until time.Time) {
+func (f *Fleet) Busy(l Life, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.about(l); s != nil {
 		s.busyUntil, s.metBusyUntil = until, until
 	}
 }
 
 // Failed notes that a target failed a request. One that carries an order out may
 // end its streams for that, which says nothing of its health.
-func (f *Fleet) Failed(id string, now time.Time) {
+func (f *Fleet) Failed(l Life, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil && !now.Before(s.busyUntil) {
+	if s := f.about(l); s != nil && !now.Before(s.busyUntil) {
 		s.health.Failed(now)
 	}
 }
 
 // Unreachable notes that no connection to a target could be made.
-func (f *Fleet) Unreachable(id string, now time.Time) {
+func (f *Fleet) Unreachable(l Life, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.about(l); s != nil {
 		s.health.Unreachable(now)
 	}
 }
@@ -263,19 +293,19 @@
 }
 
 // Succeeded notes a good answer.
-func (f *Fleet) Succeeded(id string) {
+func (f *Fleet) Succeeded(l Life) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.about(l); s != nil {
 		s.health.Succeeded()
 	}
 }
 
 // Loaded notes what a target said of its load.
-func (f *Fleet) Loaded(id string, load Load, now time.Time) {
+func (f *Fleet) Loaded(l Life, load Load, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.states[id]; s != nil {
+	if s := f.about(l); s != nil {
 		s.load, s.loadAt, s.ownAtLoad = load, now, s.inflight
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 	f := New("z")
 	f.Name("m", 3, start)
 	f.Put(runner("a", 2))
-	f.Learn("a", "m", 3, start)
+	f.Learn(Life{ID: "a"}, "m", 3, start)
 	f.Put(runner("a", 2))
 	c, ok := f.Choose(query(), start)
 	if !ok || c.Weights != 3 {
@@ -99,8 +99,8 @@
 	chain := query().Chain(1)
 	shared := Part{Hash: chain.Boundaries[0].Hash, Tokens: 6000}
 	f.states["a"].capacity = 100000
-	f.HeardFindings([]Finding{{Target: "a", Parts: []Part{shared}}}, start)
-	f.HeardLoad("other", []Occupancy{{Target: "a", Inflight: 1, Prefill: 900000}}, start)
+	f.HeardFindings([]Finding{{Target: Life{ID: "a"}, Parts: []Part{shared}}}, start)
+	f.HeardLoad("other", []Occupancy{{Target: Life{ID: "a"}, Inflight: 1, Prefill: 900000}}, start)
 	c, _ := f.Choose(query(), start)
 	if c.Runner.ID != "b" || c.Source != "a:1" {
 		t.Errorf("chose %s with source %q, want the idle b that fetches from a", c.Runner.ID, c.Source)
@@ -118,8 +118,8 @@
 	}{{2000, "a"}, {100000, "b"}} {
 		f := named(New("z"), runner("a", 1), runner("b", 1))
 		f.states["a"].capacity = 100000
-		f.HeardFindings([]Finding{{Target: "a", Parts: []Part{{Hash: query().Chain(1).Boundaries[0].Hash, Tokens: 6000}}}}, start)
-		f.HeardLoad("other", []Occupancy{{Target: "a", Inflight: 1, Prefill: test.backlog}}, start)
+		f.HeardFindings([]Finding{{Target: Life{ID: "a"}, Parts: []Part{{Hash: query().Chain(1).Boundaries[0].Hash, Tokens: 6000}}}}, start)
+		f.HeardLoad("other", []Occupancy{{Target: Life{ID: "a"}, Inflight: 1, Prefill: test.backlog}}, start)
 		c, _ := f.Choose(query(), start)
 		if c.Runner.ID != test.want {
 			t.Errorf("with %d tokens before it the prompt went to %s (fetches %d from %q)", test.backlog, c.Runner.ID, c.Fetched, c.Source)
@@ -140,8 +140,8 @@
 	now := start
 	for i := range 200 {
 		tokens := 200 + 100*(i%40)
-		read := f.Begin("a", Stay{Missing: tokens, Prompt: tokens}, now)
-		moved := f.Begin("a", Stay{Missing: 300, Prompt: 6300, Moved: forecast.Moved{Store: 6000}}, now)
+		read := f.Begin(Life{ID: "a"}, Stay{Missing: tokens, Prompt: tokens}, now)
+		moved := f.Begin(Life{ID: "a"}, Stay{Missing: 300, Prompt: 6300, Moved: forecast.Moved{Store: 6000}}, now)
 		read.First(now.Add(50*time.Millisecond + time.Duration(tokens)*20*time.Microsecond))
 		moved.First(now.Add(2 * time.Second))
 		read.End()
@@ -214,7 +214,7 @@
 func learnRuns(f *Fleet, id string, output int, read, held time.Duration) {
 	now := start
 	for range 20 {
-		ticket := f.Begin(id, Stay{Missing: 9000, Prompt: 9000, Output: output}, now)
+		ticket := f.Begin(Life{ID: id}, Stay{Missing: 9000, Prompt: 9000, Output: output}, now)
 		ticket.First(now.Add(read))
 		ticket.Complete(now.Add(read + held))
 		ticket.End()
@@ -232,7 +232,7 @@
 	used := map[string]int{}
 	for range 8 {
 		c, _ := f.Choose(q, start)
-		f.Begin(c.Runner.ID, Stay{Long: c.Long}, start)
+		f.Begin(c.Runner.Life(), Stay{Long: c.Long}, start)
 		used[c.Runner.ID]++
 	}
 	if len(used) != 2 {
@@ -253,7 +253,7 @@
 	for i := range 9 {
 		q.Chain = distinctChain(i)
 		c, _ := f.Choose(q, start)
-		f.Begin(c.Runner.ID, Stay{Missing: 9000, Prompt: 9000, Long: c.Long}, start)
+		f.Begin(c.Runner.Life(), Stay{Missing: 9000, Prompt: 9000, Long: c.Long}, start)
 		used[c.Runner.ID]++
 	}
 	if len(used) != 3 || used["a"] > 4 || used["b"] > 4 || used["c"] > 4 {
@@ -292,7 +292,7 @@
 // target, of which nothing is known but its entry.
 func TestReusedAddressIsAnotherTarget(t *testing.T) {
 	f := named(New("z"), runner("a", 1))
-	f.Begin("a", Stay{Chain: query().Chain(1), Capacity: 1e6}, start)
+	f.Begin(Life{ID: "a"}, Stay{Chain: query().Chain(1), Capacity: 1e6}, start)
 	f.Remove("a")
 	next := runner("a2", 1)
 	next.Address = "a:1"
@@ -309,7 +309,7 @@
 	f := named(New("z"), runner("a", 1), runner("b", 1))
 	first, _ := f.Choose(query(), start)
 	other := map[string]string{"a": "b", "b": "a"}[first.Runner.ID]
-	f.HeardLoad("peer", []Occupancy{{Target: first.Runner.ID, Inflight: 7, Long: 60}}, start)
+	f.HeardLoad("peer", []Occupancy{{Target: first.Runner.Life(), Inflight: 7, Long: 60}}, start)
 	if c, _ := f.Choose(query(), start); c.Runner.ID != other {
 		t.Errorf("chose %s, where 60 long runs stand still", c.Runner.ID)
 	}
--- a/fleet/light_test.go
+++ b/fleet/light_test.go
@@ -82,7 +82,7 @@
 	var all []Occupancy
 	for i, s := range g.states {
 		if !kept[int32(i)] {
-			all = append(all, Occupancy{Target: s.runner.ID, Inflight: 1, Prefill: 300000})
+			all = append(all, Occupancy{Target: s.runner.Life(), Inflight: 1, Prefill: 300000})
 		}
 	}
 	f.HeardLoad("other", all, now)
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -8,7 +8,7 @@
 
 // Occupancy is one process's part of a target's load.
 type Occupancy struct {
-	Target string
+	Target Life
 	// Inflight counts requests, Long those of them that take seconds, Resumable
 	// those that another target could go on with.
 	Inflight  int
@@ -28,13 +28,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Occupancy
-	for id, s := range f.states {
+	for _, s := range f.states {
 		if s.inflight > 0 {
-			out = append(out, Occupancy{Target: id, Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill})
+			out = append(out, Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill})
 		}
 	}
 	slices.SortFunc(out, func(a, b Occupancy) int {
-		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(b.Inflight, a.Inflight), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(b.Inflight, a.Inflight), cmp.Compare(a.Target.ID, b.Target.ID))
 	})
 	return out[:min(most, len(out))]
 }
@@ -49,7 +49,7 @@
 		s.forgetOthers(now)
 	}
 	for _, o := range all {
-		s := f.states[o.Target]
+		s := f.about(o.Target)
 		if s == nil {
 			continue
 		}
@@ -78,7 +78,7 @@
 
 // sum returns a target's load over all processes, as far as they told.
 func (s *state) sum(now time.Time) Occupancy {
-	total := Occupancy{Target: s.runner.ID, Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill}
+	total := Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill}
 	for _, o := range s.others {
 		if now.Sub(o.at) < occupancyValid {
 			total.Inflight += o.load.Inflight
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -81,6 +81,8 @@
 // that do not read it.
 type CacheNews struct {
 	Address string
+	// Target is the life that was read; empty for a store.
+	Target Life
 	// Boot and Next are those of the last reading.
 	Boot int64
 	Next int64
@@ -108,16 +110,16 @@
 	}
 	var out []CacheNews
 	for _, s := range f.states {
-		out = f.newsOf(out, &s.cache, s.runner.Address, now)
+		out = f.newsOf(out, &s.cache, CacheNews{Address: s.runner.Address, Target: s.runner.Life()}, now)
 	}
 	for address, k := range f.stores {
-		out = f.newsOf(out, &k.cache, address, now)
+		out = f.newsOf(out, &k.cache, CacheNews{Address: address}, now)
 	}
 	return out
 }
 
-func (f *Fleet) newsOf(out []CacheNews, c *cache, address string, now time.Time) []CacheNews {
-	if !f.members.reads(address) || (c.boot == 0 && !c.silent) {
+func (f *Fleet) newsOf(out []CacheNews, c *cache, news CacheNews, now time.Time) []CacheNews {
+	if !f.members.reads(news.Address) || (c.boot == 0 && !c.silent) {
 		c.unspread = nil
 		return out
 	}
@@ -125,7 +127,7 @@
 		return out
 	}
 	c.spreadAt, c.spreadSilent = now, c.silent
-	news := CacheNews{Address: address, Boot: c.boot, Next: c.next, Silent: c.silent}
+	news.Boot, news.Next, news.Silent = c.boot, c.next, c.silent
 	for _, e := range lastOfEach(c.unspread) {
 		if e.stored {
 			news.Stored = append(news.Stored, e.part)
@@ -156,17 +158,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range all {
-		if c := f.cacheAt(n.Address); c != nil {
+		if c := f.cacheOf(n); c != nil {
 			c.hear(sender, n, f.members.reads(n.Address), now)
 		}
 	}
 }
 
-func (f *Fleet) cacheAt(address string) *cache {
-	if s := f.addressed[address]; s != nil {
+// cacheOf returns the cache that news is about: that of the life that was read,
+// or of a store. After a target another may have its address.
+func (f *Fleet) cacheOf(n CacheNews) *cache {
+	if s := f.addressed[n.Address]; s != nil {
+		if n.Target.ID != "" && n.Target.ID != s.runner.ID {
+			return nil
+		}
+		if s = f.about(Life{ID: s.runner.ID, Born: n.Target.Born}); s == nil {
+			return nil
+		}
 		return &s.cache
 	}
-	if k := f.stores[address]; k != nil {
+	if k := f.stores[n.Address]; k != nil {
 		return &k.cache
 	}
 	return nil
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -7,8 +7,10 @@
 
 // Runner is a target as the platform's list shows it.
 type Runner struct {
-	// ID is new with every start of the target.
+	// ID is the target's, which may start again under it, and Born the Unix
+	// millisecond of its start; 0 where it does not say.
 	ID      string
+	Born    int64
 	Service string
 	// Address is IP:PORT; after a target has ended another may get it.
 	Address string
@@ -29,6 +31,8 @@
 
 // Report is a target's state as it was some hundred milliseconds ago.
 type Report struct {
+	// Born is the start of the life that reports.
+	Born    int64
 	Weights map[string]int64
 	// Busy is set while it carries an order out.
 	Busy bool
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -7,7 +7,7 @@
 
 // Finding is what one process learnt of a target.
 type Finding struct {
-	Target  string
+	Target  Life
 	Weights map[string]int64
 	// Busy is for how long an order keeps new requests out, as the process itself
 	// met it. Were it to pass on what it heard, each hop would add its delay, and
@@ -23,8 +23,8 @@
 	Tokens int
 }
 
-// newsFor is for how long weights that a target was seen to have are told; then
-// the platform's list says so too.
+// newsFor is for how long weights that a target was seen to have, or that it
+// started again, are told; then the platform's list says so too.
 const newsFor = 2 * time.Second
 
 // Findings returns what this process learnt of targets, to be told once: the
@@ -33,10 +33,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Finding
-	for id, s := range f.states {
-		found := Finding{Target: id, Busy: max(0, s.metBusyUntil.Sub(now))}
+	for _, s := range f.states {
+		found := Finding{Target: s.runner.Life(), Busy: max(0, s.metBusyUntil.Sub(now))}
 		news := now.Sub(s.learnt) < newsFor
-		if found.Busy == 0 && !news && len(s.untold) == 0 {
+		if s.fresh {
+			s.fresh, s.lifeTold = false, now
+		}
+		reborn := now.Sub(s.lifeTold) < newsFor
+		if found.Busy == 0 && !news && !reborn && len(s.untold) == 0 {
 			continue
 		}
 		found.Parts, s.untold = s.untold, nil
@@ -53,7 +57,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, found := range all {
-		s := f.states[found.Target]
+		s := f.about(found.Target)
 		if s == nil {
 			continue
 		}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -12,13 +12,21 @@
 	cache
 	// saving is when each part was last sent there for the first time, by
 	// whichever process, until its event comes.
-	saving map[uint64]time.Time
+	saving map[uint64]sending
 	// untoldSaves are those that the other processes were not told of yet.
 	untoldSaves []uint64
 	zone        string
 	linkMbps    float64
 }
 
+// sending is a part on its way to a store.
+type sending struct {
+	at time.Time
+	// by is the target that this process has send it; empty where another
+	// process said so.
+	by string
+}
+
 // KeptStore is a store of kept KV cache.
 type KeptStore struct {
 	Address string
@@ -36,7 +44,7 @@
 	for _, s := range stores {
 		have := f.stores[s.Address]
 		if have == nil {
-			have = &keptStore{cache: newCache(), saving: map[uint64]time.Time{}}
+			have = &keptStore{cache: newCache(), saving: map[uint64]sending{}}
 		}
 		have.capacity, have.zone, have.linkMbps = s.Capacity, s.Zone, s.LinkMbps
 		next[s.Address] = have
@@ -53,26 +61,27 @@
 const saveAgain = 3 * time.Second
 
 // saveTo returns the store that a prompt's shared parts are to be sent to, or
-// "" where they are there already or on their way.
-func (f *Fleet) saveTo(chain prefix.Chain, now time.Time) string {
+// "" where they are there already or on their way. By is the target that sends
+// them.
+func (f *Fleet) saveTo(chain prefix.Chain, by string, now time.Time) string {
 	if sharedTokens(chain) < movedLeast || f.off[policy.Saving] {
 		return ""
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
 	address, k := f.storeOf(deepest)
-	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest]) < saveAgain {
+	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest].at) < saveAgain {
 		return ""
 	}
 	k.forgetSaves(now)
-	k.saving[deepest] = now
+	k.saving[deepest] = sending{at: now, by: by}
 	k.untoldSaves = append(k.untoldSaves, deepest)
 	return address
 }
 
 // forgetSaves forgets the sends that a store would have told of by now.
 func (k *keptStore) forgetSaves(now time.Time) {
-	for hash, at := range k.saving {
-		if now.Sub(at) >= saveAgain {
+	for hash, sent := range k.saving {
+		if now.Sub(sent.at) >= saveAgain {
 			delete(k.saving, hash)
 		}
 	}
@@ -112,7 +121,7 @@
 		}
 		k.forgetSaves(now)
 		for _, part := range s.Parts {
-			k.saving[part] = now
+			k.saving[part] = sending{at: now}
 		}
 	}
 }
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -8,7 +8,8 @@
 	"acaciakeel/prefix"
 )
 
-// Ticket is one request's stay at a target.
+// Ticket is one request's stay at one life of a target. It counts on that life
+// alone, also once another one has begun.
 type Ticket struct {
 	fleet   *Fleet
 	state   *state
@@ -41,10 +42,10 @@
 
 // Begin counts a request in. The parts of its chain are taken for cached from
 // now on.
-func (f *Fleet) Begin(id string, stay Stay, now time.Time) *Ticket {
+func (f *Fleet) Begin(l Life, stay Stay, now time.Time) *Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.states[id]
+	s := f.about(l)
 	if s == nil {
 		return &Ticket{fleet: f}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -112,6 +112,7 @@
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
 	n.pulse = newPulse(n.name, targets, n.view, log)
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
+	targets.OnRebirth(n.view.reborn)
 	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
 	n.registerGauges()
 	n.clients = newClients(n.registry, log)
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -35,7 +35,7 @@
 	known := func() int {
 		sum := 0
 		for _, r := range second.view.fleet.IDs() {
-			sum += second.view.fleet.Inflight(r).Inflight
+			sum += second.view.fleet.Inflight(fleet.Life{ID: r}).Inflight
 		}
 		return sum
 	}
@@ -72,10 +72,10 @@
 func TestPulseFitsPackets(t *testing.T) {
 	var all news
 	for i := range 40 {
-		all.loads = append(all.loads, fleet.Occupancy{Target: fmt.Sprintf("i-%09d", i), Inflight: 40, Long: 30, Prefill: 20000})
+		all.loads = append(all.loads, fleet.Occupancy{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Inflight: 40, Long: 30, Prefill: 20000})
 		parts := make([]fleet.Part, 12)
-		all.findings = append(all.findings, fleet.Finding{Target: fmt.Sprintf("i-%09d", i), Parts: parts})
-		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Boot: 1, Next: 1 << 30, Stored: parts})
+		all.findings = append(all.findings, fleet.Finding{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Parts: parts})
+		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Boot: 1, Next: 1 << 30, Stored: parts})
 	}
 	datagrams, err := all.datagrams("node")
 	if err != nil {
@@ -106,7 +106,7 @@
 	f := fleet.New("z")
 	f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
 	parts := []prefix.Boundary{{Hash: 1, Tokens: 400}, {Hash: 2, Tokens: 900}}
-	f.Begin("r", fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
+	f.Begin(fleet.Life{ID: "r"}, fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
 	p := &pulse{fleet: f}
 	p.send(nil)
 	if n := len(f.Findings(time.Now())); n != 0 {
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -82,7 +82,7 @@
 	out := make([]*keelv1.TargetLoad, 0, len(all))
 	for _, o := range all {
 		out = append(out, &keelv1.TargetLoad{
-			Target: o.Target, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)), Resumable: uint32(o.Resumable),
+			Target: o.Target.ID, Inflight: uint32(o.Inflight), Long: uint32(o.Long), PrefillTokens: uint32(max(0, o.Prefill)), Resumable: uint32(o.Resumable),
 		})
 	}
 	return out
@@ -92,7 +92,7 @@
 	out := make([]fleet.Occupancy, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.Occupancy{
-			Target: w.Target, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens), Resumable: int(w.Resumable),
+			Target: fleet.Life{ID: w.Target}, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens), Resumable: int(w.Resumable),
 		})
 	}
 	return out
@@ -101,7 +101,7 @@
 func encodeFindings(all []fleet.Finding) []*keelv1.TargetFinding {
 	out := make([]*keelv1.TargetFinding, 0, len(all))
 	for _, found := range all {
-		w := &keelv1.TargetFinding{Target: found.Target, BusyMs: uint32(found.Busy.Milliseconds())}
+		w := &keelv1.TargetFinding{Target: found.Target.ID, BusyMs: uint32(found.Busy.Milliseconds())}
 		for model, version := range found.Weights {
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
@@ -115,7 +115,7 @@
 	out := make([]fleet.Finding, 0, len(all))
 	for _, w := range all {
 		found := fleet.Finding{
-			Target:  w.Target,
+			Target:  fleet.Life{ID: w.Target},
 			Weights: map[string]int64{},
 			Busy:    time.Duration(w.BusyMs) * time.Millisecond,
 			Parts:   decodeParts(w.PartHash, w.PartTokens),
--- a/node/view.go
+++ b/node/view.go
@@ -124,17 +124,26 @@
 
 // Listed implements platform.View.
 func (v *view) Listed(r fleet.Runner) {
+	if !v.fleet.Put(r) {
+		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born}).Warn("the list tells of a life that has ended; it changes nothing")
+		return
+	}
 	v.mu.Lock()
 	v.stay(r.ID)
 	v.mu.Unlock()
-	v.fleet.Put(r)
-	v.log.WithFields(logrus.Fields{"event": "target_listed", "target": r.ID, "address": r.Address, "draining": r.Draining, "weights": r.Weights}).Info("the list says so")
+	v.log.WithFields(logrus.Fields{"event": "target_listed", "target": r.ID, "born": r.Born, "address": r.Address, "draining": r.Draining, "weights": r.Weights}).Info("the list says so")
 }
 
 // respite is how long after the store's return an entry that vanished meanwhile
 // may still come back; one missing then is gone.
 const respite = 1800 * time.Millisecond
 
+// reborn logs the first sign of a target's later life.
+func (v *view) reborn(now, former fleet.Life) {
+	v.log.WithFields(logrus.Fields{"event": "target_reborn", "target": now.ID, "born": now.Born, "former": former.Born}).Info("the target started again; what was kept of its former life has ended")
+	v.holder.Wake()
+}
+
 // Gone implements platform.View. Entries lapse while the store can't be
 // written, so around an outage one that vanishes says nothing of its target,
 // whose own answers go on telling how it does.
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -112,7 +112,7 @@
 		in.AtOnce = known.AtOnce(len(runners))
 	}
 	for _, r := range runners {
-		load := h.fleet.Inflight(r.ID)
+		load := h.fleet.Inflight(r.Life())
 		in.Inflight[r.ID], in.Long[r.ID] = load.Inflight, load.Long
 		in.Behind[r.ID] = h.fleet.BehindFor(model, r.Weights[model], now)
 	}
@@ -154,7 +154,7 @@
 		clock.Sleep(ctx, pollEvery)
 		return
 	}
-	h.fleet.Learn(r.ID, model, report.Weights[model], time.Now())
+	h.fleet.Learn(r.Life(), model, report.Weights[model], time.Now())
 	if report.Weights[model] >= desired {
 		return
 	}
@@ -172,10 +172,10 @@
 	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
-		h.fleet.Learn(r.ID, model, desired, time.Now())
+		h.fleet.Learn(r.Life(), model, desired, time.Now())
 	case fleet.OrderMisdirected:
 		// Another runner has the address: this one has ended, whatever the list says.
-		h.fleet.Remove(r.ID)
+		h.fleet.Ended(r.Life())
 	case fleet.OrderAccepted:
 		h.await(ctx, r, model, desired)
 	default:
@@ -197,14 +197,14 @@
 // its last event. Left to end, the last of them keep a runner of forty or sixty
 // slots out of service for four to six seconds.
 func (h *Holder) clear(ctx context.Context, r fleet.Runner) bool {
-	if h.fleet.Inflight(r.ID).Long == 0 || h.fleet.Off(policy.Cutting) {
+	if h.fleet.Inflight(r.Life()).Long == 0 || h.fleet.Off(policy.Cutting) {
 		return false
 	}
 	for range clearTries {
-		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		h.fleet.Busy(r.Life(), time.Now().Add(busyGuard))
 		h.told()
 		clock.Sleep(ctx, clearFor)
-		if load := h.fleet.Inflight(r.ID); load.Inflight == load.Resumable {
+		if load := h.fleet.Inflight(r.Life()); load.Inflight == load.Resumable {
 			return load.Inflight > 0
 		}
 	}
@@ -214,13 +214,13 @@
 // await waits for the end of an order, asking the runner.
 func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
-	h.fleet.Busy(r.ID, began.Add(busyGuard))
+	h.fleet.Busy(r.Life(), began.Add(busyGuard))
 	h.told()
 	clock.Sleep(ctx, pollFirst)
-	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.ID) {
+	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.Life()) {
 		report, err := h.orderer.Report(ctx, r.Address)
 		if err == nil && report.Weights[model] >= desired {
-			h.fleet.Learn(r.ID, model, desired, time.Now())
+			h.fleet.Learn(r.Life(), model, desired, time.Now())
 			h.told()
 			h.fleet.WeightsLoaded(r.Service, time.Since(began))
 			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
@@ -229,7 +229,7 @@
 		if err == nil && !report.Busy {
 			return
 		}
-		h.fleet.Busy(r.ID, time.Now().Add(busyGuard))
+		h.fleet.Busy(r.Life(), time.Now().Add(busyGuard))
 		clock.Sleep(ctx, pollEvery)
 	}
 }
--- a/rollout/holder_test.go
+++ b/rollout/holder_test.go
@@ -44,7 +44,7 @@
 	r := fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}}
 	f.Put(r)
 	for _, s := range stays {
-		f.Begin(r.ID, s, time.Now())
+		f.Begin(r.Life(), s, time.Now())
 	}
 	o := &orders{}
 	h := NewHolder("n", always{}, o, f, nil, func() {}, quiet())
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -49,16 +49,16 @@
 	kind := refusal.QueueFull
 	switch {
 	case a.Moved && a.Instance != "" && a.Instance != choice.Runner.ID:
-		f.Remove(choice.Runner.ID)
+		f.Ended(choice.Runner.Life())
 		kind = refusal.NotReady
 	case a.Moved:
 		s.misjudged(choice, a)
 		kind = refusal.NotReady
 	case choice.Weights < f.Named()[s.in.Model]:
-		f.Busy(choice.Runner.ID, now.Add(orderPause))
+		f.Busy(choice.Runner.Life(), now.Add(orderPause))
 		kind = refusal.NotReady
 	default:
-		f.Busy(choice.Runner.ID, now.Add(fullPause))
+		f.Busy(choice.Runner.Life(), now.Add(fullPause))
 	}
 	refused := refusal.New(kind, "come back after the time in Retry-After", "target %s did not take the request (status %d)", choice.Runner.ID, a.Status).After(retryAfter)
 	return result{refused: refused, reason: retry.TargetAway, again: true}, true
@@ -70,10 +70,10 @@
 func (s *session) misjudged(choice fleet.Choice, a *Answer) {
 	f := s.router.fleet
 	if a.Weights == 0 {
-		f.Guess(choice.Runner.ID, s.in.Model)
+		f.Guess(choice.Runner.Life(), s.in.Model)
 		return
 	}
-	f.Learn(choice.Runner.ID, s.in.Model, a.Weights, time.Now())
+	f.Learn(choice.Runner.Life(), s.in.Model, a.Weights, time.Now())
 }
 
 // unanswered handles a send without an answer.
@@ -84,9 +84,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The client left, which says nothing of the target.
 	case sent:
-		s.router.fleet.Failed(choice.Runner.ID, time.Now())
+		s.router.fleet.Failed(choice.Runner.Life(), time.Now())
 	default:
-		s.router.fleet.Unreachable(choice.Runner.ID, time.Now())
+		s.router.fleet.Unreachable(choice.Runner.Life(), time.Now())
 	}
 	if !sent {
 		refused := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "target %s can't be reached: %v", choice.Runner.ID, err).After(retryAfter)
@@ -116,13 +116,13 @@
 func (s *session) whole(choice fleet.Choice, a *Answer) result {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
 	if err != nil || len(body) > maxAnswer {
-		s.router.fleet.Failed(choice.Runner.ID, time.Now())
+		s.router.fleet.Failed(choice.Runner.Life(), time.Now())
 		return s.lost(retry.Interrupted, "the answer of target %s broke off: %v", choice.Runner.ID, err)
 	}
 	if a.Status >= 500 && s.in.route.Kind == catalog.Idempotent {
 		return result{reason: retry.Interrupted, again: s.repeatable(), answer: &held{a, body}}
 	}
-	s.router.fleet.Succeeded(choice.Runner.ID)
+	s.router.fleet.Succeeded(choice.Runner.Life())
 	if refused := s.pass(&held{a, body}); refused != nil {
 		return result{refused: refused}
 	}
--- a/router/session.go
+++ b/router/session.go
@@ -19,7 +19,7 @@
 	// sends counts sends, ran those that may have run.
 	sends int
 	ran   int
-	tried []string
+	tried []fleet.Life
 	begun bool
 	// lastEvent is the id of the last event passed on.
 	lastEvent int64
@@ -97,9 +97,9 @@
 	defer cancel()
 	s.sends++
 	s.last = choice
-	s.tried = append(s.tried, choice.Runner.ID)
+	s.tried = append(s.tried, choice.Runner.Life())
 	f := s.router.fleet
-	s.ticket = f.Begin(choice.Runner.ID, s.stay(choice), time.Now())
+	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), time.Now())
 	defer s.ticket.End()
 	answer, err := s.router.sender.Send(attempt, s.newSend(choice))
 	if err != nil {
@@ -112,7 +112,7 @@
 	}
 	s.ran++
 	if !answer.Own || (answer.Status < 300 && (!answer.Sealed || answer.Encoded)) {
-		f.Failed(choice.Runner.ID, time.Now())
+		f.Failed(choice.Runner.Life(), time.Now())
 		return s.lost(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Runner.ID)
 	}
 	if s.begun && answer.Status >= 300 {
@@ -186,9 +186,9 @@
 func (s *session) learn(choice fleet.Choice, a *Answer) {
 	f := s.router.fleet
 	if a.HasLoad {
-		f.Loaded(choice.Runner.ID, a.Load, time.Now())
+		f.Loaded(choice.Runner.Life(), a.Load, time.Now())
 	}
 	if s.in.Model != "" && a.Own {
-		f.Learn(choice.Runner.ID, s.in.Model, a.Weights, time.Now())
+		f.Learn(choice.Runner.Life(), s.in.Model, a.Weights, time.Now())
 	}
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -36,7 +36,7 @@
 			return s.ended(choice, a, event)
 		}
 		if err != nil {
-			s.router.fleet.Failed(choice.Runner.ID, time.Now())
+			s.router.fleet.Failed(choice.Runner.Life(), time.Now())
 			reason := retry.Interrupted
 			if s.begun {
 				reason = retry.Continued
@@ -64,7 +64,7 @@
 // ended passes the end of a stream on. What follows the last whole event is
 // the target's own and goes along.
 func (s *session) ended(choice fleet.Choice, a *Answer, rest []byte) result {
-	s.router.fleet.Succeeded(choice.Runner.ID)
+	s.router.fleet.Succeeded(choice.Runner.Life())
 	s.ticket.Complete(time.Now())
 	if !s.begun || len(rest) > 0 {
 		if err := s.write(a, rest); err != nil {
