Orders: an order rests on the life that it was counted for

Cause: the holder kept orders under way by id, and went by whichever report came. A runner that started again between its report and its order got one by the former life's count; one that started again during an order was waited for, or taken for loaded; a late answer was taken for the new life's.

Change: reports carry `born`. A report of a later life ends the former and the next look decides anew; one of a former life says nothing. Right before an order leaves, its runner must still be in the life that reported. An order under way ends with its life, and its answer is about that life alone.

Not reachable from here: an order already on the wire to a former life that took as many orders as the new one has; a runner tells lives apart by id alone.

--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -42,14 +41,17 @@
 	// at once: until then they send to one that refuses.
 	told func()
 
-	mu       sync.Mutex
-	underway map[string]bool
+	mu sync.Mutex
+	// underway is the life of each runner whose order has not ended, by id. Once
+	// the runner starts again its former life's order no longer counts: the new
+	// one would wait for it in vain.
+	underway map[string]fleet.Life
 }
 
 // NewHolder returns a holder named name, which is the machine's. It calls told
 // when the other processes should hear of a runner at once.
 func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, told func(), log logrus.FieldLogger) *Holder {
-	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]bool{}}
+	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]fleet.Life{}}
 }
 
 // Wake makes the holder look at once.
@@ -101,11 +103,16 @@
 		Model:    model,
 		Desired:  desired,
 		Runners:  runners,
-		Underway: maps.Clone(h.underway),
+		Underway: map[string]bool{},
 		Inflight: map[string]int{},
 		Long:     map[string]int{},
 		Behind:   map[string]time.Duration{},
 	}
+	for id, life := range h.underway {
+		if h.fleet.Holds(life) {
+			in.Underway[id] = true
+		}
+	}
 	now := time.Now()
 	if len(runners) > 0 {
 		known := h.fleet.Loads(runners[0].Service)
@@ -121,12 +128,14 @@
 
 func (h *Holder) begin(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	h.mu.Lock()
-	h.underway[r.ID] = true
+	h.underway[r.ID] = r.Life()
 	h.mu.Unlock()
 	go func() {
 		h.bring(ctx, r, model, desired)
 		h.mu.Lock()
-		delete(h.underway, r.ID)
+		if h.underway[r.ID] == r.Life() {
+			delete(h.underway, r.ID)
+		}
 		h.mu.Unlock()
 		h.Wake()
 	}()
@@ -154,6 +163,14 @@
 		clock.Sleep(ctx, pollEvery)
 		return
 	}
+	if !h.reports(r, report) {
+		h.event("report_other_life", r, model, desired).WithField("reported", report.Born).Warn("another life of the runner answered; what becomes of it is decided anew")
+		clock.Sleep(ctx, pollEvery)
+		return
+	}
+	if report.Born != 0 {
+		r.Born = report.Born
+	}
 	h.fleet.Learn(r.Life(), model, report.Weights[model], time.Now())
 	if report.Weights[model] >= desired {
 		return
@@ -168,6 +185,11 @@
 	if !ok {
 		return
 	}
+	// A later life counts its orders from nothing: by the count of a former one
+	// an order may be carried out that was not meant for it, or a newer one refused.
+	if !h.fleet.Holds(r.Life()) {
+		return
+	}
 	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
 	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate}).WithError(err).Info("order given")
 	switch result {
@@ -219,6 +241,11 @@
 	clock.Sleep(ctx, pollFirst)
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.Life()) {
 		report, err := h.orderer.Report(ctx, r.Address)
+		if err == nil && !h.reports(r, report) {
+			// The order ended with the life that took it; the load that the later
+			// one may do tells nothing of how long this one's took.
+			return
+		}
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.Life(), model, desired, time.Now())
 			h.told()
@@ -234,6 +261,22 @@
 	}
 }
 
+// reports reports whether a report is of the life of a runner that was asked for.
+// A later one ends that life, and what it says is taken; a former one says nothing.
+func (h *Holder) reports(r fleet.Runner, report fleet.Report) bool {
+	life := fleet.Life{ID: r.ID, Born: report.Born}
+	if !h.fleet.Hear(life) {
+		return false
+	}
+	if life.Same(r.Life()) {
+		return true
+	}
+	for model, version := range report.Weights {
+		h.fleet.Learn(life, model, version, time.Now())
+	}
+	return false
+}
+
 func (h *Holder) event(name string, r fleet.Runner, model string, desired int64) *logrus.Entry {
-	return h.log.WithFields(logrus.Fields{"event": name, "runner": r.ID, "model": model, "weights": desired})
+	return h.log.WithFields(logrus.Fields{"event": name, "runner": r.ID, "born": r.Born, "model": model, "weights": desired})
 }
