Cache events: a reading is of one life; the stand-in starts again under its id

Cause: an entry learnt of a new life from the list alone, which may be late by heartbeats or by a cut, while the runner itself answers its readings within a quarter of a second.

Change: readings carry `born`. The stand-in runner says `born` in its entry, its report and its events, and can be started again: connections cut, cache and count of orders gone, weights kept.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -63,12 +63,16 @@
 	Service string
 	server  *httptest.Server
 
-	mu      sync.Mutex
-	fault   Fault
-	weights map[string]int64
-	orders  []Order
-	seen    []Seen
-	pace    time.Duration
+	mu sync.Mutex
+	// born is the Unix millisecond of its start, and accepted counts the orders
+	// since then.
+	born     int64
+	accepted int
+	fault    Fault
+	weights  map[string]int64
+	orders   []Order
+	seen     []Seen
+	pace     time.Duration
 }
 
 // Order is an order as it arrived.
@@ -84,7 +88,7 @@
 
 // Start starts a target on loopback with the given weights; nil for a plain service.
 func Start(id, service string, weights map[string]int64) *Runner {
-	r := &Runner{ID: id, Service: service, weights: weights}
+	r := &Runner{ID: id, Service: service, weights: weights, born: time.Now().UnixMilli()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
@@ -100,6 +104,18 @@
 	r.server.Close()
 }
 
+// Restart ends the target's connections and starts it again under its id, with
+// its weights, an empty cache and no orders counted. It returns when it was born.
+func (r *Runner) Restart() int64 {
+	r.mu.Lock()
+	r.born = max(time.Now().UnixMilli(), r.born+1)
+	r.accepted = 0
+	born := r.born
+	r.mu.Unlock()
+	r.server.CloseClientConnections()
+	return born
+}
+
 // Address returns IP:PORT.
 func (r *Runner) Address() string {
 	return r.server.Listener.Addr().String()
@@ -143,7 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	value, _ := json.Marshal(map[string]any{
-		"service": r.Service, "address": address, "zone": "z1", "slots": 8, "state": state, "models": r.models(),
+		"service": r.Service, "address": address, "zone": "z1", "slots": 8, "state": state, "models": r.models(), "born": r.born,
 	})
 	return store.Entry{Key: "servers/" + r.ID, Value: value}
 }
@@ -159,7 +175,7 @@
 func (r *Runner) report(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": false, "seq_no": len(r.orders)})
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": false, "seq_no": r.accepted, "born": r.born})
 }
 
 func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
@@ -174,11 +190,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if o.Precondition != nil && *o.Precondition != int64(len(r.orders)) {
+	if o.Precondition != nil && *o.Precondition != int64(r.accepted) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	r.orders = append(r.orders, o)
+	r.accepted++
 	r.weights[o.Model] = o.Version
 	w.WriteHeader(http.StatusAccepted)
 }
@@ -186,7 +203,9 @@
 func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
 	wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms"))
 	time.Sleep(time.Duration(wait) * time.Millisecond)
-	_, _ = io.WriteString(w, `{"boot_epoch":1,"next_token":1,"lost":false,"events":[]}`)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(w, `{"born":%d,"boot_epoch":%d,"next_token":1,"lost":false,"events":[]}`, r.born, r.born)
 }
 
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/fleet"
 	"acaciakeel/internal/standin/kv"
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
@@ -379,6 +380,51 @@
 	}
 }
 
+// A runner dies behind a cut with a stream and the parts of its prompt, and
+// starts again under its id; the list goes on telling of its former life. The
+// stream goes on at the other runner, the entries hear of the new life from itself
+// or from each other, believe nothing of the former one's cache and load, and its
+// next order goes by the new count: by the old one it was refused for good.
+func TestRunnerStartsAgainUnderItsID(t *testing.T) {
+	w := newWorld(t)
+	second := w.startNode("n1")
+	w.store.Set("op/version/"+model, []byte(`{"model":"m","version":2}`))
+	loaded := func(version int64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(w.node.view.fleet.Runners("lm"), func(r fleet.Runner) bool { return r.Weights[model] != version })
+		}
+	}
+	w.until("both runners are known to have the new weights", loaded(2))
+	for _, r := range w.runners {
+		r.SetPace(100 * time.Millisecond)
+	}
+	streamed := make(chan answer)
+	go func() { streamed <- w.send("POST", "/draft/x", "", prompt()) }()
+	w.until("the stream has begun", func() bool { return len(w.ran(w.runners)) > 0 })
+	at := w.runners[0]
+	if len(at.Seen()) == 0 {
+		at = w.runners[1]
+	}
+	life := fleet.Life{ID: at.ID, Born: at.Restart()}
+	for _, n := range []*Node{w.node, second} {
+		w.until("the entry knows of the new life", func() bool { return n.view.fleet.Holds(life) })
+	}
+	if a := <-streamed; a.err != nil || a.body != whole() {
+		t.Errorf("the stream ended as %q (%v)", a.body, a.err)
+	}
+	for _, n := range []*Node{w.node, second} {
+		if load := n.view.fleet.Inflight(life); load.Inflight != 0 || load.Prefill != 0 {
+			t.Errorf("the new life has load %+v of the former", load)
+		}
+	}
+	w.store.Set("op/version/"+model, []byte(`{"model":"m","version":3}`))
+	w.until("both runners have the next weights", loaded(3))
+	orders := at.Orders()
+	if p := orders[len(orders)-1].Precondition; len(orders) != 2 || p == nil || *p != 0 {
+		t.Errorf("%d orders, want 2, the last to the new life on none before", len(orders))
+	}
+}
+
 // New weights are named. One holder orders each runner once, on the condition
 // that nothing else was ordered meanwhile, and requests then use other salts.
 func TestWeightsRollOut(t *testing.T) {
