Runners: reports and cache events are asked of the runner that is meant

Cause: both were asked of an address, whoever has it. Where the list names a runner that has ended beside the one that took its address, the second answered for the first; with lives told apart its start would be a later life of the first.

Change: reports and readings carry the id that is meant. A runner that refuses them as another one ends the one that was asked (report) or shows it silent (readings).

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -28,11 +28,22 @@
 	Events []CacheEvent
 }
 
-// EventReader reads a runner's cache events. Wait is how long the runner may
-// hold the answer back while there are none. An answer that refuses the reading
-// is no error but brings nothing; an error is a runner that does not answer.
+// Reading says which events to read.
+type Reading struct {
+	// Target is the runner that is meant: once it has ended, another may answer at
+	// its address. It is empty for a store.
+	Target  string
+	Address string
+	Since   int64
+	// Wait is how long the answer may be held back while there are no events.
+	Wait time.Duration
+}
+
+// EventReader reads a runner's cache events. An answer that refuses the reading
+// is no error but brings nothing; an error is a runner that does not answer, or
+// another one at its address.
 type EventReader interface {
-	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
+	CacheEvents(ctx context.Context, r Reading) (CacheEvents, error)
 }
 
 // EventWatch keeps the fleet's knowledge of the runners' caches current, so
@@ -78,11 +89,8 @@
 
 // due is one reading to make.
 type due struct {
-	cache *cache
-	// target is the runner that is read; empty for a store.
-	target  string
-	address string
-	since   int64
+	cache   *cache
+	reading Reading
 }
 
 // dueForEvents returns the runners of models, and the stores of kept KV cache,
@@ -123,12 +131,12 @@
 		return out
 	}
 	c.reading = true
-	return append(out, due{cache: c, target: target, address: address, since: c.next})
+	return append(out, due{cache: c, reading: Reading{Target: target, Address: address, Since: c.next, Wait: readWait}})
 }
 
 func (w *EventWatch) read(ctx context.Context, d due) {
-	events, err := w.reader.CacheEvents(ctx, d.address, d.since, readWait)
-	if err == nil && d.target != "" && !w.fleet.Hear(Life{ID: d.target, Born: events.Born}) {
+	events, err := w.reader.CacheEvents(ctx, d.reading)
+	if err == nil && d.reading.Target != "" && !w.fleet.Hear(Life{ID: d.reading.Target, Born: events.Born}) {
 		w.fleet.discard(d.cache)
 		return
 	}
--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -186,7 +186,7 @@
 // answers is a runner whose life and events are as told.
 type answers struct{ events CacheEvents }
 
-func (a *answers) CacheEvents(context.Context, string, int64, time.Duration) (CacheEvents, error) {
+func (a *answers) CacheEvents(context.Context, Reading) (CacheEvents, error) {
 	return a.events, nil
 }
 
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -31,7 +31,7 @@
 			t.Errorf("%s reads %d caches", self, len(due))
 		}
 		for _, d := range due {
-			readers[d.address]++
+			readers[d.reading.Address]++
 		}
 	}
 	for address, n := range readers {
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -3,7 +3,10 @@
 // pure but for its lock: time comes in as an argument.
 package fleet
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Runner is a target as the platform's list shows it.
 type Runner struct {
@@ -29,6 +32,10 @@
 	Slots   int
 }
 
+// ErrOtherRunner says that another runner has the address of the one that was
+// asked: that one has ended, and is to be left out.
+var ErrOtherRunner = errors.New("another runner has the address; the one that was asked has ended and is to be left out")
+
 // Report is a target's state as it was some hundred milliseconds ago.
 type Report struct {
 	// Born is the start of the life that reports.
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -172,7 +172,21 @@
 	return out
 }
 
-func (r *Runner) report(w http.ResponseWriter, _ *http.Request) {
+// other reports whether another target is meant, and says so.
+func (r *Runner) other(w http.ResponseWriter, req *http.Request) bool {
+	meant := req.Header.Get("Expect-Instance")
+	if meant == "" || meant == r.ID {
+		return false
+	}
+	w.Header().Set("Instance-Id", r.ID)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
+func (r *Runner) report(w http.ResponseWriter, req *http.Request) {
+	if r.other(w, req) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": false, "seq_no": r.accepted, "born": r.born})
@@ -201,6 +215,9 @@
 }
 
 func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
+	if r.other(w, req) {
+		return
+	}
 	wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms"))
 	time.Sleep(time.Duration(wait) * time.Millisecond)
 	r.mu.Lock()
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 // Orderer reaches runners.
 type Orderer interface {
 	// Report asks a runner for its state.
-	Report(ctx context.Context, address string) (fleet.Report, error)
+	Report(ctx context.Context, of fleet.Runner) (fleet.Report, error)
 	// Order gives an order.
 	Order(ctx context.Context, o fleet.Order) (fleet.OrderResult, error)
 }
@@ -157,7 +158,10 @@
 // look decides anew.
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	truncate := h.clear(ctx, r)
-	report, err := h.orderer.Report(ctx, r.Address)
+	report, err := h.orderer.Report(ctx, r)
+	if errors.Is(err, fleet.ErrOtherRunner) {
+		h.fleet.Ended(r.Life())
+	}
 	if err != nil {
 		h.event("report_failed", r, model, desired).WithError(err).Warn("the runner can't be asked; it is tried again")
 		clock.Sleep(ctx, pollEvery)
@@ -240,7 +244,7 @@
 	h.told()
 	clock.Sleep(ctx, pollFirst)
 	for ctx.Err() == nil && time.Since(began) < longestOrder && h.fleet.Live(r.Life()) {
-		report, err := h.orderer.Report(ctx, r.Address)
+		report, err := h.orderer.Report(ctx, r)
 		if err == nil && !h.reports(r, report) {
 			// The order ended with the life that took it; the load that the later
 			// one may do tells nothing of how long this one's took.
--- a/rollout/holder_test.go
+++ b/rollout/holder_test.go
@@ -15,7 +15,7 @@
 	sent []fleet.Order
 }
 
-func (o *orders) Report(context.Context, string) (fleet.Report, error) {
+func (o *orders) Report(context.Context, fleet.Runner) (fleet.Report, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	version := int64(1)
--- a/rollout/life_test.go
+++ b/rollout/life_test.go
@@ -19,7 +19,7 @@
 	result  fleet.OrderResult
 }
 
-func (l *lives) Report(context.Context, string) (fleet.Report, error) {
+func (l *lives) Report(context.Context, fleet.Runner) (fleet.Report, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.reports[0]
