--- a/node/node_test.go
+++ b/node/node_test.go
@@ -425,6 +425,33 @@
 	}
 }
 
+// A hold is sent to a target that dies with it and starts again at once. The new
+// life knows nothing of it, takes no part in it and answers others; the client must
+// not be told that nothing ran, nor may the hold be sent to the new life.
+func TestHoldSentToAFormerLifeIsUnknown(t *testing.T) {
+	w := newWorld(t)
+	for _, d := range w.desks {
+		d.SetFault(runner.Mute)
+	}
+	answered := make(chan answer)
+	go func() { answered <- w.send("POST", "/hold/x", "box", nil) }()
+	w.until("a target has the hold", func() bool { return len(w.ran(w.desks)) == 1 })
+	for _, d := range w.desks {
+		d.SetFault(runner.None)
+		d.Restart()
+		w.store.Set(d.Entry("ready").Key, d.Entry("ready").Value)
+	}
+	if a := <-answered; a.status != http.StatusBadGateway {
+		t.Errorf("answered %d, want 502, which promises nothing", a.status)
+	}
+	w.until("the new lives serve", func() bool { return w.send("GET", "/stock/x", "", nil).status == 200 })
+	for _, s := range w.ran(w.desks)[1:] {
+		if s.Method == "POST" {
+			t.Error("the hold ran again")
+		}
+	}
+}
+
 // New weights are named. One holder orders each runner once, on the condition
 // that nothing else was ordered meanwhile, and requests then use other salts.
 func TestWeightsRollOut(t *testing.T) {
