--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -16,8 +16,8 @@
 	return f.states[id].cache.tokens(query().Chain(f.states[id].version("m")))
 }
 
-// A runner dies with requests and parts of prompts, and starts again under its
-// id. The requests end one by one at the entry, long after the new life's own have
+// A runner is cut off, falls silent, dies behind the cut with requests and parts of
+// prompts, and starts again under its id. The requests end one by one at the entry, long after the new life's own have
 // begun; counted out of that one they made it look idle while it was full.
 func TestNothingOfAFormerLifeStays(t *testing.T) {
 	f := named(New("z"), bornAt(runner("a", 1), 10))
@@ -25,6 +25,7 @@
 	old := f.Begin(former, Stay{Missing: 9000, Prompt: 9000, Chain: query().Chain(1), Capacity: 1e6, Long: true}, start)
 	f.Loaded(former, Load{Running: 8, Waiting: 4, Slots: 8}, start)
 	f.Unreachable(former, start)
+	f.took(&f.states["a"].cache, CacheEvents{}, false, start)
 	f.HeardLoad("other", []Occupancy{{Target: former, Inflight: 5}}, start)
 	if !f.Put(bornAt(runner("a", 1), 20)) {
 		t.Fatal("the later life was left out")
@@ -32,8 +33,8 @@
 	if n, held := f.Inflight(Life{ID: "a", Born: 20}), heldAt(f, "a"); n.Inflight+n.Prefill+n.Long != 0 || held != 0 {
 		t.Errorf("the new life began with load %+v and %d tokens", n, held)
 	}
-	if s := f.states["a"]; s.health.Penalty(start) != 0 || s.load != (Load{}) {
-		t.Errorf("the new life pays for the former: penalty %v, load %+v", s.health.Penalty(start), s.load)
+	if s := f.states["a"]; s.health.Penalty(start) != 0 || s.load != (Load{}) || s.silent {
+		t.Errorf("the new life pays for the former: penalty %v, load %+v, silent %v", s.health.Penalty(start), s.load, s.silent)
 	}
 	f.Begin(Life{ID: "a", Born: 20}, Stay{Missing: 100}, start)
 	old.End()
