Fleet: news of a cache is about the target that it names

Cause: news of caches was taken by address. Where the list names a runner that has ended beside the one that took its address, an entry gave it to whichever of the two it found there, and left it out where that was not the one named.

Change: the named target's cache is looked up by its id; the address decides only where no target is named.

--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// A runner has ended and another has its address, and the list still names both.
+// What a reader tells of the second's cache is about the second in every entry,
+// whichever of the two it would find at that address.
+func TestNewsOfACacheNamesItsTarget(t *testing.T) {
+	for range 8 {
+		ended, next := runner("a", 1), bornAt(runner("b", 1), 20)
+		next.Address = ended.Address
+		f := named(New("z"), ended, next)
+		part := Part{Hash: query().Chain(1).Boundaries[0].Hash, Tokens: 6000}
+		f.HeardCaches("other", []CacheNews{{Address: next.Address, Target: next.Life(), Boot: 1, Next: 2, Stored: []Part{part}}}, start)
+		if heldAt(f, "b") != 6000 || heldAt(f, "a") != 0 {
+			t.Fatalf("the ended runner is taken to hold %d tokens, the other %d", heldAt(f, "a"), heldAt(f, "b"))
+		}
+	}
+}
+
 // A runner starts twice within a second. The word of the middle life comes last,
 // and only the last life holds.
 func TestTwoLivesWithinASecond(t *testing.T) {
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -165,15 +165,14 @@
 }
 
 // cacheOf returns the cache that news is about: that of the life that was read,
-// or of a store. After a target another may have its address.
+// or of a store. Two targets may be listed with one address, so that alone says
+// which only where the teller named no target.
 func (f *Fleet) cacheOf(n CacheNews) *cache {
-	if s := f.addressed[n.Address]; s != nil {
-		if n.Target.ID != "" && n.Target.ID != s.runner.ID {
-			return nil
-		}
-		if s = f.about(Life{ID: s.runner.ID, Born: n.Target.Born}); s == nil {
-			return nil
-		}
+	s := f.addressed[n.Address]
+	if n.Target.ID != "" {
+		s = f.about(n.Target)
+	}
+	if s != nil {
 		return &s.cache
 	}
 	if k := f.stores[n.Address]; k != nil {
