--- a/fleet/events.go
+++ b/fleet/events.go
@@ -17,6 +17,8 @@
 
 // CacheEvents is what changed since a number.
 type CacheEvents struct {
+	// Born is the start of the life that answers; 0 for stores.
+	Born int64
 	// Boot changes when the runner starts again, with an empty cache.
 	Boot int64
 	// Next is the number to ask from the next time.
@@ -26,11 +28,22 @@
 	Events []CacheEvent
 }
 
-// EventReader reads a runner's cache events. Wait is how long the runner may
-// hold the answer back while there are none. An answer that refuses the reading
-// is no error but brings nothing; an error is a runner that does not answer.
+// Reading says which events to read.
+type Reading struct {
+	// Target is the runner that is meant: once it has ended, another may answer at
+	// its address. It is empty for a store.
+	Target  string
+	Address string
+	Since   int64
+	// Wait is how long the answer may be held back while there are no events.
+	Wait time.Duration
+}
+
+// EventReader reads a runner's cache events. An answer that refuses the reading
+// is no error but brings nothing; an error is a runner that does not answer, or
+// another one at its address.
 type EventReader interface {
-	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
+	CacheEvents(ctx context.Context, r Reading) (CacheEvents, error)
 }
 
 // EventWatch keeps the fleet's knowledge of the runners' caches current, so
@@ -77,8 +90,7 @@
 // due is one reading to make.
 type due struct {
 	cache   *cache
-	address string
-	since   int64
+	reading Reading
 }
 
 // dueForEvents returns the runners of models, and the stores of kept KV cache,
@@ -92,13 +104,13 @@
 	}
 	var out []due
 	for _, s := range f.states {
-		if len(s.weights) > 0 && !s.runner.Draining && f.members.reads(s.runner.Address) {
-			out = s.cache.due(out, s.runner.Address)
+		if s.hasWeights() && !s.runner.Draining && f.members.reads(s.runner.Address) {
+			out = s.cache.due(out, s.runner.ID, s.runner.Address)
 		}
 	}
 	for address, k := range f.stores {
 		if f.members.reads(address) {
-			out = k.cache.due(out, address)
+			out = k.cache.due(out, "", address)
 		}
 	}
 	return out
@@ -114,19 +126,32 @@
 	}
 }
 
-func (c *cache) due(out []due, address string) []due {
+func (c *cache) due(out []due, target, address string) []due {
 	if c.reading {
 		return out
 	}
 	c.reading = true
-	return append(out, due{cache: c, address: address, since: c.next})
+	return append(out, due{cache: c, reading: Reading{Target: target, Address: address, Since: c.next, Wait: readWait}})
 }
 
 func (w *EventWatch) read(ctx context.Context, d due) {
-	events, err := w.reader.CacheEvents(ctx, d.address, d.since, readWait)
+	events, err := w.reader.CacheEvents(ctx, d.reading)
+	if err == nil && d.reading.Target != "" && !w.fleet.Hear(Life{ID: d.reading.Target, Born: events.Born}) {
+		w.fleet.discard(d.cache)
+		return
+	}
+	// Where a later life answered, this cache is the former one's, which nobody
+	// looks at any more; that of the new life is read from its first event.
 	w.fleet.took(d.cache, events, err == nil, time.Now())
 }
 
+// discard ends a reading that a former life answered.
+func (f *Fleet) discard(c *cache) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.reading = false
+}
+
 // took takes the events that a reading brought.
 func (f *Fleet) took(c *cache, e CacheEvents, ok bool, now time.Time) {
 	f.mu.Lock()
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -35,7 +35,7 @@
 	known := func() int {
 		sum := 0
 		for _, r := range second.view.fleet.IDs() {
-			sum += second.view.fleet.Inflight(r).Inflight
+			sum += second.view.fleet.Inflight(fleet.Life{ID: r}).Inflight
 		}
 		return sum
 	}
@@ -47,6 +47,44 @@
 	w.until("the second node knows that it has ended", func() bool { return known() == 0 })
 }
 
+// An entry hears of a runner's new life. The next datagrams that it sends must
+// tell the others, whose lists are late; and what one that has heard nothing yet
+// still tells of the former life must change nothing there.
+func TestLivesAreTold(t *testing.T) {
+	shared := prefix.Chain{Tokens: 900, Boundaries: []prefix.Boundary{{Hash: 1, Tokens: 400}, {Hash: 2, Tokens: 900}}}
+	start := func() (*pulse, *fleet.Fleet) {
+		f := fleet.New("z")
+		f.Put(fleet.Runner{ID: "r", Born: 10, Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
+		f.Begin(fleet.Life{ID: "r", Born: 10}, fleet.Stay{Chain: shared, Missing: 900}, time.Now())
+		return &pulse{fleet: f}, f
+	}
+	tell := func(from, to *pulse) {
+		datagrams, err := from.gather(time.Now()).datagrams("from")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range datagrams {
+			to.take(d)
+		}
+	}
+	knows, known := start()
+	late, told := start()
+	life := fleet.Life{ID: "r", Born: 20}
+	known.Hear(life)
+	tell(late, knows)
+	if load := known.Inflight(life); load.Inflight != 0 || load.Prefill != 0 {
+		t.Errorf("the former life's load %+v was taken for the new one's", load)
+	}
+	tell(knows, late)
+	if !told.Holds(life) || told.Inflight(life).Inflight != 0 {
+		t.Errorf("after one round the other holds %+v with load %+v", told.Runners("lm"), told.Inflight(life))
+	}
+	caches := []fleet.CacheNews{{Address: "r:1", Target: life, Boot: 2, Next: 3}}
+	if got := decodeCaches(encodeCaches(caches)); len(got) != 1 || got[0].Target != life {
+		t.Errorf("%+v arrived, want the life %+v", got, life)
+	}
+}
+
 // Anything may arrive at a port. Bytes that are no pulse are left out, and one
 // of a target that is not known changes nothing.
 func FuzzPulse(f *testing.F) {
@@ -72,10 +110,10 @@
 func TestPulseFitsPackets(t *testing.T) {
 	var all news
 	for i := range 40 {
-		all.loads = append(all.loads, fleet.Occupancy{Target: fmt.Sprintf("i-%09d", i), Inflight: 40, Long: 30, Prefill: 20000})
+		all.loads = append(all.loads, fleet.Occupancy{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Inflight: 40, Long: 30, Prefill: 20000})
 		parts := make([]fleet.Part, 12)
-		all.findings = append(all.findings, fleet.Finding{Target: fmt.Sprintf("i-%09d", i), Parts: parts})
-		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Boot: 1, Next: 1 << 30, Stored: parts})
+		all.findings = append(all.findings, fleet.Finding{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Parts: parts})
+		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Boot: 1, Next: 1 << 30, Stored: parts})
 	}
 	datagrams, err := all.datagrams("node")
 	if err != nil {
@@ -106,7 +144,7 @@
 	f := fleet.New("z")
 	f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
 	parts := []prefix.Boundary{{Hash: 1, Tokens: 400}, {Hash: 2, Tokens: 900}}
-	f.Begin("r", fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
+	f.Begin(fleet.Life{ID: "r"}, fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
 	p := &pulse{fleet: f}
 	p.send(nil)
 	if n := len(f.Findings(time.Now())); n != 0 {
