Entries of other writers are left out one by one

Cause: an entry was decoded into a struct, which takes a field that is missing or null for its zero value. A target without a state counted as ready, one without an address was chosen and failed; a configuration with a version alone came into force without routes. One that could not be decoded kept what was known of its target before. An item whose value was no base64 ended the whole listing or watch, again at each repetition. A member whose address could not be read was counted and logged with each pulse.

Ruled out: to refuse a listing with a bad entry, which hides all beside it; to keep the last good state of a target, which the list no longer vouches for; to judge an entry of an unnamed service once only, since targets register before the configuration that names them and write again only when something changes; to take out the targets of a service that is named no more, as requests under way may still be sent again and no route leads there.

Change: runners and named weights are read field by field, configurations are checked before they come into force, items of the store's answers are decoded one by one. Faults have a reason and a field. Entries of unnamed services wait for a configuration. Each is logged once a change (entry_left_out) and counted in keel_node_entries_left_out_total by reason.

--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -243,3 +243,12 @@
 	s.values[key] = value{data: data, revision: s.revision}
 	s.publish(store.Event{Entry: store.Entry{Key: key, Value: data, Revision: s.revision}})
 }
+
+// Remove takes a key away as its writer does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.values[key]; ok {
+		s.remove(key)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -91,7 +92,7 @@
 		log:      log,
 		registry: telemetry.NewRegistry(),
 		store:    platform.NewStore("http://" + s.Store.Address),
-		name:     s.Name + "/" + uuid.NewString(),
+		name:     newName(s.Name),
 		stopping: make(chan struct{}),
 	}
 	runners := platform.NewRunners()
@@ -103,6 +104,7 @@
 		log:     log,
 		members: map[string]string{},
 		lapsed:  map[string]*time.Timer{},
+		foreign: newForeign(n.registry, log),
 		keys:    ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/"},
 	}
 	n.view.self = n.view.keys.members + n.name
@@ -112,7 +114,7 @@
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
 	n.pulse = newPulse(n.name, targets, n.view, log)
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
-	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
+	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view), log)
 	n.registerGauges()
 	n.clients = newClients(n.registry, log)
 	n.events = fleet.NewEventWatch(targets, runners)
@@ -143,6 +145,17 @@
 	})
 }
 
+// newName returns the name of one start of a node.
+func newName(node string) string {
+	return node + "/" + uuid.NewString()
+}
+
+// isName reports whether a text is the name of a node's start.
+func isName(text string) bool {
+	at := strings.LastIndexByte(text, '/')
+	return at > 0 && uuid.Validate(text[at+1:]) == nil
+}
+
 // Start opens the node's doors and begins its duties. Requests that come before
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -30,6 +30,9 @@
 	runners []*runner.Runner
 	desks   []*runner.Runner
 	version int
+	// stock is the service that lookups go to.
+	stock string
+	log   logrus.FieldLogger
 }
 
 const (
@@ -40,7 +43,15 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: kv.NewStore(0)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return newWorldWith(t, log)
+}
+
+// newWorldWith returns a world whose nodes log to log.
+func newWorldWith(t *testing.T, log logrus.FieldLogger) *world {
+	t.Helper()
+	w := &world{t: t, store: kv.NewStore(0), stock: "desk", log: log}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
@@ -60,8 +71,6 @@
 // startNode starts a node and waits until it is ready.
 func (w *world) startNode(name string) *Node {
 	w.t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	settings := platform.Node{
 		Name: name, IP: "127.0.0.1", Zone: "z1", Ports: []int{0},
 		Listen: platform.Listen{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
@@ -71,7 +80,7 @@
 		},
 		Store: platform.StoreAt{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
 	}
-	n := New(settings, Options{}, log)
+	n := New(settings, Options{}, w.log)
 	if err := n.Start(); err != nil {
 		w.t.Fatal(err)
 	}
@@ -114,20 +123,24 @@
 		}
 		return r
 	}
+	services := []any{
+		map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
+		map[string]any{"name": "desk", "max_conns": 100},
+	}
+	if w.stock != "desk" {
+		services = append(services, map[string]any{"name": w.stock, "max_conns": 100})
+	}
 	value, _ := json.Marshal(map[string]any{
 		"version": w.version,
 		"routes": []any{
 			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
 			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1}),
 			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1}),
-			route("stock", "/stock/", "idempotent", "desk", map[string]any{"target_latency_ms": 100}),
-		},
-		"services": []any{
-			map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
-			map[string]any{"name": "desk", "max_conns": 100},
+			route("stock", "/stock/", "idempotent", w.stock, map[string]any{"target_latency_ms": 100}),
 		},
-		"limits":  map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "c1", "api_keys": keys}},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "c1", "api_keys": keys}},
 	})
 	w.store.Set("op/config", value)
 }
--- a/node/view.go
+++ b/node/view.go
@@ -15,6 +15,7 @@
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
+	"acaciakeel/platform"
 	"acaciakeel/rollout"
 )
 
@@ -42,6 +43,8 @@
 	// lapsed are the targets whose entries vanished around an outage of the
 	// store, with the timers that end their respite.
 	lapsed map[string]*time.Timer
+	// foreign are the entries that name nothing to use.
+	foreign *foreign
 }
 
 // ownKeys are the keys of the system's own.
@@ -89,6 +92,7 @@
 		}
 	}
 	v.fleet.SetStores(stores)
+	v.name(c.Services)
 	v.log.WithFields(logrus.Fields{"event": "config_applied", "version": c.Version, "routes": len(c.Routes), "customers": len(c.Customers)}).Info("configuration in force")
 }
 
@@ -123,7 +127,10 @@
 }
 
 // Listed implements platform.View.
-func (v *view) Listed(r fleet.Runner) {
+func (v *view) Listed(r fleet.Runner, revision int64) {
+	if !v.known(r, revision) {
+		return
+	}
 	v.mu.Lock()
 	v.stay(r.ID)
 	v.mu.Unlock()
@@ -139,6 +146,8 @@
 // written, so around an outage one that vanishes says nothing of its target,
 // whose own answers go on telling how it does.
 func (v *view) Gone(id string) {
+	v.foreign.release(id)
+	v.foreign.forget(platform.TargetKey(id))
 	since, back := v.follower.SinceBack()
 	if !back || since >= respite {
 		v.drop(id)
@@ -169,6 +178,10 @@
 
 // Relisted implements platform.View.
 func (v *view) Relisted(ids map[string]bool) {
+	v.foreign.relisted(platform.TargetKey(""), func(key string) bool {
+		id, _ := platform.TargetOf(key)
+		return ids[id]
+	})
 	for _, id := range v.fleet.IDs() {
 		if !ids[id] {
 			v.Gone(id)
@@ -186,18 +199,33 @@
 	if !strings.HasPrefix(key, v.keys.members) {
 		return
 	}
+	if value == "" {
+		v.foreign.forget(key)
+		v.enlist(key, "")
+		return
+	}
+	if fault := v.memberFault(key, value); fault != nil {
+		v.LeftOut(platform.LeftOut{Key: key, Revision: revision, Fault: fault})
+		return
+	}
+	v.enlist(key, value)
+}
+
+// enlist notes at which address a member hears the others; an empty one is its end.
+func (v *view) enlist(key, address string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if value == "" {
+	if address == "" {
 		delete(v.members, key)
 	} else {
-		v.members[key] = value
+		v.members[key] = address
 	}
 	v.fleet.SetMembers(v.self, slices.Collect(maps.Keys(v.members)))
 }
 
 // OwnRelisted implements platform.View.
 func (v *view) OwnRelisted(keys map[string]bool, revision int64) {
+	v.foreign.relisted(platform.OwnPrefix, func(key string) bool { return keys[key] })
 	if !keys[v.keys.seat] {
 		v.seat.Seen("", revision)
 	}
