The seat of the orders is taken over bytes that no holder wrote

Cause: another writer's bytes at the key hang on no lease and never lapse. Each entry took them for a holder, so that nobody gave orders any more and runners stayed on old weights.

Ruled out: to take the seat at once, as the holder whose entry was replaced may not have learnt it yet and both would give orders; to delete the key first, which leaves a moment without a condition and costs one more call.

Change: a value that is no name of a node's start is foreign. The holder before stops; after the pause that a lost seat waits anyway (lease_ms) the key is written under the condition of the foreign revision, so the fence grows.

The test's store now honours the revision that a write is conditioned on, where it refused each write over a value: as strict, and the new case needs it.

--- a/node/foreign.go
+++ b/node/foreign.go
@@ -177,6 +177,10 @@
 	if strings.HasPrefix(e.Key, v.keys.members) {
 		v.enlist(e.Key, "")
 	}
+	if e.Key == v.keys.seat {
+		v.seat.Foreign(e.Revision)
+		v.holder.Wake()
+	}
 	v.foreign.say(e)
 }
 
--- a/node/foreign_test.go
+++ b/node/foreign_test.go
@@ -218,3 +218,18 @@
 		t.Error("a good target was lost")
 	}
 }
+
+// Another writer's bytes stand where the holder of the orders does. New weights must
+// roll out all the same.
+func TestOrdersGoOnOverAForeignHolder(t *testing.T) {
+	w, log := newLoggedWorld(t)
+	for i, bytes := range [][]byte{[]byte("somebody"), {}} {
+		w.store.Set("keel/orders", bytes)
+		reason := []string{"bad_value", "unreadable"}[i]
+		w.until("it is left out", func() bool { return log.leftOut("keel/orders", reason) == 1 })
+		w.store.Set("op/version/"+model, []byte(fmt.Sprintf(`{"model":"m","version":%d}`, i+2)))
+		w.until("the runners have the new weights", func() bool {
+			return len(w.runners[0].Orders()) > i && len(w.runners[1].Orders()) > i
+		})
+	}
+}
--- a/node/view.go
+++ b/node/view.go
@@ -192,8 +192,7 @@
 // Own implements platform.View.
 func (v *view) Own(key, value string, revision int64) {
 	if key == v.keys.seat {
-		v.seat.Seen(value, revision)
-		v.holder.Wake()
+		v.seated(value, revision)
 		return
 	}
 	if !strings.HasPrefix(key, v.keys.members) {
@@ -211,6 +210,17 @@
 	v.enlist(key, value)
 }
 
+// seated takes what the store says of the seat; an empty value is its end.
+func (v *view) seated(holder string, revision int64) {
+	if holder != "" && !isName(holder) {
+		v.LeftOut(platform.LeftOut{Key: v.keys.seat, Revision: revision, Fault: &platform.Fault{Reason: platform.BadValue}})
+		return
+	}
+	v.foreign.forget(v.keys.seat)
+	v.seat.Seen(holder, revision)
+	v.holder.Wake()
+}
+
 // enlist notes at which address a member hears the others; an empty one is its end.
 func (v *view) enlist(key, address string) {
 	v.mu.Lock()
--- a/rollout/office.go
+++ b/rollout/office.go
@@ -33,6 +33,10 @@
 	seeking bool
 	// lost is when the seat was last lost.
 	lost clock.Boot
+	// foreign is the revision of an entry at the key that no holder wrote, found at
+	// foreignAt; 0 where there is none.
+	foreign   int64
+	foreignAt clock.Boot
 }
 
 // NewSeat returns the seat at key for the process that name names in this
@@ -59,7 +63,7 @@
 	if revision < s.fence {
 		return
 	}
-	s.taken = value != ""
+	s.taken, s.foreign = value != "", 0
 	if value == s.name && s.fence == 0 && s.under != "" {
 		// A write whose outcome was unknown was carried out after all. Left
 		// alone, the seat would stay with a process that does not know of it.
@@ -67,29 +71,59 @@
 		return
 	}
 	if s.fence != 0 && (value != s.name || revision != s.fence) {
-		s.fence = 0
-		s.lost = clock.Now()
-		s.log.WithField("event", "seat_lost").Warn("another process may give the orders now")
+		s.lose()
 	}
 }
 
+// lose notes that the seat is held no more; the caller holds mu.
+func (s *Seat) lose() {
+	s.fence = 0
+	s.lost = clock.Now()
+	s.log.WithField("event", "seat_lost").Warn("another process may give the orders now")
+}
+
+// Foreign notes that the store has an entry at the key, of a revision, that no
+// holder wrote. It hangs on no lease, so that waiting for its end nobody would give
+// orders any more. After a pause, in which a holder whose entry it replaced has
+// learnt that or has lost its lease, the seat is taken over it.
+func (s *Seat) Foreign(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision < s.fence || revision == s.foreign {
+		return
+	}
+	s.taken, s.foreign, s.foreignAt = true, revision, clock.Now()
+	if s.fence != 0 {
+		s.lose()
+	}
+}
+
+// free reports whether the seat may be sought; the caller holds mu.
+func (s *Seat) free() bool {
+	if s.taken && (s.foreign == 0 || s.foreignAt.Since() < s.pause) {
+		return false
+	}
+	return !s.seeking && (s.lost == 0 || s.lost.Since() >= s.pause)
+}
+
 // Seek tries to take the seat if it is free.
 func (s *Seat) Seek(ctx context.Context) bool {
 	s.mu.Lock()
 	lease := s.session.ID()
-	if s.taken || s.seeking || lease == "" || (s.lost != 0 && s.lost.Since() < s.pause) {
+	if lease == "" || !s.free() {
 		s.mu.Unlock()
 		return false
 	}
 	s.seeking = true
 	s.under = lease
+	over := s.foreign
 	s.mu.Unlock()
-	fence, err := s.take(ctx, lease)
+	fence, err := s.take(ctx, lease, over)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seeking = false
 	if errors.Is(err, store.ErrConflict) {
-		s.taken = true
+		s.taken, s.foreign = true, 0
 	}
 	if err != nil || s.fence != 0 {
 		return s.fence != 0
@@ -100,12 +134,13 @@
 
 // adopt notes that the seat is held under a fence; the caller holds mu.
 func (s *Seat) adopt(fence int64) {
-	s.taken, s.fence = true, fence
+	s.taken, s.fence, s.foreign = true, fence, 0
 	s.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("this process gives the orders now")
 }
 
-func (s *Seat) take(ctx context.Context, lease store.LeaseID) (int64, error) {
-	fence, err := s.store.Put(ctx, s.key, []byte(s.name), 0, lease)
+// take writes the key over the revision given; 0 is none.
+func (s *Seat) take(ctx context.Context, lease store.LeaseID, over int64) (int64, error) {
+	fence, err := s.store.Put(ctx, s.key, []byte(s.name), over, lease)
 	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) {
 		return fence, err
 	}
--- a/rollout/office_test.go
+++ b/rollout/office_test.go
@@ -41,9 +41,9 @@
 	return store.Entry{Value: []byte(m.value), Revision: m.revision}, nil
 }
 
-func (m *memory) Put(_ context.Context, _ string, value []byte, _ int64, _ store.LeaseID) (int64, error) {
+func (m *memory) Put(_ context.Context, _ string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
 	m.writes++
-	if m.value != "" {
+	if m.value != "" && (ifRevision == 0 || ifRevision != m.revision) {
 		return 0, store.ErrConflict
 	}
 	m.value = string(value)
@@ -144,3 +144,32 @@
 		t.Errorf("held %v under fence %d, want %d", ok, fence, m.revision)
 	}
 }
+
+// Another writer puts bytes of its own where the holder's name stands. They hang on
+// no lease and never lapse: nobody gave orders any more, and runners stayed on old
+// weights. The holder must stop at once; after the pause the seat is taken over them.
+func TestSeatIsTakenOverAForeignEntry(t *testing.T) {
+	m := &memory{value: "bytes", revision: 5}
+	seat, _ := newSeat(t, m, "a")
+	seat.Foreign(5)
+	if seat.Seek(t.Context()) || m.writes != 0 {
+		t.Errorf("sought at once with %d writes, while a holder before may not know yet", m.writes)
+	}
+	seat.pause = 0
+	if !seat.Seek(t.Context()) {
+		t.Fatal("the seat stays with nobody")
+	}
+	if fence, ok := seat.Held(); !ok || fence != 6 {
+		t.Errorf("held %v under fence %d, want one above the foreign entry's", ok, fence)
+	}
+	m.value, m.revision = "bytes again", 7
+	seat.Foreign(7)
+	if _, ok := seat.Held(); ok {
+		t.Error("the seat is held though its entry is another's")
+	}
+	seat.Foreign(4)
+	seat.Seen("b", 8)
+	if seat.Seek(t.Context()) {
+		t.Error("taken from a process that holds it")
+	}
+}
