--- a/rollout/life_test.go
+++ b/rollout/life_test.go
@@ -107,10 +107,11 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	h.begin(ctx, r, "m", 2)
-	for end := time.Now().Add(10 * time.Second); !f.Holds(fleet.Life{ID: "r", Born: 20}) && time.Now().Before(end); {
+	now := f.Runners("lm")
+	// The report's start is taken first and its weights just after.
+	for end := time.Now().Add(10 * time.Second); (now[0].Born != 20 || now[0].Weights["m"] == 0) && time.Now().Before(end); now = f.Runners("lm") {
 		time.Sleep(time.Millisecond)
 	}
-	now := f.Runners("lm")
 	if v := now[0].Weights["m"]; v != 1 {
 		t.Fatalf("the new life is taken to have weights %d, want 1", v)
 	}
