Platform: a request of which no byte was written counts as not sent

Cause: a send that failed counted as sent unless the dial itself had failed. A kept connection that the runner had closed, and a dial that the end of the time cut, were both told as "may have run", though not a byte had left. A request that may run once then got 502 with outcome unknown, and the runner counted as failed. Ruled out: net/http's own repeat (a body that can be read again lets it also repeat requests that were written); trusting net/http's kinds of errors, which it doesn't export. A send cut by the end of the client's time is marked as a failure of the target, not as a target out of reach, as before. Conclusion: unknown is said only of what may have left.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -83,7 +83,9 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The client left, which says nothing of the target.
-	case sent:
+	case sent, ctx.Err() != nil:
+		// A send that was cut by the end of the client's time leaves open whether
+		// the target can be reached.
 		s.router.fleet.Failed(choice.Runner.Life(), time.Now())
 	default:
 		s.router.fleet.Unreachable(choice.Runner.Life(), time.Now())
--- a/router/request.go
+++ b/router/request.go
@@ -97,8 +97,8 @@
 // SendError is a send that got no answer.
 type SendError struct {
 	Err error
-	// Sent is false where no connection could be made, so that the target
-	// can't have got anything.
+	// Sent is false where nothing of the request was written on a connection, so
+	// that the target can't have got any of it.
 	Sent bool
 }
 
