Front: a body that is late is answered 408 at once

Cause: a body that wasn't whole by Deadline-Ms was answered 400, by which a client takes its request for wrong and doesn't repeat it, although nothing ran. Where the connection would have been kept, net/http sent the answer only after the rest of the body had come, without a bound. Ruled out: an existing kind (none has status 408; timed_out and deadline_unmet say other things); reading the rest for a while after the answer: the door counts what is read then as a request without an answer, and the client's own time is over.

--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -18,6 +18,7 @@
 const (
 	BadRequest        Kind = "bad_request"
 	BodyTooLarge      Kind = "body_too_large"
+	BodyLate          Kind = "body_late"
 	HeaderTooLarge    Kind = "header_too_large"
 	Unauthorized      Kind = "unauthorized"
 	Forbidden         Kind = "forbidden"
@@ -117,6 +118,7 @@
 var statuses = map[Kind]int{
 	BadRequest:        http.StatusBadRequest,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	BodyLate:          http.StatusRequestTimeout,
 	HeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	Unauthorized:      http.StatusUnauthorized,
 	Forbidden:         http.StatusForbidden,
