Router: an answer with a status below 200 is not an answer

Cause: a target's final answer with a status below 200 that bore the request's id and a seal was passed on. 007 panics in net/http's WriteHeader, 101 allows no body; either way the client's connection ended without a word, or with an upgrade it had not asked for. Ruled out: letting the door judge statuses: a retry is the router's to decide. Change: such an answer counts as bytes that are not the answer to the request: the target failed, the outcome is unknown, and what may be repeated goes on elsewhere. Conclusion: no status of a target ends a client's connection without an answer.

--- a/router/session.go
+++ b/router/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"acaciakeel/catalog"
@@ -111,7 +112,7 @@
 		return out
 	}
 	s.ran++
-	if !answer.Own || (answer.Status < 300 && (!answer.Sealed || answer.Encoded)) {
+	if !answer.Own || answer.Status < http.StatusOK || (answer.Status < 300 && (!answer.Sealed || answer.Encoded)) {
 		f.Failed(choice.Runner.Life(), time.Now())
 		return s.lost(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Runner.ID)
 	}
