Front: a panic while serving is answered

Cause: a panic in the handler ended the client's connection with neither an answer nor a refusal; only the HTTP server's own text, over many lines without the request, told of it. Ruled out: a wrapper of the response writer that notes the first byte: it hides from net/http's body limit that the connection is to close. Change: the front recovers, logs event=panic with request and stack in one line and counts keel_node_panics_total. Where no status was written it answers 502 with outcome unknown, nothing of the target's head, and a connection that closes; where one was, it breaks the connection off. http.ErrAbortHandler passes as it is. The front takes what serves it as an interface, so that a test can play a router that panics. Conclusion: no fault of one request leaves its client without an answer.

--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,10 @@
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
 	n.router = router.New(n.view, targets, runners, router.NewMetrics(n.registry), log, bounds, retries)
-	n.front = platform.NewFront(n.router, n.view.limits)
+	n.front = platform.NewFront(n.router, n.view.limits, platform.Watch{
+		Log:    log,
+		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
+	})
 	return n
 }
 
