--- a/node/node.go
+++ b/node/node.go
@@ -156,10 +156,10 @@
 // Start opens the node's doors and begins its duties. Requests that come before
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
-	if err := n.openDoors(); err != nil {
+	if err := n.pulse.listen(n.pulseAddress()); err != nil {
 		return err
 	}
-	if err := n.pulse.listen(n.pulseAddress()); err != nil {
+	if err := n.openDoors(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -176,21 +176,23 @@
 	return nil
 }
 
+// openDoors opens the front last, when nothing else can fail: clients that came
+// before would lose their connections, and what they sent, with the process.
 func (n *Node) openDoors() error {
 	watch := door.Watch{
 		Log:        n.log,
 		Unanswered: telemetry.NewCounter(n.registry, "keel_node_connections_unanswered_total", "Connections closed with a request read and nothing answered.").WithLabelValues(),
 	}
-	front := newServer(n.front)
-	front.BaseContext = func(net.Listener) context.Context { return n.serving }
 	var err error
-	if n.doors.front, err = door.Open(n.settings.Listen.Front, front, watch); err != nil {
+	if n.doors.metrics, err = door.Open(n.metricsAddress(), newServer(n.metricsHandler()), watch); err != nil {
 		return err
 	}
 	if n.doors.ready, err = door.Open(n.settings.Listen.Ready, newServer(http.HandlerFunc(n.serveReady)), watch); err != nil {
 		return err
 	}
-	n.doors.metrics, err = door.Open(n.metricsAddress(), newServer(n.metricsHandler()), watch)
+	front := newServer(n.front)
+	front.BaseContext = func(net.Listener) context.Context { return n.serving }
+	n.doors.front, err = door.Open(n.settings.Listen.Front, front, watch)
 	return err
 }
 
