One of the entries that all stop goes on with the orders

Cause: an entry that stops gave up its lease, and with it the seat, at SIGTERM and sought it no more.

Change: at SIGTERM an entry leaves the members and releases the seat, if another one stays; otherwise it keeps it, or takes it, gives orders until its last answers, and then ends its lease. The others no longer tell it what they send, so it cuts no streams for its orders. Late news of a taking that was given up since is no taking: it was seen to be adopted for a moment.

--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -44,6 +45,12 @@
 	// cancel ends all the node does, endDuties what it does for others.
 	cancel    context.CancelFunc
 	endDuties context.CancelFunc
+	// enrolled is the node's entry among the members.
+	enrolled struct {
+		sync.Mutex
+		revision int64
+		left     bool
+	}
 	// serving is what clients' requests are served under; interrupt ends it with
 	// the reason that requests are answered with.
 	serving   context.Context
@@ -241,12 +248,26 @@
 
 // enrol puts the node among the members under a new lease.
 func (n *Node) enrol(ctx context.Context, id store.LeaseID) {
-	key := n.view.self
-	_, err := n.store.Put(ctx, key, []byte(n.pulse.address()), 0, id)
-	if err != nil {
+	if err := n.join(ctx, id); err != nil {
 		n.log.WithError(err).WithField("event", "enrol_failed").Warn("the others count this node out until its next lease")
 	}
-	n.view.seat.Seek(ctx)
+	if n.seeks() {
+		n.view.seat.Seek(ctx)
+	}
+}
+
+// join writes the node's entry among the members, unless it is leaving.
+func (n *Node) join(ctx context.Context, id store.LeaseID) error {
+	n.enrolled.Lock()
+	defer n.enrolled.Unlock()
+	if n.enrolled.left {
+		return nil
+	}
+	revision, err := n.store.Put(ctx, n.view.self, []byte(n.pulse.address()), 0, id)
+	if err == nil {
+		n.enrolled.revision = revision
+	}
+	return err
 }
 
 // seekEvery is how often a free seat is looked for.
@@ -262,7 +283,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if n.view.follower.Away() || n.view.Config() == nil {
+		if n.view.follower.Away() || n.view.Config() == nil || !n.seeks() {
 			continue
 		}
 		if n.view.seat.Seek(ctx) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"acaciakeel/door"
 	"acaciakeel/router"
 )
@@ -39,11 +42,12 @@
 	defer notice.Stop()
 	close(n.stopping)
 	n.front.Leave()
-	// A node that stops serves on for seconds. Were it to take a lease or the
-	// seat again meanwhile, its orders would stand still until that lapses.
-	n.endDuties()
 	n.log.WithField("event", "stopping").Info("planned stop")
-	go n.endLease(e.End)
+	go n.leaveOthers(e.End)
+	handedOver := make(chan struct{})
+	handOver := sync.OnceFunc(func() { n.handOver(e.End); close(handedOver) })
+	latest := time.AfterFunc(time.Until(e.Answers), handOver)
+	defer latest.Stop()
 	<-notice.C
 	n.router.Leave(e.Answers)
 	if n.doors.front.End(e) {
@@ -51,15 +55,61 @@
 	} else {
 		n.log.WithField("event", "stop_cut").Warn("the grace ended before all requests did")
 	}
+	handOver()
+	<-handedOver
 	for _, d := range []*door.Door{n.doors.ready, n.doors.metrics} {
 		_ = d.Close()
 	}
 }
 
-func (n *Node) endLease(end time.Time) {
+// leaveOthers takes the node out of those that serve. The orders pass to another
+// one at once, if there is one that stays. Where all stop together, the node goes
+// on to give them until its end: otherwise new weights wait until the first has
+// started again, seven seconds with three entries stopped half a second apart.
+func (n *Node) leaveOthers(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	n.view.holder.Blind()
+	n.tell("the membership", n.leaveMembers(ctx))
+	if len(n.view.peers()) > 0 {
+		n.tell("the seat", n.view.seat.Release(ctx))
+	}
+}
+
+// leaveMembers removes the node's entry among the members.
+func (n *Node) leaveMembers(ctx context.Context) error {
+	n.enrolled.Lock()
+	defer n.enrolled.Unlock()
+	n.enrolled.left = true
+	if n.enrolled.revision == 0 {
+		return nil
+	}
+	_, err := n.store.Delete(ctx, n.view.self, n.enrolled.revision)
+	return err
+}
+
+// handOver ends the node's orders and then its lease. A holder that ended with
+// its process alone would keep the seat until the lease lapses.
+func (n *Node) handOver(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := n.session.End(ctx); err != nil {
-		n.log.WithError(err).WithField("event", "lease_end_failed").Warn("the others wait for the lease to lapse")
+	n.endDuties()
+	n.tell("the lease", n.session.End(ctx))
+}
+
+func (n *Node) tell(what string, err error) {
+	if err != nil {
+		n.log.WithError(err).WithFields(logrus.Fields{"event": "give_up_failed", "what": what}).Warn("the others wait until the lease lapses")
+	}
+}
+
+// seeks reports whether the node is to seek the seat: one that stops only does if
+// no other one stays.
+func (n *Node) seeks() bool {
+	select {
+	case <-n.stopping:
+		return len(n.view.peers()) == 0
+	default:
+		return true
 	}
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"acaciakeel/internal/standin/runner"
+	"acaciakeel/platform"
+	"acaciakeel/store"
 )
 
 // piece is a part of a request that comes to the node some time after the part
@@ -298,3 +300,41 @@
 		t.Errorf("%s: got %q", short, a.body)
 	}
 }
+
+// All nodes are stopped within moments, and new weights are named while they serve their last requests. Each had given the
+// orders up to the others, so the runners kept their old weights until one had started again: with three nodes stopped half
+// a second apart that was seven seconds, and a third of the runners had old weights 13 seconds after the naming. One of
+// those that stop goes on to give the orders, and gives them up before it ends.
+func TestStopOfAllGoesOnWithOrders(t *testing.T) {
+	w := newWorld(t)
+	peer := w.startNode("n1")
+	w.until("one gives the orders", func() bool { return w.holds(w.node) || w.holds(peer) })
+	for _, r := range w.runners {
+		r.SetPace(600 * time.Millisecond)
+	}
+	stops := []*stop{w.newStop(w.node), w.newStop(peer)}
+	for i, s := range stops {
+		id := fmt.Sprintf("stream-%d", i)
+		s.begin()
+		// While a stream goes on, the node is there.
+		s.call("a stream that runs meanwhile", id, stopNotice-time.Second, piece{text: message("POST", "/draft/x", id, prompt())})
+	}
+	w.store.Set("op/version/"+model, []byte(`{"model":"m","version":2}`))
+	for _, s := range stops {
+		s.end()
+		s.check("a stream that runs meanwhile")
+	}
+	for _, r := range w.runners {
+		if len(r.Orders()) == 0 {
+			t.Errorf("runner %s got no order while its nodes stopped", r.ID)
+		}
+	}
+	if _, err := platform.NewStore(w.kv.URL).Get(t.Context(), w.node.view.keys.seat); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("the orders are still somebody's after all have ended (%v)", err)
+	}
+}
+
+func (w *world) holds(n *Node) bool {
+	_, held := n.view.seat.Held()
+	return held
+}
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,9 @@
 	// at once: until then they send to one that refuses.
 	told func()
 
+	// blind is set while the others do not tell this process what they send.
+	blind atomic.Bool
+
 	mu sync.Mutex
 	// underway is the life of each runner whose order has not ended, by id. Once
 	// the runner starts again its former life's order no longer counts: the new
@@ -55,6 +59,12 @@
 	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]fleet.Life{}}
 }
 
+// Blind has runners end their streams before they load: the others no longer tell
+// which streams they have there, and those that can't go on elsewhere would be cut.
+func (h *Holder) Blind() {
+	h.blind.Store(true)
+}
+
 // Wake makes the holder look at once.
 func (h *Holder) Wake() {
 	select {
@@ -223,7 +233,7 @@
 // its last event. Left to end, the last of them keep a runner of forty or sixty
 // slots out of service for four to six seconds.
 func (h *Holder) clear(ctx context.Context, r fleet.Runner) bool {
-	if h.fleet.Inflight(r.Life()).Long == 0 || h.fleet.Off(policy.Cutting) {
+	if h.fleet.Inflight(r.Life()).Long == 0 || h.blind.Load() || h.fleet.Off(policy.Cutting) {
 		return false
 	}
 	for range clearTries {
--- a/rollout/office.go
+++ b/rollout/office.go
@@ -31,8 +31,9 @@
 	taken bool
 	// seeking is set while a try to take it is under way.
 	seeking bool
-	// lost is when the seat was last lost.
+	// lost is when the seat was last lost, gone the fence under which it was held.
 	lost clock.Boot
+	gone int64
 	// foreign is the revision of an entry at the key that no holder wrote, found at
 	// foreignAt; 0 where there is none.
 	foreign   int64
@@ -56,11 +57,12 @@
 
 // Seen notes what the store says of the key at a revision; an empty value is
 // its absence. What is older than the seat's own taking says nothing of it: a
-// listing may have been read before and arrive after.
+// listing may have been read before and arrive after. Nor does the taking of one
+// that was given up since: adopted by its late news, it would have two holders.
 func (s *Seat) Seen(value string, revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision < s.fence {
+	if revision < s.fence || (value != "" && revision <= s.gone) {
 		return
 	}
 	s.taken, s.foreign = value != "", 0
@@ -77,7 +79,7 @@
 
 // lose notes that the seat is held no more; the caller holds mu.
 func (s *Seat) lose() {
-	s.fence = 0
+	s.gone, s.fence = s.fence, 0
 	s.lost = clock.Now()
 	s.log.WithField("event", "seat_lost").Warn("another process may give the orders now")
 }
@@ -139,6 +141,26 @@
 }
 
 // take writes the key over the revision given; 0 is none.
+// Release gives the seat to whoever seeks it, while this process's lease goes on.
+// One that is being taken just now stays until the lease ends.
+func (s *Seat) Release(ctx context.Context) error {
+	s.mu.Lock()
+	fence := s.fence
+	if fence != 0 {
+		s.lose()
+	}
+	s.mu.Unlock()
+	if fence == 0 {
+		return nil
+	}
+	_, err := s.store.Delete(ctx, s.key, fence)
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrNotFound) {
+		// It has passed to another process already.
+		return nil
+	}
+	return err
+}
+
 func (s *Seat) take(ctx context.Context, lease store.LeaseID, over int64) (int64, error) {
 	fence, err := s.store.Put(ctx, s.key, []byte(s.name), over, lease)
 	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) {
--- a/rollout/office_test.go
+++ b/rollout/office_test.go
@@ -173,3 +173,42 @@
 		t.Error("taken from a process that holds it")
 	}
 }
+
+func (m *memory) Delete(_ context.Context, _ string, ifRevision int64) (int64, error) {
+	if m.value == "" || m.revision != ifRevision {
+		return 0, store.ErrConflict
+	}
+	m.value = ""
+	m.revision++
+	return m.revision, nil
+}
+
+// A process that stops keeps its lease while it serves its last requests. The seat
+// passes on at once all the same: new weights named meanwhile would wait.
+func TestSeatIsReleasedBeforeTheLease(t *testing.T) {
+	m := &memory{}
+	seat, _ := newSeat(t, m, "a")
+	seat.Seek(t.Context())
+	if err := seat.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if _, held := seat.Held(); held || m.value != "" {
+		t.Errorf("held %v, and the seat names %q", held, m.value)
+	}
+	seat.Seen("a", m.revision-1)
+	if _, held := seat.Held(); held {
+		t.Error("late news of the taking brought a released seat back")
+	}
+}
+
+// The seat has passed to another process by the time that one gives it up. It
+// stays with the other one.
+func TestReleaseLeavesAnothersSeat(t *testing.T) {
+	m := &memory{}
+	seat, _ := newSeat(t, m, "a")
+	seat.Seek(t.Context())
+	m.value, m.revision = "b", m.revision+1
+	if err := seat.Release(t.Context()); err != nil || m.value != "b" {
+		t.Errorf("%v, and the seat names %q", err, m.value)
+	}
+}
