The door looks once more at what timed out; what it counts is what it owes

Cause: a wait that ends with a time-out does not ask the kernel again. Further: a request read together with the one before it was served under the last 50 ms of an idle connection; the rest of a body read after an early answer counted as unanswered; a log line was written under the lock of all connections.

Change: a time-out counts only if the call asked the kernel under that wait and was told of its end in time, else it is repeated, ever longer. The last time of an idle connection ends with the server's work on a request too. Counted is what was read and has no answer begun. HTTP/2 is told from its first bytes, however they come.

Left: half of a next request that is read with the one before it.

--- a/door/conns.go
+++ b/door/conns.go
@@ -36,13 +36,21 @@
 	owed int
 	// serving is set while the server works on a request.
 	serving bool
+	// head are the first bytes that came, as many as tell HTTP/2.
+	head []byte
 	// framed is set for HTTP/2, where bytes also come that need no answer, and
 	// whose own end tells the client which requests were taken.
 	framed bool
 	// left is set once the client has ended its side.
 	left bool
-	// hung is set while an idle connection has its last time.
-	hung bool
+	// hung is set while an idle connection has its last time, last; looks counts
+	// how often that was repeated.
+	hung  bool
+	last  lastWait
+	looks int
+	// answering is set from the first byte of an answer to the end of its request:
+	// what the server still reads of that is owed nothing.
+	answering bool
 }
 
 func (s *conns) add(c net.Conn) *conn {
@@ -59,31 +67,63 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		entered := time.Now()
+		n, err := c.Conn.Read(p)
+		if n == 0 && isTimeout(err) && c.lookAgain(entered, time.Now()) {
+			continue
+		}
+		c.conns.mu.Lock()
+		defer c.conns.mu.Unlock()
+		if n > 0 {
+			c.took(p[:n], time.Now())
+		}
+		if err != nil && !isTimeout(err) {
+			c.left = true
+		}
+		return n, err
+	}
+}
+
+// lookAgain reports whether an idle connection whose last time is over is to be
+// read once more, because the time-out does not tell that nothing had come.
+func (c *conn) lookAgain(entered, now time.Time) bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if n > 0 {
-		c.took(p[:n], time.Now())
-	}
-	if err != nil && !isTimeout(err) {
-		c.left = true
+	if !c.hung || c.last.sound(entered, now) {
+		return false
 	}
-	return n, err
+	c.wait(now, lookFor<<min(c.looks, longestLook))
+	c.looks++
+	return true
+}
+
+// wait gives an idle connection a last time; the caller holds conns.mu.
+func (c *conn) wait(now time.Time, d time.Duration) {
+	c.last = lastWait{armed: now, until: now.Add(d)}
+	// A connection that fails here has ended already.
+	_ = c.Conn.SetReadDeadline(c.last.until)
 }
 
 // took notes bytes that came; the caller holds conns.mu.
 func (c *conn) took(p []byte, now time.Time) {
-	if c.readAt.IsZero() {
-		c.framed = bytes.HasPrefix(p, http2Preface)
+	if missing := len(http2Preface) - len(c.head); missing > 0 {
+		c.head = append(c.head, p[:min(missing, len(p))]...)
+		c.framed = bytes.Equal(c.head, http2Preface)
 	}
+	c.unhang()
+	c.owed += len(p)
+	c.readAt = now
+}
+
+// unhang ends the last time of a connection on which a request has come, whose
+// rest may take as long as it needs: it would be cut in the middle, or be told
+// that its client has left. The caller holds conns.mu.
+func (c *conn) unhang() {
 	if c.hung {
-		// The rest of the request may take as long as it needs: without this the
-		// time that an idle connection still has would cut it in the middle.
 		c.hung = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
-	c.owed += len(p)
-	c.readAt = now
 }
 
 // SetReadDeadline implements net.Conn. The server gives each connection that
@@ -103,7 +143,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.conns.mu.Lock()
-	c.owed = 0
+	c.owed, c.answering = 0, true
 	c.conns.mu.Unlock()
 	return c.Conn.Write(p)
 }
@@ -141,8 +181,7 @@
 		return
 	}
 	c.hung = true
-	// A connection that fails here has ended already.
-	_ = c.Conn.SetReadDeadline(now.Add(idleEnd))
+	c.wait(now, idleEnd)
 }
 
 // CloseWrite ends the sending side, as the server does after an answer that
@@ -163,23 +202,38 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.serving = state == http.StateActive
+	if state == http.StateActive || state == http.StateIdle {
+		c.answering = false
+	}
+	if c.serving {
+		// Its request may have been read along with the one before.
+		c.unhang()
+	}
 }
 
 // remove notes the end of a connection. One that ends with a request read and
 // the client still there is a request lost: that is logged and counted.
 func (s *conns) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.open[c]; !ok {
-		return
-	}
-	delete(s.open, c)
-	if c.owed == 0 || c.framed || c.left {
+	fields := s.take(c)
+	if fields == nil {
 		return
 	}
 	if s.watch.Unanswered != nil {
 		s.watch.Unanswered.Inc()
 	}
+	s.watch.Log.WithFields(fields).Warn("a connection was closed after bytes had come to which nothing was answered")
+}
+
+// take takes a connection out, and returns what is to be said of it if a request
+// is lost with it.
+func (s *conns) take(c *conn) logrus.Fields {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, open := s.open[c]
+	delete(s.open, c)
+	if !open || c.owed == 0 || c.framed || c.left || c.answering {
+		return nil
+	}
 	fields := logrus.Fields{
 		"event": "unanswered", "client": c.RemoteAddr().String(), "read_bytes": c.owed,
 		"age_ms": time.Since(c.accepted).Milliseconds(), "quiet_ms": time.Since(c.readAt).Milliseconds(),
@@ -187,7 +241,7 @@
 	if !s.ending.IsZero() {
 		fields["ending_ms"] = time.Since(s.ending).Milliseconds()
 	}
-	s.watch.Log.WithFields(fields).Warn("a connection was closed after bytes had come to which nothing was answered")
+	return fields
 }
 
 // tally is how the connections stand.
--- a/door/door.go
+++ b/door/door.go
@@ -142,8 +142,10 @@
 	// bound is until when connections are handed out though they never pause;
 	// zero until the end begins.
 	bound time.Time
-	// until is how long the next one is waited for.
-	until time.Time
+	// last is how long the next one is waited for, late how many such waits there
+	// were beyond the bound.
+	last lastWait
+	late int
 }
 
 // Accept implements net.Listener.
@@ -158,7 +160,7 @@
 		if !isTimeout(err) {
 			return nil, err
 		}
-		if l.empty(entered) {
+		if l.empty(entered, time.Now()) {
 			return nil, net.ErrClosed
 		}
 	}
@@ -173,6 +175,9 @@
 	// queueBound is for how long at most: beyond some hundred connections a second
 	// there may never be such a pause.
 	queueBound = 300 * time.Millisecond
+	// lateWaits is how many waits are repeated beyond that, for a process that
+	// stood still over it.
+	lateWaits = 3
 )
 
 // end makes the listener hand out what waits in the kernel's queue, and then
@@ -194,14 +199,15 @@
 	}
 }
 
-// empty reports whether the queue is empty, as a wait that began at a moment
-// timed out. A wait that began too late has not looked at the queue, as on a
-// machine that stood still meanwhile; it is repeated.
-func (l *listener) empty(entered time.Time) bool {
+// empty reports whether the queue is empty, after a wait that timed out. One that
+// does not tell so is repeated.
+func (l *listener) empty(entered, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	if entered.Before(l.until) || now.After(l.bound) {
+	if now.After(l.bound) {
+		l.late++
+	}
+	if l.last.sound(entered, now) || l.late > lateWaits {
 		return true
 	}
 	l.wait(now)
@@ -210,9 +216,35 @@
 
 // wait bounds the next wait for a connection; the caller holds mu.
 func (l *listener) wait(now time.Time) {
-	l.until = now.Add(queueEmpty)
+	l.last = lastWait{armed: now, until: now.Add(queueEmpty)}
 	// A listener that can't be given a time has ended already.
-	_ = l.SetDeadline(l.until)
+	_ = l.SetDeadline(l.last.until)
+}
+
+// lastWait is a wait for something from the kernel that ends with a time-out. The
+// runtime asks the kernel at the beginning of a wait and then waits to be told.
+// After a time it says "timed out" without asking again: a process that stood
+// still meanwhile, as one does whose quota of the processor is used up, would
+// take what came in that time for not there.
+type lastWait struct {
+	armed, until time.Time
+}
+
+// Figures of last waits.
+const (
+	// lookFor is how long a repeated wait lasts: it asks at its beginning. It grows
+	// by factors of two, longestLook of them, for a process that is always late.
+	lookFor     = 10 * time.Millisecond
+	longestLook = 6
+	// punctual is how late a time-out is seen by a process that did not stand still.
+	punctual = 10 * time.Millisecond
+)
+
+// sound reports whether a call that was entered at a moment and has timed out
+// now tells that nothing was there: it asked the kernel under this wait, and was
+// told of its end in time.
+func (w lastWait) sound(entered, now time.Time) bool {
+	return !entered.Before(w.armed) && entered.Before(w.until) && now.Sub(w.until) < punctual
 }
 
 func isTimeout(err error) bool {
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// Clients use their kept connections without a pause while the door ends. Each of them must see its requests answered, up
-// to one that met the plain end of an idle connection before the door had read any of it.
+// Clients use their kept connections without a pause while the door ends, and some come in the last time that an idle
+// connection gets. That time must end with the request's first byte: kept on, it cut the rest, or told the request that its
+// client had left. Each request that was taken is answered.
 func TestEndLosesNothingOnBusyConnections(t *testing.T) {
 	var taken, answered sync.Map
 	d := open(t, func(w http.ResponseWriter, r *http.Request) { taken.Store(r.URL.Path, true) })
