--- a/door/door.go
+++ b/door/door.go
@@ -237,7 +237,7 @@
 	lookFor     = 10 * time.Millisecond
 	longestLook = 6
 	// punctual is how late a time-out is seen by a process that did not stand still.
-	punctual = 10 * time.Millisecond
+	punctual = 2 * time.Millisecond
 )
 
 // sound reports whether a call that was entered at a moment and has timed out
