The soak restarts targets under their ids, and changes things between stops

The soak knew no target that starts again, did not see an entry end by itself, and stopped entries with nothing else going on.

Targets are now reborn at once, twice within a second, behind a cut of their proxy, in the middle of a stream and after an order that they accept and do not answer. A new life has the weights of the first start. New checks: each life accepts an order only with its own count, each runner ends with the newest weights by what it holds, and no entry ends without a signal of the soak. SIGHUP goes only to a process that has been ready: before, it would end any process.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -168,7 +168,9 @@
 			}
 			c.judgeArrival(tg, s)
 		}
+		c.judgeOrders(tg)
 	}
+	c.judgeProcesses()
 	c.mu.Lock()
 	outcomes := c.seen
 	c.mu.Unlock()
@@ -190,6 +192,26 @@
 	}
 }
 
+// judgeOrders: each life of a target accepts an order only by its own count.
+func (c *callers) judgeOrders(tg *target) {
+	accepted := map[int64]int64{}
+	for _, o := range tg.Orders() {
+		if o.Precondition == nil || *o.Precondition != accepted[o.Born] {
+			c.violate("%s, born %d, with %d orders accepted one for version %d that does not expect them", tg.ID, o.Born, accepted[o.Born], o.Version)
+		}
+		accepted[o.Born]++
+	}
+}
+
+// judgeProcesses: no entry ends but by a signal of the soak.
+func (c *callers) judgeProcesses() {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	for _, ended := range c.site.ended {
+		c.violate("%s", ended)
+	}
+}
+
 func (c *callers) judgeArrival(tg *target, s runner.Seen) {
 	if s.Header.Get("Key") != "" || s.Header.Get("Tenant") != "c1" {
 		c.violate("%s got %s with key %q of customer %q", tg.ID, s.ID, s.Header.Get("Key"), s.Header.Get("Tenant"))
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -59,37 +60,44 @@
 	return otherwise
 }
 
-// regressions are seeds that failed once, each with the cause in a line.
-var regressions = []uint64{
+// regression is a seed that failed once, with the faults that it played then:
+// with others it would play something else.
+type regression struct {
+	seed   uint64
+	faults []fault
+}
+
+// regressions have the cause each, in a line.
+var regressions = []regression{
 	// A runner's 421 and its entry in the list named no newer weights; an entry
 	// took it for loaded with the newest and told so, and no order came.
-	8,
+	{8, faults},
 }
 
 // TestSoak plays a few seconds of each seed. SOAK_SEED plays another one alone,
 // SOAK_SECONDS says how long, SOAK_ENTRIES with how many entries.
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{1}, regressions...)
+	cases := append([]regression{{1, allFaults}}, regressions...)
 	if n := number("SOAK_SEED", 0); n != 0 {
-		seeds = []uint64{uint64(n)}
+		cases = []regression{{uint64(n), allFaults}}
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
+	for _, r := range cases {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) { play(t, r) })
 	}
 }
 
-func play(t *testing.T, seed uint64) {
+func play(t *testing.T, r regression) {
 	s := newSite(t, number("SOAK_ENTRIES", 3))
 	s.await("all entries are ready at the start", s.allReady)
-	c := s.call(seed)
-	b := &breaker{site: s, random: rand.New(rand.NewPCG(seed, 1<<32))}
+	c := s.call(r.seed)
+	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", 8)) * time.Second)
 	c.end()
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
 	s.await("every runner has the newest weights", s.allLoaded)
 	c.judge()
-	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", seed, c.seq, c.counts, b.played)
+	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
 		t.Error(v)
 	}
@@ -118,9 +126,14 @@
 	return true
 }
 
+// allLoaded reports whether each runner has the newest weights, and by an order
+// of its present life where its first start had older ones.
 func (s *site) allLoaded() bool {
 	for _, r := range s.runners {
 		orders := r.Orders()
+		if r.Weights(model) != int64(s.weights) {
+			return false
+		}
 		if s.weights > 1 && (len(orders) == 0 || orders[len(orders)-1].Version != int64(s.weights)) {
 			return false
 		}
@@ -132,6 +145,7 @@
 type breaker struct {
 	site   *site
 	random *rand.Rand
+	faults []fault
 	played []string
 	// under are the faults that last.
 	under sync.WaitGroup
@@ -146,7 +160,7 @@
 func (b *breaker) breakFor(total time.Duration) {
 	for end := time.Now().Add(total); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+b.random.IntN(500)) * time.Millisecond)
-		f := faults[b.random.IntN(len(faults))]
+		f := b.faults[b.random.IntN(len(b.faults))]
 		b.played = append(b.played, f.name)
 		lasts, mend := f.do(b)
 		if mend == nil {
@@ -168,6 +182,11 @@
 	return all[b.random.IntN(len(all))]
 }
 
+// runner returns a target with streams and orders.
+func (b *breaker) runner() *target {
+	return b.site.runners[b.random.IntN(len(b.site.runners))]
+}
+
 func (b *breaker) upTo(most time.Duration) time.Duration {
 	return time.Duration(b.random.Int64N(int64(most)))
 }
@@ -181,6 +200,8 @@
 	}}
 }
 
+// faults are those of targets that keep their life, of entries, of the store and
+// of the ways between them.
 var faults = []fault{
 	spoil(runner.Shed), spoil(runner.LoseAnswer), spoil(runner.Crossed), spoil(runner.Unsealed), spoil(runner.Broken), spoil(runner.Failing),
 	{"target cut", func(b *breaker) (time.Duration, func()) { b.target().proxy.Cut(); return 0, nil }},
@@ -247,6 +268,38 @@
 	{"new configuration", func(b *breaker) (time.Duration, func()) { b.site.configure(); return 0, nil }},
 }
 
+// rebirths are crashes of targets that start again under their ids.
+var rebirths = []fault{
+	{"target reborn", func(b *breaker) (time.Duration, func()) { b.target().Reborn(); return 0, nil }},
+	{"target reborn twice", func(b *breaker) (time.Duration, func()) {
+		tg := b.target()
+		tg.Reborn()
+		return b.upTo(900 * time.Millisecond), func() { tg.Reborn() }
+	}},
+	{"target reborn behind a cut", func(b *breaker) (time.Duration, func()) {
+		tg := b.target()
+		tg.proxy.SetRefuse(true)
+		tg.proxy.Cut()
+		time.Sleep(b.upTo(300 * time.Millisecond))
+		tg.Reborn()
+		return b.upTo(time.Second), func() { tg.proxy.SetRefuse(false) }
+	}},
+	{"target reborn in a stream", func(b *breaker) (time.Duration, func()) {
+		r := b.runner()
+		r.SetFault(runner.RebornInStream)
+		return b.upTo(2 * time.Second), func() { r.SetFault(runner.None) }
+	}},
+	{"targets reborn at an order", func(b *breaker) (time.Duration, func()) {
+		r, another := b.runner(), b.runner()
+		r.SetFault(runner.RebornAtOrder)
+		another.SetFault(runner.RebornAtOrder)
+		b.site.nameWeights()
+		return 2 * time.Second, func() { r.SetFault(runner.None); another.SetFault(runner.None) }
+	}},
+}
+
+var allFaults = slices.Concat(faults, rebirths)
+
 // TestLogsNameTheSeed: whoever finds a failed seed needs its logs where the
 // pages say.
 func TestLogsNameTheSeed(t *testing.T) {
--- a/integration/soak/stops_test.go
+++ b/integration/soak/stops_test.go
@@ -33,6 +33,8 @@
 	// stopsApart bounds the time between the stops of two entries; with
 	// minApart between them, the last is stopped before the first has gone.
 	minApart, stopsApart = 100 * time.Millisecond, 500 * time.Millisecond
+	// mostChanges is how many changes come before each stop, so that some overlap.
+	mostChanges = 3
 )
 
 // errNotAccepted is the end of a connection that the entry never took on.
@@ -236,10 +238,14 @@
 
 // stopAll stops all entries as planned, one shortly after the other, and starts
 // each again as soon as its process has ended. A stop that begins when the
-// platform has just asked is the one that it believes latest.
-func (s *site) stopAll(b *believed) {
+// platform has just asked is the one that it believes latest. Changes come in
+// between, to entries that leave, have started again or are still to be stopped.
+func (s *site) stopAll(b *believed, random *rand.Rand) (changes []string) {
 	var under sync.WaitGroup
 	for _, e := range s.entries {
+		for range random.IntN(mostChanges + 1) {
+			changes = append(changes, s.change(random))
+		}
 		<-b.asked[e]
 		e.signal(syscall.SIGTERM)
 		under.Go(func() {
@@ -248,12 +254,30 @@
 		})
 	}
 	under.Wait()
+	return changes
+}
+
+// change makes one planned change and returns its name.
+func (s *site) change(random *rand.Rand) string {
+	switch random.IntN(4) {
+	case 0:
+		s.configure()
+		return "new configuration"
+	case 1:
+		s.nameWeights()
+		return "new weights"
+	default:
+		e := s.entries[random.IntN(len(s.entries))]
+		e.hangUp()
+		return "SIGHUP to " + e.name
+	}
 }
 
 // All entries are stopped as planned, one shortly after the other, and the last
 // gets all new connections until the platform believes that it leaves too. The way
-// there is slow, so requests sent in time meet the closing of its door. Nothing
-// fails but what is planned: each must end with a whole answer or a refusal.
+// there is slow, so requests sent in time meet the closing of its door. Settings,
+// configurations and weights change meanwhile. Nothing fails but what is planned:
+// each must end with a whole answer or a refusal.
 func TestSoakStops(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
 	s := newSite(t, number("SOAK_ENTRIES", 3))
@@ -261,13 +285,16 @@
 	all := func() bool { return len(b.entries()) == len(s.entries) }
 	s.await("the platform leads to all entries", all)
 	c := s.callKept(seed, b)
+	var changes []string
+	random := rand.New(rand.NewPCG(seed, 1<<34))
 	for range rounds {
-		s.stopAll(b)
+		changes = append(changes, s.stopAll(b, random)...)
 		s.await("the platform leads to all entries again", all)
 	}
 	c.end()
+	s.await("every runner has the newest weights", s.allLoaded)
 	c.judge()
-	t.Logf("soak of stops seed=%d requests=%d outcomes=%v", seed, c.seq, c.counts)
+	t.Logf("soak of stops seed=%d requests=%d outcomes=%v changes=%v", seed, c.seq, c.counts, changes)
 	for fault, of := range c.lost {
 		t.Errorf("%d requests %s (such as %s)", len(of), fault, of[0])
 	}
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,7 +41,14 @@
 	desks   []*target
 	entries []*entry
 	version int
+
+	// mu guards what several faults write to the store.
+	mu      sync.Mutex
 	weights int
+	// written is what each target has written to the list.
+	written map[string]string
+	// ended are the processes that ended and were not told to.
+	ended []string
 }
 
 // target is a stand-in behind a proxy.
@@ -60,7 +68,15 @@
 	proxy *faultproxy.Proxy
 
 	mu  sync.Mutex
-	cmd *exec.Cmd
+	now *process
+}
+
+// process is one run of an entry.
+type process struct {
+	cmd  *exec.Cmd
+	gone chan struct{}
+	// answered is set once it has been ready, and told once it was told to end.
+	answered, told bool
 }
 
 // streamPace is the pause between the events of a stream, so that faults meet
@@ -69,7 +85,7 @@
 
 func newSite(t *testing.T, entries int) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), store: kv.NewStore(0), weights: 1}
+	s := &site{t: t, dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
 	s.server = httptest.NewServer(kv.NewServer(s.store).Handler())
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
@@ -105,14 +121,9 @@
 	s.t.Cleanup(func() { close(stop) })
 	go func() {
 		defer ticker.Stop()
-		written := map[string]string{}
 		for {
 			for _, tg := range s.targets() {
-				e := tg.EntryAt("ready", tg.proxy.Addr())
-				if written[e.Key] != string(e.Value) {
-					s.store.Set(e.Key, e.Value)
-					written[e.Key] = string(e.Value)
-				}
+				s.register(tg, false)
 			}
 			select {
 			case <-ticker.C:
@@ -123,6 +134,18 @@
 	}()
 }
 
+// register writes the entry of a target that has changed, or in any case.
+func (s *site) register(tg *target, anyhow bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := tg.EntryAt("ready", tg.proxy.Addr())
+	if !anyhow && s.written[e.Key] == string(e.Value) {
+		return
+	}
+	s.store.Set(e.Key, e.Value)
+	s.written[e.Key] = string(e.Value)
+}
+
 func (s *site) targets() []*target {
 	return append(append([]*target{}, s.runners...), s.desks...)
 }
@@ -168,7 +191,13 @@
 
 // nameWeights has all runners brought to the next version.
 func (s *site) nameWeights() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.weights++
+	s.writeWeights()
+}
+
+func (s *site) writeWeights() {
 	s.store.Set("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, s.weights))
 }
 
@@ -252,23 +281,54 @@
 		e.site.t.Error(err)
 		return
 	}
+	p := &process{cmd: cmd, gone: make(chan struct{})}
 	e.mu.Lock()
-	e.cmd = cmd
+	e.now = p
 	e.mu.Unlock()
+	go e.follow(p, log)
+}
+
+// follow waits for the end of a process and keeps that it was not told to end.
+func (e *entry) follow(p *process, log io.Closer) {
+	err := p.cmd.Wait()
+	log.Close()
+	e.mu.Lock()
+	told := p.told
+	e.mu.Unlock()
+	if !told {
+		e.site.mu.Lock()
+		e.site.ended = append(e.site.ended, fmt.Sprintf("%s ended by itself: %v", e.name, err))
+		e.site.mu.Unlock()
+	}
+	close(p.gone)
 }
 
 // signal sends a signal to the process, which this soak started.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = e.cmd.Process.Signal(s)
+	e.now.told = e.now.told || s == syscall.SIGTERM || s == syscall.SIGKILL
+	_ = e.now.cmd.Process.Signal(s)
 }
 
-func (e *entry) wait() {
+// hangUp tells the process that its settings file has changed, once it listens
+// for that: before its first readiness the signal would end it.
+func (e *entry) hangUp() {
 	e.mu.Lock()
-	cmd := e.cmd
-	e.mu.Unlock()
-	_ = cmd.Wait()
+	defer e.mu.Unlock()
+	if e.now.answered {
+		_ = e.now.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
+func (e *entry) current() *process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now
+}
+
+func (e *entry) wait() {
+	<-e.current().gone
 }
 
 func (e *entry) kill() {
@@ -277,11 +337,18 @@
 }
 
 func (e *entry) isReady() bool {
+	p := e.current()
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + e.ready + "/ready")
 	if err != nil {
 		return false
 	}
 	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.answered = true
+	return true
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -41,6 +42,11 @@
 	Mute Fault = "mute"
 	// Failing runs the request and answers 500.
 	Failing Fault = "failing"
+	// RebornInStream starts the target again in the middle of the third event of
+	// a stream, RebornAtOrder once it has accepted an order and before it says so.
+	// Either happens once: the new life has no fault.
+	RebornInStream Fault = "reborn_in_stream"
+	RebornAtOrder  Fault = "reborn_at_order"
 )
 
 // Events is how many events a whole stream has.
@@ -69,10 +75,12 @@
 	born     int64
 	accepted int
 	fault    Fault
-	weights  map[string]int64
-	orders   []Order
-	seen     []Seen
-	pace     time.Duration
+	// first are the weights of the first start, and weights those by now.
+	first   map[string]int64
+	weights map[string]int64
+	orders  []Order
+	seen    []Seen
+	pace    time.Duration
 }
 
 // Order is an order as it arrived.
@@ -84,11 +92,13 @@
 	Holder       string `json:"holder"`
 	Fence        int64  `json:"fence"`
 	Precondition *int64 `json:"precondition"`
+	// Born is the life that accepted it.
+	Born int64 `json:"-"`
 }
 
 // Start starts a target on loopback with the given weights; nil for a plain service.
 func Start(id, service string, weights map[string]int64) *Runner {
-	r := &Runner{ID: id, Service: service, weights: weights, born: time.Now().UnixMilli()}
+	r := &Runner{ID: id, Service: service, first: maps.Clone(weights), weights: weights, born: time.Now().UnixMilli()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
@@ -107,9 +117,25 @@
 // Restart ends the target's connections and starts it again under its id, with
 // its weights, an empty cache and no orders counted. It returns when it was born.
 func (r *Runner) Restart() int64 {
+	return r.restart(func() {})
+}
+
+// Reborn is Restart with the weights of the first start, and without what would
+// have started it again.
+func (r *Runner) Reborn() int64 {
+	return r.restart(func() {
+		r.weights = maps.Clone(r.first)
+		if r.fault == RebornInStream || r.fault == RebornAtOrder {
+			r.fault = None
+		}
+	})
+}
+
+func (r *Runner) restart(forget func()) int64 {
 	r.mu.Lock()
 	r.born = max(time.Now().UnixMilli(), r.born+1)
 	r.accepted = 0
+	forget()
 	born := r.born
 	r.mu.Unlock()
 	r.server.CloseClientConnections()
@@ -135,6 +161,13 @@
 	r.pace = d
 }
 
+// Weights returns the version of a model that the target has.
+func (r *Runner) Weights(name string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.weights[name]
+}
+
 // Seen returns the requests that arrived.
 func (r *Runner) Seen() []Seen {
 	r.mu.Lock()
@@ -198,20 +231,34 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if req.Header.Get("Expect-Instance") != r.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if o.Precondition != nil && *o.Precondition != int64(r.accepted) {
+	accepted, fault := r.accept(o)
+	switch {
+	case !accepted:
 		w.WriteHeader(http.StatusConflict)
-		return
+	case fault == RebornAtOrder:
+		r.Reborn()
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// accept carries an order out unless it expects another count of orders.
+func (r *Runner) accept(o Order) (bool, Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Precondition != nil && *o.Precondition != int64(r.accepted) {
+		return false, r.fault
 	}
+	o.Born = r.born
 	r.orders = append(r.orders, o)
 	r.accepted++
 	r.weights[o.Model] = o.Version
-	w.WriteHeader(http.StatusAccepted)
+	return true, r.fault
 }
 
 func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
@@ -300,6 +347,21 @@
 	r.stream(w, req, fault, pace)
 }
 
+// breaksOff reports whether streams end in the middle of an event.
+func breaksOff(f Fault) bool {
+	return f == Broken || f == BrokenShed || f == BrokenFailing || f == RebornInStream
+}
+
+// rebornOnce starts the target again unless another stream of its life did.
+func (r *Runner) rebornOnce(f Fault) {
+	r.mu.Lock()
+	due := r.fault == f
+	r.mu.Unlock()
+	if due {
+		r.Reborn()
+	}
+}
+
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, fault Fault, pace time.Duration) {
 	first := 1
 	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -308,9 +370,12 @@
 	flush := http.NewResponseController(w)
 	for i := first; i <= Events; i++ {
 		time.Sleep(pace)
-		if (fault == Broken || fault == BrokenShed || fault == BrokenFailing) && first == 1 && i == 3 {
+		if breaksOff(fault) && first == 1 && i == 3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", i)
 			_ = flush.Flush()
+			if fault == RebornInStream {
+				r.rebornOnce(fault)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
