Merge: entries of other writers are left out one by one

Against one life of a target and the door of its own: an entry of the list is first judged by its service and then by its life; the start is read as strictly as the other fields.

--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -96,7 +97,7 @@
 		log:      log,
 		registry: telemetry.NewRegistry(),
 		store:    platform.NewStore("http://" + s.Store.Address),
-		name:     s.Name + "/" + uuid.NewString(),
+		name:     newName(s.Name),
 		stopping: make(chan struct{}),
 	}
 	n.serving, n.interrupt = context.WithCancelCause(context.Background())
@@ -109,6 +110,7 @@
 		log:     log,
 		members: map[string]string{},
 		lapsed:  map[string]*time.Timer{},
+		foreign: newForeign(n.registry, log),
 		keys:    ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/"},
 	}
 	n.view.self = n.view.keys.members + n.name
@@ -119,7 +121,7 @@
 	n.pulse = newPulse(n.name, targets, n.view, log)
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	targets.OnRebirth(n.view.reborn)
-	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view, log), log)
+	n.view.follower = follow.New(n.store, platform.AllKeys, follow.Timing{Wait: watchWait, Gather: gather}, platform.NewFeed(n.view), log)
 	n.registerGauges()
 	n.events = fleet.NewEventWatch(targets, runners)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
@@ -150,6 +152,17 @@
 	})
 }
 
+// newName returns the name of one start of a node.
+func newName(node string) string {
+	return node + "/" + uuid.NewString()
+}
+
+// isName reports whether a text is the name of a node's start.
+func isName(text string) bool {
+	at := strings.LastIndexByte(text, '/')
+	return at > 0 && uuid.Validate(text[at+1:]) == nil
+}
+
 // Start opens the node's doors and begins its duties. Requests that come before
 // the first configuration are refused with the time to come back.
 func (n *Node) Start() error {
