The soak has entries of other writers come, change and go

Nothing in the soak wrote to the store but the targets and the operators. Another writer now does: bytes that can't be read, fields missing or of another type, unknown states and services, bad keys, beside the good entries of servers, weights and members, in place of some, and in place of the holder of the orders. What they name is one address, which keeps each connection and datagram that comes; none may.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -171,6 +171,9 @@
 		c.judgeOrders(tg)
 	}
 	c.judgeProcesses()
+	for _, what := range c.site.trap.caught() {
+		c.violate("an address that only other writers name got %s", what)
+	}
 	c.mu.Lock()
 	outcomes := c.seen
 	c.mu.Unlock()
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -264,10 +264,14 @@
 		e.start()
 		return 0, nil
 	}},
-	{"new weights", func(b *breaker) (time.Duration, func()) { b.site.nameWeights(); return 0, nil }},
-	{"new configuration", func(b *breaker) (time.Duration, func()) { b.site.configure(); return 0, nil }},
+	newWeights, newConfiguration,
 }
 
+var (
+	newWeights       = fault{"new weights", func(b *breaker) (time.Duration, func()) { b.site.nameWeights(); return 0, nil }}
+	newConfiguration = fault{"new configuration", func(b *breaker) (time.Duration, func()) { b.site.configure(); return 0, nil }}
+)
+
 // rebirths are crashes of targets that start again under their ids.
 var rebirths = []fault{
 	{"target reborn", func(b *breaker) (time.Duration, func()) { b.target().Reborn(); return 0, nil }},
@@ -298,7 +302,7 @@
 	}},
 }
 
-var allFaults = slices.Concat(faults, rebirths)
+var allFaults = slices.Concat(faults, rebirths, []fault{foreignEntry, foreignEntry})
 
 // TestLogsNameTheSeed: whoever finds a failed seed needs its logs where the
 // pages say.
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -41,6 +41,7 @@
 	desks   []*target
 	entries []*entry
 	version int
+	trap    *trap
 
 	// mu guards what several faults write to the store.
 	mu      sync.Mutex
@@ -86,6 +87,7 @@
 func newSite(t *testing.T, entries int) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
+	s.trap = newTrap(t)
 	s.server = httptest.NewServer(kv.NewServer(s.store).Handler())
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
