Door: one place that asks whether the end has begun; a stalled process in place of a skipped test

Behaviour is as it was. hang asked for by two callers now looks itself whether the door ends. The process that stands still is run by TestMain, so no test skips itself; the tests of the door open and send through one function. Assertions are the same.

--- a/door/conns.go
+++ b/door/conns.go
@@ -131,9 +131,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if !c.conns.ending.IsZero() {
-		c.hang(time.Now())
-	}
+	c.hang(time.Now())
 	if c.hung {
 		return nil
 	}
@@ -175,9 +173,10 @@
 	return c.left || (!fresh && c.owed == 0)
 }
 
-// hang gives an idle connection its last time, once; the caller holds conns.mu.
+// hang gives an idle connection its last time, once, if the door ends; the caller
+// holds conns.mu.
 func (c *conn) hang(now time.Time) {
-	if c.hung || !c.idle(now) {
+	if c.conns.ending.IsZero() || c.hung || !c.idle(now) {
 		return
 	}
 	c.hung = true
@@ -259,9 +258,7 @@
 	t := tally{accepted: s.accepted, open: len(s.open)}
 	now := time.Now()
 	for c := range s.open {
-		if !s.ending.IsZero() {
-			c.hang(now)
-		}
+		c.hang(now)
 		if c.framed {
 			t.framed++
 		} else if c.idle(now) {
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -14,12 +14,16 @@
 	"github.com/sirupsen/logrus"
 )
 
-func open(t *testing.T, h http.HandlerFunc) *Door {
-	t.Helper()
+func serve(h http.HandlerFunc) (*Door, error) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	server := &http.Server{Handler: h, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
-	d, err := Open("127.0.0.1:0", server, Watch{Log: log})
+	return Open("127.0.0.1:0", server, Watch{Log: log})
+}
+
+func open(t *testing.T, h http.HandlerFunc) *Door {
+	t.Helper()
+	d, err := serve(h)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,6 +40,23 @@
 	return Ending{Answers: now.Add(ample), Interrupt: interrupt, End: now.Add(2 * ample)}
 }
 
+// wholeGet is a whole request.
+const wholeGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// ask opens a connection, which the test's end closes, and sends text on it.
+func ask(t *testing.T, d *Door, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 func answer(in *bufio.Reader) (int, error) {
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
@@ -55,15 +76,7 @@
 	d.conns.mu.Lock()
 	var conns []net.Conn
 	for range clients {
-		c, err := net.Dial("tcp", d.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, c)
+		conns = append(conns, ask(t, d, wholeGet))
 	}
 	ended := make(chan bool)
 	go func() { ended <- d.End(ending(func() {})) }()
@@ -129,14 +142,7 @@
 		<-ctx.Done()
 		w.WriteHeader(http.StatusBadGateway)
 	})
-	c, err := net.Dial("tcp", d.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	c := ask(t, d, wholeGet)
 	<-begun
 	e := ending(interrupt)
 	e.Answers = time.Now()
--- a/door/stall_test.go
+++ b/door/stall_test.go
@@ -27,8 +27,7 @@
 	// the scheduler sees first differs from one to the other.
 	rounds = 5
 	// stalled is how many connections meet it.
-	stalled  = 20
-	wholeGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	stalled = 20
 )
 
 // A machine uses up its quota of the processor just after a planned stop has closed the door, and stands still for the rest
@@ -58,14 +57,23 @@
 	}
 }
 
-// TestStallChild is the process that stands still; alone it is no test.
-func TestStallChild(t *testing.T) {
-	where := os.Getenv(stallVariable)
-	if where == "" {
-		t.Skip("the child process of TestEndTakesWhatCameInAStall")
+// TestMain runs the tests, or the process that stands still.
+func TestMain(m *testing.M) {
+	if where := os.Getenv(stallVariable); where != "" {
+		standStill(where)
+		return
 	}
-	d := open(t, func(http.ResponseWriter, *http.Request) {})
-	fmt.Println("\n" + d.Address())
+	os.Exit(m.Run())
+}
+
+// standStill ends a door and stands still at the moment that where names.
+func standStill(where string) {
+	d, err := serve(func(http.ResponseWriter, *http.Request) {})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	fmt.Println(d.Address())
 	parent := bufio.NewReader(os.Stdin)
 	_, _ = parent.ReadString('\n')
 	quit := make(chan struct{})
@@ -83,7 +91,7 @@
 // whether their connections met the stall.
 func stallOnce(t *testing.T, where string) (lost int, met bool) {
 	t.Helper()
-	child := exec.Command(os.Args[0], "-test.run=^TestStallChild$")
+	child := exec.Command(os.Args[0])
 	// One processor, as such a machine has.
 	child.Env = append(os.Environ(), stallVariable+"="+where, "GOMAXPROCS=1")
 	in, err := child.StdinPipe()
@@ -100,10 +108,11 @@
 	defer func() { _ = child.Wait() }()
 	defer in.Close()
 	defer func() { _ = child.Process.Signal(syscall.SIGCONT) }()
-	address := ""
-	for lines := bufio.NewScanner(out); !strings.HasPrefix(address, "127.0.0.1:") && lines.Scan(); {
-		address = lines.Text()
+	address, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
 	}
+	address = strings.TrimSpace(address)
 	var conns []net.Conn
 	if where == "idle" {
 		conns = dialAll(address)
@@ -195,14 +204,7 @@
 			served <- nil
 		}
 	})
-	c, err := net.Dial("tcp", d.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	if _, err := io.WriteString(c, strings.Replace(wholeGet, "/", "/1", 1)+strings.Replace(wholeGet, "/", "/2", 1)); err != nil {
-		t.Fatal(err)
-	}
+	ask(t, d, strings.Replace(wholeGet, "/", "/1", 1)+strings.Replace(wholeGet, "/", "/2", 1))
 	<-begun
 	ended := make(chan bool)
 	go func() { ended <- d.End(ending(func() {})) }()
@@ -235,15 +237,7 @@
 	unanswered, registry := prometheus.NewCounter(prometheus.CounterOpts{Name: "unanswered"}), prometheus.NewRegistry()
 	registry.MustRegister(unanswered)
 	d.conns.watch.Unanswered = unanswered
-	c, err := net.Dial("tcp", d.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body)
-	if _, err := io.WriteString(c, head); err != nil {
-		t.Fatal(err)
-	}
+	c := ask(t, d, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body))
 	in := bufio.NewReader(c)
 	if status, err := answer(in); err != nil || status != http.StatusServiceUnavailable {
 		t.Fatalf("answered %d (%v)", status, err)
