Packed runs are spread by what comes unseen; a queue told of counts until it is worked off

Cause: each of 103 entries sent its first text to the first runner of one order, which has 16 slots. Ruled out: that better news alone is enough: with it and the old order the fullest of 160 runners had 56 of 64 in the test, and 69 texts were turned away at 300 entries; a fixed share for each entry (at least one each) is the flood. Test: 3 to 300 entries with the real decisions and news.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -95,7 +95,7 @@
 func (f *Fleet) Choose(q Query, now time.Time) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	g := f.services[q.Service]
+	g := f.group(q.Service)
 	if g == nil {
 		return Choice{}, false
 	}
@@ -109,6 +109,9 @@
 		return f.chooseIdle(g, indices, now), true
 	}
 	q.long, q.light = f.long(q), f.light(q, now)
+	if q.long {
+		f.engine(q.Service).BroughtLong(now)
+	}
 	if q.long && !f.off[policy.Packing] {
 		if s := f.chooseDense(q, g, indices, now); s != nil {
 			return f.choice(q, s, map[int64]prefix.Chain{}, fetch{}, now), true
@@ -299,13 +302,26 @@
 	if slots == 0 {
 		return 0
 	}
-	busy := s.sum(now).Inflight
-	if now.Sub(s.loadAt) < loadValid {
-		others := s.load.Running + s.load.Waiting - s.ownAtLoad
-		busy = max(busy, s.inflight+max(0, others))
-	}
+	busy := max(s.sum(now).Inflight, s.toldBusy(now))
 	if busy < slots {
 		return 0
 	}
 	return slotTime * time.Duration(busy-slots+1) / time.Duration(slots)
 }
+
+// toldBusy returns how many requests a target has by its own last word and what this
+// process sent since. A word of a queue holds until that is likely worked off: one
+// process out of a hundred hears of a full target when it is turned away there, and
+// would be again a moment later.
+func (s *state) toldBusy(now time.Time) int {
+	age := now.Sub(s.loadAt)
+	queue := s.load.Running + s.load.Waiting - s.runner.Slots
+	left := s.load.Running + s.load.Waiting
+	if age >= loadValid {
+		if queue <= 0 {
+			return 0
+		}
+		left -= int(int64(s.runner.Slots) * int64(age) / int64(slotTime))
+	}
+	return s.inflight + max(0, left-s.ownAtLoad)
+}
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -12,13 +13,9 @@
 // Figures of where long runs go.
 const (
 	// denseShare is the part of a runner's slots that long runs fill before the
-	// next runner gets some: the rest is for what the others sent within the last
-	// pulse. The fewer runners hold long runs, the more memory is left to prompts.
+	// next runner gets some: the rest is for short ones that share its prompts. The
+	// fewer runners hold long runs, the more memory is left to prompts.
 	denseShare = 0.9
-	// ownShare is how many times its even part of that one process fills: what
-	// the others sent in the meantime it does not know, and were all to fill the
-	// same runner until they hear of each other, it would overflow.
-	ownShare = 1.5
 	// besideLong is the cost of putting a short run with a long prompt beside one
 	// long run, whose events come late while the prompt is read, and besideMost
 	// the most that this counts.
@@ -48,9 +45,14 @@
 	return nil
 }
 
-// firstWithRoom returns the first runner in the order that has long runs and room
-// for more, or else the first that has none: while runners change weights, the
-// order's head changes with every one that is done, and must not spread the runs.
+// firstWithRoom returns one of the first runners in the order that have long runs and
+// room for more, or else of the first that have none: while runners change weights,
+// the order's head changes with every one that is done, and must not spread the runs.
+//
+// With a hundred processes, as many runs are decided in the time that news takes as
+// several runners hold. Were all to go to the first with room, its queue would
+// overflow while the next ones stand empty. So the choice is among as many as have
+// room for what is unseen, by their room: then each gets its part of that.
 func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32, now time.Time) *state {
 	if len(indices) == 0 {
 		return nil
@@ -59,20 +61,57 @@
 	weights := g.states[indices[0]].version(q.Model)
 	hash := prefix.NameHash(q.Model + " " + strconv.FormatInt(weights, 10))
 	level := []prefix.Boundary{{Hash: hash}}
-	var empty *state
+	var begun, empty []roomy
 	for _, i := range o.Order(g.placed, indices, level, nil, len(indices)) {
 		s := g.states[i]
-		room := math.Floor(denseShare * float64(s.runner.Slots))
-		if !f.packable(q, room, now) {
+		full := math.Floor(denseShare * float64(s.runner.Slots))
+		if !f.packable(q, full, now) {
 			return nil
 		}
-		own := room * min(1, ownShare/float64(f.members.count()))
-		switch long := s.sum(now).Long; {
-		case long > 0 && float64(long) < room && float64(s.long) < max(1, own):
-			return s
-		case long == 0 && empty == nil:
-			empty = s
+		long := s.sum(now).Long
+		room := full - float64(long)
+		switch {
+		case room <= 0 || f.queueWait(s, now) > 0:
+		case long > 0:
+			begun = append(begun, roomy{s, room})
+		default:
+			empty = append(empty, roomy{s, room})
+		}
+	}
+	return pickRoomy(append(begun, empty...), f.roomNeeded(q, now))
+}
+
+// roomNeeded returns for how many long runs there must be room among the runners
+// that one is sent to: as many as come unseen, or one of each process, before it is
+// known how many come.
+func (f *Fleet) roomNeeded(q Query, now time.Time) float64 {
+	unseen := f.engine(q.Service).Mix(now).Longs * f.unseenFor().Seconds()
+	return max(float64(f.members.count()), 1+unseenSpread*unseen)
+}
+
+// unseenSpread is how many times the room for what is unseen is chosen among: as
+// much again, as arrivals in so short a time vary by their own number.
+const unseenSpread = 2
+
+// roomy is a runner with room for more long runs.
+type roomy struct {
+	state *state
+	room  float64
+}
+
+// pickRoomy picks among the first that together have the room that is needed, each
+// as often as its room says; nil where there are none.
+func pickRoomy(all []roomy, needed float64) *state {
+	sum, n := 0.0, 0
+	for n < len(all) && sum < needed {
+		sum += all[n].room
+		n++
+	}
+	at := rand.Float64() * sum
+	for _, r := range all[:n] {
+		if at -= r.room; at < 0 {
+			return r.state
 		}
 	}
-	return empty
+	return nil
 }
--- a/fleet/unseen.go
+++ b/fleet/unseen.go
@@ -16,12 +16,20 @@
 // newsStep is the part of the difference by which one word moves that time.
 const newsStep = 0.05
 
+// sameTelling is within what time words of one sender are of one telling, spread
+// over several datagrams.
+const sameTelling = 20 * time.Millisecond
+
 // note takes a word of a sender's.
 func (n *newsAge) note(sender string, now time.Time) {
 	if n.heard == nil {
 		n.heard = map[string]time.Time{}
 	}
-	if last, ok := n.heard[sender]; ok && now.Sub(last) < occupancyValid {
+	last, ok := n.heard[sender]
+	if ok && now.Sub(last) < sameTelling {
+		return
+	}
+	if ok && now.Sub(last) < occupancyValid {
 		n.every += time.Duration(newsStep * float64(now.Sub(last)-n.every))
 	}
 	n.heard[sender] = now
@@ -32,6 +40,18 @@
 	}
 }
 
+// unseenFor returns for how long what another process decides stays unseen: that of
+// the own group until its next word, that of the others until the next digest and
+// the words before and after it.
+func (f *Fleet) unseenFor() time.Duration {
+	groups := len(f.groupNews.heard)
+	if f.members.count() > 1 && len(f.news.heard) == 0 {
+		return occupancyValid
+	}
+	far := 2*f.news.every + f.groupNews.every
+	return (f.news.every + time.Duration(groups)*far) / time.Duration(groups+1)
+}
+
 // compared returns how many of n runners a prompt's choice is among. What the
 // others decided since their last word is unseen; were each to compare all runners,
 // all would send to the same idle ones meanwhile. Twice so many that as many
@@ -41,7 +61,7 @@
 	if f.off[policy.FewCompared] {
 		return askedMost
 	}
-	unseen := f.engine(q.Service).Mix(now).Heavies * f.news.every.Seconds()
+	unseen := f.engine(q.Service).Mix(now).Heavies * f.unseenFor().Seconds()
 	if unseen <= 0 {
 		return askedMost
 	}
