--- a/follow/follow.go
+++ b/follow/follow.go
@@ -33,6 +33,8 @@
 	// Patience, where set, returns for how long the process lives on what others
 	// confirmed before it calls the store itself; 0 is not at all.
 	Patience func() time.Duration
+	// Counted, where set, is told why each watch is made.
+	Counted func(Reason)
 }
 
 // Follower follows the keys below a prefix. Its methods may be called by several
@@ -90,12 +92,14 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		if rest := f.rest(); rest > 0 {
+		rest, reason := f.rest()
+		if rest > 0 {
 			f.idle(ctx, rest)
 			continue
 		}
 		var err error
 		if f.listed.Load() && !f.forgotten() {
+			f.count(reason)
 			err = f.watch(ctx)
 		} else {
 			err = f.list(ctx)
--- a/follow/share.go
+++ b/follow/share.go
@@ -123,18 +123,44 @@
 	}
 }
 
-// rest returns for how long this process may go on without a call of its own.
-func (f *Follower) rest() time.Duration {
+// Reason is why a process watches the store itself; each is a label of the counter
+// of watches.
+type Reason string
+
+// The reasons for a watch.
+const (
+	// Turn: it watches for the others, or there are none.
+	Turn Reason = "turn"
+	// Behind: another process knows of changes that this one lacks.
+	Behind Reason = "behind"
+	// Unheard: nobody whose turn comes before has confirmed the view for too long.
+	Unheard Reason = "unheard"
+)
+
+// rest returns for how long this process may go on without a call of its own, and
+// where that is over, why.
+func (f *Follower) rest() (time.Duration, Reason) {
 	if !f.listed.Load() || f.timing.Patience == nil {
-		return 0
+		return 0, Turn
 	}
 	patience := f.timing.Patience()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.behind || f.lost || f.served == 0 {
-		return 0
+	switch {
+	case patience == 0:
+		return 0, Turn
+	case f.behind || f.lost:
+		return 0, Behind
+	case f.served == 0:
+		return 0, Unheard
+	}
+	return patience - f.served.Since(), Unheard
+}
+
+func (f *Follower) count(r Reason) {
+	if f.timing.Counted != nil {
+		f.timing.Counted(r)
 	}
-	return patience - f.served.Since()
 }
 
 // idle waits for d, or until there is something that others know.
--- a/node/digest.go
+++ b/node/digest.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
 	"acaciakeel/peering"
@@ -25,6 +27,22 @@
 	toldAt map[int]time.Time
 	// size is about how many bytes the last digest took.
 	size int
+	// counted counts what becomes of digests; nil counts nothing.
+	counted *prometheus.CounterVec
+}
+
+// What becomes of a digest; each is a label of the counter.
+const (
+	digestTold     = "told"
+	digestPassedOn = "passed_on"
+	// digestLeftOut: its group was divided otherwise than this node's.
+	digestLeftOut = "left_out"
+)
+
+func (d *digest) count(what string) {
+	if d.counted != nil {
+		d.counted.WithLabelValues(what).Inc()
+	}
 }
 
 // Figures of digests.
@@ -161,6 +179,7 @@
 	now := time.Now()
 	all := p.digest.take(l.group, p.fleet.GroupLoad(now))
 	all.engines = p.fleet.GroupWords(now)
+	p.digest.count(digestTold)
 	p.digest.sized(len(all.loads) * groupLoadBytes)
 	return all
 }
@@ -177,10 +196,11 @@
 // takeGroup takes the news of another group, and passes it on to the own one where
 // that is this node's turn. News of groups that were divided otherwise is left out:
 // the same members would count twice.
-func (p *pulse) takeGroup(message *keelv1.Pulse, datagram []byte) {
+func (p *pulse) takeGroup(message *keelv1.Pulse) {
 	plan := p.view.plan()
 	g := message.Group
 	if int(g.Groups) != plan.Groups || int(g.Group) == plan.Group {
+		p.digest.count(digestLeftOut)
 		return
 	}
 	now := time.Now()
@@ -198,6 +218,7 @@
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("the group chooses without the news of another")
 		return
 	}
+	p.digest.count(digestPassedOn)
 	p.sendTo(addressesOf(plan.Peers), passed)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -129,9 +129,11 @@
 	}
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
 	n.pulse = newPulse(n.name, targets, n.view, log)
+	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	targets.OnRebirth(n.view.reborn)
-	timing := follow.Timing{Wait: watchWait, Gather: gather, Patience: n.view.patience}
+	watches := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
+	timing := follow.Timing{Wait: watchWait, Gather: gather, Patience: n.view.patience, Counted: func(r follow.Reason) { watches.WithLabelValues(string(r)).Inc() }}
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewFeed(n.view), log)
 	n.view.follower.OnChanges(n.pulse.watched)
 	n.registerGauges()
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -205,7 +205,7 @@
 		return
 	}
 	if message.Group != nil {
-		p.takeGroup(&message, datagram)
+		p.takeGroup(&message)
 		return
 	}
 	now := time.Now()
