While the store is away only the first of a group try it

Ruled out: the shared watch's own calls (five watches). Change: after a call that failed, who comes later in turn waits its patience, or for the word of one that reaches the store.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		f.missed(ctx, err)
-		clock.Sleep(ctx, pause)
+		f.idle(ctx, max(pause, f.leftToOthers()))
 		pause = min(2*pause, maxPause)
 	}
 }
--- a/follow/share.go
+++ b/follow/share.go
@@ -163,6 +163,17 @@
 	}
 }
 
+// leftToOthers returns for how long a process that could not reach the store leaves
+// trying to those whose turn comes before. Refused calls are paid for too: with a
+// store that is away for eight seconds, a hundred entries that each try by
+// themselves make three thousand. Whoever reaches it first tells the others.
+func (f *Follower) leftToOthers() time.Duration {
+	if !f.listed.Load() || f.timing.Patience == nil {
+		return 0
+	}
+	return f.timing.Patience()
+}
+
 // idle waits for d, or until there is something that others know.
 func (f *Follower) idle(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// The store is away, and all entries of a group notice. Those whose turn comes later
+// leave the trying to the first ones: a try is paid for, and whoever reaches the
+// store tells the others. The word that it is back ends the waiting.
+func TestTryingIsLeftToTheFirst(t *testing.T) {
+	s, _, f := begin(t, time.Hour, errCut, errCut, errCut)
+	f.runFor(300 * time.Millisecond)
+	if got := fmt.Sprint(s.calls); got != "[list watch 5]" {
+		t.Errorf("one whose turn comes later called %s", got)
+	}
+	f.HeardConfirmation(Confirmation{Revision: 5}, clock.Now(), true)
+	if _, back := f.SinceBack(); !back || f.Away() {
+		t.Error("the word that the store answers was not believed")
+	}
+	s, _, f = begin(t, 0, errCut, errCut, errCut)
+	f.runFor(300 * time.Millisecond)
+	if len(s.calls) < 4 {
+		t.Errorf("the first in turn called %s", s.calls)
+	}
+}
+
 // The word of one whose turn comes later makes the view no older, but does not free
 // from the watch: two that wait for each other's word would both stop watching.
 func TestWordOfALaterTurnDoesNotFree(t *testing.T) {
