Parts by last use stand in a package of their own

Ruled out: nothing. Change: lru.Parts with Has, Use, Forget, Len; the time of a part's use, which nothing read, is gone.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"acaciakeel/lru"
 	"acaciakeel/prefix"
 )
 
 // cache is what is believed of one runner's or store's cached parts.
 type cache struct {
-	cached *parts
+	cached *lru.Parts
 	// capacity bounds the tokens of cached; 0 is no bound.
 	capacity int
 	// boot and next say where the reading of its events stands.
@@ -31,20 +32,20 @@
 }
 
 func newCache() cache {
-	return cache{cached: newParts()}
+	return cache{cached: lru.New()}
 }
 
 // useAll takes a chain's parts for cached and returns those that were not
 // before, but for the last, which no other request shares.
-func (c *cache) useAll(chain prefix.Chain, now time.Time) []Part {
+func (c *cache) useAll(chain prefix.Chain) []Part {
 	var fresh []Part
 	before := 0
 	for i, b := range chain.Boundaries {
 		tokens := b.Tokens - before
-		if i < len(chain.Boundaries)-1 && !c.cached.has(b.Hash) {
+		if i < len(chain.Boundaries)-1 && !c.cached.Has(b.Hash) {
 			fresh = append(fresh, Part{Hash: b.Hash, Tokens: tokens})
 		}
-		c.cached.use(b.Hash, tokens, c.capacity, now)
+		c.cached.Use(b.Hash, tokens, c.capacity)
 		before = b.Tokens
 	}
 	return fresh
@@ -54,7 +55,7 @@
 func (c *cache) tokens(chain prefix.Chain) int {
 	tokens := 0
 	for _, b := range chain.Boundaries {
-		if !c.cached.has(b.Hash) {
+		if !c.cached.Has(b.Hash) {
 			break
 		}
 		tokens = b.Tokens
@@ -79,20 +80,25 @@
 }
 
 // take takes the changes up to the event before next of a cache's start.
-func (c *cache) take(boot, next int64, all []change, now time.Time) {
+func (c *cache) take(boot, next int64, all []change) {
 	if boot == 0 {
 		return
 	}
 	if c.boot != 0 && c.boot != boot {
-		c.cached = newParts()
+		c.cached = lru.New()
 		c.next = 0
 	}
 	c.boot, c.next = boot, max(c.next, next)
 	for _, e := range all {
 		if e.stored {
-			c.cached.use(e.part.Hash, e.part.Tokens, c.capacity, now)
+			c.cached.Use(e.part.Hash, e.part.Tokens, c.capacity)
 		} else {
-			c.cached.forget(e.part.Hash)
+			c.cached.Forget(e.part.Hash)
 		}
 	}
 }
+
+// PartHash names a part of a prompt under a salt, of which root is the hash.
+func PartHash(root uint64, id string) uint64 {
+	return prefix.Next(root, []byte(id))
+}
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -157,7 +157,7 @@
 		return
 	}
 	all := changes(e.Events)
-	c.take(e.Boot, e.Next, all, now)
+	c.take(e.Boot, e.Next, all)
 	if f.members.split() {
 		c.unspread = append(c.unspread, all...)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 	"acaciakeel/forecast"
 	"acaciakeel/health"
+	"acaciakeel/lru"
 	"acaciakeel/placement"
 	"acaciakeel/policy"
 )
@@ -162,7 +163,7 @@
 // changed forgets what held under older weights.
 func (s *state) changed() {
 	// New weights make what was cached under older ones worthless.
-	s.cached = newParts()
+	s.cached = lru.New()
 	s.untold = nil
 	s.busyUntil, s.metBusyUntil = time.Time{}, time.Time{}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -134,7 +134,7 @@
 	f := named(New("z"), runner("a", 1))
 	f.SetStores([]KeptStore{{Address: "s:1", Capacity: 1e6, Zone: "z"}})
 	chain := query().Chain(1)
-	f.stores["s:1"].cached.use(chain.Boundaries[0].Hash, 6000, 0, start)
+	f.stores["s:1"].cached.Use(chain.Boundaries[0].Hash, 6000, 0)
 	if c, _ := f.Choose(query(), start); c.Fetched != 6000 {
 		t.Errorf("%d tokens of 6000 are fetched before anything is known", c.Fetched)
 	}
@@ -169,7 +169,7 @@
 			shared := prefix.Boundary{Hash: uint64(i)<<32 + 1, Tokens: 6000}
 			return prefix.Chain{Tokens: 9000, Levels: []prefix.Boundary{shared}, Boundaries: []prefix.Boundary{shared}}
 		}
-		f.stores["s:1"].cached.use(uint64(i)<<32+1, 6000, 0, start)
+		f.stores["s:1"].cached.Use(uint64(i)<<32+1, 6000, 0)
 		if c, _ := f.Choose(q, start); c.Runner.ID != "near" {
 			t.Errorf("prompt %d: chose the runner %s", i, c.Runner.ID)
 		}
--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -220,8 +220,8 @@
 			f := named(New("z"), bornAt(runner("a", 1), 10))
 			reader := &answers{CacheEvents{Born: test.born, Boot: 7, Next: 30, Events: []CacheEvent{{Stored: true, Part: "p", Tokens: 900}}}}
 			NewEventWatch(f, reader).read(t.Context(), f.dueForEvents()[0])
-			if c := &f.states["a"].cache; c.next != test.next || len(c.cached.held) > 0 != (test.next > 0) || c.reading {
-				t.Errorf("the cache is read up to %d and holds %d parts, reading %v", c.next, len(c.cached.held), c.reading)
+			if c := &f.states["a"].cache; c.next != test.next || c.cached.Len() > 0 != (test.next > 0) || c.reading {
+				t.Errorf("the cache is read up to %d and holds %d parts, reading %v", c.next, c.cached.Len(), c.reading)
 			}
 		})
 	}
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -212,7 +212,7 @@
 		for _, p := range n.Stored {
 			all = append(all, change{part: p, stored: true})
 		}
-		c.take(n.Boot, n.Next, all, now)
+		c.take(n.Boot, n.Next, all)
 	}
 	if reads {
 		return news
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -92,8 +92,8 @@
 	other.HeardCaches("reader", news, start)
 	hash := func(part string) uint64 { return changes([]CacheEvent{stored(part, true)})[0].part.Hash }
 	c := &other.states["a"].cache
-	if c.cached.has(hash("x")) || !c.cached.has(hash("y")) {
-		t.Errorf("x held %v, y held %v", c.cached.has(hash("x")), c.cached.has(hash("y")))
+	if c.cached.Has(hash("x")) || !c.cached.Has(hash("y")) {
+		t.Errorf("x held %v, y held %v", c.cached.Has(hash("x")), c.cached.Has(hash("y")))
 	}
 	if c.boot != 7 || c.next != 4 {
 		t.Errorf("stands at %d of start %d", c.next, c.boot)
@@ -101,7 +101,7 @@
 	// The same again, late, after y has gone, changes nothing.
 	other.HeardCaches("second", []CacheNews{{Address: "a:1", Boot: 7, Next: 6, Dropped: []uint64{hash("y")}}}, start)
 	other.HeardCaches("reader", news, start)
-	if c.cached.has(hash("y")) {
+	if c.cached.Has(hash("y")) {
 		t.Error("late news undid newer news")
 	}
 }
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -68,7 +68,7 @@
 			s.busyUntil = until
 		}
 		for _, p := range found.Parts {
-			s.cached.use(p.Hash, p.Tokens, s.capacity, now)
+			s.cached.Use(p.Hash, p.Tokens, s.capacity)
 		}
 	}
 }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -69,7 +69,7 @@
 	}
 	deepest := chain.Levels[len(chain.Levels)-1].Hash
 	address, k := f.storeOf(deepest)
-	if k == nil || k.cached.has(deepest) || now.Sub(k.saving[deepest].at) < saveAgain {
+	if k == nil || k.cached.Has(deepest) || now.Sub(k.saving[deepest].at) < saveAgain {
 		return ""
 	}
 	k.forgetSaves(now)
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -59,7 +59,7 @@
 		s.resumable++
 	}
 	s.capacity = stay.Capacity
-	s.untold = append(s.untold, s.useAll(stay.Chain, now)...)
+	s.untold = append(s.untold, s.useAll(stay.Chain)...)
 	return t
 }
 
--- a/fleet/parts.go
+++ b/lru/parts.go
@@ -1,20 +1,10 @@
-package fleet
+// Package lru holds what is believed to be in a cache of parts of prompts.
+package lru
 
-import (
-	"time"
-
-	"acaciakeel/prefix"
-)
-
-// PartHash names a part of a prompt under a salt, of which root is the hash.
-func PartHash(root uint64, id string) uint64 {
-	return prefix.Next(root, []byte(id))
-}
-
-// parts is what this process believes a runner has cached: the parts of the
-// prompts that it sent there and those that the runner told of, each by its
-// hash, oldest use first out.
-type parts struct {
+// Parts are parts of prompts by their hashes, each with its tokens. Beyond a
+// capacity those unused for longest are forgotten, as a cache by last use does. New
+// returns them empty; they are not safe for concurrent use.
+type Parts struct {
 	held   map[uint64]*part
 	tokens int
 	// head and tail of the list by last use, newest first.
@@ -24,21 +14,22 @@
 type part struct {
 	hash       uint64
 	tokens     int
-	used       time.Time
 	prev, next *part
 }
 
-func newParts() *parts {
-	return &parts{held: map[uint64]*part{}}
+// New returns no parts.
+func New() *Parts {
+	return &Parts{held: map[uint64]*part{}}
 }
 
-func (p *parts) has(hash uint64) bool {
+// Has reports whether a part is held.
+func (p *Parts) Has(hash uint64) bool {
 	return p.held[hash] != nil
 }
 
-// use notes that a part was sent, and forgets the parts unused for longest
+// Use notes that a part was sent, and forgets the parts unused for longest
 // beyond capacity tokens; a capacity of 0 is no bound.
-func (p *parts) use(hash uint64, tokens, capacity int, now time.Time) {
+func (p *Parts) Use(hash uint64, tokens, capacity int) {
 	e := p.held[hash]
 	if e == nil {
 		e = &part{hash: hash, tokens: tokens}
@@ -47,27 +38,31 @@
 	} else {
 		p.unlink(e)
 	}
-	e.used = now
 	p.push(e)
 	for capacity > 0 && p.tokens > capacity && p.tail != e {
 		p.drop(p.tail)
 	}
 }
 
-// forget takes a part out that the runner no longer has.
-func (p *parts) forget(hash uint64) {
+// Len returns how many parts there are.
+func (p *Parts) Len() int {
+	return len(p.held)
+}
+
+// Forget takes a part out that the runner no longer has.
+func (p *Parts) Forget(hash uint64) {
 	if e := p.held[hash]; e != nil {
 		p.drop(e)
 	}
 }
 
-func (p *parts) drop(e *part) {
+func (p *Parts) drop(e *part) {
 	p.unlink(e)
 	delete(p.held, e.hash)
 	p.tokens -= e.tokens
 }
 
-func (p *parts) push(e *part) {
+func (p *Parts) push(e *part) {
 	e.prev, e.next = nil, p.head
 	if p.head != nil {
 		p.head.prev = e
@@ -78,7 +73,7 @@
 	}
 }
 
-func (p *parts) unlink(e *part) {
+func (p *Parts) unlink(e *part) {
 	if e.prev != nil {
 		e.prev.next = e.next
 	} else {
