--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -163,7 +163,9 @@
 }
 
 // HeardCaches takes what another process's readings brought, and returns those that
-// said something new: of the two readings of a cache one is enough to relay.
+// said something new: of the two readings of a cache one is enough to relay. Whether
+// a cache's owner answers is said there as judged by the words of all: of two readers
+// one may be cut off itself, and the groups beyond would hear now one and now the other.
 func (f *Fleet) HeardCaches(sender string, all []CacheNews, now time.Time) []CacheNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -175,6 +177,7 @@
 		}
 		if c.hear(sender, n, f.members.reads(n.Address), now) || now.Sub(c.relayedAt) >= wordEvery {
 			c.relayedAt = now
+			n.Silent = c.silent
 			fresh = append(fresh, n)
 		}
 	}
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 func memberNames(n int) []string {
@@ -121,3 +122,27 @@
 		t.Error("a is left out though a second entry reaches it")
 	}
 }
+
+// Two entries read a runner's cache; one of them is cut off from the runner and says
+// that it is silent, the other gets answers. In the other groups one entry's word
+// followed the other's, and each second the runner was left out for half of it. The
+// group's word is that it answers, as long as one of its readers says so.
+func TestAGroupsWordOnSilenceIsThatOfAll(t *testing.T) {
+	teller, far := named(New("z"), runner("a", 1)), named(New("z"), runner("a", 1))
+	teller.SetMembers("stranger", memberNames(60))
+	far.SetMembers("stranger", memberNames(60))
+	now := start
+	for i := range 20 {
+		from, silent := "cut off", true
+		if i%2 == 1 {
+			from, silent = "reader", false
+		}
+		word := []CacheNews{{Address: "a:1", Target: Life{ID: "a"}, Boot: 1, Next: int64(i + 1), Silent: silent}}
+		fresh := teller.HeardCaches(from, word, now)
+		far.HeardCaches("group 0", fresh, now)
+		if i > 1 && far.Silent("a") {
+			t.Fatalf("after word %d, of one who is cut off, the runner counts as silent in another group", i)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+}
--- a/node/digest.go
+++ b/node/digest.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -206,7 +207,7 @@
 	now := time.Now()
 	p.fleet.HeardGroupLoad(int(g.Group), decodeGroupLoads(g), now)
 	p.heardFindings(message, now)
-	p.fleet.HeardCaches("group", decodeCaches(message.Caches), now)
+	p.fleet.HeardCaches("group "+strconv.Itoa(int(g.Group)), decodeCaches(message.Caches), now)
 	p.heardSaves(message, now)
 	p.fleet.HeardGroupWords(int(g.Group), decodeWords(message.Engines), now)
 	if g.PassedOn || !p.digest.passesOn(plan, int(g.Group), now) {
