--- a/node/digest.go
+++ b/node/digest.go
@@ -57,8 +57,8 @@
 	// out. Unbounded, 300 entries before 3,000 targets told 0.6 to 1.9 MB a second each
 	// and served nothing for half a minute after all of them had started anew.
 	digestRate = 256 << 10
-	// heardWithin is for how long a member counts as there after it was heard: four
-	// pulses of a full group. Then the next in order relays.
+	// heardWithin is for how long a member counts as there after it was heard: two
+	// pulses of a full group and a half. Then the next in order relays.
 	heardWithin = 500 * time.Millisecond
 )
 
--- a/node/view.go
+++ b/node/view.go
@@ -44,6 +44,8 @@
 	// planned is what this node has to do with them; nil until it is asked for
 	// after a change.
 	planned *peering.Plan
+	// place is what was logged of it last.
+	place place
 	// lapsed are the targets whose entries vanished around an outage of the
 	// store, with the timers that end their respite.
 	lapsed map[string]*time.Timer
@@ -276,10 +278,27 @@
 	if v.planned == nil {
 		p := peering.New(v.self, slices.Collect(maps.Values(v.members)))
 		v.planned = &p
+		v.logPlace(place{group: p.Group, groups: p.Groups, watches: p.Enrolled && p.Turn == 0})
 	}
 	return *v.planned
 }
 
+// place is where a node stands among the others.
+type place struct {
+	group, groups int
+	// watches is set where it watches the store for its group.
+	watches bool
+}
+
+// logPlace logs a change of the node's place; the caller holds mu.
+func (v *view) logPlace(p place) {
+	if p == v.place {
+		return
+	}
+	v.place = p
+	v.log.WithFields(logrus.Fields{"event": "grouped", "group": p.group, "groups": p.groups, "watches": p.watches}).Info("the entries are divided so")
+}
+
 // OwnRelisted implements platform.View.
 func (v *view) OwnRelisted(keys map[string]bool, revision int64) {
 	v.foreign.relisted(platform.OwnPrefix, func(key string) bool { return keys[key] })
