Changes heard while the store is listed anew wait for the listing; words of engines by one function

Cause, found by reading: another process's change could be younger than the listing under way, which then took it back for a moment. TestChangesDuringAListingWaitForIt fails before. Ruled out: that configurations went back (their versions never do). Change: while it lists a follower takes no changes. Words and GroupWords share their loop.

--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -70,11 +70,21 @@
 
 // Words returns what this process observed of engines, to be told to the others.
 func (f *Fleet) Words(now time.Time) []forecast.Word {
+	return f.wordsBy((*forecast.Engine).Word, now)
+}
+
+// GroupWords returns what this process and those of its group observed of engines,
+// for the other groups.
+func (f *Fleet) GroupWords(now time.Time) []forecast.Word {
+	return f.wordsBy((*forecast.Engine).GroupWord, now)
+}
+
+func (f *Fleet) wordsBy(word func(*forecast.Engine, string, time.Time) (forecast.Word, bool), now time.Time) []forecast.Word {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []forecast.Word
 	for service, e := range f.engines {
-		if w, ok := e.Word(service, now); ok {
+		if w, ok := word(e, service, now); ok {
 			out = append(out, w)
 		}
 	}
@@ -90,20 +100,6 @@
 	}
 }
 
-// GroupWords returns what this process and those of its group observed of engines,
-// for the other groups.
-func (f *Fleet) GroupWords(now time.Time) []forecast.Word {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []forecast.Word
-	for service, e := range f.engines {
-		if w, ok := e.GroupWord(service, now); ok {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // HeardGroupWords takes what another group observed of engines.
 func (f *Fleet) HeardGroupWords(group int, all []forecast.Word, now time.Time) {
 	f.mu.Lock()
--- a/follow/share.go
+++ b/follow/share.go
@@ -77,9 +77,10 @@
 }
 
 // Heard takes changes that another process's watch brought. Where this one lacks
-// some before them it will ask the store itself.
+// some before them it will ask the store itself; while it lists, it takes none, as
+// the listing may be older than they are.
 func (f *Follower) Heard(c Changes) {
-	if !f.listed.Load() {
+	if !f.listed.Load() || f.forgotten() {
 		return
 	}
 	f.heardBack(c.Back)
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// The store dropped its history and is listed anew. Meanwhile another process tells
+// of a change that is younger than the listing: taken first, the listing would take
+// it back, and a target that had just come would be gone for a moment.
+func TestChangesDuringAListingWaitForIt(t *testing.T) {
+	_, target, f := begin(t, time.Hour, store.Events{Compacted: true}, store.Listing{Revision: 6}, store.Events{Revision: 7, Events: []store.Event{change("a", 7, false)}})
+	if err := f.watch(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.Heard(Changes{After: 5, Events: store.Events{Revision: 7, Events: []store.Event{change("a", 7, false)}}})
+	f.runFor(100 * time.Millisecond)
+	if got := fmt.Sprint(target.log); got != "[reset 0 at 5 reset 0 at 6 a deleted=false]" {
+		t.Errorf("passed on %s", got)
+	}
+}
+
 // The store was away and is back, which this process did not notice, as another
 // watches for it. Entries that lapsed meanwhile come as removed: it must know that
 // the store has just returned, or it drops targets that are back a moment later.
