--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -43,9 +43,8 @@
 // Figures of the shared watch.
 const (
 	// changesMost is how many bytes of changes of one watch are told; what is larger,
-	// such as a whole configuration, each member reads itself: to 24 others it would
-	// take a link of 20 Mbit/s for half a second. Two hundred runners that change
-	// together are less.
+	// such as a whole configuration, each member reads itself: to 24 others this much
+	// takes a link of 20 Mbit/s for a quarter of a second.
 	changesMost = 24 << 10
 	// changeBytes is about what a change takes beside its key and value.
 	changeBytes = 16
