Failing test: a request that ends whoever runs it is stopped after three

Symptom: callers of nineteen runners lost their answers to one request of somebody else, which came again under other ids and was sent on each time. Change: the stand-in of a target ends on a content and starts again as a later life; two tests with real connections, two nodes and six runners.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -67,9 +67,10 @@
 type Runner struct {
 	ID      string
 	Service string
-	server  *httptest.Server
+	address string
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	server *httptest.Server
 	// born is the Unix millisecond of its start, and accepted counts the orders
 	// since then.
 	born     int64
@@ -81,6 +82,7 @@
 	orders  []Order
 	seen    []Seen
 	pace    time.Duration
+	deadly
 }
 
 // Order is an order as it arrived.
@@ -105,13 +107,15 @@
 	mux.HandleFunc("GET /kv-events", r.events)
 	mux.HandleFunc("/", r.serve)
 	r.server = httptest.NewServer(mux)
+	r.address = r.server.Listener.Addr().String()
 	return r
 }
 
 // Close ends the target.
 func (r *Runner) Close() {
-	r.server.CloseClientConnections()
-	r.server.Close()
+	server := r.closed()
+	server.CloseClientConnections()
+	server.Close()
 }
 
 // Restart ends the target's connections and starts it again under its id, with
@@ -137,14 +141,15 @@
 	r.accepted = 0
 	forget()
 	born := r.born
+	server := r.server
 	r.mu.Unlock()
-	r.server.CloseClientConnections()
+	server.CloseClientConnections()
 	return born
 }
 
 // Address returns IP:PORT.
 func (r *Runner) Address() string {
-	return r.server.Listener.Addr().String()
+	return r.address
 }
 
 // SetFault changes what goes wrong, SetPace the pause before each event.
@@ -288,6 +293,9 @@
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(refused)
 		return
+	case r.endsOn(string(body)):
+		r.crash()
+		panic(http.ErrAbortHandler)
 	case fault == LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case fault == Mute:
--- /dev/null
+++ b/node/poison_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/standin/runner"
+)
+
+// deadlyWord is what ends a runner that begins to run a request with it, and deadlyDown
+// how long that is gone. endsMost is how many such a request may end: before the third
+// it may have been chance.
+const (
+	deadlyWord = "divide by this"
+	deadlyDown = 300 * time.Millisecond
+	endsMost   = 3
+)
+
+// newDeadlyWorld returns a world with more runners, all of which end on the word.
+func newDeadlyWorld(t *testing.T, runners int) *world {
+	t.Helper()
+	w := newWorld(t)
+	for i := len(w.runners); i < runners; i++ {
+		r := runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1})
+		w.runners = append(w.runners, r)
+		w.store.Set(r.Entry("ready").Key, r.Entry("ready").Value)
+		t.Cleanup(r.Close)
+	}
+	for _, r := range w.runners {
+		r.EndOn(deadlyWord, deadlyDown)
+		r.SetPace(5 * time.Millisecond)
+	}
+	w.until("all runners are known", func() bool { return len(w.node.view.fleet.Runners("lm")) == runners })
+	return w
+}
+
+func (w *world) crashes() int {
+	n := 0
+	for _, r := range w.runners {
+		n += r.Crashes()
+	}
+	return n
+}
+
+// repeat sends the request that ends runners again and again, each time under another
+// id and at the next of the nodes, and returns the last answer.
+func (w *world) repeat(path string, times int, nodes ...*Node) answer {
+	var last answer
+	for i := range times {
+		last = w.sendTo(nodes[i%len(nodes)], "POST", path, deadlyWord, fmt.Sprintf("%s-%d", path, i), prompt())
+		time.Sleep(100 * time.Millisecond)
+	}
+	return last
+}
+
+// Users saw nineteen runners end one after the other, and with each the requests of
+// others: one request ended whoever ran it, its client sent it again under another id,
+// and the entry began to count anew. It has to end three at most, whatever the id and
+// the entry; then it is refused, with the truth that this one was not run and when to
+// come back.
+func TestRequestThatEndsRunnersIsStopped(t *testing.T) {
+	for _, path := range []string{"/match/deadly", "/draft/deadly"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			w := newDeadlyWorld(t, 6)
+			nodes := []*Node{w.node, w.startNode("n1")}
+			last := w.repeat(path, 12, nodes...)
+			if n := w.crashes(); n > endsMost {
+				t.Errorf("%d runners ended under one request", n)
+			}
+			if last.status != http.StatusServiceUnavailable || last.header.Get("Retry-After") == "" || !strings.Contains(last.body, "not_run") {
+				t.Errorf("the last answer is %d, Retry-After %q: %s", last.status, last.header.Get("Retry-After"), last.body)
+			}
+		})
+	}
+}
+
+// A request that ends runners comes while others are served. Those that were on the same
+// runners are repeated by their clients and must be served then: to be there when a
+// runner ended is no proof against them.
+func TestOthersAreServedBesideOneThatEndsRunners(t *testing.T) {
+	w := newDeadlyWorld(t, 6)
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			body := fmt.Sprintf("other %d", i)
+			for round := range 12 {
+				a := w.sendTo(w.node, "POST", "/match/other", body, fmt.Sprintf("other-%d-%d", i, round), prompt())
+				if a.status == http.StatusOK && a.err == nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			t.Errorf("request %d was never served", i)
+		})
+	}
+	w.repeat("/match/deadly", 6, w.node)
+	wg.Wait()
+}
