Contents that end targets are suspected, tried one at a time and refused after three ends

Callers saw: nineteen targets ended under one request of somebody else, with every answer that was on its way there. Cause: attempts, retry budget and health count by request id, process or target. A request that ends whoever runs it comes again under another id at any entry, so each of these begins anew; what stays the same is its content. Ruled out: own further attempts as the driver (11 of 12 ends were the first send of their id), orders and weights, targets that end by themselves (same content each time). Change: package poison keeps the ends of targets by content (a set that merges however words come), router/ finds out whether a target that broke an answer off has ended (one connection, shared), judges each request before it is sent, and sends suspects alone, one at a time; pulses and digests tell it, the platform's store keeps verdicts for entries that start; keelctl lists and lifts them. Why it holds: one end suspects all that ran there, a whole answer clears, three ends refuse for ten minutes, twice as long when renewed by a trial.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -70,6 +70,8 @@
 			a.watchCommand(),
 			a.statusCommand(),
 			a.waitCommand(),
+			a.verdictsCommand(),
+			a.liftCommand(),
 			a.hashKeyCommand(),
 			a.versionCommand(),
 		},
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -29,6 +29,10 @@
 	// with older ones may begin requests.
 	OldWeightsFor time.Duration
 	Weights       placement.Weights
+	// Alone asks for the target at which the fewest others run, and Apart are targets
+	// to be left out if any other may be used.
+	Alone bool
+	Apart []Life
 
 	long  bool
 	light bool
@@ -105,6 +109,9 @@
 		return Choice{}, false
 	}
 	indices = answering(g, indices)
+	if q.Alone && !f.off[policy.Alone] {
+		return f.chooseAlone(q, g, indices, now), true
+	}
 	if q.Model == "" {
 		return f.chooseIdle(g, indices, now), true
 	}
--- a/node/digest.go
+++ b/node/digest.go
@@ -10,6 +10,7 @@
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
 	"acaciakeel/peering"
+	"acaciakeel/poison"
 )
 
 // digest is what a node relays between its group and the others. Each group tells
@@ -77,19 +78,21 @@
 	return &keelv1.GroupNews{Group: uint32(plan.Group), Groups: uint32(plan.Groups)}
 }
 
-// heard notes a sign of a member.
-func (d *digest) heard(name string, now time.Time) {
+// heard notes a sign of a member, and reports whether nothing was heard of it lately.
+func (d *digest) heard(name string, now time.Time) (isNew bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lastHeard == nil {
 		d.lastHeard = map[string]time.Time{}
 	}
+	_, known := d.lastHeard[name]
 	d.lastHeard[name] = now
 	for other, at := range d.lastHeard {
 		if now.Sub(at) > heardWithin {
 			delete(d.lastHeard, other)
 		}
 	}
+	return !known
 }
 
 // relays reports whether it is the turn of the node with key self to relay on a
@@ -188,9 +191,10 @@
 	return all
 }
 
-// fit cuts findings, saves and news of caches, in this order, to what fits so many
+// fit cuts suspects, findings, saves and news of caches, in this order, to what fits so many
 // bytes, and returns about how many are used. Of each kind the newest stay.
 func (p *news) fit(room int) (used int) {
+	p.suspects = newest(p.suspects, &used, room, func(r poison.Report) int { return 100 + 30*len(r.Ends) })
 	p.findings = newest(p.findings, &used, room, func(f fleet.Finding) int { return 40 + partBytes*len(f.Parts) })
 	p.saves = newest(p.saves, &used, room, func(s fleet.Saves) int { return 24 + 8*len(s.Parts) })
 	p.caches = newest(p.caches, &used, room, func(n fleet.CacheNews) int { return 48 + partBytes*len(n.Stored) + 8*len(n.Dropped) })
@@ -235,6 +239,7 @@
 	now := time.Now()
 	p.fleet.HeardGroupLoad(int(g.Group), decodeGroupLoads(g), now)
 	p.heardFindings(message, now)
+	p.heardSuspects(message, now)
 	p.fleet.HeardGroupCaches(int(g.Group), decodeCaches(message.Caches), now)
 	p.heardSaves(message, now)
 	p.fleet.HeardGroupWords(int(g.Group), decodeWords(message.Engines), now)
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -14,6 +14,7 @@
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
 	"acaciakeel/peering"
+	"acaciakeel/poison"
 	"acaciakeel/prefix"
 	"acaciakeel/store"
 )
@@ -45,7 +46,7 @@
 			v.enlist(fmt.Sprintf("%sn%d/x", keys.members, other), string(memberValue(address(other), fmt.Sprintf("z%d", other%5))))
 		}
 		v.follower = follow.New(nil, "", follow.Timing{}, nil, log)
-		p := newPulse(name, f, v, log)
+		p := newPulse(name, f, poison.New(nil), v, log)
 		p.write = func(datagram []byte, to netip.AddrPort) {
 			if i, ok := at[to]; ok && !h.away[i] {
 				h.got[i]++
--- a/node/node.go
+++ b/node/node.go
@@ -127,8 +127,10 @@
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
+	n.view.verdicts = newVerdicts(n.store, n.registry, log)
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
-	n.pulse = newPulse(n.name, targets, n.view, log)
+	n.pulse = newPulse(n.name, targets, n.view.verdicts.table, n.view, log)
+	n.view.verdicts.seat, n.view.verdicts.soon = n.view.seat, n.pulse.soon
 	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	targets.OnRebirth(n.view.reborn)
@@ -145,7 +147,7 @@
 		Extra:  s.Bounds.RetryExtra,
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
-	n.router = router.New(n.view, targets, runners, router.NewMetrics(n.registry), log, bounds, retries)
+	n.router = router.New(n.view, targets, runners, n.view.verdicts.table, router.NewMetrics(n.registry), log, bounds, retries)
 	n.front = platform.NewFront(n.router, n.view.limits, platform.Watch{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
@@ -196,6 +198,7 @@
 	go n.events.Run(ctx)
 	go n.pulse.run(ctx)
 	go n.logFigures(ctx)
+	go n.view.verdicts.run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -34,10 +34,33 @@
 		r.EndOn(deadlyWord, deadlyDown)
 		r.SetPace(5 * time.Millisecond)
 	}
+	w.relist()
 	w.until("all runners are known", func() bool { return len(w.node.view.fleet.Runners("lm")) == runners })
 	return w
 }
 
+// relist writes the entries of runners anew as each starts again, as these do.
+func (w *world) relist() {
+	stop := make(chan struct{})
+	w.t.Cleanup(func() { close(stop) })
+	go func() {
+		written := map[string]string{}
+		for {
+			for _, r := range w.runners {
+				if e := r.Entry("ready"); written[e.Key] != string(e.Value) {
+					written[e.Key] = string(e.Value)
+					w.store.Set(e.Key, e.Value)
+				}
+			}
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-stop:
+				return
+			}
+		}
+	}()
+}
+
 func (w *world) crashes() int {
 	n := 0
 	for _, r := range w.runners {
@@ -59,9 +82,11 @@
 
 // Users saw nineteen runners end one after the other, and with each the requests of
 // others: one request ended whoever ran it, its client sent it again under another id,
-// and the entry began to count anew. It has to end three at most, whatever the id and
-// the entry; then it is refused, with the truth that this one was not run and when to
-// come back.
+// and the entry began to count anew. Cause: what bounded sends counted them by id and by
+// process, while the harm comes with the content; of twelve ends that the logs of a day
+// showed, all had the same content and eleven were the first send of their id. It has to
+// end three at most, whatever the id and the entry; then it is refused, with the truth
+// that this one was not run and when to come back.
 func TestRequestThatEndsRunnersIsStopped(t *testing.T) {
 	for _, path := range []string{"/match/deadly", "/draft/deadly"} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -16,6 +16,7 @@
 	"acaciakeel/clock"
 	"acaciakeel/fleet"
 	"acaciakeel/peering"
+	"acaciakeel/poison"
 	"acaciakeel/policy"
 	"acaciakeel/prefix"
 )
@@ -29,6 +30,7 @@
 type pulse struct {
 	name  string
 	fleet *fleet.Fleet
+	table *poison.Table
 	view  *view
 	log   logrus.FieldLogger
 	now   chan struct{}
@@ -41,8 +43,8 @@
 	watch       watchShare
 }
 
-func newPulse(name string, f *fleet.Fleet, v *view, log logrus.FieldLogger) *pulse {
-	p := &pulse{name: name, fleet: f, view: v, log: log, now: make(chan struct{}, 1)}
+func newPulse(name string, f *fleet.Fleet, t *poison.Table, v *view, log logrus.FieldLogger) *pulse {
+	p := &pulse{name: name, fleet: f, table: t, view: v, log: log, now: make(chan struct{}, 1)}
 	p.watch = newWatchShare(prefix.NameHash(name))
 	return p
 }
@@ -179,7 +181,7 @@
 
 // gather takes what there is to tell now.
 func (p *pulse) gather(now time.Time) news {
-	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves()}
+	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves(), suspects: p.table.News(now)}
 	if now.Sub(p.toldEngines) >= enginesEvery {
 		all.engines, p.toldEngines = p.fleet.Words(now), now
 	}
@@ -216,7 +218,10 @@
 		return
 	}
 	now := time.Now()
-	p.digest.heard(message.Sender, now)
+	if p.digest.heard(message.Sender, now) {
+		// It may have started just now, and knows of no suspects then.
+		p.table.Retell()
+	}
 	if message.WholeLoad {
 		p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), now)
 	}
@@ -225,6 +230,7 @@
 		findings: p.heardFindings(&message, now),
 		caches:   p.fleet.HeardCaches(message.Sender, decodeCaches(message.Caches), now),
 		saves:    p.heardSaves(&message, now),
+		suspects: p.heardSuspects(&message, now),
 	})
 	p.fleet.HeardWords(message.Sender, decodeWords(message.Engines), now)
 }
@@ -235,6 +241,12 @@
 	return all
 }
 
+func (p *pulse) heardSuspects(message *keelv1.Pulse, now time.Time) []poison.Report {
+	all := decodeSuspects(message.Suspects)
+	p.table.Heard(all, now)
+	return all
+}
+
 func (p *pulse) heardSaves(message *keelv1.Pulse, now time.Time) []fleet.Saves {
 	all := decodeSaves(message.Saves)
 	p.fleet.HeardSaves(all, now)
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -10,6 +10,7 @@
 	"acaciakeel/clock"
 	"acaciakeel/fleet"
 	"acaciakeel/forecast"
+	"acaciakeel/poison"
 )
 
 // datagramBytes is about how much a datagram holds, to fit one packet of 1,500
@@ -23,6 +24,7 @@
 	caches   []fleet.CacheNews
 	saves    []fleet.Saves
 	engines  []forecast.Word
+	suspects []poison.Report
 	// mark and view are of the shared watch of the store.
 	mark clock.Boot
 	view *keelv1.StoreView
@@ -42,6 +44,9 @@
 	if len(p.saves) < newsMost {
 		p.saves = append(p.saves, other.saves...)
 	}
+	if len(p.suspects) < newsMost {
+		p.suspects = append(p.suspects, other.suspects...)
+	}
 }
 
 // encodePulse encodes one datagram.
@@ -76,6 +81,10 @@
 			addGroupLoads(pack.message.Group, some)
 		}
 	}
+	for _, w := range encodeSuspects(p.suspects) {
+		pack.room(proto.Size(w))
+		pack.message.Suspects = append(pack.message.Suspects, w)
+	}
 	for _, w := range encodeFindings(p.findings) {
 		pack.room(proto.Size(w))
 		pack.message.Findings = append(pack.message.Findings, w)
--- a/node/view.go
+++ b/node/view.go
@@ -17,6 +17,7 @@
 	"acaciakeel/follow"
 	"acaciakeel/peering"
 	"acaciakeel/platform"
+	"acaciakeel/poison"
 	"acaciakeel/rollout"
 )
 
@@ -27,6 +28,7 @@
 	follower *follow.Follower
 	seat     *rollout.Seat
 	holder   *rollout.Holder
+	verdicts *verdicts
 	// staleAfter is the age beyond which keys are not believed.
 	staleAfter time.Duration
 	// oldWeights is for how long after newer ones were named older weights serve.
@@ -171,6 +173,7 @@
 func (v *view) reborn(now, former fleet.Life) {
 	v.log.WithFields(logrus.Fields{"event": "target_reborn", "target": now.ID, "born": now.Born, "former": former.Born}).Info("the target started again; what was kept of its former life has ended")
 	v.holder.Wake()
+	v.verdicts.table.Ended(former, time.Now())
 }
 
 // Gone implements platform.View. Entries lapse while the store can't be
@@ -226,6 +229,10 @@
 		v.seated(value, revision)
 		return
 	}
+	if content, ok, err := contentOf(key); ok {
+		v.verdict(key, value, revision, content, err)
+		return
+	}
 	if !strings.HasPrefix(key, v.keys.members) {
 		return
 	}
@@ -241,6 +248,23 @@
 	v.enlist(key, value)
 }
 
+// verdict takes what the store says of a verdict; an empty value is its end.
+func (v *view) verdict(key, value string, revision int64, content poison.Fingerprint, err error) {
+	if err == nil && value == "" {
+		v.foreign.forget(key)
+		v.verdicts.gone(content)
+		return
+	}
+	if err == nil {
+		err = v.verdicts.read(content, []byte(value), revision)
+	}
+	if err != nil {
+		v.LeftOut(platform.LeftOut{Key: key, Revision: revision, Fault: &platform.Fault{Reason: platform.BadValue, Err: err}})
+		return
+	}
+	v.foreign.forget(key)
+}
+
 // seated takes what the store says of the seat; an empty value is its end.
 func (v *view) seated(holder string, revision int64) {
 	if holder != "" && !isName(holder) {
@@ -302,6 +326,7 @@
 // OwnRelisted implements platform.View.
 func (v *view) OwnRelisted(keys map[string]bool, revision int64) {
 	v.foreign.relisted(platform.OwnPrefix, func(key string) bool { return keys[key] })
+	v.verdicts.relisted(keys)
 	if !keys[v.keys.seat] {
 		v.seat.Seen("", revision)
 	}
--- /dev/null
+++ b/poison/news.go
@@ -0,0 +1,138 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"acaciakeel/fleet"
+)
+
+// Figures of what processes tell each other.
+const (
+	// toldTimes is in how many pulses a change is told: datagrams are lost, and all of
+	// one that are lost in a row are rare.
+	toldTimes = 3
+	// newsMost is how many contents one pulse tells of, those that ended the most
+	// targets first: some ten datagrams.
+	newsMost = 128
+)
+
+// Report is what one process tells of a content. Reports can be heard in any order and
+// as often as may be: ends are a set, and one that was discharged stays so.
+type Report struct {
+	Case
+	Ends []End
+	// For is how much longer a verdict holds; 0 is none.
+	For time.Duration
+	// At is the target at which a request with the content is under way; nil where none is.
+	At *fleet.Life
+}
+
+// End is a life that ended under a content.
+type End struct {
+	Life       fleet.Life
+	Discharged bool
+}
+
+// News returns what there is to tell now.
+func (t *Table) News(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Report
+	for content, r := range t.records {
+		at := t.ownTarget(content)
+		if r.untold == 0 && (at == nil || r.counted() == 0) {
+			continue
+		}
+		out = append(out, r.report(at, now))
+	}
+	slices.SortFunc(out, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), slices.Compare(a.Content[:], b.Content[:]))
+	})
+	out = out[:min(len(out), newsMost)]
+	for _, told := range out {
+		r := t.records[told.Content]
+		r.untold = max(0, r.untold-1)
+	}
+	return out
+}
+
+func (r *record) report(at *fleet.Life, now time.Time) Report {
+	out := Report{Case: r.Case, At: at, For: max(0, r.until.Sub(now))}
+	for _, e := range r.ends {
+		out.Ends = append(out.Ends, End{Life: e.life, Discharged: e.discharged})
+	}
+	return out
+}
+
+// ownTarget returns a target at which this process has a request with a content, or
+// nil; the caller holds mu.
+func (t *Table) ownTarget(content Fingerprint) *fleet.Life {
+	for _, s := range t.running[content] {
+		if s.at != nil {
+			return s.at
+		}
+	}
+	return nil
+}
+
+// Retell has all that is held told once more, for a process that has just been heard
+// for the first time: one that starts knows of no suspects.
+func (t *Table) Retell() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		if r.counted() > 0 {
+			r.untold = max(r.untold, 1)
+		}
+	}
+}
+
+// Heard takes what other processes told.
+func (t *Table) Heard(all []Report, now time.Time) {
+	t.mu.Lock()
+	defer t.unlock()
+	for _, report := range all {
+		t.heard(report, Told, now)
+		if report.At != nil {
+			t.elsewhere[*report.At] = underWay{content: report.Content, at: now}
+		}
+	}
+}
+
+// heard merges a report into what is held; the caller holds mu. A verdict that others
+// reached holds here as long as there, and no longer than the ends that it rests on.
+func (t *Table) heard(report Report, from Origin, now time.Time) {
+	for _, e := range report.Ends {
+		if e.Discharged {
+			t.discharge(report.Case, e.Life, now)
+		}
+	}
+	for _, e := range report.Ends {
+		if !e.Discharged {
+			t.count(report.Case, e.Life, from, now)
+		}
+	}
+	r := t.records[report.Content]
+	if r == nil || r.counted() < EndsMost || report.For <= 0 {
+		return
+	}
+	if until := now.Add(min(report.For, mostTerm)); until.After(r.until) {
+		r.until, r.expired = until, false
+		r.term = max(r.term, min(report.For, mostTerm))
+	}
+}
+
+// discharge takes that an end counts no more; the caller holds mu. It is kept also
+// where the end is not known: its news may come later than that of its discharge.
+func (t *Table) discharge(c Case, life fleet.Life, now time.Time) {
+	r := t.record(c, now)
+	for i, e := range r.ends {
+		if e.life.Same(life) {
+			r.ends[i].discharged = true
+			return
+		}
+	}
+	r.add(end{life: life, discharged: true})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,11 +41,15 @@
 	// SharedWatch: the members of a group live on one watch of the platform's store;
 	// without it each watches itself.
 	SharedWatch Mechanism = "shared-watch"
+	// Suspecting: contents under which targets end are suspected, and refused after
+	// some; Alone: suspects go to the target at which the fewest others run.
+	Suspecting Mechanism = "suspecting"
+	Alone      Mechanism = "alone"
 )
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch}
+	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone}
 }
 
 // Off is the mechanisms that are switched off; nil is none.
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -46,6 +46,10 @@
 	NotHome           Kind = "not_home"
 	TimedOut          Kind = "timed_out"
 	Interrupted       Kind = "interrupted"
+	// EndsTargets: targets ended under earlier requests with the same content;
+	// SuspectUnderWay: one did, and another request with that content is being tried.
+	EndsTargets     Kind = "ends_targets"
+	SuspectUnderWay Kind = "suspect_under_way"
 )
 
 // Outcome says whether the refused request ran.
@@ -146,6 +150,8 @@
 	NotHome:           http.StatusServiceUnavailable,
 	TimedOut:          http.StatusGatewayTimeout,
 	Interrupted:       http.StatusBadGateway,
+	EndsTargets:       http.StatusServiceUnavailable,
+	SuspectUnderWay:   http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of e.
--- a/router/endings.go
+++ b/router/endings.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/fleet"
+	"acaciakeel/poison"
 )
 
 // endings finds out, once a target broke an answer off, whether the target has
@@ -18,6 +19,8 @@
 // loses a target seconds after its end.
 type endings struct {
 	sender Sender
+	fleet  *fleet.Fleet
+	table  *poison.Table
 	log    logrus.FieldLogger
 
 	mu sync.Mutex
@@ -31,8 +34,8 @@
 	done chan struct{}
 }
 
-func newEndings(s Sender, log logrus.FieldLogger) *endings {
-	return &endings{sender: s, log: log, asked: map[fleet.Life]*question{}}
+func newEndings(s Sender, f *fleet.Fleet, t *poison.Table, log logrus.FieldLogger) *endings {
+	return &endings{sender: s, fleet: f, table: t, log: log, asked: map[fleet.Life]*question{}}
 }
 
 // Figures of the questions.
@@ -61,10 +64,12 @@
 
 func (e *endings) pursue(target fleet.Runner, q *question) {
 	found := e.listens(target)
+	e.take(target, found)
 	close(q.done)
 	if found == Present {
 		time.Sleep(askAgain)
 		found = e.listens(target)
+		e.take(target, found)
 	}
 	e.mu.Lock()
 	delete(e.asked, target.Life())
@@ -72,6 +77,17 @@
 	e.log.WithFields(logrus.Fields{"event": "target_asked", "target": target.ID, "born": target.Born, "address": target.Address, "presence": found}).Info("it broke an answer off")
 }
 
+// take takes what was found of a target. Of one that has ended nobody else has to find
+// that out by a request.
+func (e *endings) take(target fleet.Runner, found Presence) {
+	if found != Absent {
+		return
+	}
+	now := time.Now()
+	e.fleet.Unreachable(target.Life(), now)
+	e.table.Ended(target.Life(), now)
+}
+
 func (e *endings) listens(target fleet.Runner) Presence {
 	ctx, cancel := context.WithTimeout(context.Background(), askMost)
 	defer cancel()
@@ -99,7 +115,23 @@
 		"event": "broke_off", "request": s.in.ID, "content": s.in.content.String(), "target": choice.Runner.ID, "born": choice.Runner.Born,
 		"leaving": leaving, "events": s.hasEvent,
 	}).Info("the target did not end its answer")
-	if !leaving {
-		s.router.endings.ask(choice.Runner)
+	if leaving {
+		// Its end was planned, and says nothing of what it ran.
+		return
+	}
+	s.router.poison.Broke(s.in.suspicion(), choice.Runner.Life(), time.Now())
+	s.asked = s.router.endings.ask(choice.Runner)
+}
+
+// awaitEnding waits until it is known whether the target that broke the last answer off
+// has ended: a further send that begins before is one more target at risk.
+func (s *session) awaitEnding(ctx context.Context) {
+	if s.asked == nil {
+		return
+	}
+	select {
+	case <-s.asked.done:
+	case <-ctx.Done():
 	}
+	s.asked = nil
 }
--- a/router/endings_test.go
+++ b/router/endings_test.go
@@ -15,6 +15,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"acaciakeel/fleet"
+	"acaciakeel/poison"
 )
 
 // listener is a sender that only says whether targets listen.
@@ -35,7 +36,7 @@
 func TestOneQuestionForAllRequestsOfATarget(t *testing.T) {
 	says := &listener{says: []Presence{Present, Absent}}
 	log, lines := logtest.NewNullLogger()
-	e := newEndings(says, log)
+	e := newEndings(says, fleet.New(""), poison.New(nil), log)
 	var wg sync.WaitGroup
 	for range 16 {
 		wg.Go(func() { <-e.ask(fleet.Runner{ID: "r", Born: 7}).done })
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -50,6 +50,7 @@
 	switch {
 	case a.Moved && a.Instance != "" && a.Instance != choice.Runner.ID:
 		f.Ended(choice.Runner.Life())
+		s.router.poison.Ended(choice.Runner.Life(), now)
 		kind = refusal.NotReady
 	case a.Moved:
 		s.misjudged(choice, a)
@@ -90,6 +91,9 @@
 	default:
 		s.router.fleet.Unreachable(choice.Runner.Life(), time.Now())
 	}
+	if !sent && s.router.poison.Waits(choice.Runner.Life()) {
+		s.router.endings.ask(choice.Runner)
+	}
 	if !sent {
 		refused := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "target %s can't be reached: %v", choice.Runner.ID, err).After(retryAfter)
 		return result{refused: refused, reason: retry.Unreachable, again: true}
@@ -127,6 +131,9 @@
 		return result{reason: retry.Interrupted, again: s.repeatable(), answer: &held{a, body}}
 	}
 	s.router.fleet.Succeeded(choice.Runner.Life())
+	if a.Status < 300 {
+		s.router.poison.Served(s.in.content, time.Now())
+	}
 	if refused := s.pass(&held{a, body}); refused != nil {
 		return result{refused: refused}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -42,6 +42,7 @@
 	fleet   *fleet.Fleet
 	sender  Sender
 	budgets *budgets
+	poison  *poison.Table
 	endings *endings
 	metrics *Metrics
 	log     logrus.FieldLogger
@@ -50,9 +51,9 @@
 	leaving atomic.Pointer[time.Time]
 }
 
-// New returns a router.
-func New(c Configuration, f *fleet.Fleet, s Sender, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
-	return &Router{config: c, fleet: f, sender: s, budgets: newBudgets(r), endings: newEndings(s, log), metrics: m, log: log, bounds: b}
+// New returns a router, which keeps in t the contents under which targets end.
+func New(c Configuration, f *fleet.Fleet, s Sender, t *poison.Table, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
+	return &Router{config: c, fleet: f, sender: s, budgets: newBudgets(r), poison: t, endings: newEndings(s, f, t, log), metrics: m, log: log, bounds: b}
 }
 
 // cacheWeights is how missing tokens and waiting weigh in the choice of a
--- a/router/session.go
+++ b/router/session.go
@@ -7,6 +7,7 @@
 
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
+	"acaciakeel/poison"
 	"acaciakeel/prefix"
 	"acaciakeel/refusal"
 	"acaciakeel/retry"
@@ -31,11 +32,23 @@
 	// lastAt is when the last event was passed on, pause the longest between two.
 	lastAt time.Time
 	pause  time.Duration
+	// here counts the request among those of its content, asked is the question about
+	// the target that broke the last answer off, alone is set once the content is
+	// suspect, and apart are the targets where other suspects are.
+	here  *poison.Stay
+	asked *question
+	alone bool
+	apart []fleet.Life
 }
 
 func (s *session) run(ctx context.Context) *refusal.Error {
 	s.router.budgets.request(s.in.service.Name, time.Now())
+	s.here = s.router.poison.Begin(s.in.content)
+	defer s.here.End()
 	for {
+		if refused := s.judge(time.Now()); refused != nil {
+			return s.giveUp(result{refused: refused})
+		}
 		choice, ok := s.choose()
 		if !ok {
 			return s.giveUp(result{refused: s.noTarget()})
@@ -49,6 +62,7 @@
 		}
 		if ctx.Err() == nil && out.again && s.sends < retry.MaxSends && s.mayRetry(out.reason) {
 			s.logRetry(out)
+			s.awaitEnding(ctx)
 			continue
 		}
 		return s.giveUp(out)
@@ -82,6 +96,8 @@
 		Tried:         s.tried,
 		OldWeightsFor: s.router.bounds.OldWeights,
 		Weights:       cacheWeights,
+		Alone:         s.alone,
+		Apart:         s.apart,
 	}
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
@@ -102,6 +118,8 @@
 	f := s.router.fleet
 	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), time.Now())
 	defer s.ticket.End()
+	s.here.At(choice.Runner.Life())
+	defer s.here.Left()
 	answer, err := s.router.sender.Send(attempt, s.newSend(choice))
 	if err != nil {
 		return s.unanswered(ctx, choice, err)
--- /dev/null
+++ b/router/suspects.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"time"
+
+	"acaciakeel/poison"
+	"acaciakeel/policy"
+	"acaciakeel/refusal"
+)
+
+// suspicion is the request as far as a verdict on its content needs it.
+func (in *admitted) suspicion() poison.Case {
+	c := poison.Case{Content: in.content, Service: in.service.Name, Request: in.ID}
+	if in.customer != nil {
+		c.Customer = in.customer.Name
+	}
+	return c
+}
+
+// judge refuses a request whose content is known to end targets, and has one that may
+// be go alone. A request that ends whoever runs it comes again under other ids and at
+// other processes: bounds that count by id or by process begin anew each time, and with
+// nineteen targets the requests of others on each of them were lost. The content stays
+// the same.
+func (s *session) judge(now time.Time) *refusal.Error {
+	if s.router.fleet.Off(policy.Suspecting) {
+		return nil
+	}
+	j := s.router.poison.Judge(s.in.content, now)
+	s.alone, s.apart = j.Standing == poison.Suspect, j.Apart
+	switch j.Standing {
+	case poison.Refused:
+		return refusal.New(refusal.EndsTargets, "change the request, or come back after the time in Retry-After; operators can lift the verdict",
+			"%d targets ended while they ran earlier requests with the same content (%s); this one was not run", j.Ends, s.in.content).After(j.For)
+	case poison.Waiting:
+		return refusal.New(refusal.SuspectUnderWay, "come back after the time in Retry-After",
+			"a target ended while it ran an earlier request with the same content (%s), and another is being tried; this one was not run", s.in.content).After(retryAfter)
+	}
+	return nil
+}
