Suspects' ends of runs are told, cancelled runs count as evidence; a trial of what one request costs others

Cause: only the begin of a run was told. Also, a request whose client left a moment before its target ended was not held against the end. Change: the end of a suspect's run is told with the next pulse; a run that was cancelled waits for evidence like a broken one, without a question of its own.

--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -35,6 +35,7 @@
 			soakCommand(),
 			plotBenchCommand(),
 			followCommand(),
+			endsTargetsCommand(),
 			benchConfigCommand(),
 			httpCommand("get"),
 			httpCommand("put"),
--- a/internal/standin/runner/deadly.go
+++ b/internal/standin/runner/deadly.go
@@ -11,6 +11,7 @@
 // with a certain content, and starts again after a while.
 type deadly struct {
 	marker string
+	after  time.Duration
 	down   time.Duration
 	// crashes counts its ends; isDown and isClosed say why it does not listen.
 	crashes  int
@@ -18,11 +19,12 @@
 	isClosed bool
 }
 
-// EndOn has requests whose body holds marker end the target for a while.
-func (r *Runner) EndOn(marker string, down time.Duration) {
+// EndOn has requests whose body holds marker end the target, some time after it began
+// to run them, for a while.
+func (r *Runner) EndOn(marker string, after, down time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.marker, r.down = marker, down
+	r.marker, r.after, r.down = marker, after, down
 }
 
 // Crashes returns how often the target ended so.
@@ -41,6 +43,10 @@
 // crash ends all connections and the listener at once, as the end of a process does,
 // once for all requests that would end the same life.
 func (r *Runner) crash() {
+	r.mu.Lock()
+	after := r.after
+	r.mu.Unlock()
+	time.Sleep(after)
 	r.mu.Lock()
 	if r.isDown || r.isClosed {
 		r.mu.Unlock()
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -108,6 +108,8 @@
 }
 
 // At notes the target to which the request is sent, and Left that it is there no more.
+// Where that is a suspect's, the others hear it with the next pulse: those that repeat
+// the request wait no longer than one of them is at a target.
 func (s *Stay) At(life fleet.Life) {
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
@@ -119,6 +121,9 @@
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
 	s.at = nil
+	if r := s.table.records[s.content]; r != nil && r.counted() > 0 {
+		r.untold = max(r.untold, 1)
+	}
 }
 
 // End counts the request out.
--- a/poison/news.go
+++ b/poison/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -97,7 +98,10 @@
 		t.heard(report, Told, now)
 		if report.At != nil {
 			t.elsewhere[*report.At] = underWay{content: report.Content, at: now}
+			continue
 		}
+		// Where another process has one under way, its next pulse says so again.
+		maps.DeleteFunc(t.elsewhere, func(_ fleet.Life, w underWay) bool { return w.content == report.Content })
 	}
 }
 
--- a/router/endings.go
+++ b/router/endings.go
@@ -104,23 +104,25 @@
 	return !errors.As(err, &network) || !network.Timeout()
 }
 
-// brokeOff notes that a target ended its answer before it was whole, and asks whether
-// the target has ended.
+// brokeOff notes that a request that was sent to a target has no whole answer, and asks
+// whether the target has ended where that cut the answer off. A request whose client
+// left, or whose time was over, just before may have ended the target all the same.
 func (s *session) brokeOff(choice fleet.Choice, err error) {
+	leaving := !s.router.fleet.Live(choice.Runner.Life())
+	if !leaving {
+		s.router.poison.Broke(s.in.suspicion(), choice.Runner.Life(), time.Now())
+	}
 	if !byPeer(err) {
 		return
 	}
-	leaving := !s.router.fleet.Live(choice.Runner.Life())
 	s.router.log.WithFields(logrus.Fields{
 		"event": "broke_off", "request": s.in.ID, "content": s.in.content.String(), "target": choice.Runner.ID, "born": choice.Runner.Born,
 		"leaving": leaving, "events": s.hasEvent,
 	}).Info("the target did not end its answer")
-	if leaving {
-		// Its end was planned, and says nothing of what it ran.
-		return
+	if !leaving {
+		// A planned end says nothing of what the target ran.
+		s.asked = s.router.endings.ask(choice.Runner)
 	}
-	s.router.poison.Broke(s.in.suspicion(), choice.Runner.Life(), time.Now())
-	s.asked = s.router.endings.ask(choice.Runner)
 }
 
 // awaitEnding waits until it is known whether the target that broke the last answer off
