Verdicts proved across groups, starts, an absent store and an operator's word; unnamed lives count apart

Callers would see: while the store is away, a target that starts again under its id and ends again under the same request counted as the end known before, so that the request was sent on. Cause: nobody says that a life began while the list can't be written, and ends are told apart by life. Change: a request that was sent after the last end of a target was known ran in a later life, told apart by that moment; tests of groups, of entries that start, of the store away, of keelctl lift and of entries of other writers. Ruled out: removing a target from the list by one refused connection: a cut that refuses would take sound targets out for long, as entries are seldom written anew. Conclusion: kept; up to 32 ends are kept of a content, beyond it the oldest go.

--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -213,3 +213,22 @@
 		t.Error("a value of the size of a whole configuration is told to everybody")
 	}
 }
+
+// A request that ends runners comes at three entries of one group, and is sent to
+// another group next. Entries of other groups have to refuse it too, a moment later.
+func TestVerdictReachesAllGroups(t *testing.T) {
+	h := newHall(103)
+	c := poison.Case{Content: poison.Content{URI: "/deadly"}.Fingerprint(), Service: "lm", Customer: "c1"}
+	for i := range poison.EndsMost {
+		ended := fleet.Life{ID: fmt.Sprint("ended", i), Born: 1}
+		h.nodes[i].table.Broke(c, ended, time.Now(), time.Now())
+		h.nodes[i].table.Ended(ended, time.Now())
+	}
+	h.round()
+	h.round()
+	for i, p := range h.nodes {
+		if got := p.table.Judge(c.Content, time.Now()); got.Standing != poison.Refused {
+			t.Errorf("n%d of group %d: %s after %d ends", i, p.view.plan().Group, got.Standing, got.Ends)
+		}
+	}
+}
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,7 +9,10 @@
 	"testing"
 	"time"
 
+	"acaciakeel/ctl"
 	"acaciakeel/internal/standin/runner"
+	"acaciakeel/platform"
+	"acaciakeel/poison"
 )
 
 // deadlyWord is what ends a runner that runs a request with it for deadlyAfter, and
@@ -126,3 +130,101 @@
 	w.repeat("/match/deadly", 6, w.node)
 	wg.Wait()
 }
+
+// setFaults sets what goes wrong with the store.
+func (w *world) setFaults(faults string) {
+	w.t.Helper()
+	resp, err := http.Post(w.kv.URL+"/faults", "application/json", strings.NewReader(faults))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+// refuses reports whether a node answers the request that ends runners with the refusal
+// of its content.
+func (w *world) refuses(n *Node) bool {
+	ids++
+	a := w.sendTo(n, "POST", "/match/deadly", deadlyWord, fmt.Sprintf("id-%d", ids), prompt())
+	return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "ends_targets")
+}
+
+// kept reports whether the store has a verdict.
+func (w *world) kept() bool {
+	listing, err := platform.NewStore(w.kv.URL).List(w.t.Context(), platform.VerdictPrefix)
+	return err == nil && len(listing.Entries) > 0
+}
+
+// All entries are killed together after a request ended three runners. Those that start
+// know nothing but what the store has; without it the same request would end three more.
+func TestEntriesThatStartRefuseWhatTheStoreHas(t *testing.T) {
+	w := newDeadlyWorld(t, 6)
+	w.repeat("/match/deadly", 8, w.node)
+	w.until("the verdict is in the store", w.kept)
+	w.node.cancel()
+	fresh := w.startNode("n1")
+	before := w.crashes()
+	if !w.refuses(fresh) || w.crashes() != before {
+		t.Errorf("an entry that has just started ran it: %d runners ended, %d before its start", w.crashes(), before)
+	}
+}
+
+// The store is away while a request ends its runners, and the entries tell each other
+// nothing. Each stops it by itself; once the store is back, it has the verdict.
+func TestVerdictHoldsWithoutTheStore(t *testing.T) {
+	w := newDeadlyWorld(t, 8)
+	w.setFaults(`{"down":true}`)
+	last := w.repeat("/match/deadly", 6, w.node)
+	if n := w.crashes(); n > endsMost || last.status != http.StatusServiceUnavailable {
+		t.Errorf("%d runners ended, the last answer is %d", n, last.status)
+	}
+	w.setFaults(`{}`)
+	w.until("the verdict is in the store", w.kept)
+}
+
+// An operator finds that a content was refused which is sound by now, and lifts the
+// verdict. All entries serve it again.
+func TestLiftedContentIsServed(t *testing.T) {
+	w := newDeadlyWorld(t, 6)
+	w.repeat("/match/deadly", 8, w.node)
+	w.until("the verdict is in the store", w.kept)
+	for _, r := range w.runners {
+		r.EndOn("", 0, 0)
+	}
+	if !w.refuses(w.node) {
+		t.Error("it is served before anybody lifts it")
+	}
+	var out bytes.Buffer
+	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(deadlyWord)}.Fingerprint()
+	store := strings.TrimPrefix(w.kv.URL, "http://")
+	for _, args := range [][]string{{"keelctl", "verdicts", "--store", store}, {"keelctl", "lift", "--store", store, content.String()}} {
+		if err := ctl.Command(&out).Run(t.Context(), args); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if text := out.String(); !strings.Contains(text, content.String()) || !strings.Contains(text, "refused for") || !strings.Contains(text, "lifted") {
+		t.Errorf("keelctl says %q", text)
+	}
+	w.until("it is served", func() bool {
+		a := w.send("POST", "/match/deadly", deadlyWord, prompt())
+		return a.status == http.StatusOK && a.body == whole()
+	})
+}
+
+// A verdict that another writer wrote, or that can't be read, refuses nothing and is
+// left out with a word in the log.
+func TestForeignVerdictRefusesNothing(t *testing.T) {
+	w := newDeadlyWorld(t, 2)
+	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/sound", Customer: "c1", Body: []byte("sound")}.Fingerprint()
+	w.store.Set(platform.VerdictPrefix+content.String(), []byte(`{"until_unix_ms":99999999999999,"ended":[]}`))
+	w.store.Set(platform.VerdictPrefix+"zz", []byte(`{}`))
+	w.store.Set("keel/mark", []byte("seen"))
+	w.until("both are left out", func() bool {
+		w.node.view.foreign.mu.Lock()
+		defer w.node.view.foreign.mu.Unlock()
+		return len(w.node.view.foreign.said) >= 2
+	})
+	if a := w.send("POST", "/match/sound", "sound", prompt()); a.status != http.StatusOK {
+		t.Errorf("answered %d: %s", a.status, a.body)
+	}
+}
--- a/poison/news.go
+++ b/poison/news.go
@@ -138,5 +138,5 @@
 			return
 		}
 	}
-	r.add(end{life: life, discharged: true})
+	r.add(end{life: life, discharged: true, known: now})
 }
--- a/poison/table.go
+++ b/poison/table.go
@@ -42,8 +42,10 @@
 	// brokenMost is how many broken answers wait for evidence: those of a second in
 	// which a whole data centre falls away.
 	brokenMost = 4096
-	// livesMost is how many ends are kept of one content.
-	livesMost = 8
+	// endsKept is how many ends are kept of one content, the newest: one that is served
+	// again and again between ends has discharged ones, which must be known if somebody
+	// tells of them late.
+	endsKept = 32
 )
 
 // Case is one request as far as a verdict needs it.
@@ -82,13 +84,16 @@
 type end struct {
 	life       fleet.Life
 	discharged bool
+	// known is when this process came to know of it.
+	known time.Time
 }
 
 // broken is an answer that its target broke off.
 type broken struct {
 	of   Case
 	life fleet.Life
-	at   time.Time
+	// began is when the request was sent there, at when it broke off.
+	began, at time.Time
 }
 
 // Table keeps the contents under which targets ended. It is safe for concurrent use.
@@ -134,22 +139,39 @@
 	}
 }
 
-// Broke takes that a target broke off its answer to a request. That counts once the
-// target is known to have ended.
-func (t *Table) Broke(c Case, life fleet.Life, now time.Time) {
+// Broke takes that a target broke off its answer to a request that it was sent at began.
+// That counts once the target is known to have ended.
+func (t *Table) Broke(c Case, life fleet.Life, began, now time.Time) {
 	t.mu.Lock()
 	defer t.unlock()
 	t.age(now)
-	for l := range t.ended {
-		if l.Same(life) {
-			t.count(c, life, Seen, now)
+	b := broken{of: c, life: life, began: began, at: now}
+	for l, at := range t.ended {
+		if l.Same(life) && !began.After(at) {
+			t.countSeen(b, now)
 			return
 		}
 	}
 	if len(t.broken) >= brokenMost {
 		t.broken = t.broken[1:]
 	}
-	t.broken = append(t.broken, broken{of: c, life: life, at: now})
+	t.broken = append(t.broken, b)
+}
+
+// countSeen counts an end that this process saw; the caller holds mu. A target may have
+// started again with nobody saying so, such as while the store is away: a request that
+// was sent there after its last end was known ran in a later life, which is told apart
+// by that moment.
+func (t *Table) countSeen(b broken, now time.Time) {
+	life := b.life
+	if r := t.records[b.of.Content]; r != nil {
+		for _, e := range r.ends {
+			if e.life.ID == life.ID && b.began.After(e.known) {
+				life.Born = max(life.Born, b.began.UnixMilli())
+			}
+		}
+	}
+	t.count(b.of, life, Seen, now)
 }
 
 // Waits reports whether broken answers of a life wait for evidence.
@@ -169,7 +191,7 @@
 		if !b.life.Same(life) {
 			return false
 		}
-		t.count(b.of, life, Seen, now)
+		t.countSeen(b, now)
 		return true
 	})
 }
@@ -191,7 +213,7 @@
 	if r.has(life) {
 		return
 	}
-	r.add(end{life: life})
+	r.add(end{life: life, known: now})
 	r.at = now
 	if from == Seen {
 		r.untold = toldTimes
@@ -262,7 +284,7 @@
 
 func (r *record) add(e end) {
 	r.ends = append(r.ends, e)
-	if len(r.ends) > livesMost {
+	if len(r.ends) > endsKept {
 		r.ends = r.ends[1:]
 	}
 }
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -21,7 +21,7 @@
 // ends has a target end under the contents given.
 func ends(t *Table, l fleet.Life, now time.Time, all ...Case) {
 	for _, c := range all {
-		t.Broke(c, l, now)
+		t.Broke(c, l, now, now)
 	}
 	t.Ended(l, now)
 }
@@ -38,7 +38,7 @@
 func TestBrokenAnswersAloneSuspectNobody(t *testing.T) {
 	table, c := New(nil), named("x")
 	for i := range 10 {
-		table.Broke(c, life(i), start.Add(time.Duration(i)*time.Second))
+		table.Broke(c, life(i), start, start.Add(time.Duration(i)*time.Second))
 	}
 	want(t, table, c, start.Add(10*time.Second), Free)
 	table.Ended(life(0), start.Add(10*time.Second))
@@ -124,9 +124,9 @@
 func TestEvidenceComesBeforeOrAfter(t *testing.T) {
 	table, early, late := New(nil), named("early"), named("late")
 	table.Ended(life(0), start)
-	table.Broke(early, life(0), start.Add(10*time.Millisecond))
+	table.Broke(early, life(0), start, start.Add(10*time.Millisecond))
 	want(t, table, early, start.Add(10*time.Millisecond), Suspect)
-	table.Broke(late, life(1), start)
+	table.Broke(late, life(1), start, start)
 	if !table.Waits(life(1)) {
 		t.Error("a broken answer waits for no evidence")
 	}
@@ -134,6 +134,25 @@
 	want(t, table, late, start.Add(evidenceFor+time.Second), Free)
 }
 
+// While the store is away nobody says that a target has started again under its id. Its
+// next end under the same content is another one; the first, learnt of twice, is not.
+func TestUnnamedLivesCountApart(t *testing.T) {
+	table, c := New(nil), named("x")
+	for i := range 3 {
+		sent := start.Add(time.Duration(i) * time.Second)
+		table.Broke(c, life(0), sent, sent.Add(100*time.Millisecond))
+		table.Ended(life(0), sent.Add(110*time.Millisecond))
+		table.Broke(c, life(0), sent, sent.Add(120*time.Millisecond))
+		if got := table.Judge(c.Content, sent).Ends; got != i+1 {
+			t.Errorf("%d ends count after %d", got, i+1)
+		}
+	}
+	// What breaks off in the next life waits for evidence of its own.
+	other := named("other")
+	table.Broke(other, life(0), start.Add(2500*time.Millisecond), start.Add(2600*time.Millisecond))
+	want(t, table, other, start.Add(2600*time.Millisecond), Free)
+}
+
 // A verdict lapses; the content is then tried alone, and one more end renews it for
 // twice as long. Served, it is free for good.
 func TestVerdictLapsesIntoATrial(t *testing.T) {
@@ -176,7 +195,7 @@
 	ends(table, life(3), start, other)
 	for i := range 3 * recordsMost {
 		c := named(fmt.Sprint("flood ", i))
-		table.Broke(c, life(4), start.Add(time.Duration(i)))
+		table.Broke(c, life(4), start, start.Add(time.Duration(i)))
 		if i%100 == 0 {
 			table.Ended(life(4), start.Add(time.Duration(i)))
 		}
--- a/router/endings.go
+++ b/router/endings.go
@@ -110,7 +110,7 @@
 func (s *session) brokeOff(choice fleet.Choice, err error) {
 	leaving := !s.router.fleet.Live(choice.Runner.Life())
 	if !leaving {
-		s.router.poison.Broke(s.in.suspicion(), choice.Runner.Life(), time.Now())
+		s.router.poison.Broke(s.in.suspicion(), choice.Runner.Life(), s.sentAt, time.Now())
 	}
 	if !byPeer(err) {
 		return
--- a/router/session.go
+++ b/router/session.go
@@ -32,6 +32,8 @@
 	// lastAt is when the last event was passed on, pause the longest between two.
 	lastAt time.Time
 	pause  time.Duration
+	// sentAt is when the last send began.
+	sentAt time.Time
 	// here counts the request among those of its content, asked is the question about
 	// the target that broke the last answer off, alone is set once the content is
 	// suspect, and apart are the targets where other suspects are.
@@ -116,7 +118,8 @@
 	s.last = choice
 	s.tried = append(s.tried, choice.Runner.Life())
 	f := s.router.fleet
-	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), time.Now())
+	s.sentAt = time.Now()
+	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), s.sentAt)
 	defer s.ticket.End()
 	s.here.At(choice.Runner.Life())
 	defer s.here.Left()
