Stand-ins keep their entries listed by one function

Cause: the same loop stood in a test and in the trial. Ruled out: the soak's own, which writes proxies' addresses. Measured: the tests of node on starts, verdicts and ends pass.

--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -20,6 +20,7 @@
 	"acaciakeel/node"
 	"acaciakeel/platform"
 	"acaciakeel/policy"
+	"acaciakeel/store"
 )
 
 const (
@@ -37,8 +38,11 @@
 	stop    chan struct{}
 }
 
-// readyWithin bounds the waiting for entries.
-const readyWithin = 10 * time.Second
+// readyWithin bounds the waiting for entries, readyEvery is how often they are asked.
+const (
+	readyWithin = 10 * time.Second
+	readyEvery  = 20 * time.Millisecond
+)
 
 func newSite(entries, runners int, pace time.Duration, without policy.Off) (*site, error) {
 	s := &site{store: kv.NewStore(0), stop: make(chan struct{})}
@@ -51,7 +55,7 @@
 	if err := s.configure(); err != nil {
 		return nil, err
 	}
-	go s.list()
+	go runner.KeepListed(s.runners, func(e store.Entry) { s.store.Set(e.Key, e.Value) }, s.stop)
 	for i := range entries {
 		n, err := s.startNode(i, without)
 		if err != nil {
@@ -62,27 +66,6 @@
 	return s, nil
 }
 
-// listEvery is how often a runner that has started again says so in the list.
-const listEvery = 50 * time.Millisecond
-
-// list writes the entries of runners as they change.
-func (s *site) list() {
-	written := map[string]string{}
-	for {
-		for _, r := range s.runners {
-			if e := r.Entry("ready"); written[e.Key] != string(e.Value) {
-				written[e.Key] = string(e.Value)
-				s.store.Set(e.Key, e.Value)
-			}
-		}
-		select {
-		case <-time.After(listEvery):
-		case <-s.stop:
-			return
-		}
-	}
-}
-
 func (s *site) configure() error {
 	value, err := json.Marshal(map[string]any{
 		"version": 1,
@@ -115,7 +98,7 @@
 	if err := n.Start(); err != nil {
 		return nil, err
 	}
-	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(listEvery) {
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(readyEvery) {
 		resp, err := http.Get("http://" + n.ReadyAddress() + "/ready")
 		if err != nil {
 			continue
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -14,6 +14,7 @@
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
 	"acaciakeel/poison"
+	"acaciakeel/store"
 )
 
 // deadlyWord is what ends a runner that runs a request with it for deadlyAfter, and
@@ -40,33 +41,13 @@
 		r.EndOn(deadlyWord, deadlyAfter, deadlyDown)
 		r.SetPace(5 * time.Millisecond)
 	}
-	w.relist()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go runner.KeepListed(w.runners, func(e store.Entry) { w.store.Set(e.Key, e.Value) }, stop)
 	w.until("all runners are known", func() bool { return len(w.node.view.fleet.Runners("lm")) == runners })
 	return w
 }
 
-// relist writes the entries of runners anew as each starts again, as these do.
-func (w *world) relist() {
-	stop := make(chan struct{})
-	w.t.Cleanup(func() { close(stop) })
-	go func() {
-		written := map[string]string{}
-		for {
-			for _, r := range w.runners {
-				if e := r.Entry("ready"); written[e.Key] != string(e.Value) {
-					written[e.Key] = string(e.Value)
-					w.store.Set(e.Key, e.Value)
-				}
-			}
-			select {
-			case <-time.After(20 * time.Millisecond):
-			case <-stop:
-				return
-			}
-		}
-	}()
-}
-
 func (w *world) crashes() int {
 	n := 0
 	for _, r := range w.runners {
@@ -197,8 +178,8 @@
 	}
 	var out bytes.Buffer
 	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(deadlyWord)}.Fingerprint()
-	store := strings.TrimPrefix(w.kv.URL, "http://")
-	for _, args := range [][]string{{"keelctl", "verdicts", "--store", store}, {"keelctl", "lift", "--store", store, content.String()}} {
+	address := strings.TrimPrefix(w.kv.URL, "http://")
+	for _, args := range [][]string{{"keelctl", "verdicts", "--store", address}, {"keelctl", "lift", "--store", address, content.String()}} {
 		if err := ctl.Command(&out).Run(t.Context(), args); err != nil {
 			t.Fatal(err)
 		}
