Tried and left: others keep away from targets at which suspects are tried

Cause: a target where a suspect is tried has the fewest requests, and gets the next. Change: others left such targets out while these were at most a quarter of all; reverted. What stays: suspects that are tried are kept by themselves, so that to find them no longer passes over all requests.

--- a/poison/judge.go
+++ b/poison/judge.go
@@ -80,15 +80,8 @@
 			out = append(out, life)
 		}
 	}
-	for content, stays := range t.running {
-		if r := t.records[content]; r == nil || r.counted() == 0 {
-			continue
-		}
-		for _, s := range stays {
-			if s.at != nil {
-				out = append(out, *s.at)
-			}
-		}
+	for _, life := range t.tried {
+		out = append(out, life)
 	}
 	return out
 }
@@ -119,8 +112,14 @@
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
 	s.at = to
-	if r := s.table.records[s.content]; r != nil && r.counted() > 0 {
-		r.untold = max(r.untold, 1)
+	delete(s.table.tried, s)
+	r := s.table.records[s.content]
+	if r == nil || r.counted() == 0 {
+		return
+	}
+	r.untold = max(r.untold, 1)
+	if to != nil {
+		s.table.tried[s] = *to
 	}
 }
 
@@ -135,6 +134,7 @@
 	t := s.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.tried, s)
 	left := slices.DeleteFunc(t.running[s.content], func(other *Stay) bool { return other == s })
 	if len(left) == 0 {
 		delete(t.running, s.content)
--- a/poison/table.go
+++ b/poison/table.go
@@ -101,9 +101,10 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[Fingerprint]*record
-	// running are this process's requests at a target, by content, and elsewhere
-	// those suspects that others say they have under way, by target.
+	// running are this process's requests, by content, tried those suspects of them that
+	// are at a target, and elsewhere those that others say they have under way.
 	running   map[Fingerprint][]*Stay
+	tried     map[*Stay]fleet.Life
 	elsewhere map[fleet.Life]underWay
 	// broken are the answers that wait for evidence, and ended the lives of which it came.
 	broken []broken
@@ -125,7 +126,7 @@
 // New returns an empty table. It tells changed of each change; changed may be nil.
 func New(changed func(Change)) *Table {
 	return &Table{
-		records: map[Fingerprint]*record{}, running: map[Fingerprint][]*Stay{}, elsewhere: map[fleet.Life]underWay{},
+		records: map[Fingerprint]*record{}, running: map[Fingerprint][]*Stay{}, tried: map[*Stay]fleet.Life{}, elsewhere: map[fleet.Life]underWay{},
 		ended: map[fleet.Life]time.Time{}, changed: changed,
 	}
 }
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -114,7 +114,7 @@
 	want(t, other, c, start, Waiting)
 	other.Heard(table.News(start), start)
 	want(t, other, c, start, Suspect)
-	if len(table.running) != 0 {
+	if len(table.running) != 0 || len(table.tried) != 0 {
 		t.Errorf("%d contents count as running", len(table.running))
 	}
 }
