--- a/node/node.go
+++ b/node/node.go
@@ -160,6 +160,9 @@
 		age, _ := n.view.follower.Age()
 		return age.Seconds()
 	})
+	telemetry.NewGaugeFunc(n.registry, "keel_node_contents_refused", "Contents that are refused now because targets ended under them.", func() float64 {
+		return float64(n.view.verdicts.table.Refused(time.Now()))
+	})
 	telemetry.NewGaugeFunc(n.registry, "keel_node_seat_held", "1 while this node gives the orders.", func() float64 {
 		if _, held := n.view.seat.Held(); held {
 			return 1
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -59,6 +59,19 @@
 	return j
 }
 
+// Refused returns how many contents are refused now.
+func (t *Table) Refused(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, r := range t.records {
+		if r.convicted(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // underWay reports whether a request with a content is at a target; the caller holds mu.
 func (t *Table) underWay(content Fingerprint, now time.Time) bool {
 	if slices.ContainsFunc(t.running[content], func(s *Stay) bool { return s.at != nil }) {
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -65,6 +65,9 @@
 	want(t, table, guilty, start.Add(time.Second), Suspect)
 	ends(table, life(2), start.Add(2*time.Second), guilty)
 	want(t, table, guilty, start.Add(2*time.Second), Refused)
+	if n := table.Refused(start.Add(2 * time.Second)); n != 1 {
+		t.Errorf("%d contents count as refused", n)
+	}
 	if j := table.Judge(guilty.Content, start.Add(3*time.Second)); j.Ends != EndsMost || j.For != firstTerm-time.Second {
 		t.Errorf("judged %+v", j)
 	}
