Proof: an entry that hears nobody learns verdicts from the store

Cause: the rule binds entries that reach the store though they hear no other entry. Change: a test with two nodes whose words go nowhere. Ruled out: that it passes by the deaf node's own ends: none ended there before.

--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -231,3 +231,26 @@
 		}
 	}
 }
+
+// An entry hears nothing of the others, but reaches the store and the runners. What the
+// others saw reaches it by the store, before it has seen anything itself.
+func TestEntryThatHearsNobodyLearnsFromTheStore(t *testing.T) {
+	w := newDeadlyWorld(t, 6)
+	deaf := w.startNode("n1")
+	w.store.Set(deaf.view.self, memberValue("127.0.0.1:9", "z1"))
+	w.store.Set(w.node.view.self, memberValue("127.0.0.1:9", "z1"))
+	nowhere := func(n *Node) bool {
+		plan := n.view.plan()
+		return len(plan.Peers) == 1 && plan.Peers[0].Address == "127.0.0.1:9"
+	}
+	w.until("each sends its words nowhere", func() bool { return nowhere(w.node) && nowhere(deaf) })
+	w.repeat("/match/deadly", 8, w.node)
+	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(deadlyWord)}.Fingerprint()
+	w.until("it knows the verdict", func() bool {
+		return deaf.view.verdicts.table.Judge(content, time.Now()).Standing == poison.Refused
+	})
+	before := w.crashes()
+	if !w.refuses(deaf) || w.crashes() != before {
+		t.Errorf("it ran the request: %d runners ended, %d before", w.crashes(), before)
+	}
+}
