--- /dev/null
+++ b/node/world_test.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/internal/standin/kv"
+	"acaciakeel/internal/standin/runner"
+	"acaciakeel/platform"
+)
+
+// world is a node with its platform: a store, two runners of a model, two
+// targets of a plain service.
+type world struct {
+	t       *testing.T
+	store   *kv.Store
+	kv      *httptest.Server
+	node    *Node
+	runners []*runner.Runner
+	desks   []*runner.Runner
+	version int
+	// graceS is the grace of the nodes started from now on, in seconds.
+	graceS float64
+	// stock is the service that lookups go to.
+	stock string
+	log   logrus.FieldLogger
+}
+
+const (
+	model    = "m"
+	goodKey  = "key-1"
+	otherKey = "key-2"
+)
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return newWorldWith(t, log)
+}
+
+// newWorldWith returns a world whose nodes log to log.
+func newWorldWith(t *testing.T, log logrus.FieldLogger) *world {
+	t.Helper()
+	w := &world{t: t, store: kv.NewStore(0), graceS: 8, stock: "desk", log: log}
+	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
+	for i := range 2 {
+		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
+		w.desks = append(w.desks, runner.Start(fmt.Sprintf("d%d", i), "desk", nil))
+	}
+	for _, r := range append(w.runners, w.desks...) {
+		w.store.Set(r.Entry("ready").Key, r.Entry("ready").Value)
+		t.Cleanup(r.Close)
+	}
+	w.configure(goodKey, otherKey)
+	w.node = w.startNode("n0")
+	t.Cleanup(w.kv.Close)
+	t.Cleanup(w.kv.CloseClientConnections)
+	return w
+}
+
+// startNode starts a node and waits until it is ready.
+func (w *world) startNode(name string) *Node {
+	w.t.Helper()
+	settings := platform.Node{
+		Name: name, IP: "127.0.0.1", Zone: "z1", Ports: []int{0},
+		Listen: platform.Listen{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
+		Bounds: platform.Bounds{
+			GraceS: w.graceS, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: 8000, LeaseMS: 3000,
+			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10,
+		},
+		Store: platform.StoreAt{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
+	}
+	n := New(settings, Options{}, w.log)
+	if err := n.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(n.cancel)
+	w.until("the node is ready", func() bool { return get(w.t, n.ReadyAddress()) == http.StatusOK })
+	return n
+}
+
+func get(t *testing.T, address string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + address + "/ready")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// patience bounds the waiting for something that must come; no test judges how
+// long it took.
+const patience = 20 * time.Second
+
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	w.t.Fatalf("waited in vain until %s", what)
+}
+
+// configure writes a new version of the configuration with the keys given.
+func (w *world) configure(keys ...string) {
+	w.version++
+	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": 5000, "target_latency_ms": 2000, "attempts": 2}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	services := []any{
+		map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
+		map[string]any{"name": "desk", "max_conns": 100},
+	}
+	if w.stock != "desk" {
+		services = append(services, map[string]any{"name": w.stock, "max_conns": 100})
+	}
+	value, _ := json.Marshal(map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
+			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1, "timeout_ms": 15000}),
+			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1, "timeout_ms": 15000}),
+			route("stock", "/stock/", "idempotent", w.stock, map[string]any{"target_latency_ms": 100}),
+		},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "c1", "api_keys": keys}},
+	})
+	w.store.Set("op/config", value)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var ids int
+
+// send sends one attempt of a client, with a fresh id.
+func (w *world) send(method, path, body string, header map[string]string) answer {
+	w.t.Helper()
+	ids++
+	return w.sendTo(w.node, method, path, body, fmt.Sprintf("id-%d", ids), header)
+}
+
+func (w *world) sendTo(n *Node, method, path, body, id string, header map[string]string) answer {
+	w.t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.FrontAddress()+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Key", goodKey)
+	req.Header.Set("Deadline-Ms", "5000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func prompt() map[string]string {
+	return map[string]string{"Model": model, "Token-Count": "900,50", "Prefix-Hash": "aa:400,bb:300,cc:200"}
+}
+
+func (w *world) ran(targets []*runner.Runner) []runner.Seen {
+	var out []runner.Seen
+	for _, r := range targets {
+		for _, s := range r.Seen() {
+			if s.Ran {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+func whole() string {
+	var b strings.Builder
+	for i := 1; i <= runner.Events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
