Whoever sees that a life has ended says so to all who keep something of it

Callers would see: a request that ended its target held to nothing where the holder of the orders, and not a request, found another target at its address. Cause: only the path of requests passed that sign on. Change: the view of the targets tells of each life that it takes out as ended. Ruled out: that lives leave that way as planned: answers break off before that only where the target ended under them. Measured: a test with another runner at the address.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,6 +81,8 @@
 	groupNews newsAge
 	// reborn is told of each later life of a target.
 	reborn func(now, former Life)
+	// ended is told of each life that was seen to have ended.
+	ended func(Life)
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -202,9 +204,13 @@
 func (f *Fleet) Ended(l Life) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.holds(l) {
-		delete(f.states, l.ID)
-		f.scattered = true
+	if !f.holds(l) {
+		return
+	}
+	delete(f.states, l.ID)
+	f.scattered = true
+	if f.ended != nil {
+		f.ended(l)
 	}
 }
 
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -26,6 +26,12 @@
 	f.reborn = told
 }
 
+// OnEnded has told called with each life that was seen to have ended. It is set before
+// the view is used, and must not use the view.
+func (f *Fleet) OnEnded(told func(Life)) {
+	f.ended = told
+}
+
 // Hear takes that something was heard of a life and reports whether it is the
 // one that holds: words of another one change nothing.
 func (f *Fleet) Hear(l Life) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,7 @@
 	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	targets.OnRebirth(n.view.reborn)
+	targets.OnEnded(func(l fleet.Life) { n.view.verdicts.table.Ended(l, time.Now()) })
 	watches := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
 	timing := follow.Timing{Wait: watchWait, Gather: gather, Patience: n.view.patience, Counted: func(r follow.Reason) { watches.WithLabelValues(string(r)).Inc() }}
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewFeed(n.view), log)
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -268,3 +268,22 @@
 	}
 	w.until("the verdict is in the store again", w.kept)
 }
+
+// A runner ends under a request and another one is at its address at once, so that no
+// connection is refused. The next request that goes there is told so (421), and that is
+// a sign of the end as good as any.
+func TestAnotherRunnerAtTheAddressIsASignOfTheEnd(t *testing.T) {
+	w := newDeadlyWorld(t, 2)
+	f, table := w.node.view.fleet, w.node.view.verdicts.table
+	c := poison.Case{Content: poison.Content{URI: "/replaced"}.Fingerprint(), Service: "lm"}
+	gone := fleet.Runner{ID: "gone", Service: "lm", Address: w.runners[0].Address(), Weights: map[string]int64{model: 1}}
+	f.Put(gone)
+	w.until("a request meets the other runner", func() bool {
+		table.Broke(c, gone.Life(), time.Now(), time.Now())
+		ids++
+		header := prompt()
+		header["Prefix-Hash"] = fmt.Sprintf("a%d:400,b%d:300,c%d:200", ids, ids, ids)
+		w.send("POST", "/draft/x", "", header)
+		return table.Judge(c.Content, time.Now()).Ends == 1
+	})
+}
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -50,7 +50,6 @@
 	switch {
 	case a.Moved && a.Instance != "" && a.Instance != choice.Runner.ID:
 		f.Ended(choice.Runner.Life())
-		s.router.poison.Ended(choice.Runner.Life(), now)
 		kind = refusal.NotReady
 	case a.Moved:
 		s.misjudged(choice, a)
