A word on a suspect under way is kept by content

Callers would see: the same request tried at two entries at once, where another suspect was at the same target: each word took the place of the one before. Cause: words on runs under way were kept by target, which may run several suspects. Change: they are kept by content. Ruled out: several targets for one content: the newest word is as good as any, as the others wait in any case. Measured: the test of suspects tried one at a time, with a third at the same target, passes; with words kept by target it could not hold (not run).

--- a/poison/judge.go
+++ b/poison/judge.go
@@ -77,20 +77,16 @@
 	if slices.ContainsFunc(t.running[content], func(s *Stay) bool { return s.at != nil }) {
 		return true
 	}
-	for _, w := range t.elsewhere {
-		if w.content == content && now.Sub(w.at) <= underWayFor {
-			return true
-		}
-	}
-	return false
+	w, ok := t.elsewhere[content]
+	return ok && w.holds(now)
 }
 
 // apart returns the targets at which suspects are; the caller holds mu.
 func (t *Table) apart(now time.Time) []fleet.Life {
 	var out []fleet.Life
-	for life, w := range t.elsewhere {
-		if now.Sub(w.at) <= underWayFor {
-			out = append(out, life)
+	for _, w := range t.elsewhere {
+		if w.holds(now) {
+			out = append(out, w.at)
 		}
 	}
 	for _, life := range t.tried {
--- a/poison/news.go
+++ b/poison/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -129,11 +128,10 @@
 	for _, report := range all {
 		t.heard(report, Told, now)
 		if report.At != nil {
-			t.elsewhere[*report.At] = underWay{content: report.Content, at: now}
-			continue
+			t.elsewhere[report.Content] = underWay{at: *report.At, heard: now}
+		} else {
+			delete(t.elsewhere, report.Content)
 		}
-		// Where another process has one under way, its next pulse says so again.
-		maps.DeleteFunc(t.elsewhere, func(_ fleet.Life, w underWay) bool { return w.content == report.Content })
 	}
 }
 
--- a/poison/table.go
+++ b/poison/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -105,7 +106,7 @@
 	// are at a target, and elsewhere those that others say they have under way.
 	running   map[Fingerprint][]*Stay
 	tried     map[*Stay]fleet.Life
-	elsewhere map[fleet.Life]underWay
+	elsewhere map[Fingerprint]underWay
 	// broken are the answers that wait for evidence, and ended the lives of which it came.
 	broken []broken
 	ended  map[fleet.Life]time.Time
@@ -117,16 +118,20 @@
 	changes []Change
 }
 
-// underWay is another process's word that a suspect is under way.
+// underWay is another process's word that a suspect is at a target.
 type underWay struct {
-	content Fingerprint
-	at      time.Time
+	at    fleet.Life
+	heard time.Time
+}
+
+func (w underWay) holds(now time.Time) bool {
+	return now.Sub(w.heard) <= underWayFor
 }
 
 // New returns an empty table. It tells changed of each change; changed may be nil.
 func New(changed func(Change)) *Table {
 	return &Table{
-		records: map[Fingerprint]*record{}, running: map[Fingerprint][]*Stay{}, tried: map[*Stay]fleet.Life{}, elsewhere: map[fleet.Life]underWay{},
+		records: map[Fingerprint]*record{}, running: map[Fingerprint][]*Stay{}, tried: map[*Stay]fleet.Life{}, elsewhere: map[Fingerprint]underWay{},
 		ended: map[fleet.Life]time.Time{}, changed: changed,
 	}
 }
@@ -363,9 +368,5 @@
 			delete(t.records, content)
 		}
 	}
-	for life, w := range t.elsewhere {
-		if now.Sub(w.at) > underWayFor {
-			delete(t.elsewhere, life)
-		}
-	}
+	maps.DeleteFunc(t.elsewhere, func(_ Fingerprint, w underWay) bool { return !w.holds(now) })
 }
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -111,6 +111,15 @@
 	if apart := other.Judge(y.Content, start).Apart; len(apart) != 1 || apart[0] != life(1) {
 		t.Errorf("another suspect is kept apart from %v", apart)
 	}
+	// A third one at the same target takes nothing from the word on the first.
+	z := named("z")
+	ends(table, life(0), start, z)
+	at := table.Begin(z.Content)
+	at.At(life(1))
+	other.Heard(table.News(start), start)
+	at.End()
+	want(t, other, c, start, Waiting)
+	want(t, other, z, start, Waiting)
 	stay.Left()
 	want(t, table, c, start, Suspect)
 	stay.End()
