An entry that is no member yet is answered with what is held against contents

Cause: an entry serves once it has its configuration and tells the others, but these tell it nothing until the store has named it to them, up to half a second. The log of a failed run: the entry that had started 0.3 s before held its own two ends alone, while the other, which heard it, held four. Change: whoever hears a process that it does not tell answers it directly, at once when what is held has changed, else four times a second, a kilobyte at most. Failed tests of ends print what the nodes logged of them. Ruled out: lost datagrams (words came one way, none the other); load alone (with answers four times a second only, 2 of 48 failed: the third end waited for the next answer). The other test that failed in that run, of another runner at an address, could not be made to fail again in 150 runs; it put its runner into the view past the list, which a listing anew takes out, and now has it listed. That cause is inferred.

--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -37,10 +37,10 @@
 	for i := range n {
 		at[netip.MustParseAddrPort(address(i))] = i
 	}
-	for i := range n {
+	for own := range n {
 		f := fleet.New("z0")
 		f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
-		name := fmt.Sprintf("n%d/x", i)
+		name := fmt.Sprintf("n%d/x", own)
 		v := &view{fleet: f, log: log, keys: keys, self: keys.members + name, members: map[string]peering.Member{}}
 		for other := range n {
 			v.enlist(fmt.Sprintf("%sn%d/x", keys.members, other), string(memberValue(address(other), fmt.Sprintf("z%d", other%5))))
@@ -50,7 +50,7 @@
 		p.write = func(datagram []byte, to netip.AddrPort) {
 			if i, ok := at[to]; ok && !h.away[i] {
 				h.got[i]++
-				h.nodes[i].take(datagram)
+				h.nodes[i].take(datagram, netip.MustParseAddrPort(address(own)))
 			}
 		}
 		h.nodes = append(h.nodes, p)
@@ -214,6 +214,28 @@
 	}
 }
 
+// An entry has started and tells the others, which the store has not told of it yet: they
+// tell it nothing. What it must not send it hears all the same, at its first pulse.
+func TestOneThatIsNoMemberYetIsAnswered(t *testing.T) {
+	h := newHall(5)
+	c := poison.Case{Content: poison.Content{URI: "/deadly"}.Fingerprint(), Service: "lm", Customer: "c1"}
+	ended := fleet.Life{ID: "ended", Born: 1}
+	fresh := h.nodes[4]
+	for _, p := range h.nodes[:4] {
+		p.view.enlist(fresh.view.self, "")
+	}
+	h.nodes[0].table.Broke(c, ended, time.Now(), time.Now())
+	h.nodes[0].table.Ended(ended, time.Now())
+	h.nodes[0].send(h.nodes[0].view.plan())
+	if got := fresh.table.Judge(c.Content, time.Now()).Standing; got != poison.Free {
+		t.Errorf("one that is no member is told: %s", got)
+	}
+	fresh.send(fresh.view.plan())
+	if got := fresh.table.Judge(c.Content, time.Now()).Standing; got != poison.Suspect {
+		t.Errorf("after its first pulse it holds the content for %s", got)
+	}
+}
+
 // A request that ends runners comes at three entries of one group, and is sent to
 // another group next. Entries of other groups have to refuse it too, a moment later.
 func TestVerdictReachesAllGroups(t *testing.T) {
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"acaciakeel/ctl"
 	"acaciakeel/fleet"
 	"acaciakeel/internal/standin/runner"
@@ -30,7 +33,9 @@
 // newDeadlyWorld returns a world with more runners, all of which end on the word.
 func newDeadlyWorld(t *testing.T, runners int) *world {
 	t.Helper()
-	w := newWorld(t)
+	log, lines := logtest.NewNullLogger()
+	w := newWorldWith(t, log)
+	t.Cleanup(func() { tellEnds(t, lines.AllEntries()) })
 	for i := len(w.runners); i < runners; i++ {
 		r := runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1})
 		w.runners = append(w.runners, r)
@@ -48,6 +53,20 @@
 	return w
 }
 
+// tellEnds prints what the nodes logged of ends, where a test failed: which was seen,
+// by whom it was told, and when.
+func tellEnds(t *testing.T, lines []*logrus.Entry) {
+	if !t.Failed() {
+		return
+	}
+	for _, l := range lines {
+		event, _ := l.Data["event"].(string)
+		if strings.HasPrefix(event, "content_") || strings.HasPrefix(event, "target_") || event == "broke_off" || l.Data["kind"] != nil {
+			t.Logf("%s %v %s", l.Time.Format("05.000"), l.Data, l.Message)
+		}
+	}
+}
+
 func (w *world) crashes() int {
 	n := 0
 	for _, r := range w.runners {
@@ -276,10 +295,14 @@
 	w := newDeadlyWorld(t, 2)
 	f, table := w.node.view.fleet, w.node.view.verdicts.table
 	c := poison.Case{Content: poison.Content{URI: "/replaced"}.Fingerprint(), Service: "lm"}
-	gone := fleet.Runner{ID: "gone", Service: "lm", Address: w.runners[0].Address(), Weights: map[string]int64{model: 1}}
-	f.Put(gone)
+	former := runner.Start("gone", "lm", map[string]int64{model: 1})
+	entry := former.EntryAt("ready", w.runners[0].Address())
+	former.Close()
+	w.store.Set(entry.Key, entry.Value)
+	gone := fleet.Life{ID: "gone"}
+	w.until("it is listed", func() bool { return f.Hear(gone) })
 	w.until("a request meets the other runner", func() bool {
-		table.Broke(c, gone.Life(), time.Now(), time.Now())
+		table.Broke(c, gone, time.Now(), time.Now())
 		ids++
 		header := prompt()
 		header["Prefix-Hash"] = fmt.Sprintf("a%d:400,b%d:300,c%d:200", ids, ids, ids)
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -43,12 +43,12 @@
 	digest      digest
 	// met are the processes of the group and when each was heard last; receive alone
 	// uses it.
-	met   map[string]time.Time
+	met   map[string]meeting
 	watch watchShare
 }
 
 func newPulse(name string, f *fleet.Fleet, t *poison.Table, v *view, log logrus.FieldLogger) *pulse {
-	p := &pulse{name: name, fleet: f, table: t, view: v, met: map[string]time.Time{}, log: log, now: make(chan struct{}, 1)}
+	p := &pulse{name: name, fleet: f, table: t, view: v, met: map[string]meeting{}, log: log, now: make(chan struct{}, 1)}
 	p.watch = newWatchShare(prefix.NameHash(name))
 	return p
 }
@@ -198,7 +198,7 @@
 func (p *pulse) receive() {
 	buffer := make([]byte, pulseBytes)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -207,11 +207,11 @@
 			// reading, which says nothing of this socket.
 			continue
 		}
-		p.take(buffer[:n])
+		p.take(buffer[:n], from)
 	}
 }
 
-func (p *pulse) take(datagram []byte) {
+func (p *pulse) take(datagram []byte, from netip.AddrPort) {
 	var message keelv1.Pulse
 	if err := proto.Unmarshal(datagram, &message); err != nil {
 		p.log.WithError(err).WithField("event", "pulse_unread").Warn("a datagram is no pulse; it is left out")
@@ -223,7 +223,7 @@
 	}
 	now := time.Now()
 	p.digest.heard(message.Sender, now)
-	p.meet(message.Sender, now)
+	p.meet(message.Sender, from, now)
 	if message.WholeLoad {
 		p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), now)
 	}
@@ -237,17 +237,55 @@
 	p.fleet.HeardWords(message.Sender, decodeWords(message.Engines), now)
 }
 
-// metFor is for how long a process that is not heard is remembered: far longer than a
-// choked link keeps its pulses away, so that these do not make it a new one.
-const metFor = time.Minute
+// Figures of meetings.
+const (
+	// metFor is for how long a process that is not heard is remembered: far longer than a
+	// choked link keeps its pulses away, so that these do not make it a new one.
+	metFor = time.Minute
+	// answerEvery is how often one that is not told yet is answered if nothing changed: 24
+	// of a group do so, a kilobyte each.
+	answerEvery = 250 * time.Millisecond
+)
 
-// meet has a process that has just started be told of what is held against contents.
-func (p *pulse) meet(name string, now time.Time) {
-	if _, known := p.met[name]; !known {
+// meeting is when a process was heard last and when it was answered, with what version
+// of what is held against contents.
+type meeting struct {
+	heard, answered time.Time
+	version         int
+}
+
+// meet has a process that has just started be told of what is held against contents. It
+// serves as soon as it has its configuration, and tells the others, but these tell it
+// nothing until the store has told them of it, up to half a second later. A request that
+// ends targets ended two more in that time, so it is answered directly.
+func (p *pulse) meet(name string, from netip.AddrPort, now time.Time) {
+	m, known := p.met[name]
+	if !known {
 		p.table.Retell(now)
 	}
-	p.met[name] = now
-	maps.DeleteFunc(p.met, func(_ string, at time.Time) bool { return now.Sub(at) > metFor })
+	m.heard = now
+	version := p.table.Version()
+	if due := version != m.version || now.Sub(m.answered) >= answerEvery; due && p.answer(name, from, now) {
+		m.answered, m.version = now, version
+	}
+	p.met[name] = m
+	maps.DeleteFunc(p.met, func(_ string, m meeting) bool { return now.Sub(m.heard) > metFor })
+}
+
+// answer tells a process that is not among those that this one tells, and reports whether
+// there was anything to tell.
+func (p *pulse) answer(name string, to netip.AddrPort, now time.Time) bool {
+	held := p.table.Held(now)
+	if len(held) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
+		return false
+	}
+	datagram, err := encodePulse(&keelv1.Pulse{Sender: p.name, Suspects: encodeSuspects(held)})
+	if err != nil {
+		p.log.WithError(err).WithField("event", "pulse_failed").Error("an entry that starts does not know of suspects")
+		return false
+	}
+	p.write(datagram, to)
+	return true
 }
 
 func (p *pulse) heardFindings(message *keelv1.Pulse, now time.Time) []fleet.Finding {
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -66,7 +67,7 @@
 			t.Fatal(err)
 		}
 		for _, d := range datagrams {
-			to.take(d)
+			to.take(d, netip.AddrPort{})
 		}
 	}
 	knows, known := start()
@@ -100,7 +101,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		p := newPulse("n", fleet.New("z"), poison.New(nil), &view{}, log)
-		p.take(datagram)
+		p.take(datagram, netip.AddrPort{})
 		if n := len(p.fleet.IDs()); n != 0 {
 			t.Errorf("a pulse made %d targets", n)
 		}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -99,6 +99,11 @@
 	return slices.ContainsFunc(p.Peers[:p.Turn], func(m Member) bool { return m.Key == key })
 }
 
+// Tells reports whether the member with a key is among those that the process tells.
+func (p Plan) Tells(key string) bool {
+	return slices.ContainsFunc(p.Peers, func(m Member) bool { return m.Key == key })
+}
+
 // MayRelay reports whether the process is among those that relay on a link.
 func (p Plan) MayRelay(l Link) bool {
 	return slices.Contains(l.Relays, p.Self)
--- a/poison/news.go
+++ b/poison/news.go
@@ -22,6 +22,8 @@
 	newsBurst = 4 << 10
 	// retellMost is how old a first end may be that a process which starts is told of.
 	retellMost = 10 * time.Second
+	// heldBytes is about how much a process is told that is not among the members yet.
+	heldBytes = 1 << 10
 	// reportBytes is about what a report takes, and endBytes what each end adds.
 	reportBytes = 30
 	endBytes    = 28
@@ -53,29 +55,60 @@
 		room = newsBurst
 	}
 	t.toldAt = now
-	var untold []*record
+	out, left := t.tell(room, now, func(r *record) bool { return r.untold > 0 })
+	for _, told := range out {
+		t.records[told.Content].untold--
+	}
+	t.room = left
+	return out
+}
+
+// tell returns reports of those records that are wanted, as many as there is room for,
+// and the room that is left; the caller holds mu.
+func (t *Table) tell(room int, now time.Time, wanted func(*record) bool) ([]Report, int) {
+	var all []*record
 	for _, r := range t.records {
-		if r.untold > 0 {
-			untold = append(untold, r)
+		if wanted(r) {
+			all = append(all, r)
 		}
 	}
-	slices.SortFunc(untold, func(a, b *record) int {
+	slices.SortFunc(all, func(a, b *record) int {
 		return cmp.Or(cmp.Compare(b.counted(), a.counted()), b.at.Compare(a.at), slices.Compare(a.Content[:], b.Content[:]))
 	})
 	var out []Report
-	for _, r := range untold {
+	for _, r := range all {
 		if room <= 0 {
 			break
 		}
-		r.untold--
 		report := r.report(t.ownTarget(r.Content), now)
 		room -= report.bytes()
 		out = append(out, report)
 	}
-	t.room = room
+	return out, room
+}
+
+// Held returns what matters most of what is held, for a process that the others do not
+// tell anything yet: about a packet.
+func (t *Table) Held(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out, _ := t.tell(heldBytes, now, func(r *record) bool { return r.matters(now) })
 	return out
 }
 
+// Version changes whenever an end is held against a content.
+func (t *Table) Version() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// matters reports whether a process that starts should know of a content.
+func (r *record) matters(now time.Time) bool {
+	n := r.counted()
+	return n > 1 || n == 1 && now.Sub(r.at) < retellMost
+}
+
 // bytes is about how much a report takes.
 func (r Report) bytes() int {
 	n := reportBytes + endBytes*len(r.Ends) + len(r.Service) + len(r.Customer) + len(r.Request)
@@ -115,7 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.records {
-		if n := r.counted(); n > 1 || n == 1 && now.Sub(r.at) < retellMost {
+		if r.matters(now) {
 			r.untold = max(r.untold, 1)
 		}
 	}
--- a/poison/table.go
+++ b/poison/table.go
@@ -113,6 +113,8 @@
 	// room is how many bytes may be told, as of toldAt.
 	room   int
 	toldAt time.Time
+	// version counts the ends that were added.
+	version int
 	// changed is told of each change, outside of the lock.
 	changed func(Change)
 	changes []Change
@@ -221,6 +223,7 @@
 	}
 	r.add(end{life: life, known: now})
 	r.at = now
+	t.version++
 	if from == Seen {
 		r.Case, r.untold = c, toldTimes
 		t.change(Change{What: Suspected, Origin: from, Target: life, Ends: r.counted()}, c)
