A reading of cache events that meets another target tells that the former has ended

Cause: readings of cache events ask for the runner by its id and are told that another one is there; that was held for silence, silent targets get no requests, and so nobody met the other one until the list lost the entry. Change: such a reading takes the target out as ended, as a request that is told so does, unless a later life was listed meanwhile. Ruled out: that the list puts it back: its entry is taken anew only when it changes.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 )
@@ -135,11 +136,26 @@
 		w.fleet.discard(d.cache)
 		return
 	}
+	if errors.Is(err, ErrOtherRunner) {
+		w.fleet.replaced(d)
+		return
+	}
 	// Where a later life answered, this cache is the former one's, which nobody
 	// looks at any more; that of the new life is read from its first event.
 	w.fleet.took(d.cache, events, err == nil, time.Now())
 }
 
+// replaced takes that another target answers at the address where one was read: that
+// one has ended. Kept as a silent one, it would be held for one that may come back.
+func (f *Fleet) replaced(d due) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.cache.reading, d.cache.silent = false, true
+	if s := f.states[d.reading.Target]; s != nil && &s.cache == d.cache && s.runner.Address == d.reading.Address {
+		f.end(s)
+	}
+}
+
 // discard ends a reading that a former life answered.
 func (f *Fleet) discard(c *cache) {
 	f.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -204,13 +204,18 @@
 func (f *Fleet) Ended(l Life) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.holds(l) {
-		return
+	if f.holds(l) {
+		f.end(f.states[l.ID])
 	}
-	delete(f.states, l.ID)
+}
+
+// end takes a target out whose life has ended; the caller holds mu.
+func (f *Fleet) end(s *state) {
+	life := s.runner.Life()
+	delete(f.states, life.ID)
 	f.scattered = true
 	if f.ended != nil {
-		f.ended(l)
+		f.ended(life)
 	}
 }
 
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -289,20 +289,20 @@
 }
 
 // A runner ends under a request and another one is at its address at once, so that no
-// connection is refused. The next request that goes there is told so (421), and that is
-// a sign of the end as good as any.
+// connection is refused. The next that goes there, a request or a reading of its cache
+// events, is told so (421), and that is a sign of the end as good as any. Where the reading
+// came first, the runner passed for one that is silent, and no request went there again.
 func TestAnotherRunnerAtTheAddressIsASignOfTheEnd(t *testing.T) {
 	w := newDeadlyWorld(t, 2)
-	f, table := w.node.view.fleet, w.node.view.verdicts.table
+	table := w.node.view.verdicts.table
 	c := poison.Case{Content: poison.Content{URI: "/replaced"}.Fingerprint(), Service: "lm"}
 	former := runner.Start("gone", "lm", map[string]int64{model: 1})
 	entry := former.EntryAt("ready", w.runners[0].Address())
 	former.Close()
-	w.store.Set(entry.Key, entry.Value)
 	gone := fleet.Life{ID: "gone"}
-	w.until("it is listed", func() bool { return f.Hear(gone) })
-	w.until("a request meets the other runner", func() bool {
-		table.Broke(c, gone, time.Now(), time.Now())
+	table.Broke(c, gone, time.Now(), time.Now())
+	w.store.Set(entry.Key, entry.Value)
+	w.until("somebody meets the other runner", func() bool {
 		ids++
 		header := prompt()
 		header["Prefix-Hash"] = fmt.Sprintf("a%d:400,b%d:300,c%d:200", ids, ids, ids)
