A refusal after an own send does not say that the request was not run

Callers would see: outcome unknown, and a message that it was not run, where the first send of a request ended a target and the second was not made. Cause: one text for refusals before and after a send. Change: the text follows whether the request was sent. Ruled out: the outcome, which was right. Measured: the test of repeats holds message against outcome for each answer; passes. Found by reading.

--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -81,6 +81,9 @@
 	var last answer
 	for i := range times {
 		last = w.sendTo(nodes[i%len(nodes)], "POST", path, deadlyWord, fmt.Sprintf("%s-%d", path, i), prompt())
+		if said := strings.Contains(last.body, "was not run"); said != strings.Contains(last.body, `"not_run"`) {
+			w.t.Errorf("request %d is told whether it ran in two ways: %s", i, last.body)
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	return last
--- a/router/suspects.go
+++ b/router/suspects.go
@@ -28,13 +28,18 @@
 	}
 	j := s.router.poison.Judge(s.in.content, now)
 	s.alone, s.surely, s.apart = j.Standing == poison.Suspect, j.Surely, j.Apart
+	became := "this one was not run"
+	if s.ran > 0 {
+		// An earlier send of this very request may have ended one of them.
+		became = "this one is not sent on"
+	}
 	switch j.Standing {
 	case poison.Refused:
 		return refusal.New(refusal.EndsTargets, "change the request, or come back after the time in Retry-After; operators can lift the verdict",
-			"%d targets ended while they ran earlier requests with the same content (%s); this one was not run", j.Ends, s.in.content).After(j.For)
+			"%d targets ended while they ran requests with the same content (%s); %s", j.Ends, s.in.content, became).After(j.For)
 	case poison.Waiting:
 		return refusal.New(refusal.SuspectUnderWay, "come back after the time in Retry-After",
-			"a target ended while it ran an earlier request with the same content (%s), and another is being tried; this one was not run", s.in.content).After(retryAfter)
+			"a target ended while it ran a request with the same content (%s), and another is being tried; %s", s.in.content, became).After(retryAfter)
 	}
 	return nil
 }
