A verdict that has lapsed is not renewed by word alone

Callers would see: a content whose verdict had lapsed tried again everywhere but at entries that started just then, which refused it for ten minutes more. Cause: ends that come by the store or by another entry began a verdict where they were enough, also when the word that brought them said that it holds no more. Change: such a word adds its ends without a verdict; one more end renews it, as anywhere. Ruled out: words of fewer than three ends, of which the sum here may be the first verdict on a content: these go on to begin one. Measured: the new test failed before (refused, at one that read the store and at one that heard a peer) and passes; the property over orders of words holds. Found by reading.

--- a/poison/news.go
+++ b/poison/news.go
@@ -176,9 +176,15 @@
 			t.discharge(report.Case, e.Life, now)
 		}
 	}
+	take := t.count
+	if report.lapsed() {
+		// It is on trial there. Taken for ends that have just been seen, they would begin
+		// a verdict anew at whoever starts, with no end since the last one.
+		take = func(c Case, life fleet.Life, from Origin, now time.Time) { t.hold(c, life, from, now) }
+	}
 	for _, e := range report.Ends {
 		if !e.Discharged {
-			t.count(report.Case, e.Life, from, now)
+			take(report.Case, e.Life, from, now)
 		}
 	}
 	r := t.records[report.Content]
@@ -191,6 +197,17 @@
 	}
 }
 
+// lapsed reports whether the ends are enough for a verdict that holds no more.
+func (r Report) lapsed() bool {
+	n := 0
+	for _, e := range r.Ends {
+		if !e.Discharged {
+			n++
+		}
+	}
+	return n >= EndsMost && r.For <= 0
+}
+
 // discharge takes that an end counts no more; the caller holds mu. It is kept also
 // where the end is not known: its news may come later than that of its discharge.
 func (t *Table) discharge(c Case, life fleet.Life, now time.Time) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -215,11 +215,21 @@
 	}
 }
 
-// count adds an end to a content's; the caller holds mu.
+// count adds an end to a content's, and begins a verdict where it is one too many; the
+// caller holds mu.
 func (t *Table) count(c Case, life fleet.Life, from Origin, now time.Time) {
-	r := t.record(c, now)
+	r, added := t.hold(c, life, from, now)
+	if added && r.counted() >= EndsMost && !now.Before(r.until) {
+		t.convict(r, c, life, from, now)
+	}
+}
+
+// hold adds an end to a content's, and reports whether it was not known; the caller holds
+// mu.
+func (t *Table) hold(c Case, life fleet.Life, from Origin, now time.Time) (r *record, added bool) {
+	r = t.record(c, now)
 	if r.has(life) {
-		return
+		return r, false
 	}
 	r.add(end{life: life, known: now})
 	r.at = now
@@ -228,9 +238,7 @@
 		r.Case, r.untold = c, toldTimes
 		t.change(Change{What: Suspected, Origin: from, Target: life, Ends: r.counted()}, c)
 	}
-	if r.counted() >= EndsMost && !now.Before(r.until) {
-		t.convict(r, c, life, from, now)
-	}
+	return r, true
 }
 
 // convict begins a verdict; the caller holds mu.
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -222,6 +222,26 @@
 	}
 }
 
+// An entry starts just after a verdict has lapsed, and finds it in the store, or hears of
+// it from another. The content is to be tried, as everywhere; taken for three ends that
+// have just been seen, it was refused there for ten minutes more, with no new end.
+func TestLapsedVerdictIsNotRenewedByWord(t *testing.T) {
+	table, c := New(nil), named("x")
+	for i := range 3 {
+		ends(table, life(i), start, c)
+	}
+	kept := table.Unkept(true, start.Add(othersAfter))[0]
+	later := start.Add(firstTerm + time.Second)
+	table.Sweep(later)
+	reader, hearer := New(nil), New(nil)
+	reader.Read(kept, later)
+	want(t, reader, c, later, Suspect)
+	hearer.Heard(table.Held(later), later)
+	want(t, hearer, c, later, Suspect)
+	ends(hearer, life(3), later, c)
+	want(t, hearer, c, later, Refused)
+}
+
 // A hostile customer sends another content each time. What is kept of it is bounded,
 // and neither a verdict nor other customers' suspects go for it.
 func TestFloodOfSuspectsIsBounded(t *testing.T) {
