What the project had is called: filters, the busiest word, one look for a member, one name of a customer

Change: targets to keep apart from go through placement.Except, as those that were tried do; a target's requests by the most that anybody says are worked out in one place for waits and for suspects; a plain suspect is sent by chooseIdle; peering looks for a key in one function; a customer's name is read in one. A session keeps the judgement in place of three fields of it; a question about a target is a channel. Ruled out: a change of behaviour: the same choices, words and bounds.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"acaciakeel/forecast"
@@ -112,8 +113,8 @@
 	}
 	indices = answering(g, indices)
 	if q.Alone && !f.off[policy.Alone] {
-		if s := f.chooseAlone(q, g, indices, now); s != nil {
-			return f.choiceAlone(q, s, now), true
+		if c, ok := f.chooseAlone(q, g, indices, now); ok {
+			return c, true
 		}
 	}
 	if q.Model == "" {
@@ -172,6 +173,30 @@
 	return Choice{Runner: best.runner, Wait: f.queueWait(best, now)}
 }
 
+// chooseAlone picks the target at which the fewest requests run, for a request that may
+// end it: whatever it finds cached elsewhere is not worth the work of others. Targets
+// where another such request is come last, so that it shows which of them it was. With
+// one at each target keeping them apart is in vain, and ok is false, unless it has to be
+// at any rate: when a dozen targets end together, hundreds are suspect for a moment, and
+// prompts read anew for each would cost the others more.
+func (f *Fleet) chooseAlone(q Query, g *group, indices []int32, now time.Time) (c Choice, ok bool) {
+	apart := placement.Except(f.present(q.Apart))
+	rest := slices.DeleteFunc(slices.Clone(indices), func(i int32) bool { return !apart(&g.placed[i]) })
+	if len(rest) == 0 {
+		if !q.AtAnyRate {
+			return Choice{}, false
+		}
+		rest = indices
+	}
+	best := slices.MinFunc(rest, func(a, b int32) int {
+		return g.states[a].busy(now) - g.states[b].busy(now)
+	})
+	if q.Model == "" {
+		return f.chooseIdle(g, []int32{best}, now), true
+	}
+	return f.choice(q, g.states[best], map[int64]prefix.Chain{}, fetch{}, now), true
+}
+
 func (f *Fleet) linkCost(s *state) time.Duration {
 	if s.runner.Zone == f.zone {
 		return 0
@@ -313,13 +338,18 @@
 	if slots == 0 {
 		return 0
 	}
-	busy := max(s.sum(now).Inflight, s.toldBusy(now))
+	busy := s.busy(now)
 	if busy < slots {
 		return 0
 	}
 	return slotTime * time.Duration(busy-slots+1) / time.Duration(slots)
 }
 
+// busy returns how many requests a target has, by the most that anybody says.
+func (s *state) busy(now time.Time) int {
+	return max(s.sum(now).Inflight, s.toldBusy(now))
+}
+
 // toldBusy returns how many requests a target has by its own last word and what this
 // process sent since. A word of a queue holds until that is likely worked off: one
 // process out of a hundred hears of a full target when it is turned away there, and
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -73,7 +73,7 @@
 	})
 	groups := divide(order)
 	at := slices.IndexFunc(groups, func(g []Member) bool {
-		return slices.ContainsFunc(g, func(m Member) bool { return m.Key == self })
+		return has(g, self)
 	})
 	if at < 0 {
 		return Plan{Self: self, Groups: len(groups)}
@@ -96,12 +96,17 @@
 
 // Before reports whether a member's turn comes before the process's own.
 func (p Plan) Before(key string) bool {
-	return slices.ContainsFunc(p.Peers[:p.Turn], func(m Member) bool { return m.Key == key })
+	return has(p.Peers[:p.Turn], key)
 }
 
 // Tells reports whether the member with a key is among those that the process tells.
 func (p Plan) Tells(key string) bool {
-	return slices.ContainsFunc(p.Peers, func(m Member) bool { return m.Key == key })
+	return has(p.Peers, key)
+}
+
+// has reports whether the member with a key is among some.
+func has(members []Member, key string) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Key == key })
 }
 
 // MayRelay reports whether the process is among those that relay on a link.
--- a/poison/change.go
+++ b/poison/change.go
@@ -19,11 +19,6 @@
 	Dropped   What = "dropped"
 )
 
-// Whats returns every kind of change.
-func Whats() []What {
-	return []What{Suspected, Convicted, Cleared, Lifted, Expired, Dropped}
-}
-
 // Origin says how a process came to know.
 type Origin string
 
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -33,8 +33,6 @@
 	// a target together are both suspected of it, and the proper one of them for no
 	// reason of its own.
 	Apart []fleet.Life
-	// Surely is set where more than one target has ended.
-	Surely bool
 }
 
 // Judge says what a request with a content may do now. Clients repeat a request at
@@ -47,7 +45,7 @@
 	if r == nil || r.counted() == 0 {
 		return Judgement{Standing: Free}
 	}
-	j := Judgement{Standing: Suspect, Ends: r.counted(), Surely: r.counted() > 1}
+	j := Judgement{Standing: Suspect, Ends: r.counted()}
 	switch {
 	case r.convicted(now):
 		j.Standing, j.For = Refused, r.until.Sub(now)
--- a/router/endings.go
+++ b/router/endings.go
@@ -26,16 +26,11 @@
 	mu sync.Mutex
 	// asked are the questions under way, by life: all requests that a target was
 	// serving break off at the same moment.
-	asked map[fleet.Life]*question
-}
-
-// question is one about a life; done is closed once its first answer is there.
-type question struct {
-	done chan struct{}
+	asked map[fleet.Life]chan struct{}
 }
 
 func newEndings(s Sender, f *fleet.Fleet, t *poison.Table, log logrus.FieldLogger) *endings {
-	return &endings{sender: s, fleet: f, table: t, log: log, asked: map[fleet.Life]*question{}}
+	return &endings{sender: s, fleet: f, table: t, log: log, asked: map[fleet.Life]chan struct{}{}}
 }
 
 // Figures of the questions.
@@ -48,24 +43,24 @@
 )
 
 // ask asks whether a target has ended, once for all requests that ask at the same
-// time.
-func (e *endings) ask(target fleet.Runner) *question {
+// time. What it returns is closed once the first answer is there.
+func (e *endings) ask(target fleet.Runner) <-chan struct{} {
 	life := target.Life()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if q := e.asked[life]; q != nil {
-		return q
+	if answered := e.asked[life]; answered != nil {
+		return answered
 	}
-	q := &question{done: make(chan struct{})}
-	e.asked[life] = q
-	go e.pursue(target, q)
-	return q
+	answered := make(chan struct{})
+	e.asked[life] = answered
+	go e.pursue(target, answered)
+	return answered
 }
 
-func (e *endings) pursue(target fleet.Runner, q *question) {
+func (e *endings) pursue(target fleet.Runner, answered chan<- struct{}) {
 	found := e.listens(target)
 	e.take(target, found)
-	close(q.done)
+	close(answered)
 	if found == Present {
 		time.Sleep(askAgain)
 		found = e.listens(target)
@@ -132,7 +127,7 @@
 		return
 	}
 	select {
-	case <-s.asked.done:
+	case <-s.asked:
 	case <-ctx.Done():
 	}
 	s.asked = nil
--- a/router/endings_test.go
+++ b/router/endings_test.go
@@ -39,7 +39,7 @@
 	e := newEndings(says, fleet.New(""), poison.New(nil), log)
 	var wg sync.WaitGroup
 	for range 16 {
-		wg.Go(func() { <-e.ask(fleet.Runner{ID: "r", Born: 7}).done })
+		wg.Go(func() { <-e.ask(fleet.Runner{ID: "r", Born: 7}) })
 	}
 	wg.Wait()
 	time.Sleep(2 * askAgain)
--- a/router/router.go
+++ b/router/router.go
@@ -144,11 +144,15 @@
 // fingerprint names what is asked, however often and wherever it comes. It takes
 // about a microsecond of a kilobyte.
 func (in *admitted) fingerprint() poison.Fingerprint {
-	c := poison.Content{Method: in.Method, Host: in.Host, URI: in.URI, Body: in.Body}
-	if in.customer != nil {
-		c.Customer = in.customer.Name
+	return poison.Content{Method: in.Method, Host: in.Host, URI: in.URI, Customer: in.customerName(), Body: in.Body}.Fingerprint()
+}
+
+// customerName is empty on routes without keys.
+func (in *admitted) customerName() string {
+	if in.customer == nil {
+		return ""
 	}
-	return c.Fingerprint()
+	return in.customer.Name
 }
 
 // priority is the rank that the target gets.
--- a/router/session.go
+++ b/router/session.go
@@ -34,15 +34,12 @@
 	pause  time.Duration
 	// sentAt is when the last send began.
 	sentAt time.Time
-	// here counts the request among those of its content, asked is the question about
-	// the target that broke the last answer off, alone is set once the content is
-	// suspect, surely once it is by more than one end, and apart are the targets where
-	// other suspects are.
+	// here counts the request among those of its content, judged is how that stood before
+	// the last send, and asked is closed once it is known whether the target that broke
+	// the last answer off has ended; nil where none did.
 	here   *poison.Stay
-	asked  *question
-	alone  bool
-	surely bool
-	apart  []fleet.Life
+	judged poison.Judgement
+	asked  <-chan struct{}
 }
 
 func (s *session) run(ctx context.Context) *refusal.Error {
@@ -100,9 +97,9 @@
 		Tried:         s.tried,
 		OldWeightsFor: s.router.bounds.OldWeights,
 		Weights:       cacheWeights,
-		Alone:         s.alone,
-		AtAnyRate:     s.surely,
-		Apart:         s.apart,
+		Alone:         s.judged.Standing == poison.Suspect,
+		AtAnyRate:     s.judged.Ends > 1,
+		Apart:         s.judged.Apart,
 	}
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
@@ -194,10 +191,7 @@
 
 func (s *session) newSend(choice fleet.Choice) *Send {
 	in := s.in
-	send := &Send{Request: in.Request, Runner: choice.Runner, Deadline: in.limit, Priority: -1, Weights: choice.Weights, After: s.after()}
-	if in.customer != nil {
-		send.Customer = in.customer.Name
-	}
+	send := &Send{Request: in.Request, Runner: choice.Runner, Deadline: in.limit, Customer: in.customerName(), Priority: -1, Weights: choice.Weights, After: s.after()}
 	if in.Model != "" {
 		send.Priority = in.priority()
 		send.Salt = in.salt(choice.Weights)
--- a/router/suspects.go
+++ b/router/suspects.go
@@ -10,11 +10,7 @@
 
 // suspicion is the request as far as a verdict on its content needs it.
 func (in *admitted) suspicion() poison.Case {
-	c := poison.Case{Content: in.content, Service: in.service.Name, Request: in.ID}
-	if in.customer != nil {
-		c.Customer = in.customer.Name
-	}
-	return c
+	return poison.Case{Content: in.content, Service: in.service.Name, Customer: in.customerName(), Request: in.ID}
 }
 
 // judge refuses a request whose content is known to end targets, and has one that may
@@ -27,7 +23,7 @@
 		return nil
 	}
 	j := s.router.poison.Judge(s.in.content, now)
-	s.alone, s.surely, s.apart = j.Standing == poison.Suspect, j.Surely, j.Apart
+	s.judged = j
 	became := "this one was not run"
 	if s.ran > 0 {
 		// An earlier send of this very request may have ended one of them.
