Verdicts in the store are a package, whose keys entries and keelctl read by one function

Change: node/verdicts.go is package verdicts, as it was but for names; key, content of a key and an entry's verdict are read there for both. The encodings of suspects stand beside the others of a pulse. Ruled out: the keys in poison/: that would have to know the platform's prefix. Measured: tests of docs, poison and of node on verdicts, ends and pulses pass.

--- a/ctl/verdicts.go
+++ b/ctl/verdicts.go
@@ -13,6 +13,7 @@
 	"acaciakeel/platform"
 	"acaciakeel/poison"
 	"acaciakeel/store"
+	"acaciakeel/verdicts"
 )
 
 // verdictsTry bounds a call of the platform's store by an operator's command.
@@ -43,7 +44,7 @@
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTENT\tSERVICE\tCUSTOMER\tLAST REQUEST\tENDED\tSTATE")
 	for _, e := range entries {
-		v, err := readVerdict(e, now)
+		v, err := verdicts.Decode(e, now)
 		if err != nil {
 			fmt.Fprintf(w, "%s\t\t\t\t\t%v\n", strings.TrimPrefix(e.Key, platform.VerdictPrefix), err)
 			continue
@@ -57,17 +58,6 @@
 	return w.Flush()
 }
 
-func readVerdict(e store.Entry, now time.Time) (poison.Verdict, error) {
-	content, err := poison.Parse(strings.TrimPrefix(e.Key, platform.VerdictPrefix))
-	if err != nil {
-		return poison.Verdict{}, err
-	}
-	if e.Unread != nil {
-		return poison.Verdict{}, e.Unread
-	}
-	return poison.Decode(content, e.Value, e.Revision, now)
-}
-
 func verdictState(v poison.Verdict, now time.Time) string {
 	switch left := v.Until.Sub(now).Round(time.Second); {
 	case v.Lifted:
@@ -99,7 +89,7 @@
 // lift marks a verdict as lifted; the entries see that by their watch. Removed, it would
 // go on until it lapses: a key that is missing may be one that the store lost.
 func (a *app) lift(ctx context.Context, s store.Store, content poison.Fingerprint) error {
-	key := platform.VerdictPrefix + content.String()
+	key := verdicts.Key(content)
 	entry, err := s.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
 		return cli.Exit("there is no verdict on this content; keelctl verdicts lists them", ExitInvalid)
@@ -107,7 +97,7 @@
 	if err != nil {
 		return fmt.Errorf("read the verdict: %w", err)
 	}
-	v, err := readVerdict(entry, time.Now())
+	v, err := verdicts.Decode(entry, time.Now())
 	if err != nil {
 		return fmt.Errorf("read the verdict: %w; an entry of another writer is not changed", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"acaciakeel/router"
 	"acaciakeel/store"
 	"acaciakeel/telemetry"
+	"acaciakeel/verdicts"
 )
 
 // Node is the process.
@@ -127,14 +128,14 @@
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
-	n.view.verdicts = newVerdicts(n.store, n.registry, log)
+	n.view.verdicts = verdicts.NewKeeper(n.store, n.registry, log)
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
-	n.pulse = newPulse(n.name, targets, n.view.verdicts.table, n.view, log)
-	n.view.verdicts.seat, n.view.verdicts.soon = n.view.seat, n.pulse.soon
+	n.pulse = newPulse(n.name, targets, n.view.verdicts.Table, n.view, log)
+	n.view.verdicts.Seat, n.view.verdicts.Soon = n.view.seat, n.pulse.soon
 	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
 	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
 	targets.OnRebirth(n.view.reborn)
-	targets.OnEnded(func(l fleet.Life) { n.view.verdicts.table.Ended(l, time.Now()) })
+	targets.OnEnded(func(l fleet.Life) { n.view.verdicts.Table.Ended(l, time.Now()) })
 	watches := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
 	timing := follow.Timing{Wait: watchWait, Gather: gather, Patience: n.view.patience, Counted: func(r follow.Reason) { watches.WithLabelValues(string(r)).Inc() }}
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewFeed(n.view), log)
@@ -148,7 +149,7 @@
 		Extra:  s.Bounds.RetryExtra,
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
-	n.router = router.New(n.view, targets, runners, n.view.verdicts.table, router.NewMetrics(n.registry), log, bounds, retries)
+	n.router = router.New(n.view, targets, runners, n.view.verdicts.Table, router.NewMetrics(n.registry), log, bounds, retries)
 	n.front = platform.NewFront(n.router, n.view.limits, platform.Watch{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
@@ -162,7 +163,7 @@
 		return age.Seconds()
 	})
 	telemetry.NewGaugeFunc(n.registry, "keel_node_contents_refused", "Contents that are refused now because targets ended under them.", func() float64 {
-		return float64(n.view.verdicts.table.Refused(time.Now()))
+		return float64(n.view.verdicts.Table.Refused(time.Now()))
 	})
 	telemetry.NewGaugeFunc(n.registry, "keel_node_seat_held", "1 while this node gives the orders.", func() float64 {
 		if _, held := n.view.seat.Held(); held {
@@ -202,7 +203,7 @@
 	go n.events.Run(ctx)
 	go n.pulse.run(ctx)
 	go n.logFigures(ctx)
-	go n.view.verdicts.run(ctx)
+	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
 	go n.seekSeat(duties)
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -18,6 +18,7 @@
 	"acaciakeel/platform"
 	"acaciakeel/poison"
 	"acaciakeel/store"
+	"acaciakeel/verdicts"
 )
 
 // deadlyWord is what ends a runner that runs a request with it for deadlyAfter, and
@@ -237,7 +238,7 @@
 // the list loses the runner seconds later. That is all there is to see, and it counts.
 func TestSilentEndsCountOnceTheListLosesThem(t *testing.T) {
 	w := newDeadlyWorld(t, 2)
-	table := w.node.view.verdicts.table
+	table := w.node.view.verdicts.Table
 	c := poison.Case{Content: poison.Content{URI: "/silent"}.Fingerprint(), Service: "lm"}
 	now := time.Now()
 	for i := range poison.EndsMost {
@@ -269,7 +270,7 @@
 	w.repeat("/match/deadly", 8, w.node)
 	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(deadlyWord)}.Fingerprint()
 	w.until("it knows the verdict", func() bool {
-		return deaf.view.verdicts.table.Judge(content, time.Now()).Standing == poison.Refused
+		return deaf.view.verdicts.Table.Judge(content, time.Now()).Standing == poison.Refused
 	})
 	before := w.crashes()
 	if !w.refuses(deaf) || w.crashes() != before {
@@ -284,7 +285,7 @@
 	w.repeat("/match/deadly", 8, w.node)
 	w.until("the verdict is in the store", w.kept)
 	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(deadlyWord)}.Fingerprint()
-	w.store.Remove(verdictKey(content))
+	w.store.Remove(verdicts.Key(content))
 	if !w.refuses(w.node) {
 		t.Error("the loss lifts the verdict")
 	}
@@ -297,7 +298,7 @@
 // came first, the runner passed for one that is silent, and no request went there again.
 func TestAnotherRunnerAtTheAddressIsASignOfTheEnd(t *testing.T) {
 	w := newDeadlyWorld(t, 2)
-	table := w.node.view.verdicts.table
+	table := w.node.view.verdicts.Table
 	c := poison.Case{Content: poison.Content{URI: "/replaced"}.Fingerprint(), Service: "lm"}
 	former := runner.Start("gone", "lm", map[string]int64{model: 1})
 	entry := former.EntryAt("ready", w.runners[0].Address())
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -284,3 +284,46 @@
 	}
 	return out
 }
+
+func encodeSuspects(all []poison.Report) []*keelv1.SuspectContent {
+	out := make([]*keelv1.SuspectContent, 0, len(all))
+	for _, r := range all {
+		w := &keelv1.SuspectContent{
+			Fingerprint: r.Content[:], Service: r.Service, Customer: r.Customer, Request: r.Request, RefusedMs: uint64(r.For.Milliseconds()),
+		}
+		for _, e := range r.Ends {
+			w.Ends = append(w.Ends, &keelv1.TargetLife{Target: e.Life.ID, Born: e.Life.Born, Discharged: e.Discharged})
+		}
+		if r.At != nil {
+			w.UnderWay = &keelv1.TargetLife{Target: r.At.ID, Born: r.At.Born}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// decodeSuspects leaves out what names no content.
+func decodeSuspects(all []*keelv1.SuspectContent) []poison.Report {
+	var out []poison.Report
+	for _, w := range all {
+		if len(w.Fingerprint) != len(poison.Fingerprint{}) {
+			continue
+		}
+		r := poison.Report{
+			Case: poison.Case{Content: poison.Fingerprint(w.Fingerprint), Service: w.Service, Customer: w.Customer, Request: w.Request},
+			For:  time.Duration(min(w.RefusedMs, refusedMost)) * time.Millisecond,
+		}
+		for _, e := range w.Ends {
+			r.Ends = append(r.Ends, poison.End{Life: fleet.Life{ID: e.Target, Born: e.Born}, Discharged: e.Discharged})
+		}
+		if w.UnderWay != nil {
+			r.At = &fleet.Life{ID: w.UnderWay.Target, Born: w.UnderWay.Born}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// refusedMost is a year in milliseconds: more is no time that could be meant, and would
+// overflow a duration.
+const refusedMost = 365 * 24 * 3600 * 1000
--- a/node/view.go
+++ b/node/view.go
@@ -19,6 +19,7 @@
 	"acaciakeel/platform"
 	"acaciakeel/poison"
 	"acaciakeel/rollout"
+	"acaciakeel/verdicts"
 )
 
 // view implements platform.View and router.Configuration.
@@ -28,7 +29,7 @@
 	follower *follow.Follower
 	seat     *rollout.Seat
 	holder   *rollout.Holder
-	verdicts *verdicts
+	verdicts *verdicts.Keeper
 	// staleAfter is the age beyond which keys are not believed.
 	staleAfter time.Duration
 	// oldWeights is for how long after newer ones were named older weights serve.
@@ -173,7 +174,7 @@
 func (v *view) reborn(now, former fleet.Life) {
 	v.log.WithFields(logrus.Fields{"event": "target_reborn", "target": now.ID, "born": now.Born, "former": former.Born}).Info("the target started again; what was kept of its former life has ended")
 	v.holder.Wake()
-	v.verdicts.table.Ended(former, time.Now())
+	v.verdicts.Table.Ended(former, time.Now())
 }
 
 // Gone implements platform.View. Entries lapse while the store can't be
@@ -201,7 +202,7 @@
 	if last, ok := v.fleet.Remove(id); ok && !last.Draining {
 		// Of one that said nothing of leaving, answers that broke off just before are
 		// the sign of a crash: of a machine that fell silent there is no other.
-		v.verdicts.table.Ended(last.Life(), time.Now())
+		v.verdicts.Table.Ended(last.Life(), time.Now())
 	}
 	v.log.WithFields(logrus.Fields{"event": "target_gone", "target": id}).Info("the list lost the target")
 }
@@ -233,7 +234,7 @@
 		v.seated(value, revision)
 		return
 	}
-	if content, ok, err := contentOf(key); ok {
+	if content, ok, err := verdicts.ContentOf(key); ok {
 		v.verdict(key, value, revision, content, err)
 		return
 	}
@@ -256,11 +257,11 @@
 func (v *view) verdict(key, value string, revision int64, content poison.Fingerprint, err error) {
 	if err == nil && value == "" {
 		v.foreign.forget(key)
-		v.verdicts.gone(content)
+		v.verdicts.Gone(content)
 		return
 	}
 	if err == nil {
-		err = v.verdicts.read(content, []byte(value), revision)
+		err = v.verdicts.Read(content, []byte(value), revision)
 	}
 	if err != nil {
 		v.LeftOut(platform.LeftOut{Key: key, Revision: revision, Fault: &platform.Fault{Reason: platform.BadValue, Err: err}})
@@ -330,7 +331,7 @@
 // OwnRelisted implements platform.View.
 func (v *view) OwnRelisted(keys map[string]bool, revision int64) {
 	v.foreign.relisted(platform.OwnPrefix, func(key string) bool { return keys[key] })
-	v.verdicts.relisted(keys)
+	v.verdicts.Relisted(keys)
 	if !keys[v.keys.seat] {
 		v.seat.Seen("", revision)
 	}
