Requests of the platform's clients are worded in one stand-in

Cause: the trial, the tests of a node and the soak each set a client's headers by hand, and the trial is no place that should know their names. Change: internal/standin/client words them for all three; what is sent is the same. Ruled out: the configurations that the three write: they differ in routes, services and limits, and a builder would be as long as what it saves.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"acaciakeel/internal/standin/client"
 	"acaciakeel/internal/standin/runner"
 )
 
@@ -98,20 +99,13 @@
 
 // request returns one attempt at a route.
 func (c *callers) request(e *entry, route, id string, thing int) (*http.Request, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+e.front+"/"+route+"/"+pathOf(id), strings.NewReader(bodyOf(id)))
-	if err != nil {
-		return nil, err
+	r := client.Request{
+		Method: http.MethodPost, Host: host, Path: "/" + route + "/" + pathOf(id), ID: id, Key: goodKey, Body: bodyOf(id), Deadline: 6 * time.Second,
 	}
-	req.Host = host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Key", goodKey)
-	req.Header.Set("Deadline-Ms", "6000")
 	if route == "draft" || route == "match" {
-		req.Header.Set("Model", model)
-		req.Header.Set("Token-Count", "3000,500")
-		req.Header.Set("Prefix-Hash", fmt.Sprintf("aa:800,b%d:1200,c%s:1000", thing, id))
+		r.Prompt = &client.Prompt{Model: model, Input: 3000, Output: 500, Parts: fmt.Sprintf("aa:800,b%d:1200,c%s:1000", thing, id)}
 	}
-	return req, nil
+	return r.To(e.front)
 }
 
 func (c *callers) exchange(e *entry, route, id string, thing int) outcome {
--- a/internal/trial/ends.go
+++ b/internal/trial/ends.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"acaciakeel/internal/standin/client"
 	"acaciakeel/policy"
 	"acaciakeel/refusal"
 )
@@ -144,16 +145,13 @@
 const sendWithin = 6 * time.Second
 
 func (s *site) send(entry int, id, body string) answer {
-	req, err := http.NewRequest(http.MethodPost, "http://"+s.nodes[entry].FrontAddress()+"/match/x", strings.NewReader(body))
+	req, err := client.Request{
+		Method: http.MethodPost, Host: host, Path: "/match/x", ID: id, Key: key, Body: body, Deadline: sendWithin,
+		Prompt: &client.Prompt{Model: model, Input: 900, Output: 50, Parts: "aa:400,bb:300,c" + id + ":200"},
+	}.To(s.nodes[entry].FrontAddress())
 	if err != nil {
 		return answer{}
 	}
-	req.Host = host
-	for name, value := range map[string]string{
-		"Request-Id": id, "Key": key, "Deadline-Ms": "6000", "Model": model, "Token-Count": "900,50", "Prefix-Hash": "aa:400,bb:300,c" + id + ":200",
-	} {
-		req.Header.Set(name, value)
-	}
 	resp, err := (&http.Client{Timeout: sendWithin}).Do(req)
 	if err != nil {
 		return answer{}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/internal/standin/client"
 	"acaciakeel/internal/standin/kv"
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
@@ -162,14 +163,12 @@
 
 func (w *world) sendTo(n *Node, method, path, body, id string, header map[string]string) answer {
 	w.t.Helper()
-	req, err := http.NewRequest(method, "http://"+n.FrontAddress()+path, strings.NewReader(body))
+	req, err := client.Request{
+		Method: method, Host: "h.example", Path: path, ID: id, Key: goodKey, Body: body, Deadline: 5 * time.Second,
+	}.To(n.FrontAddress())
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	req.Host = "h.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Key", goodKey)
-	req.Header.Set("Deadline-Ms", "5000")
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
