Sight: why a target that is behind gets no order, and on how old weights a run began

Cause: the logs of the incident can't tell whether a request was sent too late or waited too long, nor why a target had no order. Change: no logic. The plan returns a reason for each runner, its order of them is as it was. Ruled out: a line for each look (three a second and runner); lines from the first moment on (a rollout of idle runners needs none). Measured: tests of rollout, router, fleet, platform, node, docs pass.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -57,7 +57,7 @@
 func TestMetricsPage(t *testing.T) {
 	real := map[string]bool{}
 	name := regexp.MustCompile(`"(keel_(?:entry|agent|router|node)_[a-z_]+)"`)
-	for _, dir := range []string{"entry", "agent", "router", "node", "verdicts"} {
+	for _, dir := range []string{"entry", "agent", "router", "node", "rollout", "verdicts"} {
 		files, _ := filepath.Glob("../" + dir + "/*.go")
 		for _, file := range files {
 			for _, m := range name.FindAllStringSubmatch(read(t, file), -1) {
--- a/fleet/naming.go
+++ b/fleet/naming.go
@@ -68,6 +68,13 @@
 	return out
 }
 
+// Newest returns the newest version named of a model, 0 where none is.
+func (f *Fleet) Newest(model string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.named[model].newest()
+}
+
 // BehindFor returns for how long newer weights than version have been wanted.
 func (f *Fleet) BehindFor(model string, version int64, now time.Time) time.Duration {
 	f.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -133,7 +133,9 @@
 	n.pulse = newPulse(n.name, targets, n.view.verdicts.Table, n.view, log)
 	n.view.verdicts.Seat, n.view.verdicts.Soon = n.view.seat, n.pulse.soon
 	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
-	n.view.holder = rollout.NewHolder(s.Name, n.view.seat, runners, targets, n.view.services, n.pulse.soon, log)
+	n.view.holder = rollout.NewHolder(s.Name, rollout.Surroundings{
+		Office: n.view.seat, Orderer: runners, Fleet: targets, Services: n.view.services, Told: n.pulse.soon, Metrics: rollout.NewMetrics(n.registry),
+	}, log)
 	targets.OnRebirth(n.view.reborn)
 	targets.OnEnded(func(l fleet.Life) { n.view.verdicts.Table.Ended(l, time.Now()) })
 	watches := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
@@ -165,6 +167,9 @@
 	telemetry.NewGaugeFunc(n.registry, "keel_node_contents_refused", "Contents that are refused now because targets ended under them.", func() float64 {
 		return float64(n.view.verdicts.Table.Refused(time.Now()))
 	})
+	telemetry.NewGaugeFunc(n.registry, "keel_node_oldest_naming_seconds", "For how long the oldest naming of weights has not been in force everywhere; 0 where all are.", func() float64 {
+		return n.view.oldestNaming(time.Now()).Seconds()
+	})
 	telemetry.NewGaugeFunc(n.registry, "keel_node_seat_held", "1 while this node gives the orders.", func() float64 {
 		if _, held := n.view.seat.Held(); held {
 			return 1
--- a/node/view.go
+++ b/node/view.go
@@ -136,21 +136,40 @@
 		return now
 	}
 	earliest := now.Add(unknownRest - v.oldWeights)
-	if age, ok := v.follower.Age(); ok && v.fleet.Named()[model] > 0 && now.Add(-age).After(earliest) {
+	if age, ok := v.follower.Age(); ok && v.fleet.Newest(model) > 0 && now.Add(-age).After(earliest) {
 		return now.Add(-age)
 	}
 	return earliest
 }
 
 // Named implements platform.View.
-func (v *view) Named(model string, version int64, listed bool) {
-	if !v.fleet.Name(model, version, v.namedAt(model, listed, time.Now())) {
+func (v *view) Named(n platform.Naming) {
+	now := time.Now()
+	at := v.namedAt(n.Model, n.Listed, now)
+	if !v.fleet.Name(n.Model, n.Version, at) {
 		return
 	}
-	v.log.WithFields(logrus.Fields{"event": "weights_named", "model": model, "weights": version}).Info("new weights are wanted")
+	fields := logrus.Fields{"event": "weights_named", "model": n.Model, "weights": n.Version, "revision": n.Revision, "listed": n.Listed, "age_ms": now.Sub(at).Milliseconds()}
+	v.log.WithFields(fields).Info("new weights are wanted")
 	v.holder.Wake()
 }
 
+// oldestNaming returns for how long the oldest naming of weights has not been in
+// force at all targets that stay.
+func (v *view) oldestNaming(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for model, services := range v.services() {
+		for _, service := range services {
+			for _, r := range v.fleet.Runners(service) {
+				if !r.Draining {
+					oldest = max(oldest, v.fleet.BehindFor(model, r.Weights[model], now))
+				}
+			}
+		}
+	}
+	return oldest
+}
+
 // Listed implements platform.View.
 func (v *view) Listed(r fleet.Runner, revision int64) {
 	if !v.known(r, revision) {
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -10,6 +10,7 @@
 
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
+	"acaciakeel/platform"
 	"acaciakeel/rollout"
 	"acaciakeel/store"
 )
@@ -43,7 +44,7 @@
 
 func (n *naming) Reset([]store.Entry, int64) {
 	n.listed++
-	n.view.Named("m", n.listed, true)
+	n.view.Named(platform.Naming{Model: "m", Version: n.listed, Listed: true})
 	if n.listed == 2 {
 		close(n.done)
 	}
@@ -60,7 +61,7 @@
 	log.SetOutput(io.Discard)
 	f := fleet.New("z")
 	v := &view{fleet: f, log: log, oldWeights: 18 * time.Second}
-	v.holder = rollout.NewHolder("n", nil, nil, f, nil, func() {}, log)
+	v.holder = rollout.NewHolder("n", rollout.Surroundings{Fleet: f}, log)
 	n := &naming{view: v, done: make(chan struct{})}
 	v.follower = follow.New(&forgetful{}, "", follow.Timing{}, n, log)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -30,6 +30,18 @@
 // Services returns which services run a model.
 type Services func() map[string][]string
 
+// Surroundings are what a holder gives its orders with.
+type Surroundings struct {
+	Office   Office
+	Orderer  Orderer
+	Fleet    *fleet.Fleet
+	Services Services
+	// Told is called when there is news of a runner that the others should have
+	// at once: until then they send to one that refuses.
+	Told    func()
+	Metrics *Metrics
+}
+
 // Holder gives the orders while it holds the office.
 type Holder struct {
 	name     string
@@ -39,24 +51,31 @@
 	services Services
 	log      logrus.FieldLogger
 	wake     chan struct{}
-	// told is called when there is news of a runner that the others should have
-	// at once: until then they send to one that refuses.
-	told func()
+	told     func()
+	waiting  waiting
 
 	// blind is set while the others do not tell this process what they send.
 	blind atomic.Bool
 
 	mu sync.Mutex
-	// underway is the life of each runner whose order has not ended, by id. Once
+	// underway are the orders that have not ended, by the id of their runner. Once
 	// the runner starts again its former life's order no longer counts: the new
 	// one would wait for it in vain.
-	underway map[string]fleet.Life
+	underway map[string]underway
+}
+
+// underway is an order that has not ended: the life of its runner, and since when.
+type underway struct {
+	life  fleet.Life
+	since time.Time
 }
 
-// NewHolder returns a holder named name, which is the machine's. It calls told
-// when the other processes should hear of a runner at once.
-func NewHolder(name string, office Office, o Orderer, f *fleet.Fleet, s Services, told func(), log logrus.FieldLogger) *Holder {
-	return &Holder{told: told, name: name, office: office, orderer: o, fleet: f, services: s, log: log, wake: make(chan struct{}, 1), underway: map[string]fleet.Life{}}
+// NewHolder returns a holder named name, which is the machine's.
+func NewHolder(name string, s Surroundings, log logrus.FieldLogger) *Holder {
+	return &Holder{
+		name: name, office: s.Office, orderer: s.Orderer, fleet: s.Fleet, services: s.Services, told: s.Told, log: log,
+		wake: make(chan struct{}, 1), waiting: newWaiting(s.Metrics, log), underway: map[string]underway{},
+	}
 }
 
 // Blind has runners end their streams before they load: the others no longer tell
@@ -84,6 +103,8 @@
 	for {
 		if _, ok := h.office.Held(); ok {
 			h.look(ctx)
+		} else {
+			h.waiting.none()
 		}
 		select {
 		case <-h.wake:
@@ -96,15 +117,22 @@
 
 func (h *Holder) look(ctx context.Context) {
 	services := h.services()
+	h.waiting.begin()
 	for model, desired := range h.fleet.Named() {
 		var runners []fleet.Runner
 		for _, service := range services[model] {
 			runners = append(runners, h.fleet.Runners(service)...)
 		}
-		for _, r := range Next(h.input(model, desired, runners)) {
-			h.begin(ctx, r, model, desired)
+		in := h.input(model, desired, runners)
+		turns := Turns(in)
+		h.waiting.note(in, turns)
+		for _, t := range turns {
+			if t.Wait == None {
+				h.begin(ctx, t.Runner, model, desired)
+			}
 		}
 	}
+	h.waiting.end()
 }
 
 func (h *Holder) input(model string, desired int64, runners []fleet.Runner) Input {
@@ -114,17 +142,17 @@
 		Model:    model,
 		Desired:  desired,
 		Runners:  runners,
-		Underway: map[string]bool{},
+		Underway: map[string]time.Duration{},
 		Inflight: map[string]int{},
 		Long:     map[string]int{},
 		Behind:   map[string]time.Duration{},
 	}
-	for id, life := range h.underway {
-		if h.fleet.Holds(life) {
-			in.Underway[id] = true
+	now := time.Now()
+	for id, u := range h.underway {
+		if h.fleet.Holds(u.life) {
+			in.Underway[id] = now.Sub(u.since)
 		}
 	}
-	now := time.Now()
 	if len(runners) > 0 {
 		known := h.fleet.Loads(runners[0].Service)
 		in.AtOnce = known.AtOnce(len(runners))
@@ -139,12 +167,12 @@
 
 func (h *Holder) begin(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	h.mu.Lock()
-	h.underway[r.ID] = r.Life()
+	h.underway[r.ID] = underway{life: r.Life(), since: time.Now()}
 	h.mu.Unlock()
 	go func() {
 		h.bring(ctx, r, model, desired)
 		h.mu.Lock()
-		if h.underway[r.ID] == r.Life() {
+		if h.underway[r.ID].life == r.Life() {
 			delete(h.underway, r.ID)
 		}
 		h.mu.Unlock()
@@ -167,7 +195,9 @@
 // bring brings one runner to the desired weights, or gives up so that the next
 // look decides anew.
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
+	began := time.Now()
 	truncate := h.clear(ctx, r)
+	cleared := time.Since(began)
 	report, err := h.orderer.Report(ctx, r)
 	if errors.Is(err, fleet.ErrOtherRunner) {
 		h.fleet.Ended(r.Life())
@@ -205,7 +235,7 @@
 		return
 	}
 	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
-	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate}).WithError(err).Info("order given")
+	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate, "cleared_ms": cleared.Milliseconds()}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
 		h.fleet.Learn(r.Life(), model, desired, time.Now())
--- a/rollout/holder_test.go
+++ b/rollout/holder_test.go
@@ -47,7 +47,7 @@
 		f.Begin(r.Life(), s, time.Now())
 	}
 	o := &orders{}
-	h := NewHolder("n", always{}, o, f, nil, func() {}, quiet())
+	h := NewHolder("n", Surroundings{Office: always{}, Orderer: o, Fleet: f, Told: func() {}}, quiet())
 	h.bring(context.Background(), r, "m", 2)
 	if len(o.sent) != 1 {
 		t.Fatalf("%d orders", len(o.sent))
--- a/rollout/life_test.go
+++ b/rollout/life_test.go
@@ -57,8 +57,11 @@
 	return f, r
 }
 
+// modelOfLM says that one service runs the model.
+func modelOfLM() map[string][]string { return map[string][]string{"m": {"lm"}} }
+
 func holder(f *fleet.Fleet, o *lives, held func()) *Holder {
-	return NewHolder("n", office(held), o, f, func() map[string][]string { return map[string][]string{"m": {"lm"}} }, func() {}, quiet())
+	return NewHolder("n", Surroundings{Office: office(held), Orderer: o, Fleet: f, Services: modelOfLM, Told: func() {}}, quiet())
 }
 
 // A runner reports three orders, starts again, and the news comes before the order
@@ -115,7 +118,7 @@
 	if v := now[0].Weights["m"]; v != 1 {
 		t.Fatalf("the new life is taken to have weights %d, want 1", v)
 	}
-	if due := Next(h.input("m", 2, now)); len(due) != 1 || due[0].Born != 20 {
+	if due := ordered(h.input("m", 2, now)); len(due) != 1 || due[0].Born != 20 {
 		t.Errorf("due are %+v, want the new life", due)
 	}
 }
@@ -128,7 +131,7 @@
 		o := &slow{lives: lives{reports: []fleet.Report{reported(10, 3)}, result: result}, meanwhile: func() {
 			f.Put(fleet.Runner{ID: "r", Born: 20, Service: "lm", Address: "r:1", Weights: map[string]int64{"m": 1}})
 		}}
-		NewHolder("n", always{}, o, f, nil, func() {}, quiet()).bring(t.Context(), r, "m", 2)
+		NewHolder("n", Surroundings{Office: always{}, Orderer: o, Fleet: f, Told: func() {}}, quiet()).bring(t.Context(), r, "m", 2)
 		if now := f.Runners("lm"); len(now) != 1 || now[0].Weights["m"] != 1 {
 			t.Errorf("%s of a former life left %+v", result, now)
 		}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -16,8 +16,8 @@
 	Model   string
 	Desired int64
 	Runners []fleet.Runner
-	// Underway are the runners whose order has not ended, by id.
-	Underway map[string]bool
+	// Underway is for how long the orders that have not ended have been given, by id.
+	Underway map[string]time.Duration
 	// Inflight is how many requests each runner works on, by id, and Long those
 	// of them that take seconds.
 	Inflight map[string]int
@@ -33,33 +33,75 @@
 // well within the bound on the whole rollout.
 const longPatience = 3 * time.Second
 
-// Next returns the runners that get an order now: those with the oldest weights
-// first, since their bound ends first, and of these the idlest, as they are the
-// soonest done and the least missed.
-func Next(in Input) []fleet.Runner {
-	room := in.AtOnce - len(in.Underway)
-	if room <= 0 {
-		return nil
-	}
-	var behind []fleet.Runner
+// Reason is why a runner that is behind gets no order at a look.
+type Reason string
+
+// The reasons; None is that of a runner that gets its order now.
+const (
+	None Reason = ""
+	// Leaving: it ends soon.
+	Leaving Reason = "leaving"
+	// Underway: its order has not ended.
+	Underway Reason = "underway"
+	// LongRuns: it has long runs that are left to end for a while.
+	LongRuns Reason = "long_runs"
+	// NoPlace: as many orders are under way as may be.
+	NoPlace Reason = "no_place"
+)
+
+// Reasons are all reasons for which a runner that is behind waits.
+var Reasons = []Reason{Leaving, Underway, LongRuns, NoPlace}
+
+// Turn is what becomes of a runner that is behind.
+type Turn struct {
+	Runner fleet.Runner
+	Wait   Reason
+}
+
+// Turns returns what becomes of each runner that is behind. Those with the oldest
+// weights get their order first, since their bound ends first, and of these the
+// idlest, as they are the soonest done and the least missed.
+func Turns(in Input) []Turn {
+	var turns []Turn
+	var due []fleet.Runner
 	for _, r := range in.Runners {
-		if in.due(r) {
-			behind = append(behind, r)
+		if r.Weights[in.Model] >= in.Desired {
+			continue
+		}
+		if wait := in.wait(r); wait != None {
+			turns = append(turns, Turn{Runner: r, Wait: wait})
+		} else {
+			due = append(due, r)
 		}
 	}
-	slices.SortFunc(behind, func(a, b fleet.Runner) int {
+	slices.SortFunc(due, func(a, b fleet.Runner) int {
 		return cmp.Or(
 			cmp.Compare(in.Long[a.ID], in.Long[b.ID]),
 			cmp.Compare(a.Weights[in.Model], b.Weights[in.Model]),
 			cmp.Compare(in.Inflight[a.ID], in.Inflight[b.ID]),
 			cmp.Compare(a.ID, b.ID))
 	})
-	return behind[:min(room, len(behind))]
+	room := in.AtOnce - len(in.Underway)
+	for i, r := range due {
+		t := Turn{Runner: r}
+		if i >= room {
+			t.Wait = NoPlace
+		}
+		turns = append(turns, t)
+	}
+	return turns
 }
 
-func (in Input) due(r fleet.Runner) bool {
-	if r.Weights[in.Model] >= in.Desired || r.Draining || in.Underway[r.ID] {
-		return false
+// wait returns why a runner that is behind is not due.
+func (in Input) wait(r fleet.Runner) Reason {
+	_, underway := in.Underway[r.ID]
+	switch {
+	case r.Draining:
+		return Leaving
+	case underway:
+		return Underway
+	case in.Long[r.ID] > 0 && in.Behind[r.ID] <= longPatience:
+		return LongRuns
 	}
-	return in.Long[r.ID] == 0 || in.Behind[r.ID] > longPatience
+	return None
 }
--- a/router/describe.go
+++ b/router/describe.go
@@ -25,6 +25,14 @@
 		fields["expected_ms"] = s.last.FirstToken.Milliseconds()
 		fields["wait_ms"] = s.last.Wait.Milliseconds()
 	}
+	if s.sends > 0 {
+		fields["sent_ms"] = s.sentAt.Sub(s.in.Received).Milliseconds()
+	}
+	if s.replaced.sent > 0 || s.replaced.first > 0 {
+		fields["newest"] = s.router.fleet.Newest(s.in.Model)
+		fields["replaced_sent_ms"] = s.replaced.sent.Milliseconds()
+		fields["replaced_first_ms"] = s.replaced.first.Milliseconds()
+	}
 	if !s.firstAt.IsZero() {
 		fields["first_ms"] = s.firstAt.Sub(s.in.Received).Milliseconds()
 		fields["pause_ms"] = s.pause.Milliseconds()
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -14,6 +14,7 @@
 	retries   *prometheus.CounterVec
 	exhausted prometheus.Counter
 	latency   *prometheus.HistogramVec
+	replaced  prometheus.Histogram
 }
 
 // NewMetrics registers the router's counters.
@@ -24,6 +25,7 @@
 		retries:   telemetry.NewCounter(r, "keel_router_retries_total", "Further sends, by reason.", "reason"),
 		exhausted: exhausted.WithLabelValues(),
 		latency:   telemetry.NewLatency(r, "keel_router_request_seconds", "Time from a request's arrival to its end, by route.", "route"),
+		replaced:  telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
 }
 
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -54,7 +54,7 @@
 	case a.Moved:
 		s.misjudged(choice, a)
 		kind = refusal.NotReady
-	case choice.Weights < f.Named()[s.in.Model]:
+	case choice.Weights < f.Newest(s.in.Model):
 		f.Busy(choice.Runner.Life(), now.Add(orderPause))
 		kind = refusal.NotReady
 	default:
--- a/router/session.go
+++ b/router/session.go
@@ -34,6 +34,9 @@
 	pause  time.Duration
 	// sentAt is when the last send began.
 	sentAt time.Time
+	// replaced is for how long newer weights had been wanted than those of the last
+	// send: when it was sent, and when its first event came.
+	replaced struct{ sent, first time.Duration }
 	// here counts the request among those of its content, judged is how that stood before
 	// the last send, and asked is closed once it is known whether the target that broke
 	// the last answer off has ended; nil where none did.
@@ -119,6 +122,7 @@
 	s.tried = append(s.tried, choice.Runner.Life())
 	f := s.router.fleet
 	s.sentAt = time.Now()
+	s.replaced.sent, s.replaced.first = f.BehindFor(s.in.Model, choice.Weights, s.sentAt), 0
 	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), s.sentAt)
 	defer s.ticket.End()
 	s.here.At(choice.Runner.Life())
--- a/router/stream.go
+++ b/router/stream.go
@@ -55,6 +55,7 @@
 func (s *session) arrived(now time.Time) {
 	if s.firstAt.IsZero() {
 		s.firstAt = now
+		s.began(now)
 	} else {
 		s.pause = max(s.pause, now.Sub(s.lastAt))
 	}
@@ -62,6 +63,14 @@
 	s.ticket.First(now)
 }
 
+// began notes on how old weights a run began.
+func (s *session) began(now time.Time) {
+	s.replaced.first = s.router.fleet.BehindFor(s.in.Model, s.last.Weights, now)
+	if s.replaced.first > 0 {
+		s.router.metrics.replaced.Observe(s.replaced.first.Seconds())
+	}
+}
+
 // ended passes the end of a stream on. What follows the last whole event is
 // the target's own and goes along.
 func (s *session) ended(choice fleet.Choice, a *Answer, rest []byte) result {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -60,6 +60,24 @@
 	0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.2, 0.3, 0.4, 0.52, 0.75, 1, 2, 5, 10, 30,
 }
 
+// NewGauge makes and registers a gauge by labels.
+func NewGauge(r *prometheus.Registry, name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+	r.MustRegister(g)
+	return g
+}
+
+// ageBuckets are in seconds, even around the bounds within which a change is in
+// force everywhere.
+var ageBuckets = []float64{0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 8, 10, 12, 15, 20, 30}
+
+// NewAges makes and registers a histogram of how old what was used is, in seconds.
+func NewAges(r *prometheus.Registry, name, help string) prometheus.Histogram {
+	h := prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: ageBuckets})
+	r.MustRegister(h)
+	return h
+}
+
 // NewLatency makes and registers a histogram of seconds by labels.
 func NewLatency(r *prometheus.Registry, name, help string, labels ...string) *prometheus.HistogramVec {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
