A test of work on replaced weights; the stand-in of a target learns to load, to wait and to queue

Symptom: a request that was sent in time to a target on older weights begins there after the bound: 6.5 s after the naming where 6 s are allowed, as the other target's order waits for its runs and holds the only place; and 7.8 s after it where the target answers no order at all. Change: in the stand-in an order waits for the runs or cuts them off, takes the time of a load and refuses unrun what has not begun; requests wait for a slot; orders may be left unanswered, or carried out late. Without a set load all is as it was. Ruled out: that runs of the test had not begun when the versions were named: then the order refuses them, and nothing waits (seen in a first form of the test).

--- a/internal/standin/runner/deadly.go
+++ b/internal/standin/runner/deadly.go
@@ -94,6 +94,7 @@
 	next.Start()
 	r.server, r.isDown = next, false
 	r.born, r.accepted = max(time.Now().UnixMilli(), r.born+1), 0
+	r.idle()
 }
 
 // closed marks the target closed and returns its last server.
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,6 +48,10 @@
 	// Either happens once: the new life has no fault.
 	RebornInStream Fault = "reborn_in_stream"
 	RebornAtOrder  Fault = "reborn_at_order"
+	// DeafToOrders answers no order and carries none out, LateOrders answers none and
+	// carries each out later.
+	DeafToOrders Fault = "deaf_to_orders"
+	LateOrders   Fault = "late_orders"
 )
 
 // Events is how many events a whole stream has.
@@ -62,6 +67,9 @@
 	// Ran is set where the target worked on it.
 	Ran bool
 	At  time.Time
+	// Began is when its first event came, and BeganOn the weights then.
+	Began   time.Time
+	BeganOn int64
 }
 
 // Runner is one target.
@@ -84,6 +92,7 @@
 	seen    []Seen
 	pace    time.Duration
 	deadly
+	loading
 }
 
 // Order is an order as it arrived.
@@ -102,6 +111,7 @@
 // Start starts a target on loopback with the given weights; nil for a plain service.
 func Start(id, service string, weights map[string]int64) *Runner {
 	r := &Runner{ID: id, Service: service, first: maps.Clone(weights), weights: weights, born: time.Now().UnixMilli()}
+	r.idle()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
@@ -140,6 +150,7 @@
 	r.mu.Lock()
 	r.born = max(time.Now().UnixMilli(), r.born+1)
 	r.accepted = 0
+	r.idle()
 	forget()
 	born := r.born
 	server := r.server
@@ -198,7 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	value, _ := json.Marshal(map[string]any{
-		"service": r.Service, "address": address, "zone": "z1", "slots": 8, "state": state, "models": r.models(), "born": r.born,
+		"service": r.Service, "address": address, "zone": "z1", "slots": cmp.Or(r.slots, 8), "state": state, "models": r.models(), "born": r.born,
 	})
 	return store.Entry{Key: "servers/" + r.ID, Value: value}
 }
@@ -228,7 +239,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": false, "seq_no": r.accepted, "born": r.born})
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": r.busy, "seq_no": r.accepted, "born": r.born})
 }
 
 func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
@@ -241,6 +252,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if fault := r.faultNow(); fault == DeafToOrders || fault == LateOrders {
+		if fault == LateOrders {
+			time.AfterFunc(lateBy, func() { r.accept(o) })
+		}
+		<-req.Context().Done()
+		return
+	}
 	accepted, fault := r.accept(o)
 	switch {
 	case !accepted:
@@ -253,17 +271,24 @@
 	}
 }
 
-// accept carries an order out unless it expects another count of orders.
+func (r *Runner) faultNow() Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
+// accept carries an order out unless it expects another count of orders, or one is
+// being carried out.
 func (r *Runner) accept(o Order) (bool, Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.Precondition != nil && *o.Precondition != int64(r.accepted) {
+	if r.busy || o.Precondition != nil && *o.Precondition != int64(r.accepted) {
 		return false, r.fault
 	}
 	o.Born = r.born
 	r.orders = append(r.orders, o)
 	r.accepted++
-	r.weights[o.Model] = o.Version
+	r.carryOut(o)
 	return true, r.fault
 }
 
@@ -283,7 +308,7 @@
 	if err != nil {
 		return
 	}
-	fault, pace, refused := r.note(req, string(body))
+	seen, fault, pace, refused := r.note(req, string(body))
 	switch {
 	case refused == http.StatusMisdirectedRequest:
 		w.Header().Set("Instance-Id", r.ID)
@@ -303,7 +328,16 @@
 		<-req.Context().Done()
 		return
 	}
-	r.answer(w, req, fault, pace)
+	r.answer(w, req, &turn{seen: seen, fault: fault, pace: pace})
+}
+
+// turn is how one request is answered.
+type turn struct {
+	seen  int
+	fault Fault
+	pace  time.Duration
+	// run is its slot; nil where it needs none.
+	run *run
 }
 
 // setWeights says which version of a model answers, as each answer does.
@@ -315,26 +349,27 @@
 	}
 }
 
-// note keeps a request and returns the status by which it is refused unrun, or 0.
-func (r *Runner) note(req *http.Request, body string) (Fault, time.Duration, int) {
+// note keeps a request, as the one at seen, and returns the status by which it is
+// refused unrun, or 0.
+func (r *Runner) note(req *http.Request, body string) (seen int, f Fault, pace time.Duration, refused int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := req.Header
-	refused := 0
 	version, hasVersion := h["Expect-Version"]
 	switch {
 	case h.Get("Expect-Instance") != "" && h.Get("Expect-Instance") != r.ID:
 		refused = http.StatusMisdirectedRequest
 	case hasVersion && version[0] != strconv.FormatInt(r.weights[h.Get("Model")], 10):
 		refused = http.StatusMisdirectedRequest
-	case r.fault == Shed, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
+	case r.busy && h.Get("Model") != "", r.fault == Shed, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
 		refused = http.StatusServiceUnavailable
 	}
 	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0, At: time.Now()})
-	return r.fault, r.pace, refused
+	return len(r.seen) - 1, r.fault, r.pace, refused
 }
 
-func (r *Runner) answer(w http.ResponseWriter, req *http.Request, fault Fault, pace time.Duration) {
+func (r *Runner) answer(w http.ResponseWriter, req *http.Request, t *turn) {
+	fault := t.fault
 	h := w.Header()
 	h.Set("Request-Id", req.Header.Get("Request-Id"))
 	if fault == Crossed {
@@ -351,9 +386,24 @@
 		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("Request-Id"))
 		return
 	}
-	h.Set("Content-Type", "text/event-stream")
-	r.setWeights(h, req.Header.Get("Model"))
-	r.stream(w, req, fault, pace)
+	in, refused := r.enter(req, t.seen)
+	if in != nil {
+		defer r.leave(in)
+		t.run = in
+		var begun bool
+		if begun, refused = r.read(req, in, t.pace); begun {
+			h.Set("Content-Type", "text/event-stream")
+			r.setWeights(h, req.Header.Get("Model"))
+			r.stream(w, req, t)
+			return
+		}
+	}
+	if !refused {
+		panic(http.ErrAbortHandler)
+	}
+	h.Del("Response-Seal")
+	h.Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // breaksOff reports whether streams end in the middle of an event.
@@ -371,14 +421,29 @@
 	}
 }
 
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, fault Fault, pace time.Duration) {
-	first := 1
+// pause waits for the next event; it returns false where the stream ends before.
+func (t *turn) pause(req *http.Request) bool {
+	timer := time.NewTimer(t.pace)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-t.run.cut:
+	case <-req.Context().Done():
+	}
+	return false
+}
+
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, t *turn) {
+	fault, first := t.fault, 1
 	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
 	flush := http.NewResponseController(w)
 	for i := first; i <= Events; i++ {
-		time.Sleep(pace)
+		if i > first && !t.pause(req) {
+			panic(http.ErrAbortHandler)
+		}
 		if breaksOff(fault) && first == 1 && i == 3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", i)
 			_ = flush.Flush()
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -33,6 +33,8 @@
 	// stock is the service that lookups go to.
 	stock string
 	log   logrus.FieldLogger
+	// versionMS is the bound on older weights, in milliseconds.
+	versionMS int
 }
 
 const (
@@ -48,15 +50,18 @@
 	return newWorldWith(t, log)
 }
 
-// newWorldWith returns a world whose nodes log to log.
-func newWorldWith(t *testing.T, log logrus.FieldLogger) *world {
+// newWorldWith returns a world whose nodes log to log, changed before its node starts.
+func newWorldWith(t *testing.T, log logrus.FieldLogger, changes ...func(*world)) *world {
 	t.Helper()
-	w := &world{t: t, store: kv.NewStore(0), graceS: 8, stock: "desk", log: log}
+	w := &world{t: t, store: kv.NewStore(0), graceS: 8, stock: "desk", log: log, versionMS: 8000}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
 		w.desks = append(w.desks, runner.Start(fmt.Sprintf("d%d", i), "desk", nil))
 	}
+	for _, change := range changes {
+		change(w)
+	}
 	for _, r := range append(w.runners, w.desks...) {
 		w.store.Set(r.Entry("ready").Key, r.Entry("ready").Value)
 		t.Cleanup(r.Close)
@@ -75,7 +80,7 @@
 		Name: name, IP: "127.0.0.1", Zone: "z1", Ports: []int{0},
 		Listen: platform.Listen{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
 		Bounds: platform.Bounds{
-			GraceS: w.graceS, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: 8000, LeaseMS: 3000,
+			GraceS: w.graceS, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: w.versionMS, LeaseMS: 3000,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10,
 		},
 		Store: platform.StoreAt{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
