A request that waits at its target is taken back when the time of the weights there ends

Seen by callers: work on weights that were replaced longer ago than the bound allows. Cause: the choice of a target guards the sending, by a fixed margin; what was sent waits there for as long as it takes (longer prompts before it, a full batch), and nothing looked again. Newer weights may even be named while it waits. Change: each send has a timer until its first event; at the bound, less 0.3 s for the end of the connection to arrive, the send is given up. Whether it ran is not known and is said so (502, weights_replaced); where the route allows it, it goes to another target, within its attempts and the budget of further sends (reason replaced). Why it holds: the bound is looked up by the version the request was sent under, and a target refuses a request whose version it no longer has; so a run that has not begun by then on that version never begins on it. It says nothing of the target's health. Ruled out: handing the target the time that is left as its deadline: it would cut runs that began in time. A look at all sends every 100 ms: more work for the same.

--- a/node/node.go
+++ b/node/node.go
@@ -98,6 +98,10 @@
 	// oldWeightsMargin is kept from the bound after which no request may begin
 	// on older weights: it waits at the runner before it begins.
 	oldWeightsMargin = 1500 * time.Millisecond
+	// beginMargin is kept from that bound before what waits at a runner is taken back:
+	// the end of a connection takes some ms to arrive there, on a slow link or a busy
+	// machine a tenth of a second.
+	beginMargin = 300 * time.Millisecond
 )
 
 // New returns a node that has not begun.
@@ -145,7 +149,7 @@
 	n.registerGauges()
 	n.events = fleet.NewEventWatch(targets, runners)
 	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
-	bounds := router.Bounds{OldWeights: n.view.oldWeights}
+	bounds := router.Bounds{OldWeights: n.view.oldWeights, Begin: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
 	retries := router.RetryBounds{
 		Ratio:  s.Bounds.RetryRatio,
 		Extra:  s.Bounds.RetryExtra,
--- a/node/weights_test.go
+++ b/node/weights_test.go
@@ -117,9 +117,11 @@
 	}
 }
 
-// The runner at which a request waits answers no order and carries none out, so that
-// nothing makes it refuse what waits there. The request must not begin after the
-// bound either; whether it ran nobody knows, and its client must be told that.
+// Work ran on weights that were replaced longer ago than the bound allows, and nothing
+// had made the runner refuse what waited there: it answers no order and carries none
+// out. The check was at the sending and the bound is at the beginning; a run behind
+// another began 1.8 s after the bound, sent in time. Taken back before, its client
+// must be told that nobody knows whether it ran.
 func TestWhatWaitsIsTakenBackAtTheBound(t *testing.T) {
 	w := newSlowWorld(t)
 	for _, r := range w.runners {
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -50,6 +50,9 @@
 	// SuspectUnderWay: one did, and another request with that content is being tried.
 	EndsTargets     Kind = "ends_targets"
 	SuspectUnderWay Kind = "suspect_under_way"
+	// WeightsReplaced: it waited at its target until the time of the weights there
+	// ended, and was taken back.
+	WeightsReplaced Kind = "weights_replaced"
 )
 
 // Outcome says whether the refused request ran.
@@ -152,6 +155,7 @@
 	Interrupted:       http.StatusBadGateway,
 	EndsTargets:       http.StatusServiceUnavailable,
 	SuspectUnderWay:   http.StatusServiceUnavailable,
+	WeightsReplaced:   http.StatusBadGateway,
 }
 
 // Status returns the HTTP status of e.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -20,11 +20,12 @@
 	Interrupted Reason = "interrupted"
 	Continued   Reason = "continued"
 	Resumed     Reason = "resumed"
+	Replaced    Reason = "replaced"
 )
 
 // Reasons returns every reason.
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetAway, Interrupted, Continued, Resumed}
+	return []Reason{Unreachable, TargetAway, Interrupted, Continued, Resumed, Replaced}
 }
 
 // MaxSends is the most sends of one request, the first included.
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -80,9 +80,13 @@
 func (s *session) unanswered(ctx context.Context, choice fleet.Choice, err error) result {
 	var send *SendError
 	sent := !errors.As(err, &send) || send.Sent
+	if sent && s.waits.took() {
+		s.ran++
+		return s.takenBack(choice)
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		// The client left, which says nothing of the target.
+	case errors.Is(ctx.Err(), context.Canceled), s.waits.took():
+		// The client left, or the send was given up, which says nothing of the target.
 	case sent, ctx.Err() != nil:
 		// A send that was cut by the end of the client's time leaves open whether
 		// the target can be reached.
--- a/router/router.go
+++ b/router/router.go
@@ -32,8 +32,12 @@
 // Bounds are the figures that the deployment sets.
 type Bounds struct {
 	// OldWeights is for how long after newer weights were named requests may
-	// begin on older ones.
+	// be sent to targets with older ones.
 	OldWeights time.Duration
+	// Begin is for how long after that a run may begin on older ones, wherever it
+	// waits. It ends before the deployment's bound, so that a request that is taken
+	// back then has not begun when the bound comes.
+	Begin time.Duration
 }
 
 // Router serves requests. It is safe for concurrent use.
--- a/router/session.go
+++ b/router/session.go
@@ -28,7 +28,9 @@
 	hasEvent  bool
 	last      fleet.Choice
 	ticket    *fleet.Ticket
-	firstAt   time.Time
+	// waits takes the last send back if it waits for too long to begin.
+	waits   *recall
+	firstAt time.Time
 	// lastAt is when the last event was passed on, pause the longest between two.
 	lastAt time.Time
 	pause  time.Duration
@@ -127,6 +129,8 @@
 	defer s.ticket.End()
 	s.here.At(choice.Runner.Life())
 	defer s.here.Left()
+	s.waits = s.recall(choice, cancel)
+	defer s.waits.end()
 	answer, err := s.router.sender.Send(attempt, s.newSend(choice))
 	if err != nil {
 		return s.unanswered(ctx, choice, err)
@@ -148,6 +152,7 @@
 	if s.in.route.Kind == catalog.Stream && answer.Status < 300 {
 		return s.stream(choice, answer)
 	}
+	s.waits.end()
 	return s.whole(choice, answer)
 }
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -35,6 +35,9 @@
 		if err == io.EOF {
 			return s.ended(choice, a, event)
 		}
+		if err != nil && s.waits.took() {
+			return s.takenBack(choice)
+		}
 		if err != nil {
 			s.router.fleet.Failed(choice.Runner.Life(), time.Now())
 			s.brokeOff(choice, err)
@@ -44,6 +47,7 @@
 			}
 			return s.lost(reason, "the stream of target %s broke off: %v", choice.Runner.ID, err)
 		}
+		s.waits.end()
 		s.arrived(time.Now())
 		if err := s.forward(a, event); err != nil {
 			return result{refused: clientLeft(err)}
