A rollout knows its bound: who is short of time comes first, by the time that is left

Cause: runners with long runs came last at each naming, however old their weights, and the number of orders at once followed the cost of loads alone. Change: a runner whose time is shorter than all orders take is ordered by its time, also with long runs; as many orders are under way as end all in time, half of the runners at most; one that gets nothing any more and has requests is ordered at once, which has it refuse unrun what waits there. What an order takes is learnt from the last ones.

--- a/forecast/loads.go
+++ b/forecast/loads.go
@@ -58,6 +58,11 @@
 	return max(1, min(int(orders), n/2))
 }
 
+// Order returns the time of an order to a runner with few runs to end.
+func (l *Loads) Order() time.Duration {
+	return turnaround + l.Load()
+}
+
 // Load returns the time of a load.
 func (l *Loads) Load() time.Duration {
 	if l.Alone == 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -132,6 +132,7 @@
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
+	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	n.view.verdicts = verdicts.NewKeeper(n.store, n.registry, log)
 	n.view.seat = rollout.NewSeat(n.store, n.session, n.view.keys.seat, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
 	n.pulse = newPulse(n.name, targets, n.view.verdicts.Table, n.view, log)
@@ -139,6 +140,7 @@
 	n.pulse.digest.counted = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
 	n.view.holder = rollout.NewHolder(s.Name, rollout.Surroundings{
 		Office: n.view.seat, Orderer: runners, Fleet: targets, Services: n.view.services, Told: n.pulse.soon, Metrics: rollout.NewMetrics(n.registry),
+		Bound: n.view.oldWeights,
 	}, log)
 	targets.OnRebirth(n.view.reborn)
 	targets.OnEnded(func(l fleet.Life) { n.view.verdicts.Table.Ended(l, time.Now()) })
@@ -148,7 +150,6 @@
 	n.view.follower.OnChanges(n.pulse.watched)
 	n.registerGauges()
 	n.events = fleet.NewEventWatch(targets, runners)
-	n.view.oldWeights = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	bounds := router.Bounds{OldWeights: n.view.oldWeights, Begin: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
 	retries := router.RetryBounds{
 		Ratio:  s.Bounds.RetryRatio,
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -40,6 +41,8 @@
 	// at once: until then they send to one that refuses.
 	Told    func()
 	Metrics *Metrics
+	// Bound is for how long after newer weights were named a runner gets requests.
+	Bound time.Duration
 }
 
 // Holder gives the orders while it holds the office.
@@ -53,6 +56,7 @@
 	wake     chan struct{}
 	told     func()
 	waiting  waiting
+	bound    time.Duration
 
 	// blind is set while the others do not tell this process what they send.
 	blind atomic.Bool
@@ -62,6 +66,9 @@
 	// the runner starts again its former life's order no longer counts: the new
 	// one would wait for it in vain.
 	underway map[string]underway
+	// took is what an order takes, from its turn to the end of the load; 0 until one
+	// was seen.
+	took time.Duration
 }
 
 // underway is an order that has not ended: the life of its runner, and since when.
@@ -73,7 +80,7 @@
 // NewHolder returns a holder named name, which is the machine's.
 func NewHolder(name string, s Surroundings, log logrus.FieldLogger) *Holder {
 	return &Holder{
-		name: name, office: s.Office, orderer: s.Orderer, fleet: s.Fleet, services: s.Services, told: s.Told, log: log,
+		name: name, office: s.Office, orderer: s.Orderer, fleet: s.Fleet, services: s.Services, told: s.Told, bound: s.Bound, log: log,
 		wake: make(chan struct{}, 1), waiting: newWaiting(s.Metrics, log), underway: map[string]underway{},
 	}
 }
@@ -156,6 +163,7 @@
 	if len(runners) > 0 {
 		known := h.fleet.Loads(runners[0].Service)
 		in.AtOnce = known.AtOnce(len(runners))
+		in.Bound, in.Each = h.bound, cmp.Or(h.took, known.Order())
 	}
 	for _, r := range runners {
 		load := h.fleet.Inflight(r.Life())
@@ -197,7 +205,7 @@
 func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
 	began := time.Now()
 	truncate := h.clear(ctx, r)
-	cleared := time.Since(began)
+	cleared, left := time.Since(began), h.fleet.Inflight(r.Life())
 	report, err := h.orderer.Report(ctx, r)
 	if errors.Is(err, fleet.ErrOtherRunner) {
 		h.fleet.Ended(r.Life())
@@ -235,7 +243,7 @@
 		return
 	}
 	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
-	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate, "cleared_ms": cleared.Milliseconds()}).WithError(err).Info("order given")
+	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate, "cleared_ms": cleared.Milliseconds(), "inflight": left.Inflight, "resumable": left.Resumable, "long": left.Long}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
 		h.fleet.Learn(r.Life(), model, desired, time.Now())
@@ -243,7 +251,9 @@
 		// Another runner has the address: this one has ended, whatever the list says.
 		h.fleet.Ended(r.Life())
 	case fleet.OrderAccepted:
-		h.await(ctx, r, model, desired)
+		if h.await(ctx, r, model, desired) {
+			h.tookOne(time.Since(began))
+		}
 	default:
 		clock.Sleep(ctx, pollEvery)
 	}
@@ -277,8 +287,22 @@
 	return false
 }
 
-// await waits for the end of an order, asking the runner.
-func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) {
+// tookStep is the part of the difference by which one order moves what one takes: the
+// last ten or so tell how long runs last by now.
+const tookStep = 0.1
+
+func (h *Holder) tookOne(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.took == 0 {
+		h.took = d
+	}
+	h.took += time.Duration(tookStep * float64(d-h.took))
+}
+
+// await waits for the end of an order, asking the runner, and reports whether the
+// runner has its weights.
+func (h *Holder) await(ctx context.Context, r fleet.Runner, model string, desired int64) bool {
 	began := time.Now()
 	h.fleet.Busy(r.Life(), began.Add(busyGuard))
 	h.told()
@@ -288,21 +312,22 @@
 		if err == nil && !h.reports(r, report) {
 			// The order ended with the life that took it; the load that the later
 			// one may do tells nothing of how long this one's took.
-			return
+			return false
 		}
 		if err == nil && report.Weights[model] >= desired {
 			h.fleet.Learn(r.Life(), model, desired, time.Now())
 			h.told()
 			h.fleet.WeightsLoaded(r.Service, time.Since(began))
 			h.event("loaded", r, model, desired).WithField("took_ms", time.Since(began).Milliseconds()).Info("the runner has its weights")
-			return
+			return true
 		}
 		if err == nil && !report.Busy {
-			return
+			return false
 		}
 		h.fleet.Busy(r.Life(), time.Now().Add(busyGuard))
 		clock.Sleep(ctx, pollEvery)
 	}
+	return false
 }
 
 // reports reports whether a report is of the life of a runner that was asked for.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -24,8 +24,12 @@
 	Long     map[string]int
 	// Behind is for how long each runner has been behind, by id.
 	Behind map[string]time.Duration
-	// AtOnce is the most orders under way.
+	// AtOnce is the most orders under way, unless the time that is left asks for more.
 	AtOnce int
+	// Bound is for how long after newer weights were named a runner gets requests, 0
+	// where nothing bounds it, and Each what an order takes.
+	Bound time.Duration
+	Each  time.Duration
 }
 
 // longPatience is how long runners with long runs are left to end them before
@@ -58,33 +62,28 @@
 	Wait   Reason
 }
 
-// Turns returns what becomes of each runner that is behind. Those with the oldest
-// weights get their order first, since their bound ends first, and of these the
-// idlest, as they are the soonest done and the least missed.
+// Turns returns what becomes of each runner that is behind. Those whose time is short
+// get their order first, by their time: passed over for idler ones at each naming, they
+// would come to their bound one after the other and stand idle until their turn. Of the
+// others those without long runs come first, as they are the soonest done, then those
+// with the oldest weights and the idlest.
 func Turns(in Input) []Turn {
 	var turns []Turn
+	behind := in.behind()
+	p := in.press(len(behind))
 	var due []fleet.Runner
-	for _, r := range in.Runners {
-		if r.Weights[in.Model] >= in.Desired {
-			continue
-		}
-		if wait := in.wait(r); wait != None {
+	for _, r := range behind {
+		if wait := p.wait(r); wait != None {
 			turns = append(turns, Turn{Runner: r, Wait: wait})
 		} else {
 			due = append(due, r)
 		}
 	}
-	slices.SortFunc(due, func(a, b fleet.Runner) int {
-		return cmp.Or(
-			cmp.Compare(in.Long[a.ID], in.Long[b.ID]),
-			cmp.Compare(a.Weights[in.Model], b.Weights[in.Model]),
-			cmp.Compare(in.Inflight[a.ID], in.Inflight[b.ID]),
-			cmp.Compare(a.ID, b.ID))
-	})
-	room := in.AtOnce - len(in.Underway)
+	slices.SortFunc(due, p.compare)
+	room := p.places(due) - len(in.Underway)
 	for i, r := range due {
 		t := Turn{Runner: r}
-		if i >= room {
+		if i >= room && !p.holdsBack(r) {
 			t.Wait = NoPlace
 		}
 		turns = append(turns, t)
@@ -92,16 +91,83 @@
 	return turns
 }
 
+func (in Input) behind() []fleet.Runner {
+	var out []fleet.Runner
+	for _, r := range in.Runners {
+		if r.Weights[in.Model] < in.Desired {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// pressed is an input with the time that all its orders take: who has less is pressed.
+type pressed struct {
+	Input
+	all time.Duration
+}
+
+func (in Input) press(behind int) pressed {
+	rounds := (behind + in.AtOnce - 1) / max(1, in.AtOnce)
+	return pressed{in, time.Duration(rounds) * in.Each}
+}
+
+// left returns the time in which a runner gets requests yet.
+func (p pressed) left(r fleet.Runner) time.Duration {
+	return p.Bound - p.Behind[r.ID]
+}
+
+func (p pressed) is(r fleet.Runner) bool {
+	return p.Bound > 0 && p.left(r) < p.all
+}
+
+// holdsBack reports whether a runner gets no requests any more and has some that may
+// still wait for their slot: an order refuses these unrun, so that they go elsewhere
+// before the bound, and its load begins only when the runs have ended.
+func (p pressed) holdsBack(r fleet.Runner) bool {
+	return p.Bound > 0 && p.left(r) <= 0 && p.Inflight[r.ID] > 0
+}
+
 // wait returns why a runner that is behind is not due.
-func (in Input) wait(r fleet.Runner) Reason {
-	_, underway := in.Underway[r.ID]
+func (p pressed) wait(r fleet.Runner) Reason {
+	_, underway := p.Underway[r.ID]
 	switch {
 	case r.Draining:
 		return Leaving
 	case underway:
 		return Underway
-	case in.Long[r.ID] > 0 && in.Behind[r.ID] <= longPatience:
+	case p.Long[r.ID] > 0 && p.Behind[r.ID] <= longPatience && !p.is(r):
 		return LongRuns
 	}
 	return None
 }
+
+func (p pressed) compare(a, b fleet.Runner) int {
+	if p.is(a) || p.is(b) {
+		return cmp.Or(
+			cmp.Compare(p.left(a), p.left(b)),
+			p.compareIdle(a, b))
+	}
+	return p.compareIdle(a, b)
+}
+
+func (p pressed) compareIdle(a, b fleet.Runner) int {
+	return cmp.Or(
+		cmp.Compare(p.Long[a.ID], p.Long[b.ID]),
+		cmp.Compare(a.Weights[p.Model], b.Weights[p.Model]),
+		cmp.Compare(p.Inflight[a.ID], p.Inflight[b.ID]),
+		cmp.Compare(a.ID, b.ID))
+}
+
+// places returns how many orders may be under way, so that each of those due, in their
+// order, has its order ended in time; half of the runners stay in service.
+func (p pressed) places(due []fleet.Runner) int {
+	places := p.AtOnce
+	for i, r := range due {
+		if left := p.left(r); p.is(r) && left > 0 {
+			needed := time.Duration(i+1)*p.Each/left + 1
+			places = max(places, int(needed))
+		}
+	}
+	return max(p.AtOnce, min(places, len(p.Runners)/2))
+}
