Short of time is who has less than the orders due no later take

Cause: measured against all that are behind, also those that are hardly behind press. Change: ranks by time; of each, the time of the orders due no later, as many at once as may be.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -70,7 +70,7 @@
 func Turns(in Input) []Turn {
 	var turns []Turn
 	behind := in.behind()
-	p := in.press(len(behind))
+	p := in.press(behind)
 	var due []fleet.Runner
 	for _, r := range behind {
 		if wait := p.wait(r); wait != None {
@@ -101,15 +101,31 @@
 	return out
 }
 
-// pressed is an input with the time that all its orders take: who has less is pressed.
+// pressed is an input with the runners whose time is short: those that have less than
+// it takes to give all their orders that are due no later, as many at once as may be.
 type pressed struct {
 	Input
-	all time.Duration
+	short map[string]bool
 }
 
-func (in Input) press(behind int) pressed {
-	rounds := (behind + in.AtOnce - 1) / max(1, in.AtOnce)
-	return pressed{in, time.Duration(rounds) * in.Each}
+func (in Input) press(behind []fleet.Runner) pressed {
+	p := pressed{in, map[string]bool{}}
+	if in.Bound <= 0 {
+		return p
+	}
+	byTime := slices.SortedFunc(slices.Values(behind), func(a, b fleet.Runner) int { return cmp.Compare(p.left(a), p.left(b)) })
+	for i := len(byTime) - 1; i >= 0; i-- {
+		rounds := i/max(1, in.AtOnce) + 1
+		left := p.left(byTime[i])
+		if left < time.Duration(rounds)*in.Each {
+			// All that are due no later are short of time, too.
+			for _, r := range byTime[:i+1] {
+				p.short[r.ID] = true
+			}
+			break
+		}
+	}
+	return p
 }
 
 // left returns the time in which a runner gets requests yet.
@@ -118,7 +134,7 @@
 }
 
 func (p pressed) is(r fleet.Runner) bool {
-	return p.Bound > 0 && p.left(r) < p.all
+	return p.short[r.ID]
 }
 
 // holdsBack reports whether a runner gets no requests any more and has some that may
