--- a/node/weights_test.go
+++ b/node/weights_test.go
@@ -98,8 +98,9 @@
 
 // Work ran on weights that were replaced longer ago than the bound allows. One
 // runner had its order, which waited for its runs and held the only place; the
-// other had none. A request that was sent there in time waited behind a run and
-// began after the bound.
+// other had none, as the rollout knew no deadline. A request that was sent there in time
+// waited behind a run and began 0.5 s after the bound; with an order before the bound
+// the runner refuses it unrun, and its client is told so.
 func TestNothingWaitsBeyondTheBoundOnOlderWeights(t *testing.T) {
 	w := newSlowWorld(t)
 	named := w.nameWeights(2)
