A naming counts from when the store may have acknowledged it

Cause: the time of hearing was taken for that of the acknowledgement. Change: a naming counts from 0.4 s before it is heard, the pause and the way over the member that watches for its group. Weights that were replaced lately cost nothing for 1.5 s from then on (1.2 s from the hearing before), the figure of the acknowledgement. Ruled out: the age of the view as in a listing: after an outage of the store, in which the bound does not run, it would take all targets with older weights out of use at once. Measured: TestANamingCountsFromWhenItMayHaveBeenAcknowledged fails before; tests of node and fleet pass.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -82,9 +82,8 @@
 	// and bytes between zones are paid for.
 	otherZone = 2 * time.Millisecond
 	// oldWeightsGrace is for how long older weights cost nothing: an answer on
-	// them is worth full credit until 1.5 s after newer ones were acknowledged,
-	// and the news takes some time.
-	oldWeightsGrace = 1200 * time.Millisecond
+	// them is worth full credit until 1.5 s after newer ones were acknowledged.
+	oldWeightsGrace = 1500 * time.Millisecond
 	// oldWeightsCost is what older weights cost then: a fifth of the credit,
 	// weighed as waiting for a good part of the usual objective.
 	oldWeightsCost = 150 * time.Millisecond
--- a/node/view.go
+++ b/node/view.go
@@ -126,14 +126,19 @@
 // runners that are behind at a node's start are mostly about to catch up.
 const unknownRest = 2 * time.Second
 
-// namedAt returns since when new weights are taken to be wanted. One that finds
+// newsLag is how old news of the store may be when it is heard: the pause after other
+// news before the next watch, and the way over the member that watches for its group.
+const newsLag = gather + 100*time.Millisecond
+
+// namedAt returns since when new weights are taken to be wanted: their bound runs from
+// the store's word, which may be as old as news gets. One that finds
 // them in a listing knows no more than that they were not there when its view was
 // last confirmed. When the store dropped its history as weights were named, taking
 // the naming for as old as may be left all entries with old weights for two
 // seconds: with 44 runners to change, every request of the next two was refused.
 func (v *view) namedAt(model string, listed bool, now time.Time) time.Time {
 	if !listed {
-		return now
+		return now.Add(-newsLag)
 	}
 	earliest := now.Add(unknownRest - v.oldWeights)
 	if age, ok := v.follower.Age(); ok && v.fleet.Newest(model) > 0 && now.Add(-age).After(earliest) {
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -76,3 +76,18 @@
 		t.Errorf("weights 1, found by the first listing, count as wanted for %v only", behind)
 	}
 }
+
+// Weights are named a moment after other news. The entry pauses before it asks the store
+// again and hears of them 0.26 s late; counted from then, requests were sent to targets
+// with older weights for as much longer, and began after the bound.
+func TestANamingCountsFromWhenItMayHaveBeenAcknowledged(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet.New("z")
+	v := &view{fleet: f, log: log, oldWeights: 18 * time.Second}
+	v.holder = rollout.NewHolder("n", rollout.Surroundings{Fleet: f}, log)
+	v.Named(platform.Naming{Model: "m", Version: 2})
+	if behind := f.BehindFor("m", 1, time.Now()); behind < gather {
+		t.Errorf("weights that were heard of just now count as wanted for %v; the pause alone is %v", behind, gather)
+	}
+}
