Soak: weights named in series beside faults of targets, orders and entries

Ruled out: ways that fall silent: a target would not hear that a request is taken back, and the rule does not count there; so that fault is not among these.

--- a/integration/soak/foreign_test.go
+++ b/integration/soak/foreign_test.go
@@ -186,7 +186,7 @@
 // since a rollout alone has requests refused; TestSoak has both.
 func TestSoakForeign(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
-	s := newSite(t, number("SOAK_ENTRIES", 3), false)
+	s := newSite(t, number("SOAK_ENTRIES", 3), regression{})
 	s.await("all entries are ready at the start", s.allReady)
 	c := s.call(seed)
 	b := &breaker{
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -69,6 +70,11 @@
 	// reached without proxies.
 	deadly string
 	direct bool
+	// versionMS is the bound on older weights, and has targets take time to load; 0 is
+	// the usual bound, and none.
+	versionMS int
+	// seconds is how long it is played; 0 is as long as most are.
+	seconds int
 }
 
 // regressions have the cause each, in a line.
@@ -105,20 +111,29 @@
 	}
 }
 
+// usualSeconds is how long most seeds are played.
+const usualSeconds = 8
+
 func play(t *testing.T, r regression) {
-	s := newSite(t, number("SOAK_ENTRIES", 3), r.direct)
+	s := newSite(t, number("SOAK_ENTRIES", 3), r)
 	s.await("all entries are ready at the start", s.allReady)
+	if r.versionMS != 0 {
+		s.loading(r.seed)
+	}
 	c := s.call(r.seed)
 	if r.deadly != "" {
 		c.deadly(r.deadly, r.seed)
 	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults}
-	b.breakFor(time.Duration(number("SOAK_SECONDS", 8)) * time.Second)
+	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
 	s.await("every runner has the newest weights", s.allLoaded)
 	c.judge()
+	if r.versionMS != 0 {
+		c.judgeWeights(time.Duration(r.versionMS) * time.Millisecond)
+	}
 	c.judgeDeadly(r.deadly)
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
--- a/integration/soak/stops_test.go
+++ b/integration/soak/stops_test.go
@@ -280,7 +280,7 @@
 // each must end with a whole answer or a refusal.
 func TestSoakStops(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
-	s := newSite(t, number("SOAK_ENTRIES", 3), false)
+	s := newSite(t, number("SOAK_ENTRIES", 3), regression{})
 	b := s.watch(seed)
 	all := func() bool { return len(b.entries()) == len(s.entries) }
 	s.await("the platform leads to all entries", all)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 	// mu guards what several faults write to the store.
 	mu      sync.Mutex
 	weights int
+	// named is when each version from 2 on was named.
+	named []time.Time
 	// written is what each target has written to the list.
 	written map[string]string
 	// ended are the processes that ended and were not told to.
@@ -53,6 +56,8 @@
 	// direct has targets be reached without their proxies: an address where nobody
 	// listens then refuses connections, which a proxy takes and closes.
 	direct bool
+	// versionMS is the entries' bound on older weights, in milliseconds.
+	versionMS int
 }
 
 func (s *site) addressOf(tg *target) string {
@@ -94,9 +99,9 @@
 // streams that have begun.
 const streamPace = 25 * time.Millisecond
 
-func newSite(t *testing.T, entries int, direct bool) *site {
+func newSite(t *testing.T, entries int, r regression) *site {
 	t.Helper()
-	s := &site{t: t, direct: direct, dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
+	s := &site{t: t, direct: r.direct, versionMS: cmp.Or(r.versionMS, usualVersionMS), dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
 	s.trap = newTrap(t)
 	s.server = httptest.NewServer(kv.NewServer(s.store).Handler())
 	t.Cleanup(s.server.Close)
@@ -207,12 +212,16 @@
 	defer s.mu.Unlock()
 	s.weights++
 	s.writeWeights()
+	s.named = append(s.named, time.Now())
 }
 
 func (s *site) writeWeights() {
 	s.store.Set("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, s.weights))
 }
 
+// usualVersionMS is the bound on older weights of most seeds, in milliseconds.
+const usualVersionMS = 8000
+
 // graceS is how long an entry has after SIGTERM.
 const graceS = 6
 
@@ -231,7 +240,7 @@
 grace_s = %d
 revoke_ms = 5000
 revoke_fail_closed = true
-version_ms = 8000
+version_ms = %d
 lease_ms = 3000
 retry_budget_ratio = 0.2
 budget_extra_retries = 50
@@ -239,7 +248,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, e.name, freePort(s.t), e.front, e.ready, graceS, e.proxy.Addr())
+`, e.name, freePort(s.t), e.front, e.ready, graceS, s.versionMS, e.proxy.Addr())
 	if err := os.WriteFile(e.file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
