An order ends with the office under which it is given

Cause, the incident's class: a bound that is felt at the effect is kept by a check at the sending with a fixed margin. The office is looked at 0.4 s before its lease ends at the latest, and an order may take a second on its way: 0.6 s after the next holder may have ordered the same target under a higher fence. Found by reading for the class; not seen. Change: the call of an order ends when the lease may have lapsed. Looked at and left: a target that leaves (news is 0.4 s old at most and two connections take 0.5 s each, within drain_ms of 2 s and more); keys and routes, whose bounds count from the client's sending; time-outs of routes, which are contexts of the whole request. Measured: TestAnOrderEndsWithTheOffice does not end on the code before.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -109,6 +109,18 @@
 	return s.id != "" && clock.Now() < s.until
 }
 
+// Left returns for how long the lease lasts at least; 0 once it may have lapsed. What
+// acts by the lease ends by then: a call that was made in time may be held up on its way,
+// and would take effect beside another holder's.
+func (s *Session) Left() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.id == "" {
+		return 0
+	}
+	return max(0, time.Duration(s.until.Add(s.margin)-clock.Now()))
+}
+
 // End gives the lease up for good, so that its keys vanish at once.
 func (s *Session) End(ctx context.Context) error {
 	id := s.ID()
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -26,6 +26,8 @@
 // Office says whether this process may give orders now, and under which fence.
 type Office interface {
 	Held() (fence int64, ok bool)
+	// Left returns for how long the right lasts at least.
+	Left() time.Duration
 }
 
 // Services returns which services run a model.
@@ -242,7 +244,7 @@
 	if !h.fleet.Holds(r.Life()) {
 		return
 	}
-	result, err := h.orderer.Order(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
+	result, err := h.give(ctx, fleet.Order{Runner: r, Model: model, Weights: desired, Holder: h.name, Fence: fence, Orders: report.Orders, Truncate: truncate})
 	h.event("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.Orders, "truncate": truncate, "cleared_ms": cleared.Milliseconds(), "inflight": left.Inflight, "resumable": left.Resumable, "long": left.Long}).WithError(err).Info("order given")
 	switch result {
 	case fleet.OrderHolds:
@@ -287,6 +289,15 @@
 	return false
 }
 
+// give gives an order, within the time of the office: one that is held up on its way, by
+// a slow link or a connection that takes its time, must not arrive beside those of the
+// next holder.
+func (h *Holder) give(ctx context.Context, o fleet.Order) (fleet.OrderResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.office.Left())
+	defer cancel()
+	return h.orderer.Order(ctx, o)
+}
+
 // tookStep is the part of the difference by which one order moves what one takes: the
 // last ten or so tell how long runs last by now.
 const tookStep = 0.1
--- a/rollout/holder_test.go
+++ b/rollout/holder_test.go
@@ -35,6 +35,32 @@
 type always struct{}
 
 func (always) Held() (int64, bool) { return 1, true }
+func (always) Left() time.Duration { return time.Minute }
+
+// lapsing is an office that ends soon.
+type lapsing struct{ always }
+
+func (lapsing) Left() time.Duration { return 50 * time.Millisecond }
+
+// held is a way on which orders are held up for good.
+type held struct{ orders }
+
+func (h *held) Order(ctx context.Context, _ fleet.Order) (fleet.OrderResult, error) {
+	<-ctx.Done()
+	return fleet.OrderLost, ctx.Err()
+}
+
+// The holder looks at its office and sends an order, whose way takes longer than the
+// office lasts. Another process takes the office and orders the same runner; arriving
+// after that, the first order would come under a lower fence. It ends with the office.
+func TestAnOrderEndsWithTheOffice(t *testing.T) {
+	f := fleet.New("z")
+	r := fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}}
+	f.Put(r)
+	h := NewHolder("n", Surroundings{Office: lapsing{}, Orderer: &held{}, Fleet: f, Told: func() {}}, quiet())
+	// The test ends by its own time-out if the order does not.
+	h.bring(context.Background(), r, "m", 2)
+}
 
 // bringOne brings one runner with the given requests at work to weights 2 and
 // returns the order that it got.
--- a/rollout/life_test.go
+++ b/rollout/life_test.go
@@ -49,6 +49,8 @@
 	return 1, true
 }
 
+func (o office) Left() time.Duration { return time.Minute }
+
 // listed returns a view of one runner in the life that began at 10.
 func listed() (*fleet.Fleet, fleet.Runner) {
 	f := fleet.New("z")
--- a/rollout/office.go
+++ b/rollout/office.go
@@ -55,6 +55,11 @@
 	return s.fence, held
 }
 
+// Left implements Office.
+func (s *Seat) Left() time.Duration {
+	return s.session.Left()
+}
+
 // Seen notes what the store says of the key at a revision; an empty value is
 // its absence. What is older than the seat's own taking says nothing of it: a
 // listing may have been read before and arrive after. Nor does the taking of one
