Rollout: what the time that is left asks for stands in a file of its own

Cause: read again, the plan mixed who waits with who is short of time, under a name (pressed.is) that explained nothing. Change: deadline.go; no change of behaviour. Measured: tests of rollout pass.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -70,20 +70,20 @@
 func Turns(in Input) []Turn {
 	var turns []Turn
 	behind := in.behind()
-	p := in.press(behind)
+	d := in.deadlines(behind)
 	var due []fleet.Runner
 	for _, r := range behind {
-		if wait := p.wait(r); wait != None {
+		if wait := d.wait(r); wait != None {
 			turns = append(turns, Turn{Runner: r, Wait: wait})
 		} else {
 			due = append(due, r)
 		}
 	}
-	slices.SortFunc(due, p.compare)
-	room := p.places(due) - len(in.Underway)
+	slices.SortFunc(due, d.compare)
+	room := d.places(due) - len(in.Underway)
 	for i, r := range due {
 		t := Turn{Runner: r}
-		if i >= room && !p.holdsBack(r) {
+		if i >= room && !d.holdsBack(r) {
 			t.Wait = NoPlace
 		}
 		turns = append(turns, t)
@@ -101,89 +101,33 @@
 	return out
 }
 
-// pressed is an input with the runners whose time is short: those that have less than
-// it takes to give all their orders that are due no later, as many at once as may be.
-type pressed struct {
-	Input
-	short map[string]bool
-}
-
-func (in Input) press(behind []fleet.Runner) pressed {
-	p := pressed{in, map[string]bool{}}
-	if in.Bound <= 0 {
-		return p
-	}
-	byTime := slices.SortedFunc(slices.Values(behind), func(a, b fleet.Runner) int { return cmp.Compare(p.left(a), p.left(b)) })
-	for i := len(byTime) - 1; i >= 0; i-- {
-		rounds := i/max(1, in.AtOnce) + 1
-		left := p.left(byTime[i])
-		if left < time.Duration(rounds)*in.Each {
-			// All that are due no later are short of time, too.
-			for _, r := range byTime[:i+1] {
-				p.short[r.ID] = true
-			}
-			break
-		}
-	}
-	return p
-}
-
-// left returns the time in which a runner gets requests yet.
-func (p pressed) left(r fleet.Runner) time.Duration {
-	return p.Bound - p.Behind[r.ID]
-}
-
-func (p pressed) is(r fleet.Runner) bool {
-	return p.short[r.ID]
-}
-
-// holdsBack reports whether a runner gets no requests any more and has some that may
-// still wait for their slot: an order refuses these unrun, so that they go elsewhere
-// before the bound, and its load begins only when the runs have ended.
-func (p pressed) holdsBack(r fleet.Runner) bool {
-	return p.Bound > 0 && p.left(r) <= 0 && p.Inflight[r.ID] > 0
-}
-
 // wait returns why a runner that is behind is not due.
-func (p pressed) wait(r fleet.Runner) Reason {
-	_, underway := p.Underway[r.ID]
+func (d deadlines) wait(r fleet.Runner) Reason {
+	_, underway := d.Underway[r.ID]
 	switch {
 	case r.Draining:
 		return Leaving
 	case underway:
 		return Underway
-	case p.Long[r.ID] > 0 && p.Behind[r.ID] <= longPatience && !p.is(r):
+	case d.Long[r.ID] > 0 && d.Behind[r.ID] <= longPatience && !d.short[r.ID]:
 		return LongRuns
 	}
 	return None
 }
 
-func (p pressed) compare(a, b fleet.Runner) int {
-	if p.is(a) || p.is(b) {
+func (d deadlines) compare(a, b fleet.Runner) int {
+	if d.short[a.ID] || d.short[b.ID] {
 		return cmp.Or(
-			cmp.Compare(p.left(a), p.left(b)),
-			p.compareIdle(a, b))
+			cmp.Compare(d.left(a), d.left(b)),
+			d.compareIdle(a, b))
 	}
-	return p.compareIdle(a, b)
+	return d.compareIdle(a, b)
 }
 
-func (p pressed) compareIdle(a, b fleet.Runner) int {
+func (d deadlines) compareIdle(a, b fleet.Runner) int {
 	return cmp.Or(
-		cmp.Compare(p.Long[a.ID], p.Long[b.ID]),
-		cmp.Compare(a.Weights[p.Model], b.Weights[p.Model]),
-		cmp.Compare(p.Inflight[a.ID], p.Inflight[b.ID]),
+		cmp.Compare(d.Long[a.ID], d.Long[b.ID]),
+		cmp.Compare(a.Weights[d.Model], b.Weights[d.Model]),
+		cmp.Compare(d.Inflight[a.ID], d.Inflight[b.ID]),
 		cmp.Compare(a.ID, b.ID))
 }
-
-// places returns how many orders may be under way, so that each of those due, in their
-// order, has its order ended in time; half of the runners stay in service.
-func (p pressed) places(due []fleet.Runner) int {
-	places := p.AtOnce
-	for i, r := range due {
-		if left := p.left(r); p.is(r) && left > 0 {
-			needed := time.Duration(i+1)*p.Each/left + 1
-			places = max(places, int(needed))
-		}
-	}
-	return max(p.AtOnce, min(places, len(p.Runners)/2))
-}
