--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -137,7 +137,7 @@
 		h.waiting.note(in, turns)
 		for _, t := range turns {
 			if t.Wait == None {
-				h.begin(ctx, t.Runner, model, desired)
+				h.begin(ctx, t, model, desired)
 			}
 		}
 	}
@@ -175,12 +175,13 @@
 	return in
 }
 
-func (h *Holder) begin(ctx context.Context, r fleet.Runner, model string, desired int64) {
+func (h *Holder) begin(ctx context.Context, t Turn, model string, desired int64) {
+	r := t.Runner
 	h.mu.Lock()
 	h.underway[r.ID] = underway{life: r.Life(), since: time.Now()}
 	h.mu.Unlock()
 	go func() {
-		h.bring(ctx, r, model, desired)
+		h.bring(ctx, t, model, desired)
 		h.mu.Lock()
 		if h.underway[r.ID].life == r.Life() {
 			delete(h.underway, r.ID)
@@ -204,9 +205,9 @@
 
 // bring brings one runner to the desired weights, or gives up so that the next
 // look decides anew.
-func (h *Holder) bring(ctx context.Context, r fleet.Runner, model string, desired int64) {
-	began := time.Now()
-	truncate := h.clear(ctx, r)
+func (h *Holder) bring(ctx context.Context, t Turn, model string, desired int64) {
+	r, began := t.Runner, time.Now()
+	truncate := h.clear(ctx, t)
 	cleared, left := time.Since(began), h.fleet.Inflight(r.Life())
 	report, err := h.orderer.Report(ctx, r)
 	if errors.Is(err, fleet.ErrOtherRunner) {
@@ -268,17 +269,25 @@
 	clearFor = 300 * time.Millisecond
 	// clearTries is how often that is waited for before the runs are left to end.
 	clearTries = 4
+	// clearTriesShort is the same where the runner's time is short: the runs that can't
+	// go on elsewhere are mostly short ones that end within 3.6 s, and left to end the
+	// long ones keep the runner for longer than that.
+	clearTriesShort = 12
 )
 
 // clear prepares a runner that has only long runs left, and reports whether
 // these may be cut off: each must be one that goes on at another runner, after
 // its last event. Left to end, the last of them keep a runner of forty or sixty
 // slots out of service for four to six seconds.
-func (h *Holder) clear(ctx context.Context, r fleet.Runner) bool {
+func (h *Holder) clear(ctx context.Context, t Turn) bool {
+	r, tries := t.Runner, clearTries
+	if t.Short {
+		tries = clearTriesShort
+	}
 	if h.fleet.Inflight(r.Life()).Long == 0 || h.blind.Load() || h.fleet.Off(policy.Cutting) {
 		return false
 	}
-	for range clearTries {
+	for range tries {
 		h.fleet.Busy(r.Life(), time.Now().Add(busyGuard))
 		h.told()
 		clock.Sleep(ctx, clearFor)
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -60,6 +60,8 @@
 type Turn struct {
 	Runner fleet.Runner
 	Wait   Reason
+	// Short is set where its time is short.
+	Short bool
 }
 
 // Turns returns what becomes of each runner that is behind. Those whose time is short
@@ -82,7 +84,7 @@
 	slices.SortFunc(due, d.compare)
 	room := d.places(due) - len(in.Underway)
 	for i, r := range due {
-		t := Turn{Runner: r}
+		t := Turn{Runner: r, Short: d.short[r.ID]}
 		if i >= room && !d.holdsBack(r) {
 			t.Wait = NoPlace
 		}
