--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -52,9 +52,7 @@
 // With a hundred processes, as many runs are decided in the time that news takes as
 // several runners hold. Were all to go to the first with room, its queue would
 // overflow while the next ones stand empty. So the choice is among as many as have
-// room for what is unseen, by their room: then each gets its part of that. With 103
-// processes before 160 runners, this and news by groups brought the arrivals that
-// runners reject from 9,610 of 31,345 down to 1,101 of 25,251 on a calm day.
+// room for what is unseen, by their room: then each gets its part of that.
 func (f *Fleet) firstWithRoom(q Query, g *group, indices []int32, now time.Time) *state {
 	if len(indices) == 0 {
 		return nil
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -69,9 +69,8 @@
 	f.tellers[sender] = t
 }
 
-// unsay forgets what a process said. Only the targets that it named are touched: with
-// 24 others that tell ten times a second, all of 160 targets each time took half of
-// what telling costs a processor.
+// unsay forgets what a process said. Only the targets that it named are touched:
+// two dozen others tell ten times a second, and there may be thousands of targets.
 func (f *Fleet) unsay(sender string) {
 	t := f.tellers[sender]
 	if t == nil {
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -19,9 +19,8 @@
 
 // Figures of who reads which cache's events.
 const (
-	// allReadMost is up to how many processes each reads all caches itself. A
-	// reading by each of 21 took 190 KB/s and came in bursts of a quarter of a
-	// second on links of 10 Mbit/s, behind which streams stood.
+	// allReadMost is up to how many processes each reads all caches itself. Read by
+	// each of many, they come in bursts on slow links, behind which streams stand.
 	allReadMost = 4
 	// readersEach is how many of more processes read the same cache: one may be
 	// frozen or cut off until its lease ends.
--- a/forecast/loads.go
+++ b/forecast/loads.go
@@ -6,11 +6,9 @@
 const (
 	// loadsShare is the part of a model's runners that load weights at the same
 	// time, and loadsLeast the least number: as many as loaded at full speed beside
-	// each other on every platform met (2 of 9, 3 of 18, 7 of 38, 8 of 44); more end
-	// no sooner, and each is out of service for longer. Learnt from how loads slow
-	// each other down, the number rose to half of a fleet of 38 and fell to one of
-	// 44, as nobody sees when a runner that ends its runs begins to load
-	// (docs/design/rollouts.md).
+	// each other on every platform met; more end no sooner, and each is out of service
+	// for longer. It can't be learnt from how loads slow each other down, as nobody sees
+	// when a runner that ends its runs begins to load (docs/design/rollouts.md).
 	loadsShare = 0.18
 	loadsLeast = 2
 	// firstLoad is taken for the time of a load until one was seen: the order of
@@ -22,7 +20,7 @@
 	loadRise = 0.01
 	// turnaround is the time of an order that is none of its load: until the
 	// runner has ended its runs, and until the end of the load is known, which a
-	// report tells some hundred milliseconds late. 0.5 to 0.7 s on all engines met.
+	// report tells some hundred milliseconds late.
 	turnaround = 600 * time.Millisecond
 )
 
--- a/node/digest.go
+++ b/node/digest.go
@@ -57,8 +57,7 @@
 	// digestRate bounds what a node hears from all other groups together, in bytes
 	// a second: a tenth of a link of 20 Mbit/s. Where digests grow with targets and
 	// groups, they come less often, and the news of caches that finds no room is left
-	// out. Unbounded, 300 entries before 3,000 targets told 0.6 to 1.9 MB a second each
-	// and served nothing for half a minute after all of them had started anew.
+	// out: unbounded, they fill the links of all once hundreds have started anew.
 	digestRate = 256 << 10
 	// heardWithin is for how long a member counts as there after it was heard: two
 	// pulses of a full group and a half. Then the next in order relays.
--- a/node/view.go
+++ b/node/view.go
@@ -135,8 +135,8 @@
 // store dropped its history as weights were named, taking the naming for as old as may be
 // left all entries with old weights for two seconds: with 44 runners to change, every
 // request of the next two was refused. At its start it knows nothing, and guesses that the
-// time of older weights is over, until the others tell: it began requests on them 0.8 s
-// after the bound when it took them for good for two seconds more.
+// time of older weights is over, until the others tell: the naming may be as old as the
+// bound, and requests would begin on them after it.
 func (v *view) namedAt(model string, listed bool, now time.Time) (at time.Time, guessed bool) {
 	if !listed {
 		return now.Add(-newsLag), false
--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -17,9 +17,8 @@
 // and how long ago its view was complete. A datagram may be late by any time, and
 // its sender may have been frozen before it went: so each pulse bears a mark of its
 // sender's clock, and a confirmation the last mark heard of each member. It was
-// made after that mark, whatever has happened since, and counts from there. At 103
-// nodes the calls of a calm day cost 0.05 of what its requests are worth, and 0.20
-// with a watch each.
+// made after that mark, whatever has happened since, and counts from there. A watch
+// each would have the store answer as many calls a second as there are nodes.
 type watchShare struct {
 	// self is the hash of this node's name.
 	self uint64
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -19,7 +19,7 @@
 	// GroupMost is how many members a group has at most. At 5 ms a peer between two
 	// tellings each hears of all others of its group eight times a second, at some
 	// 200 datagrams a second in and out: a small machine's processor bears three
-	// times that (0.027 of a core measured, of 0.144).
+	// times that.
 	GroupMost = 25
 	// relaysEach is how many members may relay news between two groups: the
 	// second does so while nothing is heard of the first.
--- a/poison/news.go
+++ b/poison/news.go
@@ -14,10 +14,9 @@
 	// second loss in a row costs one more target at most.
 	toldTimes = 2
 	// newsRate is how much is told on the average, in bytes a second to each process
-	// that listens, and newsBurst at once. Where a dozen targets end together, seven
-	// hundred requests are suspect; told in full and with each pulse while they went on,
-	// that took half of a 10 Mbit/s link of each of 21 entries, and requests waited
-	// seconds on it. Those that ended the most targets go first, the newest of them.
+	// that listens, and newsBurst at once. Where a dozen targets end together, hundreds
+	// of requests are suspect; told in full and with each pulse, they fill the links of
+	// small machines, and requests wait seconds on those. Those that ended the most targets go first, the newest of them.
 	newsRate  = 6 << 10
 	newsBurst = 4 << 10
 	// retellMost is how old a first end may be that a process which starts is told of.
