--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -65,8 +65,8 @@
 	r.turned()
 }
 
-// enter waits for a slot. ok is false where there is none for the request: refused
-// says whether the target refuses it unrun, or else its caller left.
+// enter waits for a slot. Where the request gets none, in is nil, and refused says
+// whether the target refuses it unrun; else its caller left.
 func (r *Runner) enter(req *http.Request, seen int) (in *run, refused bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
