--- a/node/view.go
+++ b/node/view.go
@@ -131,12 +131,11 @@
 
 // namedAt returns since when new weights are taken to be wanted: their bound runs from
 // the store's word, which may be as old as news gets. One that finds them in a listing
-// knows no more than that they were not there when its view was last confirmed. When the
-// store dropped its history as weights were named, taking the naming for as old as may be
-// left all entries with old weights for two seconds: with 44 runners to change, every
-// request of the next two was refused. At its start it knows nothing, and guesses that the
-// time of older weights is over, until the others tell: the naming may be as old as the
-// bound, and requests would begin on them after it.
+// knows no more than that they were not there when its view was last confirmed; were they
+// taken for as old as may be, a store that drops its history as weights are named would
+// leave all targets with older ones out of use at once. At its start it knows nothing, and
+// guesses that the time of older weights is over, until the others tell: the naming may be
+// as old as the bound, and requests would begin on them after it.
 func (v *view) namedAt(model string, listed bool, now time.Time) (at time.Time, guessed bool) {
 	if !listed {
 		return now.Add(-newsLag), false
--- a/rollout/office.go
+++ b/rollout/office.go
@@ -145,7 +145,6 @@
 	s.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("this process gives the orders now")
 }
 
-// take writes the key over the revision given; 0 is none.
 // Release gives the seat to whoever seeks it, while this process's lease goes on.
 // One that is being taken just now stays until the lease ends.
 func (s *Seat) Release(ctx context.Context) error {
@@ -166,6 +165,7 @@
 	return err
 }
 
+// take writes the key over the revision given; 0 is none.
 func (s *Seat) take(ctx context.Context, lease store.LeaseID, over int64) (int64, error) {
 	fence, err := s.store.Put(ctx, s.key, []byte(s.name), over, lease)
 	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) {
