--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -188,6 +188,3 @@
 	r.weights[o.Model], r.busy = o.Version, false
 	r.turned()
 }
-
-// lateBy is after what time a target that does so carries an order out.
-const lateBy = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/standin/runner/orders.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Order is an order as it arrived.
+type Order struct {
+	Op           string `json:"op"`
+	Model        string `json:"model"`
+	Version      int64  `json:"version"`
+	Mode         string `json:"mode"`
+	Holder       string `json:"holder"`
+	Fence        int64  `json:"fence"`
+	Precondition *int64 `json:"precondition"`
+	// Born is the life that accepted it.
+	Born int64 `json:"-"`
+}
+
+// lateBy is after what time a target that does so carries an order out.
+const lateBy = 1500 * time.Millisecond
+
+func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
+	var o Order
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if req.Header.Get("Expect-Instance") != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if fault := r.faultNow(); fault == DeafToOrders || fault == LateOrders {
+		if fault == LateOrders {
+			time.AfterFunc(lateBy, func() { r.accept(o) })
+		}
+		<-req.Context().Done()
+		return
+	}
+	accepted, fault := r.accept(o)
+	switch {
+	case !accepted:
+		w.WriteHeader(http.StatusConflict)
+	case fault == RebornAtOrder:
+		r.Reborn()
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (r *Runner) faultNow() Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
+// accept carries an order out unless it expects another count of orders, or one is
+// being carried out.
+func (r *Runner) accept(o Order) (bool, Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy || o.Precondition != nil && *o.Precondition != int64(r.accepted) {
+		return false, r.fault
+	}
+	o.Born = r.born
+	r.orders = append(r.orders, o)
+	r.accepted++
+	r.carryOut(o)
+	return true, r.fault
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -95,19 +95,6 @@
 	loading
 }
 
-// Order is an order as it arrived.
-type Order struct {
-	Op           string `json:"op"`
-	Model        string `json:"model"`
-	Version      int64  `json:"version"`
-	Mode         string `json:"mode"`
-	Holder       string `json:"holder"`
-	Fence        int64  `json:"fence"`
-	Precondition *int64 `json:"precondition"`
-	// Born is the life that accepted it.
-	Born int64 `json:"-"`
-}
-
 // Start starts a target on loopback with the given weights; nil for a plain service.
 func Start(id, service string, weights map[string]int64) *Runner {
 	r := &Runner{ID: id, Service: service, first: maps.Clone(weights), weights: weights, born: time.Now().UnixMilli()}
@@ -242,56 +229,6 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "busy": r.busy, "seq_no": r.accepted, "born": r.born})
 }
 
-func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
-	var o Order
-	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if req.Header.Get("Expect-Instance") != r.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if fault := r.faultNow(); fault == DeafToOrders || fault == LateOrders {
-		if fault == LateOrders {
-			time.AfterFunc(lateBy, func() { r.accept(o) })
-		}
-		<-req.Context().Done()
-		return
-	}
-	accepted, fault := r.accept(o)
-	switch {
-	case !accepted:
-		w.WriteHeader(http.StatusConflict)
-	case fault == RebornAtOrder:
-		r.Reborn()
-		panic(http.ErrAbortHandler)
-	default:
-		w.WriteHeader(http.StatusAccepted)
-	}
-}
-
-func (r *Runner) faultNow() Fault {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fault
-}
-
-// accept carries an order out unless it expects another count of orders, or one is
-// being carried out.
-func (r *Runner) accept(o Order) (bool, Fault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.busy || o.Precondition != nil && *o.Precondition != int64(r.accepted) {
-		return false, r.fault
-	}
-	o.Born = r.born
-	r.orders = append(r.orders, o)
-	r.accepted++
-	r.carryOut(o)
-	return true, r.fault
-}
-
 func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
 	if r.other(w, req) {
 		return
