Customers' limits in requests or tokens hold over all entries

Cause: the platform's door read no limit. Ruled out: a fault of counting; no field of a limit was decoded.

Change: package quota, which needs no network: each entry counts what all let in, as far as they told it in their pulses; the allowed overrun covers what is not heard yet, a pace by demand takes over beyond that, entries that are not heard keep their part. An entry that starts has nothing saved up; how many there were lies in the store. 429 before anything is sent, with the time at which the limit has room. Sends that did not run are given back. Limits that can't be meant leave the configuration before in force. Log lines, metrics, /limits, keelctl limits, the reason in OPERATIONS.md.

Totals that an older entry had not told before were taken for its past: found by TestEntriesShareALimit.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"acaciakeel/quota"
 )
 
 // Kind says what of a route's requests may be repeated.
@@ -112,6 +114,8 @@
 	// Isolated customers share no cached part with others.
 	Isolated bool
 	Keys     []string
+	// Limit holds over all entries together.
+	Limit quota.Limit
 }
 
 // Limits bound what clients may send; 0 is no bound.
@@ -171,6 +175,15 @@
 	return c.keys[key]
 }
 
+// CustomerLimits returns the limits of all customers, by their names.
+func (c *Config) CustomerLimits() map[string]quota.Limit {
+	out := make(map[string]quota.Limit, len(c.Customers))
+	for _, customer := range c.Customers {
+		out[customer.Name] = customer.Limit
+	}
+	return out
+}
+
 // NeedsKeys reports whether routes that are not public want a key.
 func (c *Config) NeedsKeys() bool {
 	return len(c.Customers) > 0
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -72,6 +72,7 @@
 			a.waitCommand(),
 			a.verdictsCommand(),
 			a.liftCommand(),
+			a.limitsCommand(),
 			a.hashKeyCommand(),
 			a.versionCommand(),
 		},
--- a/node/digest.go
+++ b/node/digest.go
@@ -216,6 +216,7 @@
 	now := time.Now()
 	all := p.digest.take(l, p.fleet.GroupLoad(now))
 	all.engines = p.fleet.GroupWords(now)
+	all.limits = p.view.limitBook.GroupWords(l.group, now)
 	p.digest.count(digestTold)
 	return all
 }
@@ -234,6 +235,7 @@
 		return
 	}
 	now := time.Now()
+	p.takeLimits(message, now)
 	p.fleet.HeardGroupLoad(int(g.Group), decodeGroupLoads(g), now)
 	p.heardFindings(message, now)
 	p.heardSuspects(message, now)
--- a/node/leavers.go
+++ b/node/leavers.go
@@ -70,8 +70,9 @@
 	message := &keelv1.Pulse{Sender: p.name, Suspects: encodeSuspects(all.suspects)}
 	if !enrolled {
 		message.Namings = encodeNamings(all.namings)
+		message.Limits = encodeLimits(all.limits)[0]
 	}
-	if len(message.Suspects)+len(message.Namings) == 0 {
+	if len(message.Suspects)+len(message.Namings) == 0 && message.Limits == nil {
 		return 0
 	}
 	datagram, err := encodePulse(message)
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"acaciakeel/peering"
 	"acaciakeel/platform"
 	"acaciakeel/policy"
+	"acaciakeel/quota"
 	"acaciakeel/rollout"
 	"acaciakeel/router"
 	"acaciakeel/store"
@@ -43,6 +44,7 @@
 	name     string
 	stopping chan struct{}
 	options  Options
+	limits   limitMetrics
 	doors    struct{ front, ready, metrics *door.Door }
 	// cancel ends all the node does, endDuties what it does for others.
 	cancel    context.CancelFunc
@@ -130,6 +132,8 @@
 		keys:    ownKeysOf(),
 	}
 	n.view.self = n.view.keys.members + n.name
+	n.view.limitBook = quota.NewBook(s.Bounds.Quota(), o.Without, n.session.Valid, time.Now())
+	n.limits = newLimitMetrics(n.registry, n.view.limitBook)
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
@@ -157,7 +161,7 @@
 		Extra:  s.Bounds.RetryExtra,
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
-	n.router = router.New(n.view, targets, runners, n.view.verdicts.Table, router.NewMetrics(n.registry), log, bounds, retries)
+	n.router = router.New(n.view, targets, runners, n.view.verdicts.Table, n.view.limitBook, router.NewMetrics(n.registry), log, bounds, retries)
 	n.front = platform.NewFront(n.router, n.view.limits, platform.Watch{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
@@ -214,6 +218,8 @@
 	go n.events.Run(ctx)
 	go n.pulse.run(ctx)
 	go n.logFigures(ctx)
+	go n.logLimits(ctx)
+	go n.keepCount(duties)
 	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.enrol)
 	go n.view.holder.Run(duties)
@@ -256,6 +262,7 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /limits", n.serveLimits)
 	return mux
 }
 
--- a/node/packing.go
+++ b/node/packing.go
@@ -26,13 +26,18 @@
 // room makes room for a part of so many bytes, in the next datagram if need be.
 func (p *packing) room(bytes int) {
 	if p.size+bytes > datagramBytes {
-		p.flush()
-		p.message = p.begin()
-		p.size = proto.Size(p.message)
+		p.next()
 	}
 	p.size += bytes
 }
 
+// next begins the next datagram.
+func (p *packing) next() {
+	p.flush()
+	p.message = p.begin()
+	p.size = proto.Size(p.message)
+}
+
 func (p *packing) flush() {
 	datagram, err := encodePulse(p.message)
 	p.err = errors.Join(p.err, err)
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -203,6 +203,7 @@
 	if p.fleet.Off(policy.Telling) {
 		all.loads = nil
 	}
+	all.limits = p.view.limitBook.Words(now)
 	if int64(clock.Now()) < p.tellNamings.Load() {
 		all.namings = p.namings(now)
 	}
@@ -241,6 +242,7 @@
 	if message.WholeLoad {
 		p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), now)
 	}
+	p.takeLimits(&message, now)
 	p.takeStore(&message)
 	p.heardNamings(&message, now)
 	p.digest.keep(news{
@@ -300,16 +302,22 @@
 // answer tells a process that is not among those that this one tells, and reports whether
 // there was anything to tell.
 func (p *pulse) answer(name string, to netip.AddrPort, now time.Time) bool {
-	held, namings := p.table.Held(now), encodeNamings(p.namings(now))
-	if len(held)+len(namings) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
+	held, namings, limits := p.table.Held(now), encodeNamings(p.namings(now)), p.view.limitBook.All(now)
+	if len(held)+len(namings)+len(limits.Words) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
 		return false
 	}
-	datagram, err := encodePulse(&keelv1.Pulse{Sender: p.name, Suspects: encodeSuspects(held), Namings: namings})
-	if err != nil {
-		p.log.WithError(err).WithField("event", "pulse_failed").Error("an entry that starts does not know of suspects, nor since when weights are wanted")
-		return false
+	messages := []*keelv1.Pulse{{Sender: p.name, Suspects: encodeSuspects(held), Namings: namings}}
+	for _, w := range encodeLimits(limits) {
+		messages = append(messages, &keelv1.Pulse{Sender: p.name, Limits: w})
+	}
+	for _, message := range messages {
+		datagram, err := encodePulse(message)
+		if err != nil {
+			p.log.WithError(err).WithField("event", "pulse_failed").Error("an entry that starts does not know of suspects, of limits, nor since when weights are wanted")
+			return false
+		}
+		p.write(datagram, to)
 	}
-	p.write(datagram, to)
 	return true
 }
 
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -11,6 +11,7 @@
 	"acaciakeel/fleet"
 	"acaciakeel/forecast"
 	"acaciakeel/poison"
+	"acaciakeel/quota"
 )
 
 // datagramBytes is about how much a datagram holds, to fit one packet of 1,500
@@ -26,6 +27,7 @@
 	engines  []forecast.Word
 	suspects []poison.Report
 	namings  []fleet.Naming
+	limits   quota.News
 	// mark and view are of the shared watch of the store.
 	mark clock.Boot
 	view *keelv1.StoreView
@@ -82,6 +84,13 @@
 			addGroupLoads(pack.message.Group, some)
 		}
 	}
+	for i, w := range encodeLimits(p.limits) {
+		if i > 0 {
+			pack.next()
+		}
+		pack.room(len(w.Customer) * limitWordBytes)
+		pack.message.Limits = w
+	}
 	for _, w := range encodeSuspects(p.suspects) {
 		pack.room(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
--- a/node/view.go
+++ b/node/view.go
@@ -18,6 +18,7 @@
 	"acaciakeel/peering"
 	"acaciakeel/platform"
 	"acaciakeel/poison"
+	"acaciakeel/quota"
 	"acaciakeel/rollout"
 	"acaciakeel/verdicts"
 )
@@ -37,6 +38,8 @@
 	keys       ownKeys
 
 	config atomic.Pointer[catalog.Config]
+	// limitBook holds what customers used of their limits.
+	limitBook *quota.Book
 
 	// self is this node's key among the members.
 	self string
@@ -48,6 +51,7 @@
 	// stop.
 	leavers leavers
 	grace   time.Duration
+	count   entryCount
 	// planned is what this node has to do with them; nil until it is asked for
 	// after a change.
 	planned *peering.Plan
@@ -64,10 +68,12 @@
 type ownKeys struct {
 	seat    string
 	members string
+	// count is of how many entries there have been lately.
+	count string
 }
 
 func ownKeysOf() ownKeys {
-	return ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/"}
+	return ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/", count: platform.OwnPrefix + "entries"}
 }
 
 // memberValue is a member's entry: the address at which it hears the others, and
@@ -121,6 +127,7 @@
 		}
 	}
 	v.fleet.SetStores(stores)
+	v.limitBook.SetLimits(c.CustomerLimits(), time.Now())
 	v.name(c.Services)
 	v.log.WithFields(logrus.Fields{"event": "config_applied", "version": c.Version, "routes": len(c.Routes), "customers": len(c.Customers)}).Info("configuration in force")
 }
@@ -262,6 +269,10 @@
 		v.seated(value, revision)
 		return
 	}
+	if key == v.keys.count {
+		v.counted(value, revision)
+		return
+	}
 	if content, ok, err := verdicts.ContentOf(key); ok {
 		v.verdict(key, value, revision, content, err)
 		return
@@ -337,6 +348,7 @@
 // that start together bring a hundred changes within a second. The caller holds mu.
 func (v *view) membersChanged() {
 	v.planned = nil
+	v.countMembers()
 	v.fleet.SetMembers(v.self, slices.Collect(maps.Keys(v.members)))
 }
 
@@ -377,6 +389,9 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !keys[v.keys.count] {
+		v.count.stored, v.count.revision = 0, 0
+	}
 	for key := range v.members {
 		if !keys[key] {
 			v.unlist(key)
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +17,7 @@
 	"acaciakeel/internal/standin/kv"
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
+	"acaciakeel/quota"
 )
 
 // world is a node with its platform: a store, two runners of a model, two
@@ -33,10 +35,19 @@
 	// stock is the service that lookups go to.
 	stock string
 	log   logrus.FieldLogger
+	// newest is when the last node began.
+	newest time.Time
+	// customer has further fields of the customer in the configuration.
+	customer map[string]any
 	// versionMS is the bound on older weights, in milliseconds.
 	versionMS int
 }
 
+// testBook returns the book of customers' limits of a node that is alone.
+func testBook() *quota.Book {
+	return quota.NewBook(quota.Bounds{}, nil, func() bool { return true }, time.Now())
+}
+
 const (
 	model    = "m"
 	goodKey  = "key-1"
@@ -90,6 +101,7 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(n.cancel)
+	w.newest = time.Now()
 	w.until("the node is ready", func() bool { return get(w.t, n.ReadyAddress()) == http.StatusOK })
 	return n
 }
@@ -135,6 +147,8 @@
 	if w.stock != "desk" {
 		services = append(services, map[string]any{"name": w.stock, "max_conns": 100})
 	}
+	customer := map[string]any{"name": "c1", "api_keys": keys}
+	maps.Copy(customer, w.customer)
 	value, _ := json.Marshal(map[string]any{
 		"version": w.version,
 		"routes": []any{
@@ -145,7 +159,7 @@
 		},
 		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "c1", "api_keys": keys}},
+		"tenants":  []any{customer},
 	})
 	w.store.Set("op/config", value)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,11 +45,19 @@
 	// some; Alone: suspects go to the target at which the fewest others run.
 	Suspecting Mechanism = "suspecting"
 	Alone      Mechanism = "alone"
+	// Limits: requests of customers over their limits are refused. CommonUse: what the
+	// entries tell each other that they let in counts against a limit; without it each
+	// keeps to its own share. Pacing: where much is let in unheard, each entry goes by
+	// its share as well. DemandShares: shares follow demand; without it they are equal.
+	Limits       Mechanism = "limits"
+	CommonUse    Mechanism = "common-use"
+	Pacing       Mechanism = "pacing"
+	DemandShares Mechanism = "demand-shares"
 )
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone}
+	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone, Limits, CommonUse, Pacing, DemandShares}
 }
 
 // Off is the mechanisms that are switched off; nil is none.
--- /dev/null
+++ b/quota/book_test.go
@@ -0,0 +1,182 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+var begin = time.Unix(1000, 0)
+
+// book returns the book of one process that has been there for long, of so many.
+func book(members int) *Book {
+	b := NewBook(Bounds{Window: 8 * time.Second}, nil, func() bool { return true }, begin.Add(-time.Minute))
+	b.SetMembers(members)
+	return b
+}
+
+func tokens(n int) Size { return Size{Tokens: n, Known: true} }
+
+func limits(l Limit) map[string]Limit { return map[string]Limit{"c": l} }
+
+// left returns what customer c has left at a book.
+func left(t *testing.T, b *Book, now time.Time) float64 {
+	t.Helper()
+	uses := b.State(now).Uses
+	if len(uses) != 1 {
+		t.Fatalf("%d customers have limits, want 1", len(uses))
+	}
+	return uses[0].Left
+}
+
+// Guards against customers that pay for what never ran, or run twice for once.
+func TestChargeFollowsWhatRan(t *testing.T) {
+	b := book(1)
+	b.SetLimits(limits(Limit{Rate: 100, Burst: 1000, Unit: Tokens}), begin)
+	charge, _, ok := b.Begin("c", tokens(300), begin)
+	if !ok {
+		t.Fatal("refused within the limit")
+	}
+	for _, step := range []struct{ ran, left int }{{1, 700}, {2, 400}, {0, 1000}} {
+		charge.Ran(step.ran)
+		if got := left(t, b, begin); got != float64(step.left) {
+			t.Errorf("after %d runs %v are left, want %d", step.ran, got, step.left)
+		}
+	}
+}
+
+// Guards against requests that count nothing because they hide their size.
+func TestNoSizeIsFree(t *testing.T) {
+	l := Limit{Rate: 100, Burst: 1000, Unit: Tokens, Uncounted: 200}
+	for _, c := range []struct {
+		size Size
+		want float64
+	}{{Size{}, 200}, {tokens(-5), 0}, {tokens(math.MaxInt), mostTokens}, {tokens(7), 7}} {
+		if got := l.cost(c.size); got != c.want {
+			t.Errorf("%+v counts %v, want %v", c.size, got, c.want)
+		}
+	}
+	l.Unit = Requests
+	if got := l.cost(tokens(900)); got != 1 {
+		t.Errorf("a request counts %v requests", got)
+	}
+}
+
+// Guards against figures that no limit can mean.
+func TestOddLimitsAreFound(t *testing.T) {
+	good := Limit{Rate: 1, Burst: 2, Unit: Requests}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for _, l := range []Limit{{Rate: -1, Unit: Tokens}, {Burst: math.Inf(1), Unit: Tokens}, {Uncounted: math.NaN(), Unit: Tokens}, {Rate: 1, Unit: "words"}, {Rate: 1}} {
+		if l.Check() == nil {
+			t.Errorf("%+v passes", l)
+		}
+	}
+}
+
+// Guards against a full burst anew at each process of many that were killed together.
+func TestProcessesThatStartBringNoBurst(t *testing.T) {
+	l := Limit{Rate: 100, Burst: 1000, Unit: Tokens}
+	b := NewBook(Bounds{}, nil, func() bool { return true }, begin)
+	b.SetUsual(4)
+	b.SetLimits(limits(l), begin)
+	if _, wait, ok := b.Begin("c", tokens(50), begin); ok || wait < 200*time.Millisecond {
+		t.Errorf("let in %v with nothing saved up, told to come back after %v", ok, wait)
+	}
+	// It expects three others, whose parts of the limit are not its own.
+	if got := left(t, b, begin.Add(800*time.Millisecond)); got != 20 {
+		t.Errorf("%v are left after 0.8 s, want a quarter of 80", got)
+	}
+	b.Heard(News{Sender: "old", Up: time.Hour, Words: []Word{{Customer: b.names["c"], Total: 5000, Level: 600}}}, begin.Add(800*time.Millisecond))
+	if got := left(t, b, begin.Add(800*time.Millisecond)); got != 600 {
+		t.Errorf("%v are left, want the 600 that a process knows that was there before", got)
+	}
+}
+
+// Guards against limits that hold at each process alone.
+func TestWhatOthersLetInCounts(t *testing.T) {
+	a, b := book(2), book(2)
+	l := Limit{Rate: 100, Burst: 1000, Unit: Tokens}
+	a.SetLimits(limits(l), begin)
+	b.SetLimits(limits(l), begin)
+	tell := func(from, to *Book, name string, now time.Time) {
+		n := from.Words(now)
+		n.Sender = name
+		to.Heard(n, now)
+	}
+	tell(a, b, "a", begin)
+	tell(b, a, "b", begin)
+	a.Begin("c", tokens(900), begin)
+	tell(a, b, "a", begin)
+	if got := left(t, b, begin); got != 100 {
+		t.Errorf("the other knows of %v left, want 100", got)
+	}
+	b.Begin("c", tokens(400), begin)
+	tell(b, a, "b", begin)
+	if _, _, ok := a.Begin("c", tokens(1), begin); ok {
+		t.Error("let in though the other has spent the rest")
+	}
+	// Lost news is made good by the next, as totals are told.
+	a.Begin("c", tokens(0), begin.Add(10*time.Second))
+	a.Begin("c", tokens(50), begin.Add(10*time.Second))
+	a.Words(begin.Add(10 * time.Second))
+	a.Begin("c", tokens(50), begin.Add(10*time.Second))
+	before := left(t, b, begin.Add(10*time.Second))
+	tell(a, b, "a", begin.Add(10500*time.Millisecond))
+	if got := left(t, b, begin.Add(10500*time.Millisecond)); got > before-100+60 {
+		t.Errorf("%v left after the lost word was made good, %v before", got, before)
+	}
+}
+
+// Guards against a lower limit that begins with a burst of the former one, and against
+// one that refuses all for long because of what was sent before.
+func TestChangedLimits(t *testing.T) {
+	b := book(1)
+	b.SetLimits(limits(Limit{Rate: 1000, Burst: 1000, Unit: Tokens}), begin)
+	b.Begin("c", tokens(1200), begin)
+	b.SetLimits(limits(Limit{Rate: 100, Burst: 100, Unit: Tokens}), begin)
+	if got := left(t, b, begin); got != -20 {
+		t.Errorf("%v left under a tenth of the limit, want a tenth of -200", got)
+	}
+	b.SetLimits(nil, begin)
+	if _, _, ok := b.Begin("c", tokens(1e6), begin); !ok {
+		t.Error("refused without a limit")
+	}
+}
+
+// Guards against a part of the processes that lets in what is the others' part.
+func TestPartOfTheLimitOfThoseUnheard(t *testing.T) {
+	leased := true
+	b := NewBook(Bounds{}, nil, func() bool { return leased }, begin.Add(-time.Minute))
+	b.SetMembers(4)
+	b.SetLimits(limits(Limit{Rate: 100, Burst: 1000, Unit: Tokens}), begin)
+	part := func() float64 { return b.State(begin.Add(time.Second)).Part }
+	if got := part(); got != 0.25 {
+		t.Errorf("alone of four it has %v of the limit", got)
+	}
+	leased = false
+	if got := part(); got != 0 {
+		t.Errorf("alone and counted out it has %v of the limit", got)
+	}
+	b.Heard(News{Sender: "x"}, begin.Add(time.Second))
+	if got := part(); got != 0.5 {
+		t.Errorf("half of them have %v of the limit without the store", got)
+	}
+}
+
+// Guards against an operator who can't see who is over a limit.
+func TestChangesTellWhoIsOver(t *testing.T) {
+	b := book(1)
+	b.SetLimits(limits(Limit{Rate: 10, Burst: 10, Unit: Requests}), begin)
+	for range 12 {
+		b.Begin("c", Size{}, begin)
+	}
+	got := b.Changes(begin)
+	if len(got) != 1 || !got[0].Over || got[0].Customer != "c" {
+		t.Fatalf("changes %+v", got)
+	}
+	if got = b.Changes(begin.Add(overFor + time.Second)); len(got) != 1 || got[0].Over {
+		t.Errorf("changes after it kept within: %+v", got)
+	}
+}
--- /dev/null
+++ b/quota/groups.go
@@ -0,0 +1,58 @@
+package quota
+
+import (
+	"strconv"
+	"time"
+)
+
+// GroupWords returns what this process's group has to tell another one.
+func (b *Book) GroupWords(to int, now time.Time) News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := News{Up: now.Sub(b.start), Heard: 1}
+	for _, s := range b.peers {
+		if s.fresh(now) {
+			out.Heard++
+		}
+	}
+	for id, a := range b.accounts {
+		t := a.toldTo(to)
+		before := t.total
+		if len(out.Words) < wordsMost && b.due(a, t, a.group, now) {
+			b.refresh(a, now)
+			out.Words = append(out.Words, Word{Customer: id, Total: a.group, Added: a.group - before, Demand: a.groupDemand(now), Level: a.level})
+		}
+	}
+	return out
+}
+
+// HeardGroup takes what a member of another group tells of it. Another member has
+// counted from another moment on: what it tells first only sets where it begins.
+func (b *Book) HeardGroup(group int, n News, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := strconv.Itoa(group)
+	s := b.far[key]
+	if s == nil || s.name != n.Sender {
+		for _, a := range b.accounts {
+			delete(a.others, s)
+		}
+		s = &sender{name: n.Sender, group: true, patience: groupPatience}
+		b.far[key] = s
+	}
+	s.count = n.Heard
+	b.hear(s, n, now)
+}
+
+// toldTo returns what was told to another group.
+func (a *account) toldTo(group int) *toldUse {
+	if a.toldFar == nil {
+		a.toldFar = map[int]*toldUse{}
+	}
+	t := a.toldFar[group]
+	if t == nil {
+		t = &toldUse{}
+		a.toldFar[group] = t
+	}
+	return t
+}
--- a/router/request.go
+++ b/router/request.go
@@ -12,6 +12,7 @@
 
 	"acaciakeel/fleet"
 	"acaciakeel/prefix"
+	"acaciakeel/quota"
 )
 
 // Part is one part of a prompt, in order; requests share parts.
@@ -43,6 +44,8 @@
 	// Input is the number of prompt tokens, Output the most that may be generated.
 	Input  int
 	Output int
+	// Size is what the request counts against its customer's limit in tokens.
+	Size quota.Size
 	// LastEvent is the event after which the client resumes a stream.
 	LastEvent string
 }
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"acaciakeel/placement"
 	"acaciakeel/poison"
 	"acaciakeel/prefix"
+	"acaciakeel/quota"
 	"acaciakeel/refusal"
 	"acaciakeel/retry"
 )
@@ -46,6 +47,7 @@
 	fleet   *fleet.Fleet
 	sender  Sender
 	budgets *budgets
+	limits  *quota.Book
 	poison  *poison.Table
 	endings *endings
 	metrics *Metrics
@@ -55,9 +57,10 @@
 	leaving atomic.Pointer[time.Time]
 }
 
-// New returns a router, which keeps in t the contents under which targets end.
-func New(c Configuration, f *fleet.Fleet, s Sender, t *poison.Table, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
-	return &Router{config: c, fleet: f, sender: s, budgets: newBudgets(r), poison: t, endings: newEndings(s, f, t, log), metrics: m, log: log, bounds: b}
+// New returns a router, which keeps in t the contents under which targets end, and
+// customers within their limits by q.
+func New(c Configuration, f *fleet.Fleet, s Sender, t *poison.Table, q *quota.Book, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
+	return &Router{config: c, fleet: f, sender: s, budgets: newBudgets(r), limits: q, poison: t, endings: newEndings(s, f, t, log), metrics: m, log: log, bounds: b}
 }
 
 // cacheWeights is how missing tokens and waiting weigh in the choice of a
@@ -93,7 +96,12 @@
 		ctx, cancel = context.WithDeadline(ctx, in.limit)
 		defer cancel()
 	}
-	s := &session{router: r, in: in, reply: reply}
+	charge, refused := r.charge(in)
+	if refused != nil {
+		return r.finish(ctx, in, nil, refused)
+	}
+	s := &session{router: r, in: in, reply: reply, charge: charge}
+	defer s.settleCharge()
 	return r.finish(ctx, in, s, s.run(ctx))
 }
 
@@ -134,6 +142,20 @@
 	return in, nil
 }
 
+// charge counts a request against its customer's limit, or refuses it.
+func (r *Router) charge(in *admitted) (*quota.Charge, *refusal.Error) {
+	if in.customer == nil {
+		return nil, nil
+	}
+	charge, wait, ok := r.limits.Begin(in.customer.Name, in.Size, time.Now())
+	if ok {
+		return charge, nil
+	}
+	l := in.customer.Limit
+	return nil, refusal.New(refusal.ContractExceeded, "come back after the time in Retry-After, or ask the operators for a higher limit",
+		"customer %s is over its limit of %.0f %s a second", in.customer.Name, l.Rate, l.Unit).After(wait)
+}
+
 func earliest(deadline time.Time, timeout time.Duration, received time.Time) time.Time {
 	if timeout <= 0 {
 		return deadline
--- a/router/session.go
+++ b/router/session.go
@@ -9,6 +9,7 @@
 	"acaciakeel/fleet"
 	"acaciakeel/poison"
 	"acaciakeel/prefix"
+	"acaciakeel/quota"
 	"acaciakeel/refusal"
 	"acaciakeel/retry"
 )
@@ -18,6 +19,8 @@
 	router *Router
 	in     *admitted
 	reply  Reply
+	// charge is what the request counts against its customer's limit.
+	charge *quota.Charge
 	// sends counts sends, ran those that may have run.
 	sends int
 	ran   int
@@ -75,6 +78,11 @@
 	}
 }
 
+// settleCharge gives the customer back what it was charged for sends that did not run.
+func (s *session) settleCharge() {
+	s.charge.Ran(s.ran)
+}
+
 // giveUp passes on the target's own failure, or returns the refusal.
 func (s *session) giveUp(out result) *refusal.Error {
 	if s.begun {
@@ -120,6 +128,7 @@
 	attempt, cancel := s.attemptContext(ctx)
 	defer cancel()
 	s.sends++
+	s.charge.Ran(s.ran + 1)
 	s.last = choice
 	s.tried = append(s.tried, choice.Runner.Life())
 	f := s.router.fleet
