A group that is told anew hears of a customer's use from then on

Cause: with those that had ended the members were 26 for two seconds, more than one group; each group told the other what it had let in since its start, and that was charged as new: six times a second's limit at once. Ruled out: totals of peers (their baselines hold), the levels of those started.

Change: what is told to a group that was not told for 1.5 s begins with what is let in from then on.

--- a/quota/book.go
+++ b/quota/book.go
@@ -23,6 +23,8 @@
 	peers    map[string]*sender
 	// far are those that tell of other groups, by the group.
 	far map[string]*sender
+	// toldFar is when each other group was told last.
+	toldFar map[int]time.Time
 	// members is how many processes serve, as the store says, this one included.
 	members int
 	// usual is how many there have been lately.
@@ -35,7 +37,7 @@
 func NewBook(b Bounds, off policy.Off, leased func() bool, now time.Time) *Book {
 	return &Book{
 		bounds: b, off: off, leased: leased, start: now, members: 1,
-		accounts: map[uint64]*account{}, names: map[string]uint64{}, peers: map[string]*sender{}, far: map[string]*sender{},
+		accounts: map[uint64]*account{}, names: map[string]uint64{}, peers: map[string]*sender{}, far: map[string]*sender{}, toldFar: map[int]time.Time{},
 	}
 }
 
--- a/quota/groups.go
+++ b/quota/groups.go
@@ -9,6 +9,7 @@
 func (b *Book) GroupWords(to int, now time.Time) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.meetGroup(to, now)
 	out := News{Up: now.Sub(b.start), Heard: 1}
 	for _, s := range b.peers {
 		if s.fresh(now) {
@@ -26,6 +27,18 @@
 	return out
 }
 
+// meetGroup notes that another group is told. One that is told anew gets what is let in
+// from now on: what was before, its members know from others, or when they were in a group
+// with this one.
+func (b *Book) meetGroup(to int, now time.Time) {
+	if now.Sub(b.toldFar[to]) > groupPatience {
+		for _, a := range b.accounts {
+			a.toldTo(to).total = a.group
+		}
+	}
+	b.toldFar[to] = now
+}
+
 // HeardGroup takes what a member of another group tells of it. Another member has
 // counted from another moment on: what it tells first only sets where it begins.
 func (b *Book) HeardGroup(group int, n News, now time.Time) {
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -47,6 +47,8 @@
 	// mute: what it tells is lost, while it hears the others.
 	muteTil time.Duration
 	lease   time.Duration
+	// former is the lease of its start before.
+	former time.Duration
 }
 
 type letter struct {
@@ -76,8 +78,8 @@
 		bounds: Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 72_000}, off: off, limit: l,
 		rand: rand.New(rand.NewPCG(seed, 7)), pulse: max(50, time.Duration(5*min(n, 25))) * time.Millisecond, late: 15 * time.Millisecond, exact: l.Burst,
 	}
-	for i := range n {
-		h := &host{group: i / 25, weight: 1}
+	for range n {
+		h := &host{weight: 1}
 		d.hosts = append(d.hosts, h)
 		d.startHost(h, n)
 	}
@@ -85,6 +87,7 @@
 }
 
 func (d *deployment) startHost(h *host, hint int) {
+	h.former = h.lease
 	h.name = string(rune(d.rand.Uint32()%100_000)) + d.now.String()
 	h.lease = d.now + modelLease
 	h.book = NewBook(d.bounds, d.off, func() bool { return d.now < h.lease }, d.clock())
@@ -126,11 +129,19 @@
 			h.lease = d.now + modelLease
 		}
 	}
-	there := 0
+	there, starts := 0, 0
 	for _, h := range d.hosts {
 		if d.now < h.lease+modelNews {
 			there++
 		}
+		if d.now < h.former {
+			starts++
+		}
+	}
+	// Starts that have ended are members until their leases lapse.
+	groups := (there + starts + 24) / 25
+	for i, h := range d.hosts {
+		h.group = i * groups / len(d.hosts)
 	}
 	for _, h := range d.hosts {
 		if d.up(h) && d.now >= h.cutTil && d.now%(modelNews) < modelStep {
@@ -313,6 +324,13 @@
 		d.kill(len(d.hosts)/2, 0)
 		d.run(12*time.Second, 0.55*r, meanRequest)
 	}},
+	{"within, a few killed", func(d *deployment, r float64) {
+		d.run(15*time.Second, 0.55*r, meanRequest)
+		for range 2 {
+			d.kill(4, 0)
+			d.run(5*time.Second, 0.55*r, meanRequest)
+		}
+	}},
 	{"eight times, a third heard by nobody", func(d *deployment, r float64) {
 		for _, h := range d.hosts[:len(d.hosts)/3] {
 			h.muteTil = d.now + 8*time.Second
--- a/router/describe.go
+++ b/router/describe.go
@@ -25,6 +25,9 @@
 		fields["expected_ms"] = s.last.FirstToken.Milliseconds()
 		fields["wait_ms"] = s.last.Wait.Milliseconds()
 	}
+	if s.status > 0 {
+		fields["status"] = s.status
+	}
 	if s.sends > 0 {
 		fields["sent_ms"] = s.sentAt.Sub(s.in.Received).Milliseconds()
 	}
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -146,7 +146,7 @@
 // pass writes a whole answer.
 func (s *session) pass(h *held) *refusal.Error {
 	h.head.Length = int64(len(h.body))
-	s.begun = true
+	s.begun, s.status = true, h.head.Status
 	if err := s.reply.Begin(h.head); err != nil {
 		return clientLeft(err)
 	}
--- a/router/session.go
+++ b/router/session.go
@@ -26,6 +26,8 @@
 	ran   int
 	tried []fleet.Life
 	begun bool
+	// status is what the client was answered with; 0 before.
+	status int
 	// lastEvent is the id of the last event passed on.
 	lastEvent int64
 	hasEvent  bool
--- a/router/stream.go
+++ b/router/stream.go
@@ -103,7 +103,7 @@
 
 func (s *session) write(a *Answer, p []byte) error {
 	if !s.begun {
-		s.begun = true
+		s.begun, s.status = true, a.Status
 		a.Length = -1
 		if err := s.reply.Begin(a); err != nil {
 			return err
