Memory of targets counts as a wait

Change: entries tell what their runs hold at each target; what is over a target's memory counts as a wait, by how long runs hold a token of it in the mean, as observed; packing stops at nine tenths of the memory.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -24,6 +24,8 @@
 	Objective time.Duration
 	// Tried are lives of targets that must not be chosen again; a later one may.
 	Tried []Life
+	// Capacity is a target's memory for runs and cached parts, in tokens; 0 is unknown.
+	Capacity int
 	// TokenBytes is the size of one token's KV cache.
 	TokenBytes int
 	// OldWeightsFor is for how long after newer weights were named runners
@@ -313,6 +315,7 @@
 	if f.named[q.Model].behindFor(weights, now) > oldWeightsGrace {
 		a.PenaltySeconds += oldWeightsCost.Seconds()
 	}
+	a.WaitSeconds += f.memoryWait(q, total, HeldTokens(q.Input, cached, q.Output), now).Seconds()
 	if !q.long {
 		beside := time.Duration(total.Long) * besideLong
 		a.PenaltySeconds += min(beside, besideMost).Seconds()
--- a/fleet/dense.go
+++ b/fleet/dense.go
@@ -69,7 +69,7 @@
 			return nil
 		}
 		long := s.sum(now).Long
-		room := full - float64(long)
+		room := min(full-float64(long), f.memoryRoom(q, s.sum(now)))
 		switch {
 		case room <= 0 || f.queueWait(s, now) > 0:
 		case long > 0:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,8 @@
 	long int
 	// resumable counts those that another target could go on with.
 	resumable int
+	// held is the tokens of memory that they hold.
+	held int
 	// others is what each other process of the group said of its own part, groups
 	// what each other group has there together.
 	others map[string]told
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -17,6 +17,8 @@
 	Resumable int
 	// Prefill is the prompt tokens that are still to be read.
 	Prefill int
+	// Held is the tokens of memory that they hold.
+	Held int
 }
 
 // occupancyValid is for how long another process's word about its load counts. It
@@ -31,7 +33,7 @@
 	var out []Occupancy
 	for _, s := range f.states {
 		if s.inflight > 0 {
-			out = append(out, Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill})
+			out = append(out, Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill, Held: s.held})
 		}
 	}
 	slices.SortFunc(out, func(a, b Occupancy) int {
@@ -141,7 +143,7 @@
 
 // groupSum returns the part of a target's load that is this process's group's.
 func (s *state) groupSum(now time.Time) Occupancy {
-	total := Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill}
+	total := Occupancy{Target: s.runner.Life(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, Prefill: s.prefill, Held: s.held}
 	for _, o := range s.others {
 		total.add(o, now)
 	}
@@ -157,4 +159,5 @@
 	o.Long += t.load.Long
 	o.Resumable += t.load.Resumable
 	o.Prefill += t.load.Prefill
+	o.Held += t.load.Held
 }
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -36,6 +36,8 @@
 	Capacity int
 	// Long requests hold a slot for seconds.
 	Long bool
+	// Held is the tokens of memory that the run holds there.
+	Held int
 	// Resumable requests may go on at another target if this one ends them.
 	Resumable bool
 }
@@ -58,6 +60,7 @@
 	if stay.Resumable {
 		s.resumable++
 	}
+	s.held += stay.Held
 	s.capacity = stay.Capacity
 	s.untold = append(s.untold, s.useAll(stay.Chain)...)
 	return t
@@ -83,7 +86,9 @@
 	t.fleet.mu.Lock()
 	defer t.fleet.mu.Unlock()
 	if t.state != nil && !t.firstAt.IsZero() {
-		t.fleet.engine(t.state.runner.Service).Ran(t.stay.Output, now.Sub(t.firstAt), now)
+		e := t.fleet.engine(t.state.runner.Service)
+		e.Ran(t.stay.Output, now.Sub(t.firstAt), now)
+		e.Held(t.stay.Held, now.Sub(t.began), now)
 	}
 }
 
@@ -110,4 +115,5 @@
 	if t.stay.Resumable {
 		t.state.resumable--
 	}
+	t.state.held -= t.stay.Held
 }
--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -87,6 +87,8 @@
 	// runs is the time that runs held their slots after their first token, by the
 	// tokens that they were allowed to generate.
 	runs Ratio
+	// held is the time that runs held their memory, each token of it counted.
+	held Ratio
 	// mix is the reading that this process brings, as of mixed, and begun when it
 	// brought some first.
 	mix   Mix
@@ -175,6 +177,7 @@
 		share = 1
 	}
 	e.own.fade(share)
+	e.held.fade(share)
 	e.runs.fade(share)
 	e.seen = now
 }
@@ -256,6 +259,27 @@
 	e.runs.Tokens += float64(allowed)
 }
 
+// Held takes for how long a run held so many tokens of its target's memory.
+func (e *Engine) Held(tokens int, held time.Duration, now time.Time) {
+	if tokens <= 0 || held < 0 {
+		return
+	}
+	e.age(now)
+	e.held.Seconds += held.Seconds() * float64(tokens)
+	e.held.Tokens += float64(tokens)
+}
+
+// guessHeld is how long memory is taken to be held before a run was seen.
+const guessHeld = 500 * time.Millisecond
+
+// HeldFor returns for how long a token of memory is held by a run in the mean.
+func (e *Engine) HeldFor() time.Duration {
+	if e.held.Tokens <= 0 {
+		return guessHeld
+	}
+	return seconds(e.held.Seconds / e.held.Tokens)
+}
+
 // Ratio is a time by the tokens that it was for.
 type Ratio struct {
 	Seconds float64
--- a/node/pulsewire.go
+++ b/node/pulsewire.go
@@ -126,18 +126,19 @@
 		g.Long = append(g.Long, uint32(o.Long))
 		g.PrefillTokens = append(g.PrefillTokens, uint32(max(0, o.Prefill)))
 		g.Resumable = append(g.Resumable, uint32(o.Resumable))
+		g.Held = append(g.Held, uint32(max(0, o.Held)))
 	}
 }
 
 // decodeGroupLoads leaves out what has no figures of its own, as in a datagram of
 // another shape.
 func decodeGroupLoads(g *keelv1.GroupNews) []fleet.Occupancy {
-	n := min(len(g.Target), len(g.Born), len(g.Inflight), len(g.Long), len(g.PrefillTokens), len(g.Resumable))
+	n := min(len(g.Target), len(g.Born), len(g.Inflight), len(g.Long), len(g.PrefillTokens), len(g.Resumable), len(g.Held))
 	out := make([]fleet.Occupancy, 0, n)
 	for i := range n {
 		out = append(out, fleet.Occupancy{
 			Target: fleet.Life{ID: g.Target[i], Born: g.Born[i]}, Inflight: int(g.Inflight[i]), Long: int(g.Long[i]),
-			Prefill: int(g.PrefillTokens[i]), Resumable: int(g.Resumable[i]),
+			Prefill: int(g.PrefillTokens[i]), Resumable: int(g.Resumable[i]), Held: int(g.Held[i]),
 		})
 	}
 	return out
@@ -148,7 +149,7 @@
 	for _, o := range all {
 		out = append(out, &keelv1.TargetLoad{
 			Target: o.Target.ID, Born: o.Target.Born, Inflight: uint32(o.Inflight), Long: uint32(o.Long),
-			PrefillTokens: uint32(max(0, o.Prefill)), Resumable: uint32(o.Resumable),
+			PrefillTokens: uint32(max(0, o.Prefill)), Resumable: uint32(o.Resumable), Held: uint32(max(0, o.Held)),
 		})
 	}
 	return out
@@ -158,7 +159,7 @@
 	out := make([]fleet.Occupancy, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.Occupancy{
-			Target: fleet.Life{ID: w.Target, Born: w.Born}, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens), Resumable: int(w.Resumable),
+			Target: fleet.Life{ID: w.Target, Born: w.Born}, Inflight: int(w.Inflight), Long: int(w.Long), Prefill: int(w.PrefillTokens), Resumable: int(w.Resumable), Held: int(w.Held),
 		})
 	}
 	return out
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,8 @@
 	// Fetching: runners are chosen with what they can fetch; without it only what
 	// they hold themselves counts, and a source is named on the chance.
 	Fetching Mechanism = "fetching"
+	// Memory: a target whose memory is full makes requests wait.
+	Memory Mechanism = "memory"
 	// Saving: shared parts are sent to stores of kept cache.
 	Saving Mechanism = "saving"
 	// FarLinks: the time of a store's link that a transfer across zones takes counts.
@@ -57,7 +59,7 @@
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, Apart, Fetching, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone, Limits, CommonUse, Pacing, DemandShares}
+	return []Mechanism{Learning, Packing, Apart, Fetching, Memory, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone, Limits, CommonUse, Pacing, DemandShares}
 }
 
 // Off is the mechanisms that are switched off; nil is none.
--- a/router/session.go
+++ b/router/session.go
@@ -119,6 +119,7 @@
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
 		q.TokenBytes = in.service.Engine.TokenBytes
+		q.Capacity = in.service.Engine.CapacityTokens
 		q.Input, q.Output, q.Objective = in.Input, in.Output, in.route.Objective
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
@@ -196,6 +197,7 @@
 		Chain:    choice.Chain,
 		Capacity: s.capacity(),
 		Long:     choice.Long,
+		Held:     fleet.HeldTokens(s.in.Input, choice.Cached, s.in.Output),
 		// The send that begins now counts as one that may have run.
 		Resumable: s.in.route.Repeatable() && s.ran+1 < s.in.route.Attempts && s.sends < retry.MaxSends,
 	}
