What entries tell each other is encoded in a package of its own

Change: package pulses has the news of one pulse, its packing into datagrams and the encoders, with those of limits; node tells and takes. Behaviour stays: no code of a decision or of the wire's form is changed.

--- a/node/digest.go
+++ b/node/digest.go
@@ -10,7 +10,7 @@
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
 	"acaciakeel/peering"
-	"acaciakeel/poison"
+	"acaciakeel/pulses"
 )
 
 // digest is what a node relays between its group and the others. Each group tells
@@ -24,7 +24,7 @@
 	// lastHeard is when each member of the group, by its name, was heard last.
 	lastHeard map[string]time.Time
 	// waiting is the group's news for each other group that this node may relay to.
-	waiting map[int]*news
+	waiting map[int]*pulses.News
 	// told are the targets whose load was told last, by group; toldAt is when.
 	told   map[int]map[fleet.Life]bool
 	toldAt map[int]time.Time
@@ -112,23 +112,23 @@
 }
 
 // keep keeps news of the own group's members for the other groups.
-func (d *digest) keep(all news) {
+func (d *digest) keep(all pulses.News) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, w := range d.waiting {
-		w.add(all)
+		w.Add(all)
 	}
 }
 
 // collect keeps this node's own news, for those groups alone that it may relay to.
-func (d *digest) collect(plan peering.Plan, own news) {
-	own.loads, own.engines = nil, nil
+func (d *digest) collect(plan peering.Plan, own pulses.News) {
+	own.Loads, own.Engines = nil, nil
 	d.mu.Lock()
-	next := map[int]*news{}
+	next := map[int]*pulses.News{}
 	for _, l := range plan.Links {
 		if plan.MayRelay(l) {
 			if next[l.Group] = d.waiting[l.Group]; next[l.Group] == nil {
-				next[l.Group] = &news{}
+				next[l.Group] = &pulses.News{}
 			}
 		}
 	}
@@ -150,7 +150,7 @@
 			continue
 		}
 		if !d.relays(l, plan.Self, now) {
-			*d.waiting[l.Group] = news{}
+			*d.waiting[l.Group] = pulses.News{}
 			continue
 		}
 		rate := digestRate / (plan.Groups - 1)
@@ -165,12 +165,12 @@
 
 // take takes the news that waits for a group: all loads, and of the rest what there
 // is room for.
-func (d *digest) take(l link, loads []fleet.Occupancy) news {
+func (d *digest) take(l link, loads []fleet.Occupancy) pulses.News {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := *d.waiting[l.group]
-	*d.waiting[l.group] = news{}
-	all.loads = loads
+	*d.waiting[l.group] = pulses.News{}
+	all.Loads = loads
 	now := map[fleet.Life]bool{}
 	for _, o := range loads {
 		now[o.Target] = true
@@ -178,52 +178,26 @@
 	// What has become idle is said once, so that it does not count until it is old.
 	for life := range d.told[l.group] {
 		if !now[life] {
-			all.loads = append(all.loads, fleet.Occupancy{Target: life})
+			all.Loads = append(all.Loads, fleet.Occupancy{Target: life})
 		}
 	}
 	d.told[l.group] = now
-	used := len(all.loads) * groupLoadBytes
-	used += all.fit(max(l.room-used, l.room/2))
+	used := len(all.Loads) * pulses.GroupLoadBytes
+	used += all.Fit(max(l.room-used, l.room/2))
 	d.owed[l.group] = max(0, used-l.room)
 	return all
 }
 
-// fit cuts suspects, findings, saves and news of caches, in this order, to what fits so many
-// bytes, and returns about how many are used. Of each kind the newest stay.
-func (p *news) fit(room int) (used int) {
-	p.suspects = newest(p.suspects, &used, room, func(r poison.Report) int { return 100 + 30*len(r.Ends) })
-	p.findings = newest(p.findings, &used, room, func(f fleet.Finding) int { return 40 + partBytes*len(f.Parts) })
-	p.saves = newest(p.saves, &used, room, func(s fleet.Saves) int { return 24 + 8*len(s.Parts) })
-	p.caches = newest(p.caches, &used, room, func(n fleet.CacheNews) int { return 48 + partBytes*len(n.Stored) + 8*len(n.Dropped) })
-	return used
-}
-
-// partBytes is about how many bytes a part takes: its hash and its tokens.
-const partBytes = 11
-
-// newest returns the last of all that fit room beside what is used already.
-func newest[T any](all []T, used *int, room int, size func(T) int) []T {
-	from := len(all)
-	for from > 0 && *used+size(all[from-1]) <= room {
-		from--
-		*used += size(all[from])
-	}
-	return all[from:]
-}
-
 // groupNews returns what the node's group tells another one.
-func (p *pulse) groupNews(l link) news {
+func (p *pulse) groupNews(l link) pulses.News {
 	now := time.Now()
 	all := p.digest.take(l, p.fleet.GroupLoad(now))
-	all.engines = p.fleet.GroupWords(now)
-	all.limits = p.view.limitBook.GroupWords(l.group, now)
+	all.Engines = p.fleet.GroupWords(now)
+	all.Limits = p.view.limitBook.GroupWords(l.group, now)
 	p.digest.count(digestTold)
 	return all
 }
 
-// groupLoadBytes is about how many bytes a target's load takes in a digest.
-const groupLoadBytes = 22
-
 // takeGroup takes the news of another group, and passes it on to the own one where
 // that is this node's turn. News of groups that were divided otherwise is left out:
 // the same members would count twice.
@@ -236,17 +210,17 @@
 	}
 	now := time.Now()
 	p.takeLimits(message, now)
-	p.fleet.HeardGroupLoad(int(g.Group), decodeGroupLoads(g), now)
+	p.fleet.HeardGroupLoad(int(g.Group), pulses.GroupLoads(g), now)
 	p.heardFindings(message, now)
 	p.heardSuspects(message, now)
-	p.fleet.HeardGroupCaches(int(g.Group), decodeCaches(message.Caches), now)
+	p.fleet.HeardGroupCaches(int(g.Group), pulses.Caches(message.Caches), now)
 	p.heardSaves(message, now)
-	p.fleet.HeardGroupWords(int(g.Group), decodeWords(message.Engines), now)
+	p.fleet.HeardGroupWords(int(g.Group), pulses.Words(message.Engines), now)
 	if g.PassedOn || !p.digest.passesOn(plan, int(g.Group), now) {
 		return
 	}
 	g.PassedOn = true
-	passed, err := encodePulse(message)
+	passed, err := pulses.Encode(message)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("the group chooses without the news of another")
 		return
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -16,6 +16,7 @@
 	"acaciakeel/peering"
 	"acaciakeel/poison"
 	"acaciakeel/prefix"
+	"acaciakeel/pulses"
 	"acaciakeel/store"
 )
 
@@ -144,9 +145,9 @@
 		now, sent, loads, kept := time.Unix(1000, 0), 0, 0, 0
 		begun := now
 		for now.Sub(begun) < 10*time.Second {
-			var all news
+			var all pulses.News
 			for i := range 200 {
-				all.caches = append(all.caches, fleet.CacheNews{Address: "10.0.0.1:80", Boot: 1, Next: now.UnixMilli() + int64(i), Dropped: make([]uint64, 20)})
+				all.Caches = append(all.Caches, fleet.CacheNews{Address: "10.0.0.1:80", Boot: 1, Next: now.UnixMilli() + int64(i), Dropped: make([]uint64, 20)})
 			}
 			d.collect(plan, all)
 			for _, l := range d.due(plan, now) {
@@ -158,8 +159,8 @@
 					load = append(load, fleet.Occupancy{Target: fleet.Life{ID: fmt.Sprintf("i-%010d", i)}, Inflight: 3, Prefill: 900})
 				}
 				told := d.take(l, load)
-				loads, kept = loads+len(told.loads), kept+len(told.caches)
-				datagrams, err := told.datagrams("n", l.label(plan))
+				loads, kept = loads+len(told.Loads), kept+len(told.Caches)
+				datagrams, err := told.Datagrams("n", l.label(plan))
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -201,7 +202,7 @@
 			}
 		}
 		after, events = piece.Events.Revision, events+len(piece.Events.Events)
-		if d, _ := encodePulse(&keelv1.Pulse{Changes: []*keelv1.StoreChanges{encodeChanges(piece)}}); len(d) > 1400 {
+		if d, _ := pulses.Encode(&keelv1.Pulse{Changes: []*keelv1.StoreChanges{encodeChanges(piece)}}); len(d) > 1400 {
 			t.Errorf("a piece takes %d bytes", len(d))
 		}
 	}
--- a/node/leavers.go
+++ b/node/leavers.go
@@ -5,6 +5,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/peering"
+	"acaciakeel/pulses"
 )
 
 // leavers are the members that left lately. A process that stops is no member any more
@@ -66,16 +67,16 @@
 
 // tellAside tells those beside the peers of suspects, and of namings where no member
 // tells whoever starts, and returns how many it told.
-func (p *pulse) tellAside(all news, aside []peering.Member, enrolled bool) int {
-	message := &keelv1.Pulse{Sender: p.name, Suspects: encodeSuspects(all.suspects)}
+func (p *pulse) tellAside(all pulses.News, aside []peering.Member, enrolled bool) int {
+	message := &keelv1.Pulse{Sender: p.name, Suspects: pulses.EncodeSuspects(all.Suspects)}
 	if !enrolled {
-		message.Namings = encodeNamings(all.namings)
-		message.Limits = encodeLimits(all.limits)[0]
+		message.Namings = pulses.EncodeNamings(all.Namings)
+		message.Limits = pulses.EncodeLimits(all.Limits)[0]
 	}
 	if len(message.Suspects)+len(message.Namings) == 0 && message.Limits == nil {
 		return 0
 	}
-	datagram, err := encodePulse(message)
+	datagram, err := pulses.Encode(message)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("entries that stop count suspects by themselves")
 		return 0
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -21,6 +21,7 @@
 	"acaciakeel/poison"
 	"acaciakeel/policy"
 	"acaciakeel/prefix"
+	"acaciakeel/pulses"
 )
 
 // pulse tells the other nodes, many times a second and by datagrams, what this
@@ -146,12 +147,12 @@
 	p.digest.collect(plan, all)
 	// A confirmation is taken before the changes and told after them: its revision is
 	// one whose changes have been told.
-	all.view = p.storeView()
+	all.View = p.storeView()
 	changes := p.watch.takeChanges()
 	if len(plan.Peers) > 0 {
 		addresses := addressesOf(plan.Peers)
 		p.tellChanges(changes, addresses)
-		all.mark = clock.Now()
+		all.Mark = clock.Now()
 		p.spread(all, nil, addresses)
 	}
 	for _, l := range p.digest.due(plan, time.Now()) {
@@ -161,8 +162,8 @@
 }
 
 // spread sends news to addresses; group is set where it is that of a whole group.
-func (p *pulse) spread(all news, group *keelv1.GroupNews, addresses []string) int {
-	datagrams, err := all.datagrams(p.name, group)
+func (p *pulse) spread(all pulses.News, group *keelv1.GroupNews, addresses []string) int {
+	datagrams, err := all.Datagrams(p.name, group)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("the others choose without this node's news")
 		return 0
@@ -195,17 +196,17 @@
 }
 
 // gather takes what there is to tell now.
-func (p *pulse) gather(now time.Time) news {
-	all := news{loads: p.fleet.Occupied(pulseLoads), findings: p.fleet.Findings(now), caches: p.fleet.News(now), saves: p.fleet.Saves(), suspects: p.table.News(now)}
+func (p *pulse) gather(now time.Time) pulses.News {
+	all := pulses.News{Loads: p.fleet.Occupied(pulseLoads), Findings: p.fleet.Findings(now), Caches: p.fleet.News(now), Saves: p.fleet.Saves(), Suspects: p.table.News(now)}
 	if now.Sub(p.toldEngines) >= enginesEvery {
-		all.engines, p.toldEngines = p.fleet.Words(now), now
+		all.Engines, p.toldEngines = p.fleet.Words(now), now
 	}
 	if p.fleet.Off(policy.Telling) {
-		all.loads = nil
+		all.Loads = nil
 	}
-	all.limits = p.view.limitBook.Words(now)
+	all.Limits = p.view.limitBook.Words(now)
 	if int64(clock.Now()) < p.tellNamings.Load() {
-		all.namings = p.namings(now)
+		all.Namings = p.namings(now)
 	}
 	return all
 }
@@ -240,18 +241,18 @@
 	p.digest.heard(message.Sender, now)
 	p.meet(message.Sender, from, now)
 	if message.WholeLoad {
-		p.fleet.HeardLoad(message.Sender, decodeLoads(message.Loads), now)
+		p.fleet.HeardLoad(message.Sender, pulses.Loads(message.Loads), now)
 	}
 	p.takeLimits(&message, now)
 	p.takeStore(&message)
 	p.heardNamings(&message, now)
-	p.digest.keep(news{
-		findings: p.heardFindings(&message, now),
-		caches:   p.fleet.HeardCaches(message.Sender, decodeCaches(message.Caches), now),
-		saves:    p.heardSaves(&message, now),
-		suspects: p.heardSuspects(&message, now),
+	p.digest.keep(pulses.News{
+		Findings: p.heardFindings(&message, now),
+		Caches:   p.fleet.HeardCaches(message.Sender, pulses.Caches(message.Caches), now),
+		Saves:    p.heardSaves(&message, now),
+		Suspects: p.heardSuspects(&message, now),
 	})
-	p.fleet.HeardWords(message.Sender, decodeWords(message.Engines), now)
+	p.fleet.HeardWords(message.Sender, pulses.Words(message.Engines), now)
 }
 
 // Figures of meetings.
@@ -302,16 +303,16 @@
 // answer tells a process that is not among those that this one tells, and reports whether
 // there was anything to tell.
 func (p *pulse) answer(name string, to netip.AddrPort, now time.Time) bool {
-	held, namings, limits := p.table.Held(now), encodeNamings(p.namings(now)), p.view.limitBook.All(now)
+	held, namings, limits := p.table.Held(now), pulses.EncodeNamings(p.namings(now)), p.view.limitBook.All(now)
 	if len(held)+len(namings)+len(limits.Words) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
 		return false
 	}
-	messages := []*keelv1.Pulse{{Sender: p.name, Suspects: encodeSuspects(held), Namings: namings}}
-	for _, w := range encodeLimits(limits) {
+	messages := []*keelv1.Pulse{{Sender: p.name, Suspects: pulses.EncodeSuspects(held), Namings: namings}}
+	for _, w := range pulses.EncodeLimits(limits) {
 		messages = append(messages, &keelv1.Pulse{Sender: p.name, Limits: w})
 	}
 	for _, message := range messages {
-		datagram, err := encodePulse(message)
+		datagram, err := pulses.Encode(message)
 		if err != nil {
 			p.log.WithError(err).WithField("event", "pulse_failed").Error("an entry that starts does not know of suspects, of limits, nor since when weights are wanted")
 			return false
@@ -330,25 +331,25 @@
 const toldLag = 100 * time.Millisecond
 
 func (p *pulse) heardNamings(message *keelv1.Pulse, now time.Time) {
-	for _, n := range p.fleet.HeardNamings(decodeNamings(message.Namings), now.Add(-toldLag)) {
+	for _, n := range p.fleet.HeardNamings(pulses.Namings(message.Namings), now.Add(-toldLag)) {
 		p.log.WithFields(logrus.Fields{"event": "namings_heard", "from": message.Sender, "model": n.Model, "weights": n.Version, "age_ms": n.Age.Milliseconds()}).Info("another entry tells since when the weights are wanted")
 	}
 }
 
 func (p *pulse) heardFindings(message *keelv1.Pulse, now time.Time) []fleet.Finding {
-	all := decodeFindings(message.Findings)
+	all := pulses.Findings(message.Findings)
 	p.fleet.HeardFindings(all, now)
 	return all
 }
 
 func (p *pulse) heardSuspects(message *keelv1.Pulse, now time.Time) []poison.Report {
-	all := decodeSuspects(message.Suspects)
+	all := pulses.Suspects(message.Suspects)
 	p.table.Heard(all, now)
 	return all
 }
 
 func (p *pulse) heardSaves(message *keelv1.Pulse, now time.Time) []fleet.Saves {
-	all := decodeSaves(message.Saves)
+	all := pulses.Saves(message.Saves)
 	p.fleet.HeardSaves(all, now)
 	return all
 }
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -17,6 +17,7 @@
 	"acaciakeel/peering"
 	"acaciakeel/poison"
 	"acaciakeel/prefix"
+	"acaciakeel/pulses"
 )
 
 // Two entries choose among the same runners. What one sends, the other must know
@@ -62,7 +63,7 @@
 		return newPulse("n", f, poison.New(nil), &view{limitBook: testBook()}, nil), f
 	}
 	tell := func(from, to *pulse) {
-		datagrams, err := from.gather(time.Now()).datagrams("from", nil)
+		datagrams, err := from.gather(time.Now()).Datagrams("from", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -83,7 +84,7 @@
 		t.Errorf("after one round the other holds %+v with load %+v", told.Runners("lm"), told.Inflight(life))
 	}
 	caches := []fleet.CacheNews{{Address: "r:1", Target: life, Boot: 2, Next: 3}}
-	if got := decodeCaches(encodeCaches(caches)); len(got) != 1 || got[0].Target != life {
+	if got := pulses.Caches(pulses.EncodeCaches(caches)); len(got) != 1 || got[0].Target != life {
 		t.Errorf("%+v arrived, want the life %+v", got, life)
 	}
 }
@@ -111,14 +112,14 @@
 // Many parts are read within one pulse, after new weights. No datagram may grow
 // over a packet, where one lost piece loses all of it, and nothing may be missing.
 func TestPulseFitsPackets(t *testing.T) {
-	var all news
+	var all pulses.News
 	for i := range 40 {
-		all.loads = append(all.loads, fleet.Occupancy{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Inflight: 40, Long: 30, Prefill: 20000})
+		all.Loads = append(all.Loads, fleet.Occupancy{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Inflight: 40, Long: 30, Prefill: 20000})
 		parts := make([]fleet.Part, 12)
-		all.findings = append(all.findings, fleet.Finding{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Parts: parts})
-		all.caches = append(all.caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Boot: 1, Next: 1 << 30, Stored: parts})
+		all.Findings = append(all.Findings, fleet.Finding{Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Parts: parts})
+		all.Caches = append(all.Caches, fleet.CacheNews{Address: fmt.Sprintf("10.0.0.%d:80", i), Target: fleet.Life{ID: fmt.Sprintf("i-%09d", i), Born: 1 << 40}, Boot: 1, Next: 1 << 30, Stored: parts})
 	}
-	datagrams, err := all.datagrams("node", nil)
+	datagrams, err := all.Datagrams("node", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,12 +172,12 @@
 		w.Sums.Right[i] = float64(i) * 2
 	}
 	w.Sums.Weight = 40
-	if got := decodeWords(encodeWords([]forecast.Word{w})); len(got) != 1 || got[0] != w {
+	if got := pulses.Words(pulses.EncodeWords([]forecast.Word{w})); len(got) != 1 || got[0] != w {
 		t.Errorf("%+v arrived, want %+v", got, w)
 	}
-	other := encodeWords([]forecast.Word{w})
+	other := pulses.EncodeWords([]forecast.Word{w})
 	other[0].Right = other[0].Right[1:]
-	if got := decodeWords(other); len(got) != 0 {
+	if got := pulses.Words(other); len(got) != 0 {
 		t.Errorf("%+v arrived of a word of another shape", got)
 	}
 }
--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -9,6 +9,7 @@
 	"acaciakeel/follow"
 	"acaciakeel/policy"
 	"acaciakeel/prefix"
+	"acaciakeel/pulses"
 	"acaciakeel/store"
 )
 
@@ -104,7 +105,7 @@
 		if total += bytes; e.Unread != nil || total > changesMost {
 			return nil, false
 		}
-		if i > 0 && size+bytes > datagramBytes && e.Revision > piece.Events.Revision {
+		if i > 0 && size+bytes > pulses.DatagramBytes && e.Revision > piece.Events.Revision {
 			pieces = append(pieces, piece)
 			piece, size = follow.Changes{After: piece.Events.Revision, Back: c.Back}, 0
 		}
@@ -156,18 +157,10 @@
 	if !ok {
 		return nil
 	}
-	out.Revision, out.AgeUs, out.BackUs = c.Revision, micros(c.Age), micros(c.Back)
+	out.Revision, out.AgeUs, out.BackUs = c.Revision, pulses.Micros(c.Age), pulses.Micros(c.Back)
 	return out
 }
 
-func micros(d time.Duration) uint64 {
-	return uint64(max(0, d.Microseconds()))
-}
-
-func fromMicros(us uint64) time.Duration {
-	return time.Duration(us) * time.Microsecond
-}
-
 // takeStore takes what a member tells of the store.
 func (p *pulse) takeStore(message *keelv1.Pulse) {
 	if message.MarkUs > 0 {
@@ -187,14 +180,14 @@
 		if hash != p.watch.self || i >= len(message.View.HeardUs) {
 			continue
 		}
-		c := follow.Confirmation{Revision: message.View.Revision, Age: fromMicros(message.View.AgeUs), Back: fromMicros(message.View.BackUs)}
-		after := clock.Boot(fromMicros(message.View.HeardUs[i]))
+		c := follow.Confirmation{Revision: message.View.Revision, Age: pulses.FromMicros(message.View.AgeUs), Back: pulses.FromMicros(message.View.BackUs)}
+		after := clock.Boot(pulses.FromMicros(message.View.HeardUs[i]))
 		p.view.follower.HeardConfirmation(c, after, plan.Before(p.view.keys.members+message.Sender))
 	}
 }
 
 func encodeChanges(c follow.Changes) *keelv1.StoreChanges {
-	w := &keelv1.StoreChanges{After: c.After, Revision: c.Events.Revision, BackUs: micros(c.Back)}
+	w := &keelv1.StoreChanges{After: c.After, Revision: c.Events.Revision, BackUs: pulses.Micros(c.Back)}
 	for _, e := range c.Events.Events {
 		w.Events = append(w.Events, &keelv1.StoreChange{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
@@ -204,7 +197,7 @@
 // tellChanges tells the peers of changes of the store.
 func (p *pulse) tellChanges(all []follow.Changes, addresses []string) {
 	for _, c := range all {
-		datagram, err := encodePulse(&keelv1.Pulse{Sender: p.name, Changes: []*keelv1.StoreChanges{encodeChanges(c)}})
+		datagram, err := pulses.Encode(&keelv1.Pulse{Sender: p.name, Changes: []*keelv1.StoreChanges{encodeChanges(c)}})
 		if err != nil {
 			p.log.WithError(err).WithField("event", "changes_untold").Error("the others of the group read the store themselves")
 			return
@@ -214,7 +207,7 @@
 }
 
 func decodeChanges(w *keelv1.StoreChanges) follow.Changes {
-	c := follow.Changes{After: w.After, Events: store.Events{Revision: w.Revision}, Back: fromMicros(w.BackUs)}
+	c := follow.Changes{After: w.After, Events: store.Events{Revision: w.Revision}, Back: pulses.FromMicros(w.BackUs)}
 	for _, e := range w.Events {
 		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
 	}
--- /dev/null
+++ b/pulses/limits.go
@@ -0,0 +1,43 @@
+package pulses
+
+import (
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/quota"
+)
+
+// limitWords is how many customers' words stand in one datagram: with its head they
+// fill it.
+const limitWords = 40
+
+// limitWordBytes is about how many bytes one takes.
+const limitWordBytes = 27
+
+// EncodeLimits divides news on limits into datagrams; the first one is there without
+// words too, as the sign that its sender is there.
+func EncodeLimits(n quota.News) []*keelv1.LimitNews {
+	var out []*keelv1.LimitNews
+	for from := 0; from == 0 || from < len(n.Words); from += limitWords {
+		w := &keelv1.LimitNews{UpUs: Micros(n.Up), Heard: uint32(n.Heard)}
+		for _, word := range n.Words[from:min(len(n.Words), from+limitWords)] {
+			w.Customer = append(w.Customer, word.Customer)
+			w.Total = append(w.Total, int64(word.Total))
+			w.Demand = append(w.Demand, uint64(max(0, word.Demand)))
+			w.Level = append(w.Level, int64(word.Level))
+			w.Added = append(w.Added, int64(word.Added))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Limits leaves out customers without figures of their own, as in a datagram of
+// another shape.
+func Limits(sender string, w *keelv1.LimitNews) quota.News {
+	n := quota.News{Sender: sender, Up: FromMicros(w.UpUs), Heard: int(w.Heard)}
+	for i := range min(len(w.Customer), len(w.Total), len(w.Demand), len(w.Level), len(w.Added)) {
+		n.Words = append(n.Words, quota.Word{
+			Customer: w.Customer[i], Total: float64(w.Total[i]), Added: float64(w.Added[i]), Demand: float64(w.Demand[i]), Level: float64(w.Level[i]),
+		})
+	}
+	return n
+}
--- a/node/packing.go
+++ b/pulses/packing.go
@@ -1,4 +1,4 @@
-package node
+package pulses
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	keelv1 "acaciakeel/api/keel/v1"
 )
 
-// packing spreads a pulse over datagrams of about datagramBytes each.
+// packing spreads a pulse over datagrams of about DatagramBytes each.
 type packing struct {
 	// message is the datagram that is being filled, size about its bytes, and begin
 	// returns the next one with what each of them bears.
@@ -25,7 +25,7 @@
 
 // room makes room for a part of so many bytes, in the next datagram if need be.
 func (p *packing) room(bytes int) {
-	if p.size+bytes > datagramBytes {
+	if p.size+bytes > DatagramBytes {
 		p.next()
 	}
 	p.size += bytes
@@ -39,7 +39,7 @@
 }
 
 func (p *packing) flush() {
-	datagram, err := encodePulse(p.message)
+	datagram, err := Encode(p.message)
 	p.err = errors.Join(p.err, err)
 	p.out = append(p.out, datagram)
 }
--- a/node/pulsewire.go
+++ b/pulses/wire.go
@@ -1,4 +1,6 @@
-package node
+// Package pulses encodes what entries tell each other into datagrams, and decodes it. It
+// decides nothing; node tells and takes.
+package pulses
 
 import (
 	"fmt"
@@ -14,46 +16,46 @@
 	"acaciakeel/quota"
 )
 
-// datagramBytes is about how much a datagram holds, to fit one packet of 1,500
+// DatagramBytes is about how much a datagram holds, to fit one packet of 1,500
 // bytes; what can't be divided goes into a larger one.
-const datagramBytes = 1200
-
-// news is all that one pulse tells.
-type news struct {
-	loads    []fleet.Occupancy
-	findings []fleet.Finding
-	caches   []fleet.CacheNews
-	saves    []fleet.Saves
-	engines  []forecast.Word
-	suspects []poison.Report
-	namings  []fleet.Naming
-	limits   quota.News
+const DatagramBytes = 1200
+
+// News is all that one pulse tells.
+type News struct {
+	Loads    []fleet.Occupancy
+	Findings []fleet.Finding
+	Caches   []fleet.CacheNews
+	Saves    []fleet.Saves
+	Engines  []forecast.Word
+	Suspects []poison.Report
+	Namings  []fleet.Naming
+	Limits   quota.News
 	// mark and view are of the shared watch of the store.
-	mark clock.Boot
-	view *keelv1.StoreView
+	Mark clock.Boot
+	View *keelv1.StoreView
 }
 
 // newsMost bounds each kind of news that waits to be relayed: a second's of a group.
 const newsMost = 4096
 
-// add adds what is relayed of other news.
-func (p *news) add(other news) {
-	if len(p.findings) < newsMost {
-		p.findings = append(p.findings, other.findings...)
+// Add adds what is relayed of other news.
+func (p *News) Add(other News) {
+	if len(p.Findings) < newsMost {
+		p.Findings = append(p.Findings, other.Findings...)
 	}
-	if len(p.caches) < newsMost {
-		p.caches = append(p.caches, other.caches...)
+	if len(p.Caches) < newsMost {
+		p.Caches = append(p.Caches, other.Caches...)
 	}
-	if len(p.saves) < newsMost {
-		p.saves = append(p.saves, other.saves...)
+	if len(p.Saves) < newsMost {
+		p.Saves = append(p.Saves, other.Saves...)
 	}
-	if len(p.suspects) < newsMost {
-		p.suspects = append(p.suspects, other.suspects...)
+	if len(p.Suspects) < newsMost {
+		p.Suspects = append(p.Suspects, other.Suspects...)
 	}
 }
 
-// encodePulse encodes one datagram.
-func encodePulse(message *keelv1.Pulse) ([]byte, error) {
+// Encode encodes one datagram.
+func Encode(message *keelv1.Pulse) ([]byte, error) {
 	datagram, err := proto.Marshal(message)
 	if err != nil {
 		return nil, fmt.Errorf("encode a pulse: %w", err)
@@ -62,52 +64,52 @@
 }
 
 // first returns the pulse that a node's news begins with: its load stands whole in it.
-func (p news) first(sender string) *keelv1.Pulse {
+func (p News) first(sender string) *keelv1.Pulse {
 	return &keelv1.Pulse{
-		Sender: sender, WholeLoad: true, Loads: encodeLoads(p.loads), MarkUs: micros(time.Duration(p.mark)),
-		View: p.view, Namings: encodeNamings(p.namings),
+		Sender: sender, WholeLoad: true, Loads: encodeLoads(p.Loads), MarkUs: Micros(time.Duration(p.Mark)),
+		View: p.View, Namings: EncodeNamings(p.Namings),
 	}
 }
 
-// datagrams encodes a pulse, spread over several where it is large; group is set
+// Datagrams encodes a pulse, spread over several where it is large; group is set
 // where it is a whole group's.
-func (p news) datagrams(sender string, group *keelv1.GroupNews) ([][]byte, error) {
+func (p News) Datagrams(sender string, group *keelv1.GroupNews) ([][]byte, error) {
 	pack := newPacking(p.first(sender), func() *keelv1.Pulse { return &keelv1.Pulse{Sender: sender} })
 	if group != nil {
 		begin := func() *keelv1.Pulse {
 			return &keelv1.Pulse{Sender: sender, Group: &keelv1.GroupNews{Group: group.Group, Groups: group.Groups}}
 		}
 		pack = newPacking(begin(), begin)
-		for from := 0; from < len(p.loads); from += groupLoadsEach {
-			some := p.loads[from:min(len(p.loads), from+groupLoadsEach)]
-			pack.room(len(some) * groupLoadBytes)
+		for from := 0; from < len(p.Loads); from += groupLoadsEach {
+			some := p.Loads[from:min(len(p.Loads), from+groupLoadsEach)]
+			pack.room(len(some) * GroupLoadBytes)
 			addGroupLoads(pack.message.Group, some)
 		}
 	}
-	for i, w := range encodeLimits(p.limits) {
+	for i, w := range EncodeLimits(p.Limits) {
 		if i > 0 {
 			pack.next()
 		}
 		pack.room(len(w.Customer) * limitWordBytes)
 		pack.message.Limits = w
 	}
-	for _, w := range encodeSuspects(p.suspects) {
+	for _, w := range EncodeSuspects(p.Suspects) {
 		pack.room(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
 	}
-	for _, w := range encodeFindings(p.findings) {
+	for _, w := range encodeFindings(p.Findings) {
 		pack.room(proto.Size(w))
 		pack.message.Findings = append(pack.message.Findings, w)
 	}
-	for _, w := range encodeCaches(p.caches) {
+	for _, w := range EncodeCaches(p.Caches) {
 		pack.room(proto.Size(w))
 		pack.message.Caches = append(pack.message.Caches, w)
 	}
-	for _, w := range encodeSaves(p.saves) {
+	for _, w := range encodeSaves(p.Saves) {
 		pack.room(proto.Size(w))
 		pack.message.Saves = append(pack.message.Saves, w)
 	}
-	for _, w := range encodeWords(p.engines) {
+	for _, w := range EncodeWords(p.Engines) {
 		pack.room(proto.Size(w))
 		pack.message.Engines = append(pack.message.Engines, w)
 	}
@@ -130,9 +132,9 @@
 	}
 }
 
-// decodeGroupLoads leaves out what has no figures of its own, as in a datagram of
+// GroupLoads leaves out what has no figures of its own, as in a datagram of
 // another shape.
-func decodeGroupLoads(g *keelv1.GroupNews) []fleet.Occupancy {
+func GroupLoads(g *keelv1.GroupNews) []fleet.Occupancy {
 	n := min(len(g.Target), len(g.Born), len(g.Inflight), len(g.Long), len(g.PrefillTokens), len(g.Resumable), len(g.Held))
 	out := make([]fleet.Occupancy, 0, n)
 	for i := range n {
@@ -155,7 +157,8 @@
 	return out
 }
 
-func decodeLoads(all []*keelv1.TargetLoad) []fleet.Occupancy {
+// Loads decodes the load of targets.
+func Loads(all []*keelv1.TargetLoad) []fleet.Occupancy {
 	out := make([]fleet.Occupancy, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.Occupancy{
@@ -178,7 +181,8 @@
 	return out
 }
 
-func decodeFindings(all []*keelv1.TargetFinding) []fleet.Finding {
+// Findings decodes what was learnt of targets.
+func Findings(all []*keelv1.TargetFinding) []fleet.Finding {
 	out := make([]fleet.Finding, 0, len(all))
 	for _, w := range all {
 		found := fleet.Finding{
@@ -211,7 +215,8 @@
 	return out
 }
 
-func encodeCaches(all []fleet.CacheNews) []*keelv1.CacheNews {
+// EncodeCaches encodes what changed in caches.
+func EncodeCaches(all []fleet.CacheNews) []*keelv1.CacheNews {
 	out := make([]*keelv1.CacheNews, 0, len(all))
 	for _, n := range all {
 		w := &keelv1.CacheNews{
@@ -223,7 +228,8 @@
 	return out
 }
 
-func decodeCaches(all []*keelv1.CacheNews) []fleet.CacheNews {
+// Caches decodes it.
+func Caches(all []*keelv1.CacheNews) []fleet.CacheNews {
 	out := make([]fleet.CacheNews, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.CacheNews{
@@ -242,7 +248,8 @@
 	return out
 }
 
-func decodeSaves(all []*keelv1.StoreSaves) []fleet.Saves {
+// Saves decodes the parts that go to stores.
+func Saves(all []*keelv1.StoreSaves) []fleet.Saves {
 	out := make([]fleet.Saves, 0, len(all))
 	for _, w := range all {
 		out = append(out, fleet.Saves{Store: w.Store, Parts: w.PartHash})
@@ -250,7 +257,8 @@
 	return out
 }
 
-func encodeWords(all []forecast.Word) []*keelv1.EngineWord {
+// EncodeWords encodes what was observed of engines.
+func EncodeWords(all []forecast.Word) []*keelv1.EngineWord {
 	out := make([]*keelv1.EngineWord, 0, len(all))
 	for _, word := range all {
 		w := &keelv1.EngineWord{
@@ -269,8 +277,8 @@
 	return out
 }
 
-// decodeWords leaves out words of another shape, such as a later version's.
-func decodeWords(all []*keelv1.EngineWord) []forecast.Word {
+// Words leaves out words of another shape, such as a later version's.
+func Words(all []*keelv1.EngineWord) []forecast.Word {
 	out := make([]forecast.Word, 0, len(all))
 	for _, w := range all {
 		word := forecast.Word{
@@ -296,7 +304,8 @@
 	return out
 }
 
-func encodeSuspects(all []poison.Report) []*keelv1.SuspectContent {
+// EncodeSuspects encodes contents under which targets ended.
+func EncodeSuspects(all []poison.Report) []*keelv1.SuspectContent {
 	out := make([]*keelv1.SuspectContent, 0, len(all))
 	for _, r := range all {
 		w := &keelv1.SuspectContent{
@@ -313,8 +322,8 @@
 	return out
 }
 
-// decodeSuspects leaves out what names no content.
-func decodeSuspects(all []*keelv1.SuspectContent) []poison.Report {
+// Suspects leaves out what names no content.
+func Suspects(all []*keelv1.SuspectContent) []poison.Report {
 	var out []poison.Report
 	for _, w := range all {
 		if len(w.Fingerprint) != len(poison.Fingerprint{}) {
@@ -339,7 +348,8 @@
 // overflow a duration.
 const refusedMost = 365 * 24 * 3600 * 1000
 
-func encodeNamings(all []fleet.Naming) []*keelv1.WeightsNaming {
+// EncodeNamings encodes namings of weights.
+func EncodeNamings(all []fleet.Naming) []*keelv1.WeightsNaming {
 	var out []*keelv1.WeightsNaming
 	for _, n := range all {
 		out = append(out, &keelv1.WeightsNaming{Model: n.Model, Version: n.Version, AgeMs: uint64(max(0, n.Age.Milliseconds()))})
@@ -347,7 +357,8 @@
 	return out
 }
 
-func decodeNamings(all []*keelv1.WeightsNaming) []fleet.Naming {
+// Namings decodes them.
+func Namings(all []*keelv1.WeightsNaming) []fleet.Naming {
 	var out []fleet.Naming
 	for _, n := range all {
 		// A word is a peer's, not to be trusted to fit.
@@ -359,3 +370,39 @@
 
 // longestAge bounds the age of a naming that is told: far beyond any bound on weights.
 const longestAge = 24 * time.Hour
+
+// GroupLoadBytes is about how many bytes a target's load takes in a digest.
+const GroupLoadBytes = 22
+
+// PartBytes is about how many bytes a part takes: its hash and its tokens.
+const PartBytes = 11
+
+// Fit cuts suspects, findings, saves and news of caches, in this order, to what fits so many
+// bytes, and returns about how many are used. Of each kind the newest stay.
+func (p *News) Fit(room int) (used int) {
+	p.Suspects = newest(p.Suspects, &used, room, func(r poison.Report) int { return 100 + 30*len(r.Ends) })
+	p.Findings = newest(p.Findings, &used, room, func(f fleet.Finding) int { return 40 + PartBytes*len(f.Parts) })
+	p.Saves = newest(p.Saves, &used, room, func(s fleet.Saves) int { return 24 + 8*len(s.Parts) })
+	p.Caches = newest(p.Caches, &used, room, func(n fleet.CacheNews) int { return 48 + PartBytes*len(n.Stored) + 8*len(n.Dropped) })
+	return used
+}
+
+// newest returns the last of all that fit room beside what is used already.
+func newest[T any](all []T, used *int, room int, size func(T) int) []T {
+	from := len(all)
+	for from > 0 && *used+size(all[from-1]) <= room {
+		from--
+		*used += size(all[from])
+	}
+	return all[from:]
+}
+
+// Micros returns a time in whole microseconds; one below 0 is none.
+func Micros(d time.Duration) uint64 {
+	return uint64(max(0, d.Microseconds()))
+}
+
+// FromMicros returns it as a duration.
+func FromMicros(us uint64) time.Duration {
+	return time.Duration(us) * time.Microsecond
+}
