--- a/fleet/occupancy_test.go
+++ b/fleet/occupancy_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
+
+	"acaciakeel/policy"
+	"acaciakeel/prefix"
 )
 
 // Entries are replaced a hundred times a day, and each start has another name.
@@ -50,3 +54,129 @@
 		t.Errorf("%d of 44 runners are compared by a process alone", n)
 	}
 }
+
+// pool is runners of which each holds so many tokens: a run waits, in order, until there
+// is memory for it.
+type pool struct {
+	fleet   *Fleet
+	random  *rand.Rand
+	held    map[string]int
+	waiting map[string][]*poolRun
+	ends    map[int][]*poolRun
+	runs    int
+	waited  int
+}
+
+type poolRun struct {
+	id     string
+	tokens int
+	// steps is for how long it holds its memory.
+	steps  int
+	came   int
+	ticket *Ticket
+}
+
+const (
+	poolRunners = 10
+	poolMemory  = 72_000
+	poolStep    = 10 * time.Millisecond
+	// poolPatience is after how many steps a run counts as one that waited.
+	poolPatience = 10
+)
+
+func newPool(off policy.Off) *pool {
+	p := &pool{fleet: New("z"), random: rand.New(rand.NewPCG(5, 5)), held: map[string]int{}, waiting: map[string][]*poolRun{}, ends: map[int][]*poolRun{}}
+	p.fleet.Without(off)
+	p.fleet.Name("m", 1, start.Add(-time.Hour), false)
+	for i := range poolRunners {
+		id := fmt.Sprintf("r%d", i)
+		p.fleet.Put(Runner{ID: id, Service: "lm", Address: id + ":1", Zone: "z", Slots: 48, Weights: map[string]int64{"m": 1}})
+	}
+	p.fleet.WeightsLoaded("lm", 420*time.Millisecond)
+	return p
+}
+
+func (p *pool) at(step int) time.Time { return start.Add(time.Duration(step) * poolStep) }
+
+// send brings one request, of a head that as many as heads says share.
+func (p *pool) send(step, shared, input, output, heads, steps int) {
+	head := prefix.Boundary{Hash: uint64(p.random.IntN(heads))<<32 + uint64(shared), Tokens: shared}
+	own := prefix.Boundary{Hash: p.random.Uint64(), Tokens: input}
+	q := Query{
+		Service: "lm", Model: "m", Input: input, Output: output, Capacity: poolMemory, Objective: 400 * time.Millisecond, OldWeightsFor: time.Hour, Weights: query().Weights,
+		Chain: func(int64) prefix.Chain {
+			return prefix.Chain{Tokens: input, Levels: []prefix.Boundary{head}, Boundaries: []prefix.Boundary{head, own}}
+		},
+	}
+	c, ok := p.fleet.Choose(q, p.at(step))
+	if !ok {
+		return
+	}
+	stay := Stay{Missing: input - c.Cached, Prompt: input, Output: output, Chain: c.Chain, Capacity: poolMemory, Long: c.Long, Held: HeldTokens(input, c.Cached, output)}
+	id := c.Runner.ID
+	r := &poolRun{id: id, tokens: input + output, steps: steps, came: step, ticket: p.fleet.Begin(c.Runner.Life(), stay, p.at(step))}
+	p.runs++
+	p.waiting[id] = append(p.waiting[id], r)
+	p.admit(id, step)
+}
+
+func (p *pool) admit(id string, step int) {
+	for len(p.waiting[id]) > 0 && p.held[id]+p.waiting[id][0].tokens <= poolMemory {
+		r := p.waiting[id][0]
+		p.waiting[id] = p.waiting[id][1:]
+		p.held[id] += r.tokens
+		if step-r.came > poolPatience {
+			p.waited++
+		}
+		r.ticket.First(p.at(step + 1))
+		p.ends[step+r.steps] = append(p.ends[step+r.steps], r)
+	}
+}
+
+func (p *pool) end(step int) {
+	for _, r := range p.ends[step] {
+		p.held[r.id] -= r.tokens
+		r.ticket.Complete(p.at(step))
+		r.ticket.End()
+		p.admit(r.id, step)
+	}
+	delete(p.ends, step)
+}
+
+// Guards against runs that wait for memory while other targets have some.
+func TestMemoryOfTargetsIsShared(t *testing.T) {
+	waited := func(off policy.Off) float64 {
+		p := newPool(off)
+		for step := range 2000 {
+			p.end(step)
+			for range 2 {
+				if p.random.Float64() < 0.45 {
+					p.send(step, 200, 820, 58, 80, 60)
+				}
+				if p.random.Float64() < 0.7 {
+					p.send(step, 6300, 9200, 10, 667, 40)
+				}
+			}
+		}
+		return float64(p.waited) / float64(p.runs)
+	}
+	with, without := waited(nil), waited(policy.Off{policy.Memory: true})
+	t.Logf("%.3f waited for memory, %.3f by slots alone", with, without)
+	if with > without/2 {
+		t.Errorf("%.3f of the runs waited for memory, %.3f where it does not count", with, without)
+	}
+}
+
+// Guards against a target that is taken for full for good, or for free, by odd figures.
+func TestMemoryWait(t *testing.T) {
+	f := New("z")
+	for _, c := range []struct {
+		capacity, held, needs int
+		waits                 bool
+	}{{0, 1 << 40, 9000, false}, {72000, 60000, 9000, false}, {72000, 70000, 9000, true}, {72000, 0, 90000, false}} {
+		wait := f.memoryWait(Query{Service: "lm", Capacity: c.capacity}, Occupancy{Held: c.held}, c.needs, start)
+		if (wait > 0) != c.waits || wait > time.Second {
+			t.Errorf("%+v: %v", c, wait)
+		}
+	}
+}
--- a/node/leavers.go
+++ b/node/leavers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"time"
 
 	keelv1 "acaciakeel/api/keel/v1"
@@ -84,3 +85,39 @@
 	p.sendTo(addressesOf(aside), datagram)
 	return len(aside)
 }
+
+// enlist notes a member's entry; an empty one is its end.
+func (v *view) enlist(key, value string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if value == "" {
+		v.unlist(key)
+	} else {
+		delete(v.leavers, key)
+		v.members[key] = readMember(key, value)
+	}
+	v.membersChanged()
+}
+
+// unlist takes a member out whose entry is gone; the caller holds mu.
+func (v *view) unlist(key string) {
+	if m, ok := v.members[key]; ok && key != v.self {
+		if v.leavers == nil {
+			v.leavers = leavers{}
+		}
+		v.leavers.left(m, time.Now())
+	}
+	delete(v.members, key)
+}
+
+// memberValue is a member's entry: the address at which it hears the others, and
+// its zone.
+func memberValue(address, zone string) []byte {
+	return []byte(address + " " + zone)
+}
+
+// readMember reads a member's entry. One of an earlier version names no zone.
+func readMember(key, value string) peering.Member {
+	address, zone, _ := strings.Cut(value, " ")
+	return peering.Member{Key: key, Address: address, Zone: zone}
+}
--- a/node/view.go
+++ b/node/view.go
@@ -76,18 +76,6 @@
 	return ownKeys{seat: platform.OwnPrefix + "orders", members: platform.OwnPrefix + "members/", count: platform.OwnPrefix + "entries"}
 }
 
-// memberValue is a member's entry: the address at which it hears the others, and
-// its zone.
-func memberValue(address, zone string) []byte {
-	return []byte(address + " " + zone)
-}
-
-// readMember reads a member's entry. One of an earlier version names no zone.
-func readMember(key, value string) peering.Member {
-	address, zone, _ := strings.Cut(value, " ")
-	return peering.Member{Key: key, Address: address, Zone: zone}
-}
-
 // Config implements router.Configuration.
 func (v *view) Config() *catalog.Config {
 	return v.config.Load()
@@ -320,30 +308,6 @@
 	v.holder.Wake()
 }
 
-// enlist notes a member's entry; an empty one is its end.
-func (v *view) enlist(key, value string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if value == "" {
-		v.unlist(key)
-	} else {
-		delete(v.leavers, key)
-		v.members[key] = readMember(key, value)
-	}
-	v.membersChanged()
-}
-
-// unlist takes a member out whose entry is gone; the caller holds mu.
-func (v *view) unlist(key string) {
-	if m, ok := v.members[key]; ok && key != v.self {
-		if v.leavers == nil {
-			v.leavers = leavers{}
-		}
-		v.leavers.left(m, time.Now())
-	}
-	delete(v.members, key)
-}
-
 // membersChanged has the plan worked out anew when it is next asked for: entries
 // that start together bring a hundred changes within a second. The caller holds mu.
 func (v *view) membersChanged() {
