A limit without a burst lets requests in; debts are bounded

Seen when read once more, not by callers: a limit with a rate and no burst would have let nothing in (the level never rises above 0); a limit whose unit changes while others still tell totals in the unit before would have kept its customer out for as long as that debt lasts, and so would any word that is wrong, as the groups' sums were before they were mended.

Change: a quarter of a second's rate may be saved up at least, within the tenth that a window may be exceeded by; the level goes below 0 by the burst and the margin at most. TestOddChangesKeepNobodyOut fails without either.

--- a/quota/account.go
+++ b/quota/account.go
@@ -17,6 +17,9 @@
 	// level is what the limit has left over all processes, as far as is known here;
 	// below 0 where more was let in.
 	level float64
+	// debtMost bounds how far below 0 it goes: beyond the margin, more would only keep the
+	// customer out for longer, also where what was told was wrong.
+	debtMost float64
 	// adopted is set once the level is not that of a process that has just started.
 	adopted bool
 	// slice is what this process may let in by itself where the level tells little.
@@ -76,7 +79,7 @@
 )
 
 func (b *Book) newAccount(name string, l Limit, now time.Time) *account {
-	a := &account{name: name, limit: l, at: now, slicedAt: now, others: map[*sender]*use{}}
+	a := &account{name: name, limit: l, at: now, slicedAt: now, debtMost: l.Burst + b.bounds.margin(l), others: map[*sender]*use{}}
 	// Others may have spent all: were all killed at once, each would begin with a full
 	// burst of its own.
 	if !b.settling(now) {
@@ -86,14 +89,16 @@
 }
 
 // change puts another limit into force.
-func (a *account) change(l Limit) {
+func (b *Book) change(a *account, l Limit) {
 	if l == a.limit {
 		return
 	}
-	if a.limit.Unit == l.Unit && a.limit.Burst > 0 {
-		a.level *= l.Burst / a.limit.Burst
+	a.level *= l.Burst / a.limit.Burst
+	if a.limit.Unit != l.Unit {
+		a.level = 0
 	}
 	a.level = min(a.level, l.Burst)
+	a.debtMost = l.Burst + b.bounds.margin(l)
 	a.slice = min(a.slice, 0)
 	a.promised = 0
 	a.limit = l
@@ -229,9 +234,14 @@
 	a.demand += cost
 }
 
+// spend counts what was let in, here or elsewhere, against the level.
+func (a *account) spend(amount float64) {
+	a.level = max(-a.debtMost, min(a.limit.Burst, a.level-amount))
+}
+
 // take lets a request in; a cost below 0 gives back.
 func (a *account) take(cost float64) {
-	a.level = min(a.limit.Burst, a.level-cost)
+	a.spend(cost)
 	a.slice -= cost
 	a.own += cost
 	a.group += cost
--- a/quota/book.go
+++ b/quota/book.go
@@ -63,6 +63,7 @@
 		if !l.limits() {
 			continue
 		}
+		l = l.usable()
 		id := prefix.NameHash(name)
 		names[name] = id
 		a := b.accounts[id]
@@ -70,7 +71,7 @@
 			a = b.newAccount(name, l, now)
 		}
 		b.refresh(a, now)
-		a.change(l)
+		b.change(a, l)
 		accounts[id] = a
 	}
 	b.names, b.accounts = names, accounts
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -193,3 +193,17 @@
 		t.Errorf("changes after it kept within: %+v", got)
 	}
 }
+
+// Guards against a limit without a burst, which lets nothing in, and against units that
+// change while totals in the former are under way.
+func TestOddChangesKeepNobodyOut(t *testing.T) {
+	b := book(1)
+	b.SetLimits(limits(Limit{Rate: 10, Unit: Requests}), begin)
+	if _, _, ok := b.Begin("c", Size{}, begin.Add(time.Second)); !ok {
+		t.Error("a limit of ten a second without a burst lets nothing in")
+	}
+	b.Heard(News{Sender: "x", Words: []Word{{Customer: b.names["c"], Total: 90_000, Added: 90_000}}}, begin.Add(time.Second))
+	if _, _, ok := b.Begin("c", Size{}, begin.Add(3*time.Second)); !ok {
+		t.Error("tokens of the unit before keep a customer out for hours")
+	}
+}
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -37,6 +37,16 @@
 // limits reports whether there is a limit.
 func (l Limit) limits() bool { return l.Rate > 0 }
 
+// leastBurst is what may be saved up at least: with less a request would find nothing.
+// It stays within the tenth by which deployments let a window be exceeded.
+const leastBurst = 250 * time.Millisecond
+
+// usable returns the limit with a burst that lets requests in.
+func (l Limit) usable() Limit {
+	l.Burst = max(l.Burst, l.Rate*leastBurst.Seconds())
+	return l
+}
+
 // mostFigure bounds the figures of a limit: far beyond any deployment, and small
 // enough for sums over a day to be exact.
 const mostFigure = 1e12
--- a/quota/senders.go
+++ b/quota/senders.go
@@ -234,7 +234,7 @@
 	}
 	if !u.apart {
 		added := w.Total - u.total
-		a.level = min(a.limit.Burst, a.level-added)
+		a.spend(added)
 		if !s.group {
 			a.group += added
 		}
