Read once more: one sum of what is asked of all, groups by their numbers

Cause: the sum of what all heard processes are asked for stood twice (a slice's share, and what keelctl shows); other groups were kept by a number turned into text, left from when one loop went over peers and groups.

Change: askedOfAll serves both; groups are kept by their numbers.

--- a/quota/account.go
+++ b/quota/account.go
@@ -155,17 +155,22 @@
 	if b.off[policy.DemandShares] {
 		return 1 / heard
 	}
-	own := a.asked()
-	all := own
+	all := a.askedOfAll(now)
+	if all <= 0 {
+		return 1 / heard
+	}
+	return a.asked() / all
+}
+
+// askedOfAll returns how much all processes that are heard are asked for a second.
+func (a *account) askedOfAll(now time.Time) float64 {
+	all := a.asked()
 	for s, u := range a.others {
 		if s.fresh(now) {
 			all += u.asked(now)
 		}
 	}
-	if all <= 0 {
-		return 1 / heard
-	}
-	return own / all
+	return all
 }
 
 // asked returns how much this process is asked for a second.
--- a/quota/book.go
+++ b/quota/book.go
@@ -22,7 +22,7 @@
 	names    map[string]uint64
 	peers    map[string]*sender
 	// far are those that tell of other groups, by the group.
-	far map[string]*sender
+	far map[int]*sender
 	// senders are all that are known of both.
 	senders []*sender
 	// toldFar is when each other group was told last.
@@ -39,7 +39,7 @@
 func NewBook(b Bounds, off policy.Off, leased func() bool, now time.Time) *Book {
 	return &Book{
 		bounds: b, off: off, leased: leased, start: now, members: 1,
-		accounts: map[uint64]*account{}, names: map[string]uint64{}, peers: map[string]*sender{}, far: map[string]*sender{}, toldFar: map[int]time.Time{},
+		accounts: map[uint64]*account{}, names: map[string]uint64{}, peers: map[string]*sender{}, far: map[int]*sender{}, toldFar: map[int]time.Time{},
 	}
 }
 
--- a/quota/groups.go
+++ b/quota/groups.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 // GroupWords returns what this process's group has to tell another one.
 func (b *Book) GroupWords(to int, now time.Time) News {
@@ -44,12 +41,11 @@
 func (b *Book) HeardGroup(group int, n News, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := strconv.Itoa(group)
-	s := b.far[key]
+	s := b.far[group]
 	if s == nil || s.name != n.Sender {
 		b.drop(s)
 		s = &sender{name: n.Sender, group: true, patience: groupPatience}
-		b.far[key] = s
+		b.far[group] = s
 		b.senders = append(b.senders, s)
 	}
 	s.count = n.Heard
--- a/quota/uses.go
+++ b/quota/uses.go
@@ -81,15 +81,9 @@
 }
 
 func (b *Book) use(a *account, now time.Time) Use {
-	all := a.asked()
-	for s, u := range a.others {
-		if s.fresh(now) {
-			all += u.asked(now)
-		}
-	}
 	return Use{
 		Customer: a.name, Unit: a.limit.Unit, Rate: a.limit.Rate, Burst: a.limit.Burst, Left: a.level,
-		Asked: a.asked(), AskedOfAll: all, Admitted: a.admitted, Refused: a.refused, Over: a.over,
+		Asked: a.asked(), AskedOfAll: a.askedOfAll(now), Admitted: a.admitted, Refused: a.refused, Over: a.over,
 	}
 }
 
