Logs and metrics show a target's limit, and what goes there

Cause: no log or metric names a limit that a target states in its answers, so the hypotheses of the postmortem can't be told apart.

Change: the platform's adapter decodes the limit, the view keeps it for a life of the target, and log lines and counters show it beside what each entry sends. An answer without a limit ends it only if it was asked for after the limit was heard. A value that can't be read changes nothing, is counted, and logged once a life. No choice of a target rests on any of it yet.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -101,7 +101,9 @@
 		if !f.members.reads(s.runner.Address) {
 			s.cache.unasked()
 		} else if s.hasWeights() && !s.runner.Draining {
+			before := len(out)
 			out = s.cache.due(out, s.runner.ID, s.runner.Address)
+			s.limit.readings += len(out) - before
 		}
 	}
 	for address, k := range f.stores {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,9 @@
 	// metBusyUntil until when by what this process itself met.
 	busyUntil    time.Time
 	metBusyUntil time.Time
+	limit        limitWord
+	// unread is set once a word of the target on itself could not be read.
+	unread bool
 	// fresh is set while nobody was told yet that this life follows another,
 	// and lifeTold is when that was told first.
 	fresh    bool
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -53,6 +53,7 @@
 	}
 	t := &Ticket{fleet: f, state: s, stay: stay, prefill: stay.Missing, ahead: s.sum(now).Prefill, began: now}
 	s.inflight++
+	s.limit.requests++
 	s.prefill += stay.Missing
 	if stay.Long {
 		s.long++
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,7 @@
 	stopping chan struct{}
 	options  Options
 	limits   limitMetrics
+	notices  noticeMetrics
 	doors    struct{ front, ready, metrics *door.Door }
 	// cancel ends all the node does, endDuties what it does for others.
 	cancel    context.CancelFunc
@@ -134,6 +135,7 @@
 	n.view.self = n.view.keys.members + n.name
 	n.view.limitBook = quota.NewBook(s.Bounds.Quota(), o.Without, n.session.Valid, time.Now())
 	n.limits = newLimitMetrics(n.registry, n.view.limitBook)
+	n.notices = newNoticeMetrics(n.registry)
 	if s.Bounds.RevokeFailClosed {
 		n.view.staleAfter = time.Duration(s.Bounds.RevokeMS)*time.Millisecond - staleMargin
 	}
@@ -219,6 +221,7 @@
 	go n.pulse.run(ctx)
 	go n.logFigures(ctx)
 	go n.logLimits(ctx)
+	go n.logTargetLimits(ctx)
 	go n.keepCount(duties)
 	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.enrol)
--- /dev/null
+++ b/node/notices.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/clock"
+	"acaciakeel/telemetry"
+)
+
+// limitUsesEvery is how often it is logged what goes to targets with limits.
+const limitUsesEvery = time.Second
+
+// noticeMetrics are the counters of what goes to targets with limits.
+type noticeMetrics struct {
+	limited prometheus.Gauge
+	sent    *prometheus.CounterVec
+}
+
+func newNoticeMetrics(r *prometheus.Registry) noticeMetrics {
+	return noticeMetrics{
+		limited: telemetry.NewGauge(r, "keel_node_limited_targets", "Targets that name a limit of requests a second.").WithLabelValues(),
+		sent:    telemetry.NewCounter(r, "keel_node_limited_sends_total", "Calls of targets that name a limit: requests, and readings of cache events.", "call"),
+	}
+}
+
+// logTargetLimits logs what this entry sends to targets with limits.
+func (n *Node) logTargetLimits(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, limitUsesEvery)
+		uses := n.view.fleet.LimitUses()
+		n.notices.limited.Set(float64(len(uses)))
+		for _, u := range uses {
+			n.notices.sent.WithLabelValues("request").Add(float64(u.Requests))
+			n.notices.sent.WithLabelValues("reading").Add(float64(u.Readings))
+			n.log.WithFields(logrus.Fields{
+				"event": "target_limit_use", "target": u.Target.ID, "born": u.Target.Born, "limit": u.Rate, "requests": u.Requests, "readings": u.Readings,
+			}).Info("sent in the last second to a target that names a limit")
+		}
+	}
+}
--- /dev/null
+++ b/router/notice.go
@@ -0,0 +1,37 @@
+package router
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/fleet"
+)
+
+// notice takes what a target says of itself.
+func (s *session) notice(choice fleet.Choice, n fleet.Notice) {
+	s.noticeUnread(choice, n)
+	c, changed := s.router.fleet.Noticed(choice.Runner.Life(), n, s.sentAt, time.Now())
+	if !changed {
+		return
+	}
+	message := "the target names no limit any more"
+	if c.Now.Named {
+		message = "the target names how many requests a second it takes from all entries together"
+	}
+	s.router.log.WithFields(logrus.Fields{
+		"event": "target_limit", "request": s.in.ID, "target": c.Target.ID, "born": c.Target.Born,
+		"named": c.Now.Named, "limit": c.Now.Rate, "former": c.Former.Rate,
+	}).Info(message)
+}
+
+// noticeUnread counts words that can't be read, and logs the first of each life.
+func (s *session) noticeUnread(choice fleet.Choice, n fleet.Notice) {
+	for _, field := range n.Unread {
+		s.router.metrics.unread.WithLabelValues(field).Inc()
+	}
+	if life := choice.Runner.Life(); len(n.Unread) > 0 && s.router.fleet.FirstUnread(life) {
+		s.router.log.WithFields(logrus.Fields{"event": "notice_unread", "request": s.in.ID, "target": life.ID, "born": life.Born, "fields": n.Unread}).
+			Warn("a target's word on itself can't be read; what it said before holds")
+	}
+}
--- a/router/request.go
+++ b/router/request.go
@@ -95,6 +95,7 @@
 	Weights int64
 	Load    fleet.Load
 	HasLoad bool
+	Notice  fleet.Notice
 }
 
 // SendError is a send that got no answer.
--- a/router/session.go
+++ b/router/session.go
@@ -229,6 +229,9 @@
 	if a.HasLoad {
 		f.Loaded(choice.Runner.Life(), a.Load, time.Now())
 	}
+	if a.Own {
+		s.notice(choice, a.Notice)
+	}
 	if s.in.Model != "" && a.Own {
 		f.Learn(choice.Runner.Life(), s.in.Model, a.Weights, time.Now())
 	}
