--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -70,6 +70,8 @@
 	// Began is when its first event came, and BeganOn the weights then.
 	Began   time.Time
 	BeganOn int64
+	// Limited is when it was answered with a limit.
+	Limited time.Time
 }
 
 // Runner is one target.
@@ -93,6 +95,7 @@
 	pace    time.Duration
 	deadly
 	loading
+	limiting limiting
 }
 
 // Start starts a target on loopback with the given weights; nil for a plain service.
@@ -246,6 +249,7 @@
 		return
 	}
 	seen, fault, pace, refused := r.note(req, string(body))
+	r.nameLimit(w.Header(), seen)
 	switch {
 	case refused == http.StatusMisdirectedRequest:
 		w.Header().Set("Instance-Id", r.ID)
