Targets' limits are read and hold over all entries together

What callers and targets saw: a target that named a limit of 1.4 requests a second got 26 in 4 s where 13 are allowed; the entries went on as before it was named.

Cause: the word in the answer reached no decision. The class: a target's word about itself is evidence of its own, with a life, an age and a scope.

Ruled out: keeping to it at each entry alone.

Change: a second book of quota/ keeps the sum of what all entries sent; the choice of a target asks it, so that first and further sends, resumed streams and what was taken back all do. The newest word holds; entries tell each other of limits and of their ends; a limit belongs to one life. Where all targets are at their limits requests are refused at once with the time to come back.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -107,7 +107,11 @@
 	if g == nil {
 		return Choice{}, false
 	}
-	usable := func(r *placement.Runner) bool { return f.usable(q, f.states[r.Name], now) }
+	share := 1 / float64(len(g.states))
+	usable := func(r *placement.Runner) bool {
+		s := f.states[r.Name]
+		return f.open(s, share, now) && f.usable(q, s, now)
+	}
 	indices := placement.Apply(g.placed, nil, placement.Staying, placement.Except(f.present(q.Tried)), usable)
 	if len(indices) == 0 {
 		return Choice{}, false
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"acaciakeel/lru"
 	"acaciakeel/placement"
 	"acaciakeel/policy"
+	"acaciakeel/quota"
 )
 
 // state is everything known of one target.
@@ -88,6 +89,10 @@
 	reborn func(now, former Life)
 	// ended is told of each life that was seen to have ended.
 	ended func(Life)
+	// rates keeps the limits that targets name, of which relimit says that they changed;
+	// nil keeps none.
+	rates   *quota.Book
+	relimit bool
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -200,7 +205,7 @@
 		return Runner{}, false
 	}
 	delete(f.states, id)
-	f.scattered = true
+	f.scattered, f.relimit = true, true
 	return s.runner, true
 }
 
@@ -218,7 +223,7 @@
 func (f *Fleet) end(s *state) {
 	life := s.runner.Life()
 	delete(f.states, life.ID)
-	f.scattered = true
+	f.scattered, f.relimit = true, true
 	if f.ended != nil {
 		f.ended(life)
 	}
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -85,7 +85,7 @@
 	}
 	f.states[s.runner.ID] = s
 	f.unsend(s.runner.ID)
-	f.scattered = true
+	f.scattered, f.relimit = true, true
 	if f.reborn != nil {
 		f.reborn(s.runner.Life(), former.runner.Life())
 	}
--- /dev/null
+++ b/fleet/limit.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"acaciakeel/policy"
+	"acaciakeel/quota"
+)
+
+// Limit is how many requests a second a target takes from all processes together; the
+// zero Limit is none.
+type Limit struct {
+	Named bool
+	Rate  float64
+}
+
+// LimitChange is a limit that a target named, changed or no longer names.
+type LimitChange struct {
+	Target      Life
+	Now, Former Limit
+}
+
+// ToldLimit is a target's word on its limit as one process tells it to others.
+type ToldLimit struct {
+	Limit
+	// Age is for how long the process has known it.
+	Age time.Duration
+}
+
+// limitWord is a target's newest word on its limit.
+type limitWord struct {
+	Limit
+	// at is when it was said to whichever process met it, metAt when to this one.
+	at, metAt time.Time
+	// requests and readings count what this process sent there since they were asked
+	// for: clients' requests, and questions after cache events.
+	requests, readings int
+}
+
+// Figures of targets' limits.
+const (
+	// requestUnits is how much one request counts, so that shares of one do.
+	requestUnits = 1000
+	// leastLimit is the limit of a target that takes nothing, in requests a second:
+	// nothing but an answer tells that it takes more again.
+	leastLimit = 0.1
+	// limitBurst is how many requests may come at once at least.
+	limitBurst = 1
+)
+
+// oneRequest is what a request counts against its target's limit.
+var oneRequest = quota.Size{Tokens: requestUnits, Known: true}
+
+// TargetBounds are what targets that name limits put up with beyond these: half as much
+// again in four seconds, and five requests.
+var TargetBounds = quota.Bounds{Window: 4 * time.Second, Overrun: 0.5, Slack: 5 * requestUnits}
+
+// KeepLimits has the limits that targets name be kept by b, before the view is used.
+func (f *Fleet) KeepLimits(b *quota.Book) {
+	f.rates = b
+}
+
+// setLimit puts a target's word on its limit into force.
+func (f *Fleet) setLimit(s *state, l Limit, at time.Time) (c LimitChange, changed bool) {
+	c = LimitChange{Target: s.runner.Life(), Now: l, Former: s.limit.Limit}
+	s.limit.Limit, s.limit.at = l, at
+	f.relimit = f.relimit || c.Now != c.Former
+	return c, c.Now != c.Former
+}
+
+// heardLimit takes what another process was told by a target; the newer word holds.
+func (f *Fleet) heardLimit(s *state, told *ToldLimit, now time.Time) (c LimitChange, changed bool) {
+	if told == nil {
+		return LimitChange{}, false
+	}
+	at := now.Add(-told.Age)
+	if !at.After(s.limit.at) || !told.Named && !s.limit.Named {
+		return LimitChange{}, false
+	}
+	return f.setLimit(s, told.Limit, at)
+}
+
+// toldLimit returns what the target lately said to this process. Were it to pass on what
+// it heard of others, a word would go round for good.
+func (s *state) toldLimit(now time.Time) *ToldLimit {
+	if s.limit.metAt.IsZero() || s.limit.metAt.Before(s.limit.at) || now.Sub(s.limit.metAt) >= newsFor {
+		return nil
+	}
+	return &ToldLimit{Limit: s.limit.Limit, Age: now.Sub(s.limit.at)}
+}
+
+// keepsLimit reports whether there is a limit to be kept to at a target.
+func (f *Fleet) keepsLimit(s *state, now time.Time) bool {
+	if f.relimit && f.rates != nil {
+		f.relimit = false
+		f.rates.SetLimits(f.namedLimits(), now)
+	}
+	return s.limit.Named && f.rates != nil && !f.off[policy.TargetLimits]
+}
+
+func (f *Fleet) namedLimits() map[string]quota.Limit {
+	out := map[string]quota.Limit{}
+	for id, s := range f.states {
+		if s.limit.Named {
+			rate := max(s.limit.Rate, leastLimit)
+			out[id] = quota.Limit{Rate: rate * requestUnits, Burst: max(rate/limitBurstParts, limitBurst) * requestUnits, Unit: quota.Tokens}
+		}
+	}
+	return out
+}
+
+// limitBurstParts is which part of a second's requests may come at once.
+const limitBurstParts = 4
+
+// open reports whether a target's limit has room for one more request. share is the part
+// of a request that counts as asked of it.
+func (f *Fleet) open(s *state, share float64, now time.Time) bool {
+	return !f.keepsLimit(s, now) || f.rates.Open(s.runner.ID, oneRequest, share, now)
+}
+
+// takeLimit counts a request against its target's limit.
+func (f *Fleet) takeLimit(s *state, now time.Time) *quota.Charge {
+	s.limit.requests++
+	if !f.keepsLimit(s, now) {
+		return nil
+	}
+	return f.rates.Take(s.runner.ID, oneRequest, now)
+}
+
+// Limited returns after how long a target is expected to have room that could take a
+// request but for its limit, and counts the request as one that was told so. ok is false
+// where there is none such.
+func (f *Fleet) Limited(q Query, now time.Time) (wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(q.Service)
+	if g == nil {
+		return 0, false
+	}
+	tried := f.present(q.Tried)
+	var first *state
+	for _, s := range g.states {
+		if s.runner.Draining || slices.Contains(tried, s.runner.ID) || !f.keepsLimit(s, now) || !f.usable(q, s, now) {
+			continue
+		}
+		if w := f.rates.Wait(s.runner.ID, oneRequest, now); first == nil || w < wait {
+			first, wait = s, w
+		}
+	}
+	if first == nil {
+		return 0, false
+	}
+	f.rates.Promise(first.runner.ID, oneRequest, now)
+	return wait, true
+}
+
+// Limit returns the limit that a target names.
+func (f *Fleet) Limit(l Life) Limit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.about(l); s != nil {
+		return s.limit.Limit
+	}
+	return Limit{}
+}
+
+// LimitUse is what this process sent to a target with a limit.
+type LimitUse struct {
+	Target Life
+	// Rate is the limit, in requests a second.
+	Rate float64
+	// Requests are clients', Readings questions after cache events.
+	Requests, Readings int
+}
+
+// LimitUses returns what was sent to targets with limits since it was asked last.
+func (f *Fleet) LimitUses() []LimitUse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []LimitUse
+	for _, s := range f.states {
+		if s.limit.Named {
+			out = append(out, LimitUse{Target: s.runner.Life(), Rate: s.limit.Rate, Requests: s.limit.requests, Readings: s.limit.readings})
+		}
+		s.limit.requests, s.limit.readings = 0, 0
+	}
+	return out
+}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -15,6 +15,9 @@
 	Busy time.Duration
 	// Parts are those that the process had read there since it told last.
 	Parts []Part
+	// Limit is what the target lately said of its limit to the process itself; nil where
+	// it said nothing.
+	Limit *ToldLimit
 }
 
 // Part is a part of a prompt.
@@ -40,7 +43,8 @@
 			s.fresh, s.lifeTold = false, now
 		}
 		reborn := now.Sub(s.lifeTold) < newsFor
-		if found.Busy == 0 && !news && !reborn && len(s.untold) == 0 {
+		found.Limit = s.toldLimit(now)
+		if found.Busy == 0 && !news && !reborn && len(s.untold) == 0 && found.Limit == nil {
 			continue
 		}
 		found.Parts, s.untold = s.untold, nil
@@ -52,8 +56,9 @@
 	return out
 }
 
-// HeardFindings takes what another process learnt.
-func (f *Fleet) HeardFindings(all []Finding, now time.Time) {
+// HeardFindings takes what another process learnt, and returns the limits of targets that
+// changed by it.
+func (f *Fleet) HeardFindings(all []Finding, now time.Time) (changes []LimitChange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, found := range all {
@@ -70,5 +75,9 @@
 		for _, p := range found.Parts {
 			s.cached.Use(p.Hash, p.Tokens, s.capacity)
 		}
+		if c, changed := f.heardLimit(s, found.Limit, now); changed {
+			changes = append(changes, c)
+		}
 	}
+	return changes
 }
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -6,6 +6,7 @@
 	"acaciakeel/forecast"
 	"acaciakeel/policy"
 	"acaciakeel/prefix"
+	"acaciakeel/quota"
 )
 
 // Ticket is one request's stay at one life of a target. It counts on that life
@@ -20,6 +21,8 @@
 	began   time.Time
 	firstAt time.Time
 	done    bool
+	// charge is what the request counts against its target's limit.
+	charge *quota.Charge
 }
 
 // Stay is what a request brings to its target.
@@ -53,7 +56,7 @@
 	}
 	t := &Ticket{fleet: f, state: s, stay: stay, prefill: stay.Missing, ahead: s.sum(now).Prefill, began: now}
 	s.inflight++
-	s.limit.requests++
+	t.charge = f.takeLimit(s, now)
 	s.prefill += stay.Missing
 	if stay.Long {
 		s.long++
@@ -82,6 +85,9 @@
 	}
 }
 
+// Unsent notes that nothing of the request reached its target.
+func (t *Ticket) Unsent() { t.charge.Ran(0) }
+
 // Complete notes that the answer ended whole.
 func (t *Ticket) Complete(now time.Time) {
 	t.fleet.mu.Lock()
--- a/node/digest.go
+++ b/node/digest.go
@@ -193,7 +193,7 @@
 	now := time.Now()
 	all := p.digest.take(l, p.fleet.GroupLoad(now))
 	all.Engines = p.fleet.GroupWords(now)
-	all.Limits = p.view.limitBook.GroupWords(l.group, now)
+	all.Limits, all.Targets = p.view.limitBook.GroupWords(l.group, now), p.view.targetBook.GroupWords(l.group, now)
 	p.digest.count(digestTold)
 	return all
 }
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -42,7 +42,7 @@
 		f := fleet.New("z0")
 		f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
 		name := fmt.Sprintf("n%d/x", own)
-		v := &view{fleet: f, limitBook: testBook(), log: log, keys: keys, self: keys.members + name, members: map[string]peering.Member{}}
+		v := &view{fleet: f, limitBook: testBook(), targetBook: testBook(), log: log, keys: keys, self: keys.members + name, members: map[string]peering.Member{}}
 		for other := range n {
 			v.enlist(fmt.Sprintf("%sn%d/x", keys.members, other), string(memberValue(address(other), fmt.Sprintf("z%d", other%5))))
 		}
--- a/node/limits.go
+++ b/node/limits.go
@@ -24,15 +24,21 @@
 
 // takeLimits takes what a datagram tells of limits.
 func (p *pulse) takeLimits(message *keelv1.Pulse, now time.Time) {
-	if message.Limits == nil {
+	p.takeUses(p.view.limitBook, message, message.Limits, now)
+	p.takeUses(p.view.targetBook, message, message.TargetLimits, now)
+}
+
+// takeUses takes what a datagram tells of the uses of one book.
+func (p *pulse) takeUses(b *quota.Book, message *keelv1.Pulse, w *keelv1.LimitNews, now time.Time) {
+	if w == nil {
 		return
 	}
-	n := pulses.Limits(message.Sender, message.Limits)
+	n := pulses.Limits(message.Sender, w)
 	if message.Group != nil {
-		p.view.limitBook.HeardGroup(int(message.Group.Group), n, now)
+		b.HeardGroup(int(message.Group.Group), n, now)
 		return
 	}
-	p.view.limitBook.Heard(n, now)
+	b.Heard(n, now)
 }
 
 // countMembers has the limits shared among as many processes as serve: of one node's
@@ -43,6 +49,7 @@
 		nodes[nodeOf(key)] = true
 	}
 	v.limitBook.SetMembers(len(nodes))
+	v.targetBook.SetMembers(len(nodes))
 }
 
 // nodeOf returns what all starts of one node have in common in their members' keys.
@@ -81,6 +88,7 @@
 	defer v.mu.Unlock()
 	v.count.stored, v.count.revision = n, revision
 	v.limitBook.SetUsual(int(n))
+	v.targetBook.SetUsual(int(n))
 }
 
 // dueCount returns the count that the store should have, and whether it has another.
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -58,3 +60,57 @@
 		t.Fatal(broken)
 	}
 }
+
+// Guards against a service that is refused though its targets would take some, and
+// against refusals without the time to come back: all targets name a limit.
+func TestAServiceAtItsLimitIsGivenIt(t *testing.T) {
+	w := newWorld(t)
+	for _, r := range w.runners {
+		r.NameLimit("1", 1)
+	}
+	for range 3 {
+		w.send("POST", "/draft/x", "", prompt())
+	}
+	refused := answer{}
+	w.until("a request is refused", func() bool {
+		refused = w.send("POST", "/draft/x", "", prompt())
+		return refused.status != http.StatusOK
+	})
+	after, _ := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	if refused.status != http.StatusTooManyRequests || !strings.Contains(refused.body, "targets_limited") || after <= 0 {
+		t.Errorf("refused with %d, come back after %v s: %s", refused.status, after, refused.body)
+	}
+	w.until("a later request is served", func() bool { return w.send("POST", "/draft/x", "", prompt()).status == http.StatusOK })
+}
+
+// Guards against a target that is kept limited though it says so no longer.
+func TestALimitEndsWithTheWord(t *testing.T) {
+	w := newWorld(t)
+	other := w.startNode("n1")
+	sent := 0
+	known := func(n *Node, named bool) func() bool {
+		return func() bool {
+			sent++
+			header := prompt()
+			header["Prefix-Hash"] = fmt.Sprintf("a%d:400,b%d:300,c%d:200", sent, sent, sent)
+			w.send("POST", "/draft/x", "", header)
+			for _, r := range n.view.fleet.Runners("lm") {
+				if n.view.fleet.Limit(r.Life()).Named {
+					return named
+				}
+			}
+			return !named
+		}
+	}
+	name := func(value string, rate float64) {
+		for _, r := range w.runners {
+			r.NameLimit(value, rate)
+		}
+	}
+	name("2", 2)
+	w.until("the entry knows the limit", known(w.node, true))
+	w.until("the other one has heard of it", known(other, true))
+	name("", 0)
+	w.until("the entry knows that it is over", known(w.node, false))
+	w.until("the other one has heard of it", known(other, false))
+}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -204,7 +204,7 @@
 	if p.fleet.Off(policy.Telling) {
 		all.Loads = nil
 	}
-	all.Limits = p.view.limitBook.Words(now)
+	all.Limits, all.Targets = p.view.limitBook.Words(now), p.view.targetBook.Words(now)
 	if int64(clock.Now()) < p.tellNamings.Load() {
 		all.Namings = p.namings(now)
 	}
@@ -303,14 +303,18 @@
 // answer tells a process that is not among those that this one tells, and reports whether
 // there was anything to tell.
 func (p *pulse) answer(name string, to netip.AddrPort, now time.Time) bool {
-	held, namings, limits := p.table.Held(now), pulses.EncodeNamings(p.namings(now)), p.view.limitBook.All(now)
-	if len(held)+len(namings)+len(limits.Words) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
+	held, namings := p.table.Held(now), pulses.EncodeNamings(p.namings(now))
+	limits, targets := p.view.limitBook.All(now), p.view.targetBook.All(now)
+	if len(held)+len(namings)+len(limits.Words)+len(targets.Words) == 0 || p.view.plan().Tells(p.view.keys.members+name) {
 		return false
 	}
 	messages := []*keelv1.Pulse{{Sender: p.name, Suspects: pulses.EncodeSuspects(held), Namings: namings}}
 	for _, w := range pulses.EncodeLimits(limits) {
 		messages = append(messages, &keelv1.Pulse{Sender: p.name, Limits: w})
 	}
+	for _, w := range pulses.EncodeLimits(targets) {
+		messages = append(messages, &keelv1.Pulse{Sender: p.name, TargetLimits: w})
+	}
 	for _, message := range messages {
 		datagram, err := pulses.Encode(message)
 		if err != nil {
@@ -338,7 +342,11 @@
 
 func (p *pulse) heardFindings(message *keelv1.Pulse, now time.Time) []fleet.Finding {
 	all := pulses.Findings(message.Findings)
-	p.fleet.HeardFindings(all, now)
+	for _, c := range p.fleet.HeardFindings(all, now) {
+		p.log.WithFields(logrus.Fields{
+			"event": "target_limit", "from": message.Sender, "target": c.Target.ID, "born": c.Target.Born, "named": c.Now.Named, "limit": c.Now.Rate, "former": c.Former.Rate,
+		}).Info("another entry tells of a target's limit")
+	}
 	return all
 }
 
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -60,7 +60,7 @@
 		f := fleet.New("z")
 		f.Put(fleet.Runner{ID: "r", Born: 10, Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
 		f.Begin(fleet.Life{ID: "r", Born: 10}, fleet.Stay{Chain: shared, Missing: 900}, time.Now())
-		return newPulse("n", f, poison.New(nil), &view{limitBook: testBook()}, nil), f
+		return newPulse("n", f, poison.New(nil), &view{limitBook: testBook(), targetBook: testBook()}, nil), f
 	}
 	tell := func(from, to *pulse) {
 		datagrams, err := from.gather(time.Now()).Datagrams("from", nil)
@@ -101,7 +101,7 @@
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		p := newPulse("n", fleet.New("z"), poison.New(nil), &view{limitBook: testBook()}, log)
+		p := newPulse("n", fleet.New("z"), poison.New(nil), &view{limitBook: testBook(), targetBook: testBook()}, log)
 		p.take(datagram, netip.AddrPort{})
 		if n := len(p.fleet.IDs()); n != 0 {
 			t.Errorf("a pulse made %d targets", n)
@@ -149,7 +149,7 @@
 	f.Put(fleet.Runner{ID: "r", Service: "lm", Address: "r:1", Weights: map[string]int64{model: 1}})
 	parts := []prefix.Boundary{{Hash: 1, Tokens: 400}, {Hash: 2, Tokens: 900}}
 	f.Begin(fleet.Life{ID: "r"}, fleet.Stay{Chain: prefix.Chain{Tokens: 900, Boundaries: parts}}, time.Now())
-	p := newPulse("n", f, poison.New(nil), &view{limitBook: testBook()}, nil)
+	p := newPulse("n", f, poison.New(nil), &view{limitBook: testBook(), targetBook: testBook()}, nil)
 	p.send(peering.Plan{})
 	if n := len(f.Findings(time.Now())); n != 0 {
 		t.Errorf("%d findings are kept for nobody", n)
--- a/node/view.go
+++ b/node/view.go
@@ -40,6 +40,8 @@
 	config atomic.Pointer[catalog.Config]
 	// limitBook holds what customers used of their limits.
 	limitBook *quota.Book
+	// targetBook holds what all entries sent to targets that name limits.
+	targetBook *quota.Book
 
 	// self is this node's key among the members.
 	self string
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -57,7 +57,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := fleet.New("z")
-	v := &view{fleet: f, limitBook: testBook(), log: log, oldWeights: 18 * time.Second}
+	v := &view{fleet: f, limitBook: testBook(), targetBook: testBook(), log: log, oldWeights: 18 * time.Second}
 	v.holder = rollout.NewHolder("n", rollout.Surroundings{Fleet: f}, log)
 	return v, f
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,11 +55,13 @@
 	CommonUse    Mechanism = "common-use"
 	Pacing       Mechanism = "pacing"
 	DemandShares Mechanism = "demand-shares"
+	// TargetLimits: the limits that targets name are kept to.
+	TargetLimits Mechanism = "target-limits"
 )
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, Apart, Fetching, Memory, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone, Limits, CommonUse, Pacing, DemandShares}
+	return []Mechanism{Learning, Packing, Apart, Fetching, Memory, Saving, FarLinks, FewCompared, Refusing, LightWaits, Cutting, Telling, SharedWatch, Suspecting, Alone, Limits, CommonUse, Pacing, DemandShares, TargetLimits}
 }
 
 // Off is the mechanisms that are switched off; nil is none.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,8 @@
 	Suspects []poison.Report
 	Namings  []fleet.Naming
 	Limits   quota.News
+	// Targets is what was sent to targets that name limits.
+	Targets quota.News
 	// mark and view are of the shared watch of the store.
 	Mark clock.Boot
 	View *keelv1.StoreView
@@ -93,6 +96,13 @@
 		pack.room(len(w.Customer) * limitWordBytes)
 		pack.message.Limits = w
 	}
+	for i, w := range EncodeLimits(p.Targets) {
+		if i > 0 {
+			pack.next()
+		}
+		pack.room(len(w.Customer) * limitWordBytes)
+		pack.message.TargetLimits = w
+	}
 	for _, w := range EncodeSuspects(p.Suspects) {
 		pack.room(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
@@ -176,11 +186,27 @@
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
 		w.PartHash, w.PartTokens = encodeParts(found.Parts)
+		w.Limit = encodeTargetLimit(found.Limit)
 		out = append(out, w)
 	}
 	return out
 }
 
+func encodeTargetLimit(told *fleet.ToldLimit) *keelv1.TargetLimit {
+	if told == nil {
+		return nil
+	}
+	return &keelv1.TargetLimit{Named: told.Named, Rate: told.Rate, AgeUs: Micros(told.Age)}
+}
+
+// decodeTargetLimit leaves out a limit that is no figure.
+func decodeTargetLimit(w *keelv1.TargetLimit) *fleet.ToldLimit {
+	if w == nil || math.IsNaN(w.Rate) || w.Rate < 0 {
+		return nil
+	}
+	return &fleet.ToldLimit{Limit: fleet.Limit{Named: w.Named, Rate: w.Rate}, Age: FromMicros(min(w.AgeUs, Micros(longestAge)))}
+}
+
 // Findings decodes what was learnt of targets.
 func Findings(all []*keelv1.TargetFinding) []fleet.Finding {
 	out := make([]fleet.Finding, 0, len(all))
@@ -190,6 +216,7 @@
 			Weights: map[string]int64{},
 			Busy:    time.Duration(w.BusyMs) * time.Millisecond,
 			Parts:   decodeParts(w.PartHash, w.PartTokens),
+			Limit:   decodeTargetLimit(w.Limit),
 		}
 		for _, l := range w.Weights {
 			found.Weights[l.Model] = l.Version
@@ -314,7 +341,7 @@
 // bytes, and returns about how many are used. Of each kind the newest stay.
 func (p *News) Fit(room int) (used int) {
 	p.Suspects = newest(p.Suspects, &used, room, func(r poison.Report) int { return 100 + 30*len(r.Ends) })
-	p.Findings = newest(p.Findings, &used, room, func(f fleet.Finding) int { return 40 + PartBytes*len(f.Parts) })
+	p.Findings = newest(p.Findings, &used, room, func(f fleet.Finding) int { return 60 + PartBytes*len(f.Parts) })
 	p.Saves = newest(p.Saves, &used, room, func(s fleet.Saves) int { return 24 + 8*len(s.Parts) })
 	p.Caches = newest(p.Caches, &used, room, func(n fleet.CacheNews) int { return 48 + PartBytes*len(n.Stored) + 8*len(n.Dropped) })
 	return used
--- a/quota/account.go
+++ b/quota/account.go
@@ -266,10 +266,20 @@
 func (a *account) refuse(cost float64, r room) time.Duration {
 	a.refused++
 	a.told.refused = true
-	wait := mostWait
-	if r.grows > 0 {
-		wait = min(mostWait, time.Duration((max(0, r.lacks)+a.promised)/r.grows*float64(time.Second)))
+	wait := a.wait(r)
+	a.promise(cost)
+	return wait + leastWait + rand.N(leastWait)
+}
+
+// wait returns when the limit has room behind those that were told to come back.
+func (a *account) wait(r room) time.Duration {
+	if r.grows <= 0 {
+		return mostWait
 	}
+	return min(mostWait, time.Duration((max(0, r.lacks)+a.promised)/r.grows*float64(time.Second)))
+}
+
+// promise counts a request that was told to come back.
+func (a *account) promise(cost float64) {
 	a.promised = min(a.promised+cost, a.limit.Rate*mostWait.Seconds())
-	return wait + leastWait + rand.N(leastWait)
 }
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -1,5 +1,5 @@
-// Package quota keeps customers within limits that hold over all processes
-// together, without a call on the way of a request. Each process counts what all of
+// Package quota keeps customers within limits, and the requests to targets within
+// those that these name, that hold over all processes together, without a call on the way of a request. Each process counts what all of
 // them let in, as far as they told it, and lets a request in while the limit has
 // room. What it can't have heard yet is covered by the margin that the deployment
 // allows over a limit; for processes that it does not hear it leaves their part of
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -35,6 +35,8 @@
 	exact   float64
 	exactAt time.Duration
 	within  struct{ asked, refused float64 }
+	// fixed has all requests be of the mean size.
+	fixed bool
 }
 
 type host struct {
@@ -216,6 +218,9 @@
 // request asks for one request at a host by weight.
 func (d *deployment) request(size float64) {
 	cost := math.Round(min(4*size, size*math.Exp(d.rand.NormFloat64()*0.7-0.245)))
+	if d.fixed {
+		cost = size
+	}
 	h := d.pick()
 	if h == nil {
 		return
--- /dev/null
+++ b/quota/take.go
@@ -0,0 +1,59 @@
+package quota
+
+import "time"
+
+// Open reports whether one more request of an account may be let in, without counting
+// it; share is the part of it that counts as asked for. An account without a limit is
+// open.
+func (b *Book) Open(name string, size Size, share float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[b.names[name]]
+	if a == nil {
+		return true
+	}
+	b.refresh(a, now)
+	cost := a.limit.cost(size)
+	a.offer(cost * share)
+	return b.room(a, cost, now).open
+}
+
+// Take counts a request that is let in whether or not there is room for it.
+func (b *Book) Take(name string, size Size, now time.Time) *Charge {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := b.names[name]
+	a := b.accounts[id]
+	if a == nil {
+		return nil
+	}
+	b.refresh(a, now)
+	cost := a.limit.cost(size)
+	a.offer(cost)
+	a.take(cost)
+	return &Charge{book: b, id: id, cost: cost, times: 1}
+}
+
+// Wait returns after how long an account is expected to have room for a request, behind
+// those who were promised it before; 0 where it has no limit.
+func (b *Book) Wait(name string, size Size, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[b.names[name]]
+	if a == nil {
+		return 0
+	}
+	b.refresh(a, now)
+	cost := a.limit.cost(size)
+	return a.wait(b.room(a, cost, now))
+}
+
+// Promise counts a request that was told to come back.
+func (b *Book) Promise(name string, size Size, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a := b.accounts[b.names[name]]; a != nil {
+		b.refresh(a, now)
+		a.promise(a.limit.cost(size))
+	}
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -53,6 +53,8 @@
 	// WeightsReplaced: it waited at its target until the time of the weights there
 	// ended, and was taken back.
 	WeightsReplaced Kind = "weights_replaced"
+	// TargetsLimited: the targets that could take it get as much as they say they take.
+	TargetsLimited Kind = "targets_limited"
 )
 
 // Outcome says whether the refused request ran.
@@ -156,6 +158,7 @@
 	EndsTargets:       http.StatusServiceUnavailable,
 	SuspectUnderWay:   http.StatusServiceUnavailable,
 	WeightsReplaced:   http.StatusBadGateway,
+	TargetsLimited:    http.StatusTooManyRequests,
 }
 
 // Status returns the HTTP status of e.
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -98,6 +98,7 @@
 		s.router.endings.ask(choice.Runner)
 	}
 	if !sent {
+		s.ticket.Unsent()
 		refused := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "target %s can't be reached: %v", choice.Runner.ID, err).After(retryAfter)
 		return result{refused: refused, reason: retry.Unreachable, again: true}
 	}
--- a/router/overload.go
+++ b/router/overload.go
@@ -58,6 +58,10 @@
 		out.Outcome = refusal.Unknown
 		return out
 	}
+	if wait, ok := s.router.fleet.Limited(s.query(), time.Now()); ok {
+		return refusal.New(refusal.TargetsLimited, "come back after the time in Retry-After",
+			"the targets of service %s that could take the request get as much as they take", s.in.service.Name).After(wait + minReturn + rand.N(minReturn))
+	}
 	return refusal.New(refusal.NoTarget, "come back after the time in Retry-After",
 		"none of the targets of service %s can take the request", s.in.service.Name).After(retryAfter)
 }
--- a/router/session.go
+++ b/router/session.go
@@ -106,6 +106,11 @@
 }
 
 func (s *session) choose() (fleet.Choice, bool) {
+	return s.router.fleet.Choose(s.query(), time.Now())
+}
+
+// query is what the choice of a target rests on.
+func (s *session) query() fleet.Query {
 	in := s.in
 	q := fleet.Query{
 		Service:       in.service.Name,
@@ -123,7 +128,7 @@
 		q.Input, q.Output, q.Objective = in.Input, in.Output, in.route.Objective
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.salt(weights)) }
 	}
-	return s.router.fleet.Choose(q, time.Now())
+	return q
 }
 
 // attempt sends the request to one target and passes its answer on.
