--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -30,7 +30,9 @@
 	for what, word := range map[string]func(){
 		"an answer that was asked for before": func() { f.Noticed(a, Notice{}, noon, noon.Add(2*time.Second)) },
 		"the list":                            func() { f.Put(Runner{ID: "a", Born: 1, Service: "desk", Address: "a:1", Zone: "z1", Slots: 4}) },
-		"a value that says nothing":           func() { f.Noticed(a, Notice{Unread: []string{"limit"}}, noon.Add(2*time.Second), noon.Add(3*time.Second)) },
+		"a value that says nothing": func() {
+			f.Noticed(a, Notice{Unread: []string{"limit"}}, noon.Add(2*time.Second), noon.Add(3*time.Second))
+		},
 		"an older word of another entry": func() {
 			f.HeardFindings([]Finding{{Target: a, Limit: &ToldLimit{Age: 5 * time.Second}}}, noon.Add(4*time.Second))
 		},
