Logs and metrics show that a target said in an answer that it leaves

Cause: no log line or metric names the word, so the hypotheses of the postmortem can't be told apart.

No choice of a target rests on it yet.

Measured: tests of platform, fleet, router and docs pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,8 @@
 	busyUntil    time.Time
 	metBusyUntil time.Time
 	limit        limitWord
+	// leavingAt is when the target first said in an answer that it leaves.
+	leavingAt time.Time
 	// unread is set once a word of the target on itself could not be read.
 	unread bool
 	// fresh is set while nobody was told yet that this life follows another,
--- a/router/describe.go
+++ b/router/describe.go
@@ -36,6 +36,9 @@
 		fields["replaced_sent_ms"] = s.replaced.sent.Milliseconds()
 		fields["replaced_first_ms"] = s.replaced.first.Milliseconds()
 	}
+	if s.leaving > 0 {
+		fields["leaving_ms"] = s.leaving.Milliseconds()
+	}
 	if limit := s.router.fleet.Limit(s.last.Runner.Life()); limit.Named {
 		fields["limit"] = limit.Rate
 	}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -16,6 +16,7 @@
 	latency   *prometheus.HistogramVec
 	replaced  prometheus.Histogram
 	unread    *prometheus.CounterVec
+	leaving   prometheus.Counter
 }
 
 // NewMetrics registers the router's counters.
@@ -26,6 +27,7 @@
 		retries:   telemetry.NewCounter(r, "keel_router_retries_total", "Further sends, by reason.", "reason"),
 		exhausted: exhausted.WithLabelValues(),
 		latency:   telemetry.NewLatency(r, "keel_router_request_seconds", "Time from a request's arrival to its end, by route.", "route"),
+		leaving:   telemetry.NewCounter(r, "keel_router_targets_leaving_total", "Targets that first said to this entry in an answer that they leave.").WithLabelValues(),
 		unread:    telemetry.NewCounter(r, "keel_router_notices_unread_total", "Words of targets on themselves that could not be read, by field.", "field"),
 		replaced:  telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
--- a/router/notice.go
+++ b/router/notice.go
@@ -11,6 +11,7 @@
 // notice takes what a target says of itself.
 func (s *session) notice(choice fleet.Choice, n fleet.Notice) {
 	s.noticeUnread(choice, n)
+	s.noticeLeaving(choice, n)
 	c, changed := s.router.fleet.Noticed(choice.Runner.Life(), n, s.sentAt, time.Now())
 	if !changed {
 		return
@@ -25,6 +26,16 @@
 	}).Info(message)
 }
 
+// noticeLeaving takes a target's word that it leaves.
+func (s *session) noticeLeaving(choice fleet.Choice, n fleet.Notice) {
+	life := choice.Runner.Life()
+	if n.Leaving && s.router.fleet.Leaves(life, time.Now()) {
+		s.router.metrics.leaving.Inc()
+		s.router.log.WithFields(logrus.Fields{"event": "target_leaves", "request": s.in.ID, "target": life.ID, "born": life.Born, "listed_draining": choice.Runner.Draining}).
+			Info("the target says that it leaves")
+	}
+}
+
 // noticeUnread counts words that can't be read, and logs the first of each life.
 func (s *session) noticeUnread(choice fleet.Choice, n fleet.Notice) {
 	for _, field := range n.Unread {
