Failing test: requests reach a target after it said that it leaves

Cause: two entries that were told in answers that a target leaves go on sending to it, as its entry in the list says ready.

Change: the stand-in of a target says that it leaves without a word in the list, and judges by what it gets.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -72,6 +72,8 @@
 	BeganOn int64
 	// Limited is when it was answered with a limit.
 	Limited time.Time
+	// ToldLeaving is when it was answered that the target leaves.
+	ToldLeaving time.Time
 }
 
 // Runner is one target.
@@ -96,6 +98,8 @@
 	deadly
 	loading
 	limiting limiting
+	// leaves is set once it says in its answers that it leaves.
+	leaves bool
 }
 
 // Start starts a target on loopback with the given weights; nil for a plain service.
@@ -250,6 +254,7 @@
 	}
 	seen, fault, pace, refused := r.note(req, string(body))
 	r.nameLimit(w.Header(), seen)
+	r.sayLeaving(w.Header(), seen)
 	switch {
 	case refused == http.StatusMisdirectedRequest:
 		w.Header().Set("Instance-Id", r.ID)
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -114,3 +114,28 @@
 	w.until("the entry knows that it is over", known(w.node, false))
 	w.until("the other one has heard of it", known(other, false))
 }
+
+// drain is how long after it was told so an entry may go on sending to a target that leaves.
+const drain = 2 * time.Second
+
+// Guards against requests to a target that said in an answer that it leaves while the
+// list calls it ready, also once it is listed anew.
+func TestATargetThatSaysItLeavesGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	leaves := w.runners[0]
+	relist := func() {
+		entry := leaves.Entry("ready")
+		for range 5 {
+			time.Sleep(drain / 2)
+			w.store.Remove(entry.Key)
+			time.Sleep(100 * time.Millisecond)
+			w.store.Set(entry.Key, entry.Value)
+		}
+	}
+	leaves.Leave()
+	go relist()
+	w.press("/draft/x", drain+3*time.Second, pressed{w.node, 3, 50 * time.Millisecond}, pressed{w.startNode("n1"), 3, 50 * time.Millisecond})
+	for _, broken := range leaves.AfterLeaving(senderOf, drain) {
+		t.Fatal(broken)
+	}
+}
