A target that says in an answer that it leaves gets nothing more

What callers and targets saw: requests reached a target 2 to 12 s after its answer had told the entry that it leaves, where 2 s are allowed; the store was not acknowledging meanwhile, so that the list went on calling it ready.

Cause: the word in the answer reached no decision. The class: a target's word about itself is evidence of its own.

TestATargetThatSaysItLeavesGetsNothing failed before and passes now.

Ruled out: keeping the word beside the list's. An entry written anew as ready, as after an outage of the store, would take the target back in (the test writes it so).

Change: a life that said so counts as draining for good; it is remembered apart from the target's state. Entries tell each other.

Why it holds: a life does not come back from leaving, and nothing but a later life lifts the word.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,8 +51,12 @@
 	busyUntil    time.Time
 	metBusyUntil time.Time
 	limit        limitWord
-	// leavingAt is when the target first said in an answer that it leaves.
-	leavingAt time.Time
+	// leavingAt is when the target first said in an answer that it leaves, and
+	// metLeavingAt when it last said so to this process.
+	leavingAt    time.Time
+	metLeavingAt time.Time
+	// listedDraining is set where the list calls it draining.
+	listedDraining bool
 	// unread is set once a word of the target on itself could not be read.
 	unread bool
 	// fresh is set while nobody was told yet that this life follows another,
@@ -95,6 +99,8 @@
 	// nil keeps none.
 	rates   *quota.Book
 	relimit bool
+	// left are lives that said that they leave, by their targets' ids.
+	left map[string]left
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -113,6 +119,7 @@
 		named:     map[string]*history{},
 		engines:   map[string]*forecast.Engine{},
 		tellers:   map[string]*teller{},
+		left:      map[string]left{},
 		zone:      zone,
 	}
 }
@@ -140,6 +147,10 @@
 		return false
 	}
 	r.Born = s.runner.Born
+	s.listedDraining = r.Draining
+	if r.Draining = r.Draining || f.hasLeft(r.Life()); r.Draining && !s.listedDraining && s.leavingAt.IsZero() {
+		s.leavingAt = f.left[r.ID].at
+	}
 	moved := s.runner.Service != r.Service || s.runner.Address != r.Address || s.runner.Draining != r.Draining
 	s.runner = r
 	for model, version := range r.Weights {
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -11,29 +11,6 @@
 	Unread []string
 }
 
-// Leaves takes that a target said in an answer that it leaves, and reports whether that
-// is news.
-func (f *Fleet) Leaves(l Life, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.about(l)
-	if s == nil || !s.leavingAt.IsZero() {
-		return false
-	}
-	s.leavingAt = now
-	return true
-}
-
-// LeavingFor returns for how long a target has said in answers that it leaves.
-func (f *Fleet) LeavingFor(l Life, now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.about(l); s != nil && !s.leavingAt.IsZero() {
-		return now.Sub(s.leavingAt)
-	}
-	return 0
-}
-
 // Noticed takes what an answer to a request that was sent at asked says of its
 // target, and reports a change of the target's limit.
 func (f *Fleet) Noticed(l Life, n Notice, asked, now time.Time) (c LimitChange, changed bool) {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -18,6 +18,8 @@
 	// Limit is what the target lately said of its limit to the process itself; nil where
 	// it said nothing.
 	Limit *ToldLimit
+	// Leaving is set where the target lately said to the process itself that it leaves.
+	Leaving bool
 }
 
 // Part is a part of a prompt.
@@ -43,8 +45,8 @@
 			s.fresh, s.lifeTold = false, now
 		}
 		reborn := now.Sub(s.lifeTold) < newsFor
-		found.Limit = s.toldLimit(now)
-		if found.Busy == 0 && !news && !reborn && len(s.untold) == 0 && found.Limit == nil {
+		found.Limit, found.Leaving = s.toldLimit(now), s.tellsLeaving(now)
+		if found.Busy == 0 && !news && !reborn && len(s.untold) == 0 && found.Limit == nil && !found.Leaving {
 			continue
 		}
 		found.Parts, s.untold = s.untold, nil
@@ -56,9 +58,15 @@
 	return out
 }
 
-// HeardFindings takes what another process learnt, and returns the limits of targets that
-// changed by it.
-func (f *Fleet) HeardFindings(all []Finding, now time.Time) (changes []LimitChange) {
+// Heard is what news of others changed.
+type Heard struct {
+	Limits []LimitChange
+	// Leaving are the targets that leave.
+	Leaving []Life
+}
+
+// HeardFindings takes what another process learnt.
+func (f *Fleet) HeardFindings(all []Finding, now time.Time) (heard Heard) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, found := range all {
@@ -76,8 +84,11 @@
 			s.cached.Use(p.Hash, p.Tokens, s.capacity)
 		}
 		if c, changed := f.heardLimit(s, found.Limit, now); changed {
-			changes = append(changes, c)
+			heard.Limits = append(heard.Limits, c)
+		}
+		if f.heardLeaving(s, found.Leaving, now) {
+			heard.Leaving = append(heard.Leaving, s.runner.Life())
 		}
 	}
-	return changes
+	return heard
 }
--- a/node/node.go
+++ b/node/node.go
@@ -184,6 +184,9 @@
 	telemetry.NewGaugeFunc(n.registry, "keel_node_oldest_naming_seconds", "For how long the oldest naming of weights has not been in force everywhere; 0 where all are.", func() float64 {
 		return n.view.oldestNaming(time.Now()).Seconds()
 	})
+	telemetry.NewGaugeFunc(n.registry, "keel_node_leaving_unlisted_targets", "Targets that say in answers that they leave and are not listed as draining.", func() float64 {
+		return float64(n.view.fleet.LeavingUnlisted())
+	})
 	telemetry.NewGaugeFunc(n.registry, "keel_node_seat_held", "1 while this node gives the orders.", func() float64 {
 		if _, held := n.view.seat.Held(); held {
 			return 1
--- a/node/notices.go
+++ b/node/notices.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/clock"
+	"acaciakeel/fleet"
 	"acaciakeel/telemetry"
 )
 
@@ -42,3 +43,15 @@
 		}
 	}
 }
+
+// logHeard logs what another entry's news changed of targets' words on themselves.
+func (p *pulse) logHeard(heard fleet.Heard, from string) {
+	for _, c := range heard.Limits {
+		p.log.WithFields(logrus.Fields{
+			"event": "target_limit", "from": from, "target": c.Target.ID, "born": c.Target.Born, "named": c.Now.Named, "limit": c.Now.Rate, "former": c.Former.Rate,
+		}).Info("another entry tells of a target's limit")
+	}
+	for _, l := range heard.Leaving {
+		p.log.WithFields(logrus.Fields{"event": "target_leaves", "from": from, "target": l.ID, "born": l.Born}).Info("another entry tells that the target leaves")
+	}
+}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -342,11 +342,7 @@
 
 func (p *pulse) heardFindings(message *keelv1.Pulse, now time.Time) []fleet.Finding {
 	all := pulses.Findings(message.Findings)
-	for _, c := range p.fleet.HeardFindings(all, now) {
-		p.log.WithFields(logrus.Fields{
-			"event": "target_limit", "from": message.Sender, "target": c.Target.ID, "born": c.Target.Born, "named": c.Now.Named, "limit": c.Now.Rate, "former": c.Former.Rate,
-		}).Info("another entry tells of a target's limit")
-	}
+	p.logHeard(p.fleet.HeardFindings(all, now), message.Sender)
 	return all
 }
 
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -181,7 +181,7 @@
 func encodeFindings(all []fleet.Finding) []*keelv1.TargetFinding {
 	out := make([]*keelv1.TargetFinding, 0, len(all))
 	for _, found := range all {
-		w := &keelv1.TargetFinding{Target: found.Target.ID, Born: found.Target.Born, BusyMs: uint32(found.Busy.Milliseconds())}
+		w := &keelv1.TargetFinding{Target: found.Target.ID, Born: found.Target.Born, BusyMs: uint32(found.Busy.Milliseconds()), Leaving: found.Leaving}
 		for model, version := range found.Weights {
 			w.Weights = append(w.Weights, &keelv1.LoadedWeights{Model: model, Version: version})
 		}
@@ -217,6 +217,7 @@
 			Busy:    time.Duration(w.BusyMs) * time.Millisecond,
 			Parts:   decodeParts(w.PartHash, w.PartTokens),
 			Limit:   decodeTargetLimit(w.Limit),
+			Leaving: w.Leaving,
 		}
 		for _, l := range w.Weights {
 			found.Weights[l.Model] = l.Version
