Logs and metrics show that a target asked for rest

Cause: no log line or metric names the time for which a target that turns a request away wants to be left alone, so the hypotheses of the postmortem can't be told apart.

No choice of a target rests on it yet.

--- a/router/describe.go
+++ b/router/describe.go
@@ -39,6 +39,9 @@
 	if s.leaving > 0 {
 		fields["leaving_ms"] = s.leaving.Milliseconds()
 	}
+	if s.rest > 0 {
+		fields["rest_left_ms"] = s.rest.Milliseconds()
+	}
 	if limit := s.router.fleet.Limit(s.last.Runner.Life()); limit.Named {
 		fields["limit"] = limit.Rate
 	}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -17,6 +17,7 @@
 	replaced  prometheus.Histogram
 	unread    *prometheus.CounterVec
 	leaving   prometheus.Counter
+	rests     prometheus.Counter
 }
 
 // NewMetrics registers the router's counters.
@@ -28,6 +29,7 @@
 		exhausted: exhausted.WithLabelValues(),
 		latency:   telemetry.NewLatency(r, "keel_router_request_seconds", "Time from a request's arrival to its end, by route.", "route"),
 		leaving:   telemetry.NewCounter(r, "keel_router_targets_leaving_total", "Targets that first said to this entry in an answer that they leave.").WithLabelValues(),
+		rests:     telemetry.NewCounter(r, "keel_router_rests_total", "Answers by which a target asked this entry to leave it alone for a while.").WithLabelValues(),
 		unread:    telemetry.NewCounter(r, "keel_router_notices_unread_total", "Words of targets on themselves that could not be read, by field.", "field"),
 		replaced:  telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
--- a/router/notice.go
+++ b/router/notice.go
@@ -12,6 +12,7 @@
 func (s *session) notice(choice fleet.Choice, n fleet.Notice) {
 	s.noticeUnread(choice, n)
 	s.noticeLeaving(choice, n)
+	s.noticeRest(choice, n)
 	c, changed := s.router.fleet.Noticed(choice.Runner.Life(), n, s.sentAt, time.Now())
 	if !changed {
 		return
@@ -36,6 +37,19 @@
 	}
 }
 
+// noticeRest takes for how long a target wants nothing more of this entry.
+func (s *session) noticeRest(choice fleet.Choice, n fleet.Notice) {
+	if n.Rest <= 0 {
+		return
+	}
+	s.router.metrics.rests.Inc()
+	life := choice.Runner.Life()
+	if s.router.fleet.Rests(life, n.Rest, time.Now()) {
+		s.router.log.WithFields(logrus.Fields{"event": "target_rests", "request": s.in.ID, "target": life.ID, "born": life.Born, "rest_ms": n.Rest.Milliseconds()}).
+			Info("the target wants nothing more of this entry for a while")
+	}
+}
+
 // noticeUnread counts words that can't be read, and logs the first of each life.
 func (s *session) noticeUnread(choice fleet.Choice, n fleet.Notice) {
 	for _, field := range n.Unread {
--- a/router/session.go
+++ b/router/session.go
@@ -39,10 +39,11 @@
 	// lastAt is when the last event was passed on, pause the longest between two.
 	lastAt time.Time
 	pause  time.Duration
-	// sentAt is when the last send began, and leaving for how long its target had said
-	// by then that it leaves.
+	// sentAt is when the last send began, leaving for how long its target had said by
+	// then that it leaves, and rest for how long it wanted nothing yet.
 	sentAt  time.Time
 	leaving time.Duration
+	rest    time.Duration
 	// replaced is for how long newer weights had been wanted than those of the last
 	// send: when it was sent, and when its first event came.
 	replaced struct{ sent, first time.Duration }
@@ -144,6 +145,7 @@
 	f := s.router.fleet
 	s.sentAt = time.Now()
 	s.leaving = f.LeavingFor(choice.Runner.Life(), s.sentAt)
+	s.rest = f.RestLeft(choice.Runner.Life(), s.sentAt)
 	s.replaced.sent, s.replaced.first = f.BehindFor(s.in.Model, choice.Weights, s.sentAt), 0
 	s.ticket = f.Begin(choice.Runner.Life(), s.stay(choice), s.sentAt)
 	defer s.ticket.End()
