--- /dev/null
+++ b/internal/standin/runner/rest.go
@@ -0,0 +1,56 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// The bound on what a sender sends a target within the rest that this asked it for.
+const (
+	restSettles = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// ShedFor has the target turn all requests away and ask for so much rest; 0 ends it.
+func (r *Runner) ShedFor(rest time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest = rest
+}
+
+// askRest puts the rest into an answer that turns a request away, and notes it.
+func (r *Runner) askRest(h http.Header, seen int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rest > 0 && !r.seen[seen].Ran {
+		h.Set("Retry-After", strconv.FormatFloat(r.rest.Seconds(), 'f', -1, 64))
+		r.seen[seen].Rest = r.rest
+		r.seen[seen].Answered = time.Now()
+	}
+}
+
+// WithinRest judges the requests that arrived from senders that had been asked for rest.
+// It returns what broke the bound.
+func (r *Runner) WithinRest(sender func(id string) string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var broken []string
+	for i, asked := range r.seen {
+		if asked.Rest == 0 {
+			continue
+		}
+		n := 0
+		for _, s := range r.seen[i+1:] {
+			since := s.At.Sub(asked.Answered)
+			if sender(s.ID) == sender(asked.ID) && since > restSettles && since < asked.Rest {
+				n++
+			}
+		}
+		if n > restAllowed {
+			broken = append(broken, fmt.Sprintf("%s asked %s for %v of rest and got %d requests from it in that time, %d allowed", r.ID, sender(asked.ID), asked.Rest, n, restAllowed))
+		}
+	}
+	return broken
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -74,6 +74,9 @@
 	Limited time.Time
 	// ToldLeaving is when it was answered that the target leaves.
 	ToldLeaving time.Time
+	// Rest is what it was turned away with, and Answered when.
+	Rest     time.Duration
+	Answered time.Time
 }
 
 // Runner is one target.
@@ -100,6 +103,8 @@
 	limiting limiting
 	// leaves is set once it says in its answers that it leaves.
 	leaves bool
+	// rest is what it asks for as it turns all requests away; 0 where it does not.
+	rest time.Duration
 }
 
 // Start starts a target on loopback with the given weights; nil for a plain service.
@@ -255,6 +260,7 @@
 	seen, fault, pace, refused := r.note(req, string(body))
 	r.nameLimit(w.Header(), seen)
 	r.sayLeaving(w.Header(), seen)
+	r.askRest(w.Header(), seen)
 	switch {
 	case refused == http.StatusMisdirectedRequest:
 		w.Header().Set("Instance-Id", r.ID)
@@ -307,7 +313,7 @@
 		refused = http.StatusMisdirectedRequest
 	case hasVersion && version[0] != strconv.FormatInt(r.weights[h.Get("Model")], 10):
 		refused = http.StatusMisdirectedRequest
-	case r.busy && h.Get("Model") != "", r.fault == Shed, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
+	case r.busy && h.Get("Model") != "", r.fault == Shed, r.rest > 0, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
 		refused = http.StatusServiceUnavailable
 	}
 	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0, At: time.Now()})
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"acaciakeel/internal/standin/runner"
 )
 
 // pressed is how a node's clients press it: each sends its next request after a pause.
@@ -139,3 +141,30 @@
 		t.Fatal(broken)
 	}
 }
+
+// Guards against requests to a target within the rest that it asked for, as it turned
+// others away: of runners and of plain services, and where all of them rest.
+func TestATargetIsLeftAloneForTheRestItAsksFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		shed func(w *world) []*runner.Runner
+	}{
+		"one of two runners":       {"/draft/x", func(w *world) []*runner.Runner { return w.runners[:1] }},
+		"one of two plain targets": {"/stock/x", func(w *world) []*runner.Runner { return w.desks[:1] }},
+		"all runners":              {"/draft/x", func(w *world) []*runner.Runner { return w.runners }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			resting := c.shed(w)
+			for _, r := range resting {
+				r.ShedFor(3 * time.Second)
+			}
+			w.press(c.path, 7*time.Second, pressed{w.node, 4, 30 * time.Millisecond}, pressed{w.startNode("n1"), 2, 30 * time.Millisecond})
+			for _, r := range resting {
+				for _, broken := range r.WithinRest(senderOf) {
+					t.Fatal(broken)
+				}
+			}
+		})
+	}
+}
