Targets are left alone for the rest that they ask for

What callers and targets saw: a target that turned a request away and asked the entry for 3 s of rest got 3 to 5 more within it, 2 are allowed. Each was turned away and used up a further send; once these were spent, requests were refused.

Cause: the time in the answer reached no decision; a pause of 30 ms of our own stood for it, which held for runners alone and ended with news of weights.

Ruled out: keeping the rest in the place of the old pause, which news of weights ends and plain services do not ask.

Change: a rest of its own in the view of a target's life, asked by every choice. After it one request at a time proves that the target takes some again. Where all rest, requests are refused at once with the least time left.

Why it holds: only the end of the longest rest that was told, a request taken since, or a later life opens the target again.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -110,7 +110,7 @@
 	share := 1 / float64(len(g.states))
 	usable := func(r *placement.Runner) bool {
 		s := f.states[r.Name]
-		return f.open(s, share, now) && f.usable(q, s, now)
+		return s.rest.left(now) == 0 && f.open(s, share, now) && f.usable(q, s, now)
 	}
 	indices := placement.Apply(g.placed, nil, placement.Staying, placement.Except(f.present(q.Tried)), usable)
 	if len(indices) == 0 {
@@ -152,16 +152,23 @@
 	return out
 }
 
+// usable reports whether a target may be asked. A dead one may now and then: then it has
+// to be, as the next time comes later.
 func (f *Fleet) usable(q Query, s *state, now time.Time) bool {
-	if q.Model != "" {
-		if f.named[q.Model].behindFor(s.version(q.Model), now) > q.OldWeightsFor {
-			return false
-		}
-		if now.Before(s.busyUntil) {
-			return false
-		}
+	return f.fits(q, s, now) && (s.health.State(now) != health.Dead || s.health.Usable(now))
+}
+
+// healthy reports whether a target may be asked that is not dead.
+func (f *Fleet) healthy(q Query, s *state, now time.Time) bool {
+	return f.fits(q, s, now) && s.health.State(now) != health.Dead
+}
+
+// fits reports whether a target has weights that serve, and no order under way.
+func (f *Fleet) fits(q Query, s *state, now time.Time) bool {
+	if q.Model == "" {
+		return true
 	}
-	return s.health.State(now) != health.Dead || s.health.Usable(now)
+	return f.named[q.Model].behindFor(s.version(q.Model), now) <= q.OldWeightsFor && !now.Before(s.busyUntil)
 }
 
 // chooseIdle picks the target with the least expected wait.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,8 +51,7 @@
 	busyUntil    time.Time
 	metBusyUntil time.Time
 	limit        limitWord
-	// restUntil is until when the target wants nothing of this process.
-	restUntil time.Time
+	rest         rest
 	// leavingAt is when the target first said in an answer that it leaves, and
 	// metLeavingAt when it last said so to this process.
 	leavingAt    time.Time
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"acaciakeel/policy"
@@ -128,33 +127,6 @@
 	return f.rates.Take(s.runner.ID, oneRequest, now)
 }
 
-// Limited returns after how long a target is expected to have room that could take a
-// request but for its limit, and counts the request as one that was told so. ok is false
-// where there is none such.
-func (f *Fleet) Limited(q Query, now time.Time) (wait time.Duration, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g := f.group(q.Service)
-	if g == nil {
-		return 0, false
-	}
-	tried := f.present(q.Tried)
-	var first *state
-	for _, s := range g.states {
-		if s.runner.Draining || slices.Contains(tried, s.runner.ID) || !f.keepsLimit(s, now) || !f.usable(q, s, now) {
-			continue
-		}
-		if w := f.rates.Wait(s.runner.ID, oneRequest, now); first == nil || w < wait {
-			first, wait = s, w
-		}
-	}
-	if first == nil {
-		return 0, false
-	}
-	f.rates.Promise(first.runner.ID, oneRequest, now)
-	return wait, true
-}
-
 // Limit returns the limit that a target names.
 func (f *Fleet) Limit(l Life) Limit {
 	f.mu.Lock()
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -76,8 +76,9 @@
 		t.Errorf("in 20 s %v were sent to a target that takes one a second and to one that takes nothing", sent)
 	}
 	now = now.Add(10 * time.Millisecond)
-	wait, ok := f.Limited(Query{Service: "desk"}, now)
-	if !ok || wait <= 0 || wait > TargetBounds.Window {
+	held, ok := f.HeldBack(Query{Service: "desk"}, now)
+	wait := held.For
+	if !ok || held.Rest || wait <= 0 || wait > TargetBounds.Window {
 		t.Fatalf("come back after %v (%v)", wait, ok)
 	}
 	if _, ok := f.Choose(Query{Service: "desk"}, now.Add(wait)); !ok {
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -13,37 +13,6 @@
 	Unread []string
 }
 
-// Rests takes for how long a target wants nothing more of this process, and reports
-// whether it was not resting before.
-func (f *Fleet) Rests(l Life, rest time.Duration, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.about(l)
-	if s == nil || rest <= 0 {
-		return false
-	}
-	news := !now.Before(s.restUntil)
-	s.restUntil = later(s.restUntil, now.Add(rest))
-	return news
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// RestLeft returns for how long a target still wants nothing of this process.
-func (f *Fleet) RestLeft(l Life, now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.about(l); s != nil {
-		return max(0, s.restUntil.Sub(now))
-	}
-	return 0
-}
-
 // Noticed takes what an answer to a request that was sent at asked says of its
 // target, and reports a change of the target's limit.
 func (f *Fleet) Noticed(l Life, n Notice, asked, now time.Time) (c LimitChange, changed bool) {
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -57,6 +57,7 @@
 	t := &Ticket{fleet: f, state: s, stay: stay, prefill: stay.Missing, ahead: s.sum(now).Prefill, began: now}
 	s.inflight++
 	t.charge = f.takeLimit(s, now)
+	s.rest.sent(now)
 	s.prefill += stay.Missing
 	if stay.Long {
 		s.long++
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -54,7 +54,9 @@
 	// ended, and was taken back.
 	WeightsReplaced Kind = "weights_replaced"
 	// TargetsLimited: the targets that could take it get as much as they say they take.
+	// TargetsResting: these asked to be left alone for a while.
 	TargetsLimited Kind = "targets_limited"
+	TargetsResting Kind = "targets_resting"
 )
 
 // Outcome says whether the refused request ran.
@@ -159,6 +161,7 @@
 	SuspectUnderWay:   http.StatusServiceUnavailable,
 	WeightsReplaced:   http.StatusBadGateway,
 	TargetsLimited:    http.StatusTooManyRequests,
+	TargetsResting:    http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of e.
--- a/router/overload.go
+++ b/router/overload.go
@@ -58,10 +58,19 @@
 		out.Outcome = refusal.Unknown
 		return out
 	}
-	if wait, ok := s.router.fleet.Limited(s.query(), time.Now()); ok {
-		return refusal.New(refusal.TargetsLimited, "come back after the time in Retry-After",
-			"the targets of service %s that could take the request get as much as they take", s.in.service.Name).After(wait + minReturn + rand.N(minReturn))
+	if wait, ok := s.router.fleet.HeldBack(s.query(), time.Now()); ok {
+		return s.heldBack(wait)
 	}
 	return refusal.New(refusal.NoTarget, "come back after the time in Retry-After",
 		"none of the targets of service %s can take the request", s.in.service.Name).After(retryAfter)
 }
+
+// heldBack refuses a request whose targets want no more for now.
+func (s *session) heldBack(wait fleet.Wait) *refusal.Error {
+	kind, why := refusal.TargetsLimited, "get as many requests as they take"
+	if wait.Rest {
+		kind, why = refusal.TargetsResting, "asked for rest"
+	}
+	return refusal.New(kind, "come back after the time in Retry-After",
+		"the targets of service %s that could take the request %s", s.in.service.Name, why).After(wait.For + minReturn + rand.N(minReturn))
+}
--- a/router/session.go
+++ b/router/session.go
@@ -163,6 +163,9 @@
 		return out
 	}
 	s.ran++
+	if answer.Own {
+		f.Took(choice.Runner.Life(), s.sentAt)
+	}
 	if !answer.Own || answer.Status < http.StatusOK || (answer.Status < 300 && (!answer.Sealed || answer.Encoded)) {
 		f.Failed(choice.Runner.Life(), time.Now())
 		return s.lost(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Runner.ID)
