An unreadable word on something else does not keep a limit

Cause: any word of a target that can't be read kept its limit from ending, also one on rest or leaving. Found by reading; no run showed it.

Change: only a limit that can't be read does. The test of limits ends one by an answer with another unreadable word; it failed before.

--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -31,7 +31,7 @@
 		"an answer that was asked for before": func() { f.Noticed(a, Notice{}, noon, noon.Add(2*time.Second)) },
 		"the list":                            func() { f.Put(Runner{ID: "a", Born: 1, Service: "desk", Address: "a:1", Zone: "z1", Slots: 4}) },
 		"a value that says nothing": func() {
-			f.Noticed(a, Notice{Unread: []string{"limit"}}, noon.Add(2*time.Second), noon.Add(3*time.Second))
+			f.Noticed(a, Notice{LimitUnread: true}, noon.Add(2*time.Second), noon.Add(3*time.Second))
 		},
 		"an older word of another entry": func() {
 			f.HeardFindings([]Finding{{Target: a, Limit: &ToldLimit{Age: 5 * time.Second}}}, noon.Add(4*time.Second))
@@ -42,8 +42,9 @@
 			t.Fatalf("%s ended the limit", what)
 		}
 	}
-	if _, changed := f.Noticed(a, Notice{}, noon.Add(7*time.Second), noon.Add(8*time.Second)); !changed || f.Limit(a).Named {
-		t.Error("an answer that was asked for later and names none ends it")
+	otherUnread := Notice{Unread: []string{"rest"}}
+	if _, changed := f.Noticed(a, otherUnread, noon.Add(7*time.Second), noon.Add(8*time.Second)); !changed || f.Limit(a).Named {
+		t.Error("an answer that was asked for later and names none ends it, also where another word of it can't be read")
 	}
 }
 
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -5,6 +5,8 @@
 // Notice is what a target says of itself along with an answer.
 type Notice struct {
 	Limit Limit
+	// LimitUnread is set where it named a limit that can't be read.
+	LimitUnread bool
 	// Leaving is set where the target takes no new work and will end.
 	Leaving bool
 	// Rest is for how long the target wants nothing more of whom it answered so.
@@ -19,7 +21,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.about(l)
-	if s == nil || len(n.Unread) > 0 && !n.Limit.Named {
+	if s == nil || n.LimitUnread && !n.Limit.Named {
 		return LimitChange{}, false
 	}
 	// An answer without a limit ends it only if it was asked for after the limit was
