Soak: targets name limits, ask for rest and leave by their own word

Cause: nothing played these words beside faults of entries, targets and the store.

Change: a part of the soak does, and each target judges what it gets.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -19,9 +19,11 @@
 	stop chan struct{}
 	done sync.WaitGroup
 
-	mu     sync.Mutex
-	seq    int
-	seen   map[string]outcome
+	mu   sync.Mutex
+	seq  int
+	seen map[string]outcome
+	// sentTo is the entry that each request went to.
+	sentTo map[string]*entry
 	counts map[string]int
 	broken []string
 	// lost are the requests that ended without an answer where each must have
@@ -42,7 +44,7 @@
 const callerCount = 16
 
 func (s *site) call(seed uint64) *callers {
-	c := &callers{site: s, stop: make(chan struct{}), seen: map[string]outcome{}, counts: map[string]int{}}
+	c := &callers{site: s, stop: make(chan struct{}), seen: map[string]outcome{}, sentTo: map[string]*entry{}, counts: map[string]int{}}
 	for i := range callerCount {
 		c.done.Add(1)
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
@@ -78,6 +80,7 @@
 	c.mu.Lock()
 	c.seq++
 	id := fmt.Sprintf("id-%d", c.seq)
+	c.sentTo[id] = e
 	c.mu.Unlock()
 	return c.sendAs(e, route, id, thing)
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -124,7 +124,7 @@
 	if r.deadly != "" {
 		c.deadly(r.deadly, r.seed)
 	}
-	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults}
+	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
 	s.await("all entries are ready after the faults", s.allReady)
@@ -135,6 +135,7 @@
 		c.judgeWeights(time.Duration(r.versionMS) * time.Millisecond)
 	}
 	c.judgeDeadly(r.deadly)
+	c.judgeNotices()
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
 		t.Error(v)
@@ -181,10 +182,11 @@
 
 // breaker makes faults one after the other; those that last overlap.
 type breaker struct {
-	site   *site
-	random *rand.Rand
-	faults []fault
-	played []string
+	site    *site
+	random  *rand.Rand
+	faults  []fault
+	callers *callers
+	played  []string
 	// under are the faults that last.
 	under sync.WaitGroup
 }
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -85,6 +85,8 @@
 
 	mu  sync.Mutex
 	now *process
+	// disturbed is when it was signalled, started or cut off.
+	disturbed []time.Time
 }
 
 // process is one run of an entry.
@@ -305,6 +307,7 @@
 	p := &process{cmd: cmd, gone: make(chan struct{})}
 	e.mu.Lock()
 	e.now = p
+	e.disturbed = append(e.disturbed, time.Now())
 	e.mu.Unlock()
 	go e.follow(p, log)
 }
@@ -328,6 +331,7 @@
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.disturbed = append(e.disturbed, time.Now())
 	e.now.told = e.now.told || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = e.now.cmd.Process.Signal(s)
 }
--- a/internal/standin/runner/leaving.go
+++ b/internal/standin/runner/leaving.go
@@ -26,13 +26,13 @@
 // AfterLeaving judges the requests since the target began to say that it leaves: those
 // that arrived later than bound after an answer to the same sender that said so. It
 // returns what broke the bound.
-func (r *Runner) AfterLeaving(sender func(id string) string, bound time.Duration) []string {
+func (r *Runner) AfterLeaving(sender Sender, bound time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	told := map[string]time.Time{}
 	var broken []string
 	for _, s := range r.seen {
-		from := sender(s.ID)
+		from := fmt.Sprintf("%s in its life of %d", sender(s.ID, s.At), s.Born)
 		if at := told[from]; !at.IsZero() && s.At.Sub(at) > bound {
 			broken = append(broken, fmt.Sprintf("%s got a request from %s %v after it had told it that it leaves, bound %v", r.ID, from, s.At.Sub(at).Round(time.Millisecond), bound))
 		}
--- a/internal/standin/runner/limits.go
+++ b/internal/standin/runner/limits.go
@@ -43,20 +43,24 @@
 	}
 }
 
+// Sender names who sent a request that arrived at a time. One that is excused by a
+// restart, a freeze or a cut has another name from then on.
+type Sender func(id string, at time.Time) string
+
 // OverLimit judges the requests since the limit was named, a time to settle left out:
 // those that came from senders that had been told. It returns what broke the bound.
-func (r *Runner) OverLimit(sender func(id string) string, settle time.Duration) []string {
+func (r *Runner) OverLimit(sender Sender, settle time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	told := map[string]time.Time{}
 	for _, s := range r.seen {
-		if from := sender(s.ID); !s.Limited.IsZero() && s.Limited.After(r.limiting.since) && told[from].IsZero() {
+		if from := sender(s.ID, s.Limited); !s.Limited.IsZero() && s.Limited.After(r.limiting.since) && told[from].IsZero() {
 			told[from] = s.Limited
 		}
 	}
 	var bound []time.Time
 	for _, s := range r.seen {
-		if at := told[sender(s.ID)]; !at.IsZero() && s.At.Sub(at) >= toldAfter {
+		if at := told[sender(s.ID, s.At)]; !at.IsZero() && s.At.Sub(at) >= toldAfter {
 			bound = append(bound, s.At)
 		}
 	}
--- a/internal/standin/runner/rest.go
+++ b/internal/standin/runner/rest.go
@@ -33,7 +33,7 @@
 
 // WithinRest judges the requests that arrived from senders that had been asked for rest.
 // It returns what broke the bound.
-func (r *Runner) WithinRest(sender func(id string) string) []string {
+func (r *Runner) WithinRest(sender Sender) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var broken []string
@@ -41,15 +41,15 @@
 		if asked.Rest == 0 {
 			continue
 		}
-		n := 0
+		n, from := 0, sender(asked.ID, asked.Answered)
 		for _, s := range r.seen[i+1:] {
 			since := s.At.Sub(asked.Answered)
-			if sender(s.ID) == sender(asked.ID) && since > restSettles && since < asked.Rest {
+			if s.Born == asked.Born && sender(s.ID, s.At) == from && since > restSettles && since < asked.Rest {
 				n++
 			}
 		}
 		if n > restAllowed {
-			broken = append(broken, fmt.Sprintf("%s asked %s for %v of rest and got %d requests from it in that time, %d allowed", r.ID, sender(asked.ID), asked.Rest, n, restAllowed))
+			broken = append(broken, fmt.Sprintf("%s asked %s for %v of rest and got %d requests from it in that time, %d allowed", r.ID, from, asked.Rest, n, restAllowed))
 		}
 	}
 	return broken
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -67,6 +67,8 @@
 	// Ran is set where the target worked on it.
 	Ran bool
 	At  time.Time
+	// Born is the start of the life that it came to.
+	Born int64
 	// Began is when its first event came, and BeganOn the weights then.
 	Began   time.Time
 	BeganOn int64
@@ -139,6 +141,7 @@
 func (r *Runner) Reborn() int64 {
 	return r.restart(func() {
 		r.weights = maps.Clone(r.first)
+		r.leaves = false
 		if r.fault == RebornInStream || r.fault == RebornAtOrder {
 			r.fault = None
 		}
@@ -316,7 +319,7 @@
 	case r.busy && h.Get("Model") != "", r.fault == Shed, r.rest > 0, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
 		refused = http.StatusServiceUnavailable
 	}
-	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0, At: time.Now()})
+	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0, At: time.Now(), Born: r.born})
 	return len(r.seen) - 1, r.fault, r.pace, refused
 }
 
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -42,7 +42,7 @@
 }
 
 // senderOf returns the node that a pressed request went to.
-func senderOf(id string) string {
+func senderOf(id string, _ time.Time) string {
 	node, _, _ := strings.Cut(id, ",")
 	return node
 }
