Limits hold where all targets of a service name them

What targets would see: where all of them are in need, each that has room gets the requests of all. In virtual time 103 processes before 40 targets that take two a second each, asked for 400 a second, sent 165 a second where 80 are allowed, for as long as was played. Found by a model of the whole choice; the bound itself was not broken by those that the targets had told.

Cause: each process may let one request in at once, 103 in all for each target, and these came as the sum was paid off, in turns. A choice told of its demand by its share among the targets, where in fact all demand falls on the one that opens; and what was asked in vain was not told, so that shares were too large.

Ruled out: debts that are forgotten beyond the margin (levels stayed within it after the first second).

Change: slices begin with a random part of a request as debt; a choice asks for a whole request and says so also in vain; what is left of the burst is dealt out by the slices.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -107,10 +107,9 @@
 	if g == nil {
 		return Choice{}, false
 	}
-	share := 1 / float64(len(g.states))
 	usable := func(r *placement.Runner) bool {
 		s := f.states[r.Name]
-		return s.rest.left(now) == 0 && f.open(s, share, now) && f.usable(q, s, now)
+		return s.rest.left(now) == 0 && f.open(s, now) && f.usable(q, s, now)
 	}
 	indices := placement.Apply(g.placed, nil, placement.Staying, placement.Except(f.present(q.Tried)), usable)
 	if len(indices) == 0 {
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"acaciakeel/policy"
@@ -45,7 +46,7 @@
 	// nothing but an answer tells that it takes more again.
 	leastLimit = 0.1
 	// limitBurst is how many requests may come at once at least.
-	limitBurst = 1
+	limitBurst = 2
 )
 
 // oneRequest is what a request counts against its target's limit.
@@ -56,7 +57,9 @@
 var TargetBounds = quota.Bounds{Window: 4 * time.Second, Overrun: 0.5, Slack: 5 * requestUnits}
 
 // KeepLimits has the limits that targets name be kept by b, before the view is used.
-func (f *Fleet) KeepLimits(b *quota.Book) {
+// What is random in it is drawn from r.
+func (f *Fleet) KeepLimits(b *quota.Book, r *rand.Rand) {
+	b.Stagger(requestUnits, r)
 	f.rates = b
 }
 
@@ -112,10 +115,10 @@
 // limitBurstParts is which part of a second's requests may come at once.
 const limitBurstParts = 4
 
-// open reports whether a target's limit has room for one more request. share is the part
-// of a request that counts as asked of it.
-func (f *Fleet) open(s *state, share float64, now time.Time) bool {
-	return !f.keepsLimit(s, now) || f.rates.Open(s.runner.ID, oneRequest, share, now)
+// open reports whether a target's limit has room for one more request, which counts as
+// asked of it.
+func (f *Fleet) open(s *state, now time.Time) bool {
+	return !f.keepsLimit(s, now) || f.rates.Open(s.runner.ID, oneRequest, now)
 }
 
 // takeLimit counts a request against its target's limit.
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 func limitedFleet() (*Fleet, Life) {
 	f := New("z1")
 	book := quota.NewBook(TargetBounds, nil, func() bool { return true }, noon.Add(-time.Minute))
-	f.KeepLimits(book)
+	f.KeepLimits(book, rand.New(rand.NewPCG(1, 1)))
 	for _, id := range []string{"a", "b"} {
 		f.Put(Runner{ID: id, Born: 1, Service: "desk", Address: id + ":1", Zone: "z1", Slots: 4})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -135,7 +136,7 @@
 	n.view.self = n.view.keys.members + n.name
 	n.view.limitBook = quota.NewBook(s.Bounds.Quota(), o.Without, n.session.Valid, time.Now())
 	n.view.targetBook = quota.NewBook(fleet.TargetBounds, o.Without, n.session.Valid, time.Now())
-	targets.KeepLimits(n.view.targetBook)
+	targets.KeepLimits(n.view.targetBook, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.limits = newLimitMetrics(n.registry, n.view.limitBook)
 	n.notices = newNoticeMetrics(n.registry)
 	if s.Bounds.RevokeFailClosed {
--- a/quota/account.go
+++ b/quota/account.go
@@ -85,6 +85,9 @@
 	if !b.settling(now) {
 		a.level, a.adopted = l.Burst, true
 	}
+	if b.stagger > 0 {
+		a.level, a.slice = 0, -b.random.Float64()*b.stagger
+	}
 	return a
 }
 
@@ -118,7 +121,13 @@
 	if b.off[policy.CommonUse] {
 		a.slice = min(grows*a.limit.Burst/a.limit.Rate, a.slice+grows*passed)
 	} else {
-		a.slice = min(grows*sliceTime.Seconds(), a.slice+grows*a.pace(b.held(a))*passed)
+		pace := a.pace(b.held(a))
+		if b.stagger > 0 && a.level > 0 {
+			// What is left of the burst is dealt out by the slices as well: the level alone
+			// opens to all at once, and not where much is asked.
+			pace += a.level / a.limit.Burst
+		}
+		a.slice = min(grows*sliceTime.Seconds(), a.slice+grows*pace*passed)
 	}
 	a.promised = max(0, a.promised-grows*passed)
 }
--- a/quota/book.go
+++ b/quota/book.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 	// usual is how many there have been lately.
 	usual   int
 	changes []Change
+	// stagger is what one request counts, where slices begin with a random part of that
+	// as debt; 0 has them begin with none.
+	stagger float64
+	random  *rand.Rand
 }
 
 // NewBook returns the book of a process that starts now. leased reports whether the
@@ -43,6 +48,13 @@
 	}
 }
 
+// Stagger has the slices of new accounts, of which each request counts so much, begin
+// with a random part of one as debt. Without it each of many processes lets one request
+// in at the same moment once an account is limited. It is called before the book is used.
+func (b *Book) Stagger(each float64, random *rand.Rand) {
+	b.stagger, b.random = each, random
+}
+
 // settled is how long after its start a process knows how many there are, and has
 // heard of them what was let in before.
 const settled = time.Second
--- a/quota/take.go
+++ b/quota/take.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Open reports whether one more request of an account may be let in, without counting
-// it; share is the part of it that counts as asked for. An account without a limit is
-// open.
-func (b *Book) Open(name string, size Size, share float64, now time.Time) bool {
+// Open reports whether one more request of an account may be let in. It counts as asked
+// for: were the account the only open one, it would get them all. An account without a
+// limit is open.
+func (b *Book) Open(name string, size Size, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[b.names[name]]
@@ -14,8 +14,13 @@
 	}
 	b.refresh(a, now)
 	cost := a.limit.cost(size)
-	a.offer(cost * share)
-	return b.room(a, cost, now).open
+	a.offer(cost)
+	open := b.room(a, cost, now).open
+	if !open {
+		// What is asked in vain changes the others' shares.
+		a.told.refused = true
+	}
+	return open
 }
 
 // Take counts a request that is let in whether or not there is room for it.
@@ -29,7 +34,6 @@
 	}
 	b.refresh(a, now)
 	cost := a.limit.cost(size)
-	a.offer(cost)
 	a.take(cost)
 	return &Charge{book: b, id: id, cost: cost, times: 1}
 }
