An answer sent within a rest does not end it

What targets would see: one that asked for rest and took a request that crossed its word got requests again at once.

Cause: any request that was taken after the word ended the rest. Change: only one that was sent after its end does.

--- a/fleet/rest.go
+++ b/fleet/rest.go
@@ -12,10 +12,9 @@
 
 // rest is for how long a target wants nothing of this process.
 type rest struct {
-	until time.Time
-	// asked is when it last asked for it; proving is set until it takes a request sent
-	// since.
-	asked   time.Time
+	// until is its end, and next when a request may prove that it is over.
+	until, next time.Time
+	// proving is set until the target takes a request sent after the end.
 	proving bool
 }
 
@@ -33,29 +32,31 @@
 	if s.rest.until.After(until) {
 		until = s.rest.until
 	}
-	s.rest = rest{until: until, asked: now, proving: true}
+	s.rest = rest{until: until, next: until, proving: true}
 	return news
 }
 
-// Took notes that a target took a request that was sent at asked.
+// Took notes that a target took a request that was sent at asked. One that was sent
+// before the end of its rest does not end that: it may have crossed the word, and a target
+// that takes some in need still wants no more.
 func (f *Fleet) Took(l Life, asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.about(l); s != nil && asked.After(s.rest.asked) {
+	if s := f.about(l); s != nil && !asked.Before(s.rest.until) {
 		s.rest = rest{}
 	}
 }
 
 // left returns for how long the target is to be left alone yet.
 func (r *rest) left(now time.Time) time.Duration {
-	return max(0, r.until.Sub(now))
+	return max(0, r.next.Sub(now))
 }
 
 // sent notes a request to the target: until its answer is there, no other one proves
 // that the rest is over.
 func (r *rest) sent(now time.Time) {
 	if r.proving && r.left(now) == 0 {
-		r.until = now.Add(proveEvery)
+		r.next = now.Add(proveEvery)
 	}
 }
 
--- a/fleet/rest_test.go
+++ b/fleet/rest_test.go
@@ -19,6 +19,7 @@
 		t.Fatal("the first word is news and the second is not")
 	}
 	f.Took(a, noon.Add(-time.Second))
+	f.Took(a, noon.Add(200*time.Millisecond))
 	f.Learn(a, "m", 7, noon)
 	if open(1500*time.Millisecond) || open(2900*time.Millisecond) {
 		t.Error("it is asked within its rest")
