--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -280,17 +280,30 @@
 	defer portMu.Unlock()
 	for range portsOfASoak {
 		nextPort++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
-		if err != nil {
-			continue
+		if at := fmt.Sprintf("127.0.0.1:%d", nextPort); isFree(at) {
+			return fmt.Sprint(nextPort)
 		}
-		l.Close()
-		return fmt.Sprint(nextPort)
 	}
 	t.Fatal("no free port; end what uses those from 12000 to 30000")
 	return ""
 }
 
+// isFree reports whether nobody listens at an address, for connections or datagrams: an
+// entry takes one port for the latter.
+func isFree(at string) bool {
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	datagrams, err := net.ListenPacket("udp4", at)
+	if err != nil {
+		return false
+	}
+	datagrams.Close()
+	return true
+}
+
 func (e *entry) start() {
 	log, err := os.OpenFile(filepath.Join(logDir(e.site.t, e.site.dir), e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
