The time to come back from a limited target is that of an entry's slice

What callers saw: where much is asked, a refusal named up to 30 s though the entry's own slice had room after a few. Found by reading; the test told 30 s before.

Cause: the time was worked out from the sum less what others may have let in unheard, which keeps the sum closed and not the slice. Customers' limits keep the sum's time.

Change: for targets it is when the slice and the margin let one in.

--- a/quota/account.go
+++ b/quota/account.go
@@ -224,7 +224,12 @@
 	if b.off[policy.Pacing] {
 		return room{lacks: -left, grows: grows}
 	}
-	return room{open: a.slice > 0 && a.level > -held, lacks: max(-left, -a.slice), grows: grows * b.share(a, now)}
+	lacks := max(-left, -a.slice)
+	if b.stagger > 0 {
+		// What the others may have let in unheard keeps the level closed, not the slice.
+		lacks = max(-held-a.level, -a.slice)
+	}
+	return room{open: a.slice > 0 && a.level > -held, lacks: lacks, grows: grows * b.share(a, now)}
 }
 
 // unheard returns what the others may have let in since they were heard last. One that
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
+
+	"acaciakeel/prefix"
 )
 
 var begin = time.Unix(1000, 0)
@@ -207,3 +210,32 @@
 		t.Error("tokens of the unit before keep a customer out for hours")
 	}
 }
+
+// Guards against a time to come back that is far too long: what others may have let in
+// unheard does not keep a process's own slice closed.
+func TestWaitIsThatOfTheSlice(t *testing.T) {
+	b := book(2)
+	b.Stagger(1000, rand.New(rand.NewPCG(1, 1)))
+	b.SetLimits(limits(Limit{Rate: 1000, Burst: 1000, Unit: Tokens}), begin)
+	other := News{Sender: "other", Up: time.Minute, Heard: 1, Words: []Word{{Customer: prefix.NameHash("c"), Demand: 50_000}}}
+	one, now := tokens(1000), begin
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		b.Heard(other, now)
+		if b.Open("c", one, now) {
+			b.Take("c", one, now)
+		}
+	}
+	wait := b.Wait("c", one, now)
+	if wait <= 0 || wait >= mostWait {
+		t.Fatalf("come back after %v", wait)
+	}
+	opened, at := false, now
+	for end := now.Add(wait + time.Second); !opened && at.Before(end); at = at.Add(50 * time.Millisecond) {
+		b.Heard(other, at)
+		opened = b.Open("c", one, at)
+	}
+	if took := at.Sub(now); !opened || took < wait/2 {
+		t.Errorf("%v were told, and there was room after %v (%v)", wait, took, opened)
+	}
+}
