Limits and rests outlive the target's entry in the list

What targets would see: around an outage of the store their entry lapses and is written anew, and each entry process goes on as if they had named no limit and asked for no rest, until they say so again.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,6 +102,8 @@
 	relimit bool
 	// left are lives that said that they leave, by their targets' ids.
 	left map[string]left
+	// kept are the words of targets without an entry, by their ids.
+	kept map[string]keptWords
 }
 
 // group is one service's targets in the order in which placement sees them.
@@ -121,6 +123,7 @@
 		engines:   map[string]*forecast.Engine{},
 		tellers:   map[string]*teller{},
 		left:      map[string]left{},
+		kept:      map[string]keptWords{},
 		zone:      zone,
 	}
 }
@@ -141,7 +144,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.states[r.ID] == nil {
-		f.states[r.ID] = newState()
+		f.states[r.ID] = f.returned(r.Life())
 	}
 	s := f.about(r.Life())
 	if s == nil {
@@ -218,6 +221,7 @@
 	if !ok {
 		return Runner{}, false
 	}
+	f.keep(s)
 	delete(f.states, id)
 	f.scattered, f.relimit = true, true
 	return s.runner, true
