News on limits is packed by one piece of code

Cause: customers' and targets' news were packed by two loops alike but for the field. Change: one method of the packing takes where the part goes. Behaviour stays. Measured: the node's tests of limits, pulses and digests pass.

--- a/pulses/limits.go
+++ b/pulses/limits.go
@@ -41,3 +41,14 @@
 	}
 	return n
 }
+
+// limits packs news on limits, of which each datagram bears one part.
+func (p *packing) limits(n quota.News, put func(*keelv1.Pulse, *keelv1.LimitNews)) {
+	for i, w := range EncodeLimits(n) {
+		if i > 0 {
+			p.next()
+		}
+		p.room(len(w.Customer) * limitWordBytes)
+		put(p.message, w)
+	}
+}
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -89,20 +89,8 @@
 			addGroupLoads(pack.message.Group, some)
 		}
 	}
-	for i, w := range EncodeLimits(p.Limits) {
-		if i > 0 {
-			pack.next()
-		}
-		pack.room(len(w.Customer) * limitWordBytes)
-		pack.message.Limits = w
-	}
-	for i, w := range EncodeLimits(p.Targets) {
-		if i > 0 {
-			pack.next()
-		}
-		pack.room(len(w.Customer) * limitWordBytes)
-		pack.message.TargetLimits = w
-	}
+	pack.limits(p.Limits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.Limits = w })
+	pack.limits(p.Targets, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.TargetLimits = w })
 	for _, w := range EncodeSuspects(p.Suspects) {
 		pack.room(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
