--- a/fleet/limit_model_test.go
+++ b/fleet/limit_model_test.go
@@ -148,9 +148,7 @@
 	return float64(most) / (1.5*m.limits[id]*TargetBounds.Window.Seconds() + 5)
 }
 
-// TestProcessesKeepTargetsLimits plays limits that some or all targets of a service name,
-// at so many processes. Guards against targets that get more than they put up with, and
-// against a service that is not given what its targets take.
+// Guards against targets that get more than they put up with, or less than they take.
 func TestProcessesKeepTargetsLimits(t *testing.T) {
 	const quiet, settles, length = 2 * time.Second, 3 * time.Second, 15 * time.Second
 	datadriven.RunTest(t, "testdata/limits", func(t *testing.T, d *datadriven.TestData) string {
--- a/fleet/rest_test.go
+++ b/fleet/rest_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// Guards against a rest that is cut short: by a shorter one, by an answer to a request
-// that was sent before, by news of weights; and against all that wait for its end coming
-// at once.
+// Guards against a rest that is cut short, and against a rush at its end.
 func TestARestLastsAndEndsByDegrees(t *testing.T) {
 	f, a := limitedFleet()
 	f.Remove("b")
--- a/integration/soak/notices_test.go
+++ b/integration/soak/notices_test.go
@@ -20,9 +20,7 @@
 	restMost  = 4 * time.Second
 )
 
-// TestSoakNotices has targets name limits, ask for rest and leave, beside faults of
-// entries, of the store and of targets. Each target judges what it gets. Answers are
-// delayed but never lost: an entry would not have been told.
+// Guards against targets' words on themselves that are broken beside other faults.
 func TestSoakNotices(t *testing.T) {
 	// 24: names of weights beside rests, so that targets turn away by 421 what they would
 	// by 503.
@@ -37,6 +35,7 @@
 	}
 }
 
+// noticeFaults delay answers but lose none: an entry would not have been told.
 func noticeFaults() []fault {
 	byName := func(f fault) bool {
 		return slices.Contains([]string{"target slow", "store away from one", "store away from all", "entry killed", "entry paused", "entry stopped and started", "new weights"}, f.name)
