rollout: log the attempts to acquire the leader lock, and why none is made

What operators could not see: a fleet in which nobody gives load orders showed `keel_node_seat_held` 0 at all nodes and nothing else. Whether nobody tried, an attempt failed, or a node believed that another one held the lock was not to be told apart from logs or metrics.

Change: `event=seat_attempt` for each attempt (revision expected, what was known before, while the response was awaited and after, result, time taken), `event=seat_waits` once a change of the reason why none is made, `keel_node_seat_vacant_seconds` and `keel_node_seat_attempts_total`. No decision is changed.

The response to the node's own write overwrites what the watch has said meanwhile, and nothing ends that state.

--- a/node/node.go
+++ b/node/node.go
@@ -149,6 +149,7 @@
 	n.view.oldWeightsLimit = time.Duration(s.Bounds.VersionMS)*time.Millisecond - oldWeightsMargin
 	n.view.verdicts = verdicts.NewSyncer(n.store, n.registry, log)
 	n.view.leaderLock = rollout.NewLeaderLock(n.store, n.session, n.view.keys.leader, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
+	n.view.leaderLock.SetMetrics(rollout.NewLockMetrics(n.registry, n.view.leaderLock))
 	n.exchange = newPeerExchange(n.name, targets, n.view.verdicts.Table, n.view, log)
 	n.view.verdicts.Leadership, n.view.verdicts.PublishNow = n.view.leaderLock, n.exchange.sendSoon
 	n.exchange.relay.outcomes = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
@@ -328,7 +329,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if n.view.follower.Disconnected() || n.view.Config() == nil || !n.isCandidate() {
+		if blocker := n.electionBlocker(); blocker != rollout.NotBlocked {
+			n.view.leaderLock.RecordBlocker(blocker)
 			continue
 		}
 		if n.view.leaderLock.TryAcquire(ctx) {
@@ -337,6 +339,19 @@
 	}
 }
 
+// electionBlocker returns why this node does not take part in the election now.
+func (n *Node) electionBlocker() rollout.AcquireBlocker {
+	switch {
+	case n.view.follower.Disconnected():
+		return rollout.StoreDisconnected
+	case n.view.Config() == nil:
+		return rollout.NoConfig
+	case !n.isCandidate():
+		return rollout.NotCandidate
+	}
+	return rollout.NotBlocked
+}
+
 // Limits of the HTTP servers. They are wider than the client limits of the configuration,
 // which may change while connections are open.
 const (
--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	log     logrus.FieldLogger
 
 	mu      sync.Mutex
+	report  lockReporter
 	fence   int64
 	leaseID store.LeaseID
 	// occupied is set while the key is known to exist.
@@ -47,7 +49,35 @@
 // process that lost the lock does not try to acquire it again for backoff: if two
 // processes alternated, each could have orders in flight while the other sends some.
 func NewLeaderLock(s store.Store, session *lease.Session, key, name string, backoff time.Duration, log logrus.FieldLogger) *LeaderLock {
-	return &LeaderLock{store: s, session: session, key: key, name: name, backoff: backoff, log: log}
+	return &LeaderLock{store: s, session: session, key: key, name: name, backoff: backoff, log: log, report: lockReporter{log: log, vacantSince: clock.Now()}}
+}
+
+// SetMetrics makes the lock count its attempts. It must be called before the lock is used.
+func (l *LeaderLock) SetMetrics(m *LockMetrics) {
+	l.report.metrics = m
+}
+
+// VacantFor returns the time since a process was last known to hold the lock, or 0 while
+// one does.
+func (l *LeaderLock) VacantFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.report.vacantSince == 0 {
+		return 0
+	}
+	return l.report.vacantSince.Since()
+}
+
+// RecordBlocker logs why this process does not try to acquire the lock at all.
+func (l *LeaderLock) RecordBlocker(blocker AcquireBlocker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.recordBlocker(blocker, l.state())
+}
+
+// state describes what is known of the key, for the log; the caller holds mu.
+func (l *LeaderLock) state() string {
+	return fmt.Sprintf("fence=%d occupied=%t foreign=%d holder_known=%t", l.fence, l.occupied, l.foreignRevision, l.report.vacantSince == 0)
 }
 
 // Held implements Leadership.
@@ -75,6 +105,7 @@
 		return
 	}
 	l.occupied, l.foreignRevision = value != "", 0
+	l.report.recordHolder(value != "")
 	if value == l.name && l.fence == 0 && l.leaseID != "" {
 		// A write with an unknown outcome did succeed. If that were ignored, the lock
 		// would stay with a process that does not know that it holds it.
@@ -104,39 +135,56 @@
 		return
 	}
 	l.occupied, l.foreignRevision, l.foreignAt = true, revision, clock.Now()
+	l.report.recordHolder(false)
 	if l.fence != 0 {
 		l.markLost()
 	}
 }
 
-// available reports whether the lock may be acquired; the caller holds mu.
-func (l *LeaderLock) available() bool {
-	if l.occupied && (l.foreignRevision == 0 || l.foreignAt.Since() < l.backoff) {
-		return false
+// blocker returns why the lock may not be acquired now; the caller holds mu.
+func (l *LeaderLock) blocker() AcquireBlocker {
+	switch {
+	case l.session.ID() == "":
+		return NoLease
+	case l.acquiring:
+		return AttemptInProgress
+	case l.fence != 0:
+		return HeldHere
+	case l.occupied && l.foreignRevision == 0:
+		return HeldElsewhere
+	case l.occupied && l.foreignAt.Since() < l.backoff:
+		return ForeignBackoff
+	case l.lostAt != 0 && l.lostAt.Since() < l.backoff:
+		return LossBackoff
 	}
-	return !l.acquiring && (l.lostAt == 0 || l.lostAt.Since() >= l.backoff)
+	return NotBlocked
 }
 
 // TryAcquire tries to acquire the lock if it is available, and reports whether this
-// process holds it.
+// process has acquired it.
 func (l *LeaderLock) TryAcquire(ctx context.Context) bool {
 	l.mu.Lock()
-	leaseID := l.session.ID()
-	if leaseID == "" || !l.available() {
+	blocker := l.blocker()
+	l.report.recordBlocker(blocker, l.state())
+	if blocker != NotBlocked {
 		l.mu.Unlock()
 		return false
 	}
 	l.acquiring = true
-	l.leaseID = leaseID
-	overRevision := l.foreignRevision
+	l.leaseID = l.session.ID()
+	leaseID, overRevision, before := l.leaseID, l.foreignRevision, l.state()
 	l.mu.Unlock()
+	began := clock.Now()
 	fence, err := l.write(ctx, leaseID, overRevision)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.acquiring = false
+	fields := logrus.Fields{"lease": leaseID, "expected": overRevision, "found": fence, "before": before, "meanwhile": l.state()}
 	if errors.Is(err, store.ErrConflict) {
 		l.occupied, l.foreignRevision = true, 0
 	}
+	fields["after"] = l.state()
+	l.report.recordAttempt(err, began.Since(), fields)
 	if err != nil || l.fence != 0 {
 		return l.fence != 0
 	}
@@ -147,6 +195,7 @@
 // markAcquired records that the lock is held with a fencing token; the caller holds mu.
 func (l *LeaderLock) markAcquired(fence int64) {
 	l.occupied, l.fence, l.foreignRevision = true, fence, 0
+	l.report.recordHolder(true)
 	l.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("leader lock acquired; this process sends load orders now")
 }
 
