--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -102,7 +102,7 @@
 	s.expire(time.Now())
 	for _, condition := range c.conditions {
 		if s.values[condition.Key].revision != condition.Revision {
-			return 0, store.ErrConflict
+			return 0, &conflict{current: s.entries(c.conditions)}
 		}
 	}
 	for _, p := range c.puts {
@@ -123,6 +123,26 @@
 	return s.revision, nil
 }
 
+// conflict is store.ErrConflict with the entries of the conditions' keys, in their order.
+type conflict struct {
+	current []store.Entry
+}
+
+func (c *conflict) Error() string { return store.ErrConflict.Error() }
+
+func (c *conflict) Unwrap() error { return store.ErrConflict }
+
+// entries returns the current entries of the conditions' keys; a missing one has revision 0.
+// The caller holds mu.
+func (s *Store) entries(conditions []store.Entry) []store.Entry {
+	var out []store.Entry
+	for _, c := range conditions {
+		v := s.values[c.Key]
+		out = append(out, store.Entry{Key: c.Key, Value: v.data, Revision: v.revision})
+	}
+	return out
+}
+
 func (s *Store) remove(key string) {
 	delete(s.values, key)
 	s.revision++
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -92,7 +92,7 @@
 	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.Is(err, store.ErrConflict):
-		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+		answerConflict(w, err)
 	case errors.Is(err, store.ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
 	case err != nil:
@@ -102,6 +102,22 @@
 	}
 }
 
+// answerConflict answers with the current entries of the conditions' keys.
+func answerConflict(w http.ResponseWriter, err error) {
+	var c *conflict
+	if !errors.As(err, &c) {
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+		return
+	}
+	out := page{Items: []item{}}
+	for _, e := range c.current {
+		out.Items = append(out.Items, item{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusPreconditionFailed)
+	_ = json.NewEncoder(w).Encode(out)
+}
+
 func integer(r *http.Request, name string) int64 {
 	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
 	return n
--- a/store/store.go
+++ b/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"acaciakeel/vm"
@@ -27,6 +28,23 @@
 	ErrUnavailable = errors.New("the platform's service cannot be reached; the call had no effect")
 )
 
+// ConflictError is ErrConflict with the entry that the key has instead. The entry is as of
+// the service's response, and a watch may have shown a newer one.
+type ConflictError struct {
+	// Current is the entry; its Revision is 0 if the key does not exist.
+	Current Entry
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: found revision %d", ErrConflict, e.Current.Revision)
+}
+
+// Unwrap implements the interface used by errors.Is and errors.As.
+func (e *ConflictError) Unwrap() error {
+	return ErrConflict
+}
+
 // Entry is one key with its value and the revision that last changed it.
 type Entry struct {
 	Key      string `json:"key"`
