rollout: a late conflict no longer hides a newer state of the leader lock

What callers saw: TestOrdersGoOnOverAForeignHolder "timed out waiting until the runners have the new weights". In a fleet nobody would give load orders until something else changed the lock's key; once the bound on old weights has passed, requests for the model are refused everywhere.

Cause: the response to a node's own write and the watch come by different ways. A write that found another entry set "another process holds the lock" when its response arrived, also where the watch had reported a newer state meanwhile: the entry of another writer (which has no lease and never ends), or that the key is gone. The watch has nothing more to say, so nothing ended that state.

Why this works: the lock keeps one state, owner and revision. Observations apply in the store's order. A response applies only if its entry's revision is newer than the known state, or, where the key is absent and so has no revision, if no observation arrived while the call was under way. A conflict no longer means a holder: its response, or else a read, shows who wrote the entry.

Tests: TestLateConflictKeepsNewerForeignEntry and TestLateConflictKeepsNewerDeletion force the order with a store that holds back the response, with and without the entry in it; both fail without this change.

--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -27,29 +26,26 @@
 	backoff time.Duration
 	log     logrus.FieldLogger
 
-	mu      sync.Mutex
-	report  lockReporter
-	fence   int64
+	mu     sync.Mutex
+	report lockReporter
+	// state is the latest known state of the key.
+	state lockState
+	// leaseID is the lease of the latest attempt.
 	leaseID store.LeaseID
-	// occupied is set while the key is known to exist.
-	occupied bool
 	// acquiring is set while an attempt to write the key is in progress.
 	acquiring bool
 	// lostAt is when the lock was last lost, and lostFence the fencing token with which
 	// it was held.
 	lostAt    clock.BootTime
 	lostFence int64
-	// foreignRevision is the revision of an entry at the key that was not written by a
-	// controller, found at foreignAt; 0 if there is none.
-	foreignRevision int64
-	foreignAt       clock.BootTime
 }
 
 // NewLeaderLock returns the lock at key. name identifies this start of the process. A
 // process that lost the lock does not try to acquire it again for backoff: if two
 // processes alternated, each could have orders in flight while the other sends some.
 func NewLeaderLock(s store.Store, session *lease.Session, key, name string, backoff time.Duration, log logrus.FieldLogger) *LeaderLock {
-	return &LeaderLock{store: s, session: session, key: key, name: name, backoff: backoff, log: log, report: lockReporter{log: log, vacantSince: clock.Now()}}
+	return &LeaderLock{store: s, session: session, key: key, name: name, backoff: backoff, log: log,
+		state: lockState{owner: ownerNone}, report: lockReporter{log: log, vacantSince: clock.Now()}}
 }
 
 // SetMetrics makes the lock count its attempts. It must be called before the lock is used.
@@ -72,20 +68,24 @@
 func (l *LeaderLock) RecordBlocker(blocker AcquireBlocker) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.report.recordBlocker(blocker, l.state())
-}
-
-// state describes what is known of the key, for the log; the caller holds mu.
-func (l *LeaderLock) state() string {
-	return fmt.Sprintf("fence=%d occupied=%t foreign=%d holder_known=%t", l.fence, l.occupied, l.foreignRevision, l.report.vacantSince == 0)
+	l.report.recordBlocker(blocker, l.state)
 }
 
 // Held implements Leadership.
 func (l *LeaderLock) Held() (int64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	held := l.fence != 0 && l.leaseID == l.session.ID() && l.session.Valid()
-	return l.fence, held
+	held := l.fence() != 0 && l.leaseID == l.session.ID() && l.session.Valid()
+	return l.fence(), held
+}
+
+// fence returns the fencing token, or 0 if this process does not hold the lock; the
+// caller holds mu.
+func (l *LeaderLock) fence() int64 {
+	if l.state.owner != ownerSelf {
+		return 0
+	}
+	return l.state.revision
 }
 
 // Remaining implements Leadership.
@@ -101,27 +101,14 @@
 func (l *LeaderLock) Observe(value string, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.fence || (value != "" && revision <= l.lostFence) {
+	if revision < l.fence() || (value != "" && revision <= l.lostFence) {
 		return
 	}
-	l.occupied, l.foreignRevision = value != "", 0
-	l.report.recordHolder(value != "")
-	if value == l.name && l.fence == 0 && l.leaseID != "" {
-		// A write with an unknown outcome did succeed. If that were ignored, the lock
-		// would stay with a process that does not know that it holds it.
-		l.markAcquired(revision)
+	if value == "" {
+		l.apply(ownerNone, revision)
 		return
 	}
-	if l.fence != 0 && (value != l.name || revision != l.fence) {
-		l.markLost()
-	}
-}
-
-// markLost records that the lock is no longer held; the caller holds mu.
-func (l *LeaderLock) markLost() {
-	l.lostFence, l.fence = l.fence, 0
-	l.lostAt = clock.Now()
-	l.log.WithField("event", "seat_lost").Warn("leader lock lost; another process may send load orders now")
+	l.apply(l.ownerOf(value), revision)
 }
 
 // ObserveForeign records that the key has an entry, at a revision, that was not written
@@ -131,13 +118,54 @@
 func (l *LeaderLock) ObserveForeign(revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.fence || revision == l.foreignRevision {
+	if revision < l.fence() {
 		return
 	}
-	l.occupied, l.foreignRevision, l.foreignAt = true, revision, clock.Now()
-	l.report.recordHolder(false)
-	if l.fence != 0 {
-		l.markLost()
+	l.apply(ownerForeign, revision)
+}
+
+// ownerOf returns the owner of an entry with the given value; the caller holds mu. An
+// entry of this process that it does not remember writing is an attempt whose outcome
+// was unknown. If that were ignored, the lock would stay with a process that does not
+// know that it holds it.
+func (l *LeaderLock) ownerOf(value string) lockOwner {
+	if value == l.name && l.leaseID != "" {
+		return ownerSelf
+	}
+	return ownerOther
+}
+
+// apply replaces the known state of the key; the caller holds mu.
+func (l *LeaderLock) apply(owner lockOwner, revision int64) {
+	next := lockState{owner: owner, revision: revision, learnedAt: clock.Now()}
+	if next.sameAs(l.state) {
+		return
+	}
+	before := l.fence()
+	l.state = next
+	l.report.recordHolder(next.hasHolder())
+	switch {
+	case l.fence() != 0:
+		l.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": l.fence()}).Info("leader lock acquired; this process sends load orders now")
+	case before != 0:
+		l.lostFence, l.lostAt = before, next.learnedAt
+		l.log.WithFields(logrus.Fields{"event": "seat_lost", "state": next}).Warn("leader lock lost; another process may send load orders now")
+	}
+}
+
+// applyResponse applies what a response says of the key, unless an observation that
+// arrived before it is newer: an older state would hide the newer one for as long as the
+// key does not change again. before is the state known when the call was sent. The
+// caller holds mu.
+func (l *LeaderLock) applyResponse(r response, before lockState) {
+	switch {
+	case !r.known:
+	case r.written:
+		l.apply(ownerSelf, r.entry.Revision)
+	case r.entry.Revision > l.state.revision:
+		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision)
+	case r.entry.Revision == 0 && l.state.sameAs(before):
+		l.apply(ownerNone, l.state.revision)
 	}
 }
 
@@ -148,11 +176,11 @@
 		return NoLease
 	case l.acquiring:
 		return AttemptInProgress
-	case l.fence != 0:
+	case l.state.owner == ownerSelf:
 		return HeldHere
-	case l.occupied && l.foreignRevision == 0:
+	case l.state.owner == ownerOther:
 		return HeldElsewhere
-	case l.occupied && l.foreignAt.Since() < l.backoff:
+	case l.state.owner == ownerForeign && l.state.learnedAt.Since() < l.backoff:
 		return ForeignBackoff
 	case l.lostAt != 0 && l.lostAt.Since() < l.backoff:
 		return LossBackoff
@@ -160,53 +188,57 @@
 	return NotBlocked
 }
 
+// attempt is one attempt to write the key.
+type attempt struct {
+	// before is the state on which it is based.
+	before  lockState
+	leaseID store.LeaseID
+	began   clock.BootTime
+}
+
 // TryAcquire tries to acquire the lock if it is available, and reports whether this
 // process has acquired it.
 func (l *LeaderLock) TryAcquire(ctx context.Context) bool {
-	l.mu.Lock()
-	blocker := l.blocker()
-	l.report.recordBlocker(blocker, l.state())
-	if blocker != NotBlocked {
-		l.mu.Unlock()
+	a, ok := l.beginAttempt()
+	if !ok {
 		return false
 	}
-	l.acquiring = true
-	l.leaseID = l.session.ID()
-	leaseID, overRevision, before := l.leaseID, l.foreignRevision, l.state()
-	l.mu.Unlock()
-	began := clock.Now()
-	fence, err := l.write(ctx, leaseID, overRevision)
+	r, err := l.write(ctx, a)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.acquiring = false
-	fields := logrus.Fields{"lease": leaseID, "expected": overRevision, "found": fence, "before": before, "meanwhile": l.state()}
-	if errors.Is(err, store.ErrConflict) {
-		l.occupied, l.foreignRevision = true, 0
-	}
-	fields["after"] = l.state()
-	l.report.recordAttempt(err, began.Since(), fields)
-	if err != nil || l.fence != 0 {
-		return l.fence != 0
-	}
-	l.markAcquired(fence)
-	return true
+	meanwhile := l.state
+	l.applyResponse(r, a.before)
+	l.report.recordAttempt(err, logrus.Fields{
+		"took_ms": a.began.Since().Milliseconds(), "lease": a.leaseID, "expected": a.before.expectedRevision(),
+		"found": r, "before": a.before, "meanwhile": meanwhile, "after": l.state,
+	})
+	return l.fence() != 0
 }
 
-// markAcquired records that the lock is held with a fencing token; the caller holds mu.
-func (l *LeaderLock) markAcquired(fence int64) {
-	l.occupied, l.fence, l.foreignRevision = true, fence, 0
-	l.report.recordHolder(true)
-	l.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": fence}).Info("leader lock acquired; this process sends load orders now")
+// beginAttempt begins an attempt; ok is false if none may be made now.
+func (l *LeaderLock) beginAttempt() (a attempt, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	blocker := l.blocker()
+	l.report.recordBlocker(blocker, l.state)
+	if blocker != NotBlocked {
+		return attempt{}, false
+	}
+	l.acquiring, l.leaseID = true, l.session.ID()
+	return attempt{before: l.state, leaseID: l.leaseID, began: clock.Now()}, true
 }
 
 // Release gives up the lock while the lease of this process continues. An acquisition
 // that is still in progress keeps the lock until the lease ends.
 func (l *LeaderLock) Release(ctx context.Context) error {
 	l.mu.Lock()
-	fence := l.fence
+	fence := l.fence()
 	if fence != 0 {
-		l.markLost()
+		// The entry remains until it is deleted.
+		l.apply(ownerOther, fence)
 	}
+	released := l.state
 	l.mu.Unlock()
 	if fence == 0 {
 		return nil
@@ -216,20 +248,33 @@
 		// Another process holds the lock already.
 		return nil
 	}
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.applyResponse(response{known: true}, released)
+	}
 	return err
 }
 
-// write writes the key if its revision is overRevision; 0 requires that the key does
-// not exist.
-func (l *LeaderLock) write(ctx context.Context, leaseID store.LeaseID, overRevision int64) (int64, error) {
-	fence, err := l.store.Put(ctx, l.key, []byte(l.name), overRevision, leaseID)
-	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) {
-		return fence, err
+// write writes the key, and returns what the response says of it. If the response does
+// not tell, the key is read.
+func (l *LeaderLock) write(ctx context.Context, a attempt) (response, error) {
+	revision, err := l.store.Put(ctx, l.key, []byte(l.name), a.before.expectedRevision(), a.leaseID)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		return response{known: true, written: true, entry: store.Entry{Value: []byte(l.name), Revision: revision}}, nil
+	case errors.As(err, &conflict):
+		return response{known: true, entry: conflict.Current}, err
+	case errors.Is(err, store.ErrUnavailable):
+		return response{}, err
 	}
-	// The response was lost; reading the key shows whether the write succeeded.
 	entry, readErr := l.store.Get(ctx, l.key)
-	if readErr == nil && string(entry.Value) == l.name {
-		return entry.Revision, nil
+	switch {
+	case errors.Is(readErr, store.ErrNotFound):
+		return response{known: true}, err
+	case readErr != nil:
+		return response{}, err
 	}
-	return 0, err
+	return response{known: true, entry: entry}, err
 }
--- /dev/null
+++ b/rollout/lockorder_test.go
@@ -0,0 +1,84 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"acaciakeel/store"
+)
+
+// lateStore is a memoryStore that carries out a write at once and holds back the response
+// until release is closed.
+type lateStore struct {
+	*memoryStore
+	written, release chan struct{}
+	// detailed makes a conflict carry the key's entry.
+	detailed bool
+}
+
+func newLateStore(m *memoryStore) *lateStore {
+	return &lateStore{memoryStore: m, written: make(chan struct{}), release: make(chan struct{})}
+}
+
+func (s *lateStore) Put(ctx context.Context, key string, value []byte, ifRevision int64, id store.LeaseID) (int64, error) {
+	revision, err := s.memoryStore.Put(ctx, key, value, ifRevision, id)
+	if s.detailed && errors.Is(err, store.ErrConflict) {
+		err = &store.ConflictError{Current: store.Entry{Key: key, Value: []byte(s.value), Revision: s.revision}}
+	}
+	close(s.written)
+	<-s.release
+	return revision, err
+}
+
+// tryWithLateResponse tries to acquire the lock and calls meanwhile after the write took
+// effect and before its response arrives.
+func tryWithLateResponse(t *testing.T, lock *LeaderLock, s *lateStore, meanwhile func()) bool {
+	t.Helper()
+	lock.store = s
+	acquired := make(chan bool)
+	go func() { acquired <- lock.TryAcquire(t.Context()) }()
+	<-s.written
+	meanwhile()
+	close(s.release)
+	result := <-acquired
+	lock.store = s.memoryStore
+	return result
+}
+
+// Guards against a lock that nobody tries again because a late conflict replaced the newer
+// observation of a foreign entry, which has no lease and never expires.
+func TestLateConflictKeepsNewerForeignEntry(t *testing.T) {
+	for _, detailed := range []bool{false, true} {
+		m := &memoryStore{value: "bytes", revision: 5}
+		lock, _ := newTestLock(t, m, "a")
+		s := newLateStore(m)
+		s.detailed = detailed
+		if tryWithLateResponse(t, lock, s, func() { lock.ObserveForeign(5) }) {
+			t.Fatal("acquired a lock whose key has a foreign entry")
+		}
+		lock.backoff = 0
+		if !lock.TryAcquire(t.Context()) {
+			t.Errorf("detailed=%t: the lock is not tried again after the backoff", detailed)
+		}
+	}
+}
+
+// Guards against a lock that nobody tries again because a late conflict replaced the newer
+// observation that its holder is gone.
+func TestLateConflictKeepsNewerDeletion(t *testing.T) {
+	for _, detailed := range []bool{false, true} {
+		m := &memoryStore{value: "b", revision: 5}
+		lock, _ := newTestLock(t, m, "a")
+		s := newLateStore(m)
+		s.detailed = detailed
+		tryWithLateResponse(t, lock, s, func() {
+			m.value, m.revision = "", 6
+			lock.Observe("b", 5)
+			lock.Observe("", 6)
+		})
+		if !lock.TryAcquire(t.Context()) {
+			t.Errorf("detailed=%t: the lock is free and not tried again", detailed)
+		}
+	}
+}
--- a/rollout/lockreport.go
+++ b/rollout/lockreport.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -98,7 +97,7 @@
 }
 
 // recordBlocker logs the reason why no attempt is made, once for each change.
-func (r *lockReporter) recordBlocker(blocker AcquireBlocker, state string) {
+func (r *lockReporter) recordBlocker(blocker AcquireBlocker, state lockState) {
 	if blocker == r.blocker {
 		return
 	}
@@ -110,12 +109,12 @@
 }
 
 // recordAttempt logs and counts an attempt.
-func (r *lockReporter) recordAttempt(err error, took time.Duration, fields logrus.Fields) {
+func (r *lockReporter) recordAttempt(err error, fields logrus.Fields) {
 	result := resultOf(err)
 	if r.metrics != nil {
 		r.metrics.attempts.WithLabelValues(string(result)).Inc()
 	}
-	entry := r.log.WithFields(fields).WithFields(logrus.Fields{"event": "seat_attempt", "result": result, "took_ms": took.Milliseconds()})
+	entry := r.log.WithFields(fields).WithFields(logrus.Fields{"event": "seat_attempt", "result": result})
 	if err != nil {
 		entry = entry.WithError(err)
 	}
