rollout: a late response no longer restores a leader lock that was lost

What callers could see: two nodes that send load orders at a time. A runner may then be told to load twice, or weights of an order that was overtaken.

The response to a successful write set the lock as held at the write's revision, also where the watch had already shown that entry, its end and another holder. Nothing more is to be observed then, so the false hold lasts for as long as the lease is renewed.

Evidence: TestLateResponseDoesNotRestoreLostLock (a store that holds back the response while the watch reports the entry, its deletion and another holder) fails without this change: "holds the lock with fence 1 after another process acquired it at 3". Not seen in a deployment.

Why this works: a successful write is one more state at a revision; it is applied only if it is newer than the known one.

--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -160,8 +160,6 @@
 func (l *LeaderLock) applyResponse(r response, before lockState) {
 	switch {
 	case !r.known:
-	case r.written:
-		l.apply(ownerSelf, r.entry.Revision)
 	case r.entry.Revision > l.state.revision:
 		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision)
 	case r.entry.Revision == 0 && l.state.sameAs(before):
@@ -263,7 +261,7 @@
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		return response{known: true, written: true, entry: store.Entry{Value: []byte(l.name), Revision: revision}}, nil
+		return response{known: true, entry: store.Entry{Value: []byte(l.name), Revision: revision}}, nil
 	case errors.As(err, &conflict):
 		return response{known: true, entry: conflict.Current}, err
 	case errors.Is(err, store.ErrUnavailable):
--- a/rollout/lockorder_test.go
+++ b/rollout/lockorder_test.go
@@ -82,3 +82,18 @@
 		}
 	}
 }
+
+// Guards against two holders: the late response to a write must not restore a hold that was
+// observed to have ended.
+func TestLateResponseDoesNotRestoreLostLock(t *testing.T) {
+	m := &memoryStore{}
+	lock, _ := newTestLock(t, m, "a")
+	tryWithLateResponse(t, lock, newLateStore(m), func() {
+		lock.Observe("a", 1)
+		lock.Observe("", 2)
+		lock.Observe("b", 3)
+	})
+	if fence, held := lock.Held(); held {
+		t.Errorf("holds the lock with fence %d after another process acquired it at 3", fence)
+	}
+}
--- a/rollout/lockstate.go
+++ b/rollout/lockstate.go
@@ -63,8 +63,6 @@
 	entry store.Entry
 	// known is false if the response does not tell.
 	known bool
-	// written is set if the write succeeded.
-	written bool
 }
 
 // String implements fmt.Stringer for the log.
