rollout: a hold on the leader lock ends with its lease, event or not

What callers could see: nobody gives load orders, as in the entry of TestOrdersGoOnOverAForeignHolder.

Cause: a hold ended only by an event on the key. The store deletes the key with its lease, and the event follows; but an entry of another writer over it has no lease, and a store restored from an older copy has no event at revisions the node takes for newer. With a new lease the node then neither held the lock (the lease differs) nor tried to.

Evidence: TestLockTriedAgainUnderNewLease (the lease ends, nothing is observed) fails without this change: "the lock is not tried under the new lease". Not seen in a deployment.

Why this works: an attempt first ends a hold of an earlier lease, and then, after the backoff, writes on the condition that the key doesn't exist; the response to a failed condition tells what is there.

--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -167,6 +167,15 @@
 	}
 }
 
+// endWithLease records that the hold has ended with the lease that it was acquired
+// under; the caller holds mu. The store deletes the key with the lease, but the event may
+// be missing if the entry had been replaced or the store's contents were restored.
+func (l *LeaderLock) endWithLease() {
+	if id := l.session.ID(); l.fence() != 0 && id != "" && id != l.leaseID {
+		l.apply(ownerNone, l.state.revision)
+	}
+}
+
 // blocker returns why the lock may not be acquired now; the caller holds mu.
 func (l *LeaderLock) blocker() AcquireBlocker {
 	switch {
@@ -218,6 +227,7 @@
 func (l *LeaderLock) beginAttempt() (a attempt, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.endWithLease()
 	blocker := l.blocker()
 	l.report.recordBlocker(blocker, l.state)
 	if blocker != NotBlocked {
--- a/rollout/lockorder_test.go
+++ b/rollout/lockorder_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"acaciakeel/lease"
 	"acaciakeel/store"
 )
 
@@ -97,3 +100,47 @@
 		t.Errorf("holds the lock with fence %d after another process acquired it at 3", fence)
 	}
 }
+
+// Guards against a hold that outlives its lease because a foreign entry replaced the key, so
+// that the end of the lease deletes nothing and the watch has nothing to say.
+func TestLockTriedAgainUnderNewLease(t *testing.T) {
+	m := &memoryStore{}
+	grants := &leaseSequence{memoryStore: m, ids: []store.LeaseID{"7", "8"}}
+	session := lease.NewSession(grants, 20*time.Millisecond, time.Millisecond)
+	granted := make(chan store.LeaseID, 2)
+	go session.Run(t.Context(), func(_ context.Context, id store.LeaseID) { granted <- id })
+	<-granted
+	lock := NewLeaderLock(m, session, "seat", "a", 0, discardLogger())
+	if !lock.TryAcquire(t.Context()) {
+		t.Fatal("a free lock was not acquired")
+	}
+	m.value = ""
+	grants.ended.Store(true)
+	<-granted
+	if !lock.TryAcquire(t.Context()) {
+		t.Error("the lock is not tried under the new lease")
+	}
+	if fence, _ := lock.Held(); fence != m.revision {
+		t.Errorf("the lock has fence %d, want %d", fence, m.revision)
+	}
+}
+
+// leaseSequence grants leases with the given ids; the first one ends when ended is set.
+type leaseSequence struct {
+	*memoryStore
+	ids   []store.LeaseID
+	ended atomic.Bool
+}
+
+func (s *leaseSequence) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	id := s.ids[0]
+	s.ids = s.ids[1:]
+	return id, nil
+}
+
+func (s *leaseSequence) Renew(_ context.Context, id store.LeaseID) error {
+	if id == "7" && s.ended.Load() {
+		return store.ErrNotFound
+	}
+	return nil
+}
