door: refuse new connections before the listener closes

What callers saw: TestEndTakesWhatCameInAStall/queue, "20 of 100 requests that arrived during a stall were not answered": the whole accept queue of a process that is stalled while it shuts down. Each client had a connection and had sent its request, and got a reset.

Cause: the interval between the last look at the accept queue and the close of the listener. What arrives there is acknowledged by the kernel and reset by the close. Usually that takes microseconds; a stop of the process (its CPU quota is used up) makes it as long as the stall.

Change: a shutdown accepts until the queue is quiet (10 ms, at most 300 ms as before), then has the kernel refuse new connections, then accepts the connections whose handshake had begun for twice the longest round trip of the open ones (50 ms to 1 s), looks at the queue once more and closes. The listener is bound to an interface that doesn't exist (SO_BINDTOIFINDEX), so that no SYN finds it and the kernel answers with a reset; the queue and begun handshakes stay. That needs no privilege from Linux 5.7 on; where it fails, event=door_unsealed says so and the interval remains.

Why it works: after the refusal the set of connections that can still arrive only shrinks, so a stall between the last look and the close loses nothing. The look asks the kernel (poll) instead of inferring from how late a timeout was seen.

Weighed: looking later or more often (narrows the interval, doesn't close it); a smaller backlog (one connection still enters); a socket filter that drops SYNs (clients wait a second for their second SYN, and for two minutes at a process that stays stopped). A refused client tries another process at once.

--- a/door/conns.go
+++ b/door/conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -271,6 +272,19 @@
 	return logrus.Fields{"event": event, "accepted": t.accepted, "open": t.open, "idle": t.idle}
 }
 
+// maxRoundTrip returns the longest round-trip time of the open connections.
+func (s *connSet) maxRoundTrip() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	for c := range s.open {
+		if socket, ok := c.Conn.(syscall.Conn); ok {
+			longest = max(longest, roundTrip(socket))
+		}
+	}
+	return longest
+}
+
 // startClosing starts to close idle connections.
 func (s *connSet) startClosing() {
 	s.mu.Lock()
--- a/door/door.go
+++ b/door/door.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,7 +44,7 @@
 		return nil, fmt.Errorf("listen: %w; another process may be using the port", err)
 	}
 	s := &connSet{telemetry: w, open: map[*conn]struct{}{}}
-	d := &Server{server: server, conns: s, closed: make(chan struct{}), listener: &listener{TCPListener: l.(*net.TCPListener), conns: s}}
+	d := &Server{server: server, conns: s, closed: make(chan struct{}), listener: newListener(l.(*net.TCPListener), s)}
 	server.ConnState = s.onStateChange
 	go func() {
 		defer close(d.closed)
@@ -83,17 +82,20 @@
 // another process. Requests on open connections and on those in the accept queue are served.
 func (d *Server) Shutdown(options ShutdownOptions) bool {
 	d.listener.drain()
-	<-d.closed
+	select {
+	case <-d.listener.refusing:
+	case <-d.closed:
+	}
 	d.conns.startClosing()
-	d.logCounts("door_closed", "listener closed; no new connections are accepted")
-	complete := d.await(options.AnswerDeadline, func(t connCounts) bool { return t.open == t.http2 })
+	d.logCounts("door_closed", "new connections are refused")
+	complete := d.await(options.AnswerDeadline, d.allAnswered)
 	if complete {
 		complete = d.shutdownHTTP2(options.AnswerDeadline)
 	}
 	if !complete {
 		d.logCounts("interrupted", "interrupting requests: the answer deadline has passed")
 		options.Interrupt()
-		if d.await(options.Deadline, func(t connCounts) bool { return t.open == t.http2 }) {
+		if d.await(options.Deadline, d.allAnswered) {
 			d.shutdownHTTP2(options.Deadline)
 		}
 	}
@@ -101,6 +103,17 @@
 	return complete
 }
 
+// allAnswered reports whether no more connections can arrive and only HTTP/2 connections are
+// open.
+func (d *Server) allAnswered(t connCounts) bool {
+	select {
+	case <-d.closed:
+		return t.open == t.http2
+	default:
+		return false
+	}
+}
+
 func (d *Server) logCounts(event, message string) {
 	d.conns.telemetry.Log.WithFields(d.conns.counts().fields(event)).Info(message)
 }
@@ -131,93 +144,6 @@
 	return true
 }
 
-// listener adds accepted connections to conns.
-type listener struct {
-	*net.TCPListener
-	conns *connSet
-
-	mu sync.Mutex
-	// drainUntil is when accepting ends even if connections keep arriving without a pause;
-	// zero before the shutdown.
-	drainUntil time.Time
-	// deadline is the current accept deadline. lateWaits counts the waits after drainUntil.
-	deadline  readDeadline
-	lateWaits int
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		entered := time.Now()
-		c, err := l.AcceptTCP()
-		if err == nil {
-			l.extend(time.Now())
-			return l.conns.add(c), nil
-		}
-		if !isTimeout(err) {
-			return nil, err
-		}
-		if l.empty(entered, time.Now()) {
-			return nil, net.ErrClosed
-		}
-	}
-}
-
-// Limits of draining the listener.
-const (
-	// queueEmpty is the time without a new connection after which the accept queue counts as
-	// empty. Waiting connections are returned at once, so this only covers scheduling delays
-	// on a small VM.
-	queueEmpty = 10 * time.Millisecond
-	// queueBound limits the draining: above some hundred connections a second such a pause
-	// may never occur.
-	queueBound = 300 * time.Millisecond
-	// maxLateWaits is how many waits are repeated after queueBound, for a process that was
-	// stalled.
-	maxLateWaits = 3
-)
-
-// drain makes the listener accept what waits in the accept queue and then close. Connections
-// left there would be reset with complete requests on them.
-func (l *listener) drain() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	l.drainUntil = now.Add(queueBound)
-	l.setDeadline(now)
-}
-
-// extend extends the accept deadline while the listener is drained.
-func (l *listener) extend(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.drainUntil.IsZero() && now.Before(l.drainUntil) {
-		l.setDeadline(now)
-	}
-}
-
-// empty reports whether the queue is empty after a timeout. An inconclusive wait is
-// repeated.
-func (l *listener) empty(entered, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.After(l.drainUntil) {
-		l.lateWaits++
-	}
-	if l.deadline.conclusive(entered, now) || l.lateWaits > maxLateWaits {
-		return true
-	}
-	l.setDeadline(now)
-	return false
-}
-
-// setDeadline sets the accept deadline; the caller holds mu.
-func (l *listener) setDeadline(now time.Time) {
-	l.deadline = readDeadline{armed: now, until: now.Add(queueEmpty)}
-	// This only fails on a listener that is already closed.
-	_ = l.SetDeadline(l.deadline.until)
-}
-
 // readDeadline is a deadline for a read or an accept. The runtime polls the kernel when the
 // call starts and then waits for a notification. When the deadline passes it returns a
 // timeout without polling again, so a process that was stalled meanwhile, for example by its
