door: ask the kernel before an idle connection is closed

What callers could see: a reset of a connection on which their request had arrived before the server gave it up as idle, during a planned stop.

The runtime polls the network when a read starts and later only when a processor is idle; on one busy processor the timer can fire in time and without a look.

Evidence: TestTimeoutWithDataUnreadIsRepeated (a connection whose first read times out at the deadline with data unread) fails without this change: "read 0 bytes of 27 (i/o timeout)". Not seen in a deployment.

Why this works: after a timeout the kernel is asked whether the socket has data; if so the read is repeated. No inference from the time is left, and with it the doubled waits go. What remains: a request that arrives between that look and the close of an idle connection, which HTTP/1.1 leaves to the client; responses during a stop say "Connection: close".

--- a/door/conns.go
+++ b/door/conns.go
@@ -44,11 +44,8 @@
 	http2 bool
 	// clientClosed is set once the client has closed its side.
 	clientClosed bool
-	// idleLimited is set while an idle connection has its final read deadline, deadline.
-	// retries counts how often that was extended.
+	// idleLimited is set while an idle connection has its final read deadline.
 	idleLimited bool
-	deadline    readDeadline
-	retries     int
 	// answering is set from the first byte of a response to the end of its request: what the
 	// server still reads of that request needs no response.
 	answering bool
@@ -69,9 +66,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		entered := time.Now()
 		n, err := c.Conn.Read(p)
-		if n == 0 && isTimeout(err) && c.extendDeadline(entered, time.Now()) {
+		if n == 0 && isTimeout(err) && c.extendDeadline(time.Now()) {
 			continue
 		}
 		c.conns.mu.Lock()
@@ -86,24 +82,23 @@
 	}
 }
 
-// extendDeadline reports whether an idle connection is to be read again after its final
-// deadline, because the timeout does not prove that no data had arrived.
-func (c *conn) extendDeadline(entered, now time.Time) bool {
+// extendDeadline extends the final deadline of an idle connection that has data to be read,
+// and reports whether it did.
+func (c *conn) extendDeadline(now time.Time) bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if !c.idleLimited || c.deadline.conclusive(entered, now) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !c.idleLimited || !ok || !readable(socket) {
 		return false
 	}
-	c.setDeadline(now, retryWait<<min(c.retries, maxDoublings))
-	c.retries++
+	c.setDeadline(now.Add(rereadTime))
 	return true
 }
 
 // setDeadline sets the final read deadline of an idle connection; the caller holds conns.mu.
-func (c *conn) setDeadline(now time.Time, d time.Duration) {
-	c.deadline = readDeadline{armed: now, until: now.Add(d)}
+func (c *conn) setDeadline(until time.Time) {
 	// This only fails on a connection that is already closed.
-	_ = c.Conn.SetReadDeadline(c.deadline.until)
+	_ = c.Conn.SetReadDeadline(until)
 }
 
 // received records received bytes; the caller holds conns.mu.
@@ -159,6 +154,9 @@
 	// read timeout, after which nothing has been read; closing the connection directly could
 	// discard a request that was just read.
 	idleGrace = 50 * time.Millisecond
+	// rereadTime is how long a read may take that is repeated because data has arrived. The
+	// read returns at once if it starts within that time, and is repeated otherwise.
+	rereadTime = 10 * time.Millisecond
 	// firstByteGrace is how long a new connection is kept without data: its client opened it
 	// to send a request, whose bytes can take 0.7 s over a busy link.
 	firstByteGrace = 2 * time.Second
@@ -181,7 +179,7 @@
 		return
 	}
 	c.idleLimited = true
-	c.setDeadline(now, idleGrace)
+	c.setDeadline(now.Add(idleGrace))
 }
 
 // CloseWrite closes the sending side, which the server does after a response that leaves a
--- a/door/door.go
+++ b/door/door.go
@@ -144,31 +144,6 @@
 	return true
 }
 
-// readDeadline is a deadline for a read or an accept. The runtime polls the kernel when the
-// call starts and then waits for a notification. When the deadline passes it returns a
-// timeout without polling again, so a process that was stalled meanwhile, for example by its
-// CPU quota, would miss data that arrived in that time.
-type readDeadline struct {
-	armed, until time.Time
-}
-
-// Timing of repeated waits.
-const (
-	// retryWait is the length of a repeated wait, which polls when it starts. It doubles
-	// with each retry, at most maxDoublings times, for a process that is always late.
-	retryWait    = 10 * time.Millisecond
-	maxDoublings = 6
-	// maxLateness is how late a process that was not stalled sees a timeout.
-	maxLateness = 2 * time.Millisecond
-)
-
-// conclusive reports whether a call that started at entered and has just timed out proves
-// that nothing was there: it polled the kernel under this deadline, and the timeout was seen
-// in time.
-func (w readDeadline) conclusive(entered, now time.Time) bool {
-	return !entered.Before(w.armed) && entered.Before(w.until) && now.Sub(w.until) < maxLateness
-}
-
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
