lease: writing a new lease's keys no longer holds up its renewals

What callers could see: at a store that answers, but slowly, nobody gives load orders and no node is a member for long: new weights wait, then requests are refused once the bound on old weights has passed.

Cause: after a grant the session wrote the node's entry and tried the leader lock before it renewed the lease. A write may take 1.2 s, the lease lasts 2 s, so that a store that takes a second for a call let each lease end before its first renewal; then the next one was granted, with the same end. The state ends only with the store's slowness.

Why it works: the keys are written in a goroutine of their own. Two such writes may overlap after two grants: the membership has a mutex, the lock makes one attempt at a time, and the store refuses keys of a lease that has ended.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -36,14 +36,15 @@
 // two lost renewals don't end it.
 const renewalsPerTTL = 4
 
-// Run grants and renews the lease until ctx ends. After each new grant it calls
-// granted, which must write the keys attached to the lease.
+// Run grants and renews the lease until ctx ends. After each new grant it calls granted
+// in its own goroutine, which must write the keys attached to the lease: at a slow store
+// these writes take longer than the lease lasts without a renewal.
 func (s *Session) Run(ctx context.Context, granted func(context.Context, store.LeaseID)) {
 	ticker := time.NewTicker(s.ttl / renewalsPerTTL)
 	defer ticker.Stop()
 	for {
 		if isNew := s.renewOrGrant(ctx); isNew {
-			granted(ctx, s.ID())
+			go granted(ctx, s.ID())
 		}
 		select {
 		case <-ticker.C:
