node: register again whenever the node's entry among the members is missing

What callers could see: a node that the others ignore: they send it no loads, crash reports or use of limits, and divide customers' limits without it, while it goes on serving.

The node wrote its entry once for each lease. If the store refused that write, or another writer removed or replaced the entry, the next chance came with the next lease, and a lease is renewed for as long as the node runs. The log said so ("until its next lease").

Not seen in a deployment.

Why it works: each second the node compares what it wrote with its view of the store. It writes when the lease is another one, when the last write was refused or not answered, and when the view, complete up to the revision of its entry, does not have it. The response to a failed condition tells a write of its own whose response was lost from another writer's bytes; only the latter are replaced. A node that is registered makes no call. keel_node_registrations_total counts the writes by reason.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -133,7 +133,7 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	began := clock.Now()
-	after := f.currentRevision()
+	after := f.Revision()
 	events, err := f.store.Watch(ctx, f.prefix, after, f.options.WatchTimeout)
 	if err != nil {
 		return err
--- a/follow/share.go
+++ b/follow/share.go
@@ -85,7 +85,7 @@
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
-	if c.After > f.currentRevision() {
+	if c.After > f.Revision() {
 		f.requestWatch()
 		return
 	}
@@ -102,7 +102,7 @@
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
-	if c.Revision > f.currentRevision() {
+	if c.Revision > f.Revision() {
 		f.requestWatch()
 		return
 	}
@@ -201,7 +201,8 @@
 	}
 }
 
-func (f *Follower) currentRevision() int64 {
+// Revision returns the revision up to which the view has all changes.
+func (f *Follower) Revision() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,12 +53,7 @@
 	// other nodes: its lease, the leader election, the node count and rollouts.
 	cancel       context.CancelFunc
 	cancelDuties context.CancelFunc
-	// membership is the state of the node's own entry among the members in the store.
-	membership struct {
-		sync.Mutex
-		revision int64
-		left     bool
-	}
+	membership   membership
 	// requestCtx is the parent context of all client requests; cancelRequests cancels it with
 	// the error that unfinished requests are answered with.
 	requestCtx     context.Context
@@ -163,6 +157,7 @@
 	timing := follow.Options{WatchTimeout: watchTimeout, BatchDelay: batchDelay, PeerTimeout: n.view.peerTimeout, OnWatch: func(r follow.Reason) { watchCounter.WithLabelValues(string(r)).Inc() }}
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewDecoder(n.view), log)
 	n.view.follower.OnChanges(n.exchange.shareChanges)
+	n.membership.metrics = newMembershipMetrics(n.registry)
 	n.registerGauges()
 	n.cacheWatcher = fleet.NewCacheWatcher(targets, runners)
 	bounds := router.Bounds{MaxStaleness: n.view.oldWeightsLimit, MaxStartStaleness: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
@@ -238,6 +233,7 @@
 	go n.session.Run(duties, n.onNewLease)
 	go n.view.controller.Run(duties)
 	go n.runElection(duties)
+	go n.maintainMembership(duties)
 	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.servers.front.Address()}).Info("serving")
 	return nil
 }
@@ -293,29 +289,13 @@
 }
 
 // onNewLease registers the node under a new lease and tries to become leader.
-func (n *Node) onNewLease(ctx context.Context, id store.LeaseID) {
-	if err := n.register(ctx, id); err != nil {
-		n.log.WithError(err).WithField("event", "enrol_failed").Warn("could not register among the members; the other nodes ignore this node until its next lease")
-	}
+func (n *Node) onNewLease(ctx context.Context, _ store.LeaseID) {
+	n.register(ctx)
 	if n.isCandidate() {
 		n.view.leaderLock.TryAcquire(ctx)
 	}
 }
 
-// register writes the node's entry among the members, unless the node is leaving.
-func (n *Node) register(ctx context.Context, id store.LeaseID) error {
-	n.membership.Lock()
-	defer n.membership.Unlock()
-	if n.membership.left {
-		return nil
-	}
-	revision, err := n.store.Put(ctx, n.view.self, encodeMember(n.exchange.address(), n.settings.Zone), 0, id)
-	if err == nil {
-		n.membership.revision = revision
-	}
-	return err
-}
-
 // electionInterval is how often the node checks whether the leader lock is free.
 const electionInterval = 200 * time.Millisecond
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -75,18 +75,6 @@
 	}
 }
 
-// deregister deletes the node's entry among the members.
-func (n *Node) deregister(ctx context.Context) error {
-	n.membership.Lock()
-	defer n.membership.Unlock()
-	n.membership.left = true
-	if n.membership.revision == 0 {
-		return nil
-	}
-	_, err := n.store.Delete(ctx, n.view.self, n.membership.revision)
-	return err
-}
-
 // releaseLease ends the rollout and the other background work, then the lease. A leader whose
 // process merely exited would hold the lock until the lease expires.
 func (n *Node) releaseLease(end time.Time) {
