node: replace another writer's entry in place of the count of nodes

What callers could see: after a restart of all nodes at once, customers' limits admitted several times over, since no node knows how many share them.

The count's revision came from good entries only. With another writer's bytes at the key each write of the leader failed its condition, once a second for ever, and the bytes have no lease to end with.

Evidence: TestNodeCountReplacesForeignEntry fails before: "timed out waiting until the node is counted again" (20 s). Not seen in a deployment.

Why it works: a rejected entry at that key is remembered as "no count, at this revision", so that the leader's next write is due and its condition holds. Limits stay divided by the last good count meanwhile.

--- a/node/limits.go
+++ b/node/limits.go
@@ -91,6 +91,14 @@
 	v.targetLimiter.SetRecentMembers(int(n))
 }
 
+// nodeCountRejected records that another writer's entry stands in place of the count. The
+// leader replaces it; until then the last count is in force.
+func (v *view) nodeCountRejected(revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.nodeCount.stored, v.nodeCount.revision = 0, revision
+}
+
 // pendingNodeCount returns the count that the store should have, and whether it has to be
 // written.
 func (v *view) pendingNodeCount(now time.Time) (n, revision int64, due bool) {
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -118,3 +118,21 @@
 		t.Errorf("answered %d", a.status)
 	}
 }
+
+// Guards against a node count that is never written again because another writer's value
+// stands at its key: after a restart of all nodes each would admit the whole of each limit.
+func TestNodeCountReplacesForeignEntry(t *testing.T) {
+	w, log := newLoggedEnv(t)
+	key := w.node.view.keys.nodeCount
+	counted := func() bool {
+		entry, err := w.node.store.Get(t.Context(), key)
+		return err == nil && string(entry.Value) == "1"
+	}
+	w.until("the node is counted", counted)
+	for i, bytes := range [][]byte{[]byte("somebody"), {}} {
+		w.store.Set(key, bytes)
+		reason := []string{"bad_value", "unreadable"}[i]
+		w.until("it is left out", func() bool { return log.rejectionCount(key, reason) == 1 })
+		w.until("the node is counted again", counted)
+	}
+}
--- a/node/rejected.go
+++ b/node/rejected.go
@@ -182,6 +182,9 @@
 		v.leaderLock.ObserveForeign(e.Revision)
 		v.controller.Wake()
 	}
+	if e.Key == v.keys.nodeCount {
+		v.nodeCountRejected(e.Revision)
+	}
 	v.rejected.report(e)
 }
 
