verdicts: write a verdict again over another writer's entry

What callers could see: a request that ends its targets run again by entries that start: up to three more targets each time, with what they were serving.

A verdict whose entry was replaced by other bytes counted as stored at its old revision, so that nobody wrote it again before its end; and a write that met the bytes failed its condition at each look, four times a second with a line each.

Evidence: TestReplacedVerdictIsStoredAgain fails before ("timed out waiting until the verdict is in the store again", 20 s). Not seen in a deployment.

Why it works: a rejected entry at a verdict's key is remembered as "no verdict, at this revision", which makes the write due and its condition hold. A verdict whose entry is gone was handled before.

Looked at and left: a read of a verdict that arrives after the watch has shown a newer one changes nothing that lasts. The contents merge (a crash that was cleared stays cleared, whoever reports it), and an old revision costs one failed condition.

--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -285,6 +285,26 @@
 	w.until("the verdict is in the store again", w.hasVerdict)
 }
 
+// Guards against a verdict that starting nodes never learn of because another writer's value
+// replaced it in the store.
+func TestReplacedVerdictIsStoredAgain(t *testing.T) {
+	w := newCrashEnv(t, 6)
+	w.repeat("/match/deadly", 8, w.node)
+	w.until("the verdict is in the store", w.hasVerdict)
+	content := poison.Content{Method: "POST", Host: "h.example", URI: "/match/deadly", Customer: "c1", Body: []byte(crashTrigger)}.Fingerprint()
+	for _, value := range [][]byte{[]byte("somebody"), {}} {
+		w.store.Set(verdicts.Key(content), value)
+		w.until("the verdict is in the store again", func() bool {
+			entry, err := w.node.store.Get(t.Context(), verdicts.Key(content))
+			if err != nil {
+				return false
+			}
+			_, err = verdicts.Decode(entry, time.Now())
+			return err == nil
+		})
+	}
+}
+
 // Guards against a crash that is missed because another runner took over the address and
 // answers 421: if a read of cache events reached it first, the runner passed for a silent one.
 func TestOtherRunnerAtAddressCountsAsCrash(t *testing.T) {
--- a/node/rejected.go
+++ b/node/rejected.go
@@ -12,6 +12,7 @@
 	"acaciakeel/fleet"
 	"acaciakeel/platform"
 	"acaciakeel/telemetry"
+	"acaciakeel/verdicts"
 )
 
 // rejectedEntries tracks the entries of the store that can't be used: entries of other writers
@@ -185,6 +186,9 @@
 	if e.Key == v.keys.nodeCount {
 		v.nodeCountRejected(e.Revision)
 	}
+	if content, ok, err := verdicts.ParseKey(e.Key); ok && err == nil {
+		v.verdicts.MarkReplaced(content, e.Revision)
+	}
 	v.rejected.report(e)
 }
 
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -71,10 +71,16 @@
 // MarkMissing records that the store has no verdict on a content. A verdict that still
 // holds is written again, as the store may have lost it.
 func (t *Table) MarkMissing(content Fingerprint) {
+	t.MarkReplaced(content, 0)
+}
+
+// MarkReplaced records that the store has an entry of another writer, at a revision, in
+// place of a verdict. A verdict that still holds is written over it.
+func (t *Table) MarkReplaced(content Fingerprint, revision int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.records[content]; r != nil {
-		r.inStore, r.revision = false, 0
+		r.inStore, r.revision = false, revision
 	}
 }
 
--- a/verdicts/syncer.go
+++ b/verdicts/syncer.go
@@ -162,7 +162,8 @@
 		return
 	}
 	if err := s.ApplyStored(content, entry.Value, entry.Revision); err != nil {
-		s.log.WithError(err).WithFields(logrus.Fields{"event": "verdict_unread", "content": content.String()}).Warn("cannot decode the verdict that another process wrote")
+		s.MarkReplaced(content, entry.Revision)
+		s.log.WithError(err).WithFields(logrus.Fields{"event": "verdict_unread", "content": content.String()}).Warn("the entry is not a verdict; replacing it")
 	}
 }
 
@@ -193,6 +194,15 @@
 	s.Table.MarkMissing(content)
 }
 
+// MarkReplaced records that another writer's entry stands in the store in place of a verdict.
+// Entries that start would not learn of the verdict, so it is written again if it still holds.
+func (s *Syncer) MarkReplaced(content poison.Fingerprint, revision int64) {
+	s.mu.Lock()
+	delete(s.stored, content)
+	s.mu.Unlock()
+	s.Table.MarkReplaced(content, revision)
+}
+
 // Reconcile marks the verdicts missing whose keys are not in a listing of the system's own
 // keys.
 func (s *Syncer) Reconcile(keys map[string]bool) {
