--- a/door/listener.go
+++ b/door/listener.go
@@ -29,14 +29,12 @@
 	lateLooks int
 }
 
-// drainPhase is a phase of the shutdown of a listener.
+// drainPhase is a phase of the shutdown of a listener; zero before the shutdown.
 type drainPhase int
 
 const (
-	// phaseOpen: connections are accepted.
-	phaseOpen drainPhase = iota
 	// phaseDraining: connections are accepted until none has arrived for queueEmpty.
-	phaseDraining
+	phaseDraining drainPhase = iota + 1
 	// phaseRefusing: new connections are refused. Those whose handshake had begun are
 	// accepted.
 	phaseRefusing
