--- a/door/socket.go
+++ b/door/socket.go
@@ -25,7 +25,7 @@
 		bindErr = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
 	})
 	if err := errors.Join(err, bindErr); err != nil {
-		return fmt.Errorf("unbind the listener from its interface: %w; Linux 5.7 or CAP_NET_RAW is required", err)
+		return fmt.Errorf("bind the listener to no interface: %w; Linux 5.7 or CAP_NET_RAW is required", err)
 	}
 	return nil
 }
