soak: a store that answers writes late, and entries whose own keys are replaced

Change: the stand-in of the store answers writes up to a given time after they took effect (late_ms).

--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -75,6 +75,8 @@
 	versionMS int
 	// seconds is how long it is played; 0 is as long as most are.
 	seconds int
+	// ownEntries has the entries' own keys in the store checked in the end.
+	ownEntries bool
 }
 
 // regressions have the cause each, in a line.
@@ -130,6 +132,9 @@
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
 	s.await("every runner has the newest weights", s.allLoaded)
+	if r.ownEntries {
+		s.await("the entries' own keys stand in the store", s.ownEntriesStand)
+	}
 	c.judge()
 	if r.versionMS != 0 {
 		c.judgeWeights(time.Duration(r.versionMS) * time.Millisecond)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -37,6 +37,7 @@
 	t       *testing.T
 	dir     string
 	store   *kv.Store
+	service *kv.Server
 	server  *httptest.Server
 	runners []*target
 	desks   []*target
@@ -105,7 +106,8 @@
 	t.Helper()
 	s := &site{t: t, direct: r.direct, versionMS: cmp.Or(r.versionMS, usualVersionMS), dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
 	s.trap = newTrap(t)
-	s.server = httptest.NewServer(kv.NewServer(s.store).Handler())
+	s.service = kv.NewServer(s.store)
+	s.server = httptest.NewServer(s.service.Handler())
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
 	for i := range 4 {
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +26,8 @@
 	Down bool `json:"down"`
 	// DelayMS delays each call.
 	DelayMS int `json:"delay_ms"`
+	// LateMS is at most how long after a write took effect it is answered, at random.
+	LateMS int `json:"late_ms"`
 	// LoseAnswers cuts the connection after a write took effect.
 	LoseAnswers bool `json:"lose_answers"`
 }
@@ -83,6 +86,9 @@
 		if faults.LoseAnswers && r.Method != http.MethodGet {
 			panic(http.ErrAbortHandler)
 		}
+		if faults.LateMS > 0 && r.Method != http.MethodGet {
+			time.Sleep(time.Duration(rand.IntN(faults.LateMS)) * time.Millisecond)
+		}
 		answer(w, out, err)
 	}
 }
@@ -281,6 +287,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.SetFaults(f)
+}
+
+// SetFaults sets what goes wrong from now on.
+func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
