rollout: acquire the leader lock in a store whose revisions went back

What callers could see: nobody gives load orders after the store came back from an older copy, while a node writes the lock's key five times a second.

A response applied only if its revision was higher than the known one; in a restored store it is lower for good, so that a node never learnt of its own successful write.

Evidence: found by reading the change again; TestLockAcquiredInRestoredStore fails before: "a free lock was not acquired".

Why it works: a response is newer than what was known when its call was sent.

--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -153,17 +153,17 @@
 	}
 }
 
-// applyResponse applies what a response says of the key, unless an observation that
-// arrived before it is newer: an older state would hide the newer one for as long as the
-// key does not change again. before is the state known when the call was sent. The
-// caller holds mu.
+// applyResponse applies what a response says of the key. before is the state known when
+// the call was sent. If an observation has replaced it since, that may be newer than the
+// response, and only an entry with a higher revision is applied: an older state would
+// hide the newer one for as long as the key does not change again. The caller holds mu.
 func (l *LeaderLock) applyResponse(r response, before lockState) {
 	switch {
-	case !r.known:
-	case r.entry.Revision > l.state.revision:
-		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision)
-	case r.entry.Revision == 0 && l.state.sameAs(before):
+	case !r.known || (!l.state.sameAs(before) && r.entry.Revision <= l.state.revision):
+	case r.entry.Revision == 0:
 		l.apply(ownerNone, l.state.revision)
+	default:
+		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision)
 	}
 }
 
--- a/rollout/lockorder_test.go
+++ b/rollout/lockorder_test.go
@@ -125,6 +125,20 @@
 	}
 }
 
+// Guards against a lock that is written again and again and never held, because the store was
+// restored from an older copy and its revisions are lower than the known one.
+func TestLockAcquiredInRestoredStore(t *testing.T) {
+	m := &memoryStore{revision: 3}
+	lock, _ := newTestLock(t, m, "a")
+	lock.Observe("", 10)
+	if !lock.TryAcquire(t.Context()) {
+		t.Fatal("a free lock was not acquired")
+	}
+	if fence, held := lock.Held(); !held || fence != m.revision {
+		t.Errorf("held = %v with fence %d, want %d", held, fence, m.revision)
+	}
+}
+
 // leaseSequence grants leases with the given ids; the first one ends when ended is set.
 type leaseSequence struct {
 	*memoryStore
