node: write the count of nodes again after its key was removed

What callers could see: after a restart of all nodes at once, customers' limits admitted several times over, since no node knows how many share them.

The change that removes the key has a revision, which was taken for the key's; the key doesn't exist, so that a write must require revision 0. Each write failed its condition, once a second for ever.

TestRemovedNodeCountIsStoredAgain fails before: "timed out waiting until the node is counted again".

Why it works: a removed key is remembered at revision 0, as a listing without it always was.

--- a/integration/soak/store_test.go
+++ b/integration/soak/store_test.go
@@ -16,7 +16,9 @@
 // or remove what the entries keep there. Late answers bring the responses to writes behind
 // the events that the writes cause.
 func TestSoakStore(t *testing.T) {
-	seeds := []uint64{1}
+	// In 108, 110 and 112 the count of entries was removed and never written again: a write
+	// had the revision of the removal for the key's.
+	seeds := []uint64{1, 108, 110, 112}
 	if n := number("SOAK_SEED", 0); n != 0 {
 		seeds = []uint64{uint64(n)}
 	}
--- a/node/limits.go
+++ b/node/limits.go
@@ -84,6 +84,11 @@
 		return
 	}
 	v.rejected.removeRecord(v.keys.nodeCount)
+	if value == "" {
+		// A write requires then that the key does not exist; a deletion's own revision
+		// would be the revision of no entry.
+		revision = 0
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.nodeCount.stored, v.nodeCount.revision = n, revision
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -136,3 +136,16 @@
 		w.until("the node is counted again", counted)
 	}
 }
+
+// Guards against a node count that is never written again because its key was removed.
+func TestRemovedNodeCountIsStoredAgain(t *testing.T) {
+	w := newEnv(t)
+	key := w.node.view.keys.nodeCount
+	counted := func() bool {
+		entry, err := w.node.store.Get(t.Context(), key)
+		return err == nil && string(entry.Value) == "1"
+	}
+	w.until("the node is counted", counted)
+	w.store.Remove(key)
+	w.until("the node is counted again", counted)
+}
