node, soak: shorter tests of own entries

Cause: two tests of the count of nodes repeated how they look at it, and TestSoakStore had a story at its head. No check is changed; both tests of the count pass.

--- a/integration/soak/store_test.go
+++ b/integration/soak/store_test.go
@@ -12,9 +12,8 @@
 	"acaciakeel/platform"
 )
 
-// TestSoakStore plays seeds in which the store answers writes late and other writers replace
-// or remove what the entries keep there. Late answers bring the responses to writes behind
-// the events that the writes cause.
+// TestSoakStore guards against entries that lose what they keep in the store, which answers
+// writes late, or behind their own events, while other writers replace and remove it.
 func TestSoakStore(t *testing.T) {
 	// In 108, 110 and 112 the count of entries was removed and never written again: a write
 	// had the revision of the removal for the key's.
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -119,33 +119,30 @@
 	}
 }
 
+// isCounted reports whether the store has the count of the environment's only node.
+func (w *testEnv) isCounted() bool {
+	entry, err := w.node.store.Get(w.t.Context(), w.node.view.keys.nodeCount)
+	return err == nil && string(entry.Value) == "1"
+}
+
 // Guards against a node count that is never written again because another writer's value
 // stands at its key: after a restart of all nodes each would admit the whole of each limit.
 func TestNodeCountReplacesForeignEntry(t *testing.T) {
 	w, log := newLoggedEnv(t)
 	key := w.node.view.keys.nodeCount
-	counted := func() bool {
-		entry, err := w.node.store.Get(t.Context(), key)
-		return err == nil && string(entry.Value) == "1"
-	}
-	w.until("the node is counted", counted)
+	w.until("the node is counted", w.isCounted)
 	for i, bytes := range [][]byte{[]byte("somebody"), {}} {
 		w.store.Set(key, bytes)
 		reason := []string{"bad_value", "unreadable"}[i]
 		w.until("it is left out", func() bool { return log.rejectionCount(key, reason) == 1 })
-		w.until("the node is counted again", counted)
+		w.until("the node is counted again", w.isCounted)
 	}
 }
 
 // Guards against a node count that is never written again because its key was removed.
 func TestRemovedNodeCountIsStoredAgain(t *testing.T) {
 	w := newEnv(t)
-	key := w.node.view.keys.nodeCount
-	counted := func() bool {
-		entry, err := w.node.store.Get(t.Context(), key)
-		return err == nil && string(entry.Value) == "1"
-	}
-	w.until("the node is counted", counted)
-	w.store.Remove(key)
-	w.until("the node is counted again", counted)
+	w.until("the node is counted", w.isCounted)
+	w.store.Remove(w.node.view.keys.nodeCount)
+	w.until("the node is counted again", w.isCounted)
 }
