--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -24,6 +24,11 @@
 	MaxOutputTokens int
 	// Objective is the requested time to first token.
 	Objective time.Duration
+	// Class is the request's priority class; see PriorityClass.
+	Class int
+	// MaxEventGap is the longest pause between two events of a stream for which its
+	// response is on time; 0 if the route sets none.
+	MaxEventGap time.Duration
 	// Tried are instances that must not be chosen again; a later one of the same target
 	// may.
 	Tried []Instance
@@ -333,16 +338,11 @@
 	if missing := chain.Tokens - a.CachedTokens; missing > 0 {
 		a.PrefillRate = float64(missing) / e.PrefillTime(missing, chain.Tokens, now).Seconds()
 	}
-	total := s.totalOccupancy(now)
-	a.WaitSeconds = (e.TransferTime(from.transfer, now) + e.BacklogTime(total.PrefillTokens, now) + f.queueWait(s, now)).Seconds()
+	a.WaitSeconds = (e.TransferTime(from.transfer, now) + f.expectedWait(q, s, cached, now)).Seconds()
 	if f.desired[q.Model].staleFor(weights, now) > staleWeightsGrace {
 		a.PenaltySeconds += staleWeightsCost.Seconds()
 	}
-	a.WaitSeconds += f.memoryWait(q, total, EstimateHeldTokens(q.InputTokens, cached, q.MaxOutputTokens), now).Seconds()
-	if !q.long {
-		neighbourCost := time.Duration(total.Long) * longNeighbourCost
-		a.PenaltySeconds += min(neighbourCost, maxLongNeighbourCost).Seconds()
-	}
+	a.PenaltySeconds += f.pauseCost(q, s, now).Seconds()
 	return a, from
 }
 
@@ -353,23 +353,6 @@
 	return chain.Levels[len(chain.Levels)-1].Tokens
 }
 
-// meanSlotTime is how long a request is assumed to hold a slot when the wait for a full
-// target is estimated: about the mean of the services.
-const meanSlotTime = 300 * time.Millisecond
-
-// queueWait returns the expected wait for a slot.
-func (f *Fleet) queueWait(s *targetState, now time.Time) time.Duration {
-	slots := s.target.Slots
-	if slots == 0 {
-		return 0
-	}
-	busy := s.requestCount(now)
-	if busy < slots {
-		return 0
-	}
-	return meanSlotTime * time.Duration(busy-slots+1) / time.Duration(slots)
-}
-
 // requestCount returns how many requests a target has: the higher of what the processes
 // reported and what the target did.
 func (s *targetState) requestCount(now time.Time) int {
--- a/router/session.go
+++ b/router/session.go
@@ -126,6 +126,7 @@
 		Isolate:       s.decision.Status == poison.Suspect,
 		AlwaysIsolate: s.decision.Crashes > 1,
 		Avoid:         s.decision.Avoid,
+		Class:         fleet.PriorityClass(in.priority()),
 	}
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
