rollout: unresponsive runners take no slot

Cause: a runner that answers nothing kept its slot for up to 3.6 s of clearing, a report without an answer (1 s) or the wait for a load (6 s), and was planned for again at once, before responsive ones. Seen with 14 of 56 runners unresponsive: no order from 6.5 to 9.4 s, and the weights of 43 runners too stale for requests at 11.5 s.

Change: a request for the report is bounded to 0.3 s and precedes the clearing of long runs. A runner that leaves it unanswered, or two polls of its load in a row, frees its slot. It is asked beside the orders with a backoff of 0.15 to 0.6 s, at most 32 requests at once, and is planned for again once it answers. Runners that the fleet considers unresponsive are asked in the same way before they get a slot. The limits count responsive runners only. New reason `unresponsive` of order_waits and its gauge, new log line report_resumed.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -72,6 +72,7 @@
 	// restarts, the order of its earlier instance no longer counts; otherwise the
 	// restarted runner would never get an order.
 	inProgress map[string]activeOrder
+	contacts   contacts
 	// orderDuration is the smoothed time from planning an order to the end of the load;
 	// 0 until the first order has completed.
 	orderDuration time.Duration
@@ -89,7 +90,7 @@
 func NewController(name string, cfg Config, log logrus.FieldLogger) *Controller {
 	return &Controller{
 		name: name, leadership: cfg.Leadership, client: cfg.Client, fleet: cfg.Fleet, services: cfg.Services, notify: cfg.Notify, maxStaleness: cfg.MaxStaleness, log: log,
-		wake: make(chan struct{}, 1), waits: newWaitReporter(cfg.Metrics, log), inProgress: map[string]activeOrder{},
+		wake: make(chan struct{}, 1), waits: newWaitReporter(cfg.Metrics, log), inProgress: map[string]activeOrder{}, contacts: newContacts(),
 	}
 }
 
@@ -133,6 +134,9 @@
 
 func (c *Controller) reconcile(ctx context.Context) {
 	services := c.services()
+	c.mu.Lock()
+	c.contacts.prune(c.fleet.IsCurrent)
+	c.mu.Unlock()
 	c.waits.beginPass()
 	for model, desired := range c.fleet.DesiredVersions() {
 		var runners []fleet.Target
@@ -143,8 +147,11 @@
 		decisions := Plan(in)
 		c.waits.record(in, decisions)
 		for _, decision := range decisions {
-			if decision.WaitReason == None {
+			switch decision.WaitReason {
+			case None:
 				c.startOrder(ctx, decision, model, desired)
+			case Unresponsive:
+				c.startCheck(ctx, decision.Runner, model, desired)
 			}
 		}
 	}
@@ -155,13 +162,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := Input{
-		Model:      model,
-		Desired:    desired,
-		Runners:    runners,
-		InProgress: map[string]time.Duration{},
-		Inflight:   map[string]int{},
-		LongRuns:   map[string]int{},
-		StaleFor:   map[string]time.Duration{},
+		Model:        model,
+		Desired:      desired,
+		Runners:      runners,
+		Unresponsive: map[string]bool{},
+		InProgress:   map[string]time.Duration{},
+		Inflight:     map[string]int{},
+		LongRuns:     map[string]int{},
+		StaleFor:     map[string]time.Duration{},
 	}
 	now := time.Now()
 	for id, u := range c.inProgress {
@@ -169,9 +177,14 @@
 			in.InProgress[id] = now.Sub(u.since)
 		}
 	}
+	for _, r := range runners {
+		if c.contacts.unresponsive(r.Instance(), c.fleet.Unresponsive(r.ID), now) {
+			in.Unresponsive[r.ID] = true
+		}
+	}
 	if len(runners) > 0 {
 		loads := c.fleet.WeightLoads(runners[0].Service)
-		in.MaxConcurrent = loads.MaxConcurrent(len(runners))
+		in.MaxConcurrent = loads.MaxConcurrent(in.responsiveCount())
 		in.MaxStaleness, in.OrderDuration = c.maxStaleness, cmp.Or(c.orderDuration, loads.OrderDuration())
 	}
 	for _, r := range runners {
@@ -198,6 +211,52 @@
 	}()
 }
 
+// startCheck asks an unresponsive runner for its report, without a slot, if it is due.
+// Once it responds, the next plan treats it like the others.
+func (c *Controller) startCheck(ctx context.Context, r fleet.Target, model string, desired int64) {
+	c.mu.Lock()
+	due := c.contacts.startCheck(r.Instance(), time.Now())
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		_, err := c.report(ctx, r, model, desired)
+		c.mu.Lock()
+		c.contacts.endCheck(r.Instance())
+		c.mu.Unlock()
+		if err == nil {
+			c.Wake()
+		}
+	}()
+}
+
+// report returns the state of a runner, and records whether it responded.
+func (c *Controller) report(ctx context.Context, r fleet.Target, model string, desired int64) (fleet.Status, error) {
+	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := c.client.Report(reportCtx, r)
+	switch {
+	case errors.Is(err, fleet.ErrTargetReplaced):
+		c.fleet.RecordEnd(r.Instance())
+	case err == nil:
+		c.mu.Lock()
+		failingFor, recovered := c.contacts.recordAnswer(r.Instance(), time.Now())
+		c.mu.Unlock()
+		if recovered {
+			c.logEvent("report_resumed", r, model, desired).WithField("failing_ms", failingFor.Milliseconds()).Info("the runner responds again and is planned for")
+		}
+	case ctx.Err() == nil:
+		c.mu.Lock()
+		first := c.contacts.recordFailure(r.Instance(), time.Now())
+		c.mu.Unlock()
+		if first {
+			c.logEvent("report_failed", r, model, desired).WithError(err).Warn("failed to get the state of the runner; it takes no slot until it responds")
+		}
+	}
+	return report, err
+}
+
 // Timing of one runner's update.
 const (
 	// firstPollDelay is the time from sending an order to the first poll of the runner:
@@ -215,15 +274,17 @@
 // the next reconciliation plans again.
 func (c *Controller) updateRunner(ctx context.Context, decision Decision, model string, desired int64) {
 	r, start := decision.Runner, time.Now()
+	if c.mayTruncate(r) {
+		// Clearing takes up to 3.6 s, for which a runner that does not respond would keep
+		// its slot.
+		if _, err := c.report(ctx, r, model, desired); err != nil {
+			return
+		}
+	}
 	truncate := c.clear(ctx, decision)
 	drainTime, remaining := time.Since(start), c.fleet.Occupancy(r.Instance())
-	report, err := c.client.Report(ctx, r)
-	if errors.Is(err, fleet.ErrTargetReplaced) {
-		c.fleet.RecordEnd(r.Instance())
-	}
+	report, err := c.report(ctx, r, model, desired)
 	if err != nil {
-		c.logEvent("report_failed", r, model, desired).WithError(err).Warn("failed to get the state of the runner; retrying")
-		clock.Sleep(ctx, pollInterval)
 		return
 	}
 	if !c.checkInstance(r, report) {
@@ -267,6 +328,12 @@
 		if c.awaitLoad(ctx, r, model, desired) {
 			c.recordDuration(time.Since(start))
 		}
+	case fleet.OrderLost:
+		// The order may still be carried out. The next report shows whether it was, and
+		// its order count rules out that both are.
+		c.mu.Lock()
+		c.contacts.recordFailure(r.Instance(), time.Now())
+		c.mu.Unlock()
 	default:
 		clock.Sleep(ctx, pollInterval)
 	}
@@ -295,7 +362,7 @@
 	if decision.Urgent {
 		checks = urgentDrainChecks
 	}
-	if c.fleet.Occupancy(r.Instance()).Long == 0 || c.truncationDisabled.Load() || c.fleet.Disabled(policy.Truncation) {
+	if !c.mayTruncate(r) {
 		return false
 	}
 	for range checks {
@@ -309,6 +376,11 @@
 	return false
 }
 
+// mayTruncate reports whether long runs of a runner may be truncated.
+func (c *Controller) mayTruncate(r fleet.Target) bool {
+	return c.fleet.Occupancy(r.Instance()).Long > 0 && !c.truncationDisabled.Load() && !c.fleet.Disabled(policy.Truncation)
+}
+
 // sendOrder sends an order within the remaining time of the leadership. An order that
 // is delayed by a slow link or connection setup must not arrive while the next leader
 // sends its own.
@@ -338,8 +410,14 @@
 	c.fleet.RecordBusy(r.Instance(), start.Add(busyDuration))
 	c.notify()
 	clock.Sleep(ctx, firstPollDelay)
+	missed := 0
 	for ctx.Err() == nil && time.Since(start) < orderTimeout && c.fleet.Available(r.Instance()) {
-		report, err := c.client.Report(ctx, r)
+		report, err := c.report(ctx, r, model, desired)
+		if err == nil {
+			missed = 0
+		} else if missed++; missed >= missedPolls {
+			return false
+		}
 		if err == nil && !c.checkInstance(r, report) {
 			// The order ended with the instance that accepted it. A load by the
 			// later one says nothing about the duration of this order.
--- a/rollout/deadline.go
+++ b/rollout/deadline.go
@@ -20,7 +20,8 @@
 	if in.MaxStaleness <= 0 {
 		return d
 	}
-	byTimeLeft := slices.SortedFunc(slices.Values(stale), func(a, b fleet.Target) int { return cmp.Compare(d.timeLeft(a), d.timeLeft(b)) })
+	responsive := slices.DeleteFunc(slices.Clone(stale), func(r fleet.Target) bool { return in.Unresponsive[r.ID] })
+	byTimeLeft := slices.SortedFunc(slices.Values(responsive), func(a, b fleet.Target) int { return cmp.Compare(d.timeLeft(a), d.timeLeft(b)) })
 	for i := len(byTimeLeft) - 1; i >= 0; i-- {
 		batches := i/max(1, in.MaxConcurrent) + 1
 		left := d.timeLeft(byTimeLeft[i])
@@ -52,7 +53,7 @@
 
 // concurrency returns how many orders may be in progress so that each due runner, in
 // this order, completes its order in time. Above MaxConcurrent, at least half of the
-// runners stay in service.
+// responsive runners stay in service.
 func (d deadlines) concurrency(due []fleet.Target) int {
 	limit := d.MaxConcurrent
 	for i, r := range due {
@@ -61,5 +62,5 @@
 			limit = max(limit, int(needed))
 		}
 	}
-	return max(d.MaxConcurrent, min(limit, len(d.Runners)/2))
+	return max(d.MaxConcurrent, min(limit, d.responsiveCount()/2))
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -17,6 +17,9 @@
 	Model   string
 	Desired int64
 	Runners []fleet.Target
+	// Unresponsive holds the runners that do not respond, by runner ID. They take no
+	// slot and do not count towards the limits.
+	Unresponsive map[string]bool
 	// InProgress is how long ago each order that has not ended was planned, by runner
 	// ID.
 	InProgress map[string]time.Duration
@@ -55,10 +58,12 @@
 	LongRuns WaitReason = "long_runs"
 	// ConcurrencyLimit: the maximum number of orders is in progress.
 	ConcurrencyLimit WaitReason = "no_place"
+	// Unresponsive: the runner does not answer the request for its report.
+	Unresponsive WaitReason = "unresponsive"
 )
 
 // WaitReasons lists the reasons for which a stale runner waits.
-var WaitReasons = []WaitReason{Draining, OrderInProgress, LongRuns, ConcurrencyLimit}
+var WaitReasons = []WaitReason{Draining, OrderInProgress, LongRuns, ConcurrencyLimit, Unresponsive}
 
 // Decision is the plan for one stale runner.
 type Decision struct {
@@ -97,6 +102,11 @@
 	return decisions
 }
 
+// responsiveCount returns how many runners respond.
+func (in Input) responsiveCount() int {
+	return len(in.Runners) - len(in.Unresponsive)
+}
+
 func (in Input) stale() []fleet.Target {
 	var out []fleet.Target
 	for _, r := range in.Runners {
@@ -115,6 +125,8 @@
 		return Draining
 	case underway:
 		return OrderInProgress
+	case d.Unresponsive[r.ID]:
+		return Unresponsive
 	case d.LongRuns[r.ID] > 0 && d.StaleFor[r.ID] <= longRunGrace && !d.urgent[r.ID]:
 		return LongRuns
 	}
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -57,6 +57,8 @@
 		{"higher concurrency if deadlines would be missed", Input{Desired: 2, Runners: runnersAt(1, 1, 1, 1, 1, 1, 1, 1), StaleFor: staleFor(8, 2*time.Second), MaxConcurrent: 1, MaxStaleness: 10 * time.Second, OrderDuration: 3 * time.Second}, "[r0 r1 r2 r3]"},
 		{"past its bound with requests waiting: at once", Input{Desired: 2, Runners: runnersAt(1, 1), InProgress: map[string]time.Duration{"r0": 0}, Inflight: map[string]int{"r1": 2}, StaleFor: staleFor(2, 11*time.Second), MaxConcurrent: 1, MaxStaleness: 10 * time.Second, OrderDuration: time.Second}, "[r1]"},
 		{"past its bound and idle: in turn", Input{Desired: 2, Runners: runnersAt(1, 1), InProgress: map[string]time.Duration{"r0": 0}, StaleFor: staleFor(2, 11*time.Second), MaxConcurrent: 1, MaxStaleness: 10 * time.Second, OrderDuration: time.Second}, "[]"},
+		{"unresponsive runners take no slot", Input{Desired: 2, Runners: runnersAt(1, 1, 1), Unresponsive: map[string]bool{"r0": true, "r1": true}, MaxConcurrent: 1}, "[r2]"},
+		{"unresponsive runners past their bound get no order", Input{Desired: 2, Runners: runnersAt(1), Unresponsive: map[string]bool{"r0": true}, Inflight: map[string]int{"r0": 2}, StaleFor: staleFor(1, 11*time.Second), MaxConcurrent: 1, MaxStaleness: 10 * time.Second}, "[]"},
 		{"draining runners get no order", Input{Desired: 2, Runners: []fleet.Target{{ID: "r0", Draining: true}}, MaxConcurrent: 1}, "[]"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
