Expected waits by priority class, with learned slot times

Cause: the expected wait counted everything that waits at a target, although targets admit more urgent requests first and preempt the least urgent. With 14 of 56 targets unresponsive, 2,500 urgent requests were refused behind drafts. A slot was assumed to be held for 300 ms where drafts hold it for 2 to 4 s, so that the expected wait at a full target was 2 s in place of 5 to 7 s. Change: load is counted and exchanged by priority class. A request's wait counts its own and more urgent classes, and grows by 1/(1 - share of more urgent arrivals), at most fourfold. A request more urgent than those in the slots waits for the next slot. Slot times are learned by service and class and exchanged; the constant applies before 20 runs. Load without classes, as sent by earlier versions, counts for every class; deployments with one class send none. Switches: class-waits, slot-times. Requests without a model wait as before, since no priority is sent with them. Measured: unit tests only. At a target of 32 slots full of drafts of 3 s, with 64 waiting, an urgent request is expected to wait less than 250 ms (more than 2 s without classes), a draft about 6 s (below 2 s with the constant). With one class, waits with and without class-waits are equal in a property test. fleet, forecast, pulses, router, policy, docs pass with -race; package node not run yet.

--- a/fleet/active_request.go
+++ b/fleet/active_request.go
@@ -44,6 +44,8 @@
 	HeldTokens int
 	// Resumable requests can go on at another target if this one ends them.
 	Resumable bool
+	// Class is the priority class.
+	Class int
 }
 
 // Begin counts a request in. The parts of its chain are taken as cached from now on.
@@ -66,11 +68,17 @@
 		s.resumable++
 	}
 	s.heldTokens += load.HeldTokens
+	s.classes[t.class()].add(ClassLoad{Inflight: 1, PrefillTokens: load.UncachedTokens, HeldTokens: load.HeldTokens}, 1)
+	if load.PromptTokens > 0 {
+		f.profile(s.target.Service).add(load, now)
+	}
 	s.capacity = load.Capacity
 	s.unsharedParts = append(s.unsharedParts, s.recordChain(load.Chain)...)
 	return t
 }
 
+func (t *ActiveRequest) class() int { return PriorityClass(t.load.Class) }
+
 // FirstEvent records the first event of the response: the prompt has been prefilled.
 func (t *ActiveRequest) FirstEvent(now time.Time) {
 	t.fleet.mu.Lock()
@@ -97,6 +105,7 @@
 	if t.state != nil && !t.firstAt.IsZero() {
 		e := t.fleet.engine(t.state.target.Service)
 		e.ObserveRun(t.load.MaxOutputTokens, now.Sub(t.firstAt), now)
+		e.ObserveClassRun(t.class(), t.load.MaxOutputTokens, now.Sub(t.firstAt), now)
 		e.ObserveMemoryHold(t.load.HeldTokens, now.Sub(t.began), now)
 	}
 }
@@ -104,6 +113,7 @@
 func (t *ActiveRequest) prefillDone() {
 	if t.state != nil {
 		t.state.prefillTokens -= t.pendingPrefill
+		t.state.classes[t.class()].PrefillTokens -= t.pendingPrefill
 	}
 	t.pendingPrefill = 0
 }
@@ -125,4 +135,5 @@
 		t.state.resumable--
 	}
 	t.state.heldTokens -= t.load.HeldTokens
+	t.state.classes[t.class()].add(ClassLoad{Inflight: 1, HeldTokens: t.load.HeldTokens}, -1)
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -49,6 +49,9 @@
 	// long and light are set by Choose; see isLong and isLight.
 	long  bool
 	light bool
+	// targets is how many targets the service has that could take the request; set by
+	// Choose.
+	targets int
 }
 
 // Choice is the target chosen for one request.
@@ -130,13 +133,14 @@
 		return Choice{}, false
 	}
 	indices = responsive(g, indices)
+	q.targets = len(indices)
 	if q.Isolate && !f.disabled[policy.SuspectIsolation] {
 		if c, ok := f.chooseIsolated(q, g, indices, now); ok {
 			return c, true
 		}
 	}
 	if q.Model == "" {
-		return f.chooseLeastLoaded(g, indices, now), true
+		return f.chooseLeastLoaded(q, g, indices, now), true
 	}
 	q.long, q.light = f.isLong(q), f.isLight(q, now)
 	if q.long {
@@ -186,17 +190,17 @@
 }
 
 // chooseLeastLoaded picks the target with the least expected wait.
-func (f *Fleet) chooseLeastLoaded(g *group, indices []int32, now time.Time) Choice {
+func (f *Fleet) chooseLeastLoaded(q Query, g *group, indices []int32, now time.Time) Choice {
 	best, bestCost := g.states[indices[0]], time.Duration(-1)
 	for _, i := range indices {
 		s := g.states[i]
-		cost := f.queueWait(s, now) + s.health.Penalty(now) + f.linkCost(s)
+		cost := f.queueWait(q, s, now) + s.health.Penalty(now) + f.linkCost(s)
 		cost += time.Duration(s.inflight) * time.Millisecond
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	return Choice{Target: best.target, Wait: f.queueWait(best, now)}
+	return Choice{Target: best.target, Wait: f.queueWait(q, best, now)}
 }
 
 // chooseIsolated picks the target with the fewest requests for a request that may crash
@@ -216,10 +220,10 @@
 		rest = indices
 	}
 	best := slices.MinFunc(rest, func(a, b int32) int {
-		return g.states[a].requestCount(now) - g.states[b].requestCount(now)
+		return f.requestCount(g.states[a], now) - f.requestCount(g.states[b], now)
 	})
 	if q.Model == "" {
-		return f.chooseLeastLoaded(g, []int32{best}, now), true
+		return f.chooseLeastLoaded(q, g, []int32{best}, now), true
 	}
 	return f.newChoice(q, g.states[best], map[int64]prefix.Chain{}, fetch{}, now), true
 }
@@ -355,15 +359,15 @@
 
 // requestCount returns how many requests a target has: the higher of what the processes
 // reported and what the target did.
-func (s *targetState) requestCount(now time.Time) int {
-	return max(s.totalOccupancy(now).Inflight, s.reportedRequests(now))
+func (f *Fleet) requestCount(s *targetState, now time.Time) int {
+	return max(s.totalOccupancy(now).Inflight, f.reportedRequests(s, now))
 }
 
 // reportedRequests returns how many requests a target has by its own last report, plus
 // what this process sent since. A reported queue counts until it is likely worked off:
 // with a hundred processes, each learns of a full target only when it is turned away
 // there, and would be again a moment later.
-func (s *targetState) reportedRequests(now time.Time) int {
+func (f *Fleet) reportedRequests(s *targetState, now time.Time) int {
 	age := now.Sub(s.loadAt)
 	queue := s.load.Running + s.load.Waiting - s.target.Slots
 	remaining := s.load.Running + s.load.Waiting
@@ -371,7 +375,7 @@
 		if queue <= 0 {
 			return 0
 		}
-		remaining -= int(int64(s.target.Slots) * int64(age) / int64(meanSlotTime))
+		remaining -= int(int64(s.target.Slots) * int64(age) / int64(max(1, f.slotTime(s, s.totalOccupancy(now), now))))
 	}
 	return s.inflight + max(0, remaining-s.inflightAtLoad)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,6 +34,8 @@
 	resumable int
 	// heldTokens is the memory that this process's requests hold at the target, in tokens.
 	heldTokens int
+	// classes has inflight, prefillTokens and heldTokens by priority class.
+	classes [PriorityClasses]ClassLoad
 	// peerLoads is the load that each other process of this one's peering group reported,
 	// groupLoads the combined load of each other peering group.
 	peerLoads  map[string]timedOccupancy
@@ -85,7 +87,9 @@
 	byAddress map[string]*targetState
 	desired   map[string]*desiredHistory
 	// engines are the latency estimators by service.
-	engines  map[string]*forecast.Estimator
+	engines map[string]*forecast.Estimator
+	// profiles are the sizes of this process's requests by service.
+	profiles map[string]*classProfile
 	members  members
 	zone     string
 	disabled policy.Disabled
@@ -126,6 +130,7 @@
 		byAddress:   map[string]*targetState{},
 		desired:     map[string]*desiredHistory{},
 		engines:     map[string]*forecast.Estimator{},
+		profiles:    map[string]*classProfile{},
 		peerReports: map[string]*peerReport{},
 		shutdowns:   map[string]shutdown{},
 		retained:    map[string]retainedState{},
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -22,6 +22,39 @@
 	PrefillTokens int
 	// HeldTokens is the memory that the requests hold, in tokens.
 	HeldTokens int
+	// Classes is the load by priority class. What is missing there of the totals was
+	// reported without classes and counts for requests of every class.
+	Classes [PriorityClasses]ClassLoad
+}
+
+// ClassLoad is the part of a load that requests of one priority class cause.
+type ClassLoad struct {
+	Inflight      int
+	PrefillTokens int
+	HeldTokens    int
+}
+
+func (c *ClassLoad) add(other ClassLoad, sign int) {
+	c.Inflight += sign * other.Inflight
+	c.PrefillTokens += sign * other.PrefillTokens
+	c.HeldTokens += sign * other.HeldTokens
+}
+
+// upTo returns the load of a class, of more urgent ones, and of requests whose class is
+// unknown.
+func (o Occupancy) upTo(class int) ClassLoad {
+	sum := ClassLoad{Inflight: o.Inflight, PrefillTokens: o.PrefillTokens, HeldTokens: o.HeldTokens}
+	for _, c := range o.Classes[min(class+1, PriorityClasses):] {
+		sum.add(c, -1)
+	}
+	return ClassLoad{Inflight: max(0, sum.Inflight), PrefillTokens: max(0, sum.PrefillTokens), HeldTokens: max(0, sum.HeldTokens)}
+}
+
+// byClass returns the load by class, with that of unknown class in the most urgent.
+func (o Occupancy) byClass() [PriorityClasses]ClassLoad {
+	out := o.Classes
+	out[0] = o.upTo(0)
+	return out
 }
 
 // occupancyTTL is for how long a load report of another process counts. It outlasts a few
@@ -36,7 +69,7 @@
 	var out []Occupancy
 	for _, s := range f.states {
 		if s.inflight > 0 {
-			out = append(out, Occupancy{Target: s.target.Instance(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens})
+			out = append(out, Occupancy{Target: s.target.Instance(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens, Classes: s.classes})
 		}
 	}
 	slices.SortFunc(out, func(a, b Occupancy) int {
@@ -147,7 +180,7 @@
 
 // groupOccupancy returns the load that this process's group has at a target.
 func (s *targetState) groupOccupancy(now time.Time) Occupancy {
-	total := Occupancy{Target: s.target.Instance(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens}
+	total := Occupancy{Target: s.target.Instance(), Inflight: s.inflight, Long: s.long, Resumable: s.resumable, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens, Classes: s.classes}
 	for _, o := range s.peerLoads {
 		total.add(o, now)
 	}
@@ -164,6 +197,9 @@
 	o.Resumable += t.load.Resumable
 	o.PrefillTokens += t.load.PrefillTokens
 	o.HeldTokens += t.load.HeldTokens
+	for i, c := range t.load.Classes {
+		o.Classes[i].add(c, 1)
+	}
 }
 
 // EstimateHeldTokens estimates how many tokens of a target's memory a run holds if some
@@ -174,14 +210,14 @@
 }
 
 // memoryWait returns how long a run that will hold so many tokens is expected to wait for
-// memory at a target with a load: held memory is assumed to be released evenly over the
-// mean time that runs hold theirs.
-func (f *Fleet) memoryWait(q Query, load Occupancy, needs int, now time.Time) time.Duration {
-	over := load.HeldTokens + needs - q.Capacity
-	if q.Capacity <= 0 || over <= 0 || load.HeldTokens <= 0 || f.disabled[policy.MemoryBackpressure] {
+// memory at a target where runs that it does not displace hold so many: held memory is
+// assumed to be released evenly over the mean time that runs hold theirs.
+func (f *Fleet) memoryWait(q Query, held, needs int, now time.Time) time.Duration {
+	over := held + needs - q.Capacity
+	if q.Capacity <= 0 || over <= 0 || held <= 0 || f.disabled[policy.MemoryBackpressure] {
 		return 0
 	}
-	return time.Duration(float64(over) / float64(load.HeldTokens) * float64(f.engine(q.Service).MeanMemoryHold()))
+	return time.Duration(float64(over) / float64(held) * float64(f.engine(q.Service).MeanMemoryHold()))
 }
 
 // packedMemoryShare is the fraction of a target's memory that long runs may fill where
--- a/fleet/occupancy_test.go
+++ b/fleet/occupancy_test.go
@@ -172,7 +172,7 @@
 		capacity, held, needs int
 		waits                 bool
 	}{{0, 1 << 40, 9000, false}, {72000, 60000, 9000, false}, {72000, 70000, 9000, true}, {72000, 0, 90000, false}} {
-		wait := f.memoryWait(Query{Service: "lm", Capacity: c.capacity}, Occupancy{HeldTokens: c.held}, c.needs, start)
+		wait := f.memoryWait(Query{Service: "lm", Capacity: c.capacity}, c.held, c.needs, start)
 		if (wait > 0) != c.waits || wait > time.Second {
 			t.Errorf("%+v: %v", c, wait)
 		}
--- a/fleet/packing.go
+++ b/fleet/packing.go
@@ -72,7 +72,7 @@
 		long := s.totalOccupancy(now).Long
 		room := min(full-float64(long), f.memoryRoom(q, s.totalOccupancy(now)))
 		switch {
-		case room <= 0 || f.queueWait(s, now) > 0:
+		case room <= 0 || f.queueWait(q, s, now) > 0:
 		case long > 0:
 			begun = append(begun, targetRoom{s, room})
 		default:
--- a/forecast/estimator.go
+++ b/forecast/estimator.go
@@ -85,6 +85,8 @@
 	// slotHold is the time that runs held their slots after the first token, per token that
 	// they were allowed to generate.
 	slotHold TimePerToken
+	// classHold is slotHold by priority class.
+	classHold [ClassCount]TimePerToken
 	// memoryHold is the time that runs held memory, weighted by tokens.
 	memoryHold TimePerToken
 	// offered is the load that arrives at this process, as of offeredAt; firstArrival is
@@ -100,6 +102,7 @@
 type peerReport struct {
 	sums        Sums
 	slotHold    TimePerToken
+	classHold   [ClassCount]TimePerToken
 	offeredLoad OfferedLoad
 	receivedAt  time.Time
 	fromGroup   bool
@@ -176,6 +179,9 @@
 	e.local.scale(factor)
 	e.memoryHold.scale(factor)
 	e.slotHold.scale(factor)
+	for i := range e.classHold {
+		e.classHold[i].scale(factor)
+	}
 	e.agedAt = now
 }
 
--- a/node/digest.go
+++ b/node/digest.go
@@ -186,7 +186,7 @@
 		}
 	}
 	r.sentTargets[l.group] = current
-	used := len(update.Loads) * pulses.GroupLoadBytes
+	used := len(update.Loads) * pulses.GroupLoadBytes(update.Loads)
 	used += update.TruncateTo(max(l.budget-used, l.budget/2))
 	r.overdraft[l.group] = max(0, used-l.budget)
 	return update
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,12 @@
 	CandidateSampling Mechanism = "few-compared"
 	// WaitRefusal refuses requests whose expected wait is too long.
 	WaitRefusal Mechanism = "refusing"
+	// LearnedSlotTime uses the observed time for which requests hold a slot in place of a
+	// constant when the wait for a slot is estimated.
+	LearnedSlotTime Mechanism = "slot-times"
+	// PriorityWaits counts only the load of a request's own and more urgent priority
+	// classes in its expected wait.
+	PriorityWaits Mechanism = "class-waits"
 	// LightWaitAllowance lets requests with a short prefill wait longer before they are
 	// refused.
 	LightWaitAllowance Mechanism = "light-waits"
@@ -65,7 +71,7 @@
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LearnedSlotTime, PriorityWaits, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -87,9 +88,11 @@
 			return &keelv1.Pulse{Sender: sender, Group: &keelv1.GroupNews{Group: group.Group, Groups: group.Groups}}
 		}
 		pack = newPacker(newMessage(), newMessage)
-		for from := 0; from < len(u.Loads); from += groupLoadsPerDatagram {
-			batch := u.Loads[from:min(len(u.Loads), from+groupLoadsPerDatagram)]
-			pack.reserve(len(batch) * GroupLoadBytes)
+		loadBytes := GroupLoadBytes(u.Loads)
+		perDatagram := groupDatagramBytes / loadBytes
+		for from := 0; from < len(u.Loads); from += perDatagram {
+			batch := u.Loads[from:min(len(u.Loads), from+perDatagram)]
+			pack.reserve(len(batch) * loadBytes)
 			addGroupLoads(pack.message.Group, batch)
 		}
 	}
@@ -118,9 +121,9 @@
 	return pack.finish()
 }
 
-// groupLoadsPerDatagram is how many target loads fill one datagram of a group's update,
-// including its header.
-const groupLoadsPerDatagram = 50
+// groupDatagramBytes is how many bytes of target loads fill one datagram of a group's
+// update, besides its header.
+const groupDatagramBytes = 1100
 
 func addGroupLoads(g *keelv1.GroupNews, loads []fleet.Occupancy) {
 	for _, o := range loads {
@@ -132,6 +135,52 @@
 		g.Resumable = append(g.Resumable, uint32(o.Resumable))
 		g.Held = append(g.Held, uint32(max(0, o.HeldTokens)))
 	}
+	if hasClasses(loads) {
+		for _, o := range loads {
+			g.ClassInflight, g.ClassPrefillTokens, g.ClassHeld = appendClasses(o, g.ClassInflight, g.ClassPrefillTokens, g.ClassHeld)
+		}
+	}
+}
+
+// hasClasses reports whether the classes of loads must be sent. Load of the most urgent
+// class counts for requests of every class, as load of unknown class does, so deployments
+// that use one class send none.
+func hasClasses(loads []fleet.Occupancy) bool {
+	return slices.ContainsFunc(loads, func(o fleet.Occupancy) bool {
+		return slices.ContainsFunc(o.Classes[1:], func(c fleet.ClassLoad) bool { return c != fleet.ClassLoad{} })
+	})
+}
+
+func appendClasses(o fleet.Occupancy, inflight, prefill, held []uint32) (i, p, h []uint32) {
+	for _, c := range o.Classes {
+		inflight = append(inflight, uint32(max(0, c.Inflight)))
+		prefill = append(prefill, uint32(max(0, c.PrefillTokens)))
+		held = append(held, uint32(max(0, c.HeldTokens)))
+	}
+	return inflight, prefill, held
+}
+
+// trimZeros returns the list without the zeros at its end.
+func trimZeros(list []uint32) []uint32 {
+	for len(list) > 0 && list[len(list)-1] == 0 {
+		list = list[:len(list)-1]
+	}
+	return list
+}
+
+// decodeClasses decodes the classes of the load at index i. Figures that are missing, as in
+// a datagram of an earlier version, are 0: the totals then count for every class.
+func decodeClasses(i int, inflight, prefill, held []uint32) (out [fleet.PriorityClasses]fleet.ClassLoad) {
+	figure := func(list []uint32, k int) int {
+		if at := i*fleet.PriorityClasses + k; at < len(list) {
+			return int(list[at])
+		}
+		return 0
+	}
+	for k := range out {
+		out[k] = fleet.ClassLoad{Inflight: figure(inflight, k), PrefillTokens: figure(prefill, k), HeldTokens: figure(held, k)}
+	}
+	return out
 }
 
 // DecodeGroupLoads decodes the parallel lists of target loads. Where the lists differ
@@ -143,6 +192,7 @@
 		out = append(out, fleet.Occupancy{
 			Target: fleet.Instance{ID: g.Target[i], Born: g.Born[i]}, Inflight: int(g.Inflight[i]), Long: int(g.Long[i]),
 			PrefillTokens: int(g.PrefillTokens[i]), Resumable: int(g.Resumable[i]), HeldTokens: int(g.Held[i]),
+			Classes: decodeClasses(i, g.ClassInflight, g.ClassPrefillTokens, g.ClassHeld),
 		})
 	}
 	return out
@@ -151,10 +201,15 @@
 func encodeLoads(loads []fleet.Occupancy) []*keelv1.TargetLoad {
 	out := make([]*keelv1.TargetLoad, 0, len(loads))
 	for _, o := range loads {
-		out = append(out, &keelv1.TargetLoad{
+		w := &keelv1.TargetLoad{
 			Target: o.Target.ID, Born: o.Target.Born, Inflight: uint32(o.Inflight), Long: uint32(o.Long),
 			PrefillTokens: uint32(max(0, o.PrefillTokens)), Resumable: uint32(o.Resumable), Held: uint32(max(0, o.HeldTokens)),
-		})
+		}
+		if hasClasses([]fleet.Occupancy{o}) {
+			inflight, prefill, held := appendClasses(o, nil, nil, nil)
+			w.ClassInflight, w.ClassPrefillTokens, w.ClassHeld = trimZeros(inflight), trimZeros(prefill), trimZeros(held)
+		}
+		out = append(out, w)
 	}
 	return out
 }
@@ -164,6 +219,7 @@
 	for _, w := range all {
 		out = append(out, fleet.Occupancy{
 			Target: fleet.Instance{ID: w.Target, Born: w.Born}, Inflight: int(w.Inflight), Long: int(w.Long), PrefillTokens: int(w.PrefillTokens), Resumable: int(w.Resumable), HeldTokens: int(w.Held),
+			Classes: decodeClasses(0, w.ClassInflight, w.ClassPrefillTokens, w.ClassHeld),
 		})
 	}
 	return out
@@ -284,6 +340,10 @@
 			Light: float32(report.OfferedLoad.Light), Heavy: float32(report.OfferedLoad.Heavy), Heavies: float32(report.OfferedLoad.HeavyRate), Longs: float32(report.OfferedLoad.LongRate),
 			RunSeconds: float32(report.SlotHold.Seconds), RunTokens: float32(report.SlotHold.Tokens),
 		}
+		for _, hold := range report.ClassHold {
+			w.ClassRunSeconds = append(w.ClassRunSeconds, float32(hold.Seconds))
+			w.ClassRunTokens = append(w.ClassRunTokens, float32(hold.Tokens))
+		}
 		for _, x := range report.Sums.Cross {
 			w.Cross = append(w.Cross, float32(x))
 		}
@@ -311,6 +371,11 @@
 		if len(w.Cross) != len(report.Sums.Cross) || len(w.Right) != len(report.Sums.Right) {
 			continue
 		}
+		for i := range min(len(report.ClassHold), len(w.ClassRunSeconds), len(w.ClassRunTokens)) {
+			if isAmount(w.ClassRunSeconds[i]) && isAmount(w.ClassRunTokens[i]) {
+				report.ClassHold[i] = forecast.TimePerToken{Seconds: float64(w.ClassRunSeconds[i]), Tokens: float64(w.ClassRunTokens[i])}
+			}
+		}
 		report.Sums.Weight = float64(w.Weight)
 		for i, x := range w.Cross {
 			report.Sums.Cross[i] = float64(x)
@@ -323,9 +388,17 @@
 	return out
 }
 
-// GroupLoadBytes is the approximate encoded size of one target's load in a group's
+// isAmount reports whether x is finite and not negative.
+func isAmount(x float32) bool { return x >= 0 && !math.IsInf(float64(x), 1) }
+
+// GroupLoadBytes returns the approximate encoded size of one target's load in a group's
 // update.
-const GroupLoadBytes = 22
+func GroupLoadBytes(loads []fleet.Occupancy) int {
+	if hasClasses(loads) {
+		return 54
+	}
+	return 22
+}
 
 // PartBytes is the approximate encoded size of one prompt part: its hash and its token
 // count.
--- a/router/session.go
+++ b/router/session.go
@@ -217,6 +217,7 @@
 		Long:            choice.Long,
 		HeldTokens:      fleet.EstimateHeldTokens(s.in.InputTokens, choice.CachedTokens, s.in.MaxOutputTokens),
 		// The attempt that starts now counts as an execution.
+		Class:     fleet.PriorityClass(s.in.priority()),
 		Resumable: s.in.route.Repeatable() && s.executions+1 < s.in.route.Attempts && s.attempts < retry.MaxAttempts,
 	}
 }
