Read targets' slowdown and learn their lasting speed

Cause: a Server-Load header with a fourth figure was dropped whole, and all targets of a service counted as equally fast.

It is trusted for 300 ms and fades within another 300 ms. Updates to other processes contain it with its age while it is over 1.3, and its end once; relayed updates add the time of the relay to the age. The lasting speed of an instance is learnt from first tokens, with a prior worth ten samples, relative to the mean of the service, and shared as new samples only, since updates have no sender by which totals could be replaced. Samples for the service's own figures are normalised by both. Expected waits, prefill and base time of a choice are scaled by both; a slowdown is assumed to last 300 ms more, so work of seconds is not kept away. Fleet.Capacity is the sum of the usable targets' current speeds. Switches: speeds, slowdowns.

--- a/fleet/active_request.go
+++ b/fleet/active_request.go
@@ -20,6 +20,10 @@
 	backlog int
 	began   time.Time
 	firstAt time.Time
+	// pace is the target's pace at began; crowded is set if the request had to wait there for
+	// a slot or for memory, so that its first token says nothing of the target's speed.
+	pace    Pace
+	crowded bool
 	done    bool
 	// charge is the request's charge against its target's limit.
 	charge *quota.Charge
@@ -54,7 +58,8 @@
 	if s == nil {
 		return &ActiveRequest{fleet: f}
 	}
-	t := &ActiveRequest{fleet: f, state: s, load: load, pendingPrefill: load.UncachedTokens, backlog: s.totalOccupancy(now).PrefillTokens, began: now}
+	t := &ActiveRequest{fleet: f, state: s, load: load, pendingPrefill: load.UncachedTokens, backlog: s.totalOccupancy(now).PrefillTokens, began: now, pace: f.pace(s, now)}
+	t.crowded = s.crowded(load, now)
 	s.inflight++
 	t.charge = f.chargeLimit(s, now)
 	s.backoff.noteSent(now)
@@ -82,7 +87,7 @@
 	t.prefillDone()
 	if t.load.PromptTokens > 0 && !t.fleet.disabled[policy.Learning] {
 		sample := forecast.PrefillSample{UncachedTokens: t.load.UncachedTokens, PromptTokens: t.load.PromptTokens, QueuedTokens: t.backlog, Transferred: t.load.Transfer, TimeToFirstToken: now.Sub(t.began)}
-		t.fleet.engine(t.state.target.Service).ObservePrefill(sample, now)
+		t.fleet.engine(t.state.target.Service).ObservePrefill(t.fleet.observeSpeed(t, sample, now), now)
 	}
 }
 
@@ -96,8 +101,8 @@
 	defer t.fleet.mu.Unlock()
 	if t.state != nil && !t.firstAt.IsZero() {
 		e := t.fleet.engine(t.state.target.Service)
-		e.ObserveRun(t.load.MaxOutputTokens, now.Sub(t.firstAt), now)
-		e.ObserveMemoryHold(t.load.HeldTokens, now.Sub(t.began), now)
+		e.ObserveRun(t.load.MaxOutputTokens, t.pace.usual(now.Sub(t.firstAt)), now)
+		e.ObserveMemoryHold(t.load.HeldTokens, t.pace.usual(now.Sub(t.began)), now)
 	}
 }
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -71,6 +71,8 @@
 	FirstToken time.Duration
 	// PrefillTime is the expected time to prefill the tokens that are not cached.
 	PrefillTime time.Duration
+	// Pace is the target's pace as the choice assumed it.
+	Pace Pace
 	// Reliable is set if FirstToken rests on enough samples to refuse a request because
 	// of it.
 	Reliable bool
@@ -190,13 +192,16 @@
 	best, bestCost := g.states[indices[0]], time.Duration(-1)
 	for _, i := range indices {
 		s := g.states[i]
-		cost := f.queueWait(s, now) + s.health.Penalty(now) + f.linkCost(s)
-		cost += time.Duration(s.inflight) * time.Millisecond
+		// The millisecond for each of this process's requests, and for this one, spreads
+		// requests over idle targets by their pace.
+		work := f.queueWait(s, now) + time.Duration(s.inflight+1)*time.Millisecond
+		cost := f.pace(s, now).Stretch(work) + s.health.Penalty(now) + f.linkCost(s)
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	return Choice{Target: best.target, Wait: f.queueWait(best, now)}
+	pace := f.pace(best, now)
+	return Choice{Target: best.target, Wait: pace.Stretch(f.queueWait(best, now)), Pace: pace}
 }
 
 // chooseIsolated picks the target with the fewest requests for a request that may crash
@@ -269,7 +274,7 @@
 func (f *Fleet) fillEstimates(c *Choice, q Query, a placement.Estimate, tokens int, now time.Time) {
 	e := f.engine(q.Service)
 	c.Wait = time.Duration(a.WaitSeconds * float64(time.Second))
-	c.FirstToken = e.BaseLatency(now) + time.Duration(placement.TimeToFirstToken(a, tokens)*float64(time.Second))
+	c.FirstToken = c.Pace.Stretch(e.BaseLatency(now)) + time.Duration(placement.TimeToFirstToken(a, tokens)*float64(time.Second))
 	c.PrefillTime = e.PrefillTime(max(0, tokens-a.CachedTokens), tokens, now)
 	c.Reliable = e.HasEnoughSamples()
 	e.ObserveArrival(c.PrefillTime, q.light, now)
@@ -291,7 +296,7 @@
 // computed once for each version of the weights and kept in chains.
 func (f *Fleet) newChoice(q Query, s *targetState, chains map[int64]prefix.Chain, from fetch, now time.Time) Choice {
 	weights := s.version(q.Model)
-	c := Choice{Target: s.target, Model: q.Model, WeightsVersion: weights, Chain: q.chainFor(chains, weights), Long: q.long}
+	c := Choice{Target: s.target, Model: q.Model, WeightsVersion: weights, Chain: q.chainFor(chains, weights), Long: q.long, Pace: f.pace(s, now)}
 	c.SharedTokens = sharedTokens(c.Chain)
 	c.CachedTokens = s.cache.cachedTokens(c.Chain)
 	c.Source, c.FetchTokens, c.Transfer = from.source, from.tokens, from.transfer
@@ -335,10 +340,14 @@
 		a.NetworkSeconds += f.crossDataCentreFetchCost(q, chain, s, cached).Seconds()
 	}
 	a.NetworkSeconds += evictionCostFactor * e.BacklogTime(from.tokens, now).Seconds()
+	pace := f.pace(s, now)
+	wait := f.expectedWait(q, s, cached, now)
 	if missing := chain.Tokens - a.CachedTokens; missing > 0 {
-		a.PrefillRate = float64(missing) / e.PrefillTime(missing, chain.Tokens, now).Seconds()
+		prefill := pace.Stretch(wait+e.PrefillTime(missing, chain.Tokens, now)) - pace.Stretch(wait)
+		a.PrefillRate = float64(missing) / prefill.Seconds()
 	}
-	a.WaitSeconds = (e.TransferTime(from.transfer, now) + f.expectedWait(q, s, cached, now)).Seconds()
+	a.WaitSeconds = (e.TransferTime(from.transfer, now) + pace.Stretch(wait)).Seconds()
+	a.PenaltySeconds += (pace.Stretch(e.BaseLatency(now)) - e.BaseLatency(now)).Seconds()
 	if f.desired[q.Model].staleFor(weights, now) > staleWeightsGrace {
 		a.PenaltySeconds += staleWeightsCost.Seconds()
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,8 @@
 	observedBusyUntil time.Time
 	limit             limitState
 	backoff           backoffState
+	speed             speedState
+	slowdown          slowdownState
 	// shutdownAt is when the target's shutdown became known, shutdownObservedAt when the
 	// target last announced it to this process.
 	shutdownAt         time.Time
@@ -84,11 +86,13 @@
 	// byAddress are the states by address.
 	byAddress map[string]*targetState
 	desired   map[string]*desiredHistory
-	// engines are the latency estimators by service.
-	engines  map[string]*forecast.Estimator
-	members  members
-	zone     string
-	disabled policy.Disabled
+	// engines are the latency estimators by service, serviceSpeeds what is computed from the
+	// speeds of each service's targets.
+	engines       map[string]*forecast.Estimator
+	serviceSpeeds map[string]*serviceSpeeds
+	members       members
+	zone          string
+	disabled      policy.Disabled
 	// peerReports are the processes of the peering group that reported their load recently.
 	peerReports map[string]*peerReport
 	// peerInterval is the interval between load reports of the other processes of the peering
@@ -129,7 +133,9 @@
 		peerReports: map[string]*peerReport{},
 		shutdowns:   map[string]shutdown{},
 		retained:    map[string]retainedState{},
-		zone:        zone,
+
+		serviceSpeeds: map[string]*serviceSpeeds{},
+		zone:          zone,
 	}
 }
 
@@ -383,6 +389,9 @@
 	defer f.mu.Unlock()
 	if s := f.lookup(l); s != nil {
 		s.load, s.loadAt, s.inflightAtLoad = load, now, s.inflight
+		if load.Slowdown > 0 {
+			s.slowdown.record(load.Slowdown, now)
+		}
 	}
 }
 
--- /dev/null
+++ b/fleet/speed.go
@@ -0,0 +1,315 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"acaciakeel/forecast"
+	"acaciakeel/health"
+	"acaciakeel/policy"
+)
+
+// Targets of one service differ in speed. The lasting part is learnt for each instance from
+// observed times; the current slowdown is what the target reports about itself. Both scale
+// the times that are expected of a choice. What is learnt of the service itself is
+// normalised by them, or requests at slow targets would make all targets seem slow.
+
+// Bounds of speeds and slowdowns.
+const (
+	// minSpeed and maxSpeed bound the learnt speed. Targets of one service differ by less
+	// than three times (docs/design/scarce-capacity.md), so a ratio beyond these bounds
+	// shows queueing or cached prompts rather than speed.
+	minSpeed, maxSpeed = 0.25, 4
+	// speedPriorWeight is the number of samples that the assumption of equal speeds is
+	// worth: below it a few delayed responses would decide where requests go.
+	speedPriorWeight = 10
+	// maxSpeedWeight bounds the weight of earlier samples, so that a change of speed shows
+	// after about as many more.
+	maxSpeedWeight = 100
+	// slowdownTTL is for how long a reported slowdown is trusted. Slow periods take about
+	// 600 ms, so a report is at a random time of one with 300 ms left on average.
+	slowdownTTL = 300 * time.Millisecond
+	// slowdownFade is the time after slowdownTTL within which the slowdown returns to 1.
+	slowdownFade = 300 * time.Millisecond
+	// minSharedSlowdown is the slowdown from which it is shared with other processes: less
+	// changes no choice by more than the noise of the times.
+	minSharedSlowdown = 1.3
+	// speedShareInterval is the least time between two updates that contain a target's
+	// speed.
+	speedShareInterval = 500 * time.Millisecond
+	// outlierRatio is the ratio to the present value from which a sample weighs less: more
+	// than between the fastest and the usual targets.
+	outlierRatio = 2
+	// maxReportedSamples bounds the samples taken over from one update of another process.
+	maxReportedSamples = 20
+	// capacityTTL is for how long a service's capacity is not computed again.
+	capacityTTL = 50 * time.Millisecond
+	// paceTTL is for how long the mean of a service's speeds is not computed again.
+	paceTTL = 100 * time.Millisecond
+)
+
+// slowdownState is how long work takes at a target at present, relative to its usual time,
+// as the target reported it at a time; a factor of 0 means that it reported none.
+type slowdownState struct {
+	factor float64
+	at     time.Time
+	// observed is the last report to this process itself, sharedUntil until when updates
+	// include it: also its end is shared, while others may still assume the slowdown.
+	observed    float64
+	observedAt  time.Time
+	sharedUntil time.Time
+}
+
+// current returns the slowdown at a time; 1 is the usual.
+func (w *slowdownState) current(now time.Time) float64 {
+	age := now.Sub(w.at)
+	switch {
+	case w.factor <= 0 || age >= slowdownTTL+slowdownFade:
+		return 1
+	case age <= slowdownTTL:
+		return w.factor
+	}
+	rest := float64(slowdownTTL+slowdownFade-age) / float64(slowdownFade)
+	return 1 + (w.factor-1)*rest
+}
+
+// record applies a target's report to this process.
+func (w *slowdownState) record(factor float64, now time.Time) {
+	w.merge(factor, now)
+	w.observed, w.observedAt = factor, now
+	if factor > minSharedSlowdown {
+		w.sharedUntil = now.Add(slowdownTTL + slowdownFade)
+	}
+}
+
+// merge applies a report unless a newer one is known.
+func (w *slowdownState) merge(factor float64, at time.Time) {
+	if at.After(w.at) {
+		w.factor, w.at = factor, at
+	}
+}
+
+// speedState is what is known of a target's lasting speed: the mean logarithm of observed to
+// predicted times, by weight.
+type speedState struct {
+	sum    float64
+	weight float64
+	// unsharedSum and unsharedWeight are this process's samples since the last update to the
+	// other processes, at sharedAt.
+	unsharedSum, unsharedWeight float64
+	sharedAt                    time.Time
+}
+
+// add adds samples with the given mean ratio of observed to predicted time.
+func (w *speedState) add(ratio, weight float64) {
+	if over := w.weight + weight; over > maxSpeedWeight {
+		keep := max(0, maxSpeedWeight-weight) / w.weight
+		w.sum, w.weight = w.sum*keep, w.weight*keep
+	}
+	w.sum += weight * boundedLog(ratio)
+	w.weight += weight
+}
+
+// observe adds a sample of this process. One that is off the present value by a factor
+// beyond outlierRatio weighs less by the square of the excess: the request waited there, or
+// its prompt was cached.
+func (w *speedState) observe(ratio, weight float64) {
+	if off := math.Exp(math.Abs(math.Log(ratio) - w.logDuration())); off > outlierRatio {
+		weight *= (outlierRatio / off) * (outlierRatio / off)
+	}
+	w.add(ratio, weight)
+	w.unsharedSum += weight * boundedLog(ratio)
+	w.unsharedWeight += weight
+}
+
+// boundedLog returns the logarithm of a ratio of durations within the bounds of speeds.
+func boundedLog(ratio float64) float64 {
+	return math.Log(min(max(ratio, 1/maxSpeed), 1/minSpeed))
+}
+
+// logDuration returns the logarithm of how long work takes at the target.
+func (w *speedState) logDuration() float64 {
+	return w.sum / (w.weight + speedPriorWeight)
+}
+
+// takeShare returns the samples of this process since the last update, once there is at
+// least one and speedShareInterval has passed.
+func (w *speedState) takeShare(now time.Time) (speed float64, samples int) {
+	if w.unsharedWeight < 1 || now.Sub(w.sharedAt) < speedShareInterval {
+		return 0, 0
+	}
+	speed, samples = math.Exp(-w.unsharedSum/w.unsharedWeight), int(math.Round(w.unsharedWeight))
+	w.unsharedSum, w.unsharedWeight, w.sharedAt = 0, 0, now
+	return speed, samples
+}
+
+// Pace is how long work takes at a target, relative to its service.
+type Pace struct {
+	// Duration is the lasting ratio, the inverse of the target's speed; Slowdown is the
+	// current ratio to that.
+	Duration float64
+	Slowdown float64
+}
+
+// usualPace is the pace of a target of which nothing is known.
+var usualPace = Pace{Duration: 1, Slowdown: 1}
+
+// Speed returns the target's lasting speed relative to its service.
+func (p Pace) Speed() float64 { return 1 / p.Duration }
+
+// Stretch returns how long work takes that starts now and would take usual at a target of
+// the service's speed. A slowdown is assumed to end after slowdownTTL: a target that is slow
+// for half a second must not be avoided by work of several seconds.
+func (p Pace) Stretch(usual time.Duration) time.Duration {
+	work := float64(usual) * p.Duration
+	if slow := work * p.Slowdown; slow <= float64(slowdownTTL) {
+		return time.Duration(slow)
+	}
+	return time.Duration(float64(slowdownTTL) + work - float64(slowdownTTL)/p.Slowdown)
+}
+
+// usual returns how long what took so long at the target would take at one of the service's
+// speed. The slowdown of a moment says little about a run of seconds and is left out.
+func (p Pace) usual(took time.Duration) time.Duration {
+	return time.Duration(float64(took) / p.Duration)
+}
+
+// serviceSpeeds is the mean of the speeds of a service's targets and their sum, as of a time.
+type serviceSpeeds struct {
+	meanLog    float64
+	meanAt     time.Time
+	capacity   float64
+	capacityAt time.Time
+}
+
+// pace returns a target's pace; the caller holds mu.
+func (f *Fleet) pace(s *targetState, now time.Time) Pace {
+	p := usualPace
+	if !f.disabled[policy.TargetSpeeds] {
+		p.Duration = math.Exp(s.speed.logDuration() - f.meanLogDuration(s.target.Service, now))
+		p.Duration = min(max(p.Duration, 1/float64(maxSpeed)), 1/minSpeed)
+	}
+	if !f.disabled[policy.TargetSlowdowns] {
+		p.Slowdown = s.slowdown.current(now)
+	}
+	return p
+}
+
+// meanLogDuration returns the mean of the learnt values of a service's targets. Speeds are
+// relative to it: without that, the speeds and the service's own figures could drift in
+// opposite directions with all predictions unchanged.
+func (f *Fleet) meanLogDuration(service string, now time.Time) float64 {
+	w := f.speeds(service)
+	if age := now.Sub(w.meanAt); !w.meanAt.IsZero() && age >= 0 && age < paceTTL {
+		return w.meanLog
+	}
+	w.meanLog, w.meanAt = 0, now
+	g := f.group(service)
+	if g == nil {
+		return 0
+	}
+	for _, s := range g.states {
+		w.meanLog += s.speed.logDuration() / float64(len(g.states))
+	}
+	return w.meanLog
+}
+
+func (f *Fleet) speeds(service string) *serviceSpeeds {
+	w := f.serviceSpeeds[service]
+	if w == nil {
+		w = &serviceSpeeds{}
+		f.serviceSpeeds[service] = w
+	}
+	return w
+}
+
+// Pace returns an instance's pace, the usual one if it is not known.
+func (f *Fleet) Pace(l Instance, now time.Time) Pace {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.lookup(l); s != nil {
+		return f.pace(s, now)
+	}
+	return usualPace
+}
+
+// Capacity returns the sum of the current speeds of a service's usable targets, in targets
+// of the service's usual speed: those that are not draining, dead, unresponsive, backing off
+// or kept busy by a load order. It is computed at most every capacityTTL.
+func (f *Fleet) Capacity(service string, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.speeds(service)
+	if age := now.Sub(w.capacityAt); !w.capacityAt.IsZero() && age >= 0 && age < capacityTTL {
+		return w.capacity
+	}
+	w.capacity, w.capacityAt = 0, now
+	g := f.group(service)
+	if g == nil {
+		return 0
+	}
+	var usable []int32
+	for i, s := range g.states {
+		if !s.target.Draining && s.health.State(now) != health.Dead && s.backoff.remaining(now) == 0 && !now.Before(s.busyUntil) {
+			usable = append(usable, int32(i))
+		}
+	}
+	for _, i := range responsive(g, usable) {
+		p := f.pace(g.states[i], now)
+		w.capacity += 1 / (p.Duration * p.Slowdown)
+	}
+	return w.capacity
+}
+
+// observeSpeed adds the time to first token of a request to what is learnt of its target,
+// and returns the sample as it would be at a target of the service's usual pace.
+func (f *Fleet) observeSpeed(t *ActiveRequest, sample forecast.PrefillSample, now time.Time) forecast.PrefillSample {
+	slowdown := (t.pace.Slowdown + f.pace(t.state, now).Slowdown) / 2
+	sample.TimeToFirstToken = time.Duration(float64(sample.TimeToFirstToken) / slowdown)
+	if ratio, weight := f.engine(t.state.target.Service).PrefillRatio(sample, now); weight > 0 && !t.crowded {
+		t.state.speed.observe(ratio, weight)
+	}
+	sample.TimeToFirstToken = t.pace.usual(sample.TimeToFirstToken)
+	return sample
+}
+
+// crowded reports whether one more request is likely to wait at a target for a slot or for
+// memory.
+func (s *targetState) crowded(load RequestLoad, now time.Time) bool {
+	if s.target.Slots > 0 && s.requestCount(now) >= s.target.Slots {
+		return true
+	}
+	return load.Capacity > 0 && float64(s.totalOccupancy(now).HeldTokens+load.HeldTokens) > packedMemoryShare*float64(load.Capacity)
+}
+
+// slowdownUpdate returns the slowdown that the target recently reported to this process, and
+// its age; 0 if the usual one need not be shared. Received reports are not passed on: they
+// would circulate.
+func (s *targetState) slowdownUpdate(now time.Time) (factor float64, age time.Duration) {
+	age = now.Sub(s.slowdown.observedAt)
+	if s.slowdown.observed <= 0 || age >= slowdownTTL+slowdownFade || !now.Before(s.slowdown.sharedUntil) {
+		return 0, 0
+	}
+	return s.slowdown.observed, age
+}
+
+// AgeUpdates adds the time since updates were collected or received to the ages in them, for
+// updates that are relayed.
+func AgeUpdates(all []TargetUpdate, now time.Time) {
+	for i := range all {
+		if w := &all[i]; !w.AsOf.IsZero() && now.After(w.AsOf) {
+			w.SlowdownAge += now.Sub(w.AsOf)
+			w.AsOf = now
+		}
+	}
+}
+
+// mergeSpeed applies what another process learnt of a target's speed and slowdown.
+func (s *targetState) mergeSpeed(update TargetUpdate, now time.Time) {
+	if update.Slowdown > 0 && update.SlowdownAge < slowdownTTL+slowdownFade {
+		s.slowdown.merge(update.Slowdown, now.Add(-max(0, update.SlowdownAge)))
+	}
+	if update.Speed > 0 && update.SpeedSamples > 0 {
+		s.speed.add(1/update.Speed, float64(min(update.SpeedSamples, maxReportedSamples)))
+	}
+}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -30,6 +30,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes there at present, relative to its usual time; 0 if the
+	// target does not report it.
+	Slowdown float64
 }
 
 // ErrTargetReplaced means that the address belongs to another target by now: the
--- a/fleet/target_updates.go
+++ b/fleet/target_updates.go
@@ -21,6 +21,16 @@
 	// ShuttingDown is set if the target recently announced its shutdown to the process
 	// itself.
 	ShuttingDown bool
+	// Slowdown is what the target recently reported to the process itself, SlowdownAge how
+	// long ago; 0 if there is none to share.
+	Slowdown    float64
+	SlowdownAge time.Duration
+	// Speed is the target's lasting speed relative to its service by the samples that the
+	// process took since its last update, SpeedSamples their number; 0 if there are none.
+	Speed        float64
+	SpeedSamples int
+	// AsOf is when the update was collected or received; ages are as of then.
+	AsOf time.Time
 }
 
 // Part is a part of a prompt.
@@ -40,14 +50,17 @@
 	defer f.mu.Unlock()
 	var out []TargetUpdate
 	for _, s := range f.states {
-		update := TargetUpdate{Target: s.target.Instance(), BusyFor: max(0, s.observedBusyUntil.Sub(now))}
+		update := TargetUpdate{Target: s.target.Instance(), BusyFor: max(0, s.observedBusyUntil.Sub(now)), AsOf: now}
 		weightsNew := now.Sub(s.weightsSeenAt) < updateRepeatFor
 		if s.restartUnshared {
 			s.restartUnshared, s.restartSharedAt = false, now
 		}
 		restarted := now.Sub(s.restartSharedAt) < updateRepeatFor
 		update.Limit, update.ShuttingDown = s.limitUpdate(now), s.sharesShutdown(now)
-		if update.BusyFor == 0 && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown {
+		update.Slowdown, update.SlowdownAge = s.slowdownUpdate(now)
+		update.Speed, update.SpeedSamples = s.speed.takeShare(now)
+		paceNew := update.Slowdown > 0 || update.SpeedSamples > 0
+		if update.BusyFor == 0 && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown && !paceNew {
 			continue
 		}
 		update.Parts, s.unsharedParts = s.unsharedParts, nil
@@ -70,7 +83,8 @@
 func (f *Fleet) MergeTargetUpdates(all []TargetUpdate, now time.Time) (result MergeResult) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, update := range all {
+	for i, update := range all {
+		all[i].AsOf = now
 		s := f.lookup(update.Target)
 		if s == nil {
 			continue
@@ -84,6 +98,7 @@
 		for _, p := range update.Parts {
 			s.cached.Use(p.Hash, p.Tokens, s.capacity)
 		}
+		s.mergeSpeed(update, now)
 		if c, changed := f.mergeLimit(s, update.Limit, now); changed {
 			result.Limits = append(result.Limits, c)
 		}
--- a/forecast/estimator.go
+++ b/forecast/estimator.go
@@ -130,6 +130,9 @@
 	// which a sample is used. Beyond it the time depends mostly on the queue, which other
 	// processes know better.
 	maxQueuedRatio = 1.0
+	// maxSpeedQueuedRatio is the same for samples of a target's speed: the queue of a slow
+	// target is counted in full though part of it is done, which hides that it is slow.
+	maxSpeedQueuedRatio = 0.2
 	// outlierFactor is the ratio to the prediction, up or down, from which the weight of a
 	// sample falls with the square: the target stood still, or had the prompt cached.
 	outlierFactor = 2.0
@@ -140,7 +143,7 @@
 
 // ObservePrefill adds the sample of one request up to its first token.
 func (e *Estimator) ObservePrefill(r PrefillSample, now time.Time) {
-	if r.TimeToFirstToken <= 0 || float64(r.QueuedTokens) > maxQueuedRatio*float64(r.UncachedTokens+r.Transferred.FromTarget+r.Transferred.FromStore) {
+	if !r.usable(maxQueuedRatio) {
 		return
 	}
 	features := r.features()
@@ -159,6 +162,23 @@
 	e.stale = true
 }
 
+// PrefillRatio returns the ratio of the observed to the predicted time of a sample, and its
+// weight as a sample of its target's speed; 0 if it says nothing of that. The noise of links
+// and timers does not depend on the target, so samples of short times weigh less.
+func (e *Estimator) PrefillRatio(r PrefillSample, now time.Time) (ratio, weight float64) {
+	if !e.HasEnoughSamples() || !r.usable(maxSpeedQueuedRatio) {
+		return 0, 0
+	}
+	expected := dot(e.current(now), r.features())
+	weight = expected / (expected + noiseFloor)
+	return r.TimeToFirstToken.Seconds() / max(expected, noiseFloor), weight * weight
+}
+
+// usable reports whether the queue before the request was at most the given ratio of it.
+func (r PrefillSample) usable(ratio float64) bool {
+	return r.TimeToFirstToken > 0 && float64(r.QueuedTokens) <= ratio*float64(r.UncachedTokens+r.Transferred.FromTarget+r.Transferred.FromStore)
+}
+
 func dot(a, b [coefficientCount]float64) float64 {
 	sum := 0.0
 	for i := range a {
--- a/node/digest.go
+++ b/node/digest.go
@@ -196,6 +196,7 @@
 func (p *peerExchange) groupUpdate(l dueLink) pulses.Update {
 	now := time.Now()
 	update := p.relay.takePending(l, p.fleet.GroupOccupancy(now))
+	fleet.AgeUpdates(update.Findings, now)
 	update.Engines = p.fleet.GroupEngineReports(now)
 	update.Limits, update.TargetLimits = p.view.customerLimiter.GroupUpdate(l.group, now), p.view.targetLimiter.GroupUpdate(l.group, now)
 	p.relay.count(digestSent)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,10 +62,14 @@
 	DemandShares   Mechanism = "demand-shares"
 	// TargetLimits enforces the rate limits that targets advertise.
 	TargetLimits Mechanism = "target-limits"
+	// TargetSpeeds learns the lasting speed of each target relative to its service.
+	// TargetSlowdowns counts the current slowdown that a target reports.
+	TargetSpeeds    Mechanism = "speeds"
+	TargetSlowdowns Mechanism = "slowdowns"
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits, TargetSpeeds, TargetSlowdowns}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -178,11 +178,32 @@
 		}
 		w.PartHash, w.PartTokens = encodeParts(finding.Parts)
 		w.Limit = encodeTargetLimit(finding.Limit)
+		w.SlowdownPercent, w.SlowdownAgeMs = encodePercent(finding.Slowdown), uint32(finding.SlowdownAge.Milliseconds())
+		w.SpeedPercent, w.SpeedSamples = encodePercent(finding.Speed), uint32(finding.SpeedSamples)
 		out = append(out, w)
 	}
 	return out
 }
 
+// maxPercent bounds the percentages that are sent and received.
+const maxPercent = 10000
+
+// encodePercent encodes a ratio, at least one percent if it is above 0.
+func encodePercent(ratio float64) uint32 {
+	if !(ratio > 0) {
+		return 0
+	}
+	return uint32(min(max(math.Round(100*ratio), 1), maxPercent))
+}
+
+// decodePercent returns 0 for a percentage out of range, as for a missing one.
+func decodePercent(percent uint32) float64 {
+	if percent > maxPercent {
+		return 0
+	}
+	return float64(percent) / 100
+}
+
 func encodeTargetLimit(limit *fleet.LimitUpdate) *keelv1.TargetLimit {
 	if limit == nil {
 		return nil
@@ -209,6 +230,10 @@
 			Parts:        decodeParts(w.PartHash, w.PartTokens),
 			Limit:        decodeTargetLimit(w.Limit),
 			ShuttingDown: w.Leaving,
+			Slowdown:     decodePercent(w.SlowdownPercent),
+			SlowdownAge:  time.Duration(w.SlowdownAgeMs) * time.Millisecond,
+			Speed:        decodePercent(w.SpeedPercent),
+			SpeedSamples: int(w.SpeedSamples),
 		}
 		for _, l := range w.Weights {
 			finding.Weights[l.Model] = l.Version
--- a/router/session.go
+++ b/router/session.go
@@ -245,6 +245,10 @@
 // recordResponse records what the header of a response says about its target.
 func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
+	if !resp.MatchesRequest {
+		// A delayed response says nothing of the target's current slowdown.
+		resp.Load.Slowdown = 0
+	}
 	if resp.HasLoad {
 		f.RecordLoad(choice.Target.Instance(), resp.Load, time.Now())
 	}
