--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,6 +57,8 @@
 	observedBusyUntil time.Time
 	limit             limitState
 	backoff           backoffState
+	speed             speedState
+	slowdown          slowdownState
 	// shutdownAt is when the target's shutdown became known, shutdownObservedAt when the
 	// target last announced it to this process.
 	shutdownAt         time.Time
@@ -86,8 +88,10 @@
 	// byAddress are the states by address.
 	byAddress map[string]*targetState
 	desired   map[string]*desiredHistory
-	// engines are the latency estimators by service.
-	engines map[string]*forecast.Estimator
+	// engines are the latency estimators by service, serviceSpeeds what is computed from the
+	// speeds of each service's targets.
+	engines       map[string]*forecast.Estimator
+	serviceSpeeds map[string]*serviceSpeeds
 	// profiles are the sizes of this process's requests by service.
 	profiles map[string]*classProfile
 	members  members
@@ -134,7 +138,9 @@
 		peerReports: map[string]*peerReport{},
 		shutdowns:   map[string]shutdown{},
 		retained:    map[string]retainedState{},
-		zone:        zone,
+
+		serviceSpeeds: map[string]*serviceSpeeds{},
+		zone:          zone,
 	}
 }
 
@@ -388,6 +394,9 @@
 	defer f.mu.Unlock()
 	if s := f.lookup(l); s != nil {
 		s.load, s.loadAt, s.inflightAtLoad = load, now, s.inflight
+		if load.Slowdown > 0 {
+			s.slowdown.record(load.Slowdown, now)
+		}
 	}
 }
 
