door: limit what the kernel holds unsent, report writable connections

The kernel holds up to net.ipv4.tcp_wmem (4 MB) for each client that reads slowly, which counts toward the VM's memory. Each accepted connection now gets TCP_NOTSENT_LOWAT of 32 KB. It is set for each connection: with multipath TCP, which package net enables, connections don't inherit it from the listener. Connections report whether they accept a few kilobytes without blocking, and can be closed by a reset; both are used for the buffering of responses.

--- a/door/conns.go
+++ b/door/conns.go
@@ -29,6 +29,8 @@
 type conn struct {
 	net.Conn
 	conns *connSet
+	// writes is used by Writable alone.
+	writes *writePoll
 
 	accepted time.Time
 	// The fields below are guarded by conns.mu.
@@ -142,6 +144,31 @@
 	return c.Conn.Write(p)
 }
 
+// Writable reports whether the connection accepts a few kilobytes without blocking. It must
+// not be called concurrently with itself.
+func (c *conn) Writable() bool {
+	if c.writes == nil {
+		socket, ok := c.Conn.(syscall.Conn)
+		if !ok {
+			return false
+		}
+		writes, err := newWritePoll(socket)
+		if err != nil {
+			return false
+		}
+		c.writes = writes
+	}
+	return c.writes.writable()
+}
+
+// SetLinger sets what Close does with unsent bytes; see net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return lingering.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.conns.remove(c)
--- a/door/listener.go
+++ b/door/listener.go
@@ -17,6 +17,8 @@
 	conns *connSet
 	// refusing is closed when the listener begins to refuse new connections.
 	refusing chan struct{}
+	// unlimited is used once the kernel could not be told to limit a connection.
+	unlimited sync.Once
 
 	mu    sync.Mutex
 	phase drainPhase
@@ -69,6 +71,11 @@
 		c, err := l.AcceptTCP()
 		if err == nil {
 			l.extend(time.Now())
+			if err := limitUnsent(c); err != nil {
+				l.unlimited.Do(func() {
+					l.conns.telemetry.Log.WithError(err).WithField("event", "unsent_unlimited").Warn("the kernel can hold megabytes for each client that reads slowly")
+				})
+			}
 			return l.conns.add(c), nil
 		}
 		if !isTimeout(err) {
--- a/door/socket.go
+++ b/door/socket.go
@@ -59,6 +59,53 @@
 	return rtt
 }
 
+// maxUnsent is how much the kernel accepts for a connection beyond what the peer has been
+// sent, in bytes. Without a limit it is up to net.ipv4.tcp_wmem (4 MB) for each client that
+// reads slowly. The kernel tests it for each segment of up to 64 KB, which it fills first.
+const maxUnsent = 32 << 10
+
+// limitUnsent limits what the kernel holds for a connection. The option of the listener would
+// not do: with multipath TCP, which package net enables, connections don't inherit it.
+func limitUnsent(c *net.TCPConn) error {
+	var setErr error
+	err := control(c, func(fd int) {
+		setErr = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+	})
+	if err := errors.Join(err, setErr); err != nil {
+		return fmt.Errorf("limit the unsent bytes of a connection: %w", err)
+	}
+	return nil
+}
+
+// writePoll asks the kernel whether a socket accepts bytes without blocking. It is kept with
+// its connection, so that asking for each event of a stream allocates nothing.
+type writePoll struct {
+	raw   syscall.RawConn
+	poll  func(fd uintptr)
+	fds   [1]unix.PollFd
+	ready bool
+}
+
+func newWritePoll(c syscall.Conn) (*writePoll, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	w := &writePoll{raw: raw}
+	w.poll = func(fd uintptr) {
+		w.fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLOUT}
+		n, err := unix.Poll(w.fds[:], 0)
+		w.ready = err == nil && n > 0
+	}
+	return w, nil
+}
+
+// writable must not be called concurrently with itself.
+func (w *writePoll) writable() bool {
+	w.ready = false
+	return w.raw.Control(w.poll) == nil && w.ready
+}
+
 // control calls f with the file descriptor of a socket.
 func control(c syscall.Conn, f func(fd int)) error {
 	raw, err := c.SyscallConn()
