Slow clients no longer stop the reading from their targets

Cause: forwardEvent wrote an event to the client before the next one was read, so a client that reads slowly stopped the reading, and a target aborts a response that stays unread for some seconds.

The frontend writes responses through responsebuffer, bounded for one response by 11 MB and for all by a quarter of memory_mb. The router calls Finish once the target has been read to its end; the slot and the connection of the target are free by then, and a planned stop still waits for the delivery. Aborted responses end with a reset of the connection. Switch: response-buffer.

The node tests use real sockets: a stream of 8 MB is read to its end while its client does not read and 20 others are served, one of 40 MB is aborted and does not look whole, a disconnect frees the buffer, and a planned stop delivers what is held.

--- /dev/null
+++ b/node/buffer.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/responsebuffer"
+	"acaciakeel/router"
+	"acaciakeel/telemetry"
+)
+
+const (
+	// responseMemoryShare is the divisor of the VM's memory that gives what responses may
+	// hold for clients that read slowly.
+	responseMemoryShare = 4
+	// defaultMemoryMB is assumed where the settings don't state the VM's memory: about that of
+	// the smallest VMs in use.
+	defaultMemoryMB = 112
+)
+
+// responseLimits returns the limits of what responses hold on a VM with the given memory.
+func responseLimits(memoryMB int) responsebuffer.Limits {
+	if memoryMB <= 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return responsebuffer.Limits{Response: router.MaxHeldResponse, Total: int64(memoryMB) << 20 / responseMemoryShare}
+}
+
+// newResponseBuffer returns the pool of the responses to clients, which logs and counts the
+// responses that it aborts.
+func newResponseBuffer(r *prometheus.Registry, memoryMB int, log logrus.FieldLogger) *responsebuffer.Pool {
+	aborted := telemetry.NewCounter(r, "keel_node_responses_aborted_total", "Responses aborted while they waited for their clients, by reason.", "reason")
+	for _, reason := range responsebuffer.Reasons() {
+		aborted.WithLabelValues(string(reason))
+	}
+	pool := responsebuffer.NewPool(responseLimits(memoryMB), func(id string, reason responsebuffer.Reason, bytes int64) {
+		aborted.WithLabelValues(string(reason)).Inc()
+		log.WithFields(logrus.Fields{"event": "response_aborted", "request": id, "reason": reason, "held_bytes": bytes}).Info("the client did not take the response in time")
+	})
+	telemetry.NewGaugeFunc(r, "keel_node_response_bytes_held", "Bytes held for clients that read slowly.", func() float64 {
+		return float64(pool.Usage().Bytes)
+	})
+	telemetry.NewGaugeFunc(r, "keel_node_responses_held", "Responses of which a part waits for the client.", func() float64 {
+		return float64(pool.Usage().Responses)
+	})
+	telemetry.NewGaugeFunc(r, "keel_node_response_bytes_largest", "Bytes held by the response that holds most.", func() float64 {
+		return float64(pool.Usage().Largest)
+	})
+	return pool
+}
--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewDecoder(n.view), log)
 	n.view.follower.OnChanges(n.exchange.shareChanges)
 	n.membership.metrics = newMembershipMetrics(n.registry)
+	buffer := newResponseBuffer(n.registry, s.Limits.MemoryMB, log)
 	n.registerGauges()
 	n.cacheWatcher = fleet.NewCacheWatcher(targets, runners)
 	bounds := router.Bounds{MaxStaleness: n.view.oldWeightsLimit, MaxStartStaleness: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
@@ -171,6 +172,9 @@
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
 	})
+	if !o.Disabled[policy.ResponseBuffering] {
+		n.frontend.BufferResponses(buffer)
+	}
 	return n
 }
 
@@ -253,6 +257,7 @@
 		return err
 	}
 	front := newServer(n.frontend)
+	front.ConnContext = platform.ConnContext
 	front.BaseContext = func(net.Listener) context.Context { return n.requestCtx }
 	n.servers.front, err = door.Start(n.settings.Listen.Front, front, watch)
 	return err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,10 +62,13 @@
 	DemandShares   Mechanism = "demand-shares"
 	// TargetLimits enforces the rate limits that targets advertise.
 	TargetLimits Mechanism = "target-limits"
+	// ResponseBuffering holds what clients that read slowly have not taken yet, so that
+	// the entry goes on reading from the target.
+	ResponseBuffering Mechanism = "response-buffer"
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits, ResponseBuffering}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -9,6 +9,7 @@
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
 	"acaciakeel/refusal"
+	"acaciakeel/responsebuffer"
 	"acaciakeel/retry"
 )
 
@@ -126,6 +127,11 @@
 // maxResponseBytes is the maximum body size of a response that is buffered.
 const maxResponseBytes = 8 << 20
 
+// MaxHeldResponse is the limit for what a response holds while its client reads slowly: the
+// largest plain response, whose buffer may have grown a quarter too large, or as much of a
+// stream, and one event.
+const MaxHeldResponse = maxResponseBytes + maxResponseBytes/4 + maxEventBytes
+
 // forwardWhole buffers the whole response before it forwards it, so that a response that
 // breaks off can still be retried or reported as a failure.
 func (s *session) forwardWhole(choice fleet.Choice, resp *Response) attemptResult {
@@ -161,8 +167,21 @@
 	return nil
 }
 
+// awaitDelivery waits until the client has been sent the response, after its target has been
+// read to the end.
+func (s *session) awaitDelivery() *refusal.Error {
+	if err := s.writer.Finish(); err != nil {
+		return clientGone(err)
+	}
+	return nil
+}
+
 func clientGone(err error) *refusal.Error {
 	out := refusal.New(refusal.Interrupted, "none", "the client left: %v", err)
+	var aborted *responsebuffer.AbortError
+	if errors.As(err, &aborted) && aborted.Reason != responsebuffer.ClientLeft {
+		out = refusal.New(refusal.Interrupted, "read faster; resume after the last event, where the route allows it", "the response was aborted: %v", err)
+	}
 	out.Outcome = refusal.Ran
 	return out
 }
--- a/router/request.go
+++ b/router/request.go
@@ -142,8 +142,12 @@
 type ResponseWriter interface {
 	// WriteHeader writes the header of the response of a target.
 	WriteHeader(resp *Response) error
-	// Write writes and flushes a part of the body.
+	// Write writes and flushes a part of the body. It keeps p, which must not be changed
+	// afterwards.
 	Write(p []byte) error
+	// Finish waits until the client has been sent the whole response. Until then Write may
+	// hold parts of it.
+	Finish() error
 	// Abort ends a partly written response so that it cannot be taken for a complete one.
 	Abort()
 }
--- a/router/router.go
+++ b/router/router.go
@@ -105,7 +105,11 @@
 	}
 	s := &session{router: r, in: in, writer: writer, charge: charge}
 	defer s.settleCharge()
-	return r.finish(ctx, in, s, s.run(ctx))
+	refused = s.run(ctx)
+	if refused == nil {
+		refused = s.awaitDelivery()
+	}
+	return r.finish(ctx, in, s, refused)
 }
 
 // admit checks a request against the configuration and resolves its route, customer and
