--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,6 +72,9 @@
 	// TargetSlowdowns counts the current slowdown that a target reports.
 	TargetSpeeds    Mechanism = "speeds"
 	TargetSlowdowns Mechanism = "slowdowns"
+	// ResponseBuffering holds what clients that read slowly have not taken yet, so that
+	// the entry goes on reading from the target.
+	ResponseBuffering Mechanism = "response-buffer"
 )
 
 func All() []Mechanism {
@@ -79,7 +82,7 @@
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
 		WaitRefusal, LearnedSlotTime, PriorityWaits, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
-		TargetSpeeds, TargetSlowdowns,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering,
 	}
 }
 
