Bound digests by the relays' links, and let four members relay in turn

Cause: digests between groups had one bound, 256 KB/s, whatever the links. A relay on a link of 10 Mbit/s that forwards that to 17 peers needs 36 Mbit/s; as observed, from an announcement of weights on nothing arrived in either direction for 4 s. With two relays for each link, the loss of both interrupted the exchange until the store removed them.

A missing or unreadable figure counts as 20. - If any member's link is below 20 Mbit/s, relays are preferred by capacity class (powers of two up to 160 Mbit/s, the hash order within a class). Sending and forwarding a digest each take at most a quarter of the relay's link, shared by all links between groups. Limits are sent each 150 ms and never wait; loads, engine reports and the rest follow as the rate allows, cache changes last. A relay that has taken over with a slower link than the sender sized for drops datagrams without limits, loads or crash reports. - Four members may relay on each way; digests go to the first two of the other group, and to all four while none of these two is heard from. - Without a slow link the order of relays and the bounds are as before.

--- a/node/departed.go
+++ b/node/departed.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,14 +111,36 @@
 	delete(v.members, key)
 }
 
-// encodeMember returns a member's entry: the address at which it receives datagrams, and its
-// zone.
-func encodeMember(address, zone string) []byte {
-	return []byte(address + " " + zone)
+// linkPrefix marks the bandwidth of the link, in Mbit/s, at the end of a member's entry.
+const linkPrefix = " link="
+
+// encodeMember returns a member's entry: the address at which it receives datagrams, its zone
+// and its link.
+func encodeMember(address, zone string, linkMbps float64) []byte {
+	value := address + " " + zone
+	if linkMbps > 0 {
+		value += linkPrefix + strconv.FormatFloat(linkMbps, 'g', -1, 64)
+	}
+	return []byte(value)
 }
 
-// decodeMember decodes a member's entry. Entries of earlier versions have no zone.
+// decodeMember decodes a member's entry. Entries of earlier versions have no zone or no link;
+// peering assumes a default for a link that is missing or unreadable.
 func decodeMember(key, value string) peering.Member {
+	value, link := cutLink(value)
 	address, zone, _ := strings.Cut(value, " ")
-	return peering.Member{Key: key, Address: address, Zone: zone}
+	return peering.Member{Key: key, Address: address, Zone: zone, LinkMbps: link}
+}
+
+// cutLink splits the link off a member's entry; it is 0 if missing or unreadable.
+func cutLink(value string) (rest string, mbps float64) {
+	at := strings.LastIndex(value, linkPrefix)
+	if at < 0 {
+		return value, 0
+	}
+	mbps, err := strconv.ParseFloat(value[at+len(linkPrefix):], 64)
+	if err != nil {
+		mbps = 0
+	}
+	return value[:at], mbps
 }
--- a/node/digest.go
+++ b/node/digest.go
@@ -9,8 +9,10 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/forecast"
 	"acaciakeel/peering"
 	"acaciakeel/pulses"
+	"acaciakeel/quota"
 )
 
 // groupRelay relays state between this node's group and the other groups. Each group sends
@@ -32,6 +34,16 @@
 	sentAt      map[int]time.Time
 	// overdraft is by how many bytes the last digest to a group exceeded its budget.
 	overdraft map[int]int
+	// sendDebt holds the bytes sent to each group beyond what its rate allows, and
+	// forwardDebt those forwarded to this node's group; used where links are slow.
+	sendDebt    map[int]*byteDebt
+	forwardDebt byteDebt
+	// limitsSentAt and enginesSentAt are when these were last sent to a group with slow links.
+	limitsSentAt, enginesSentAt map[int]time.Time
+	// remoteSeen is when each relay of another group was last heard from, by name.
+	remoteSeen map[string]time.Time
+	// firstPlanAt is when this node first had a plan.
+	firstPlanAt time.Time
 	// outcomes counts digests by outcome; nil disables counting.
 	outcomes *prometheus.CounterVec
 }
@@ -42,6 +54,8 @@
 	digestForwarded = "passed_on"
 	// digestDropped: the sender's division into groups differed from this node's.
 	digestDropped = "left_out"
+	// digestOverLink: cache changes were not forwarded because the link's share was used up.
+	digestOverLink = "over_link"
 )
 
 func (r *groupRelay) count(what string) {
@@ -64,16 +78,69 @@
 	// relayTimeout is how long a member counts as alive after it was last heard from: two and
 	// a half update intervals of a full group. After that the next member in order relays.
 	relayTimeout = 500 * time.Millisecond
+	// digestLinkShare is the share of a relay's link that sending digests, or forwarding them,
+	// may take where links are slow. Relays on 10 Mbit/s links that forwarded 256 KB/s to 17
+	// peers received and sent nothing for 4 s.
+	digestLinkShare = 0.25
+	// datagramOverhead is the size of the IP and UDP headers of a datagram.
+	datagramOverhead = 28
+	// forwardBurst is the time at the forwarding rate that cache changes may be ahead of it: a
+	// digest arrives as a burst of datagrams.
+	forwardBurst = 2 * digestInterval
 )
 
+// byteDebt is the number of bytes sent beyond a rate.
+type byteDebt struct {
+	bytes float64
+	at    time.Time
+}
+
+// reduce reduces the debt by what the rate has allowed since the last call.
+func (d *byteDebt) reduce(rate float64, now time.Time) {
+	d.bytes = max(0, d.bytes-rate*now.Sub(d.at).Seconds())
+	d.at = now
+}
+
+// bytesPerSecond returns the rate that digests may take of a link.
+func bytesPerSecond(linkMbps float64) float64 {
+	return digestLinkShare * linkMbps * 1e6 / 8
+}
+
+// linkRate returns the bytes a second that digests on a link may have. Any member may relay on
+// all links, so these share its bandwidth equally.
+func linkRate(plan peering.Plan, l peering.Link, receivers int) float64 {
+	rate := float64(digestRate)
+	if plan.SlowLinks {
+		rate = min(rate, bytesPerSecond(plan.LinkMbps)/float64(max(1, receivers)), bytesPerSecond(l.RemoteLinkMbps)/float64(max(1, l.RemotePeers)))
+	}
+	return rate / float64(plan.GroupCount-1)
+}
+
 // dueLink is another group to which this node has to send a digest now.
 type dueLink struct {
 	group     int
 	addresses []string
 	// budget is the size in bytes up to which a digest may be sent at every digestInterval.
 	budget int
+	// slow is set where the budget is bounded by the links. Limits are then sent at every
+	// interval, and the rest only if the rate has room: without it limitsOnly is set.
+	slow, limitsOnly bool
+	// reserved is the size of the limits and engine reports of the digest.
+	reserved int
+}
+
+// maxLimitReports returns how many reports a digest may hold for each of the two limiters:
+// together half of the budget at most, so that loads are not displaced.
+func (l dueLink) maxLimitReports() int {
+	if !l.slow {
+		return quota.MaxReports
+	}
+	return max(minLimitReports, min(quota.MaxReports, l.budget/4/pulses.LimitEntryBytes))
 }
 
+// minLimitReports is how many customers a digest names on the slowest of links.
+const minLimitReports = 4
+
 // header identifies the group that a digest describes.
 func (l dueLink) header(plan peering.Plan) *keelv1.GroupNews {
 	return &keelv1.GroupNews{Group: uint32(plan.Group), Groups: uint32(plan.GroupCount)}
@@ -95,11 +162,12 @@
 }
 
 // isActiveRelay reports whether the node with key self has to relay on a link now: it does if
-// none of the relays before it was heard from recently.
+// none of the relays before it was heard from recently. A node that has just started does not
+// know yet whether they are silent.
 func (r *groupRelay) isActiveRelay(l peering.Link, self string, now time.Time) bool {
-	for _, key := range l.Relays {
+	for i, key := range l.Relays {
 		if key == self {
-			return true
+			return i == 0 || now.Sub(r.firstPlanAt) > relayTimeout
 		}
 		if at, ok := r.lastSeen[memberName(key)]; ok && now.Sub(at) <= relayTimeout {
 			return false
@@ -108,6 +176,34 @@
 	return false
 }
 
+// remoteRelaySeen records that a digest of a relay of another group arrived.
+func (r *groupRelay) remoteRelaySeen(name string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.remoteSeen == nil {
+		r.remoteSeen = map[string]time.Time{}
+	}
+	r.remoteSeen[name] = now
+	for other, at := range r.remoteSeen {
+		if now.Sub(at) > relayTimeout {
+			delete(r.remoteSeen, other)
+		}
+	}
+}
+
+// receivers returns the addresses that a digest is sent to: the first relays of the other
+// group, or all of them if the first ones are silent. The same relays send that group's
+// digests, so they are silent if none of them sent one. The caller holds mu.
+func (r *groupRelay) receivers(l peering.Link, now time.Time) []string {
+	first := min(peering.AddressedRelays, len(l.RemoteAddresses))
+	for _, key := range l.RemoteRelays[:min(first, len(l.RemoteRelays))] {
+		if at, ok := r.remoteSeen[memberName(key)]; ok && now.Sub(at) <= relayTimeout {
+			return l.RemoteAddresses[:first]
+		}
+	}
+	return l.RemoteAddresses
+}
+
 // memberName returns the name of the member with a key.
 func memberName(key string) string {
 	return strings.TrimPrefix(key, newSystemKeys().members)
@@ -146,6 +242,10 @@
 	defer r.mu.Unlock()
 	if r.sentAt == nil {
 		r.sentAt, r.sentTargets, r.overdraft = map[int]time.Time{}, map[int]map[fleet.Instance]bool{}, map[int]int{}
+		r.limitsSentAt, r.enginesSentAt, r.sendDebt = map[int]time.Time{}, map[int]time.Time{}, map[int]*byteDebt{}
+	}
+	if r.firstPlanAt.IsZero() {
+		r.firstPlanAt = now
 	}
 	var out []dueLink
 	for _, l := range plan.Links {
@@ -156,16 +256,87 @@
 			*r.pending[l.Group] = pulses.Update{}
 			continue
 		}
-		rate := digestRate / (plan.GroupCount - 1)
-		pause := digestInterval + time.Duration(r.overdraft[l.Group])*time.Second/time.Duration(rate)
+		addresses := r.receivers(l, now)
+		rate := linkRate(plan, l, len(addresses))
+		due := dueLink{group: l.Group, addresses: addresses, budget: int(rate * digestInterval.Seconds()), slow: plan.SlowLinks}
+		if due.slow {
+			if r.takeSlowLink(&due, rate, now) {
+				out = append(out, due)
+			}
+			continue
+		}
+		pause := digestInterval + time.Duration(float64(r.overdraft[l.Group])/rate*float64(time.Second))
 		if since := now.Sub(r.sentAt[l.Group]); since >= pause {
 			r.sentAt[l.Group] = now
-			out = append(out, dueLink{group: l.Group, addresses: l.RemoteAddresses, budget: int(float64(rate) * digestInterval.Seconds())})
+			out = append(out, due)
 		}
 	}
 	return out
 }
 
+// takeSlowLink reports whether a digest is due on a link whose bandwidth bounds it, and whether
+// it holds limits only. The caller holds mu.
+func (r *groupRelay) takeSlowLink(due *dueLink, rate float64, now time.Time) bool {
+	if now.Sub(r.limitsSentAt[due.group]) < digestInterval {
+		return false
+	}
+	r.limitsSentAt[due.group] = now
+	debt := r.sendDebt[due.group]
+	if debt == nil {
+		debt = &byteDebt{at: now}
+		r.sendDebt[due.group] = debt
+	}
+	debt.reduce(rate, now)
+	due.limitsOnly = debt.bytes > 0
+	if !due.limitsOnly {
+		r.sentAt[due.group] = now
+	}
+	return true
+}
+
+// takeEngineReports reports whether engine reports are due on a link.
+func (r *groupRelay) takeEngineReports(l dueLink, now time.Time) bool {
+	if !l.slow {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.limitsOnly || now.Sub(r.enginesSentAt[l.group]) < engineInterval {
+		return false
+	}
+	r.enginesSentAt[l.group] = now
+	return true
+}
+
+// recordSent counts the bytes of a digest.
+func (r *groupRelay) recordSent(l dueLink, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if debt := r.sendDebt[l.group]; debt != nil {
+		debt.bytes += float64(bytes)
+	}
+}
+
+// mayForward reports whether a datagram of a digest is forwarded to the group, and counts its
+// bytes. Where links are slow, datagrams without loads, limits and crash reports are dropped
+// while the rate is exceeded: a sender sizes its digests for the first relay, and another one
+// may have taken over.
+func (r *groupRelay) mayForward(plan peering.Plan, message *keelv1.Pulse, size int, now time.Time) bool {
+	if !plan.SlowLinks {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := bytesPerSecond(plan.LinkMbps)
+	r.forwardDebt.reduce(rate, now)
+	required := len(message.Group.Target)+len(message.Suspects) > 0 || message.Limits != nil || message.TargetLimits != nil
+	if !required && r.forwardDebt.bytes > rate*forwardBurst.Seconds() {
+		return false
+	}
+	r.forwardDebt.bytes += float64((size + datagramOverhead) * len(plan.Peers))
+	return true
+}
+
 // takePending returns and clears what is pending for a group: all loads, and as much of the
 // rest as fits.
 func (r *groupRelay) takePending(l dueLink, loads []fleet.Occupancy) pulses.Update {
@@ -186,8 +357,13 @@
 		}
 	}
 	r.sentTargets[l.group] = current
-	used := len(update.Loads) * pulses.GroupLoadBytes
-	used += update.TruncateTo(max(l.budget-used, l.budget/2))
+	used := len(update.Loads)*pulses.GroupLoadBytes + l.reserved
+	least := l.budget / 2
+	if l.slow {
+		// Loads and limits come first; crash reports and findings still get a part.
+		least = l.budget / 8
+	}
+	used += update.TruncateTo(max(l.budget-used, least))
 	r.overdraft[l.group] = max(0, used-l.budget)
 	return update
 }
@@ -195,9 +371,19 @@
 // groupUpdate returns the digest of this node's group for another group.
 func (p *peerExchange) groupUpdate(l dueLink) pulses.Update {
 	now := time.Now()
-	update := p.relay.takePending(l, p.fleet.GroupOccupancy(now))
-	update.Engines = p.fleet.GroupEngineReports(now)
-	update.Limits, update.TargetLimits = p.view.customerLimiter.GroupUpdate(l.group, now), p.view.targetLimiter.GroupUpdate(l.group, now)
+	var engines []forecast.Report
+	if p.relay.takeEngineReports(l, now) {
+		engines = p.fleet.GroupEngineReports(now)
+	}
+	limits, targetLimits := p.view.customerLimiter.GroupUpdate(l.group, l.maxLimitReports(), now), p.view.targetLimiter.GroupUpdate(l.group, l.maxLimitReports(), now)
+	if l.slow {
+		l.reserved = pulses.EnginesSize(engines) + (len(limits.Reports)+len(targetLimits.Reports))*pulses.LimitEntryBytes
+	}
+	var update pulses.Update
+	if !l.limitsOnly {
+		update = p.relay.takePending(l, p.fleet.GroupOccupancy(now))
+	}
+	update.Engines, update.Limits, update.TargetLimits = engines, limits, targetLimits
 	p.relay.count(digestSent)
 	return update
 }
@@ -213,6 +399,7 @@
 		return
 	}
 	now := time.Now()
+	p.relay.remoteRelaySeen(message.Sender, now)
 	p.receiveLimits(message, now)
 	p.fleet.MergeGroupOccupancy(int(g.Group), pulses.DecodeGroupLoads(g), now)
 	p.receiveTargetUpdates(message, now)
@@ -229,6 +416,10 @@
 		p.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode the digest of another group; this group chooses targets without it")
 		return
 	}
+	if !p.relay.mayForward(plan, message, len(forwarded), now) {
+		p.relay.count(digestOverLink)
+		return
+	}
 	p.relay.count(digestForwarded)
 	p.sendTo(addressesOf(plan.Peers), forwarded)
 }
--- a/node/membership.go
+++ b/node/membership.go
@@ -126,7 +126,7 @@
 // start of the node: an entry there is either the node's own, of a write whose response was
 // lost, or that of another writer, which is replaced.
 func (n *Node) writeMember(ctx context.Context, lease store.LeaseID) (int64, error) {
-	value := encodeMember(n.exchange.address(), n.settings.Zone)
+	value := encodeMember(n.exchange.address(), n.settings.Zone, n.settings.Limits.LinkMbps)
 	revision, err := n.store.Put(ctx, n.view.self, value, 0, lease)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) || conflict.Current.Revision == 0 {
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -253,8 +253,8 @@
 func TestIsolatedNodeAppliesStoredVerdict(t *testing.T) {
 	w := newCrashEnv(t, 6)
 	isolated := w.startNode("n1")
-	w.store.Set(isolated.view.self, encodeMember("127.0.0.1:9", "z1"))
-	w.store.Set(w.node.view.self, encodeMember("127.0.0.1:9", "z1"))
+	w.store.Set(isolated.view.self, encodeMember("127.0.0.1:9", "z1", 0))
+	w.store.Set(w.node.view.self, encodeMember("127.0.0.1:9", "z1", 0))
 	unreachable := func(n *Node) bool {
 		plan := n.view.plan()
 		return len(plan.Peers) == 1 && plan.Peers[0].Address == "127.0.0.1:9"
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -158,13 +158,13 @@
 		p.sendUpdate(update, nil, addresses)
 	}
 	for _, l := range p.relay.dueLinks(plan, time.Now()) {
-		p.sendUpdate(p.groupUpdate(l), l.header(plan), l.addresses)
+		p.relay.recordSent(l, p.sendUpdate(p.groupUpdate(l), l.header(plan), l.addresses))
 	}
 	return sent
 }
 
 // sendUpdate encodes an update and sends it to addresses; group is set if it is the digest of
-// a whole group.
+// a whole group. It returns the bytes for one address, including the datagrams' headers.
 func (p *peerExchange) sendUpdate(update pulses.Update, group *keelv1.GroupNews, addresses []string) int {
 	datagrams, err := update.Datagrams(p.name, group)
 	if err != nil {
@@ -173,7 +173,7 @@
 	}
 	size := 0
 	for _, datagram := range datagrams {
-		size += len(datagram)
+		size += len(datagram) + datagramOverhead
 		p.sendTo(addresses, datagram)
 	}
 	return size
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 
@@ -21,9 +22,20 @@
 	// times a second: about 200 datagrams a second in each direction. The CPU of a
 	// small VM can process three times as many.
 	MaxGroupSize = 25
-	// relaysPerLink is how many members of a group may relay to another group. The
-	// second one does so only while the first is silent.
-	relaysPerLink = 2
+	// relaysPerLink is how many members of a group may relay to another group. Each
+	// one does so only while those before it are silent. A crashed member stays in the
+	// list until its lease expires, so with two relays the loss of both interrupted the
+	// exchange for two seconds.
+	relaysPerLink = 4
+	// AddressedRelays is how many relays of the other group a digest is sent to while
+	// one of them responds; otherwise it is sent to all.
+	AddressedRelays = 2
+	// DefaultLinkMbps is assumed for a member that does not state its link, and is the
+	// bandwidth from which on digests need no bound by link.
+	DefaultLinkMbps = 20
+	// relayLinkMbps is the bandwidth from which on a link suffices for any relay: a
+	// full digest of 256 KB/s forwarded to 24 peers takes about a quarter of it.
+	relayLinkMbps = 160
 )
 
 // Member is one process of the deployment.
@@ -34,6 +46,22 @@
 	Address string
 	// Zone is the data centre of the process; empty if it is not configured.
 	Zone string
+	// LinkMbps is the bandwidth of the process's network link; 0 if it is not known.
+	LinkMbps float64
+}
+
+// Link returns the bandwidth of the member's link in Mbit/s.
+func (m Member) Link() float64 {
+	if !(m.LinkMbps > 0) || math.IsInf(m.LinkMbps, 1) {
+		return DefaultLinkMbps
+	}
+	return m.LinkMbps
+}
+
+// linkClass returns the capacity class of the member's link; classes differ by a
+// factor of two. Members of one class are interchangeable as relays.
+func (m Member) linkClass() int {
+	return int(math.Floor(math.Log2(min(m.Link(), relayLinkMbps) / DefaultLinkMbps)))
 }
 
 // Plan is the part of one process in the exchange of updates.
@@ -52,6 +80,11 @@
 	Links []Link
 	// Joined is set if the process is in the list of members.
 	Joined bool
+	// SlowLinks is set if any member's link is slower than DefaultLinkMbps. Relays are
+	// then chosen by bandwidth, and digests are bounded by the relays' links.
+	SlowLinks bool
+	// LinkMbps is the bandwidth of the process's own link.
+	LinkMbps float64
 }
 
 // Link is the connection between the process's group and another one.
@@ -60,8 +93,14 @@
 	// Relays are the keys of the members of the process's own group that may relay, in
 	// order of preference.
 	Relays []string
-	// RemoteAddresses are the addresses of the relays of the other group.
+	// RemoteRelays are the keys of the relays of the other group, in order of
+	// preference, and RemoteAddresses their addresses.
+	RemoteRelays    []string
 	RemoteAddresses []string
+	// RemoteLinkMbps is the bandwidth of the first relay of the other group, and
+	// RemotePeers the number of members that it forwards to.
+	RemoteLinkMbps float64
+	RemotePeers    int
 }
 
 // New returns the plan of the process with key self. Members are grouped in the order
@@ -80,17 +119,18 @@
 	if own < 0 {
 		return Plan{Self: self, GroupCount: len(groups)}
 	}
-	p := Plan{Self: self, Group: own, GroupCount: len(groups), Joined: true}
+	slow := slices.ContainsFunc(members, func(m Member) bool { return m.Link() < DefaultLinkMbps })
+	p := Plan{Self: self, Group: own, GroupCount: len(groups), Joined: true, SlowLinks: slow}
 	for i, m := range ranked(groups[own], "duties") {
 		if m.Key == self {
-			p.Rank = i
+			p.Rank, p.LinkMbps = i, m.Link()
 			continue
 		}
 		p.Peers = append(p.Peers, m)
 	}
 	for other := range groups {
 		if other != own {
-			p.Links = append(p.Links, newLink(groups, own, other))
+			p.Links = append(p.Links, newLink(groups, own, other, slow))
 		}
 	}
 	return p
@@ -128,20 +168,28 @@
 	return groups
 }
 
-func newLink(groups [][]Member, own, other int) Link {
-	l := Link{Group: other}
-	for _, m := range relays(groups, own, other) {
+func newLink(groups [][]Member, own, other int, byBandwidth bool) Link {
+	l := Link{Group: other, RemotePeers: len(groups[other]) - 1}
+	for _, m := range relays(groups, own, other, byBandwidth) {
 		l.Relays = append(l.Relays, m.Key)
 	}
-	for _, m := range relays(groups, other, own) {
+	for i, m := range relays(groups, other, own, byBandwidth) {
+		l.RemoteRelays = append(l.RemoteRelays, m.Key)
 		l.RemoteAddresses = append(l.RemoteAddresses, m.Address)
+		if i == 0 {
+			l.RemoteLinkMbps = m.Link()
+		}
 	}
 	return l
 }
 
-// relays returns the members of one group that may relay to another.
-func relays(groups [][]Member, from, to int) []Member {
+// relays returns the members of one group that may relay to another, in order of
+// preference. Within a capacity class the order is that of rendezvous hashing.
+func relays(groups [][]Member, from, to int, byBandwidth bool) []Member {
 	candidates := ranked(groups[from], "to group "+strconv.Itoa(to))
+	if byBandwidth {
+		slices.SortStableFunc(candidates, func(a, b Member) int { return cmp.Compare(b.linkClass(), a.linkClass()) })
+	}
 	return candidates[:min(relaysPerLink, len(candidates))]
 }
 
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -92,3 +93,71 @@
 		t.Errorf("plan without members: %+v", p)
 	}
 }
+
+// relayLinks returns the links, in Mbit/s, of the relays of the first group to the second.
+func relayLinks(all []Member) []float64 {
+	by := map[string]Member{}
+	for _, m := range all {
+		by[m.Key] = m
+	}
+	for _, m := range all {
+		if p := New(m.Key, all); p.Group == 0 {
+			var out []float64
+			for _, key := range p.Links[0].Relays {
+				out = append(out, by[key].Link())
+			}
+			return out
+		}
+	}
+	return nil
+}
+
+// Guards against relays on links of 10 Mbit/s while members with 200 Mbit/s are there: forwarding
+// digests filled the relays' links, and for 4 s nothing arrived.
+func TestRelaysPreferBandwidth(t *testing.T) {
+	all := members(31)
+	for i := range all {
+		all[i].LinkMbps = 10
+		if i%4 == 0 {
+			all[i].LinkMbps = 200
+		}
+	}
+	links := relayLinks(all)
+	if len(links) != relaysPerLink || !slices.IsSortedFunc(links, func(a, b float64) int { return int(b - a) }) || links[0] != 200 || links[1] != 200 {
+		t.Errorf("links of the relays: %v", links)
+	}
+	for _, m := range all {
+		reversed := slices.Clone(all)
+		slices.Reverse(reversed)
+		a, b := New(m.Key, all), New(m.Key, reversed)
+		if !slices.Equal(a.Links[0].Relays, b.Links[0].Relays) || !slices.Equal(a.Links[0].RemoteRelays, b.Links[0].RemoteRelays) || !a.SlowLinks {
+			t.Fatalf("the plan of %s depends on the order of the list", m.Key)
+		}
+	}
+}
+
+// Guards against a change of relays in deployments whose links suffice, and against a member
+// without a usable figure that counts as slow.
+func TestRelaysKeepTheirOrderWithoutSlowLinks(t *testing.T) {
+	all := members(60)
+	before := map[string]Plan{}
+	for _, m := range all {
+		before[m.Key] = New(m.Key, all)
+	}
+	for i, mbps := range []float64{20, 200, math.NaN(), 0, -3, math.Inf(1), 1000} {
+		for at := i; at < len(all); at += 7 {
+			all[at].LinkMbps = mbps
+		}
+	}
+	for _, m := range all {
+		p := New(m.Key, all)
+		if p.SlowLinks {
+			t.Fatal("links of 20 Mbit/s and more count as slow")
+		}
+		for i, l := range p.Links {
+			if !slices.Equal(l.Relays, before[m.Key].Links[i].Relays) || !slices.Equal(l.RemoteAddresses, before[m.Key].Links[i].RemoteAddresses) {
+				t.Fatalf("%s: other relays because of links that suffice", m.Key)
+			}
+		}
+	}
+}
--- a/pulses/limits.go
+++ b/pulses/limits.go
@@ -9,8 +9,8 @@
 // its header.
 const limitsPerDatagram = 40
 
-// limitEntryBytes is the approximate encoded size of one usage report.
-const limitEntryBytes = 27
+// LimitEntryBytes is the approximate encoded size of one usage report.
+const LimitEntryBytes = 27
 
 // EncodeLimits divides a usage update into messages that fit one datagram each. The
 // first message is sent even without reports, because it also shows that its sender is
@@ -49,7 +49,7 @@
 		if i > 0 {
 			p.startNext()
 		}
-		p.reserve(len(w.Customer) * limitEntryBytes)
+		p.reserve(len(w.Customer) * LimitEntryBytes)
 		set(p.message, w)
 	}
 }
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -295,6 +295,15 @@
 	return out
 }
 
+// EnginesSize returns the encoded size of engine reports.
+func EnginesSize(reports []forecast.Report) int {
+	size := 0
+	for _, w := range EncodeEngines(reports) {
+		size += proto.Size(w)
+	}
+	return size
+}
+
 // DecodeEngines decodes observations of engines. A report whose matrices have another
 // size, such as one of a later version, is ignored.
 func DecodeEngines(all []*keelv1.EngineWord) []forecast.Report {
--- a/quota/groups.go
+++ b/quota/groups.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// GroupUpdate returns the usage of this process's group, to be sent to another group.
-func (lim *Limiter) GroupUpdate(group int, now time.Time) UsageUpdate {
+// GroupUpdate returns the usage of this process's group, to be sent to another group, with at
+// most limit reports.
+func (lim *Limiter) GroupUpdate(group, limit int, now time.Time) UsageUpdate {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	lim.startGroupReport(group, now)
@@ -16,7 +17,7 @@
 	for id, a := range lim.accounts {
 		r := a.groupReport(group)
 		reported := r.total
-		if len(out.Reports) < maxReports && lim.takeDue(a, r, a.admittedInGroup, now) {
+		if len(out.Reports) < limit && lim.takeDue(a, r, a.admittedInGroup, now) {
 			lim.refresh(a, now)
 			out.Reports = append(out.Reports, UsageReport{Customer: id, Total: a.admittedInGroup, Increase: a.admittedInGroup - reported, Demand: a.groupDemand(now), Level: a.level})
 		}
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -166,7 +166,7 @@
 	}
 	for group := range d.processes[len(d.processes)-1].group + 1 {
 		if group != h.group && d.isFirst(h.group, h) {
-			update := h.limiter.GroupUpdate(group, d.clock())
+			update := h.limiter.GroupUpdate(group, MaxReports, d.clock())
 			update.Sender = h.name
 			if to := d.firstProcess(group); to != nil && d.delivers(h, to) {
 				d.send(message{to: to, update: update, group: h.group})
--- a/quota/peers.go
+++ b/quota/peers.go
@@ -127,8 +127,8 @@
 	// repeatInterval is the time after which small changes are reported, and a report that
 	// may be lost is repeated.
 	repeatInterval = 400 * time.Millisecond
-	// maxReports bounds the reports of one update; the others are sent with the next.
-	maxReports = 256
+	// MaxReports bounds the reports of one update; the others are sent with the next.
+	MaxReports = 256
 )
 
 // PeerUpdate returns the usage to report to the peers now.
@@ -139,7 +139,7 @@
 	out := UsageUpdate{Uptime: now.Sub(lim.startedAt), Processes: lim.reachableProcesses(now)}
 	for id, a := range lim.accounts {
 		reported := a.reported.total
-		if len(out.Reports) < maxReports && lim.takeDue(a, &a.reported, a.admittedHere, now) {
+		if len(out.Reports) < MaxReports && lim.takeDue(a, &a.reported, a.admittedHere, now) {
 			lim.refresh(a, now)
 			out.Reports = append(out.Reports, UsageReport{Customer: id, Total: a.admittedHere, Increase: a.admittedHere - reported, Demand: a.demand, Level: a.level})
 		}
@@ -147,14 +147,14 @@
 	return out
 }
 
-// FullUpdate returns the usage of all accounts, up to maxReports, for a process that has
+// FullUpdate returns the usage of all accounts, up to MaxReports, for a process that has
 // just started.
 func (lim *Limiter) FullUpdate(now time.Time) UsageUpdate {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	out := UsageUpdate{Uptime: now.Sub(lim.startedAt), Processes: lim.reachableProcesses(now)}
 	for id, a := range lim.accounts {
-		if len(out.Reports) == maxReports {
+		if len(out.Reports) == MaxReports {
 			break
 		}
 		lim.refresh(a, now)
