Sharing of scarce target time by priority class and customer

Cause: where more target time is asked for than the usable targets have, whoever came first was served. Less urgent work took the time of urgent requests, and one large customer that of the others. Change: package sharing decides at each entry, from its own demand and totals by service, class and customer that entries and groups exchange in datagrams every 300 ms. Classes are served in order after a guarantee of 0.55 of the common rate, customers within a class by max-min fairness, each (customer, class, size) by a running count. It acts only while demand exceeds capacity and the chosen target is not free. Retries at the stated time come first, earlier ones are refused and do not count. Less urgent work that competes with more urgent work may wait for as long as its client does. New refusal kind capacity_shared, log fields, metric keel_node_target_time, event target_time. Switches: capacity-sharing, late-work. Requests without a model are not affected.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -90,6 +90,8 @@
 	// SaveTo is the address of the store that should get the prompt's parts; empty if it
 	// has them.
 	SaveTo string
+	// Targets is how many targets could take the request; 0 for plain requests.
+	Targets int
 }
 
 // Costs and bounds of the choice.
@@ -295,7 +297,7 @@
 // computed once for each version of the weights and kept in chains.
 func (f *Fleet) newChoice(q Query, s *targetState, chains map[int64]prefix.Chain, from fetch, now time.Time) Choice {
 	weights := s.version(q.Model)
-	c := Choice{Target: s.target, Model: q.Model, WeightsVersion: weights, Chain: q.chainFor(chains, weights), Long: q.long}
+	c := Choice{Target: s.target, Model: q.Model, WeightsVersion: weights, Chain: q.chainFor(chains, weights), Long: q.long, Targets: q.targets}
 	c.SharedTokens = sharedTokens(c.Chain)
 	c.CachedTokens = s.cache.cachedTokens(c.Chain)
 	c.Source, c.FetchTokens, c.Transfer = from.source, from.tokens, from.transfer
--- a/node/digest.go
+++ b/node/digest.go
@@ -198,6 +198,7 @@
 	update := p.relay.takePending(l, p.fleet.GroupOccupancy(now))
 	update.Engines = p.fleet.GroupEngineReports(now)
 	update.Limits, update.TargetLimits = p.view.customerLimiter.GroupUpdate(l.group, now), p.view.targetLimiter.GroupUpdate(l.group, now)
+	p.addGroupDemand(l.group, &update, now)
 	p.relay.count(digestSent)
 	return update
 }
@@ -214,6 +215,7 @@
 	}
 	now := time.Now()
 	p.receiveLimits(message, now)
+	p.receiveDemand(message, now)
 	p.fleet.MergeGroupOccupancy(int(g.Group), pulses.DecodeGroupLoads(g), now)
 	p.receiveTargetUpdates(message, now)
 	p.receiveSuspects(message, now)
--- a/node/limits.go
+++ b/node/limits.go
@@ -48,6 +48,7 @@
 	for key := range v.members {
 		nodes[nodeKey(key)] = true
 	}
+	v.servingNodes.Store(int64(len(nodes)))
 	v.customerLimiter.SetMembers(len(nodes))
 	v.targetLimiter.SetMembers(len(nodes))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 	options      Options
 	limits       limitMetrics
 	targetLimits targetLimitMetrics
+	sharing      sharingMetrics
 	servers      struct{ front, ready, metrics *door.Server }
 	// cancel stops everything that the node runs; cancelDuties stops what it does for the
 	// other nodes: its lease, the leader election, the node count and rollouts.
@@ -159,6 +160,7 @@
 	n.view.follower.OnChanges(n.exchange.shareChanges)
 	n.membership.metrics = newMembershipMetrics(n.registry)
 	n.registerGauges()
+	n.sharing = newSharingMetrics(n.registry)
 	n.cacheWatcher = fleet.NewCacheWatcher(targets, runners)
 	bounds := router.Bounds{MaxStaleness: n.view.oldWeightsLimit, MaxStartStaleness: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
 	retries := router.RetryBounds{
@@ -167,6 +169,7 @@
 		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	}
 	n.router = router.New(n.view, targets, runners, n.view.verdicts.Table, n.view.customerLimiter, router.NewMetrics(n.registry), log, bounds, retries)
+	n.router.ShareCapacity(n.exchange.sharer)
 	n.frontend = platform.NewFrontend(n.router, n.view.limits, platform.Telemetry{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
@@ -228,6 +231,7 @@
 	go n.logEngineStats(ctx)
 	go n.logLimits(ctx)
 	go n.logTargetLimits(ctx)
+	go n.reportSharing(ctx)
 	go n.maintainNodeCount(duties)
 	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.onNewLease)
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -22,6 +22,7 @@
 	"acaciakeel/policy"
 	"acaciakeel/prefix"
 	"acaciakeel/pulses"
+	"acaciakeel/sharing"
 )
 
 // peerExchange sends this node's state to the other nodes in UDP datagrams many times a
@@ -43,6 +44,12 @@
 	// enginesSentAt is when engine reports were last sent.
 	enginesSentAt time.Time
 	relay         groupRelay
+	// sharer decides who is admitted where targets' time is scarce.
+	sharer *sharing.Sharer
+	// demandSentAt is when the demand was last sent to the group, groupDemandSentAt when to
+	// each other group.
+	demandSentAt      time.Time
+	groupDemandSentAt map[int]time.Time
 	// contacts are the processes heard from recently, by name; used by receive only.
 	contacts map[string]peerContact
 	watch    watchShare
@@ -57,6 +64,8 @@
 func newPeerExchange(name string, f *fleet.Fleet, t *poison.Table, v *view, log logrus.FieldLogger) *peerExchange {
 	p := &peerExchange{name: name, fleet: f, table: t, view: v, contacts: map[string]peerContact{}, log: log, wake: make(chan struct{}, 1)}
 	p.watch = newWatchShare(prefix.NameHash(name))
+	p.groupDemandSentAt = map[int]time.Time{}
+	p.sharer = sharing.New(name, v.serving, prefix.NameHash, time.Now())
 	return p
 }
 
@@ -208,6 +217,7 @@
 		update.Loads = nil
 	}
 	update.Limits, update.TargetLimits = p.view.customerLimiter.PeerUpdate(now), p.view.targetLimiter.PeerUpdate(now)
+	p.addDemand(&update, now)
 	if int64(clock.Now()) < p.sendDesiredUntil.Load() {
 		update.Namings = p.desiredHistory(now)
 	}
@@ -247,6 +257,7 @@
 		p.fleet.MergeOccupancy(message.Sender, pulses.DecodeLoads(message.Loads), now)
 	}
 	p.receiveLimits(&message, now)
+	p.receiveDemand(&message, now)
 	p.receiveStore(&message)
 	p.receiveDesiredHistory(&message, now)
 	p.relay.addPending(pulses.Update{
--- a/node/view.go
+++ b/node/view.go
@@ -46,6 +46,9 @@
 	// targetLimiter tracks the requests of all nodes to targets that name limits.
 	targetLimiter *quota.Limiter
 
+	// servingNodes is the number of nodes that serve, this one included.
+	servingNodes atomic.Int64
+
 	// self is this node's key among the members.
 	self string
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,12 @@
 	// PriorityWaits counts only the load of a request's own and more urgent priority
 	// classes in its expected wait.
 	PriorityWaits Mechanism = "class-waits"
+	// CapacitySharing shares the targets' time between priority classes and customers while
+	// more is asked for than there is.
+	CapacitySharing Mechanism = "capacity-sharing"
+	// LateAdmission lets less urgent requests wait for as long as their clients do, where
+	// more urgent ones compete with them.
+	LateAdmission Mechanism = "late-work"
 	// LightWaitAllowance lets requests with a short prefill wait longer before they are
 	// refused.
 	LightWaitAllowance Mechanism = "light-waits"
@@ -71,7 +77,7 @@
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LearnedSlotTime, PriorityWaits, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -17,6 +17,7 @@
 	"acaciakeel/forecast"
 	"acaciakeel/poison"
 	"acaciakeel/quota"
+	"acaciakeel/sharing"
 )
 
 // DatagramBytes is the approximate size of a datagram, chosen to fit one packet of
@@ -35,6 +36,8 @@
 	Limits   quota.UsageUpdate
 	// TargetLimits counts requests sent to targets that announce a limit.
 	TargetLimits quota.UsageUpdate
+	// Demand is the target time asked for; it is sent if it reports for any entry.
+	Demand sharing.Report
 	// SentAt and StoreView belong to the shared watch of the store: peers echo SentAt
 	// so that the sender can bound the age of their confirmations.
 	SentAt    clock.BootTime
@@ -98,6 +101,12 @@
 	}
 	pack.addLimits(u.Limits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.Limits = w })
 	pack.addLimits(u.TargetLimits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.TargetLimits = w })
+	if u.Demand.Entries > 0 {
+		// A report is applied as a whole, so it must be in one datagram.
+		w := EncodeDemand(u.Demand)
+		pack.reserve(proto.Size(w) + demandHeaderBytes)
+		pack.message.Demand = w
+	}
 	for _, w := range EncodeSuspects(u.Suspects) {
 		pack.reserve(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
@@ -391,6 +400,9 @@
 // isAmount reports whether x is finite and not negative.
 func isAmount(x float32) bool { return x >= 0 && !math.IsInf(float64(x), 1) }
 
+// demandHeaderBytes is the size of the tag and length of a datagram's demand.
+const demandHeaderBytes = 4
+
 // GroupLoadBytes returns the approximate encoded size of one target's load in a group's
 // update.
 func GroupLoadBytes(loads []fleet.Occupancy) int {
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -57,6 +57,8 @@
 	// time.
 	TargetsLimited    Kind = "targets_limited"
 	TargetsBackingOff Kind = "targets_resting"
+	// CapacityShared: more target time is asked for than there is, and others took precedence.
+	CapacityShared Kind = "capacity_shared"
 )
 
 // Outcome states whether the refused request ran.
@@ -161,6 +163,7 @@
 	WeightsReplaced:   http.StatusBadGateway,
 	TargetsLimited:    http.StatusTooManyRequests,
 	TargetsBackingOff: http.StatusServiceUnavailable,
+	CapacityShared:    http.StatusTooManyRequests,
 }
 
 // Status returns the HTTP status code for e.
--- a/router/log_fields.go
+++ b/router/log_fields.go
@@ -26,6 +26,9 @@
 		fields["expected_ms"] = s.lastChoice.FirstToken.Milliseconds()
 		fields["wait_ms"] = s.lastChoice.Wait.Milliseconds()
 	}
+	if s.scarce != nil {
+		s.scarce.addLogFields(fields, s.in.customerName())
+	}
 	if s.status > 0 {
 		fields["status"] = s.status
 	}
--- a/router/overload.go
+++ b/router/overload.go
@@ -31,14 +31,25 @@
 	return time.Duration(share * float64(objective))
 }
 
-// refuseOverload refuses a request that is expected to wait too long, immediately and with
-// the time until the backlog has shrunk as Retry-After.
-func (s *session) refuseOverload(choice fleet.Choice) *refusal.Error {
+// waitLimit returns the maximum expected wait of the request: late, or the limit by its
+// objective if that is longer.
+func (s *session) waitLimit(choice fleet.Choice, late time.Duration) time.Duration {
 	prefill := choice.PrefillTime
 	if s.router.fleet.Disabled(policy.LightWaitAllowance) {
 		prefill = 0
 	}
 	limit := maxWait(s.in.route.Objective, prefill)
+	if limit <= 0 {
+		return limit
+	}
+	return max(limit, late)
+}
+
+// refuseOverload refuses a request that is expected to wait too long, immediately and with
+// the time until the backlog has shrunk as Retry-After. late is a wait up to which it is
+// admitted although it will be late, or 0.
+func (s *session) refuseOverload(choice fleet.Choice, late time.Duration) *refusal.Error {
+	limit := s.waitLimit(choice, late)
 	if s.executions > 0 || s.in.Model == "" || limit <= 0 || !choice.Reliable || s.router.fleet.Disabled(policy.WaitRefusal) || choice.Wait <= limit {
 		return nil
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"acaciakeel/quota"
 	"acaciakeel/refusal"
 	"acaciakeel/retry"
+	"acaciakeel/sharing"
 )
 
 // ConfigSource provides the configuration that the operators have set.
@@ -55,6 +56,8 @@
 	metrics  *Metrics
 	log      logrus.FieldLogger
 	bounds   Bounds
+	// sharer decides who is admitted where targets' time is scarce; nil admits by waits alone.
+	sharer *sharing.Sharer
 	// shutdownDeadline is when the last requests must have ended; nil unless the process is
 	// stopping.
 	shutdownDeadline atomic.Pointer[time.Time]
--- /dev/null
+++ b/router/scarce.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/fleet"
+	"acaciakeel/policy"
+	"acaciakeel/refusal"
+	"acaciakeel/sharing"
+)
+
+// Both packages use the same priority classes.
+var _ [fleet.PriorityClasses]struct{} = [sharing.Classes]struct{}{}
+
+// Waits up to which less urgent requests are admitted although they will be late. A late
+// response is still of use to a client that waits for it.
+const (
+	// minPatience and patienceFactor, a multiple of the objective, give how long clients
+	// wait for the first event before they abandon a stream.
+	minPatience    = 2 * time.Second
+	patienceFactor = 4
+	// lateShare is the part of that time up to which a request may be expected to wait; the
+	// rest covers errors of the estimate.
+	lateShare = 0.75
+	// lateRuns bounds the wait in multiples of the time for which a run holds its slot. Targets
+	// queue three times their slots; a third of the queue stays free for more urgent requests.
+	lateRuns = 2
+	// lateFreeShare is the part of that limit from which requests are admitted by fractions.
+	lateFreeShare = 0.75
+	// freeShare is the same part of the limit of other requests, and of their objective if that
+	// is less: in a lasting contention, what is admitted is then mostly on time.
+	freeShare = 0.5
+)
+
+// ShareCapacity has the router admit requests by s where targets' time is scarce. It must be
+// called before the router is used.
+func (r *Router) ShareCapacity(s *sharing.Sharer) { r.sharer = s }
+
+// scarceDecision is a decision on a request while targets' time was scarce.
+type scarceDecision struct {
+	sharing.Decision
+	class int
+}
+
+// addLogFields adds what explains a refusal.
+func (d *scarceDecision) addLogFields(fields logrus.Fields, customer string) {
+	fields["class"], fields["customer"] = d.class, customer
+	fields["admitted_part"] = d.Fraction
+	fields["first_class"], fields["first_customer"] = d.FirstClass, d.FirstCustomer
+	fields["oldest_total_ms"] = d.OldestTotal.Milliseconds()
+}
+
+// refuseAdmission refuses a request that is expected to wait too long, or whose customer and
+// class have had their share of the targets' time.
+func (s *session) refuseAdmission(choice fleet.Choice) *refusal.Error {
+	now := time.Now()
+	sharer, f := s.router.sharer, s.router.fleet
+	if sharer == nil || s.attempts > 0 || s.in.Model == "" || f.Disabled(policy.CapacitySharing) {
+		return s.refuseOverload(choice, 0)
+	}
+	q := s.query()
+	slot, prefill, ok := f.TargetTime(q, choice, now)
+	if !ok {
+		return s.refuseOverload(choice, 0)
+	}
+	in := s.in
+	r := sharing.Request{
+		Service: in.service.Name, Class: q.Class, Customer: in.customerName(), Cost: sharing.Cost{Slot: slot, Prefill: prefill}, Content: sharing.Content(in.content),
+		Targets: choice.Targets, Wait: choice.Wait,
+	}
+	if !in.deadline.IsZero() {
+		r.Remaining = in.deadline.Sub(now)
+	}
+	run := slot * time.Duration(choice.Target.Slots)
+	late := s.lateWait(q, run, r.Remaining)
+	r.FreeWait = time.Duration(freeShare * float64(min(s.waitLimit(choice, 0), in.route.Objective)))
+	r.LateWait, r.Patience = time.Duration(lateFreeShare*float64(late)), patience(in.route.Objective)
+	overload := s.refuseOverload(choice, late)
+	if overload != nil {
+		r.Refused, r.RetryAfter = true, overload.RetryAfter
+	}
+	d := sharer.Decide(r, now)
+	if d.Admitted {
+		return nil
+	}
+	s.scarce = &scarceDecision{Decision: d, class: q.Class}
+	if overload != nil && !d.Early {
+		return overload
+	}
+	if d.Early {
+		return refusal.New(refusal.CapacityShared, "come back after the time in Retry-After, not before",
+			"the request came back before the time in its last Retry-After").WithRetryAfter(d.RetryAfter)
+	}
+	return refusal.New(refusal.CapacityShared, "come back after the time in Retry-After",
+		"more is asked of the targets of service %s than they can do; %.0f%% of the customer's requests of priority class %d are admitted", in.service.Name, 100*d.Fraction, q.Class).WithRetryAfter(d.RetryAfter)
+}
+
+func patience(objective time.Duration) time.Duration {
+	return max(minPatience, patienceFactor*objective)
+}
+
+// lateWait returns the wait up to which a request is admitted although it will be late; 0
+// if no more urgent requests compete with it, as serving all late helps nobody then. run
+// is the time for which it will hold its slot, remaining for how long its client waits,
+// or 0.
+func (s *session) lateWait(q fleet.Query, run, remaining time.Duration) time.Duration {
+	f := s.router.fleet
+	if q.Class == 0 || f.Disabled(policy.LateAdmission) || f.Disabled(policy.PriorityWaits) || !s.router.sharer.MoreUrgent(q.Service, q.Class) {
+		return 0
+	}
+	return maxLateWait(s.in.route.Objective, run, remaining)
+}
+
+func maxLateWait(objective, run, remaining time.Duration) time.Duration {
+	limit := patience(objective)
+	if remaining > 0 {
+		limit = min(limit, remaining-run)
+	}
+	return max(0, min(time.Duration(lateShare*float64(limit)), lateRuns*run))
+}
--- a/router/session.go
+++ b/router/session.go
@@ -55,6 +55,8 @@
 	tracked  *poison.ActiveRequest
 	decision poison.Decision
 	probed   <-chan struct{}
+	// scarce is the decision by which the request was refused while targets' time was scarce.
+	scarce *scarceDecision
 }
 
 func (s *session) run(ctx context.Context) *refusal.Error {
@@ -69,7 +71,7 @@
 		if !ok {
 			return s.giveUp(attemptResult{refused: s.refuseNoTarget()})
 		}
-		if refused := s.refuseOverload(choice); refused != nil {
+		if refused := s.refuseAdmission(choice); refused != nil {
 			return refused
 		}
 		out := s.send(ctx, choice)
