--- a/router/scarce.go
+++ b/router/scarce.go
@@ -29,9 +29,13 @@
 	lateRuns = 2
 	// lateFreeShare is the part of that limit from which requests are admitted by fractions.
 	lateFreeShare = 0.75
-	// freeShare is the same part of the limit of other requests, and of their objective if that
-	// is less: in a lasting contention, what is admitted is then mostly on time.
-	freeShare = 0.5
+	// freeShare is the wait, as a part of the objective, up to which requests are admitted
+	// whatever their share, so that no target becomes idle: about the age of what other
+	// entries report.
+	freeShare = 0.1
+	// onTimeShare is the wait, as a part of the limit by the objective or of the objective, from
+	// which waits are worked off in a lasting contention.
+	onTimeShare = 0.5
 )
 
 // ShareCapacity has the router admit requests by s where targets' time is scarce. It must be
@@ -75,7 +79,8 @@
 	}
 	run := slot * time.Duration(choice.Target.Slots)
 	late := s.lateWait(q, run, r.Remaining)
-	r.FreeWait = time.Duration(freeShare * float64(min(s.waitLimit(choice, 0), in.route.Objective)))
+	limit := min(s.waitLimit(choice, 0), in.route.Objective)
+	r.FreeWait, r.OnTimeWait = time.Duration(freeShare*float64(in.route.Objective)), time.Duration(onTimeShare*float64(limit))
 	r.LateWait, r.Patience = time.Duration(lateFreeShare*float64(late)), patience(in.route.Objective)
 	overload := s.refuseOverload(choice, late)
 	if overload != nil {
--- a/sharing/allocate.go
+++ b/sharing/allocate.go
@@ -96,20 +96,24 @@
 // setLevel sets the level at which the customers get the given extra time beyond their
 // guarantees.
 func (c *classDemand) setLevel(guarantee, extra float64) {
-	high := 0.0
-	for _, d := range c.customers {
-		high = max(high, d.demand/d.weight)
-	}
 	if extra >= (1-guarantee)*c.demand {
 		c.level = math.Inf(1)
 		return
 	}
-	low := 0.0
+	if extra <= 0 {
+		c.level = 0
+		return
+	}
+	low, high := 0.0, 0.0
+	for _, d := range c.customers {
+		high = max(high, d.demand/d.weight)
+	}
 	for range levelSteps {
 		middle := (low + high) / 2
 		sum := 0.0
-		for _, d := range c.customers {
-			sum += (d.fraction(guarantee, middle) - guarantee) * d.demand
+		for i := range c.customers {
+			d := &c.customers[i]
+			sum += max(0, min(d.demand, middle*d.weight)-guarantee*d.demand)
 		}
 		if sum > extra {
 			high = middle
--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -59,8 +59,8 @@
 	// reported, in microseconds per second.
 	peers, groups amounts
 	lastAsked     time.Time
-	// fraction is the part of new requests that is admitted, guaranteed its lower limit.
-	fraction, guaranteed float64
+	// fraction is the part of new requests that is admitted.
+	fraction float64
 	// credits are the running counts by size: each new request adds the fraction, and each
 	// admitted one takes 1.
 	credits [sizeBuckets]float64
@@ -132,6 +132,9 @@
 	contendedSince time.Time
 	contendedAt    time.Time
 	computedAt     time.Time
+	// backlog is the mean excess of waits over OnTimeWait in the least urgent class, from 0
+	// to 1.
+	backlog float64
 	// urgent is the key with the most admitted time by class.
 	urgent [Classes]key
 	// rest are the fractions of customers that are not listed; guarantee is the lower limit
@@ -161,6 +164,21 @@
 	s.targets[0] = max(s.targets[0], n)
 }
 
+// noteWait records the expected wait of a request in a lasting contention. More urgent
+// classes wait less, so only those of the least urgent class with demand count.
+func (s *service) noteWait(r Request, now time.Time) {
+	for _, c := range s.demands[r.Class+1:] {
+		if c.demand > minDemand {
+			return
+		}
+	}
+	excess := 0.0
+	if s.contended && r.OnTimeWait > 0 && now.Sub(s.contendedSince) >= r.Patience {
+		excess = min(1, max(0, r.Wait.Seconds()/r.OnTimeWait.Seconds()-1))
+	}
+	s.backlog += drainSmoothing * (excess - s.backlog)
+}
+
 func (s *service) capacity() float64 {
 	return float64(max(s.targets[0], s.targets[1]))
 }
@@ -174,7 +192,7 @@
 	if len(s.totals) >= maxKeys && k.customer != 0 {
 		return s.total(key{class: k.class}, seed)
 	}
-	t := &total{key: k, fraction: s.rest[k.class], guaranteed: s.guarantee}
+	t := &total{key: k, fraction: s.rest[k.class]}
 	if !s.contended {
 		t.fraction = 1
 	}
@@ -212,7 +230,7 @@
 	s.computedAt = now
 	s.collect(now)
 	guarantee, contended := 1.0, false
-	if capacity := part * s.capacity(); capacity > 0 {
+	if capacity := part * s.capacity() * (1 - drainShare*s.backlog); capacity > 0 {
 		guarantee, contended = allocate(&s.demands, capacity)
 	}
 	if contended {
@@ -230,7 +248,7 @@
 			if contended {
 				f = d.fraction(guarantee, c.level)
 			}
-			d.total.fraction, d.total.guaranteed = f, guarantee
+			d.total.fraction = f
 			if d.total.key.customer == 0 {
 				s.rest[i] = f
 			}
@@ -256,7 +274,7 @@
 				}
 				delete(s.totals, k)
 			}
-			t.fraction, t.guaranteed = 1, 1
+			t.fraction = 1
 			continue
 		}
 		c := &s.demands[k.class]
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -38,6 +38,9 @@
 	// LateWait is FreeWait for the first Patience of a contention: a burst is then served
 	// late, not refused. Neither matters if it is less than FreeWait.
 	LateWait, Patience time.Duration
+	// OnTimeWait is the wait up to which it is on time. In a contention that lasts longer
+	// than Patience, waits above it are worked off; 0 disables that.
+	OnTimeWait time.Duration
 	// Remaining is for how long the client still waits; 0 if it is not known.
 	Remaining time.Duration
 	// Refused is set if the request is refused for another reason, with RetryAfter. It
@@ -69,11 +72,16 @@
 	// startPeriod is the time after the start in which requests are admitted by their
 	// waits alone if no other entry has reported its demand.
 	startPeriod = time.Second
-	// computeInterval is the age from which a decision renews the fractions itself.
-	computeInterval = 250 * time.Millisecond
-	// drainFactor reduces a fraction above its guarantee while a wait that built up in a
-	// burst is worked off.
-	drainFactor = 0.6
+	// minComputeInterval is the least time between two renewals of the fractions, which take
+	// a millisecond with a thousand customers; maxComputeInterval is the age from which a
+	// decision renews them itself.
+	minComputeInterval = 150 * time.Millisecond
+	maxComputeInterval = 500 * time.Millisecond
+	// drainShare is the part of the capacity that is held back to work off waits of twice
+	// OnTimeWait or more: those of 6 s that a burst of drafts leaves, in 20 s. drainSmoothing
+	// is the weight of one request in the mean of waits.
+	drainShare     = 0.25
+	drainSmoothing = 0.05
 	// maxCredit bounds what a running count gathers while requests are admitted for other
 	// reasons, and maxOverdraft what retries may borrow from it.
 	maxCredit    = 1.0
@@ -142,7 +150,7 @@
 	}
 	r.Class = min(max(r.Class, 0), Classes-1)
 	svc.noteTargets(r.Targets, now)
-	if now.Sub(svc.computedAt) > computeInterval {
+	if now.Sub(svc.computedAt) > maxComputeInterval {
 		s.compute(svc, now)
 	}
 	t := svc.total(key{class: uint8(r.Class), customer: s.customerHash(r.Customer)}, s.seed)
@@ -158,6 +166,7 @@
 		svc.costs[r.Class].add(r.Cost)
 		t.asked.add(r.Cost.seconds(), now)
 	}
+	svc.noteWait(r, now)
 	d := s.decision(svc, t, r, now)
 	if r.Refused {
 		if d.RetryAfter = r.RetryAfter; svc.contended {
@@ -187,8 +196,6 @@
 	free := r.FreeWait
 	if now.Sub(svc.contendedSince) < r.Patience {
 		free = max(free, r.LateWait)
-	} else if r.Wait > free && r.LateWait > free {
-		d.Fraction = max(t.guaranteed, drainFactor*d.Fraction)
 	}
 	credit := t.credits[bucket]
 	if !returning {
@@ -277,13 +284,15 @@
 	return fmt.Sprintf("%016x", hash)
 }
 
-// Update drops what has expired and renews the fractions.
+// Update drops what has expired, and renews the fractions where that is due.
 func (s *Sharer) Update(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
 	for name, svc := range s.services {
-		s.compute(svc, now)
+		if now.Sub(svc.computedAt) >= minComputeInterval {
+			s.compute(svc, now)
+		}
 		if len(svc.totals) == 0 {
 			delete(s.services, name)
 		}
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -464,6 +464,7 @@
 		t.Errorf("%d of 40 requests admitted that would be late", n)
 	}
 	r.Patience = time.Millisecond
+	r.FreeWait = 0
 	if n := admitted(r); n > 30 {
 		t.Errorf("%d of 40 requests admitted in a lasting contention", n)
 	}
@@ -661,6 +662,26 @@
 	}
 }
 
+// BenchmarkUpdate measures a renewal of the fractions, which happens beside the decisions.
+func BenchmarkUpdate(b *testing.B) {
+	for _, customers := range []int{16, 1000} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			s := New("e", func() int { return 1 }, hash, start)
+			r := Request{Service: "lm", Cost: Cost{Slot: time.Second}, Targets: 100, Wait: time.Hour}
+			for i := range 3 * customers {
+				r.Class, r.Customer = i%3, fmt.Sprint(i/3)
+				binary.LittleEndian.PutUint64(r.Content[:], uint64(i+1))
+				s.Decide(r, start)
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				s.services["lm"].computedAt = time.Time{}
+				s.Update(start.Add(time.Duration(i%1000) * time.Microsecond))
+			}
+		})
+	}
+}
+
 // BenchmarkDecide measures one decision at an entry that gets reports of 300 entries, for 16
 // and 1,000 customers and 2,100 targets. The fractions are renewed within the decisions.
 func BenchmarkDecide(b *testing.B) {
