Urgent requests prefer targets with free memory; resumed streams are not refused

Cause: the expected wait of an urgent request ignores memory that less urgent ones hold, since targets preempt these. Targets with and without free memory looked alike, and each preemption costs a prompt's prefill. A stream that broke off could be refused when its client resumed it, which wastes the time it has had. Change: the choice adds the time to prefill the displaced tokens again. It is a cost, not a wait, so it refuses nothing. Resumed streams are admitted whatever their share. Measured: unit tests; an urgent request chooses the target with memory. fleet's wait and memory tests, and router pass.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -348,7 +348,7 @@
 	if f.desired[q.Model].staleFor(weights, now) > staleWeightsGrace {
 		a.PenaltySeconds += staleWeightsCost.Seconds()
 	}
-	a.PenaltySeconds += f.pauseCost(q, s, now).Seconds()
+	a.PenaltySeconds += f.pauseCost(q, s, now).Seconds() + f.displacementCost(q, s, cached, now).Seconds()
 	return a, from
 }
 
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -23,6 +23,19 @@
 	return wait + f.memoryWait(q, ahead.HeldTokens, EstimateHeldTokens(q.InputTokens, cached, q.MaxOutputTokens), now)
 }
 
+// displacementCost returns what it costs the less urgent requests at a target if a request
+// takes their memory: the target preempts them and prefills their prompts again. It makes
+// urgent requests prefer targets with room and refuses none.
+func (f *Fleet) displacementCost(q Query, s *targetState, cached int, now time.Time) time.Duration {
+	if q.Capacity <= 0 || f.disabled[policy.PriorityWaits] || f.disabled[policy.MemoryBackpressure] {
+		return 0
+	}
+	total := s.totalOccupancy(now)
+	over := total.HeldTokens + EstimateHeldTokens(q.InputTokens, cached, q.MaxOutputTokens) - q.Capacity
+	displaced := min(over, total.HeldTokens-total.upTo(q.Class).HeldTokens)
+	return f.engine(q.Service).BacklogTime(max(0, displaced), now)
+}
+
 // waitClass returns the class up to which the load of a target delays a request. Requests
 // without a model carry no priority to their target, so that the whole load does.
 func (f *Fleet) waitClass(q Query) int {
--- a/fleet/wait_test.go
+++ b/fleet/wait_test.go
@@ -92,6 +92,32 @@
 	}
 }
 
+// Guards against urgent requests that displace others although another target has memory.
+func TestUrgentRequestsPreferFreeMemory(t *testing.T) {
+	f := New("z")
+	f.Put(target("full", 1))
+	f.Put(target("free", 1))
+	for _, id := range []string{"full", "free"} {
+		load := draftRun
+		load.HeldTokens = map[string]int{"full": 30000, "free": 1000}[id]
+		for range 3 {
+			f.Begin(Instance{ID: id}, load, start).FirstEvent(start)
+		}
+	}
+	q := query()
+	q.InputTokens, q.Capacity = 9190, 95750
+	if cost := f.displacementCost(q, f.states["full"], 0, start); cost <= 0 {
+		t.Errorf("displacing drafts costs %v", cost)
+	}
+	if c, ok := f.Choose(q, start); !ok || c.Target.ID != "free" {
+		t.Errorf("chose %s", c.Target.ID)
+	}
+	q.Class = 2
+	if cost := f.displacementCost(q, f.states["full"], 0, start); cost != 0 {
+		t.Errorf("a draft displaces others of its class at a cost of %v", cost)
+	}
+}
+
 // Guards against less urgent requests that are expected to start while more urgent ones
 // keep arriving and taking the slots, and against a wait without bound.
 func TestLessUrgentWaitGrowsWithUrgentArrivals(t *testing.T) {
--- a/router/scarce.go
+++ b/router/scarce.go
@@ -82,6 +82,10 @@
 	limit := min(s.waitLimit(choice, 0), in.route.Objective)
 	r.FreeWait, r.OnTimeWait = time.Duration(freeShare*float64(in.route.Objective)), time.Duration(onTimeShare*float64(limit))
 	r.LateWait, r.Patience = time.Duration(lateFreeShare*float64(late)), patience(in.route.Objective)
+	if in.LastEventID != "" {
+		// A resumed stream has had target time already, which would be lost.
+		r.FreeWait = choice.Wait
+	}
 	overload := s.refuseOverload(choice, late)
 	if overload != nil {
 		r.Refused, r.RetryAfter = true, overload.RetryAfter
