--- a/node/digest.go
+++ b/node/digest.go
@@ -385,6 +385,9 @@
 		fleet.AgeUpdates(update.Findings, now)
 	}
 	update.Engines, update.Limits, update.TargetLimits = engines, limits, targetLimits
+	if !l.limitsOnly {
+		p.addGroupDemand(l.group, &update, now)
+	}
 	p.relay.count(digestSent)
 	return update
 }
@@ -402,6 +405,7 @@
 	now := time.Now()
 	p.relay.remoteRelaySeen(message.Sender, now)
 	p.receiveLimits(message, now)
+	p.receiveDemand(message, now)
 	p.fleet.MergeGroupOccupancy(int(g.Group), pulses.DecodeGroupLoads(g), now)
 	p.receiveTargetUpdates(message, now)
 	p.receiveSuspects(message, now)
