Find targets that stop responding, and give up the requests there

Change: health.ResponseTracker decides for each target. A request overdue by what is learnt of its service starts a probe of the target's address; two probes without an answer, while at least a quarter of the other targets responds, make it unresponsive. It gets no new requests until it responds. Requests there are sent again where the route and the retry budget allow it, streams after their last event; the others are answered 502 with an unknown outcome or aborted. Entries report their own evidence in the findings; a report is trusted for 3 s and probed, and a response here outweighs it. Probes are bounded to 24 a second and 48 at once. New switch response-checks, log lines target_unresponsive, target_responsive and given_up, three metrics.

--- a/fleet/active_request.go
+++ b/fleet/active_request.go
@@ -22,7 +22,8 @@
 	firstAt time.Time
 	done    bool
 	// charge is the request's charge against its target's limit.
-	charge *quota.Charge
+	charge   *quota.Charge
+	progress progress
 }
 
 // RequestLoad is the load that a request brings to its target.
@@ -42,6 +43,8 @@
 	Long bool
 	// HeldTokens is the memory that the run holds there, in tokens.
 	HeldTokens int
+	// ExpectedFirst is the expected time to the first event; 0 if unknown.
+	ExpectedFirst time.Duration
 	// Resumable requests can go on at another target if this one ends them.
 	Resumable bool
 }
@@ -56,6 +59,7 @@
 	}
 	t := &ActiveRequest{fleet: f, state: s, load: load, pendingPrefill: load.UncachedTokens, backlog: s.totalOccupancy(now).PrefillTokens, began: now}
 	s.inflight++
+	s.active[t] = struct{}{}
 	t.charge = f.chargeLimit(s, now)
 	s.backoff.noteSent(now)
 	s.prefillTokens += load.UncachedTokens
@@ -118,6 +122,7 @@
 	t.done = true
 	t.prefillDone()
 	t.state.inflight--
+	delete(t.state.active, t)
 	if t.load.Long {
 		t.state.long--
 	}
--- a/fleet/cache_watcher.go
+++ b/fleet/cache_watcher.go
@@ -138,6 +138,9 @@
 		w.fleet.abandonRead(read.cache)
 		return
 	}
+	if err == nil && read.request.Target != "" {
+		w.fleet.RecordResponse(Instance{ID: read.request.Target, Born: events.Born}, time.Now())
+	}
 	if errors.Is(err, ErrTargetReplaced) {
 		w.fleet.targetReplaced(read)
 		return
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -129,7 +129,7 @@
 	if len(indices) == 0 {
 		return Choice{}, false
 	}
-	indices = responsive(g, indices)
+	indices = responsive(g, indices, now)
 	if q.Isolate && !f.disabled[policy.SuspectIsolation] {
 		if c, ok := f.chooseIsolated(q, g, indices, now); ok {
 			return c, true
@@ -152,10 +152,10 @@
 
 // responsive drops targets that do not answer, unless none does: then it is more likely
 // that this process is cut off for a moment.
-func responsive(g *group, indices []int32) []int32 {
+func responsive(g *group, indices []int32, now time.Time) []int32 {
 	var out []int32
 	for _, i := range indices {
-		if !g.states[i].unresponsive {
+		if !g.states[i].isUnresponsive(now) {
 			out = append(out, i)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,10 +67,20 @@
 	// instance follows another, and restartSharedAt is when that was.
 	restartUnshared bool
 	restartSharedAt time.Time
+	// response tracks whether the target responds, active are this process's requests there.
+	response health.ResponseTracker
+	active   map[*ActiveRequest]struct{}
+	probedAt time.Time
+	// reportedUnresponsive is the state that CheckResponses last returned, unresponsiveSince
+	// when it became true. unresponsiveSharedAt is when an update to the other processes
+	// last named the target, unresponsiveReportedAt when one of theirs did.
+	reportedUnresponsive                         bool
+	unresponsiveSince                            time.Time
+	unresponsiveSharedAt, unresponsiveReportedAt time.Time
 }
 
 func newTargetState() *targetState {
-	return &targetState{weights: map[string]int64{}, guessedWeights: map[string]int64{}, cache: newCache()}
+	return &targetState{weights: map[string]int64{}, guessedWeights: map[string]int64{}, cache: newCache(), active: map[*ActiveRequest]struct{}{}}
 }
 
 // Fleet is one process's view of the targets. It is safe for concurrent use.
@@ -108,6 +118,14 @@
 	shutdowns map[string]shutdown
 	// retained is the state of targets without a list entry, by target ID.
 	retained map[string]retainedState
+	// paces are the usual times without bytes of responses, by service.
+	paces map[string]*servicePace
+	// probeBudget is how many probes may be started, as of probeBudgetAt.
+	probeBudget    float64
+	probeBudgetAt  time.Time
+	probesInFlight int
+	// orphaned end the requests at targets that were removed while they did not respond.
+	orphaned []func()
 }
 
 // group is the targets of one service; candidates has them in the same order, in the form
@@ -129,6 +147,7 @@
 		peerReports: map[string]*peerReport{},
 		shutdowns:   map[string]shutdown{},
 		retained:    map[string]retainedState{},
+		paces:       map[string]*servicePace{},
 		zone:        zone,
 	}
 }
@@ -234,6 +253,7 @@
 		return Target{}, false
 	}
 	f.retain(s)
+	f.abandonSilent(s, time.Now())
 	delete(f.states, id)
 	f.regroupNeeded, f.limitsChanged = true, true
 	return s.target, true
@@ -359,13 +379,13 @@
 	}
 }
 
-// Unresponsive reports whether a target is unknown or did not answer the last read of its
-// cache events.
+// Unresponsive reports whether a target is unknown, does not respond to probes or did not
+// answer the last read of its cache events.
 func (f *Fleet) Unresponsive(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
-	return s == nil || s.unresponsive
+	return s == nil || s.isUnresponsive(time.Now())
 }
 
 // RecordSuccess records a successful response.
--- a/fleet/target_updates.go
+++ b/fleet/target_updates.go
@@ -21,6 +21,10 @@
 	// ShuttingDown is set if the target recently announced its shutdown to the process
 	// itself.
 	ShuttingDown bool
+	// Unresponsive is set if the target does not respond to the process itself;
+	// UnresponsiveAge is the time since its last evidence of that.
+	Unresponsive    bool
+	UnresponsiveAge time.Duration
 }
 
 // Part is a part of a prompt.
@@ -39,6 +43,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []TargetUpdate
+	unresponsiveReports := 0
 	for _, s := range f.states {
 		update := TargetUpdate{Target: s.target.Instance(), BusyFor: max(0, s.observedBusyUntil.Sub(now))}
 		weightsNew := now.Sub(s.weightsSeenAt) < updateRepeatFor
@@ -47,7 +52,8 @@
 		}
 		restarted := now.Sub(s.restartSharedAt) < updateRepeatFor
 		update.Limit, update.ShuttingDown = s.limitUpdate(now), s.sharesShutdown(now)
-		if update.BusyFor == 0 && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown {
+		update.UnresponsiveAge, update.Unresponsive = s.unresponsiveUpdate(&unresponsiveReports, now)
+		if update.BusyFor == 0 && !update.Unresponsive && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown {
 			continue
 		}
 		update.Parts, s.unsharedParts = s.unsharedParts, nil
@@ -87,6 +93,9 @@
 		if c, changed := f.mergeLimit(s, update.Limit, now); changed {
 			result.Limits = append(result.Limits, c)
 		}
+		if update.Unresponsive {
+			f.mergeUnresponsive(s, update.UnresponsiveAge, now)
+		}
 		if update.ShuttingDown && f.markShutdown(s, now) {
 			result.ShuttingDown = append(result.ShuttingDown, s.target.Instance())
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -224,6 +224,7 @@
 	n.cancel, n.cancelDuties = cancel, cancelDuties
 	go n.view.follower.Run(ctx)
 	go n.cacheWatcher.Run(ctx)
+	go n.router.CheckTargets(ctx)
 	go n.exchange.run(ctx)
 	go n.logEngineStats(ctx)
 	go n.logLimits(ctx)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,10 +62,13 @@
 	DemandShares   Mechanism = "demand-shares"
 	// TargetLimits enforces the rate limits that targets advertise.
 	TargetLimits Mechanism = "target-limits"
+	// ResponseChecks probes targets whose requests are overdue, and gives up requests at
+	// those that do not respond.
+	ResponseChecks Mechanism = "response-checks"
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits, ResponseChecks}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -178,6 +178,9 @@
 		}
 		w.PartHash, w.PartTokens = encodeParts(finding.Parts)
 		w.Limit = encodeTargetLimit(finding.Limit)
+		if w.Unresponsive = finding.Unresponsive; w.Unresponsive {
+			w.UnresponsiveAgeMs = uint32(min(max(0, finding.UnresponsiveAge), maxAge).Milliseconds())
+		}
 		out = append(out, w)
 	}
 	return out
@@ -209,6 +212,10 @@
 			Parts:        decodeParts(w.PartHash, w.PartTokens),
 			Limit:        decodeTargetLimit(w.Limit),
 			ShuttingDown: w.Leaving,
+			Unresponsive: w.Unresponsive,
+		}
+		if w.Unresponsive {
+			finding.UnresponsiveAge = min(time.Duration(w.UnresponsiveAgeMs)*time.Millisecond, maxAge)
 		}
 		for _, l := range w.Weights {
 			finding.Weights[l.Model] = l.Version
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -21,10 +21,12 @@
 	Continued         Reason = "continued"
 	Resumed           Reason = "resumed"
 	WeightsReplaced   Reason = "replaced"
+	// Unresponsive: the target was found not to respond while it had the request.
+	Unresponsive Reason = "unresponsive"
 )
 
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced}
+	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive}
 }
 
 // MaxAttempts is the maximum number of times that one request is sent, including the
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -240,6 +240,7 @@
 	case errors.Is(err, fleet.ErrTargetReplaced):
 		c.fleet.RecordEnd(r.Instance())
 	case err == nil:
+		c.fleet.RecordResponse(r.Instance(), time.Now())
 		c.mu.Lock()
 		failingFor, recovered := c.contacts.recordAnswer(r.Instance(), time.Now())
 		c.mu.Unlock()
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -18,6 +18,9 @@
 	malformed      *prometheus.CounterVec
 	shutdowns      prometheus.Counter
 	backoffs       prometheus.Counter
+	unresponsive   prometheus.Gauge
+	detections     *prometheus.CounterVec
+	givenUp        *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a router with r.
@@ -30,6 +33,9 @@
 		latency:        telemetry.NewLatency(r, "keel_router_request_seconds", "Time from a request's arrival to its end, by route.", "route"),
 		shutdowns:      telemetry.NewCounter(r, "keel_router_targets_leaving_total", "Targets that first said to this entry in an answer that they leave.").WithLabelValues(),
 		backoffs:       telemetry.NewCounter(r, "keel_router_rests_total", "Answers by which a target asked this entry to leave it alone for a while.").WithLabelValues(),
+		unresponsive:   telemetry.NewGauge(r, "keel_router_unresponsive_targets", "Targets that get no requests because they do not respond.").WithLabelValues(),
+		detections:     telemetry.NewCounter(r, "keel_router_unresponsive_changes_total", "Targets that were found not to respond, by this entry's own probes or reports of others, and that respond again.", "change"),
+		givenUp:        telemetry.NewCounter(r, "keel_router_requests_given_up_total", "Requests given up because their target does not respond, by what they waited for.", "reason"),
 		malformed:      telemetry.NewCounter(r, "keel_router_notices_unread_total", "Words of targets on themselves that could not be read, by field.", "field"),
 		startStaleness: telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -85,6 +85,10 @@
 		s.executions++
 		return s.handleWithdrawn(choice)
 	}
+	if sent && s.unresponsive.Load() {
+		s.executions++
+		return s.handleUnresponsive(choice)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), s.guard.hasExpired():
 		// The client disconnected or the guard withdrew the attempt: neither says anything
@@ -130,6 +134,9 @@
 // breaks off can still be retried or reported as a failure.
 func (s *session) forwardWhole(choice fleet.Choice, resp *Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil && s.unresponsive.Load() {
+		return s.handleUnresponsive(choice)
+	}
 	if err != nil || len(body) > maxResponseBytes {
 		s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
 		s.recordBrokenResponse(choice, err)
--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,7 @@
 	limiter  *quota.Limiter
 	poison   *poison.Table
 	detector *crashDetector
+	checker  *responseChecker
 	metrics  *Metrics
 	log      logrus.FieldLogger
 	bounds   Bounds
@@ -63,7 +64,7 @@
 // New returns a router. It records contents that crash targets in t and enforces customer
 // limits with q.
 func New(c ConfigSource, f *fleet.Fleet, s Sender, t *poison.Table, q *quota.Limiter, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
-	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), metrics: m, log: log, bounds: b}
+	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), checker: newResponseChecker(s, f, m, log), metrics: m, log: log, bounds: b}
 }
 
 // costWeights weighs missing cached tokens against waiting in the choice of a runner. A
--- a/router/session.go
+++ b/router/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"acaciakeel/catalog"
@@ -55,6 +56,9 @@
 	tracked  *poison.ActiveRequest
 	decision poison.Decision
 	probed   <-chan struct{}
+	// unresponsive is set when the current attempt is given up because its target does not
+	// respond. Each attempt has its own, as it may be set when the attempt has just ended.
+	unresponsive *atomic.Bool
 }
 
 func (s *session) run(ctx context.Context) *refusal.Error {
@@ -153,6 +157,12 @@
 	s.staleness.atSend, s.staleness.atFirstEvent = f.StaleFor(s.in.Model, choice.WeightsVersion, s.sentAt), 0
 	s.active = f.Begin(choice.Target.Instance(), s.requestLoad(choice), s.sentAt)
 	defer s.active.End()
+	unresponsive := &atomic.Bool{}
+	s.unresponsive = unresponsive
+	s.active.OnUnresponsive(func() {
+		unresponsive.Store(true)
+		cancel()
+	})
 	s.tracked.SentTo(choice.Target.Instance())
 	defer s.tracked.LeftTarget()
 	s.guard = s.guardStart(choice, cancel)
@@ -215,6 +225,7 @@
 		Chain:           choice.Chain,
 		Capacity:        s.cacheCapacity(),
 		Long:            choice.Long,
+		ExpectedFirst:   choice.FirstToken,
 		HeldTokens:      fleet.EstimateHeldTokens(s.in.InputTokens, choice.CachedTokens, s.in.MaxOutputTokens),
 		// The attempt that starts now counts as an execution.
 		Resumable: s.in.route.Repeatable() && s.executions+1 < s.in.route.Attempts && s.attempts < retry.MaxAttempts,
@@ -245,6 +256,7 @@
 // recordResponse records what the header of a response says about its target.
 func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
+	s.active.Responded(time.Now())
 	if resp.HasLoad {
 		f.RecordLoad(choice.Target.Instance(), resp.Load, time.Now())
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -39,6 +39,9 @@
 		if err != nil && s.guard.hasExpired() {
 			return s.handleWithdrawn(choice)
 		}
+		if err != nil && s.unresponsive.Load() {
+			return s.handleUnresponsive(choice)
+		}
 		if err != nil {
 			s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
 			s.recordBrokenResponse(choice, err)
@@ -65,6 +68,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.active.EventReceived(now)
 	s.active.FirstEvent(now)
 }
 
