--- a/fleet/speed.go
+++ b/fleet/speed.go
@@ -254,7 +254,7 @@
 			usable = append(usable, int32(i))
 		}
 	}
-	for _, i := range responsive(g, usable) {
+	for _, i := range responsive(g, usable, now) {
 		p := f.pace(g.states[i], now)
 		w.capacity += 1 / (p.Duration * p.Slowdown)
 	}
@@ -299,6 +299,7 @@
 	for i := range all {
 		if w := &all[i]; !w.AsOf.IsZero() && now.After(w.AsOf) {
 			w.SlowdownAge += now.Sub(w.AsOf)
+			w.UnresponsiveAge += now.Sub(w.AsOf)
 			w.AsOf = now
 		}
 	}
