Response checks: no fallback to unresponsive targets, local errors, disputes

A probe that fails for lack of file descriptors counted as one without an answer. After a response that contradicted a report, the other group learnt of the next loss of that target only after 3 s.

Change: unresponsive targets are a fallback only if no target of the service responds. Probe returns NotProbed for errors of this machine. Disputed reports lead to probes, at most one a second. The pause after an accepted probe is 2 s at most.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -129,7 +129,9 @@
 	if len(indices) == 0 {
 		return Choice{}, false
 	}
-	indices = responsive(g, indices, now)
+	if indices = responsive(g, indices, now); len(indices) == 0 {
+		return Choice{}, false
+	}
 	if q.Isolate && !f.disabled[policy.SuspectIsolation] {
 		if c, ok := f.chooseIsolated(q, g, indices, now); ok {
 			return c, true
@@ -151,7 +153,8 @@
 }
 
 // responsive drops targets that do not answer, unless none does: then it is more likely
-// that this process is cut off for a moment.
+// that this process is cut off for a moment. Targets that do not answer probes are dropped
+// if any target of the service responds, usable for this request or not.
 func responsive(g *group, indices []int32, now time.Time) []int32 {
 	var out []int32
 	for _, i := range indices {
@@ -159,10 +162,17 @@
 			out = append(out, i)
 		}
 	}
-	if len(out) == 0 {
+	if len(out) > 0 {
+		return out
+	}
+	acceptsProbes := func(s *targetState) bool {
+		unresponsive, _ := s.response.Unresponsive(now)
+		return !unresponsive
+	}
+	if !slices.ContainsFunc(g.states, acceptsProbes) {
 		return indices
 	}
-	return out
+	return slices.DeleteFunc(indices, func(i int32) bool { return !acceptsProbes(g.states[i]) })
 }
 
 // usable reports whether a target may be asked. For a dead target a true result starts
--- a/fleet/unresponsive.go
+++ b/fleet/unresponsive.go
@@ -415,6 +415,16 @@
 	}
 }
 
+// AbandonProbe records that a probe that CheckResponses asked for was not sent.
+func (f *Fleet) AbandonProbe(l Instance, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probesInFlight--
+	if s := f.states[l.ID]; s != nil && s.target.Instance().Matches(l) {
+		s.response.AbandonProbe(now)
+	}
+}
+
 // isUnresponsive reports whether a target gets no new requests because it does not
 // respond.
 func (s *targetState) isUnresponsive(now time.Time) bool {
--- a/health/response.go
+++ b/health/response.go
@@ -29,14 +29,17 @@
 	// follows sooner, unless hundreds of targets share the bound on probes; then the
 	// reports of the entries that probe a target decide.
 	evidenceTTL = 2 * maxReprobeDelay
-	// disputeTime is for how long reports are ignored after a response contradicted one:
-	// the reporter may be cut off from a target that responds here.
+	// disputeTime is for how long reports only lead to probes after a response contradicted
+	// one: the reporter may be cut off from a target that responds here.
 	disputeTime = 3 * time.Second
+	// disputeProbeInterval is the least time between a probe that contradicts a report and
+	// the next one for a report.
+	disputeProbeInterval = time.Second
 	// minCalm and maxCalm bound the time for which a target that accepts a probe is not
 	// suspected again. It doubles until the target responds to a request, so that a target
 	// that hangs but accepts connections costs one probe in maxCalm.
 	minCalm = 500 * time.Millisecond
-	maxCalm = 4 * time.Second
+	maxCalm = 2 * time.Second
 	// minHeardShare is the least share of the targets with recent evidence that must have
 	// responded to this entry. Below it, this entry is more likely to be cut off. A loss
 	// of two thirds of the targets is still detected.
@@ -59,11 +62,13 @@
 	nextProbe                 time.Time
 	calm                      time.Duration
 	calmUntil                 time.Time
+	acceptedAt                time.Time
 	// since is when this entry's own evidence sufficed; zero before.
 	since time.Time
-	// reportedUntil is until when the reports of other entries are trusted, and
-	// disputedUntil until when they are ignored.
-	reportedUntil, disputedUntil time.Time
+	// reportedUntil is until when the reports of other entries are evidence beside a failed
+	// probe, trustedUntil until when they suffice alone. A report before disputedUntil does
+	// not.
+	reportedUntil, trustedUntil, disputedUntil time.Time
 }
 
 // Suspect records a sign that the target may not respond; overdue is set if requests there
@@ -91,17 +96,23 @@
 	t.lastResponse = now
 	t.suspected, t.overdue = false, false
 	t.failures, t.confirmed, t.firstFailure = 0, 0, time.Time{}
-	t.since, t.reportedUntil = time.Time{}, time.Time{}
+	t.since, t.reportedUntil, t.trustedUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
 // RecordReport records that another entry considered the target unresponsive at a time.
 func (t *ResponseTracker) RecordReport(evidence, now time.Time) {
-	if now.Before(t.disputedUntil) || t.lastResponse.After(evidence) || now.Sub(evidence) >= reportTTL {
+	until := evidence.Add(reportTTL)
+	if t.lastResponse.After(evidence) || !now.Before(until) {
 		return
 	}
-	if until := evidence.Add(reportTTL); until.After(t.reportedUntil) {
+	if until.After(t.reportedUntil) {
 		t.reportedUntil = until
 	}
+	if !now.Before(t.disputedUntil) {
+		t.trustedUntil = t.reportedUntil
+	} else if now.Sub(t.acceptedAt) < disputeProbeInterval {
+		return
+	}
 	if !t.suspected {
 		t.suspected, t.nextProbe = true, now
 	}
@@ -123,10 +134,14 @@
 func (t *ResponseTracker) RecordProbe(startedAt time.Time, responded bool, now time.Time) {
 	t.probing = false
 	switch {
-	case responded:
-		t.responded(now)
+	case responded && t.suspected:
+		t.acceptedAt = now
 		t.calm = min(max(2*t.calm, minCalm), maxCalm)
 		t.calmUntil = now.Add(t.calm)
+		t.responded(now)
+		return
+	case responded:
+		t.responded(now)
 		return
 	case !t.lastResponse.Before(startedAt):
 		return
@@ -147,6 +162,12 @@
 	t.nextProbe = now.Add(min(reprobeDelay<<min(max(0, t.failures-2), 8), maxReprobeDelay))
 }
 
+// AbandonProbe records that the probe was not sent.
+func (t *ResponseTracker) AbandonProbe(now time.Time) {
+	t.probing = false
+	t.nextProbe = now.Add(reprobeDelay)
+}
+
 // Establish decides whether this entry's own evidence now suffices to consider the target
 // unresponsive, and reports whether it did not before.
 func (t *ResponseTracker) Establish(now time.Time) bool {
@@ -177,7 +198,7 @@
 // entry's own evidence.
 func (t *ResponseTracker) Unresponsive(now time.Time) (unresponsive, own bool) {
 	own = !t.since.IsZero()
-	return own || now.Before(t.reportedUntil), own
+	return own || now.Before(t.trustedUntil), own
 }
 
 // Idle reports whether nothing is known against the target and no probe is in progress.
--- a/router/request.go
+++ b/router/request.go
@@ -135,6 +135,9 @@
 	Listening    ProbeResult = "present"
 	NotListening ProbeResult = "absent"
 	Inconclusive ProbeResult = "unclear"
+	// NotProbed: this process could not send the probe, for example because it has no free
+	// file descriptors. That says nothing about the target.
+	NotProbed ProbeResult = "not_sent"
 )
 
 // ResponseWriter writes a response to the client. Its methods return an error once the
--- a/router/response_checker.go
+++ b/router/response_checker.go
@@ -61,6 +61,10 @@
 	probeCtx, cancel := context.WithTimeout(ctx, health.ProbeTimeout)
 	defer cancel()
 	result := c.sender.Probe(probeCtx, target)
+	if result == NotProbed || ctx.Err() != nil {
+		c.fleet.AbandonProbe(target.Instance(), time.Now())
+		return
+	}
 	c.fleet.RecordProbe(target.Instance(), startedAt, result != Inconclusive, time.Now())
 }
 
