soak: slow readers, bursts, targets that slow down or fall silent

The stand-in of targets reports a fourth figure in Server-Load and takes that much longer (SetSlowness), and pads events to the size that a request asks for. The fault proxy holds back everything for a while without a reset (SetSilent). TestSoakScarce plays them beside clients that read slowly or not at all or disconnect, and customers that send several times their usual, on entries whose responses may hold 4 MB together; the checks are those of the other soaks.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -48,22 +48,32 @@
 	for i := range callerCount {
 		c.done.Add(1)
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		go func() {
-			defer c.done.Done()
-			for {
-				select {
-				case <-c.stop:
-					return
-				case <-time.After(time.Duration(random.IntN(40)) * time.Millisecond):
-				}
-				route := []string{"draft", "match", "hold", "stock"}[random.IntN(4)]
-				c.send(s.entries[random.IntN(len(s.entries))], route, random.IntN(12))
-			}
-		}()
+		go c.keepSending(c.stop, random, c.sendAny)
 	}
 	return c
 }
 
+// keepSending sends one request after the other until stop is closed.
+func (c *callers) keepSending(stop <-chan struct{}, random *rand.Rand, send func(*rand.Rand)) {
+	defer c.done.Done()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(40)) * time.Millisecond):
+		}
+		send(random)
+	}
+}
+
+// sendAny sends a request at random.
+func (c *callers) sendAny(random *rand.Rand) {
+	route := []string{"draft", "match", "hold", "stock"}[random.IntN(4)]
+	c.send(c.site.anyEntry(random), route, random.IntN(12))
+}
+
+func (s *site) anyEntry(random *rand.Rand) *entry { return s.entries[random.IntN(len(s.entries))] }
+
 func (c *callers) end() {
 	close(c.stop)
 	c.done.Wait()
@@ -77,12 +87,17 @@
 
 // send sends one attempt and reports whether it was answered with success.
 func (c *callers) send(e *entry, route string, thing int) bool {
+	return c.sendAs(e, route, c.newID("id-", e), thing)
+}
+
+// newID returns the id of an attempt that is sent to an entry.
+func (c *callers) newID(prefix string, e *entry) string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.seq++
-	id := fmt.Sprintf("id-%d", c.seq)
+	id := fmt.Sprintf("%s%d", prefix, c.seq)
 	c.sentTo[id] = e
-	c.mu.Unlock()
-	return c.sendAs(e, route, id, thing)
+	return id
 }
 
 // sendAs sends one attempt under an id.
@@ -108,9 +123,16 @@
 	if route == "draft" || route == "match" {
 		r.Prompt = &client.Prompt{Model: model, Input: 3000, Output: 500, Parts: fmt.Sprintf("aa:800,b%d:1200,c%s:1000", thing, id)}
 	}
+	if isSlow(id) {
+		r.Path += fmt.Sprintf("?%s=%d", runner.EventBytesParam, slowEventBytes)
+	}
 	return r.To(e.front)
 }
 
+// clientTimeout is longer than the deadline of any request and the time that a client which
+// reads slowly takes.
+const clientTimeout = 20 * time.Second
+
 func (c *callers) exchange(e *entry, route, id string, thing int) outcome {
 	out := outcome{route: route}
 	req, err := c.request(e, route, id, thing)
@@ -118,14 +140,14 @@
 		c.violate("request %s: %v", id, err)
 		return out
 	}
-	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		out.err = err
 		return out
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(readerOf(id, resp.Body))
 	out.status, out.err = resp.StatusCode, err
 	c.checkAnswer(id, &out, resp, string(body))
 	return out
@@ -141,23 +163,15 @@
 	}
 	want := "answer to " + id
 	if out.route == "draft" || out.route == "match" {
-		want = wholeStream()
+		want = runner.WholeStream(eventBytesOf(id))
 	}
 	out.whole = body == want
 	if !strings.HasPrefix(want, body) {
-		c.violate("%s %s: the body %q is not the target's", out.route, id, body)
+		c.violate("%s %s: the body %.200q of %d bytes is not the target's", out.route, id, body, len(body))
 	}
 	if out.err == nil && !out.whole {
-		c.violate("%s %s: half a body looks whole: %q", out.route, id, body)
-	}
-}
-
-func wholeStream() string {
-	var b strings.Builder
-	for i := 1; i <= runner.Events; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+		c.violate("%s %s: half a body looks whole: %.200q of %d bytes", out.route, id, body, len(body))
 	}
-	return b.String()
 }
 
 // judge holds what the callers saw against what the targets saw.
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -75,6 +75,8 @@
 	versionMS int
 	// seconds is how long it is played; 0 is as long as most are.
 	seconds int
+	// scarce has clients that read slowly, and entries with little memory.
+	scarce bool
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
@@ -126,11 +128,17 @@
 	if r.deadly != "" {
 		c.deadly(r.deadly, r.seed)
 	}
+	if r.scarce {
+		c.readSlowly(r.seed)
+	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
+	if r.scarce {
+		s.await("a client that reads slowly gets its whole stream", func() bool { return c.sendSlow(s.entries[0]) })
+	}
 	s.await("every runner has the newest weights", s.allLoaded)
 	if r.ownEntries {
 		s.await("the entries' own keys stand in the store", s.ownEntriesStand)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -59,6 +59,8 @@
 	direct bool
 	// versionMS is the entries' bound on older weights, in milliseconds.
 	versionMS int
+	// memoryMB is the memory of the entries' VMs.
+	memoryMB int
 }
 
 func (s *site) addressOf(tg *target) string {
@@ -104,7 +106,10 @@
 
 func newSite(t *testing.T, entries int, r regression) *site {
 	t.Helper()
-	s := &site{t: t, direct: r.direct, versionMS: cmp.Or(r.versionMS, usualVersionMS), dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}}
+	s := &site{t: t, direct: r.direct, versionMS: cmp.Or(r.versionMS, usualVersionMS), dir: t.TempDir(), store: kv.NewStore(0), weights: 1, written: map[string]string{}, memoryMB: usualMemoryMB}
+	if r.scarce {
+		s.memoryMB = scarceMemoryMB
+	}
 	s.trap = newTrap(t)
 	s.service = kv.NewServer(s.store)
 	s.server = httptest.NewServer(s.service.Handler())
@@ -240,6 +245,8 @@
 [listen]
 front = %q
 ready = %q
+[limits]
+memory_mb = %d
 [bounds]
 grace_s = %d
 revoke_ms = 5000
@@ -252,7 +259,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, e.name, freePort(s.t), e.front, e.ready, graceS, s.versionMS, e.proxy.Addr())
+`, e.name, freePort(s.t), e.front, e.ready, s.memoryMB, graceS, s.versionMS, e.proxy.Addr())
 	if err := os.WriteFile(e.file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -21,6 +21,8 @@
 	refuse  bool
 	lossy   bool
 	stopped bool
+	// silent is set while nothing passes; it is closed when bytes pass again.
+	silent chan struct{}
 }
 
 // pair is one connection and its other half.
@@ -61,6 +63,7 @@
 	p.stopped = true
 	p.mu.Unlock()
 	p.listener.Close()
+	p.SetSilent(false)
 	p.Cut()
 }
 
@@ -90,6 +93,30 @@
 	p.delay = d
 }
 
+// SetSilent holds back everything that arrives, also on new connections, until it is called
+// with false or the proxy ends.
+func (p *Proxy) SetSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case silent && p.silent == nil && !p.stopped:
+		p.silent = make(chan struct{})
+	case !silent && p.silent != nil:
+		close(p.silent)
+		p.silent = nil
+	}
+}
+
+// awaitSpeech waits until the proxy is not silent.
+func (p *Proxy) awaitSpeech() {
+	p.mu.Lock()
+	silent := p.silent
+	p.mu.Unlock()
+	if silent != nil {
+		<-silent
+	}
+}
+
 // SetRefuse makes new connections end at once.
 func (p *Proxy) SetRefuse(refuse bool) {
 	p.mu.Lock()
@@ -165,6 +192,7 @@
 			return
 		}
 		time.Sleep(delay)
+		p.awaitSpeech()
 		select {
 		case <-pair.frozen:
 			continue
--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 )
@@ -17,6 +18,8 @@
 	busy bool
 	// running holds the requests that occupy a slot.
 	running map[*run]bool
+	// waiting is the number of requests that wait for a slot.
+	waiting int
 	// changed is closed and replaced when a slot is released, an order begins or ends,
 	// or the target restarts.
 	changed chan struct{}
@@ -37,6 +40,9 @@
 	r.load, r.slots = load, slots
 }
 
+// slotCount returns the number of slots that the target states; the caller holds mu.
+func (r *Runner) slotCount() int { return cmp.Or(r.slots, 8) }
+
 // Busy reports whether an order is being executed.
 func (r *Runner) Busy() bool {
 	r.mu.Lock()
@@ -77,12 +83,14 @@
 			return in, false
 		}
 		changed := r.changed
+		r.waiting++
 		r.mu.Unlock()
 		select {
 		case <-changed:
 		case <-req.Context().Done():
 		}
 		r.mu.Lock()
+		r.waiting--
 		if req.Context().Err() != nil {
 			break
 		}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -4,7 +4,6 @@
 package runner
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -71,6 +70,8 @@
 	leaves bool
 	// rest is the Retry-After with which all requests are refused; 0 refuses none.
 	rest time.Duration
+	// slowness is the fourth figure of Server-Load; 0 sends no Server-Load.
+	slowness int
 }
 
 // Start starts a target on loopback with the given weights; nil for a service without
@@ -176,7 +177,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	value, _ := json.Marshal(map[string]any{
-		"service": r.Service, "address": address, "zone": "z1", "slots": cmp.Or(r.slots, 8), "state": state, "models": r.models(), "born": r.born,
+		"service": r.Service, "address": address, "zone": "z1", "slots": r.slotCount(), "state": state, "models": r.models(), "born": r.born,
 	})
 	return store.Entry{Key: "servers/" + r.ID, Value: value}
 }
@@ -226,6 +227,7 @@
 		return
 	}
 	seen, fault, pace, refused := r.record(req, string(body))
+	r.setLoadHeader(w.Header())
 	r.setLimitHeader(w.Header(), seen)
 	r.setLeavingHeader(w.Header(), seen)
 	r.setRetryAfter(w.Header(), seen, refused)
@@ -311,7 +313,7 @@
 		defer r.releaseSlot(in)
 		t.run = in
 		var begun bool
-		if begun, refused = r.processPrompt(req, in, t.pace); begun {
+		if begun, refused = r.processPrompt(req, in, r.slowed(t.pace)); begun {
 			h.Set("Content-Type", "text/event-stream")
 			r.setWeights(h, req.Header.Get("Model"))
 			r.stream(w, req, t)
@@ -343,8 +345,8 @@
 
 // pause waits until the next event is due; it returns false if the stream is aborted or
 // the client disconnects first.
-func (t *response) pause(req *http.Request) bool {
-	timer := time.NewTimer(t.pace)
+func (t *response) pause(req *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -361,8 +363,9 @@
 		first = last + 1
 	}
 	flush := http.NewResponseController(w)
+	size := eventBytes(req)
 	for i := first; i <= Events; i++ {
-		if i > first && !t.pause(req) {
+		if i > first && !t.pause(req, r.slowed(t.pace)) {
 			panic(http.ErrAbortHandler)
 		}
 		if breaksStream(fault) && first == 1 && i == 3 {
@@ -373,7 +376,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = io.WriteString(w, Event(i, size))
 		_ = flush.Flush()
 	}
 }
