--- a/responsebuffer/response_test.go
+++ b/responsebuffer/response_test.go
@@ -246,3 +246,66 @@
 		t.Errorf("after Close: held %+v, received %d", u, len(client.received()))
 	}
 }
+
+// A whole response of megabytes that is copied to be held would take its memory twice. It is
+// held as it is and counts until the client has taken all of it.
+func TestWholeResponseIsHeldUncopied(t *testing.T) {
+	pool := NewPool(Limits{Response: enough, Total: enough}, nil)
+	client := newTestClient(0)
+	r := newResponse(t.Context(), pool, client)
+	body := make([]byte, 100<<10, 120<<10)
+	if n := testing.AllocsPerRun(1, func() { _ = r.hold(body) }); n > 10 {
+		t.Errorf("%v allocations", n)
+	}
+	client.awaitBlocked()
+	if u := pool.Usage(); u.Bytes != 2*int64(cap(body)) || u.Largest != u.Bytes || u.Responses != 1 {
+		t.Errorf("held %+v, want twice the capacity %d", u, cap(body))
+	}
+	r.mu.Lock()
+	if len(r.queue) != 1 || &r.queue[0][0] != &body[0] {
+		t.Error("the body was copied")
+	}
+	r.mu.Unlock()
+	client.give(enough)
+	if err := r.Finish(); err != nil || pool.Usage() != (Usage{}) {
+		t.Errorf("after Finish: %v, held %+v", err, pool.Usage())
+	}
+	r.Close()
+}
+
+// When all responses together exceed their limit, one that grows by little must not be ended
+// in place of the one that holds most, and must not wait for it.
+func TestLargestIsAbortedFirst(t *testing.T) {
+	aborted := make(chan string, 3)
+	pool := NewPool(Limits{Response: enough, Total: 100 << 10}, func(id string, reason Reason, bytes int64) {
+		aborted <- string(reason) + " " + id
+	})
+	var clients []*testClient
+	var responses []*Response
+	for i, size := range []int{20 << 10, 60 << 10, 15 << 10} {
+		client := newTestClient(0)
+		r := &Response{}
+		r.Init(t.Context(), string(rune('a'+i)), pool, client)
+		if err := r.Write(make([]byte, size)); err != nil {
+			t.Fatal(err)
+		}
+		client.awaitBlocked()
+		clients, responses = append(clients, client), append(responses, r)
+	}
+	if err := responses[2].Write(make([]byte, 10<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-aborted; got != string(TotalLimit)+" b" {
+		t.Errorf("aborted %q", got)
+	}
+	if u := pool.Usage(); u.Bytes != 45<<10 || u.Responses != 2 {
+		t.Errorf("held %+v after the abort", u)
+	}
+	for i, r := range responses {
+		clients[i].give(enough)
+		if err := r.Finish(); (err != nil) != (i == 1) {
+			t.Errorf("response %d: %v", i, err)
+		}
+		r.Close()
+	}
+}
