Entry: soft limit of the heap from memory_mb

Cause: between two collections the heap grows to twice what is in use, so what is held for clients that read slowly takes twice its share of the VM's memory, and an entry over its memory limit is killed.

The process sets the runtime's soft limit to three fifths of memory_mb, unless GOMEMLIMIT is set.

--- a/cmd/acaciakeel-entry/platform.go
+++ b/cmd/acaciakeel-entry/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -36,6 +37,9 @@
 			if err != nil {
 				return fmt.Errorf("--without: %w", err)
 			}
+			if limit := node.HeapLimit(settings.Limits.MemoryMB); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+				debug.SetMemoryLimit(limit)
+			}
 			lines := telemetry.NewLines(os.Stdout)
 			log := telemetry.NewLoggerTo(lines, "info")
 			stop := stopSignal(log)
--- a/node/buffer.go
+++ b/node/buffer.go
@@ -26,6 +26,14 @@
 	return responsebuffer.Limits{Response: router.MaxHeldResponse, Total: int64(memoryMB) << 20 / responseMemoryShare}
 }
 
+// HeapLimit returns the soft limit of the Go runtime on a VM with the given memory, or 0 if
+// that is unknown. Without it the heap grows to twice what is in use between collections, and
+// held responses take twice their share. Three fifths leave room for the sockets of clients
+// that read slowly; an entry without held responses uses a third of that on the smallest VMs.
+func HeapLimit(memoryMB int) int64 {
+	return max(0, int64(memoryMB)) << 20 * 3 / 5
+}
+
 // newResponseBuffer returns the pool of the responses to clients, which logs and counts the
 // responses that it aborts.
 func newResponseBuffer(r *prometheus.Registry, memoryMB int, log logrus.FieldLogger) *responsebuffer.Pool {
--- a/node/buffer_test.go
+++ b/node/buffer_test.go
@@ -247,6 +247,9 @@
 // The sum of what all responses hold comes from the VM's memory; without that setting it must
 // not be unbounded.
 func TestResponseLimits(t *testing.T) {
+	if got := HeapLimit(112); got < responseLimits(112).Total || got > 112<<20 || HeapLimit(0) != 0 {
+		t.Errorf("heap limit %d at 112 MB, %d if it is unknown", got, HeapLimit(0))
+	}
 	for mb, want := range map[int]int64{536: 134 << 20, 112: 28 << 20, 0: 28 << 20} {
 		s := platform.VMResources{MemoryMB: mb}
 		if got := responseLimits(s.MemoryMB); got.Total != want || got.Response != router.MaxHeldResponse {
