Learn pauses between events of streams, and exchange them

Cause: nothing is known of how long streams pause at a target, so requests can't be placed by it.

The sums are additive and are exchanged in EngineWord (pause_cross, pause_right, pause_weight); lists of another size or with impossible values count as no samples.

--- a/forecast/estimator.go
+++ b/forecast/estimator.go
@@ -92,6 +92,10 @@
 	offered      OfferedLoad
 	offeredAt    time.Time
 	firstArrival time.Time
+	// pauses is the estimate of pauses in streams, bounded what arrives with a bound of them.
+	pauses    pauseEstimate
+	bounded   boundedArrivals
+	eventPace eventPace
 	// WeightLoads is the estimate of the duration of weight loads.
 	WeightLoads WeightLoads
 }
@@ -100,6 +104,7 @@
 type peerReport struct {
 	sums        Sums
 	slotHold    TimePerToken
+	pauses      PauseSums
 	offeredLoad OfferedLoad
 	receivedAt  time.Time
 	fromGroup   bool
--- a/forecast/reports.go
+++ b/forecast/reports.go
@@ -12,6 +12,7 @@
 	SlotHold    TimePerToken
 	WeightLoads WeightLoads
 	OfferedLoad OfferedLoad
+	Pauses      PauseSums
 }
 
 // reportTTL is how long a report is used: long enough for several to be lost.
@@ -19,17 +20,17 @@
 
 // Report returns the samples of this process; ok is false if there are none.
 func (e *Estimator) Report(service string, now time.Time) (r Report, ok bool) {
-	return Report{Service: service, Sums: e.local, SlotHold: e.slotHold, WeightLoads: e.WeightLoads, OfferedLoad: e.offeredRate(now)}, e.local.Weight > 0 || e.WeightLoads.Samples > 0
+	return Report{Service: service, Sums: e.local, SlotHold: e.slotHold, WeightLoads: e.WeightLoads, OfferedLoad: e.offeredRate(now), Pauses: e.pauses.local}, e.local.Weight > 0 || e.WeightLoads.Samples > 0
 }
 
 // ApplyReport replaces the last report of another process.
 func (e *Estimator) ApplyReport(sender string, r Report, now time.Time) {
-	e.applyReport(sender, r, peerReport{sums: r.Sums, slotHold: r.SlotHold, offeredLoad: r.OfferedLoad, receivedAt: now})
+	e.applyReport(sender, r, peerReport{sums: r.Sums, slotHold: r.SlotHold, pauses: r.Pauses, offeredLoad: r.OfferedLoad, receivedAt: now})
 }
 
 // ApplyGroupReport replaces the last report of another group of processes.
 func (e *Estimator) ApplyGroupReport(group int, r Report, now time.Time) {
-	e.applyReport("group "+strconv.Itoa(group), r, peerReport{sums: r.Sums, slotHold: r.SlotHold, offeredLoad: r.OfferedLoad, receivedAt: now, fromGroup: true})
+	e.applyReport("group "+strconv.Itoa(group), r, peerReport{sums: r.Sums, slotHold: r.SlotHold, pauses: r.Pauses, offeredLoad: r.OfferedLoad, receivedAt: now, fromGroup: true})
 }
 
 // GroupReport returns the merged samples of this process and the processes of its group; ok
@@ -43,6 +44,7 @@
 		ok = true
 		r.Sums.Merge(p.sums)
 		r.SlotHold.add(p.slotHold)
+		r.Pauses.Merge(p.pauses)
 		r.OfferedLoad.addScaled(p.offeredLoad, decayFactor(now.Sub(p.receivedAt), loadDecayTime))
 	}
 	return r, ok
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -309,6 +309,7 @@
 			Light: float32(report.OfferedLoad.Light), Heavy: float32(report.OfferedLoad.Heavy), Heavies: float32(report.OfferedLoad.HeavyRate), Longs: float32(report.OfferedLoad.LongRate),
 			RunSeconds: float32(report.SlotHold.Seconds), RunTokens: float32(report.SlotHold.Tokens),
 		}
+		w.PauseCross, w.PauseRight, w.PauseWeight = encodePauses(report.Pauses)
 		for _, x := range report.Sums.Cross {
 			w.Cross = append(w.Cross, float32(x))
 		}
@@ -336,6 +337,7 @@
 		if len(w.Cross) != len(report.Sums.Cross) || len(w.Right) != len(report.Sums.Right) {
 			continue
 		}
+		report.Pauses = decodePauses(w)
 		report.Sums.Weight = float64(w.Weight)
 		for i, x := range w.Cross {
 			report.Sums.Cross[i] = float64(x)
@@ -348,6 +350,46 @@
 	return out
 }
 
+// encodePauses returns empty lists without samples.
+func encodePauses(sums forecast.PauseSums) (cross, right []float32, weight float32) {
+	if sums.Weight <= 0 {
+		return nil, nil, 0
+	}
+	for _, x := range sums.Cross {
+		cross = append(cross, float32(x))
+	}
+	for _, x := range sums.Right {
+		right = append(right, float32(x))
+	}
+	return cross, right, float32(sums.Weight)
+}
+
+// decodePauses returns sums without samples for lists of another size or with a value that no
+// samples have.
+func decodePauses(w *keelv1.EngineWord) forecast.PauseSums {
+	var sums forecast.PauseSums
+	if len(w.PauseCross) != len(sums.Cross) || len(w.PauseRight) != len(sums.Right) || !isSum(w.PauseWeight) {
+		return forecast.PauseSums{}
+	}
+	for i, x := range w.PauseCross {
+		if !isSum(x) {
+			return forecast.PauseSums{}
+		}
+		sums.Cross[i] = float64(x)
+	}
+	for i, x := range w.PauseRight {
+		if !isSum(x) {
+			return forecast.PauseSums{}
+		}
+		sums.Right[i] = float64(x)
+	}
+	sums.Weight = float64(w.PauseWeight)
+	return sums
+}
+
+// isSum reports whether a value may be a sum of products of non-negative figures.
+func isSum(x float32) bool { return x >= 0 && !math.IsInf(float64(x), 1) }
+
 // GroupLoadBytes is the approximate encoded size of one target's load in a group's
 // update.
 const GroupLoadBytes = 22
--- a/pulses/wire_test.go
+++ b/pulses/wire_test.go
@@ -1,6 +1,7 @@
 package pulses
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/fleet"
+	"acaciakeel/forecast"
 )
 
 // Guards against speeds and slowdowns that change on the way, and against figures of another
@@ -35,3 +37,35 @@
 		t.Errorf("a ratio above 0 is sent as %d percent, which means none", got)
 	}
 }
+
+// Guards against pauses that change on the way, and against sums of another build or a faulty
+// sender that would spoil the fit of all processes.
+func TestPausesInEngineReports(t *testing.T) {
+	sent := forecast.Report{Service: "lm"}
+	for i := range sent.Pauses.Cross {
+		sent.Pauses.Cross[i] = float64(i)
+	}
+	for i := range sent.Pauses.Right {
+		sent.Pauses.Right[i] = 0.5 * float64(i)
+	}
+	sent.Pauses.Weight = 40
+	encoded := EncodeEngines([]forecast.Report{sent})
+	if got := DecodeEngines(encoded)[0].Pauses; got != sent.Pauses {
+		t.Errorf("sent %+v, received %+v", sent.Pauses, got)
+	}
+	for name, change := range map[string]func(w *keelv1.EngineWord){
+		"none":          func(w *keelv1.EngineWord) { w.PauseCross, w.PauseRight, w.PauseWeight = nil, nil, 0 },
+		"another size":  func(w *keelv1.EngineWord) { w.PauseCross = w.PauseCross[1:] },
+		"a NaN":         func(w *keelv1.EngineWord) { w.PauseRight[2] = float32(math.NaN()) },
+		"a negative":    func(w *keelv1.EngineWord) { w.PauseCross[2] = -1 },
+		"an infinity":   func(w *keelv1.EngineWord) { w.PauseWeight = float32(math.Inf(1)) },
+		"a NaN, weight": func(w *keelv1.EngineWord) { w.PauseWeight = float32(math.NaN()) },
+	} {
+		encoded := EncodeEngines([]forecast.Report{sent})
+		change(encoded[0])
+		got := DecodeEngines(encoded)
+		if len(got) != 1 || got[0].Pauses != (forecast.PauseSums{}) {
+			t.Errorf("%s: received %+v", name, got)
+		}
+	}
+}
