--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -42,6 +42,9 @@
 	// Objective is the latency objective: the response time, or for streams the
 	// time to the first event, beyond which the response loses value.
 	Objective time.Duration
+	// MaxEventGap is the longest pause between two events of a stream for which its
+	// response is on time; 0 means no bound.
+	MaxEventGap time.Duration
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	// Attempts is the maximum number of targets that may execute one attempt of
--- a/router/session.go
+++ b/router/session.go
@@ -133,6 +133,7 @@
 		q.TokenBytes = in.service.Engine.TokenBytes
 		q.Capacity = in.service.Engine.CapacityTokens
 		q.InputTokens, q.MaxOutputTokens, q.Objective = in.InputTokens, in.MaxOutputTokens, in.route.Objective
+		q.MaxEventGap = in.route.MaxEventGap
 		q.Chain = func(weights int64) prefix.Chain { return in.chain(in.cacheSalt(weights)) }
 	}
 	return q
