--- a/forecast/estimator.go
+++ b/forecast/estimator.go
@@ -94,6 +94,10 @@
 	offered      OfferedLoad
 	offeredAt    time.Time
 	firstArrival time.Time
+	// pauses is the estimate of pauses in streams, bounded what arrives with a bound of them.
+	pauses    pauseEstimate
+	bounded   boundedArrivals
+	eventPace eventPace
 	// WeightLoads is the estimate of the duration of weight loads.
 	WeightLoads WeightLoads
 }
@@ -103,6 +107,7 @@
 	sums        Sums
 	slotHold    TimePerToken
 	classHold   [ClassCount]TimePerToken
+	pauses      PauseSums
 	offeredLoad OfferedLoad
 	receivedAt  time.Time
 	fromGroup   bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,6 +84,9 @@
 	// ResponseChecks probes targets whose requests are overdue, and gives up requests at
 	// those that do not respond.
 	ResponseChecks Mechanism = "response-checks"
+	// EventPauses places requests by the pauses between events that they are expected to
+	// cause in streams with a bound, and to have themselves.
+	EventPauses Mechanism = "pauses"
 )
 
 func All() []Mechanism {
@@ -91,7 +94,7 @@
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
 		WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
-		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks, EventPauses,
 	}
 }
 
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -385,6 +385,7 @@
 			w.ClassRunSeconds = append(w.ClassRunSeconds, float32(hold.Seconds))
 			w.ClassRunTokens = append(w.ClassRunTokens, float32(hold.Tokens))
 		}
+		w.PauseCross, w.PauseRight, w.PauseWeight = encodePauses(report.Pauses)
 		for _, x := range report.Sums.Cross {
 			w.Cross = append(w.Cross, float32(x))
 		}
@@ -426,6 +427,7 @@
 				report.ClassHold[i] = forecast.TimePerToken{Seconds: float64(w.ClassRunSeconds[i]), Tokens: float64(w.ClassRunTokens[i])}
 			}
 		}
+		report.Pauses = decodePauses(w)
 		report.Sums.Weight = float64(w.Weight)
 		for i, x := range w.Cross {
 			report.Sums.Cross[i] = float64(x)
@@ -438,6 +440,43 @@
 	return out
 }
 
+// encodePauses returns empty lists without samples.
+func encodePauses(sums forecast.PauseSums) (cross, right []float32, weight float32) {
+	if sums.Weight <= 0 {
+		return nil, nil, 0
+	}
+	for _, x := range sums.Cross {
+		cross = append(cross, float32(x))
+	}
+	for _, x := range sums.Right {
+		right = append(right, float32(x))
+	}
+	return cross, right, float32(sums.Weight)
+}
+
+// decodePauses returns sums without samples for lists of another size or with a value that no
+// samples have.
+func decodePauses(w *keelv1.EngineWord) forecast.PauseSums {
+	var sums forecast.PauseSums
+	if len(w.PauseCross) != len(sums.Cross) || len(w.PauseRight) != len(sums.Right) || !isAmount(w.PauseWeight) {
+		return forecast.PauseSums{}
+	}
+	for i, x := range w.PauseCross {
+		if !isAmount(x) {
+			return forecast.PauseSums{}
+		}
+		sums.Cross[i] = float64(x)
+	}
+	for i, x := range w.PauseRight {
+		if !isAmount(x) {
+			return forecast.PauseSums{}
+		}
+		sums.Right[i] = float64(x)
+	}
+	sums.Weight = float64(w.PauseWeight)
+	return sums
+}
+
 // isAmount reports whether x is finite and not negative.
 func isAmount(x float32) bool { return x >= 0 && !math.IsInf(float64(x), 1) }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -21,6 +21,7 @@
 	unresponsive   prometheus.Gauge
 	detections     *prometheus.CounterVec
 	givenUp        *prometheus.CounterVec
+	pausesOver     *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics of a router with r.
@@ -37,6 +38,7 @@
 		detections:     telemetry.NewCounter(r, "keel_router_unresponsive_changes_total", "Targets that were found not to respond, by this entry's own probes or reports of others, and that respond again.", "change"),
 		givenUp:        telemetry.NewCounter(r, "keel_router_requests_given_up_total", "Requests given up because their target does not respond, by what they waited for.", "reason"),
 		malformed:      telemetry.NewCounter(r, "keel_router_notices_unread_total", "Words of targets on themselves that could not be read, by field.", "field"),
+		pausesOver:     telemetry.NewLatency(r, "keel_router_pauses_over_seconds", "By how much the longest pause of a stream exceeded the bound of its route.", "route"),
 		startStaleness: telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
 }
