--- a/node/node.go
+++ b/node/node.go
@@ -147,7 +147,7 @@
 	n.view.leaderLock.SetMetrics(rollout.NewLockMetrics(n.registry, n.view.leaderLock))
 	n.exchange = newPeerExchange(n.name, targets, n.view.verdicts.Table, n.view, log)
 	n.view.verdicts.Leadership, n.view.verdicts.PublishNow = n.view.leaderLock, n.exchange.sendSoon
-	n.exchange.relay.outcomes = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out.", "what")
+	n.exchange.relay.outcomes = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out, over_link.", "what")
 	n.view.controller = rollout.NewController(s.Name, rollout.Config{
 		Leadership: n.view.leaderLock, Client: runners, Fleet: targets, Services: n.view.services, Notify: n.exchange.sendSoon, Metrics: rollout.NewMetrics(n.registry),
 		MaxStaleness: n.view.oldWeightsLimit,
@@ -159,6 +159,7 @@
 	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewDecoder(n.view), log)
 	n.view.follower.OnChanges(n.exchange.shareChanges)
 	n.membership.metrics = newMembershipMetrics(n.registry)
+	buffer := newResponseBuffer(n.registry, s.Limits.MemoryMB, log)
 	n.registerGauges()
 	n.sharing = newSharingMetrics(n.registry)
 	n.cacheWatcher = fleet.NewCacheWatcher(targets, runners)
@@ -174,6 +175,9 @@
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
 	})
+	if !o.Disabled[policy.ResponseBuffering] {
+		n.frontend.BufferResponses(buffer)
+	}
 	return n
 }
 
@@ -257,6 +261,7 @@
 		return err
 	}
 	front := newServer(n.frontend)
+	front.ConnContext = platform.ConnContext
 	front.BaseContext = func(net.Listener) context.Context { return n.requestCtx }
 	n.servers.front, err = door.Start(n.settings.Listen.Front, front, watch)
 	return err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,10 +74,22 @@
 	DemandShares   Mechanism = "demand-shares"
 	// TargetLimits enforces the rate limits that targets advertise.
 	TargetLimits Mechanism = "target-limits"
+	// TargetSpeeds learns the lasting speed of each target relative to its service.
+	// TargetSlowdowns counts the current slowdown that a target reports.
+	TargetSpeeds    Mechanism = "speeds"
+	TargetSlowdowns Mechanism = "slowdowns"
+	// ResponseBuffering holds what clients that read slowly have not taken yet, so that
+	// the entry goes on reading from the target.
+	ResponseBuffering Mechanism = "response-buffer"
 )
 
 func All() []Mechanism {
-	return []Mechanism{Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling, WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch, PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits}
+	return []Mechanism{
+		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
+		WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
+		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering,
+	}
 }
 
 // Disabled is the set of disabled mechanisms; nil disables none.
--- a/pulses/demand.go
+++ b/pulses/demand.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/sharing"
 )
@@ -25,6 +27,14 @@
 	return w
 }
 
+// DemandSize returns the encoded size of the demand in a datagram, 0 if it is not sent.
+func DemandSize(r sharing.Report) int {
+	if r.Entries <= 0 {
+		return 0
+	}
+	return proto.Size(EncodeDemand(r)) + demandHeaderBytes
+}
+
 // DecodeDemand decodes the demand for target time. Where the lists differ in length, as in
 // a datagram of another version, the excess elements are ignored, and so are rows of
 // services that are not named.
--- a/router/scarce.go
+++ b/router/scarce.go
@@ -72,7 +72,7 @@
 	in := s.in
 	r := sharing.Request{
 		Service: in.service.Name, Class: q.Class, Customer: in.customerName(), Cost: sharing.Cost{Slot: slot, Prefill: prefill}, Content: sharing.Content(in.content),
-		Targets: choice.Targets, Wait: choice.Wait,
+		Targets: float64(choice.Targets) * f.MeanSpeed(q.Service, now), Wait: choice.Wait,
 	}
 	if !in.deadline.IsZero() {
 		r.Remaining = in.deadline.Sub(now)
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -30,8 +30,8 @@
 	Customer string
 	Cost     Cost
 	Content  Content
-	// Targets is the number of targets that could take the request.
-	Targets int
+	// Targets is the number of targets that could take the request, each counted by its speed.
+	Targets float64
 	// Wait is its expected wait at the best one. Up to FreeWait it is admitted whatever the
 	// totals say, as targets that are not busy must not stay so.
 	Wait, FreeWait time.Duration
@@ -358,7 +358,7 @@
 	Scarce bool
 	// Targets is the number of usable targets, Part the part of them that the demand known
 	// here may take, and Guarantee the fraction that every class and customer gets.
-	Targets   int
+	Targets   float64
 	Part      float64
 	Guarantee float64
 	// FirstClass and FirstCustomer have the most admitted target time of the most urgent
@@ -376,7 +376,7 @@
 	for name, svc := range s.services {
 		first, _ := svc.first(Classes - 1)
 		out = append(out, State{
-			Service: name, Scarce: svc.contended, Targets: int(svc.capacity()), Part: s.part(), Guarantee: svc.guarantee,
+			Service: name, Scarce: svc.contended, Targets: svc.capacity(), Part: s.part(), Guarantee: svc.guarantee,
 			FirstClass: int(first.class), FirstCustomer: s.customerName(first.customer), OldestTotal: s.oldest(now),
 		})
 	}
