--- a/fleet/speed.go
+++ b/fleet/speed.go
@@ -256,7 +256,7 @@
 			usable = append(usable, int32(i))
 		}
 	}
-	usable = responsive(g, usable)
+	usable = responsive(g, usable, now)
 	w.usable = len(usable)
 	for _, i := range usable {
 		p := f.pace(g.states[i], now)
@@ -315,6 +315,7 @@
 	for i := range all {
 		if w := &all[i]; !w.AsOf.IsZero() && now.After(w.AsOf) {
 			w.SlowdownAge += now.Sub(w.AsOf)
+			w.UnresponsiveAge += now.Sub(w.AsOf)
 			w.AsOf = now
 		}
 	}
--- a/fleet/target_updates.go
+++ b/fleet/target_updates.go
@@ -29,6 +29,10 @@
 	// process took since its last update, SpeedSamples their number; 0 if there are none.
 	Speed        float64
 	SpeedSamples int
+	// Unresponsive is set if the target does not respond to the process itself;
+	// UnresponsiveAge is the time since its last evidence of that.
+	Unresponsive    bool
+	UnresponsiveAge time.Duration
 	// AsOf is when the update was collected or received; ages are as of then.
 	AsOf time.Time
 }
@@ -49,6 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []TargetUpdate
+	unresponsiveReports := 0
 	for _, s := range f.states {
 		update := TargetUpdate{Target: s.target.Instance(), BusyFor: max(0, s.observedBusyUntil.Sub(now)), AsOf: now}
 		weightsNew := now.Sub(s.weightsSeenAt) < updateRepeatFor
@@ -59,8 +64,9 @@
 		update.Limit, update.ShuttingDown = s.limitUpdate(now), s.sharesShutdown(now)
 		update.Slowdown, update.SlowdownAge = s.slowdownUpdate(now)
 		update.Speed, update.SpeedSamples = s.speed.takeShare(now)
+		update.UnresponsiveAge, update.Unresponsive = s.unresponsiveUpdate(&unresponsiveReports, now)
 		paceNew := update.Slowdown > 0 || update.SpeedSamples > 0
-		if update.BusyFor == 0 && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown && !paceNew {
+		if update.BusyFor == 0 && !update.Unresponsive && !weightsNew && !restarted && len(s.unsharedParts) == 0 && update.Limit == nil && !update.ShuttingDown && !paceNew {
 			continue
 		}
 		update.Parts, s.unsharedParts = s.unsharedParts, nil
@@ -102,6 +108,9 @@
 		if c, changed := f.mergeLimit(s, update.Limit, now); changed {
 			result.Limits = append(result.Limits, c)
 		}
+		if update.Unresponsive {
+			f.mergeUnresponsive(s, update.UnresponsiveAge, now)
+		}
 		if update.ShuttingDown && f.markShutdown(s, now) {
 			result.ShuttingDown = append(result.ShuttingDown, s.target.Instance())
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,6 +81,9 @@
 	// ResponseBuffering holds what clients that read slowly have not taken yet, so that
 	// the entry goes on reading from the target.
 	ResponseBuffering Mechanism = "response-buffer"
+	// ResponseChecks probes targets whose requests are overdue, and gives up requests at
+	// those that do not respond.
+	ResponseChecks Mechanism = "response-checks"
 )
 
 func All() []Mechanism {
@@ -88,7 +91,7 @@
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
 		WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
-		TargetSpeeds, TargetSlowdowns, ResponseBuffering,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks,
 	}
 }
 
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -245,6 +245,9 @@
 		w.Limit = encodeTargetLimit(finding.Limit)
 		w.SlowdownPercent, w.SlowdownAgeMs = encodePercent(finding.Slowdown), uint32(finding.SlowdownAge.Milliseconds())
 		w.SpeedPercent, w.SpeedSamples = encodePercent(finding.Speed), uint32(finding.SpeedSamples)
+		if w.Unresponsive = finding.Unresponsive; w.Unresponsive {
+			w.UnresponsiveAgeMs = uint32(min(max(0, finding.UnresponsiveAge), maxAge).Milliseconds())
+		}
 		out = append(out, w)
 	}
 	return out
@@ -299,6 +302,10 @@
 			SlowdownAge:  time.Duration(w.SlowdownAgeMs) * time.Millisecond,
 			Speed:        decodePercent(w.SpeedPercent),
 			SpeedSamples: int(w.SpeedSamples),
+			Unresponsive: w.Unresponsive,
+		}
+		if w.Unresponsive {
+			finding.UnresponsiveAge = min(time.Duration(w.UnresponsiveAgeMs)*time.Millisecond, maxAge)
 		}
 		for _, l := range w.Weights {
 			finding.Weights[l.Model] = l.Version
