--- a/fleet/speed.go
+++ b/fleet/speed.go
@@ -198,6 +198,8 @@
 	meanAt     time.Time
 	capacity   float64
 	capacityAt time.Time
+	// usable is the number of targets that capacity is the sum of.
+	usable int
 	// worst is the largest slowdown that a target reported recently, as of worstAt.
 	worst   float64
 	worstAt time.Time
@@ -311,7 +313,7 @@
 	if age := now.Sub(w.capacityAt); !w.capacityAt.IsZero() && age >= 0 && age < capacityTTL {
 		return w.capacity
 	}
-	w.capacity, w.capacityAt = 0, now
+	w.capacity, w.capacityAt, w.usable = 0, now, 0
 	g := f.group(service)
 	if g == nil {
 		return 0
@@ -322,13 +324,27 @@
 			usable = append(usable, int32(i))
 		}
 	}
-	for _, i := range responsive(g, usable, now) {
+	usable = responsive(g, usable, now)
+	w.usable = len(usable)
+	for _, i := range usable {
 		p := f.pace(g.states[i], now)
 		w.capacity += 1 / (p.Duration * p.Slowdown)
 	}
 	return w.capacity
 }
 
+// MeanSpeed returns the mean speed of a service's usable targets at this moment, where 1 is
+// that of a target of the usual speed; 1 if none is usable.
+func (f *Fleet) MeanSpeed(service string, now time.Time) float64 {
+	capacity := f.Capacity(service, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.speeds(service).usable; n > 0 && capacity > 0 {
+		return capacity / float64(n)
+	}
+	return 1
+}
+
 // observeSpeed adds the time to first token of a request to what is learnt of its target,
 // and returns the sample as it would be at a target of the service's usual pace.
 func (f *Fleet) observeSpeed(t *ActiveRequest, sample forecast.PrefillSample, now time.Time) forecast.PrefillSample {
--- a/fleet/speed_test.go
+++ b/fleet/speed_test.go
@@ -140,6 +140,12 @@
 	check(2)
 	f.RecordLoad(Instance{ID: "c"}, Load{Slots: 8, Slowdown: 2.5}, now)
 	check(1.4)
+	if got := f.MeanSpeed("lm", now.Add(-capacityTTL)); math.Abs(got-0.7) > 0.01 {
+		t.Errorf("mean speed %.3f of two targets of which one takes 2.5 times as long, want 0.7", got)
+	}
+	if got := f.MeanSpeed("none", now); got != 1 {
+		t.Errorf("mean speed %.3f of a service without targets, want 1", got)
+	}
 	if got := f.Capacity("none", now); got != 0 {
 		t.Errorf("capacity %.2f of a service without targets", got)
 	}
--- a/node/digest.go
+++ b/node/digest.go
@@ -13,6 +13,7 @@
 	"acaciakeel/peering"
 	"acaciakeel/pulses"
 	"acaciakeel/quota"
+	"acaciakeel/sharing"
 )
 
 // groupRelay relays state between this node's group and the other groups. Each group sends
@@ -376,18 +377,19 @@
 		engines = p.fleet.GroupEngineReports(now)
 	}
 	limits, targetLimits := p.view.customerLimiter.GroupUpdate(l.group, l.maxLimitReports(), now), p.view.targetLimiter.GroupUpdate(l.group, l.maxLimitReports(), now)
+	var demand sharing.Report
+	if !l.limitsOnly {
+		demand = p.groupDemand(l.group, now)
+	}
 	if l.slow {
-		l.reserved = pulses.EnginesSize(engines) + (len(limits.Reports)+len(targetLimits.Reports))*pulses.LimitEntryBytes
+		l.reserved = pulses.EnginesSize(engines) + (len(limits.Reports)+len(targetLimits.Reports))*pulses.LimitEntryBytes + pulses.DemandSize(demand)
 	}
 	var update pulses.Update
 	if !l.limitsOnly {
 		update = p.relay.takePending(l, p.fleet.GroupOccupancy(now))
 		fleet.AgeUpdates(update.Findings, now)
 	}
-	update.Engines, update.Limits, update.TargetLimits = engines, limits, targetLimits
-	if !l.limitsOnly {
-		p.addGroupDemand(l.group, &update, now)
-	}
+	update.Engines, update.Limits, update.TargetLimits, update.Demand = engines, limits, targetLimits, demand
 	p.relay.count(digestSent)
 	return update
 }
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -12,6 +12,7 @@
 	"acaciakeel/clock"
 	"acaciakeel/policy"
 	"acaciakeel/pulses"
+	"acaciakeel/sharing"
 	"acaciakeel/telemetry"
 )
 
@@ -34,13 +35,14 @@
 	}
 }
 
-// addGroupDemand adds the demand of this node's group to a digest for another group if it is
-// due.
-func (p *peerExchange) addGroupDemand(group int, update *pulses.Update, now time.Time) {
+// groupDemand returns the demand of this node's group if it is due to be sent to another
+// group, otherwise an empty report.
+func (p *peerExchange) groupDemand(group int, now time.Time) sharing.Report {
 	if p.fleet.Disabled(policy.CapacitySharing) || now.Sub(p.groupDemandSentAt[group]) < demandInterval {
-		return
+		return sharing.Report{}
 	}
-	update.Demand, p.groupDemandSentAt[group] = p.sharer.GroupReport(now), now
+	p.groupDemandSentAt[group] = now
+	return p.sharer.GroupReport(now)
 }
 
 // receiveDemand applies the demand in a datagram.
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -104,7 +104,7 @@
 	if u.Demand.Entries > 0 {
 		// A report is applied as a whole, so it must be in one datagram.
 		w := EncodeDemand(u.Demand)
-		pack.reserve(proto.Size(w) + demandHeaderBytes)
+		pack.reserve(DemandSize(u.Demand))
 		pack.message.Demand = w
 	}
 	for _, w := range EncodeSuspects(u.Suspects) {
--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -124,7 +124,7 @@
 	debts    [Classes]float64
 	// targets are the numbers of usable targets seen in the current and the previous
 	// capacityWindow: the higher counts, as a full target is unusable for moments.
-	targets      [2]int
+	targets      [2]float64
 	targetsSince time.Time
 	contended    bool
 	// contendedAt is when the demand last exceeded the capacity, contendedSince when that
@@ -153,7 +153,7 @@
 // target must be noticed within a second.
 const capacityWindow = 400 * time.Millisecond
 
-func (s *service) noteTargets(n int, now time.Time) {
+func (s *service) noteTargets(n float64, now time.Time) {
 	if elapsed := now.Sub(s.targetsSince); elapsed >= capacityWindow {
 		s.targets[1] = s.targets[0]
 		if elapsed >= 2*capacityWindow {
@@ -180,7 +180,7 @@
 }
 
 func (s *service) capacity() float64 {
-	return float64(max(s.targets[0], s.targets[1]))
+	return max(s.targets[0], s.targets[1])
 }
 
 // total returns the demand of a key, which it creates; beyond maxKeys it returns that of
--- a/sharing/fleet_test.go
+++ b/sharing/fleet_test.go
@@ -94,7 +94,7 @@
 	k := runs[j.class]
 	wait := r.pool.wait(j.class)
 	request := Request{
-		Service: "lm", Class: j.class, Customer: fmt.Sprint("c", j.customer), Content: j.content, Targets: r.targets,
+		Service: "lm", Class: j.class, Customer: fmt.Sprint("c", j.customer), Content: j.content, Targets: float64(r.targets),
 		Cost: Cost{Slot: k.hold / poolSlots, Prefill: 20 * time.Millisecond},
 		Wait: wait, FreeWait: k.free, LateWait: k.late, OnTimeWait: k.onTime, Patience: k.patience, Remaining: k.remaining - r.now.Sub(j.arrived),
 	}
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -90,7 +90,7 @@
 
 func (w *world) request(s stream, entry, customer int) bool {
 	w.seq++
-	r := Request{Service: "lm", Class: s.class, Customer: fmt.Sprintf("c%d", customer), Cost: s.cost, Targets: w.targets, Wait: time.Hour, Remaining: 15 * time.Second}
+	r := Request{Service: "lm", Class: s.class, Customer: fmt.Sprintf("c%d", customer), Cost: s.cost, Targets: float64(w.targets), Wait: time.Hour, Remaining: 15 * time.Second}
 	binary.LittleEndian.PutUint64(r.Content[:], w.seq)
 	k := key{class: uint8(s.class), customer: uint64(customer)}
 	w.asked[k]++
