Count the usage of other groups and of silent senders without losses

Cause: the first totals of a new relay only set a baseline, so what its group admitted since the former relay's last report was lost; relays that sent alternately replaced each other with each datagram. After a silence the whole usage of the sender was ignored, also what it had admitted out of the shared limit before the silence was detected.

Change: - Totals of all relays of a group are mapped to one scale, and usage is counted up to the highest. A new relay's first increase reaches back 1.2 s, and the part since the former relay's last report counts. - When a sender becomes silent, its usage until then is assumed from its recent rate. Its next report replaces the assumption: what exceeds its share of the time after the detection is deducted, and at least the part of the time before.

--- a/node/view.go
+++ b/node/view.go
@@ -333,6 +333,10 @@
 	if v.cachedPlan == nil {
 		p := peering.New(v.self, slices.Collect(maps.Values(v.members)))
 		v.cachedPlan = &p
+		if p.Joined {
+			v.customerLimiter.SetGroup(p.Group, p.GroupCount)
+			v.targetLimiter.SetGroup(p.Group, p.GroupCount)
+		}
 		v.logPosition(groupPosition{group: p.Group, groups: p.GroupCount, watches: p.Joined && p.Rank == 0})
 	}
 	return *v.cachedPlan
--- a/quota/account.go
+++ b/quota/account.go
@@ -39,8 +39,13 @@
 	// peerUsage is the last report of each other process and of each other group.
 	peerUsage map[*sender]*peerUsage
 	// admittedInGroup is the amount admitted by this process's group, as far as is known
-	// here.
+	// here, and history its recent values.
 	admittedInGroup float64
+	history         totalHistory
+	// discarded is the amount by which the level would have exceeded the burst, and
+	// discardedHistory its recent values.
+	discarded        float64
+	discardedHistory totalHistory
 
 	reported         reportState
 	reportedToGroups map[int]*reportState
@@ -55,9 +60,43 @@
 	admitted   float64
 	demand     float64
 	reportedAt time.Time
-	// partitioned is set if the sender was silent since its last report. What it admitted
-	// meanwhile came out of its own share of the limit.
-	partitioned bool
+	// group is set instead of admitted if the sender reports for a group.
+	group groupUsage
+	// isolated is the part of the sender's isolation that was taken into account.
+	isolated time.Duration
+	// discarded is the discarded amount of the account when the sender was last heard from
+	// before its present isolation.
+	discarded float64
+	// recent is the amount admitted lately; it decays over demandDecay.
+	recent float64
+	// assumed is what was debited for the time before the present silence was detected.
+	assumed float64
+}
+
+// recentRate returns the rate at which the sender admitted requests at the given time, after its
+// last report, per second.
+func (u *peerUsage) recentRate(at time.Time) float64 {
+	return max(0, u.recent) * decay(max(0, at.Sub(u.reportedAt))) / demandDecay.Seconds()
+}
+
+// takeDiscarded reduces usage that becomes known late by what was discarded since: had it been
+// known, the level would have been refilled instead.
+func (a *account) takeDiscarded(amount, since float64) float64 {
+	used := max(0, min(amount, a.discarded-since))
+	a.discarded -= used
+	return amount - used
+}
+
+// sharedPart returns the part of an amount that came out of the shared limit, if its sender was
+// isolated for the given time of the time since its last report. Before its silence was detected
+// the sender used the shared limit, and afterwards its own share; what exceeds that share came
+// out of the shared limit as well.
+func sharedPart(amount, share float64, isolated, elapsed time.Duration) float64 {
+	if amount <= 0 {
+		return amount
+	}
+	connected := 1 - isolated.Seconds()/max(isolated, elapsed).Seconds()
+	return max(amount*connected, amount-share)
 }
 
 // demandRate returns the estimated current demand at the other process, per second.
@@ -149,7 +188,9 @@
 		return
 	}
 	a.refilledAt = now
-	a.level = min(a.limit.Burst*fraction, a.level+a.limit.Rate*fraction*elapsed)
+	full := a.level + a.limit.Rate*fraction*elapsed
+	a.level = min(a.limit.Burst*fraction, full)
+	a.discarded += full - a.level
 }
 
 // unreportedMargin returns how far over its limit an account may go because of usage that
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -29,6 +29,10 @@
 	senders []*sender
 	// groupReportedAt is the time of the last report to each other group.
 	groupReportedAt map[int]time.Time
+	// activatedAt is when this process last became the relay to each other group.
+	activatedAt map[int]time.Time
+	// ownGroup is the index of this process's group, groupCount the number of groups.
+	ownGroup, groupCount int
 	// members is the number of serving processes listed in the store, including this one.
 	members int
 	// recentMembers is the number of processes that served lately.
@@ -45,7 +49,7 @@
 func NewLimiter(tolerance Tolerance, disabled policy.Disabled, hasLease func() bool, now time.Time) *Limiter {
 	return &Limiter{
 		tolerance: tolerance, disabled: disabled, hasLease: hasLease, startedAt: now, members: 1,
-		accounts: map[uint64]*account{}, ids: map[string]uint64{}, peers: map[string]*sender{}, groupSenders: map[int]*sender{}, groupReportedAt: map[int]time.Time{},
+		accounts: map[uint64]*account{}, ids: map[string]uint64{}, peers: map[string]*sender{}, groupSenders: map[int]*sender{}, groupReportedAt: map[int]time.Time{}, activatedAt: map[int]time.Time{},
 	}
 }
 
--- a/quota/peers.go
+++ b/quota/peers.go
@@ -12,9 +12,13 @@
 	name         string
 	lastReceived time.Time
 	// minDelay is the least delay of its updates, including the difference of the start
-	// times, and extraDelay how much longer the last update took.
-	minDelay   time.Duration
+	// times, by the name of the process, and extraDelay how much longer the last one took.
+	minDelay   map[string]time.Duration
 	extraDelay time.Duration
+	// isolated is for how long it was unreachable, and silent is set once its present silence
+	// was detected.
+	isolated time.Duration
+	silent   bool
 	// startedLater is set if the sender started after this process: everything it has
 	// admitted was admitted since this process has been counting.
 	startedLater bool
@@ -36,6 +40,8 @@
 	groupTimeout = 1500 * time.Millisecond
 	// senderRetention is how long the reports of a silent sender are kept.
 	senderRetention = time.Minute
+	// maxRelayDelays bounds the relays of a group whose delays are known.
+	maxRelayDelays = 64
 )
 
 func (s *sender) reachable(now time.Time) bool {
@@ -51,10 +57,16 @@
 // start of this process.
 func (s *sender) recordArrival(uptime time.Duration, started, now time.Time) {
 	delay := now.Sub(started) - uptime
-	if s.lastReceived.IsZero() || delay < s.minDelay {
-		s.minDelay = delay
+	if len(s.minDelay) >= maxRelayDelays {
+		clear(s.minDelay)
 	}
-	s.lastReceived, s.extraDelay = now, delay-s.minDelay
+	if least, known := s.minDelay[s.name]; !known || delay < least {
+		if s.minDelay == nil {
+			s.minDelay = map[string]time.Duration{}
+		}
+		s.minDelay[s.name] = delay
+	}
+	s.lastReceived, s.extraDelay = now, delay-s.minDelay[s.name]
 }
 
 // reachableProcesses returns the number of processes that exchange updates with this one,
@@ -117,6 +129,8 @@
 	repeated bool
 	// refusedSince is set if requests were refused since the last report.
 	refusedSince bool
+	// activationBase is the total that the first reports of a new relay start from.
+	activationBase float64
 }
 
 // Parameters of reports.
@@ -136,8 +150,11 @@
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	lim.dropInactive(now)
+	lim.detectSilence(now)
 	out := UsageUpdate{Uptime: now.Sub(lim.startedAt), Processes: lim.reachableProcesses(now)}
 	for id, a := range lim.accounts {
+		a.history.add(a.admittedInGroup, now)
+		a.discardedHistory.add(a.discarded, now)
 		reported := a.reported.total
 		if len(out.Reports) < MaxReports && lim.takeDue(a, &a.reported, a.admittedHere, now) {
 			lim.refresh(a, now)
@@ -172,7 +189,7 @@
 	threshold := lim.unreportedMargin(a) / 2 / float64(max(1, lim.members))
 	switch {
 	case unreported > threshold, unreported > 0 && since >= repeatInterval, r.refusedSince && since >= refusalReportInterval:
-		*r = reportState{total: total, reportedAt: now}
+		*r = reportState{total: total, reportedAt: now, activationBase: r.activationBase}
 		return true
 	case !r.reportedAt.IsZero() && !r.repeated && since >= repeatInterval:
 		r.reportedAt, r.repeated = now, true
@@ -195,11 +212,13 @@
 	lim.applyUpdate(s, u, now)
 }
 
-// applyUpdate applies an update from a sender. What a sender admitted while it was
-// unreachable came out of its own share of the limit.
+// applyUpdate applies an update from a sender.
 func (lim *Limiter) applyUpdate(s *sender, update UsageUpdate, now time.Time) {
 	if !s.lastReceived.IsZero() && !s.reachable(now) {
-		lim.markPartitioned(s)
+		lim.detectSilence(now)
+		s.isolated += now.Sub(s.lastReceived) - s.timeout
+		s.silent = false
+		lim.repeatReports()
 	}
 	s.recordArrival(update.Uptime, lim.startedAt, now)
 	fraction := lim.limitFraction(now)
@@ -210,39 +229,78 @@
 		}
 		a.refill(fraction, now)
 		lim.adoptLevel(a, update, report, now)
-		a.applyReport(s, report, now)
+		a.applyReport(s, report, lim.expectedProcesses(now), now)
+	}
+}
+
+// detectSilence debits, for senders that have become unreachable, what they admitted before this
+// was detected, assuming that their rate stayed the same. What they report later replaces it.
+func (lim *Limiter) detectSilence(now time.Time) {
+	for _, s := range lim.senders {
+		if s.silent || s.lastReceived.IsZero() || s.reachable(now) {
+			continue
+		}
+		s.silent = true
+		for _, a := range lim.accounts {
+			if u := a.peerUsage[s]; u != nil {
+				u.discarded = a.discardedHistory.before(s.lastReceived)
+				u.assumed = a.takeDiscarded(u.recentRate(s.lastReceived)*s.timeout.Seconds(), u.discarded)
+				a.debit(u.assumed)
+			}
+		}
 	}
 }
 
-// markPartitioned records in all accounts that a sender was unreachable.
-func (lim *Limiter) markPartitioned(s *sender) {
-	s.startedLater = false
+// repeatReports has the totals of all accounts reported once more: a sender that was unreachable
+// has probably received none either.
+func (lim *Limiter) repeatReports() {
 	for _, a := range lim.accounts {
-		if u := a.peerUsage[s]; u != nil {
-			u.partitioned = true
+		a.reported.repeated = false
+		for _, r := range a.reportedToGroups {
+			r.repeated = false
 		}
 	}
 }
 
 // applyReport applies a sender's report on the account.
-func (a *account) applyReport(s *sender, report UsageReport, now time.Time) {
+func (a *account) applyReport(s *sender, report UsageReport, expected int, now time.Time) {
 	u := a.peerUsage[s]
 	if u == nil {
 		// Earlier usage of a process that started before this one was reported to others.
 		u = &peerUsage{}
 		if !s.startedLater {
-			u.admitted = report.Total - report.Increase
+			u.admitted, u.isolated = report.Total-report.Increase, s.isolated
 		}
 		a.peerUsage[s] = u
 	}
-	if !u.partitioned {
-		added := report.Total - u.admitted
-		a.debit(added)
-		if !s.group {
-			a.admittedInGroup += added
+	var added float64
+	known := true
+	if s.group {
+		added, known = u.group.advance(s.name, report, now)
+	} else {
+		added = report.Total - u.admitted
+		u.admitted = report.Total
+	}
+	u.recent = u.recent*decay(now.Sub(u.reportedAt)) + added
+	if isolated := s.isolated - u.isolated; isolated > 0 {
+		share := a.limit.Rate * isolated.Seconds() * min(1, float64(s.processes)/float64(max(1, expected)))
+		elapsed := isolated + s.timeout
+		if !u.reportedAt.IsZero() {
+			elapsed = now.Sub(u.reportedAt)
+		}
+		// A new relay of a group reports only its latest usage, so that the assumption about the
+		// rest stands.
+		if known {
+			added = sharedPart(added, share, isolated, elapsed) - u.assumed
 		}
+		added = a.takeDiscarded(added, u.discarded)
+		u.isolated, u.assumed = s.isolated, 0
+	}
+	a.debit(added)
+	if !s.group {
+		a.admittedInGroup += added
 	}
-	*u = peerUsage{admitted: report.Total, demand: report.Demand, reportedAt: now}
+	u.demand, u.reportedAt = report.Demand, now
 }
 
 // adoptLevel takes over the level of a process that has been running for longer while this
