Order requests by the customer's rank, then by the route's

Cause: where customers have ranks, these replaced the routes'. Change: a priority combines both ranks; the customer's takes precedence, and the route's orders requests of customers with one rank. Six classes in place of four. Retry times double with each more urgent class that has demand, not with each class.

--- a/fleet/active_request.go
+++ b/fleet/active_request.go
@@ -87,7 +87,7 @@
 	return t
 }
 
-func (t *ActiveRequest) class() int { return PriorityClass(t.load.Class) }
+func (t *ActiveRequest) class() int { return min(max(t.load.Class, 0), PriorityClasses-1) }
 
 // FirstEvent records the first event of the response: the prompt has been prefilled.
 func (t *ActiveRequest) FirstEvent(now time.Time) {
--- a/fleet/class_profile.go
+++ b/fleet/class_profile.go
@@ -43,7 +43,7 @@
 	if now.After(p.at) {
 		p.at = now
 	}
-	c := &p.classes[PriorityClass(load.Class)]
+	c := &p.classes[min(max(load.Class, 0), PriorityClasses-1)]
 	c.requests++
 	c.uncached += float64(load.UncachedTokens)
 	c.output += float64(load.MaxOutputTokens)
--- a/forecast/class_hold.go
+++ b/forecast/class_hold.go
@@ -3,7 +3,7 @@
 import "time"
 
 // ClassCount is the number of priority classes by which slot times are learned.
-const ClassCount = 4
+const ClassCount = 6
 
 // ObserveClassRun adds the time that a run of a priority class held its slot after its
 // first token. maxTokens is the number of tokens that it was allowed to generate.
--- a/router/router.go
+++ b/router/router.go
@@ -193,13 +193,14 @@
 	return in.customer.Name
 }
 
-// priority returns the priority that is sent to the target: that of the customer if it has
-// one, otherwise that of the route.
+// priority returns the priority that is sent to the target. The rank of the customer takes
+// precedence over that of the route, which orders requests of equal customer rank.
 func (in *admittedRequest) priority() int {
+	rank := in.route.Priority
 	if in.customer != nil && in.customer.HasPriority {
-		return in.customer.Priority
+		rank = in.customer.Priority
 	}
-	return in.route.Priority
+	return fleet.Priority(rank, in.route.Priority)
 }
 
 // cacheSalt returns the salt that decides which cached prompt parts the request may reuse.
--- a/sharing/allocate.go
+++ b/sharing/allocate.go
@@ -3,7 +3,7 @@
 import "math"
 
 // Classes is the number of priority classes.
-const Classes = 4
+const Classes = 6
 
 // guaranteeShare is the fraction of the common rate, the share of all requests that can be
 // served, that every class and customer gets at the least. Half is required; the rest
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -90,8 +90,8 @@
 	// borrow together. Without this bound, 103 entries admitted 7 s of work on credit at
 	// once: two requests for each of 16 customers at each entry.
 	debtPeriod = 0.5
-	// minRetry is the retry time of the most urgent class; each further class has twice as
-	// long, so that more urgent requests find room first.
+	// minRetry is the retry time of the most urgent class with demand; each further one has
+	// twice as long, so that more urgent requests find room first.
 	minRetry = 200 * time.Millisecond
 	// maxRetry bounds retry times: contention mostly changes within a few seconds.
 	maxRetry = 4 * time.Second
@@ -134,7 +134,7 @@
 func (s *Sharer) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil && len(s.services) < maxServices {
-		svc = &service{name: name, totals: map[key]*total{}, rest: [Classes]float64{1, 1, 1, 1}, guarantee: 1}
+		svc = &service{name: name, totals: map[key]*total{}, rest: allAdmitted(), guarantee: 1}
 		s.services[name] = svc
 	}
 	return svc
@@ -255,7 +255,7 @@
 	if s.spread += goldenRatio; s.spread >= 1 {
 		s.spread--
 	}
-	base := float64(minRetry<<r.Class) * (1.5 - min(1, fraction))
+	base := float64(minRetry<<s.moreUrgent(r.Service, r.Class)) * (1.5 - min(1, fraction))
 	delay := time.Duration(base * (1 + s.spread))
 	if r.Remaining > 0 {
 		delay = min(delay, time.Duration(maxRetryShare*float64(r.Remaining)*(1+s.spread)/2))
@@ -396,14 +396,29 @@
 func (s *Sharer) MoreUrgent(service string, class int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.moreUrgent(service, class) > 0
+}
+
+// moreUrgent returns how many classes more urgent than the given one have demand; the
+// caller holds mu.
+func (s *Sharer) moreUrgent(service string, class int) int {
 	svc := s.services[service]
 	if svc == nil {
-		return false
+		return 0
 	}
+	n := 0
 	for i := range min(class, Classes) {
 		if svc.demands[i].demand > minDemand {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// allAdmitted returns the fractions of a service without contention.
+func allAdmitted() (fractions [Classes]float64) {
+	for i := range fractions {
+		fractions[i] = 1
+	}
+	return fractions
 }
