Detection of unresponsive targets ignores probes over a slow link; updates fit slow links

Change: an answered probe of over 60 ms marks the own link as slow for 2 s, in which failed probes confirm nothing. Updates to peers take at most a quarter of a link below 20 Mbit/s. Only requests with a short prefill are admitted late.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,6 +133,8 @@
 	// retained is the state of targets without a list entry, by target ID.
 	retained map[string]retainedState
 	// responseTimesByService are the usual times without bytes of responses, by service.
+	// congestedUntil is until when this process's own link counts as slow.
+	congestedUntil         time.Time
 	responseTimesByService map[string]*responseTimes
 	// probeBudget is how many probes may be started, as of probeBudgetAt.
 	probeBudget    float64
--- a/fleet/light.go
+++ b/fleet/light.go
@@ -19,6 +19,14 @@
 // prefill: a light request then seldom waits for others, none of which takes long.
 const lightUtilisation = 0.5
 
+// IsLight reports whether a request takes little time to prefill even if nothing of it is
+// cached.
+func (f *Fleet) IsLight(q Query, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isLight(q, now)
+}
+
 // isLight reports whether a request takes little time to prefill even if nothing of it is
 // cached.
 func (f *Fleet) isLight(q Query, now time.Time) bool {
--- a/fleet/unresponsive.go
+++ b/fleet/unresponsive.go
@@ -294,8 +294,17 @@
 	return 2
 }
 
-// startProbes starts the probes that are due, within the bounds, by their rank. If too few others responded lately to tell whether this process is
-// cut off, some of them are probed too.
+// An answer to a probe that took longer than congestedProbe shows that this process's own
+// link or VM is slow; connections take a few milliseconds. Probes that fail within
+// congestionHold of it confirm nothing.
+const (
+	congestedProbe = 60 * time.Millisecond
+	congestionHold = 2 * time.Second
+)
+
+// startProbes starts the probes that are due, within the bounds, by their rank. If too few
+// others responded lately to tell whether this process is cut off, some of them are probed
+// too.
 func (f *Fleet) startProbes(due []*targetState, now time.Time) []Target {
 	f.probeBudget = min(maxProbes, f.probeBudget+probesPerSecond*now.Sub(f.probeBudgetAt).Seconds())
 	f.probeBudgetAt = now
@@ -330,6 +339,10 @@
 			all = f.evidence(now)
 		}
 		heard, silent := all.others(s, now)
+		if now.Before(f.congestedUntil) {
+			// This process's own link is slow: a probe without an answer proves nothing.
+			heard = 0
+		}
 		if heard <= silent && controls < maxControls {
 			controls++
 		}
@@ -410,6 +423,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.probesInFlight--
+	if responded && now.Sub(startedAt) > congestedProbe {
+		f.congestedUntil = now.Add(congestionHold)
+	}
 	if s := f.states[l.ID]; s != nil && s.target.Instance().Matches(l) {
 		s.response.RecordProbe(startedAt, responded, now)
 	}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -41,6 +41,8 @@
 	conn  *net.UDPConn
 	// write sends a datagram; a failed send is treated like a lost datagram.
 	write func(datagram []byte, to netip.AddrPort)
+	// updateBytes is the size of the last update for one peer; used by run only.
+	updateBytes int
 	// enginesSentAt is when engine reports were last sent.
 	enginesSentAt time.Time
 	relay         groupRelay
@@ -102,6 +104,21 @@
 	return max(minUpdateInterval, time.Duration(len(plan.Peers)+extra)*perPeer)
 }
 
+// maxLinkPause bounds the pause for a slow link: peers count a node as silent after
+// relayTimeout.
+const maxLinkPause = relayTimeout / 2
+
+// linkPause returns the pause after an update with which updates take at most digestLinkShare
+// of a slow link. On a link of 10 Mbit/s they took half of it under load, and responses of
+// targets were hundreds of milliseconds late.
+func (p *peerExchange) linkPause(plan peering.Plan) time.Duration {
+	if plan.LinkMbps <= 0 || plan.LinkMbps >= peering.DefaultLinkMbps {
+		return 0
+	}
+	bytes := float64(p.updateBytes * len(plan.Peers))
+	return min(maxLinkPause, time.Duration(bytes/bytesPerSecond(plan.LinkMbps)*float64(time.Second)))
+}
+
 // sendSoon makes the next update go out without waiting for the interval.
 func (p *peerExchange) sendSoon() {
 	select {
@@ -137,7 +154,7 @@
 		plan := p.view.plan()
 		extra := p.send(plan)
 		select {
-		case <-time.After(updateInterval(plan, extra)):
+		case <-time.After(max(updateInterval(plan, extra), p.linkPause(plan))):
 		case <-p.wake:
 			// Changes that arrive together go out in one update.
 			time.Sleep(updateBatchDelay)
@@ -164,7 +181,7 @@
 		addresses := addressesOf(plan.Peers)
 		p.sendChanges(changes, addresses)
 		update.SentAt = clock.Now()
-		p.sendUpdate(update, nil, addresses)
+		p.updateBytes = p.sendUpdate(update, nil, addresses)
 	}
 	for _, l := range p.relay.dueLinks(plan, time.Now()) {
 		p.relay.recordSent(l, p.sendUpdate(p.groupUpdate(l), l.header(plan), l.addresses))
--- a/router/scarce.go
+++ b/router/scarce.go
@@ -78,7 +78,10 @@
 		r.Remaining = in.deadline.Sub(now)
 	}
 	run := slot * time.Duration(choice.Target.Slots)
-	late := s.lateWait(q, run, r.Remaining)
+	late := time.Duration(0)
+	if f.IsLight(q, now) {
+		late = s.lateWait(q, run, r.Remaining)
+	}
 	limit := min(s.waitLimit(choice, 0), in.route.Objective)
 	r.FreeWait, r.OnTimeWait = time.Duration(freeShare*float64(in.route.Objective)), time.Duration(onTimeShare*float64(limit))
 	r.LateWait, r.Patience = time.Duration(lateFreeShare*float64(late)), patience(in.route.Objective)
@@ -110,7 +113,8 @@
 	return max(minPatience, patienceFactor*objective)
 }
 
-// lateWait returns the wait up to which a request is admitted although it will be late; 0
+// lateWait returns the wait up to which a request with a short prefill is admitted although
+// it will be late. Prompts with a long prefill that wait would make all behind them late. It is 0
 // if no more urgent requests compete with it, as serving all late helps nobody then. run
 // is the time for which it will hold its slot, remaining for how long its client waits,
 // or 0.
