Keep a stopping entry in its group's accounting of limits

Cause: an entry that stops, or is not listed yet, sent its usage to all members. With two groups each counted it directly and once more in the other group's digest. It learnt the usage of others from replies alone.

Change: - Such an entry exchanges limits with the members of the group that it would be in (peering.Home): they send it theirs with each update, and relays pass digests with limits on to it. The group's sum contains its usage. Crash reports and desired versions go to all members as before. - An entry that changes its group no longer takes the members of the former one for silent: it assumed that they went on admitting (Limiter.SetGroup takes the time).

--- a/node/departed.go
+++ b/node/departed.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,13 +27,12 @@
 	d[m.Key] = departedMember{m, now}
 }
 
-// expire removes those that left longer ago than a process may take to stop.
-func (d departedMembers) expire(grace time.Duration, now time.Time) {
-	for key, m := range d {
-		if now.Sub(m.at) > grace {
-			delete(d, key)
-		}
-	}
+// expire removes those that left longer ago than a process may take to stop, and reports whether
+// there were any.
+func (d departedMembers) expire(grace time.Duration, now time.Time) bool {
+	before := len(d)
+	maps.DeleteFunc(d, func(_ string, m departedMember) bool { return now.Sub(m.at) > grace })
+	return len(d) < before
 }
 
 // extraRecipients returns the processes other than the peers that this one sends crash reports
@@ -40,7 +41,9 @@
 func (v *view) extraRecipients(now time.Time) []peering.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.departed.expire(v.grace, now)
+	if v.departed.expire(v.grace, now) {
+		v.cachedPlan = nil
+	}
 	var out []peering.Member
 	for _, l := range v.departed {
 		out = append(out, l.Member)
@@ -54,6 +57,41 @@
 	return out
 }
 
+// addGuests sets the processes outside of its group that this one exchanges limits with. A process
+// that stops still admits requests. If it sent its usage to the members of all groups, each group
+// would count it directly and once more in the other groups' digests; so it stays with its own
+// group. The caller holds mu.
+func (v *view) addGuests(p *peering.Plan) {
+	members := slices.Collect(maps.Values(v.members))
+	if !p.Joined {
+		if v.selfMember.Key != "" {
+			p.Group, p.Guests = peering.Home(v.selfMember, members)
+		}
+		return
+	}
+	for _, l := range v.departed {
+		if group, _ := peering.Home(l.Member, members); group == p.Group {
+			p.Guests = append(p.Guests, l.Member)
+		}
+	}
+}
+
+// sendLimitsToGuests sends the usage of limits to the guests.
+func (p *peerExchange) sendLimitsToGuests(update pulses.Update, guests []peering.Member) {
+	if len(guests) == 0 {
+		return
+	}
+	only := pulses.Update{Limits: update.Limits, TargetLimits: update.TargetLimits}
+	datagrams, err := only.LimitDatagrams(p.name)
+	if err != nil {
+		p.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode limits; stopping nodes and their group count usage separately")
+		return
+	}
+	for _, datagram := range datagrams {
+		p.sendTo(addressesOf(guests), datagram)
+	}
+}
+
 // resendToNewRecipients has all held reports sent again if an extra recipient is new.
 func (p *peerExchange) resendToNewRecipients(extra []peering.Member, now time.Time) {
 	known := make(map[string]bool, len(extra))
@@ -66,17 +104,20 @@
 	p.knownExtra = known
 }
 
-// sendExtra sends crash reports to the extra recipients. If this process is not a member it
-// adds desired versions and limits, since no member may be left to send them to a starting
-// process. It returns the number of recipients.
-func (p *peerExchange) sendExtra(update pulses.Update, extra []peering.Member, joined bool) int {
+// sendExtra sends crash reports to the extra recipients, and limits to the guests. If this process
+// is not a member it adds desired versions, since no member may be left to send them to a starting
+// process, and limits if its group is not known. It returns the number of recipients.
+func (p *peerExchange) sendExtra(update pulses.Update, extra []peering.Member, plan peering.Plan) int {
+	p.sendLimitsToGuests(update, plan.Guests)
 	message := &keelv1.Pulse{Sender: p.name, Suspects: pulses.EncodeSuspects(update.Suspects)}
-	if !joined {
+	if !plan.Joined {
 		message.Namings = pulses.EncodeNamings(update.Namings)
-		message.Limits = pulses.EncodeLimits(update.Limits)[0]
+		if len(plan.Guests) == 0 {
+			message.Limits = pulses.EncodeLimits(update.Limits)[0]
+		}
 	}
 	if len(message.Suspects)+len(message.Namings) == 0 && message.Limits == nil {
-		return 0
+		return len(plan.Guests)
 	}
 	datagram, err := pulses.Encode(message)
 	if err != nil {
@@ -84,7 +125,15 @@
 		return 0
 	}
 	p.sendTo(addressesOf(extra), datagram)
-	return len(extra)
+	return max(len(extra), len(plan.Guests))
+}
+
+// setSelfMember sets this node's entry before it is among the members.
+func (v *view) setSelfMember(value string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.selfMember = decodeMember(v.self, value)
+	v.cachedPlan = nil
 }
 
 // setMember adds a member's entry; an empty value removes it.
@@ -96,6 +145,9 @@
 	} else {
 		delete(v.departed, key)
 		v.members[key] = decodeMember(key, value)
+		if key == v.self {
+			v.selfMember = v.members[key]
+		}
 	}
 	v.membersChanged()
 }
--- a/node/departed_test.go
+++ b/node/departed_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"acaciakeel/quota"
 )
 
 // stopAll begins to stop nodes and waits until none of them is a member.
@@ -43,3 +45,62 @@
 		return len(held) == 1 && len(held[0].Crashes) == 2
 	})
 }
+
+// Guards against usage of a stopping node that is counted twice where there are groups, as it sent
+// its usage to all members and each group reported it to the others; and against a stopping node
+// that does not know what the others admit.
+func TestStoppingNodeSharesLimitsWithTwoGroups(t *testing.T) {
+	h := newCluster(40)
+	limit := quota.Limit{Rate: 1e-6, Burst: 1e6, Unit: quota.Tokens}
+	for _, p := range h.nodes {
+		p.view.customerLimiter = quota.NewLimiter(quota.Tolerance{Window: 8 * time.Second, Overrun: 0.1}, nil, func() bool { return true }, time.Now().Add(-time.Minute))
+		p.view.membersChanged()
+		p.view.customerLimiter.SetLimits(map[string]quota.Limit{"c": limit}, time.Now())
+	}
+	rounds := func() {
+		for range 7 {
+			h.round()
+		}
+	}
+	use := func(i, n int) {
+		h.nodes[i].view.customerLimiter.Consume("c", quota.Size{Tokens: n, Known: true}, time.Now())
+	}
+	groups := map[int]int{}
+	for i, p := range h.nodes {
+		groups[i] = p.view.plan().Group
+	}
+	expect := func(what string, want float64) {
+		t.Helper()
+		for i, p := range h.nodes {
+			low := want - 1
+			if p.view.plan().Group != groups[i] {
+				// A node that changes its group counts recent usage of the others again.
+				low -= 500
+			}
+			if got := p.view.customerLimiter.State(time.Now()).Customers[0].Remaining; got < low || got > want+1 {
+				t.Errorf("%s: n%d of group %d assumes that %.0f are left, want %.0f", what, i, p.view.plan().Group, got, want)
+			}
+		}
+	}
+	rounds()
+	use(3, 5000)
+	rounds()
+	// Until they heard of each other, each had a fortieth of the burst.
+	expect("before the stop", 20_000)
+	stopping := h.nodes[7]
+	for _, p := range h.nodes {
+		p.view.setMember(stopping.view.self, "")
+		p.view.grace = time.Minute
+	}
+	rounds()
+	use(7, 1000)
+	rounds()
+	use(7, 2000)
+	rounds()
+	expect("after usage by the stopping node", 17_000)
+	for i := 1; i < 40; i += 5 {
+		use(i, 100)
+	}
+	rounds()
+	expect("after usage by others", 16_200)
+}
--- a/node/digest.go
+++ b/node/digest.go
@@ -422,6 +422,9 @@
 	}
 	p.relay.count(digestForwarded)
 	p.sendTo(addressesOf(plan.Peers), forwarded)
+	if message.Limits != nil || message.TargetLimits != nil {
+		p.sendTo(addressesOf(plan.Guests), forwarded)
+	}
 }
 
 // shouldForward reports whether this node has to forward digests from a group.
--- a/node/node.go
+++ b/node/node.go
@@ -216,6 +216,7 @@
 	if err := n.exchange.listen(n.exchangeAddress()); err != nil {
 		return err
 	}
+	n.view.setSelfMember(string(encodeMember(n.exchange.address(), n.settings.Zone, n.settings.Limits.LinkMbps)))
 	if err := n.startServers(); err != nil {
 		return err
 	}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -145,7 +145,7 @@
 	p.resendToNewRecipients(extra, now)
 	// The update is collected even without peers, or pending changes would accumulate.
 	update := p.collectUpdate(now)
-	sent := p.sendExtra(update, extra, plan.Joined)
+	sent := p.sendExtra(update, extra, plan)
 	p.relay.addOwn(plan, update)
 	// The confirmation is taken before the changes and sent after them, so that all changes up
 	// to its revision have already been sent.
@@ -310,7 +310,7 @@
 func (p *peerExchange) reply(name string, to netip.AddrPort, now time.Time) bool {
 	reports, desired := p.table.BootstrapReports(now), pulses.EncodeNamings(p.desiredHistory(now))
 	limits, targets := p.view.customerLimiter.FullUpdate(now), p.view.targetLimiter.FullUpdate(now)
-	if len(reports)+len(desired)+len(limits.Reports)+len(targets.Reports) == 0 || p.view.plan().HasPeer(p.view.keys.members+name) {
+	if len(reports)+len(desired)+len(limits.Reports)+len(targets.Reports) == 0 || !p.view.plan().NeedsReply(p.view.keys.members+name) {
 		return false
 	}
 	messages := []*keelv1.Pulse{{Sender: p.name, Suspects: pulses.EncodeSuspects(reports), Namings: desired}}
--- a/node/view.go
+++ b/node/view.go
@@ -48,6 +48,8 @@
 
 	// self is this node's key among the members.
 	self string
+	// selfMember is this node's entry; without a key if it is not known yet.
+	selfMember peering.Member
 
 	mu sync.Mutex
 	// members are the nodes that serve, by key.
@@ -332,10 +334,11 @@
 	defer v.mu.Unlock()
 	if v.cachedPlan == nil {
 		p := peering.New(v.self, slices.Collect(maps.Values(v.members)))
+		v.addGuests(&p)
 		v.cachedPlan = &p
 		if p.Joined {
-			v.customerLimiter.SetGroup(p.Group, p.GroupCount)
-			v.targetLimiter.SetGroup(p.Group, p.GroupCount)
+			v.customerLimiter.SetGroup(p.Group, p.GroupCount, time.Now())
+			v.targetLimiter.SetGroup(p.Group, p.GroupCount, time.Now())
 		}
 		v.logPosition(groupPosition{group: p.Group, groups: p.GroupCount, watches: p.Joined && p.Rank == 0})
 	}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -85,6 +85,10 @@
 	SlowLinks bool
 	// LinkMbps is the bandwidth of the process's own link.
 	LinkMbps float64
+	// Guests are the processes outside of the group that this one exchanges limits with.
+	// Those of a member left the list recently and belonged to its group. Those of a
+	// process that is not in the list are the members of the group it belongs to.
+	Guests []Member
 }
 
 // Link is the connection between the process's group and another one.
@@ -108,11 +112,7 @@
 // of groups stays the same, a member that joins or leaves moves at most one other
 // member across each border between two groups.
 func New(self string, members []Member) Plan {
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(prefix.NameHash(a.Key), prefix.NameHash(b.Key)), cmp.Compare(a.Key, b.Key))
-	})
-	groups := partition(sorted)
+	groups := partition(sortMembers(members))
 	own := slices.IndexFunc(groups, func(g []Member) bool {
 		return containsKey(g, self)
 	})
@@ -136,6 +136,28 @@
 	return p
 }
 
+// sortMembers returns the members in the order in which they are divided into groups.
+func sortMembers(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(prefix.NameHash(a.Key), prefix.NameHash(b.Key)), cmp.Compare(a.Key, b.Key))
+	})
+	return sorted
+}
+
+// Home returns the group that a process outside of the list belongs to, and its members:
+// the one that it would be in as a member.
+func Home(m Member, members []Member) (group int, peers []Member) {
+	if len(members) == 0 {
+		return 0, nil
+	}
+	with := partition(sortMembers(append(slices.Clone(members), m)))
+	group = slices.IndexFunc(with, func(g []Member) bool { return containsKey(g, m.Key) })
+	groups := partition(sortMembers(members))
+	group = min(group, len(groups)-1)
+	return group, groups[group]
+}
+
 // RanksBefore reports whether the member with this key is a peer that comes before the
 // process in rank.
 func (p Plan) RanksBefore(key string) bool {
@@ -147,6 +169,12 @@
 	return containsKey(p.Peers, key)
 }
 
+// NeedsReply reports whether the process with this key gets no updates from this one. A process
+// that is not in the list sends its own to the members of its group, so it does not reply to them.
+func (p Plan) NeedsReply(key string) bool {
+	return !p.HasPeer(key) && (p.Joined || !containsKey(p.Guests, key))
+}
+
 func containsKey(members []Member, key string) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Key == key })
 }
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -161,3 +161,36 @@
 		}
 	}
 }
+
+// Guards against a stopping process that the members of several groups, or of none, take for one
+// of theirs: its usage of limits would be counted several times or not at all.
+func TestHomeOfDepartedMember(t *testing.T) {
+	for _, n := range []int{1, 2, 26, 31, 51, 103} {
+		all := members(n)
+		for _, gone := range all {
+			remaining := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Key == gone.Key })
+			group, peers := Home(gone, remaining)
+			if n == 1 {
+				if len(peers) != 0 {
+					t.Errorf("%d peers without members", len(peers))
+				}
+				continue
+			}
+			homes := 0
+			for _, m := range remaining {
+				if New(m.Key, remaining).Group == group {
+					homes++
+					if !containsKey(peers, m.Key) {
+						t.Fatalf("%d members: %s of group %d is no peer of %s", n, m.Key, group, gone.Key)
+					}
+				}
+			}
+			if homes == 0 || homes != len(peers) {
+				t.Errorf("%d members: %s has %d peers in a group of %d", n, gone.Key, len(peers), homes)
+			}
+			if n > 31 {
+				break
+			}
+		}
+	}
+}
--- a/pulses/limits.go
+++ b/pulses/limits.go
@@ -43,6 +43,14 @@
 	return n
 }
 
+// LimitDatagrams encodes the usage of limits alone.
+func (u Update) LimitDatagrams(sender string) ([][]byte, error) {
+	pack := newPacker(&keelv1.Pulse{Sender: sender}, func() *keelv1.Pulse { return &keelv1.Pulse{Sender: sender} })
+	pack.addLimits(u.Limits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.Limits = w })
+	pack.addLimits(u.TargetLimits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.TargetLimits = w })
+	return pack.finish()
+}
+
 // addLimits packs a usage update; each datagram carries at most one message of it.
 func (p *packer) addLimits(n quota.UsageUpdate, set func(*keelv1.Pulse, *keelv1.LimitNews)) {
 	for i, w := range EncodeLimits(n) {
--- a/quota/groups.go
+++ b/quota/groups.go
@@ -86,13 +86,13 @@
 
 // SetGroup sets the group of this process, of how many. After a change the totals of other groups
 // are of other processes, and so is that of this process's group: both are counted anew.
-func (lim *Limiter) SetGroup(own, count int) {
+func (lim *Limiter) SetGroup(own, count int, now time.Time) {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	if lim.ownGroup == own && lim.groupCount == count {
 		return
 	}
-	lim.ownGroup, lim.groupCount = own, count
+	lim.ownGroup, lim.groupCount, lim.groupChangedAt = own, count, now
 	for group, s := range lim.groupSenders {
 		delete(lim.groupSenders, group)
 		lim.dropSender(s)
--- a/quota/groups_test.go
+++ b/quota/groups_test.go
@@ -250,7 +250,7 @@
 	}
 	e.plan = plan
 	e.limiter.SetMembers(max(1, len(members)))
-	e.limiter.SetGroup(plan.Group, plan.GroupCount)
+	e.limiter.SetGroup(plan.Group, plan.GroupCount, f.clock())
 	for _, l := range plan.Links {
 		link := fmt.Sprint(plan.Group, ">", l.Group)
 		if f.lastRelay[link] != l.Relays[0] {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -33,6 +33,7 @@
 	activatedAt map[int]time.Time
 	// ownGroup is the index of this process's group, groupCount the number of groups.
 	ownGroup, groupCount int
+	groupChangedAt       time.Time
 	// members is the number of serving processes listed in the store, including this one.
 	members int
 	// recentMembers is the number of processes that served lately.
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -148,7 +148,7 @@
 	groups := (members + formerInstances + 24) / 25
 	for i, h := range d.processes {
 		h.group = i * groups / len(d.processes)
-		h.limiter.SetGroup(h.group, groups)
+		h.limiter.SetGroup(h.group, groups, d.clock())
 	}
 	for _, h := range d.processes {
 		if d.up(h) && d.now >= h.partitionedUntil && d.now%(simStoreInterval) < simStep {
--- a/quota/peers.go
+++ b/quota/peers.go
@@ -242,11 +242,18 @@
 		}
 		s.silent = true
 		for _, a := range lim.accounts {
-			if u := a.peerUsage[s]; u != nil {
-				u.discarded = a.discardedHistory.before(s.lastReceived)
-				u.assumed = a.takeDiscarded(u.recentRate(s.lastReceived)*s.timeout.Seconds(), u.discarded)
-				a.debit(u.assumed)
+			u := a.peerUsage[s]
+			if u == nil {
+				continue
 			}
+			u.discarded = a.discarded
+			// Processes of a group that this one has left are reported by that group.
+			if !s.group && s.lastReceived.Before(lim.groupChangedAt.Add(warmUp)) {
+				continue
+			}
+			u.discarded = a.discardedHistory.before(s.lastReceived)
+			u.assumed = a.takeDiscarded(u.recentRate(s.lastReceived)*s.timeout.Seconds(), u.discarded)
+			a.debit(u.assumed)
 		}
 	}
 }
@@ -267,7 +274,7 @@
 	u := a.peerUsage[s]
 	if u == nil {
 		// Earlier usage of a process that started before this one was reported to others.
-		u = &peerUsage{}
+		u = &peerUsage{discarded: a.discarded}
 		if !s.startedLater {
 			u.admitted, u.isolated = report.Total-report.Increase, s.isolated
 		}
