--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -308,22 +310,35 @@
 // Guards against reads of each cache by each process, whose cost grows with the product,
 // and by none beyond 40 processes, where shared parts were prefilled five times as often.
 func TestManyProcessesShareCacheReads(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ entries, runners int }{{20, 38}, {40, 80}, {41, 80}, {103, 160}, {370, 2100}} {
 		names := memberNames(size.entries)
 		readers, most := map[string]int{}, 0
-		f := New("z")
-		for i := range size.runners {
-			f.Put(target(fmt.Sprintf("r%d", i), 1))
-		}
-		for _, self := range names {
-			f.SetMembers(self, names)
-			due := f.dueReads()
-			for _, d := range due {
-				readers[d.request.Address]++
-				f.abandonRead(d.cache)
-			}
-			most = max(most, len(due))
+		var mu sync.Mutex
+		var done sync.WaitGroup
+		// The processes decide by themselves, so they are computed at the same time.
+		for part := range slices.Chunk(names, max(1, size.entries/8)) {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				f := New("z")
+				for i := range size.runners {
+					f.Put(target(fmt.Sprintf("r%d", i), 1))
+				}
+				for _, self := range part {
+					f.SetMembers(self, names)
+					due := f.dueReads()
+					mu.Lock()
+					for _, d := range due {
+						readers[d.request.Address]++
+						f.abandonRead(d.cache)
+					}
+					most = max(most, len(due))
+					mu.Unlock()
+				}
+			}()
 		}
+		done.Wait()
 		for address, n := range readers {
 			if n != readersPerCache {
 				t.Errorf("%d processes: %d read %s", size.entries, n, address)
--- a/fleet/unresponsive_test.go
+++ b/fleet/unresponsive_test.go
@@ -322,6 +322,7 @@
 // Guards against an entry that is cut off from all targets and ejects them all: it would
 // have none when it is connected again, and its reports would eject them elsewhere.
 func TestPartitionedEntryEjectsNothing(t *testing.T) {
+	t.Parallel()
 	e := newLossSim(31, 56, nil)
 	rate := 0.5 * 56 * simSlots / simService.Seconds()
 	e.run(rate, 2*time.Second)
@@ -366,6 +367,7 @@
 // Guards against ejecting targets that are slow, such as by long prompts, but accept
 // connections.
 func TestSlowTargetsAreNotEjected(t *testing.T) {
+	t.Parallel()
 	e := newLossSim(3, 18, nil)
 	rate := 0.5 * 18 * simSlots / simService.Seconds()
 	e.run(rate, 2*time.Second)
@@ -388,6 +390,7 @@
 // Guards against a target that is ejected for long after it recovered, and against probes
 // and changes without bound, where targets are lost and recover again and again.
 func TestFlappingTargets(t *testing.T) {
+	t.Parallel()
 	e := newLossSim(31, 56, nil)
 	rate := 0.5 * 56 * simSlots / simService.Seconds()
 	e.run(rate, time.Second)
