quota: count the usage of starting and stopping processes once

A process that is in no group sends its usage to all members. Each group also relayed it, so with three groups it was counted three times.

--- a/quota/peers.go
+++ b/quota/peers.go
@@ -26,6 +26,9 @@
 	// processes that it reports for.
 	group     bool
 	processes int
+	// direct is set if it reports to the processes of all groups itself, so that this
+	// process's group must not report its usage to the others.
+	direct bool
 	// timeout is the silence after which it counts as unreachable.
 	timeout time.Duration
 }
@@ -119,6 +122,9 @@
 	Reports []UsageReport
 	// Processes is the number of processes that the sender reports for.
 	Processes int
+	// Direct is set if the sender is in no group and reports to all processes itself. The
+	// receiver sets it; it is not sent.
+	Direct bool
 }
 
 // reportState is the state of an account's reports to one group of receivers.
@@ -208,7 +214,7 @@
 		lim.peers[u.Sender] = s
 		lim.senders = append(lim.senders, s)
 	}
-	s.processes = 1
+	s.processes, s.direct = 1, u.Direct
 	lim.applyUpdate(s, u, now)
 }
 
@@ -297,7 +303,7 @@
 		u.isolated, u.assumed = s.isolated, 0
 	}
 	a.debit(added)
-	if !s.group {
+	if !s.group && !s.direct {
 		a.admittedInGroup += added
 	}
 	u.demand, u.reportedAt = report.Demand, now
