--- a/cmd/acaciakeel-entry/platform.go
+++ b/cmd/acaciakeel-entry/platform.go
@@ -26,6 +26,7 @@
 		Usage: "run on the platform, by the settings that it writes, until SIGTERM",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of /metrics, as the deploy file says", Value: 9464},
+			&cli.StringSliceFlag{Name: "with", Usage: "switch a `MECHANISM` on that is off by default; may be given more than once"},
 			&cli.StringSliceFlag{Name: "without", Usage: "switch the `MECHANISM` off; may be given more than once"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -33,9 +34,9 @@
 			if err != nil {
 				return err
 			}
-			without, err := policy.Parse(c.StringSlice("without"))
+			without, err := policy.Select(c.StringSlice("without"), c.StringSlice("with"))
 			if err != nil {
-				return fmt.Errorf("--without: %w", err)
+				return err
 			}
 			if limit := node.HeapLimit(settings.Limits.MemoryMB); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
 				debug.SetMemoryLimit(limit)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -259,6 +259,20 @@
 // chooseByCache ranks the targets by rendezvous hashing of the deepest shared part, and
 // picks the one with the least expected cost.
 func (f *Fleet) chooseByCache(q Query, g *group, indices []int32, now time.Time) Choice {
+	reserved := f.reservedForLight(q, g, indices, now)
+	own := f.division(q, indices, reserved)
+	c := f.chooseAmong(q, g, own, reserved, now)
+	if len(own) < len(indices) && c.Wait.Seconds() > maxDivisionWait*q.Objective.Seconds() {
+		if all := f.chooseAmong(q, g, indices, reserved, now); all.Wait < c.Wait {
+			c = all
+		}
+	}
+	f.engine(q.Service).ObserveArrival(c.PrefillTime, q.light, now)
+	return c
+}
+
+// chooseAmong is chooseByCache for some of the targets.
+func (f *Fleet) chooseAmong(q Query, g *group, indices []int32, reserved map[int32]bool, now time.Time) Choice {
 	newest := f.desired[q.Model].newest()
 	chain := q.Chain(newest)
 	var o placement.Ranker
@@ -267,7 +281,6 @@
 	fetches := make([]fetch, len(order))
 	chains := map[int64]prefix.Chain{newest: chain}
 	locations := map[int64]partLocations{}
-	reserved := f.reservedForLight(q, g, indices, now)
 	e := f.engine(q.Service)
 	heavy := e.OfferedLoad(now).MeanHeavyPrefill()
 	first := true
@@ -301,7 +314,6 @@
 	c.FirstToken = c.Pace.Stretch(e.BaseLatency(now)) + time.Duration(placement.TimeToFirstToken(a, tokens)*float64(time.Second))
 	c.PrefillTime = e.PrefillTime(max(0, tokens-a.CachedTokens), tokens, now)
 	c.Reliable = e.HasEnoughSamples()
-	e.ObserveArrival(c.PrefillTime, q.light, now)
 }
 
 // cachedLocations returns where a prompt's parts are cached under a target's weights,
--- a/fleet/light.go
+++ b/fleet/light.go
@@ -113,6 +113,31 @@
 // be reserved: with less, one target of a dozen would serve it alone.
 const minDemandShare = 0.05
 
+// maxDivisionWait is the expected wait, as a fraction of the objective, from which a request
+// may also use the targets of the other side: half of the wait with which a heavy one is
+// refused (package router).
+const maxDivisionWait = 0.25
+
+// division returns the targets on the request's side of the division between light and heavy
+// requests. Only requests whose streams have a bound on pauses keep to it: a prompt that is
+// prefilled for 200 ms makes all streams of its target pause. Without targets of its own, a
+// request may use all.
+func (f *Fleet) division(q Query, indices []int32, reserved map[int32]bool) []int32 {
+	if q.MaxEventGap <= 0 || len(reserved) == 0 || f.disabled[policy.Division] || !f.disabled[policy.EventPauses] {
+		return indices
+	}
+	var own []int32
+	for _, i := range indices {
+		if reserved[i] == q.light {
+			own = append(own, i)
+		}
+	}
+	if len(own) == 0 {
+		return indices
+	}
+	return own
+}
+
 // mismatchFactor is the multiple of its own prefill time that a heavy request costs at a
 // target reserved for light ones, some of which wait there for as long.
 const mismatchFactor = 2
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,8 +84,13 @@
 	// ResponseChecks probes targets whose requests are overdue, and gives up requests at
 	// those that do not respond.
 	ResponseChecks Mechanism = "response-checks"
-	// EventPauses places requests by the pauses between events that they are expected to
-	// cause in streams with a bound, and to have themselves.
+	// Division keeps light and heavy requests with a bound on pauses on their own sides of
+	// the reserved targets, unless they would wait there.
+	Division Mechanism = "division"
+	// EventPauses, in place of Division, places requests by the pauses between events that
+	// they are expected to cause in streams with a bound, and to have themselves. It is off
+	// unless it is switched on: on the deployments measured so far Division served better
+	// (docs/design/pauses.md).
 	EventPauses Mechanism = "pauses"
 )
 
@@ -94,7 +99,7 @@
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
 		WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
-		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks, EventPauses,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks, Division, EventPauses,
 	}
 }
 
@@ -113,6 +118,33 @@
 	return off, nil
 }
 
+// offByDefault are the mechanisms that must be switched on.
+var offByDefault = []Mechanism{EventPauses}
+
+// Select returns the set to disable, given the names of mechanisms to switch off and on. It
+// rejects unknown names.
+func Select(without, with []string) (Disabled, error) {
+	off, err := Parse(without)
+	if err != nil {
+		return nil, fmt.Errorf("--without: %w", err)
+	}
+	on, err := Parse(with)
+	if err != nil {
+		return nil, fmt.Errorf("--with: %w", err)
+	}
+	for _, m := range offByDefault {
+		if !on[m] {
+			off[m] = true
+		}
+	}
+	for m := range on {
+		if slices.Contains(without, string(m)) {
+			return nil, fmt.Errorf("mechanism %q is switched both on and off; remove --with or --without", m)
+		}
+	}
+	return off, nil
+}
+
 func mechanismNames() []string {
 	out := make([]string, 0, len(All()))
 	for _, m := range All() {
