--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -51,8 +51,7 @@
 
 // total is the demand of one key.
 type total struct {
-	key  key
-	name string
+	key key
 	// asked and admitted are what clients asked of this entry and what it admitted.
 	asked, admitted rate
 	// peers and groups are the demands that other entries of the group and other groups
