--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -224,31 +224,6 @@
 	return Choice{Target: best.target, Wait: pace.Stretch(f.queueWait(q, best, now)), Pace: pace}
 }
 
-// chooseIsolated picks the target with the fewest requests for a request that may crash
-// it: cached parts elsewhere are worth less than the requests that a crash would end.
-// Targets in Avoid have another such request and are left out, so that a crash shows
-// which request caused it. If there are no others, isolation does not help and ok is
-// false, unless AlwaysIsolate is set: when a dozen targets crash together, hundreds of
-// requests are suspect for a moment, and prefilling all of their prompts without cached
-// parts would cost other requests more.
-func (f *Fleet) chooseIsolated(q Query, g *group, indices []int32, now time.Time) (c Choice, ok bool) {
-	avoid := placement.Except(f.currentIDs(q.Avoid))
-	rest := slices.DeleteFunc(slices.Clone(indices), func(i int32) bool { return !avoid(&g.candidates[i]) })
-	if len(rest) == 0 {
-		if !q.AlwaysIsolate {
-			return Choice{}, false
-		}
-		rest = indices
-	}
-	best := slices.MinFunc(rest, func(a, b int32) int {
-		return f.requestCount(g.states[a], now) - f.requestCount(g.states[b], now)
-	})
-	if q.Model == "" {
-		return f.chooseLeastLoaded(q, g, []int32{best}, now), true
-	}
-	return f.newChoice(q, g.states[best], map[int64]prefix.Chain{}, fetch{}, now), true
-}
-
 func (f *Fleet) linkCost(s *targetState) time.Duration {
 	if s.target.Zone == f.zone {
 		return 0
@@ -400,26 +375,3 @@
 	}
 	return chain.Levels[len(chain.Levels)-1].Tokens
 }
-
-// requestCount returns how many requests a target has: the higher of what the processes
-// reported and what the target did.
-func (f *Fleet) requestCount(s *targetState, now time.Time) int {
-	return max(s.totalOccupancy(now).Inflight, f.reportedRequests(s, now))
-}
-
-// reportedRequests returns how many requests a target has by its own last report, plus
-// what this process sent since. A reported queue counts until it is likely worked off:
-// with a hundred processes, each learns of a full target only when it is turned away
-// there, and would be again a moment later.
-func (f *Fleet) reportedRequests(s *targetState, now time.Time) int {
-	age := now.Sub(s.loadAt)
-	queue := s.load.Running + s.load.Waiting - s.target.Slots
-	remaining := s.load.Running + s.load.Waiting
-	if age >= loadTTL {
-		if queue <= 0 {
-			return 0
-		}
-		remaining -= int(int64(s.target.Slots) * int64(age) / int64(max(1, f.slotTime(s, s.totalOccupancy(now), now))))
-	}
-	return s.inflight + max(0, remaining-s.inflightAtLoad)
-}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -12,7 +12,6 @@
 
 	"acaciakeel/clock"
 	"acaciakeel/fleet"
-	"acaciakeel/policy"
 )
 
 // RunnerClient sends calls to runners.
@@ -340,48 +339,6 @@
 	}
 }
 
-// Timing of the truncation of long runs.
-const (
-	// drainCheckInterval is how long a runner is kept free of new requests between
-	// checks whether only resumable runs are left. In that time the other nodes learn
-	// of it and short runs end.
-	drainCheckInterval = 300 * time.Millisecond
-	// drainChecks is the number of checks before the runs are left to end on their own.
-	drainChecks = 4
-	// urgentDrainChecks is the number of checks for an urgent runner. Runs that cannot
-	// be resumed elsewhere are mostly short and end within 3.6 s, whereas waiting for
-	// the long runs to end takes longer than that.
-	urgentDrainChecks = 12
-)
-
-// clear keeps new requests away from a runner with long runs until only resumable runs
-// are left, and reports whether these may be truncated. A truncated run is resumed on
-// another runner after its last event. If they are left to end, the last few long runs
-// keep a runner of 40 or 60 slots out of service for four to six seconds.
-func (c *Controller) clear(ctx context.Context, decision Decision) bool {
-	r, checks := decision.Runner, drainChecks
-	if decision.Urgent {
-		checks = urgentDrainChecks
-	}
-	if !c.mayTruncate(r) {
-		return false
-	}
-	for range checks {
-		c.fleet.RecordBusy(r.Instance(), time.Now().Add(busyDuration))
-		c.notify()
-		clock.Sleep(ctx, drainCheckInterval)
-		if load := c.fleet.Occupancy(r.Instance()); load.Inflight == load.Resumable {
-			return load.Inflight > 0
-		}
-	}
-	return false
-}
-
-// mayTruncate reports whether long runs of a runner may be truncated.
-func (c *Controller) mayTruncate(r fleet.Target) bool {
-	return c.fleet.Occupancy(r.Instance()).Long > 0 && !c.truncationDisabled.Load() && !c.fleet.Disabled(policy.Truncation)
-}
-
 // sendOrder sends an order within the remaining time of the leadership. An order that
 // is delayed by a slow link or connection setup must not arrive while the next leader
 // sends its own.
@@ -391,72 +348,6 @@
 	return c.client.Order(ctx, o)
 }
 
-// durationSmoothing is the weight of one order in the moving average, so that about the
-// last ten orders determine the estimate.
-const durationSmoothing = 0.1
-
-func (c *Controller) recordDuration(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.orderDuration == 0 {
-		c.orderDuration = d
-	}
-	c.orderDuration += time.Duration(durationSmoothing * float64(d-c.orderDuration))
-}
-
-// awaitLoad polls a runner until its order has ended, and reports whether the runner
-// has loaded the weights.
-func (c *Controller) awaitLoad(ctx context.Context, r fleet.Target, model string, desired int64) bool {
-	start := time.Now()
-	c.fleet.RecordBusy(r.Instance(), start.Add(busyDuration))
-	c.notify()
-	clock.Sleep(ctx, firstPollDelay)
-	missed := 0
-	for ctx.Err() == nil && time.Since(start) < orderTimeout && c.fleet.Available(r.Instance()) {
-		report, err := c.report(ctx, r, model, desired)
-		if err == nil {
-			missed = 0
-		} else if missed++; missed >= missedPolls {
-			return false
-		}
-		if err == nil && !c.checkInstance(r, report) {
-			// The order ended with the instance that accepted it. A load by the
-			// later one says nothing about the duration of this order.
-			return false
-		}
-		if err == nil && report.Weights[model] >= desired {
-			c.fleet.RecordWeights(r.Instance(), model, desired, time.Now())
-			c.notify()
-			c.fleet.RecordWeightLoad(r.Service, time.Since(start))
-			c.logEvent("loaded", r, model, desired).WithField("took_ms", time.Since(start).Milliseconds()).Info("runner has loaded the weights")
-			return true
-		}
-		if err == nil && !report.Busy {
-			return false
-		}
-		c.fleet.RecordBusy(r.Instance(), time.Now().Add(busyDuration))
-		clock.Sleep(ctx, pollInterval)
-	}
-	return false
-}
-
-// checkInstance reports whether a report is of the expected instance of a runner. A
-// report of a later instance ends the expected one, and its versions are recorded; a
-// report of an earlier one is ignored.
-func (c *Controller) checkInstance(r fleet.Target, report fleet.Status) bool {
-	instance := fleet.Instance{ID: r.ID, Born: report.Born}
-	if !c.fleet.Observe(instance) {
-		return false
-	}
-	if instance.Matches(r.Instance()) {
-		return true
-	}
-	for model, version := range report.Weights {
-		c.fleet.RecordWeights(instance, model, version, time.Now())
-	}
-	return false
-}
-
 func (c *Controller) logEvent(name string, r fleet.Target, model string, desired int64) *logrus.Entry {
 	return c.log.WithFields(logrus.Fields{"event": name, "runner": r.ID, "born": r.Born, "model": model, "weights": desired})
 }
