--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -85,7 +85,7 @@
 		ahead = min(max(pending, own-float64(slots), 0), own, ahead)
 	}
 	wait := time.Duration(float64(slotTime) * (ahead + 1) / float64(slots))
-	if class > 0 && q.Model != "" && !f.disabled[policy.PriorityWaits] {
+	if class > 0 && q.Model != "" && !f.disabled[policy.PriorityWaits] && !f.disabled[policy.ArrivalGrowth] {
 		wait = time.Duration(float64(wait) * waitGrowth(float64(total.upTo(class-1).Inflight)/float64(slots)))
 	}
 	return wait
@@ -123,7 +123,7 @@
 // urgentPrefillShare returns the share of the targets' time that prefilling more urgent
 // prompts takes. The entries' arrivals are assumed to have the same mix of classes.
 func (f *Fleet) urgentPrefillShare(q Query, class int, now time.Time) float64 {
-	if class == 0 || q.targets == 0 || q.Model == "" || f.disabled[policy.PriorityWaits] {
+	if class == 0 || q.targets == 0 || q.Model == "" || f.disabled[policy.PriorityWaits] || f.disabled[policy.ArrivalGrowth] {
 		return 0
 	}
 	offered := f.engine(q.Service).OfferedLoad(now)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,11 @@
 	// LateAdmission lets less urgent requests wait for as long as their clients do, where
 	// more urgent ones compete with them.
 	LateAdmission Mechanism = "late-work"
+	// ArrivalGrowth lengthens the expected wait of less urgent requests by the more urgent
+	// ones that arrive meanwhile. It is off unless it is switched on: the limits on waits
+	// already leave room for them, and more long prompts were refused with it
+	// (docs/design/sharing.md).
+	ArrivalGrowth Mechanism = "arrival-growth"
 	// LightWaitAllowance lets requests with a short prefill wait longer before they are
 	// refused.
 	LightWaitAllowance Mechanism = "light-waits"
@@ -89,15 +94,14 @@
 	Division Mechanism = "division"
 	// EventPauses, in place of Division, places requests by the pauses between events that
 	// they are expected to cause in streams with a bound, and to have themselves. It is off
-	// unless it is switched on: on the deployments measured so far Division served better
-	// (docs/design/pauses.md).
+	// unless it is switched on: Division served better (docs/design/pauses.md).
 	EventPauses Mechanism = "pauses"
 )
 
 func All() []Mechanism {
 	return []Mechanism{
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
-		WaitRefusal, LearnedSlotTime, PriorityWaits, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
+		WaitRefusal, LearnedSlotTime, PriorityWaits, ArrivalGrowth, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
 		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks, Division, EventPauses,
 	}
@@ -119,7 +123,7 @@
 }
 
 // offByDefault are the mechanisms that must be switched on.
-var offByDefault = []Mechanism{EventPauses}
+var offByDefault = []Mechanism{ArrivalGrowth, EventPauses}
 
 // Select returns the set to disable, given the names of mechanisms to switch off and on. It
 // rejects unknown names.
