--- a/node/limits.go
+++ b/node/limits.go
@@ -38,9 +38,6 @@
 		limiter.ApplyGroupUpdate(int(message.Group.Group), update, now)
 		return
 	}
-	// A starting or stopping process is in no group and sends to all members. If each group
-	// relayed its usage, the others would count it once per group.
-	update.Direct = !p.view.plan().HasPeer(p.view.keys.members + message.Sender)
 	limiter.ApplyPeerUpdate(update, now)
 }
 
--- a/quota/account.go
+++ b/quota/account.go
@@ -240,7 +240,7 @@
 func (a *account) groupDemand(now time.Time) float64 {
 	sum := a.demand
 	for s, u := range a.peerUsage {
-		if !s.group && !s.direct && s.reachable(now) {
+		if !s.group && s.reachable(now) {
 			sum += u.demand * decay(now.Sub(u.reportedAt))
 		}
 	}
--- a/quota/groups.go
+++ b/quota/groups.go
@@ -50,7 +50,7 @@
 	activated := lim.startGroupReport(group, now)
 	out := UsageUpdate{Uptime: now.Sub(lim.startedAt), Processes: 1}
 	for _, s := range lim.peers {
-		if s.reachable(now) && !s.direct {
+		if s.reachable(now) {
 			out.Processes++
 		}
 	}
--- a/quota/peers.go
+++ b/quota/peers.go
@@ -26,9 +26,6 @@
 	// processes that it reports for.
 	group     bool
 	processes int
-	// direct is set if it reports to the processes of all groups itself, so that this
-	// process's group must not report its usage to the others.
-	direct bool
 	// timeout is the silence after which it counts as unreachable.
 	timeout time.Duration
 }
@@ -122,9 +119,6 @@
 	Reports []UsageReport
 	// Processes is the number of processes that the sender reports for.
 	Processes int
-	// Direct is set if the sender is in no group and reports to all processes itself. The
-	// receiver sets it; it is not sent.
-	Direct bool
 }
 
 // reportState is the state of an account's reports to one group of receivers.
@@ -214,7 +208,7 @@
 		lim.peers[u.Sender] = s
 		lim.senders = append(lim.senders, s)
 	}
-	s.processes, s.direct = 1, u.Direct
+	s.processes = 1
 	lim.applyUpdate(s, u, now)
 }
 
@@ -310,7 +304,7 @@
 		u.isolated, u.assumed = s.isolated, 0
 	}
 	a.debit(added)
-	if !s.group && !s.direct {
+	if !s.group {
 		a.admittedInGroup += added
 	}
 	u.demand, u.reportedAt = report.Demand, now
