--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,7 +79,9 @@
 	DemandShares   Mechanism = "demand-shares"
 	// TargetLimits enforces the rate limits that targets advertise.
 	TargetLimits Mechanism = "target-limits"
-	// TargetSpeeds learns the lasting speed of each target relative to its service.
+	// TargetSpeeds learns the lasting speed of each target relative to its service from
+	// observed times. It is off unless it is switched on: where targets are equally fast, the
+	// noise of the times moved requests away from cached prompts (docs/design/pauses.md).
 	// TargetSlowdowns counts the current slowdown that a target reports.
 	TargetSpeeds    Mechanism = "speeds"
 	TargetSlowdowns Mechanism = "slowdowns"
@@ -123,7 +125,7 @@
 }
 
 // offByDefault are the mechanisms that must be switched on.
-var offByDefault = []Mechanism{ArrivalGrowth, EventPauses}
+var offByDefault = []Mechanism{ArrivalGrowth, TargetSpeeds, EventPauses}
 
 // Select returns the set to disable, given the names of mechanisms to switch off and on. It
 // rejects unknown names.
