Log and count each attempt that continues a stream

Cause: no line told a resumed stream from a new one, named the software version of a target, or the attempt that the client names in Resumes, so the hypotheses of the incident could not be told apart.

Change: the version of a runner's software is decoded into fleet.Target.Build and logged with its listing and with each stream; Resumes is decoded; event=stream_resumed and keel_router_resumptions_total say who continued which stream, what began it and how that is known, and which version was chosen. No target is chosen differently.

--- a/fleet/target.go
+++ b/fleet/target.go
@@ -21,6 +21,9 @@
 	// Slots is how many requests the target runs at once; 0 if not stated.
 	Slots    int
 	Draining bool
+	// Build is the version of the target's software, which is unrelated to Weights; empty
+	// if not stated.
+	Build string
 	// Weights is the loaded version of each model.
 	Weights map[string]int64
 }
--- a/node/view.go
+++ b/node/view.go
@@ -200,7 +200,7 @@
 	v.mu.Lock()
 	v.cancelRemoval(r.ID)
 	v.mu.Unlock()
-	v.log.WithFields(logrus.Fields{"event": "target_listed", "target": r.ID, "born": r.Born, "address": r.Address, "draining": r.Draining, "weights": r.Weights}).Info("target listed in the store")
+	v.log.WithFields(logrus.Fields{"event": "target_listed", "target": r.ID, "born": r.Born, "address": r.Address, "draining": r.Draining, "build": r.Build, "weights": r.Weights}).Info("target listed in the store")
 }
 
 // recoveryGrace is how long after the store's recovery an entry that vanished during the
--- a/router/log_fields.go
+++ b/router/log_fields.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/sirupsen/logrus"
+
+	"acaciakeel/catalog"
 )
 
 // addLogFields adds what is known of the attempts to the log line of a request.
@@ -12,6 +14,9 @@
 	fields["service"] = s.in.service.Name
 	fields["sends"] = s.attempts
 	fields["target"] = s.lastChoice.Target.ID
+	if s.in.route.Kind == catalog.Stream {
+		fields["build"] = s.lastChoice.Target.Build
+	}
 	if s.in.Model != "" {
 		fields["weights"] = s.lastChoice.WeightsVersion
 		fields["cached"] = s.lastChoice.CachedTokens
--- a/router/request.go
+++ b/router/request.go
@@ -47,8 +47,10 @@
 	MaxOutputTokens int
 	// Size is what the request counts against the limit of its customer.
 	Size quota.Size
-	// LastEventID is the event after which the client resumes a stream.
+	// LastEventID is the event after which the client resumes a stream, and Resumes the ID of
+	// its attempt that received the first event of that stream.
 	LastEventID string
+	Resumes     string
 }
 
 // Attempt is one attempt to run a request at a target.
--- a/router/session.go
+++ b/router/session.go
@@ -32,8 +32,10 @@
 	// lastEventID is the ID of the last event forwarded to the client.
 	lastEventID    int64
 	hasLastEventID bool
-	lastChoice     fleet.Choice
-	active         *fleet.ActiveRequest
+	// origin is the build of the target that began the stream, as far as it is known.
+	origin     origin
+	lastChoice fleet.Choice
+	active     *fleet.ActiveRequest
 	// guard withdraws the current attempt if it does not start in time.
 	guard        *startGuard
 	firstEventAt time.Time
@@ -168,6 +170,7 @@
 	})
 	s.tracked.SentTo(choice.Target.Instance())
 	defer s.tracked.LeftTarget()
+	s.recordResumption(choice)
 	s.guard = s.guardStart(choice, cancel)
 	defer s.guard.stop()
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
