Reproduce streams that continue at another software version

Cause: fleet.Query knows nothing of the version that began a stream, so that a stream which breaks off, or which a client resumes, goes to any target.

Change: the stand-in of a runner states a software version, records which one produced the first event of each run, and judges from what it received whether a stream continued elsewhere; the stand-in of a client names the stream that it resumes. Tests of both ways, at each entry, and of streams that must be refused.

--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -20,6 +20,10 @@
 	Body string
 	// Deadline is for how long the client waits.
 	Deadline time.Duration
+	// Resumes is the attempt that received the first event of the stream that this one
+	// continues, and LastEventID the last event received; empty for a new request.
+	Resumes     string
+	LastEventID string
 	// Prompt is nil for requests to plain services.
 	Prompt *Prompt
 }
@@ -43,6 +47,12 @@
 	req.Header.Set("Request-Id", r.ID)
 	req.Header.Set("Key", r.Key)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	if r.Resumes != "" {
+		req.Header.Set("Resumes", r.Resumes)
+	}
+	if r.LastEventID != "" {
+		req.Header.Set("Last-Event-Id", r.LastEventID)
+	}
 	if p := r.Prompt; p != nil {
 		req.Header.Set("Model", p.Model)
 		req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", p.Input, p.Output))
--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -151,7 +151,7 @@
 		return false, true
 	}
 	seen := &r.seen[in.seen]
-	seen.Began, seen.BeganOn = time.Now(), r.weights[req.Header.Get("Model")]
+	seen.Began, seen.BeganOn, seen.Build = time.Now(), r.weights[req.Header.Get("Model")], r.build
 	return true, false
 }
 
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -35,6 +35,8 @@
 	// Began is the time of the first event, BeganOn the weight version that produced it.
 	Began   time.Time
 	BeganOn int64
+	// Build is the version of the target's software that produced the first event.
+	Build string
 	// Limited is the time of a response with Server-Limit.
 	Limited time.Time
 	// ToldLeaving is the time of a response with Server-Leaving.
@@ -70,6 +72,8 @@
 	leaves bool
 	// rest is the Retry-After with which all requests are refused; 0 refuses none.
 	rest time.Duration
+	// build is the version of the target's software; empty states none.
+	build string
 	// slowness is the fourth figure of Server-Load; 0 sends no Server-Load.
 	slowness int
 }
@@ -176,9 +180,13 @@
 func (r *Runner) EntryAt(state, address string) store.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	value, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": r.Service, "address": address, "zone": "z1", "slots": r.slotCount(), "state": state, "models": r.models(), "born": r.born,
-	})
+	}
+	if r.build != "" {
+		fields["version"] = r.build
+	}
+	value, _ := json.Marshal(fields)
 	return store.Entry{Key: "servers/" + r.ID, Value: value}
 }
 
--- /dev/null
+++ b/node/versions_test.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/standin/client"
+	"acaciakeel/internal/standin/runner"
+	"acaciakeel/platform"
+)
+
+// builds are the software versions of the runners of a versioned environment, in their order.
+var builds = []string{"v1", "v1.1", "v1", "v1.1"}
+
+// newVersionEnv returns an environment with two runners of each of two software versions.
+func newVersionEnv(t *testing.T) *testEnv {
+	t.Helper()
+	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+		for i := len(w.runners); i < len(builds); i++ {
+			w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
+		}
+		for i, r := range w.runners {
+			r.SetBuild(builds[i])
+			r.SetPace(20 * time.Millisecond)
+		}
+	})
+	w.until("all runners are known", func() bool { return len(w.node.view.fleet.Targets("lm")) == len(builds) })
+	return w
+}
+
+// startPeer starts a further node and waits until it and the first one are peers.
+func (w *testEnv) startPeer(name string) *Node {
+	n := w.startNode(name)
+	w.until("the nodes are peers", func() bool { return len(n.view.plan().Peers) > 0 && len(w.node.view.plan().Peers) > 0 })
+	return n
+}
+
+// streamRequest returns the i-th stream of a test; each has a prompt of its own, so that the
+// streams are spread over the runners.
+func streamRequest(id string, i int) client.Request {
+	return client.Request{
+		Method: http.MethodPost, Host: "h.example", Path: "/draft/x", ID: id, Key: goodKey, Deadline: 5 * time.Second,
+		Prompt: &client.Prompt{Model: model, Input: 900, Output: 50, Parts: fmt.Sprintf("a%d:400,b%d:300,c%d:200", i, i, i)},
+	}
+}
+
+// exchange sends a request and returns its response.
+func (w *testEnv) exchange(n *Node, r client.Request) response {
+	w.t.Helper()
+	req, err := r.To(n.FrontAddress())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// beginAndAbandon sends a request, reads two events and closes the connection.
+func (w *testEnv) beginAndAbandon(n *Node, r client.Request) {
+	w.t.Helper()
+	ctx, cancel := context.WithCancel(w.t.Context())
+	defer cancel()
+	req, err := r.To(n.FrontAddress())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	for ends := 0; ends < 2; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			w.t.Fatalf("stream %s ended early with status %d: %v", r.ID, resp.StatusCode, err)
+		}
+		if line == "\n" {
+			ends++
+		}
+	}
+}
+
+// restOfStream is what a stream brings after its second event.
+func restOfStream() string {
+	_, rest, _ := strings.Cut(completeStream(), "piece 2\n\n")
+	return rest
+}
+
+// checkContinuations fails for streams that continued at another version, and unless as many
+// streams as expected were continued.
+func (w *testEnv) checkContinuations(want int) {
+	w.t.Helper()
+	c := runner.JudgeContinuations(w.runners)
+	for _, violation := range c.OtherBuild {
+		w.t.Error(violation)
+	}
+	if c.Continued != want {
+		w.t.Errorf("%d streams were continued, want %d", c.Continued, want)
+	}
+}
+
+// streamCount is how many streams each case plays: enough that targets chosen at random would
+// all be of the right version once in 4,000 runs.
+const streamCount = 12
+
+// Guards against streams that hold events of two software versions: a stream whose target
+// breaks off is continued at any other target of the service.
+func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
+	w := newVersionEnv(t)
+	for _, r := range w.runners {
+		r.SetFault(runner.Broken)
+	}
+	for i := range streamCount {
+		a := w.exchange(w.node, streamRequest(fmt.Sprintf("broken-%d", i), i))
+		if a.err != nil || a.status != http.StatusOK || a.body != completeStream() {
+			t.Errorf("stream %d: status %d, error %v: %s", i, a.status, a.err, a.body)
+		}
+	}
+	w.checkContinuations(streamCount)
+}
+
+// Guards against streams that clients resume and that then hold events of two software
+// versions, wherever the client resumes them.
+func TestResumedStreamContinuesAtItsVersion(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// resumeAt returns the node at which the streams are resumed.
+		resumeAt func(w *testEnv, peer *Node) *Node
+	}{
+		{"same entry", func(w *testEnv, _ *Node) *Node { return w.node }},
+		{"other entry", func(_ *testEnv, peer *Node) *Node { return peer }},
+		{"other entry after a crash", func(w *testEnv, peer *Node) *Node {
+			w.node.cancel()
+			return peer
+		}},
+		{"restarted entry", func(w *testEnv, _ *Node) *Node {
+			w.node.cancel()
+			return w.startPeer("n0")
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newVersionEnv(t)
+			peer := w.startPeer("n1")
+			for i := range streamCount {
+				w.beginAndAbandon(w.node, streamRequest(fmt.Sprintf("begun-%d", i), i))
+			}
+			// The last streams' origins reach the peers with the next update.
+			time.Sleep(4 * minUpdateInterval)
+			at := test.resumeAt(w, peer)
+			for i := range streamCount {
+				r := streamRequest(fmt.Sprintf("resumed-%d", i), i)
+				r.Resumes, r.LastEventID = fmt.Sprintf("begun-%d", i), "2"
+				a := w.exchange(at, r)
+				if a.err != nil || a.status != http.StatusOK || a.body != restOfStream() {
+					t.Errorf("stream %d: status %d, error %v: %s", i, a.status, a.err, a.body)
+				}
+			}
+			w.checkContinuations(streamCount)
+		})
+	}
+}
+
+// Guards against streams continued at another version because it is not known which one began
+// them, or because none of its targets is left: both are refused at once, as not run.
+func TestStreamIsRefusedWithoutItsVersion(t *testing.T) {
+	refused := func(t *testing.T, a response, kind string) {
+		t.Helper()
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || !strings.Contains(a.body, kind) || !strings.Contains(a.body, `"not_run"`) {
+			t.Errorf("status %d, Retry-After %q, want a refusal of kind %s: %s", a.status, a.header.Get("Retry-After"), kind, a.body)
+		}
+	}
+	resume := func(w *testEnv, stream, id string) response {
+		r := streamRequest(id, 1)
+		r.Resumes, r.LastEventID = stream, "2"
+		return w.exchange(w.node, r)
+	}
+	t.Run("unknown stream", func(t *testing.T) {
+		w := newVersionEnv(t)
+		w.startPeer("n1")
+		refused(t, resume(w, "never-begun", "resumes-unknown"), "stream_unknown")
+	})
+	t.Run("no stream named", func(t *testing.T) {
+		w := newVersionEnv(t)
+		refused(t, resume(w, "", "resumes-nothing"), "stream_unknown")
+	})
+	t.Run("itself", func(t *testing.T) {
+		w := newVersionEnv(t)
+		refused(t, resume(w, "resumes-itself", "resumes-itself"), "stream_unknown")
+	})
+	t.Run("long name", func(t *testing.T) {
+		w := newVersionEnv(t)
+		refused(t, resume(w, strings.Repeat("x", 1000), "resumes-long"), "stream_unknown")
+	})
+	t.Run("version gone", func(t *testing.T) {
+		w := newVersionEnv(t)
+		w.beginAndAbandon(w.node, streamRequest("begun", 1))
+		began := w.executed(w.runners)[0].Build
+		for i, r := range w.runners {
+			if builds[i] == began {
+				w.store.Remove(platform.TargetKey(r.ID))
+			}
+		}
+		w.until("the version is gone", func() bool { return len(w.node.view.fleet.Targets("lm")) == len(builds)/2 })
+		refused(t, resume(w, "begun", "resumes-gone"), "stream_version_gone")
+	})
+}
+
+// Guards against streams refused in doubt where one version alone has served: they go on,
+// whoever began them.
+func TestUnknownStreamIsServedWhereOneVersionServes(t *testing.T) {
+	w := newEnv(t)
+	r := streamRequest("resumes-unknown", 1)
+	r.Resumes, r.LastEventID = "begun-elsewhere", "2"
+	if a := w.exchange(w.node, r); a.status != http.StatusOK || a.body != restOfStream() {
+		t.Errorf("status %d: %s", a.status, a.body)
+	}
+}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -56,9 +56,13 @@
 
 func newEnv(t *testing.T) *testEnv {
 	t.Helper()
+	return newEnvWith(t, newDiscardLog())
+}
+
+func newDiscardLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return newEnvWith(t, log)
+	return log
 }
 
 // newEnvWith returns an environment whose nodes log to log; changes are applied before its
