Continue a stream only at the software version that began it

Cause: neither the choice of a target nor any record knew which version began a stream. A stream that broke off, and one that a client resumed, went to whichever target the choice preferred.

Change: an entry records the version that produced a stream's first event, reports it to its group with its pulses, and asks others for a stream without a record. Choices are bound to that version. Where nobody knows the stream, it is taken for the sole version's if one alone has served lately, which a mark in the store tells after all entries were killed, and refused at once otherwise, as is a stream whose version has no target left.

Why it works: a stream is sent on only with its version known and equal; every way there (broken off, resumed here, elsewhere, after a restart) asks the same function before it chooses.

--- /dev/null
+++ b/fleet/builds.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// buildRetention is how long a software version without listed targets still counts as one of
+// its service: clients may resume streams that it began.
+const buildRetention = time.Minute
+
+// serviceBuild is a software version of a service's targets.
+type serviceBuild struct {
+	service string
+	build   string
+}
+
+// noteBuildGone records that a target no longer has its software version: its entry has gone,
+// or it has restarted with another one; the caller holds mu.
+func (f *Fleet) noteBuildGone(t Target, now time.Time) {
+	maps.DeleteFunc(f.formerBuilds, func(_ serviceBuild, at time.Time) bool { return now.Sub(at) > buildRetention })
+	f.formerBuilds[serviceBuild{t.Service, t.Build}] = now
+}
+
+// Builds returns the software versions that a service's targets have had recently, in
+// ascending order.
+func (f *Fleet) Builds(service string, now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	if g := f.group(service); g != nil {
+		for _, s := range g.states {
+			out = append(out, s.target.Build)
+		}
+	}
+	for b, at := range f.formerBuilds {
+		if b.service == service && now.Sub(at) <= buildRetention {
+			out = append(out, b.build)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Services returns the services that have targets.
+func (f *Fleet) Services() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regroup()
+	return slices.Sorted(maps.Keys(f.services))
+}
+
+// BuildListed reports whether a service has a listed target of a software version that takes
+// new requests.
+func (f *Fleet) BuildListed(service, build string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(service)
+	return g != nil && slices.ContainsFunc(g.states, func(s *targetState) bool {
+		return s.target.Build == build && !s.target.Draining
+	})
+}
+
+// ConfirmedBuild returns the software version with which a target produced an event for a
+// request that was sent when it was listed as t. ok is false if it has restarted since, so
+// that either version may have produced it.
+func (f *Fleet) ConfirmedBuild(t Target) (build string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[t.ID]
+	if s == nil {
+		return t.Build, true
+	}
+	same := s.target.Instance().Matches(t.Instance()) && s.target.Build == t.Build
+	return t.Build, same && !s.buildUnlisted
+}
+
+// restartWindow is how long a target that failed a request is taken to have restarted, unless
+// it is heard of: its new entry reaches the processes within that time.
+const restartWindow = 3 * time.Second
+
+// mayHaveRestarted reports whether a target may run another software version than its entry
+// says. Targets whose start is not stated get a new ID with each start.
+func (s *targetState) mayHaveRestarted(now time.Time) bool {
+	if s.target.Born == 0 {
+		return false
+	}
+	return s.buildUnlisted || s.failedAt.After(s.heardAt) && now.Sub(s.failedAt) < restartWindow
+}
+
+// UnconfirmedTargets returns the targets that a request bound to a software version can't be sent
+// to only because they may have restarted.
+func (f *Fleet) UnconfirmedTargets(q Query, now time.Time) []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(q.Service)
+	if g == nil || !q.BuildBound {
+		return nil
+	}
+	tried := f.currentIDs(q.Tried)
+	var out []Target
+	for _, s := range g.states {
+		if s.target.Build == q.Build && !s.target.Draining && !s.buildUnlisted && s.mayHaveRestarted(now) && !slices.Contains(tried, s.target.ID) {
+			out = append(out, s.target)
+		}
+	}
+	return out
+}
+
+// hasBuild reports whether a target may take a request that is bound to a software version.
+func (q Query) hasBuild(s *targetState, now time.Time) bool {
+	return !q.BuildBound || s.target.Build == q.Build && !s.mayHaveRestarted(now)
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -32,6 +32,10 @@
 	// Tried are instances that must not be chosen again; a later one of the same target
 	// may.
 	Tried []Instance
+	// BuildBound limits the choice to targets whose software version is Build: the request
+	// continues a stream that one of them began.
+	BuildBound bool
+	Build      string
 	// Capacity is a target's memory for runs and cached parts, in tokens; 0 is unknown.
 	Capacity int
 	// TokenBytes is the size of one token's KV cache.
@@ -131,11 +135,7 @@
 	if g == nil {
 		return Choice{}, false
 	}
-	usable := func(r *placement.Runner) bool {
-		s := f.states[r.Name]
-		return s.backoff.remaining(now) == 0 && f.withinLimit(s, now) && f.usable(q, s, now)
-	}
-	indices := placement.Apply(g.candidates, nil, placement.NotDraining, placement.Except(f.currentIDs(q.Tried)), usable)
+	indices := f.usableTargets(q, g, now)
 	if len(indices) == 0 {
 		return Choice{}, false
 	}
@@ -164,6 +164,27 @@
 	return f.chooseByCache(q, g, indices, now), true
 }
 
+// usableTargets returns the indices of the targets that may be asked. A stream that is bound to a
+// software version may also go to a target that failed requests, if there is no other: it can't
+// be served elsewhere.
+func (f *Fleet) usableTargets(q Query, g *group, now time.Time) []int32 {
+	untried := []placement.Filter{placement.NotDraining, placement.Except(f.currentIDs(q.Tried))}
+	accepting := func(s *targetState) bool { return s.backoff.remaining(now) == 0 && f.withinLimit(s, now) }
+	usable := func(r *placement.Runner) bool {
+		s := f.states[r.Name]
+		return accepting(s) && f.usable(q, s, now)
+	}
+	indices := placement.Apply(g.candidates, nil, append(untried, usable)...)
+	if len(indices) > 0 || !q.BuildBound {
+		return indices
+	}
+	eligible := func(r *placement.Runner) bool {
+		s := f.states[r.Name]
+		return accepting(s) && f.eligible(q, s, now)
+	}
+	return placement.Apply(g.candidates, nil, append(untried, eligible)...)
+}
+
 // responsive drops targets that do not answer, unless none does: then it is more likely
 // that this process is cut off for a moment. Targets that do not answer probes are dropped
 // if any target of the service responds, usable for this request or not.
@@ -198,9 +219,12 @@
 	return f.eligible(q, s, now) && s.health.State(now) != health.Dead
 }
 
-// eligible reports whether a target's weights are recent enough for the request and no
-// load order is in progress there.
+// eligible reports whether a target has the software version that the request is bound to, its
+// weights are recent enough, and no load order is in progress there.
 func (f *Fleet) eligible(q Query, s *targetState, now time.Time) bool {
+	if !q.hasBuild(s, now) {
+		return false
+	}
 	if q.Model == "" {
 		return true
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,6 +71,12 @@
 	shutdownObservedAt time.Time
 	// listedDraining is set while the platform's list calls the target draining.
 	listedDraining bool
+	// buildUnlisted is set from a restart until the entry of the new instance is listed: its
+	// software version is not known.
+	buildUnlisted bool
+	// failedAt is when it last failed a request, heardAt when the instance was last listed or
+	// heard from itself.
+	failedAt, heardAt time.Time
 	// malformed is set once a field of the target's notices could not be parsed.
 	malformed bool
 	// restartUnshared is set until an update to the other processes includes that this
@@ -130,6 +136,8 @@
 	limitsChanged bool
 	// shutdowns are the instances that announced their shutdown, by target ID.
 	shutdowns map[string]shutdown
+	// formerBuilds are the software versions that targets had, and when they last did.
+	formerBuilds map[serviceBuild]time.Time
 	// retained is the state of targets without a list entry, by target ID.
 	retained map[string]retainedState
 	// congestedUntil is until when this process's own link counts as slow, congestedBy the
@@ -165,6 +173,7 @@
 		profiles:               map[string]*classProfile{},
 		peerReports:            map[string]*peerReport{},
 		shutdowns:              map[string]shutdown{},
+		formerBuilds:           map[serviceBuild]time.Time{},
 		retained:               map[string]retainedState{},
 		responseTimesByService: map[string]*responseTimes{},
 
@@ -200,6 +209,11 @@
 	if r.Draining = r.Draining || f.isShuttingDown(r.Instance()); r.Draining && !s.listedDraining && s.shutdownAt.IsZero() {
 		s.shutdownAt = f.shutdowns[r.ID].at
 	}
+	now := time.Now()
+	if s.target.Service != "" && (s.target.Service != r.Service || s.target.Build != r.Build) {
+		f.noteBuildGone(s.target, now)
+	}
+	s.buildUnlisted, s.heardAt = false, now
 	regroup := s.target.Service != r.Service || s.target.Address != r.Address || s.target.Draining != r.Draining
 	s.target = r
 	for model, version := range r.Weights {
@@ -274,6 +288,7 @@
 		return Target{}, false
 	}
 	f.retain(s)
+	f.noteBuildGone(s.target, time.Now())
 	f.abandonSilent(s, time.Now())
 	delete(f.states, id)
 	f.regroupNeeded, f.limitsChanged = true, true
@@ -293,6 +308,7 @@
 // removeEnded removes a target whose instance has ended; the caller holds mu.
 func (f *Fleet) removeEnded(s *targetState) {
 	instance := s.target.Instance()
+	f.noteBuildGone(s.target, time.Now())
 	delete(f.states, instance.ID)
 	f.regroupNeeded, f.limitsChanged = true, true
 	if f.onEnd != nil {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Instance is one run of a target, from its start to its end. A target may restart under
 // the same ID with none of its former state, so all that is known of it belongs to one
 // instance, and the latest one is current.
@@ -39,7 +41,11 @@
 func (f *Fleet) Observe(l Instance) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lookup(l) != nil
+	s := f.lookup(l)
+	if s != nil && l.Born != 0 {
+		s.heardAt = time.Now()
+	}
+	return s != nil
 }
 
 // IsCurrent reports whether an instance is the target's current one, and listed.
@@ -81,6 +87,7 @@
 	s := newTargetState()
 	s.target, s.candidate, s.capacity = former.target, former.candidate, former.capacity
 	s.target.Born, s.restartUnshared = born, true
+	s.buildUnlisted = true
 	if !former.shutdownAt.IsZero() {
 		s.target.Draining = former.listedDraining
 		s.updateCandidate()
--- a/node/departed.go
+++ b/node/departed.go
@@ -76,15 +76,15 @@
 	}
 }
 
-// sendLimitsToGuests sends the usage of limits to the guests.
-func (p *peerExchange) sendLimitsToGuests(update pulses.Update, guests []peering.Member) {
+// sendToGuests sends the usage of limits and the origins of streams to the guests.
+func (p *peerExchange) sendToGuests(update pulses.Update, guests []peering.Member) {
 	if len(guests) == 0 {
 		return
 	}
-	only := pulses.Update{Limits: update.Limits, TargetLimits: update.TargetLimits}
-	datagrams, err := only.LimitDatagrams(p.name)
+	only := pulses.Update{Limits: update.Limits, TargetLimits: update.TargetLimits, Origins: update.Origins}
+	datagrams, err := only.GuestDatagrams(p.name)
 	if err != nil {
-		p.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode limits; stopping nodes and their group count usage separately")
+		p.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode limits and origins; stopping nodes and their group count usage separately")
 		return
 	}
 	for _, datagram := range datagrams {
@@ -108,7 +108,7 @@
 // is not a member it adds desired versions, since no member may be left to send them to a starting
 // process, and limits if its group is not known. It returns the number of recipients.
 func (p *peerExchange) sendExtra(update pulses.Update, extra []peering.Member, plan peering.Plan) int {
-	p.sendLimitsToGuests(update, plan.Guests)
+	p.sendToGuests(update, plan.Guests)
 	message := &keelv1.Pulse{Sender: p.name, Suspects: pulses.EncodeSuspects(update.Suspects)}
 	if !plan.Joined {
 		message.Namings = pulses.EncodeNamings(update.Namings)
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,7 @@
 		members:       map[string]peering.Member{},
 		grace:         s.Bounds.Grace(),
 		removalTimers: map[string]*time.Timer{},
+		versionMarks:  map[string]versionMark{},
 		rejected:      newRejectedEntries(n.registry, log),
 		keys:          newSystemKeys(),
 	}
@@ -171,6 +172,8 @@
 	}
 	n.router = router.New(n.view, targets, runners, n.view.verdicts.Table, n.view.customerLimiter, router.NewMetrics(n.registry), log, bounds, retries)
 	n.router.ShareCapacity(n.exchange.sharer)
+	n.router.TrackOrigins(n.exchange.origins)
+	n.exchange.origins.register(n.registry)
 	n.frontend = platform.NewFrontend(n.router, n.view.limits, platform.Telemetry{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
@@ -239,6 +242,7 @@
 	go n.logTargetLimits(ctx)
 	go n.reportSharing(ctx)
 	go n.maintainNodeCount(duties)
+	go n.maintainVersionMarks(duties)
 	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.onNewLease)
 	go n.view.controller.Run(duties)
--- /dev/null
+++ b/node/origins.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/origin"
+	"acaciakeel/peering"
+	"acaciakeel/pulses"
+	"acaciakeel/telemetry"
+)
+
+// streamOrigins tells which software version began a stream. Each node reports the streams that
+// begin at it to its group with its updates; for a stream without a record the others are asked.
+// It implements router.Origins.
+type streamOrigins struct {
+	table    *origin.Table
+	exchange *peerExchange
+
+	mu sync.Mutex
+	// pending are the questions that wait for answers, by number.
+	pending map[uint64]chan origin.Answer
+	// questions counts questions by result; nil disables counting.
+	questions *prometheus.CounterVec
+}
+
+func newStreamOrigins(p *peerExchange) *streamOrigins {
+	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan origin.Answer{}}
+}
+
+func (o *streamOrigins) register(r *prometheus.Registry) {
+	o.questions = telemetry.NewCounter(r, "keel_node_origin_questions_total", "Streams for which other entries were asked what began them, by result.", "result")
+	telemetry.NewGaugeFunc(r, "keel_node_stream_origins", "Streams of which this entry knows what began them.", func() float64 { return float64(o.table.Len()) })
+	telemetry.NewGaugeFunc(r, "keel_node_stream_origins_dropped_early", "Times that records of streams were dropped early because there were too many.", func() float64 { return float64(o.table.DroppedEarly()) })
+}
+
+// Timing and size of questions.
+const (
+	// askAgainAfter is when further nodes are asked: a datagram was lost, or a node has ended.
+	askAgainAfter = 40 * time.Millisecond
+	// askTimeout bounds the time that a resumption waits for answers: a few round trips
+	// between data centres.
+	askTimeout = 150 * time.Millisecond
+	// askedPeers is how many members of the node's own group are asked at once, where there
+	// are more.
+	askedPeers = 3
+	// maxAskedAlone is the size of a single group up to which all members are asked.
+	maxAskedAlone = 8
+	// viewFreshFor is how old a view of the targets may be to count as fresh: two watches and
+	// the way through the member that watches for its group.
+	viewFreshFor = 1500 * time.Millisecond
+)
+
+// Record implements router.Origins.
+func (o *streamOrigins) Record(s origin.Stream, from origin.Origin) {
+	o.table.Record(s, from, time.Now())
+}
+
+// Resolve implements router.Origins.
+func (o *streamOrigins) Resolve(ctx context.Context, s origin.Stream, named bool, service string) origin.Resolution {
+	now := time.Now()
+	if r, ok := o.lookup(s, named, now); ok {
+		return r
+	}
+	versions := o.versions(service, now)
+	if r, ok := origin.ResolveLocally(service, versions); ok {
+		return r
+	}
+	if !named && !versions.Sole {
+		return origin.Resolution{Source: origin.Unknown}
+	}
+	return o.ask(ctx, s, named, service, versions)
+}
+
+func (o *streamOrigins) lookup(s origin.Stream, named bool, now time.Time) (origin.Resolution, bool) {
+	if !named {
+		return origin.Resolution{}, false
+	}
+	from, own, ok := o.table.Lookup(s, now)
+	r := origin.Resolution{Origin: from, Source: origin.OtherEntry}
+	if own {
+		r.Source = origin.ThisEntry
+	}
+	return r, ok
+}
+
+// versions returns what this node knows of the software versions of a service.
+func (o *streamOrigins) versions(service string, now time.Time) origin.Versions {
+	v := o.exchange.view
+	builds := v.fleet.Builds(service, now)
+	if len(builds) != 1 || v.hasOtherVersion(service, builds[0]) {
+		return origin.Versions{}
+	}
+	age, ok := v.follower.Age()
+	return origin.Versions{Sole: true, Build: builds[0], Fresh: ok && age < viewFreshFor}
+}
+
+// askPlan is whom to ask for a stream: first at once, and second if that brings no answer.
+type askPlan struct {
+	first, second []string
+	// everyone is set if first holds all other nodes.
+	everyone bool
+}
+
+// newAskPlan returns whom to ask: members of this node's own group and relays of each other
+// group, since all members of the group in which a stream began have a record of it.
+func newAskPlan(plan peering.Plan) askPlan {
+	group := plan.Peers
+	if !plan.Joined {
+		group = plan.Guests
+	}
+	peers := addressesOf(group)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if len(plan.Links) == 0 && plan.GroupCount <= 1 && len(peers) <= maxAskedAlone {
+		return askPlan{first: peers, second: peers, everyone: plan.Joined}
+	}
+	out := askPlan{first: peers[:min(len(peers), askedPeers)]}
+	out.second = peers[len(out.first):min(len(peers), 2*askedPeers)]
+	for _, l := range plan.Links {
+		for i, address := range l.RemoteAddresses {
+			switch i {
+			case 0:
+				out.first = append(out.first, address)
+			case 1:
+				out.second = append(out.second, address)
+			}
+		}
+	}
+	return out
+}
+
+// ask asks other nodes for a stream until one has a record of it, all have answered, or time is
+// up.
+func (o *streamOrigins) ask(ctx context.Context, s origin.Stream, named bool, service string, versions origin.Versions) origin.Resolution {
+	plan := newAskPlan(o.exchange.view.plan())
+	question := &keelv1.OriginQuestion{Number: rand.Uint64(), Service: service}
+	if named {
+		question.Stream = uint32(s)
+	}
+	answers := make(chan origin.Answer, len(plan.first)+len(plan.second))
+	o.setPending(question.Number, answers)
+	defer o.setPending(question.Number, nil)
+	got := o.collect(ctx, plan, question, answers)
+	r := origin.ResolveAnswers(service, versions, got)
+	o.count(string(r.Source))
+	if r.Source == origin.Asked {
+		o.table.Apply([]origin.Report{{Origin: r.Origin, Streams: []origin.Stream{s}}}, time.Now())
+	}
+	return r
+}
+
+// collect sends a question and collects the answers.
+func (o *streamOrigins) collect(ctx context.Context, plan askPlan, question *keelv1.OriginQuestion, answers <-chan origin.Answer) origin.Answers {
+	var got origin.Answers
+	o.send(question, plan.first)
+	again, timeout := time.NewTimer(askAgainAfter), time.NewTimer(askTimeout)
+	defer again.Stop()
+	defer timeout.Stop()
+	asked := len(plan.first)
+	for len(got.Received) < asked || len(plan.second) > 0 && !plan.everyone {
+		select {
+		case a := <-answers:
+			got.Received = append(got.Received, a)
+			if a.Known {
+				return got
+			}
+			if len(got.Received) < asked {
+				continue
+			}
+		case <-again.C:
+		case <-timeout.C:
+			return got
+		case <-ctx.Done():
+			return got
+		}
+		o.send(question, plan.second)
+		if !plan.everyone {
+			asked += len(plan.second)
+		}
+		plan.second = nil
+	}
+	got.Everyone = plan.everyone
+	return got
+}
+
+func (o *streamOrigins) send(question *keelv1.OriginQuestion, to []string) {
+	datagram, err := pulses.Encode(&keelv1.Pulse{Sender: o.exchange.name, OriginQuestion: question})
+	if err != nil {
+		o.exchange.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode a question for the origin of a stream; the stream counts as unknown")
+		return
+	}
+	o.exchange.sendTo(to, datagram)
+}
+
+func (o *streamOrigins) setPending(number uint64, answers chan origin.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if answers == nil {
+		delete(o.pending, number)
+		return
+	}
+	o.pending[number] = answers
+}
+
+func (o *streamOrigins) count(result string) {
+	if o.questions != nil {
+		o.questions.WithLabelValues(result).Inc()
+	}
+}
+
+// receive answers a question, or passes an answer on to the request that waits for it.
+func (o *streamOrigins) receive(message *keelv1.Pulse, from netip.AddrPort, now time.Time) {
+	if w := message.OriginAnswer; w != nil {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		select {
+		case o.pending[w.Number] <- pulses.DecodeOriginAnswer(w):
+		default:
+			// Nobody waits for it any more, or it has arrived before.
+		}
+		return
+	}
+	question := message.OriginQuestion
+	answer := origin.Answer{Versions: o.versions(question.Service, now)}
+	if r, ok := o.lookup(origin.Stream(question.Stream), question.Stream != 0, now); ok {
+		answer = origin.Answer{Known: true, Origin: r.Origin}
+	}
+	datagram, err := pulses.Encode(&keelv1.Pulse{Sender: o.exchange.name, OriginAnswer: pulses.EncodeOriginAnswer(question.Number, answer)})
+	if err != nil {
+		o.exchange.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode the origin of a stream; another node counts it as unknown")
+		return
+	}
+	o.exchange.write(datagram, from)
+}
--- a/node/pulse.go
+++ b/node/pulse.go
@@ -54,6 +54,7 @@
 	// contacts are the processes heard from recently, by name; used by receive only.
 	contacts map[string]peerContact
 	watch    watchShare
+	origins  *streamOrigins
 	// knownExtra are the keys of the extra recipients of the last update; used by the sending
 	// goroutine only.
 	knownExtra map[string]bool
@@ -66,6 +67,7 @@
 	p := &peerExchange{name: name, fleet: f, table: t, view: v, contacts: map[string]peerContact{}, log: log, wake: make(chan struct{}, 1)}
 	p.watch = newWatchShare(prefix.NameHash(name))
 	p.groupDemandSentAt = map[int]time.Time{}
+	p.origins = newStreamOrigins(p)
 	p.sharer = sharing.New(name, v.serving, prefix.NameHash, time.Now())
 	return p
 }
@@ -232,6 +234,7 @@
 	if p.fleet.Disabled(policy.LoadSharing) {
 		update.Loads = nil
 	}
+	update.Origins = p.origins.table.TakeReports()
 	update.Limits, update.TargetLimits = p.view.customerLimiter.PeerUpdate(now), p.view.targetLimiter.PeerUpdate(now)
 	p.addDemand(&update, now)
 	if int64(clock.Now()) < p.sendDesiredUntil.Load() {
@@ -267,6 +270,11 @@
 		return
 	}
 	now := time.Now()
+	if message.OriginQuestion != nil || message.OriginAnswer != nil {
+		p.origins.receive(&message, from, now)
+		return
+	}
+	p.origins.table.Apply(pulses.DecodeOrigins(message.Origins), now)
 	p.relay.memberSeen(message.Sender, now)
 	p.noteContact(message.Sender, from, now)
 	if message.WholeLoad {
--- a/node/view.go
+++ b/node/view.go
@@ -70,6 +70,8 @@
 	// removalTimers hold the targets whose entries vanished around an outage of the store,
 	// with the timers that remove them.
 	removalTimers map[string]*time.Timer
+	// versionMarks are the marks of services with several software versions, by service.
+	versionMarks map[string]versionMark
 	// rejected are the store's entries that can't be used.
 	rejected *rejectedEntries
 }
@@ -80,10 +82,12 @@
 	members string
 	// nodeCount is the key of the recent number of nodes.
 	nodeCount string
+	// versions is the prefix of the marks of services with several software versions.
+	versions string
 }
 
 func newSystemKeys() systemKeys {
-	return systemKeys{leader: platform.SystemPrefix + "orders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries"}
+	return systemKeys{leader: platform.SystemPrefix + "orders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
 }
 
 // Config implements router.ConfigSource.
@@ -279,6 +283,10 @@
 		v.receiveVerdict(key, value, revision, content, err)
 		return
 	}
+	if service, ok := strings.CutPrefix(key, v.keys.versions); ok {
+		v.setVersionMark(service, value, revision)
+		return
+	}
 	if !strings.HasPrefix(key, v.keys.members) {
 		return
 	}
@@ -376,6 +384,7 @@
 	if !keys[v.keys.nodeCount] {
 		v.nodeCount.stored, v.nodeCount.revision = 0, 0
 	}
+	maps.DeleteFunc(v.versionMarks, func(service string, _ versionMark) bool { return !keys[v.keys.versions+service] })
 	for key := range v.members {
 		if !keys[key] {
 			v.removeMember(key)
--- /dev/null
+++ b/origin/table.go
@@ -0,0 +1,206 @@
+// Package origin keeps which software version began each recent stream, so that a stream is
+// continued only at the version that began it. It does no I/O: package node sends the records
+// to the other entries and asks them for streams that are not recorded here.
+package origin
+
+import (
+	"sync"
+	"time"
+
+	"acaciakeel/prefix"
+)
+
+// Stream identifies a stream: the low 32 bits of a hash. Among 65,536 records, one lookup in
+// 65,536 of a stream that is not recorded finds another one's record.
+type Stream uint32
+
+// NewStream returns the stream that a customer's attempt began. Another customer that names
+// the same attempt gets another stream.
+func NewStream(customer, attempt string) Stream {
+	return Stream(prefix.NameHash(customer + "\x00" + attempt))
+}
+
+// Origin is the software version that began a stream, and the service whose target it was.
+type Origin struct {
+	Service string
+	Build   string
+}
+
+// Report lists streams with one origin.
+type Report struct {
+	Origin  Origin
+	Streams []Stream
+}
+
+// Bounds of a Table.
+const (
+	// Retention is the minimum time that a record is kept: at least as long as clients wait
+	// for a stream. A record is kept for twice that time at most.
+	Retention = 30 * time.Second
+	// RefreshInterval is how often a stream that is in progress is recorded again.
+	RefreshInterval = Retention / 2
+	// maxRecords bounds the records of one generation, at about 12 bytes each.
+	maxRecords = 1 << 15
+	// maxOrigins bounds the origins of one generation.
+	maxOrigins = 1 << 10
+)
+
+// Table holds the records of this process and those received from other ones. It is safe for
+// concurrent use.
+type Table struct {
+	mu sync.Mutex
+	// current receives records; former is dropped when current becomes former.
+	current, former *generation
+	rotatedAt       time.Time
+	// unsent are this process's records that have not been sent yet.
+	unsent map[Origin][]Stream
+	early  int
+}
+
+// generation is the records of a period. A record is an index in origins, shifted left, and
+// whether this process made it.
+type generation struct {
+	records map[Stream]uint16
+	origins []Origin
+	index   map[Origin]uint16
+}
+
+// ambiguous is the record of a stream that has been recorded with different origins.
+const ambiguous = ^uint16(0)
+
+func newGeneration() *generation {
+	return &generation{records: map[Stream]uint16{}, index: map[Origin]uint16{}}
+}
+
+// NewTable returns an empty table.
+func NewTable(now time.Time) *Table {
+	return &Table{current: newGeneration(), former: newGeneration(), rotatedAt: now, unsent: map[Origin][]Stream{}}
+}
+
+// Record records a stream that began at this process, to be sent with the next reports.
+func (t *Table) Record(s Stream, o Origin, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(s, o, true, now)
+	if len(t.unsent) < maxOrigins && len(t.unsent[o]) < maxRecords {
+		t.unsent[o] = append(t.unsent[o], s)
+	}
+}
+
+// Apply records the reports of another process.
+func (t *Table) Apply(reports []Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		for _, s := range r.Streams {
+			t.add(s, r.Origin, false, now)
+		}
+	}
+}
+
+// TakeReports returns the records that have not been sent yet.
+func (t *Table) TakeReports() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Report
+	for o, streams := range t.unsent {
+		out = append(out, Report{Origin: o, Streams: streams})
+	}
+	clear(t.unsent)
+	return out
+}
+
+// Lookup returns the origin of a stream, and whether this process recorded it itself.
+func (t *Table) Lookup(s Stream, now time.Time) (o Origin, own, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	for _, g := range []*generation{t.current, t.former} {
+		if record, found := g.records[s]; found {
+			if record == ambiguous {
+				return Origin{}, false, false
+			}
+			return g.origins[record>>1], record&1 == 1, true
+		}
+	}
+	return Origin{}, false, false
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.current.records) + len(t.former.records)
+}
+
+// DroppedEarly returns how many generations were dropped before Retention because they were
+// full.
+func (t *Table) DroppedEarly() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.early
+}
+
+// add adds a record; the caller holds mu.
+func (t *Table) add(s Stream, o Origin, own bool, now time.Time) {
+	t.rotate(now)
+	record, isNew := t.current.encode(o, own)
+	if known, ok := t.find(s); ok && known != o {
+		record = ambiguous
+	}
+	if _, ok := t.current.records[s]; !ok && len(t.current.records) >= maxRecords || isNew && len(t.current.origins) > maxOrigins {
+		t.early++
+		t.startGeneration(now)
+		if record != ambiguous {
+			record, _ = t.current.encode(o, own)
+		}
+	}
+	t.current.records[s] = record
+}
+
+// find returns the recorded origin of a stream. An ambiguous one is returned as an origin that
+// differs from any other; the caller holds mu.
+func (t *Table) find(s Stream) (Origin, bool) {
+	for _, g := range []*generation{t.current, t.former} {
+		if record, ok := g.records[s]; ok {
+			if record == ambiguous {
+				return Origin{Service: "\x00"}, true
+			}
+			return g.origins[record>>1], true
+		}
+	}
+	return Origin{}, false
+}
+
+// encode returns the record of an origin, and whether the origin is new to the generation.
+func (g *generation) encode(o Origin, own bool) (record uint16, isNew bool) {
+	i, ok := g.index[o]
+	if !ok {
+		i = uint16(len(g.origins))
+		g.origins, g.index[o] = append(g.origins, o), i
+	}
+	record = i << 1
+	if own {
+		record |= 1
+	}
+	return record, !ok
+}
+
+// rotate starts a new generation once the current one is as old as Retention; the caller holds
+// mu.
+func (t *Table) rotate(now time.Time) {
+	switch age := now.Sub(t.rotatedAt); {
+	case age < Retention:
+	case age < 2*Retention:
+		t.startGeneration(now)
+	default:
+		t.former = newGeneration()
+		t.current = newGeneration()
+		t.rotatedAt = now
+	}
+}
+
+// startGeneration makes the current generation the former one; the caller holds mu.
+func (t *Table) startGeneration(now time.Time) {
+	t.former, t.current, t.rotatedAt = t.current, newGeneration(), now
+}
--- a/pulses/limits.go
+++ b/pulses/limits.go
@@ -43,11 +43,13 @@
 	return n
 }
 
-// LimitDatagrams encodes the usage of limits alone.
-func (u Update) LimitDatagrams(sender string) ([][]byte, error) {
+// GuestDatagrams encodes what is sent to processes outside of the group: the usage of limits and
+// the origins of streams.
+func (u Update) GuestDatagrams(sender string) ([][]byte, error) {
 	pack := newPacker(&keelv1.Pulse{Sender: sender}, func() *keelv1.Pulse { return &keelv1.Pulse{Sender: sender} })
 	pack.addLimits(u.Limits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.Limits = w })
 	pack.addLimits(u.TargetLimits, func(m *keelv1.Pulse, w *keelv1.LimitNews) { m.TargetLimits = w })
+	pack.addOrigins(u.Origins)
 	return pack.finish()
 }
 
--- /dev/null
+++ b/pulses/origins.go
@@ -0,0 +1,57 @@
+package pulses
+
+import (
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/origin"
+)
+
+// Sizes of encoded origins in bytes.
+const (
+	streamBytes       = 4
+	originHeaderBytes = 12
+	// streamsPerMessage is how many streams one message lists; more would not fit a datagram.
+	streamsPerMessage = 200
+)
+
+// addOrigins packs the origins of streams.
+func (p *packer) addOrigins(reports []origin.Report) {
+	for _, r := range reports {
+		for from := 0; from < len(r.Streams); from += streamsPerMessage {
+			w := &keelv1.StreamOrigins{Service: r.Origin.Service, Build: r.Origin.Build}
+			for _, s := range r.Streams[from:min(len(r.Streams), from+streamsPerMessage)] {
+				w.Stream = append(w.Stream, uint32(s))
+			}
+			p.reserve(originHeaderBytes + len(w.Service) + len(w.Build) + streamBytes*len(w.Stream))
+			p.message.Origins = append(p.message.Origins, w)
+		}
+	}
+}
+
+// DecodeOrigins decodes the origins of streams.
+func DecodeOrigins(all []*keelv1.StreamOrigins) []origin.Report {
+	out := make([]origin.Report, 0, len(all))
+	for _, w := range all {
+		r := origin.Report{Origin: origin.Origin{Service: w.Service, Build: w.Build}}
+		for _, s := range w.Stream {
+			r.Streams = append(r.Streams, origin.Stream(s))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// EncodeOriginAnswer encodes the answer to the question with a number.
+func EncodeOriginAnswer(number uint64, a origin.Answer) *keelv1.OriginAnswer {
+	if a.Known {
+		return &keelv1.OriginAnswer{Number: number, Known: true, Service: a.Origin.Service, Build: a.Origin.Build}
+	}
+	return &keelv1.OriginAnswer{Number: number, Sole: a.Versions.Sole, Build: a.Versions.Build, Fresh: a.Versions.Fresh}
+}
+
+// DecodeOriginAnswer decodes an answer.
+func DecodeOriginAnswer(w *keelv1.OriginAnswer) origin.Answer {
+	if w.Known {
+		return origin.Answer{Known: true, Origin: origin.Origin{Service: w.Service, Build: w.Build}}
+	}
+	return origin.Answer{Versions: origin.Versions{Sole: w.Sole, Build: w.Build, Fresh: w.Fresh}}
+}
--- a/pulses/wire.go
+++ b/pulses/wire.go
@@ -14,6 +14,7 @@
 	"acaciakeel/clock"
 	"acaciakeel/fleet"
 	"acaciakeel/forecast"
+	"acaciakeel/origin"
 	"acaciakeel/poison"
 	"acaciakeel/quota"
 	"acaciakeel/sharing"
@@ -37,6 +38,8 @@
 	TargetLimits quota.UsageUpdate
 	// Demand is the target time asked for; it is sent if it reports for any entry.
 	Demand sharing.Report
+	// Origins are the origins of the streams that began at the sender.
+	Origins []origin.Report
 	// SentAt and StoreView belong to the shared watch of the store: peers echo SentAt
 	// so that the sender can bound the age of their confirmations.
 	SentAt    clock.BootTime
@@ -106,6 +109,7 @@
 		pack.reserve(DemandSize(u.Demand))
 		pack.message.Demand = w
 	}
+	pack.addOrigins(u.Origins)
 	for _, w := range EncodeSuspects(u.Suspects) {
 		pack.reserve(proto.Size(w))
 		pack.message.Suspects = append(pack.message.Suspects, w)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -59,6 +59,10 @@
 	TargetsBackingOff Kind = "targets_resting"
 	// CapacityShared: more target time is asked for than there is, and others took precedence.
 	CapacityShared Kind = "capacity_shared"
+	// StreamUnknown: the request continues a stream, and it is not known which software
+	// version began that. StreamVersionGone: that version has no target left.
+	StreamUnknown     Kind = "stream_unknown"
+	StreamVersionGone Kind = "stream_version_gone"
 )
 
 // Outcome states whether the refused request ran.
@@ -163,6 +167,8 @@
 	WeightsReplaced:   http.StatusBadGateway,
 	TargetsLimited:    http.StatusTooManyRequests,
 	TargetsBackingOff: http.StatusServiceUnavailable,
+	StreamUnknown:     http.StatusServiceUnavailable,
+	StreamVersionGone: http.StatusServiceUnavailable,
 	CapacityShared:    http.StatusTooManyRequests,
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -40,7 +40,7 @@
 		givenUp:        telemetry.NewCounter(r, "keel_router_requests_given_up_total", "Requests given up because their target does not respond, by what they waited for.", "reason"),
 		malformed:      telemetry.NewCounter(r, "keel_router_notices_unread_total", "Words of targets on themselves that could not be read, by field.", "field"),
 		pausesOver:     telemetry.NewLatency(r, "keel_router_pauses_over_seconds", "By how much the longest pause of a stream exceeded the bound of its route.", "route"),
-		resumptions:    telemetry.NewCounter(r, "keel_router_resumptions_total", "Streams sent on from an event after their first, by who resumed them (client, entry), by how the software version that began them is known, and by how the version of the chosen target compares (same, other, unknown).", "by", "origin", "version"),
+		resumptions:    telemetry.NewCounter(r, "keel_router_resumptions_total", "Attempts to continue a stream, by who resumed it (client, entry), by how it is known what began the stream, and by result.", "by", "origin", "result"),
 		startStaleness: telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
 }
--- a/router/overload.go
+++ b/router/overload.go
@@ -63,6 +63,9 @@
 const minRetryAfter = 200 * time.Millisecond
 
 func (s *session) refuseNoTarget() *refusal.Error {
+	if refused := s.refuseVersionGone(); refused != nil {
+		return refused
+	}
 	if s.executions > 0 {
 		out := refusal.New(refusal.OutcomeUnknown, "look the result up at the service; each attempt of a client has an id of its own here",
 			"no other target may be asked after one that may have run the request")
--- a/router/request.go
+++ b/router/request.go
@@ -51,6 +51,9 @@
 	// its attempt that received the first event of that stream.
 	LastEventID string
 	Resumes     string
+	// ResumesInvalid is set if the client names several streams, or one by a name that is too
+	// long.
+	ResumesInvalid bool
 }
 
 // Attempt is one attempt to run a request at a target.
@@ -126,6 +129,8 @@
 	Send(ctx context.Context, a *Attempt) (*Response, error)
 	// Probe checks whether a process accepts connections at the address of a target.
 	Probe(ctx context.Context, target fleet.Target) ProbeResult
+	// Identify asks a target which instance it is.
+	Identify(ctx context.Context, target fleet.Target) (fleet.Instance, error)
 }
 
 // ProbeResult is the result of probing the address of a target.
--- a/router/resume.go
+++ b/router/resume.go
@@ -1,67 +1,210 @@
 package router
 
 import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/catalog"
 	"acaciakeel/fleet"
+	"acaciakeel/origin"
+	"acaciakeel/refusal"
 )
 
-// originSource is how the build that began a stream is known. It is a label of the counter of
-// resumptions.
-type originSource string
+// Origins knows which software version began a stream.
+type Origins interface {
+	// Record records the origin of a stream that began here.
+	Record(s origin.Stream, from origin.Origin)
+	// Resolve returns the origin of a stream that is to be continued at a service, and may ask
+	// other processes. If named is false, the client has not named its stream.
+	Resolve(ctx context.Context, s origin.Stream, named bool, service string) origin.Resolution
+}
 
-const (
-	// originUnknown: nothing is known of the stream.
-	originUnknown originSource = "unknown"
-	// originResponse: the stream began within this response.
-	originResponse originSource = "response"
-)
+// TrackOrigins has streams continued only at the software version that began them, as known by
+// o. It must be called before the router is used.
+func (r *Router) TrackOrigins(o Origins) { r.origins = o }
 
-// origin is the build of the target that began a stream.
-type origin struct {
-	build  string
-	source originSource
+// streamState is what a session knows of the stream that it forwards.
+type streamState struct {
+	// origin is what began the stream; unset before the first event of a new one.
+	origin origin.Resolution
+	// began is set once an event was forwarded, and recordedAt is when the origin was last
+	// recorded.
+	began      bool
+	recordedAt time.Time
+	// resolving is how long it took to resolve the origin.
+	resolving time.Duration
 }
 
-func (o origin) known() bool { return o.source != "" && o.source != originUnknown }
+// resumedByClient reports whether the client continues a stream that it began earlier.
+func (in *admittedRequest) resumedByClient() bool {
+	return in.route.Kind == catalog.Stream && (in.LastEventID != "" || in.Resumes != "" || in.ResumesInvalid)
+}
 
-// compare returns how a build compares with the one that began the stream.
-func (o origin) compare(build string) string {
-	switch {
-	case !o.known():
-		return "unknown"
-	case o.build == build:
-		return "same"
+// continues reports whether the next attempt continues a stream.
+func (s *session) continues() bool {
+	return s.in.resumedByClient() || s.stream.began
+}
+
+// streamID returns the stream that the request belongs to; named is false if the client
+// continues one that it has not named.
+func (s *session) streamID() (id origin.Stream, named bool) {
+	attempt := s.in.ID
+	if s.in.resumedByClient() {
+		attempt = s.in.Resumes
+	}
+	return origin.NewStream(s.in.customerName(), attempt), attempt != ""
+}
+
+// resolveOrigin finds out what began the stream that the next attempt continues, and refuses
+// the request if that can't be known.
+func (s *session) resolveOrigin(ctx context.Context) *refusal.Error {
+	if s.router.origins == nil || !s.continues() || s.stream.origin.Known() {
+		return nil
+	}
+	id, named := s.streamID()
+	start := time.Now()
+	s.stream.origin = s.router.origins.Resolve(ctx, id, named, s.in.service.Name)
+	s.stream.resolving = time.Since(start)
+	if s.stream.origin.Known() {
+		s.followService()
+		return nil
+	}
+	return s.refuseContinuation(refusal.New(refusal.StreamUnknown, "come back after the time in Retry-After, or send the request again as a new one",
+		"it is not known which software version of service %s began the stream %q", s.in.service.Name, s.in.Resumes))
+}
+
+// followService sends the request to the service that began its stream if its route divides
+// requests between that one and others.
+func (s *session) followService() {
+	began := s.stream.origin.Origin.Service
+	if began == s.in.service.Name {
+		return
+	}
+	leads := slices.ContainsFunc(s.in.route.Split, func(share catalog.Share) bool { return share.Service == began && share.Weight > 0 })
+	if service := s.router.config.Config().Services[began]; leads && service != nil {
+		s.in.service = service
+	}
+}
+
+// boundBuild returns the software version to which the next attempt is bound. The versions of
+// another service have nothing to do with it: a route that was moved there takes its streams
+// along.
+func (s *session) boundBuild() (build string, bound bool) {
+	o := s.stream.origin
+	return o.Origin.Build, o.Known() && o.Origin.Service == s.in.service.Name
+}
+
+// refuseVersionGone refuses a request that continues a stream of a software version without
+// targets; it returns nil for others.
+func (s *session) refuseVersionGone() *refusal.Error {
+	build, bound := s.boundBuild()
+	if !bound || s.router.fleet.BuildListed(s.in.service.Name, build) {
+		return nil
+	}
+	return s.refuseContinuation(refusal.New(refusal.StreamVersionGone, "send the request again as a new one",
+		"service %s has no target of software version %q left, which began the stream", s.in.service.Name, build))
+}
+
+// refuseContinuation completes the refusal of a request that continues a stream, and logs and
+// counts it.
+func (s *session) refuseContinuation(refused *refusal.Error) *refusal.Error {
+	s.noteContinuation("refused", logrus.Fields{"kind": refused.Kind})
+	if s.executions > 0 {
+		refused.Outcome = refusal.Ran
+	}
+	return refused.WithRetryAfter(defaultRetryAfter)
+}
+
+// identifyTimeout bounds the time that a request waits until targets have said which instance
+// they are.
+const identifyTimeout = 100 * time.Millisecond
+
+// maxIdentified is how many targets are asked for that.
+const maxIdentified = 3
+
+// chooseBound chooses a target for a request that continues a stream if the targets of its
+// software version failed requests lately: they are asked whether they have restarted, maybe
+// with other software.
+func (s *session) chooseBound(ctx context.Context) (fleet.Choice, bool) {
+	f := s.router.fleet
+	targets := f.UnconfirmedTargets(s.query(), time.Now())
+	if len(targets) == 0 {
+		return fleet.Choice{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, t := range targets[:min(len(targets), maxIdentified)] {
+		wg.Go(func() {
+			if instance, err := s.router.sender.Identify(ctx, t); err == nil {
+				f.Observe(instance)
+			}
+		})
 	}
-	return "other"
+	wg.Wait()
+	return s.choose()
 }
 
-// recordOrigin records the target of the current attempt as the one that began the stream. It
-// is called with each event that is forwarded.
-func (s *session) recordOrigin() {
-	if s.origin.known() || s.in.LastEventID != "" {
+// recordOrigin records what began the stream. It is called before each event is forwarded:
+// the client may name the stream from then on.
+func (s *session) recordOrigin(now time.Time) {
+	if s.router.origins == nil || s.stream.began && (!s.stream.origin.Known() || now.Sub(s.stream.recordedAt) < origin.RefreshInterval) {
 		return
 	}
-	s.origin = origin{build: s.lastChoice.Target.Build, source: originResponse}
+	if !s.stream.began && !s.in.resumedByClient() {
+		s.stream.origin = s.newOrigin()
+	}
+	s.stream.began = true
+	if !s.stream.origin.Known() {
+		return
+	}
+	s.stream.recordedAt = now
+	s.router.origins.Record(origin.NewStream(s.in.customerName(), s.in.ID), s.stream.origin.Origin)
+	if id, named := s.streamID(); named && s.in.resumedByClient() {
+		s.router.origins.Record(id, s.stream.origin.Origin)
+	}
+}
+
+// newOrigin returns the origin of a stream that the current target begins.
+func (s *session) newOrigin() origin.Resolution {
+	build, ok := s.router.fleet.ConfirmedBuild(s.lastChoice.Target)
+	if !ok {
+		return origin.Resolution{Source: origin.Unknown}
+	}
+	return origin.Resolution{Origin: origin.Origin{Service: s.in.service.Name, Build: build}, Source: origin.Response}
 }
 
-// recordResumption logs and counts an attempt that continues a stream.
-func (s *session) recordResumption(choice fleet.Choice) {
-	after := s.resumeAfter()
-	if after == "" {
+// recordContinuation logs and counts an attempt that continues a stream.
+func (s *session) recordContinuation(choice fleet.Choice) {
+	if !s.continues() {
 		return
 	}
-	by := "client"
-	if s.hasLastEventID {
-		by = "entry"
+	result := "unknown_version"
+	build, bound := s.boundBuild()
+	switch {
+	case bound && build == choice.Target.Build:
+		result = "same_version"
+	case bound:
+		result = "other_version"
+	case s.stream.origin.Known():
+		result = "other_service"
 	}
-	if s.origin.source == "" {
-		s.origin.source = originUnknown
+	s.noteContinuation(result, logrus.Fields{"build": choice.Target.Build, "target": choice.Target.ID})
+}
+
+func (s *session) noteContinuation(result string, fields logrus.Fields) {
+	by := "entry"
+	if !s.stream.began {
+		by = "client"
 	}
-	version := s.origin.compare(choice.Target.Build)
-	s.router.metrics.resumptions.WithLabelValues(by, string(s.origin.source), version).Inc()
+	o := s.stream.origin
+	s.router.metrics.resumptions.WithLabelValues(by, string(o.Source), result).Inc()
 	s.router.log.WithFields(logrus.Fields{
-		"event": "stream_resumed", "request": s.in.ID, "stream": s.in.Resumes, "last_event": after, "by": by,
-		"origin": s.origin.source, "began_build": s.origin.build, "build": choice.Target.Build, "version": version, "target": choice.Target.ID,
-	}).Info("a stream is continued")
+		"event": "stream_resumed", "request": s.in.ID, "stream": s.in.Resumes, "last_event": s.resumeAfter(), "by": by,
+		"origin": o.Source, "began_service": o.Origin.Service, "began_build": o.Origin.Build, "waited_ms": s.stream.resolving.Milliseconds(), "result": result,
+	}).WithFields(fields).Info("a stream is continued")
 }
--- a/router/router.go
+++ b/router/router.go
@@ -59,6 +59,8 @@
 	bounds   Bounds
 	// sharer decides who is admitted where targets' time is scarce; nil admits by waits alone.
 	sharer *sharing.Sharer
+	// origins knows what began a stream; nil lets streams be continued anywhere.
+	origins Origins
 	// shutdownDeadline is when the last requests must have ended; nil unless the process is
 	// stopping.
 	shutdownDeadline atomic.Pointer[time.Time]
--- a/router/scarce.go
+++ b/router/scarce.go
@@ -61,13 +61,14 @@
 func (s *session) refuseAdmission(choice fleet.Choice) *refusal.Error {
 	now := time.Now()
 	sharer, f := s.router.sharer, s.router.fleet
+	late := s.resumptionWait()
 	if sharer == nil || s.attempts > 0 || s.in.Model == "" || f.Disabled(policy.CapacitySharing) {
-		return s.refuseOverload(choice, 0)
+		return s.refuseOverload(choice, late)
 	}
 	q := s.query()
 	slot, prefill, ok := f.TargetTime(q, choice, now)
 	if !ok {
-		return s.refuseOverload(choice, 0)
+		return s.refuseOverload(choice, late)
 	}
 	in := s.in
 	r := sharing.Request{
@@ -78,14 +79,13 @@
 		r.Remaining = in.deadline.Sub(now)
 	}
 	run := slot * time.Duration(choice.Target.Slots)
-	late := time.Duration(0)
 	if f.IsLight(q, now) {
-		late = s.lateWait(q, run, r.Remaining)
+		late = max(late, s.lateWait(q, run, r.Remaining))
 	}
 	limit := min(s.waitLimit(choice, 0), in.route.Objective)
 	r.FreeWait, r.OnTimeWait = time.Duration(freeShare*float64(in.route.Objective)), time.Duration(onTimeShare*float64(limit))
 	r.LateWait, r.Patience = time.Duration(lateFreeShare*float64(late)), patience(in.route.Objective)
-	if in.LastEventID != "" {
+	if in.resumedByClient() {
 		// A resumed stream has had target time already, which would be lost.
 		r.FreeWait = choice.Wait
 	}
@@ -113,6 +113,16 @@
 	return max(minPatience, patienceFactor*objective)
 }
 
+// resumptionWait returns the wait up to which a request that resumes a stream is admitted: as long
+// as its client does not abandon the stream. It may not go to most of the targets while several
+// software versions serve. It is 0 for other requests.
+func (s *session) resumptionWait() time.Duration {
+	if !s.in.resumedByClient() {
+		return 0
+	}
+	return time.Duration(lateShare * float64(patience(s.in.route.Objective)))
+}
+
 // lateWait returns the wait up to which a request with a short prefill is admitted although
 // it will be late. Prompts with a long prefill that wait would make all behind them late. It is 0
 // if no more urgent requests compete with it, as serving all late helps nobody then. run
--- a/router/session.go
+++ b/router/session.go
@@ -32,10 +32,9 @@
 	// lastEventID is the ID of the last event forwarded to the client.
 	lastEventID    int64
 	hasLastEventID bool
-	// origin is the build of the target that began the stream, as far as it is known.
-	origin     origin
-	lastChoice fleet.Choice
-	active     *fleet.ActiveRequest
+	stream         streamState
+	lastChoice     fleet.Choice
+	active         *fleet.ActiveRequest
 	// guard withdraws the current attempt if it does not start in time.
 	guard        *startGuard
 	firstEventAt time.Time
@@ -73,7 +72,13 @@
 		if refused := s.checkPoison(time.Now()); refused != nil {
 			return s.giveUp(attemptResult{refused: refused})
 		}
+		if refused := s.resolveOrigin(ctx); refused != nil {
+			return s.giveUp(attemptResult{refused: refused})
+		}
 		choice, ok := s.choose()
+		if !ok {
+			choice, ok = s.chooseBound(ctx)
+		}
 		if !ok {
 			return s.giveUp(attemptResult{refused: s.refuseNoTarget()})
 		}
@@ -136,6 +141,7 @@
 		Avoid:         s.decision.Avoid,
 		Class:         fleet.PriorityClass(in.priority()),
 	}
+	q.Build, q.BuildBound = s.boundBuild()
 	if in.service.Engine != nil && in.Model != "" {
 		q.Model = in.Model
 		q.TokenBytes = in.service.Engine.TokenBytes
@@ -170,7 +176,7 @@
 	})
 	s.tracked.SentTo(choice.Target.Instance())
 	defer s.tracked.LeftTarget()
-	s.recordResumption(choice)
+	s.recordContinuation(choice)
 	s.guard = s.guardStart(choice, cancel)
 	defer s.guard.stop()
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
--- a/router/stream.go
+++ b/router/stream.go
@@ -112,7 +112,7 @@
 	if ok {
 		s.lastEventID, s.hasLastEventID = id, true
 	}
-	s.recordOrigin()
+	s.recordOrigin(time.Now())
 	return s.writeBody(resp, event)
 }
 
--- a/router/unresponsive_test.go
+++ b/router/unresponsive_test.go
@@ -53,6 +53,10 @@
 	return response, nil
 }
 
+func (s *silentSender) Identify(_ context.Context, target fleet.Target) (fleet.Instance, error) {
+	return target.Instance(), nil
+}
+
 func (s *silentSender) Probe(ctx context.Context, target fleet.Target) ProbeResult {
 	if target.ID != "a" || s.accepts {
 		return Listening
