--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -200,6 +201,21 @@
 	return len(c.Customers) > 0
 }
 
+// StreamServices returns the services to which routes of streams lead, in ascending order.
+func (c *Config) StreamServices() []string {
+	var services []string
+	for _, r := range c.Routes {
+		if r.Kind != Stream {
+			continue
+		}
+		for _, share := range r.Split {
+			services = append(services, share.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // Models maps each model to the names of the services that provide it.
 func (c *Config) Models() map[string][]string {
 	models := map[string][]string{}
--- a/fleet/builds.go
+++ b/fleet/builds.go
@@ -50,14 +50,6 @@
 	return slices.Compact(out)
 }
 
-// Services returns the services that have targets.
-func (f *Fleet) Services() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.regroup()
-	return slices.Sorted(maps.Keys(f.services))
-}
-
 // BuildListed reports whether a service has a listed target of a software version that takes
 // new requests.
 func (f *Fleet) BuildListed(service, build string) bool {
--- a/node/version_marks.go
+++ b/node/version_marks.go
@@ -114,9 +114,12 @@
 	}
 }
 
-// markedServices returns the services that have targets or marks.
+// markedServices returns the services that have streams or marks.
 func (v *view) markedServices() []string {
-	services := v.fleet.Services()
+	var services []string
+	if c := v.config.Load(); c != nil {
+		services = c.StreamServices()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for service := range v.versionMarks {
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"acaciakeel/fleet"
 	"acaciakeel/internal/standin/client"
 	"acaciakeel/internal/standin/runner"
+	"acaciakeel/peering"
 	"acaciakeel/platform"
 )
 
@@ -227,3 +230,89 @@
 		t.Errorf("status %d: %s", a.status, a.body)
 	}
 }
+
+// Guards against streams of a version without targets that are continued at the one that is left
+// after all entries were killed: then nobody has seen that there were two.
+func TestUnknownStreamIsRefusedAfterAllEntriesRestarted(t *testing.T) {
+	w := newVersionEnv(t)
+	marked := func(n *Node) bool {
+		n.view.mu.Lock()
+		defer n.view.mu.Unlock()
+		return len(n.view.versionMarks["lm"].builds) == 2
+	}
+	w.until("the versions are marked in the store", func() bool { return marked(w.node) })
+	w.beginAndAbandon(w.node, streamRequest("begun", 1))
+	w.node.cancel()
+	for i, r := range w.runners {
+		if builds[i] == "v1" {
+			w.store.Remove(platform.TargetKey(r.ID))
+		}
+	}
+	w.node = w.startNode("n0")
+	if got := w.node.view.fleet.Builds("lm", time.Now()); len(got) != 1 {
+		t.Fatalf("the restarted entry sees the versions %v, want one", got)
+	}
+	r := streamRequest("resumed", 1)
+	r.Resumes, r.LastEventID = "begun", "2"
+	if a := w.exchange(w.node, r); a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, "stream_unknown") {
+		t.Errorf("status %d: %s", a.status, a.body)
+	}
+}
+
+// Guards against marks that outlast their versions, and so against streams refused in doubt for
+// ever, and against marks that are removed while clients may still resume.
+func TestVersionMarkLastsAsLongAsDoubt(t *testing.T) {
+	v, f := newIdleView()
+	now := time.Now()
+	f.Put(fleet.Target{ID: "a", Service: "lm", Build: "v1"})
+	if _, due := v.dueMarkChange("lm", now); due {
+		t.Error("a mark is due for one version")
+	}
+	f.Put(fleet.Target{ID: "b", Service: "lm", Build: "v2"})
+	c, due := v.dueMarkChange("lm", now)
+	if !due || fmt.Sprint(c.builds) != "[v1 v2]" {
+		t.Errorf("change %+v due %v, want a mark of both versions", c, due)
+	}
+	v.setVersionMark("lm", `["v1","v2"]`, 7)
+	if _, due := v.dueMarkChange("lm", now); due {
+		t.Error("the mark is written twice")
+	}
+	f.Remove("b")
+	gone := now.Add(versionMarkRetention + time.Second)
+	if _, due := v.dueMarkChange("lm", gone); due || !v.hasOtherVersion("lm", "v1") {
+		t.Error("the mark does not outlast the last target of a version")
+	}
+	if c, due := v.dueMarkChange("lm", gone.Add(versionMarkRetention)); !due || c.builds != nil || c.revision != 7 {
+		t.Errorf("change %+v due %v, want the mark of revision 7 removed", c, due)
+	}
+	v.setVersionMark("lm", "no list", 8)
+	if !v.hasOtherVersion("lm", "v1") {
+		t.Error("a mark that can't be read counts as none")
+	}
+}
+
+// Guards against questions that leave out a group in which a stream may have begun.
+func TestAskPlanReachesEachGroup(t *testing.T) {
+	member := func(i int) peering.Member {
+		return peering.Member{Key: fmt.Sprintf("n%03d", i), Address: fmt.Sprintf("10.0.0.%d:1", i)}
+	}
+	for _, n := range []int{1, 3, 9, 25, 103} {
+		var members []peering.Member
+		for i := range n {
+			members = append(members, member(i))
+		}
+		plan := peering.New("n000", members)
+		asked := newAskPlan(plan)
+		if most := 2 * (askedPeers + plan.GroupCount); n-1 > maxAskedAlone && len(asked.first)+len(asked.second) > most {
+			t.Errorf("%d members: %d are asked, at most %d should be", n, len(asked.first)+len(asked.second), most)
+		}
+		if asked.everyone != (n-1 <= maxAskedAlone) {
+			t.Errorf("%d members: everyone is %v", n, asked.everyone)
+		}
+		for _, l := range plan.Links {
+			if !slices.ContainsFunc(asked.first, func(a string) bool { return slices.Contains(l.RemoteAddresses, a) }) {
+				t.Errorf("%d members: nobody of group %d is asked", n, l.Group)
+			}
+		}
+	}
+}
--- a/origin/table.go
+++ b/origin/table.go
@@ -192,7 +192,7 @@
 	switch age := now.Sub(t.rotatedAt); {
 	case age < Retention:
 	case age < 2*Retention:
-		t.startGeneration(now)
+		t.startGeneration(t.rotatedAt.Add(Retention))
 	default:
 		t.former = newGeneration()
 		t.current = newGeneration()
@@ -200,7 +200,8 @@
 	}
 }
 
-// startGeneration makes the current generation the former one; the caller holds mu.
-func (t *Table) startGeneration(now time.Time) {
-	t.former, t.current, t.rotatedAt = t.current, newGeneration(), now
+// startGeneration makes the current generation the former one and starts the next one at a time;
+// the caller holds mu.
+func (t *Table) startGeneration(at time.Time) {
+	t.former, t.current, t.rotatedAt = t.current, newGeneration(), at
 }
--- /dev/null
+++ b/origin/table_test.go
@@ -0,0 +1,133 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against streams taken for another version's: a record is found as long as clients may
+// resume its stream, and never with another origin than the one recorded.
+func TestTableProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := NewTable(start), start
+		// recorded is when each stream was last recorded with each origin.
+		recorded := map[Stream]map[Origin]time.Time{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+			s := Stream(rapid.IntRange(0, 20).Draw(t, "stream"))
+			o := Origin{Service: "s", Build: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "build"))}
+			switch rapid.IntRange(0, 2).Draw(t, "call") {
+			case 0:
+				table.Record(s, o, now)
+			case 1:
+				table.Apply([]Report{{Origin: o, Streams: []Stream{s}}}, now)
+			default:
+				checkLookup(t, table, s, recorded[s], now)
+				continue
+			}
+			if recorded[s] == nil {
+				recorded[s] = map[Origin]time.Time{}
+			}
+			recorded[s][o] = now
+		}
+	})
+}
+
+// checkLookup holds a lookup against when the stream was recorded with each origin.
+func checkLookup(t *rapid.T, table *Table, s Stream, recorded map[Origin]time.Time, now time.Time) {
+	got, _, ok := table.Lookup(s, now)
+	latest := time.Time{}
+	for _, at := range recorded {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	near := 0
+	for _, at := range recorded {
+		if latest.Sub(at) < Retention {
+			near++
+		}
+	}
+	age := now.Sub(latest)
+	switch {
+	case ok && (recorded[got].IsZero() || age > 2*Retention):
+		t.Fatalf("stream %d has origin %v, recorded %v", s, got, recorded)
+	case ok && near > 1:
+		t.Fatalf("stream %d has origin %v of several: %v", s, got, recorded)
+	case !ok && len(recorded) == 1 && age < Retention:
+		t.Fatalf("stream %d is not known %v after it was recorded: %v", s, age, recorded)
+	}
+}
+
+// Guards against memory that grows with the number of streams or of versions.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(start)
+	for i := range 4 * maxRecords {
+		table.Record(Stream(i), Origin{Service: "s", Build: "v1"}, start)
+	}
+	if n := table.Len(); n > 2*maxRecords {
+		t.Errorf("%d records, at most %d are allowed", n, 2*maxRecords)
+	}
+	if table.DroppedEarly() == 0 {
+		t.Error("records were dropped early, and none is counted")
+	}
+	if got, _, ok := table.Lookup(4*maxRecords-1, start); !ok || got.Build != "v1" {
+		t.Errorf("the newest stream has origin %v, known %v", got, ok)
+	}
+	for i := range 4 * maxOrigins {
+		table.Record(Stream(i), Origin{Service: "s", Build: fmt.Sprint(i)}, start)
+	}
+	reported := 0
+	for _, r := range table.TakeReports() {
+		reported += len(r.Streams)
+	}
+	if reported > maxRecords+maxOrigins {
+		t.Errorf("%d records wait to be sent", reported)
+	}
+}
+
+// Guards against one customer's streams found under another customer's name.
+func TestStreamsOfCustomersDiffer(t *testing.T) {
+	if NewStream("a", "id") == NewStream("b", "id") || NewStream("a", "bid") == NewStream("ab", "id") {
+		t.Error("streams of two customers are one")
+	}
+}
+
+// Guards against a stream without a record that is taken for the version that serves alone, as
+// seen in a view that may be old.
+func TestResolveWithoutRecord(t *testing.T) {
+	v1, v2 := Versions{Sole: true, Build: "v1"}, Versions{Sole: true, Build: "v2"}
+	fresh := Versions{Sole: true, Build: "v1", Fresh: true}
+	known := Answer{Known: true, Origin: Origin{Service: "s", Build: "v9"}}
+	for _, test := range []struct {
+		name    string
+		own     Versions
+		answers Answers
+		want    Source
+		build   string
+	}{
+		{"several versions here", Versions{}, Answers{}, Unknown, ""},
+		{"one version, fresh view", fresh, Answers{}, SoleVersion, "v1"},
+		{"one version, old view, nobody answers", v1, Answers{}, Unknown, ""},
+		{"one version, old view, one old answer", v1, Answers{Received: []Answer{{Versions: v1}}}, Unknown, ""},
+		{"one version, old view, one fresh answer", v1, Answers{Received: []Answer{{Versions: v1}, {Versions: fresh}}}, SoleVersion, "v1"},
+		{"one version, old views everywhere", v1, Answers{Received: []Answer{{Versions: v1}, {Versions: v1}}, Everyone: true}, SoleVersion, "v1"},
+		{"another version at another entry", v1, Answers{Received: []Answer{{Versions: v2}}, Everyone: true}, Unknown, ""},
+		{"several versions at another entry", v1, Answers{Received: []Answer{{Versions: fresh}, {}}, Everyone: true}, Unknown, ""},
+		{"several versions here, known elsewhere", Versions{}, Answers{Received: []Answer{{}, known}}, Asked, "v9"},
+		{"several versions here, one elsewhere", Versions{}, Answers{Received: []Answer{{Versions: fresh}}, Everyone: true}, Unknown, ""},
+	} {
+		r, ok := ResolveLocally("s", test.own)
+		if !ok {
+			r = ResolveAnswers("s", test.own, test.answers)
+		}
+		if r.Source != test.want || r.Origin.Build != test.build {
+			t.Errorf("%s: %+v, want %s %q", test.name, r, test.want, test.build)
+		}
+	}
+}
