Continue streams of the OpenAI door at the same software version

Cause: an interrupted stream is continued at another engine from prompt + what was sent, and neither the entry nor the agents knew the versions of the engines' software.

Change: engines state software_version in load reports and stream headers; the first token brings it to the entry; questions and requests that continue a stream name it, and agents of other engines are not ready for them. An engine that restarted unseen is found by the header of its stream.

Why it works: every continuation passes the agent's check, and the header is that of the process that produces the tokens.

--- a/agent/ask.go
+++ b/agent/ask.go
@@ -24,7 +24,7 @@
 		CachedTokens: uint32(expected),
 		WaitUs:       uint32(wait.Microseconds()),
 		PrefillRate:  uint32(r.estimator.measuredRate()),
-		Ready:        r.readyForWeights(req.Weights),
+		Ready:        r.readyFor(req),
 		QueueLength:  uint32(r.queue.Len()),
 		LifetimeMs:   uint32(r.cache.view.Lifetime()),
 		Weights:      prefix.NameHash(r.state.weightsVersion),
@@ -38,9 +38,11 @@
 	return answer
 }
 
-func (r *runner) readyForWeights(weights uint64) bool {
+// readyFor reports whether the engine takes requests and has the weights, and for the continuation
+// of a stream the software version, that a request needs.
+func (r *runner) readyFor(req *keelv1.AskRequest) bool {
 	return !r.stopping && !r.draining && r.state.up && !r.state.loading &&
-		prefix.NameHash(r.state.weightsVersion) == weights
+		prefix.NameHash(r.state.weightsVersion) == req.Weights && (!req.Bound || r.state.build == req.Build)
 }
 
 // askOracle answers from the true state of a stand-in engine, for the oracle policy of
@@ -64,6 +66,6 @@
 		CachedTokens: uint32(max(truth.CachedTokens, expected)),
 		WaitUs:       uint32(wait.Microseconds()),
 		PrefillRate:  uint32(r.estimator.measuredRate()),
-		Ready:        err == nil && r.readyForWeights(req.Weights),
+		Ready:        err == nil && r.readyFor(req),
 	}
 }
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -23,6 +23,15 @@
 		r.finishAndDispatch(j, stream.Finish{Err: startRefusal(err)}, time.Now())
 		return
 	}
+	if j.req.Bound && s.Build != j.req.Build {
+		// The engine has restarted since its last load report.
+		s.Close()
+		r.cancelAtEngine(j)
+		refused := otherBuildRefusal(s.Build, j.req.Build)
+		refused.Outcome = refusal.Unknown
+		r.finishAndDispatch(j, stream.Finish{Err: refused}, time.Now())
+		return
+	}
 	r.bufferStream(j, s)
 }
 
@@ -41,6 +50,7 @@
 // or goes silent is resumed at its offset on a new connection, as long as the engine
 // still has it.
 func (r *runner) bufferStream(j *job, s *target.Stream) {
+	r.setBuild(j, s.Build)
 	resumes := 0
 	for {
 		finish, err := r.readChunks(j, s)
@@ -67,6 +77,18 @@
 	}
 }
 
+func (r *runner) setBuild(j *job, build string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.build = build
+}
+
+func (r *runner) buildOf(j *job) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return j.build
+}
+
 func streamBrokenRefusal(err error) *refusal.Error {
 	e := refusal.New(refusal.TargetFailed, "the stream goes on at another runner", "the engine's stream broke: %v", err)
 	e.Outcome = refusal.Unknown
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -61,9 +61,13 @@
 	interval := settings.Millis(a.settings.Stream.HeartbeatMS)
 	heartbeat := time.NewTimer(interval)
 	defer heartbeat.Stop()
-	for {
+	for first := true; ; {
 		tokens, finish, changed := j.buffer.TokensFrom(offset)
-		if err := sendTokens(out, tokens, offset); err != nil {
+		build := ""
+		if first && len(tokens) > 0 {
+			build, first = a.runner.buildOf(j), false
+		}
+		if err := sendTokens(out, tokens, offset, build); err != nil {
 			return err
 		}
 		offset += len(tokens)
@@ -83,9 +87,13 @@
 	}
 }
 
-func sendTokens(out *connect.ServerStream[keelv1.GenerateResponse], tokens []string, offset int) error {
+// sendTokens sends tokens, the first of them with build.
+func sendTokens(out *connect.ServerStream[keelv1.GenerateResponse], tokens []string, offset int, build string) error {
 	for i, text := range tokens {
 		token := &keelv1.Token{Offset: uint32(offset + i), Text: text}
+		if i == 0 {
+			token.Build = build
+		}
 		if err := out.Send(&keelv1.GenerateResponse{Event: &keelv1.GenerateResponse_Token{Token: token}}); err != nil {
 			return err
 		}
--- a/agent/job.go
+++ b/agent/job.go
@@ -38,10 +38,12 @@
 	cachedTokens   int
 	uncachedTokens int
 	bootID         string
-	dispatchedAt   time.Time
-	readers        int
-	unreadSince    time.Time
-	endedAt        time.Time
+	// build is the software version of the engine that runs the job.
+	build        string
+	dispatchedAt time.Time
+	readers      int
+	unreadSince  time.Time
+	endedAt      time.Time
 }
 
 // jobID identifies an attempt, both here and at the engine. It includes the customer,
--- a/agent/runner.go
+++ b/agent/runner.go
@@ -17,6 +17,7 @@
 	up             bool
 	bootID         string
 	weightsVersion string
+	build          string
 	loading        bool
 }
 
@@ -79,6 +80,12 @@
 	return nil
 }
 
+// otherBuildRefusal is the refusal of a request that continues a stream which another version of
+// the engine's software began.
+func otherBuildRefusal(got, want string) *refusal.Error {
+	return refusal.New(refusal.TargetNotReady, "another runner takes the request", "the engine has software version %q, the stream began at %q", got, want)
+}
+
 // submit queues a new request and returns its job, or the existing job of the same
 // attempt. A refusal is final: the request was never sent to the engine, so the outcome
 // "not run" is correct.
@@ -92,6 +99,9 @@
 	if err := r.checkReady(req.WeightsVersion); err != nil {
 		return nil, err
 	}
+	if req.Bound && r.state.build != req.Build {
+		return nil, otherBuildRefusal(r.state.build, req.Build)
+	}
 	j := newJob(req, 0, now)
 	r.estimateCost(j, now)
 	decision := r.queue.Push(j.item, r.expectedWait(r.queue.ExpectedBacklog(req.Customer, int(req.Priority)), now), now)
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	load, err := r.engine.Load(ctx)
 	if err == nil {
-		r.setEngineState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, loading: load.Loading}, time.Now())
+		r.setEngineState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, build: load.Build, loading: load.Loading}, time.Now())
 		return 0
 	}
 	failures++
--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -93,7 +93,7 @@
 	return &cli.Command{
 		Name:  "engine",
 		Usage: "a model engine",
-		Flags: []cli.Flag{configFlag(), listenFlag(), &cli.StringFlag{Name: "weights", Usage: "weights `VERSION` loaded at the start"}},
+		Flags: []cli.Flag{configFlag(), listenFlag(), &cli.StringFlag{Name: "weights", Usage: "weights `VERSION` loaded at the start"}, &cli.StringFlag{Name: "build", Usage: "`VERSION` of the engine's software"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			config := engine.Defaults()
 			if err := decode(c, &config); err != nil {
@@ -103,6 +103,7 @@
 			if c.IsSet("weights") {
 				config.WeightsVersion = c.String("weights")
 			}
+			config.Build = c.String("build")
 			e := engine.New(config)
 			go e.Run(ctx)
 			return serve(config.Listen, e.Handler())
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,6 +53,8 @@
 		CacheSalt:      salt,
 		Root:           prefix.Root(salt),
 		ConfigRevision: uint64(e.follower.Revision()),
+		Bound:          len(s.sentText) > 0,
+		Build:          s.build,
 	}
 	if !m.deadline.IsZero() {
 		req.DeadlineMs = uint32(max(1, time.Until(m.deadline).Milliseconds()))
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -28,6 +28,10 @@
 	preference resource.Preference
 	// excluded lists the targets that were already tried.
 	excluded []string
+	// bound is set where a stream is continued, which needs an engine of software version
+	// build.
+	bound bool
+	build string
 }
 
 // chosenTarget is the target of one attempt.
@@ -204,6 +208,8 @@
 		Root:           q.root,
 		Customer:       q.customer,
 		Truth:          q.preference.Policy == policyOracle,
+		Bound:          q.bound,
+		Build:          q.build,
 	}
 	req.BoundaryHash, req.BoundaryTokens = encodeChain(q.chain)
 	return req
--- a/entry/session.go
+++ b/entry/session.go
@@ -55,10 +55,13 @@
 // session runs one model request, with as many attempts, connections and runners
 // as it needs.
 type session struct {
-	entry        *Entry
-	request      *modelRequest
-	assembler    stream.Assembler
-	sentText     []byte
+	entry     *Entry
+	request   *modelRequest
+	assembler stream.Assembler
+	sentText  []byte
+	// build is the software version of the engine that sent the first token. The stream is
+	// continued only at engines of that version.
+	build        string
 	attempt      uint32
 	attemptCount int
 	triedTargets []string
@@ -192,6 +195,8 @@
 		chain:      chain,
 		preference: m.preference,
 		excluded:   s.triedTargets,
+		bound:      len(s.sentText) > 0,
+		build:      s.build,
 	})
 	if refused != nil {
 		return refused
@@ -217,6 +222,9 @@
 		s.entry.metrics.streamEvents.WithLabelValues(string(status)).Inc()
 		return true
 	}
+	if len(s.sentText) == 0 {
+		s.build = t.Build
+	}
 	s.sentText = append(s.sentText, t.Text...)
 	offset := s.assembler.Offset() - 1
 	s.emit(ctx, streamEvent{offset: offset, text: t.Text, id: s.eventID(offset)})
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -76,6 +76,8 @@
 
 type fleetOptions struct {
 	runners, services, entries int
+	// builds is over how many software versions the engines are divided; 0 states none.
+	builds int
 	// workMS is the time of one call at a service, in milliseconds.
 	workMS int
 	// engine, agent and entry are TOML lines for all of a kind.
@@ -165,9 +167,9 @@
 	f.awaitUp("platform")
 	f.write("engine.toml", f.options.engine)
 	runners, services := f.targets()
-	for _, name := range runners {
+	for i, name := range runners {
 		f.place(name, true)
-		f.spawn(name, "acaciakeel-standin", "engine", "-c", filepath.Join(f.dir, "engine.toml"), "--listen", f.addr[name])
+		f.spawn(name, "acaciakeel-standin", "engine", "-c", filepath.Join(f.dir, "engine.toml"), "--listen", f.addr[name], "--build", f.build(i))
 	}
 	for _, name := range services {
 		f.place(name, true)
@@ -178,6 +180,46 @@
 	}
 }
 
+// build returns the software version of engine i.
+func (f *fleet) build(i int) string {
+	if f.options.builds == 0 {
+		return ""
+	}
+	return fmt.Sprintf("b%d", i%f.options.builds)
+}
+
+// continuations returns how many streams were continued by a further attempt, and how many of
+// them at an engine of another software version than the one that began them.
+func (f *fleet) continuations() (all, otherBuild int) {
+	f.t.Helper()
+	// Each stream's builds, and the attempts of it that produced a token.
+	builds, attempts := map[string]map[string]bool{}, map[string]int{}
+	runners, _ := f.targets()
+	for i, name := range runners {
+		var begun []string
+		if err := json.Unmarshal([]byte(f.http(http.MethodGet, f.direct(name)+"/truth/begun", "")), &begun); err != nil {
+			f.t.Fatal(err)
+		}
+		for _, id := range begun {
+			request, _, _ := strings.Cut(id, ".")
+			if builds[request] == nil {
+				builds[request] = map[string]bool{}
+			}
+			builds[request][f.build(i)] = true
+			attempts[request]++
+		}
+	}
+	for request, n := range attempts {
+		if n > 1 {
+			all++
+		}
+		if len(builds[request]) > 1 {
+			otherBuild++
+		}
+	}
+	return all, otherBuild
+}
+
 func (f *fleet) startAgents() {
 	runners, services := f.targets()
 	for i := range f.options.entries {
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -94,6 +94,12 @@
 		return s.fault(t, a)
 	case "process":
 		return s.process(t, a)
+	case "continuations":
+		all, otherBuild := s.fleet.continuations()
+		if all >= a.min && a.min > 0 {
+			return fmt.Sprintf("at least %d streams continued, %d at another software version\n", a.min, otherBuild)
+		}
+		return fmt.Sprintf("%d streams continued, %d at another software version\n", all, otherBuild)
 	case "crash":
 		s.fleet.http(http.MethodPost, s.fleet.direct(a.process)+"/admin/crash", "")
 		return ""
@@ -125,6 +131,7 @@
 	d.MaybeScanArgs(t, "services", &o.services)
 	d.MaybeScanArgs(t, "entries", &o.entries)
 	d.MaybeScanArgs(t, "work", &o.workMS)
+	d.MaybeScanArgs(t, "builds", &o.builds)
 	engineLines, rest, _ := strings.Cut(d.Input, "--agent--\n")
 	o.engine = engineLines
 	o.agent, o.entry, _ = strings.Cut(rest, "--entry--\n")
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -14,6 +14,8 @@
 	Model string `toml:"model"`
 	// WeightsVersion is what is loaded at the start.
 	WeightsVersion string `toml:"weights_version"`
+	// Build is the version of the engine's software; empty states none.
+	Build string `toml:"build"`
 	// PrefillRate is prompt tokens computed a second.
 	PrefillRate float64 `toml:"prefill_rate"`
 	// StepMS is the time of one decoding step.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -26,6 +26,7 @@
 type Load struct {
 	BootID         string `json:"boot_id"`
 	WeightsVersion string `json:"weights_version"`
+	Build          string `json:"software_version,omitempty"`
 	Loading        bool   `json:"loading"`
 	Running        int    `json:"running"`
 	Waiting        int    `json:"waiting"`
@@ -58,8 +59,10 @@
 	byID     map[string]*sequence
 	truth    Truth
 	computed map[uint64]struct{}
-	report   Load
-	work     chan struct{}
+	// begun are the IDs of the sequences that produced a token.
+	begun  map[string]bool
+	report Load
+	work   chan struct{}
 }
 
 // New returns an engine; Run must run for it to make progress.
@@ -69,6 +72,7 @@
 		events:   newEventLog(millis(c.EventDelayMS), c.EventLoss),
 		version:  c.WeightsVersion,
 		computed: map[uint64]struct{}{},
+		begun:    map[string]bool{},
 		work:     make(chan struct{}, 1),
 	}
 	e.boot()
@@ -204,6 +208,7 @@
 			continue
 		}
 		e.truth.CompletionTokens++
+		e.begun[s.id] = true
 		if s.emit() {
 			e.cache.unpin(s.hashes[:s.stored])
 			e.forgetLater(s)
@@ -260,6 +265,7 @@
 	l := Load{
 		BootID:         e.bootID,
 		WeightsVersion: e.version,
+		Build:          e.config.Build,
 		Loading:        e.loading,
 		Running:        len(e.running),
 		Waiting:        len(e.waiting),
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -38,6 +40,7 @@
 const (
 	headerBoot    = "X-Boot-Id"
 	headerWeights = "X-Weights-Version"
+	headerBuild   = "X-Software-Version"
 )
 
 // Handler returns the engine's protocol, and /admin and /truth for trials.
@@ -54,6 +57,7 @@
 	mux.HandleFunc("POST /admin/faults", e.serveFaults)
 	mux.HandleFunc("POST /admin/reset", func(http.ResponseWriter, *http.Request) { e.resetTruth() })
 	mux.HandleFunc("GET /truth", e.serveTruth)
+	mux.HandleFunc("GET /truth/begun", e.serveBegun)
 	mux.HandleFunc("POST /truth/lookup", e.serveLookup)
 	mux.HandleFunc("GET /truth/computed", e.serveComputed)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
@@ -66,7 +70,7 @@
 		e.mu.Lock()
 		away := e.away
 		e.mu.Unlock()
-		if away && r.URL.Path != "/truth" && r.URL.Path != "/truth/computed" {
+		if away && r.URL.Path != "/truth" && r.URL.Path != "/truth/computed" && r.URL.Path != "/truth/begun" {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
@@ -111,6 +115,9 @@
 	s.attach()
 	defer s.detach()
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.config.Build != "" {
+		w.Header().Set(headerBuild, e.config.Build)
+	}
 	out := http.NewResponseController(w)
 	_ = out.Flush()
 	for {
@@ -233,6 +240,13 @@
 	_ = json.NewEncoder(w).Encode(e.truth)
 }
 
+// serveBegun returns the IDs of the sequences that produced a token.
+func (e *Engine) serveBegun(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(slices.Sorted(maps.Keys(e.begun)))
+}
+
 type lookupRequest struct {
 	// Hashes are a prompt's boundaries, shortest first, and Tokens their depths.
 	Hashes []uint64 `json:"hashes"`
--- a/target/engine.go
+++ b/target/engine.go
@@ -66,16 +66,19 @@
 type Load struct {
 	BootID         string `json:"boot_id"`
 	WeightsVersion string `json:"weights_version"`
-	Loading        bool   `json:"loading"`
-	Running        int    `json:"running"`
-	Waiting        int    `json:"waiting"`
-	PrefillTokens  int    `json:"prefill_tokens"`
-	Fence          uint64 `json:"fence"`
+	// Build is the version of the engine's software; empty if it states none.
+	Build         string `json:"software_version"`
+	Loading       bool   `json:"loading"`
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+	PrefillTokens int    `json:"prefill_tokens"`
+	Fence         uint64 `json:"fence"`
 }
 
 const (
 	headerBootID         = "X-Boot-Id"
 	headerWeightsVersion = "X-Weights-Version"
+	headerBuild          = "X-Software-Version"
 	dialTimeout          = 300 * time.Millisecond
 	// dataPrefix starts the data lines of a stream, and endOfStream is the data of
 	// its last line.
@@ -107,9 +110,10 @@
 
 // Stream is one open stream of an engine.
 type Stream struct {
-	// BootID and WeightsVersion are the engine's values from the response header.
+	// BootID, WeightsVersion and Build are the engine's values from the response header.
 	BootID         string
 	WeightsVersion string
+	Build          string
 	body           io.ReadCloser
 	scanner        *bufio.Scanner
 }
@@ -154,6 +158,7 @@
 	return &Stream{
 		BootID:         resp.Header.Get(headerBootID),
 		WeightsVersion: resp.Header.Get(headerWeightsVersion),
+		Build:          resp.Header.Get(headerBuild),
 		body:           resp.Body,
 		scanner:        scanner,
 	}, nil
