sharing: raise the guarantee until it has settled

Callers of a class could get less than half of the common rate while targets' time is scarce.

Cause: the guarantee of all classes was raised at most four times towards its part of the share of requests that is served; where each rise is small, it stopped short.

Change: it is raised until a rise is under a thousandth, 32 times at most.

Why it works: the margin of the guarantee, 0.55 for 0.5, is larger than what is left then; where the common rate bounds it, the last rise reaches that.

--- a/sharing/allocate.go
+++ b/sharing/allocate.go
@@ -10,6 +10,15 @@
 // covers the errors of the totals.
 const guaranteeShare = 0.55
 
+const (
+	// guaranteeTolerance is the relative change of the guarantee below which it is not raised
+	// further; the margin of guaranteeShare is larger.
+	guaranteeTolerance = 0.001
+	// maxGuaranteeRounds bounds how often the guarantee is raised, from guaranteeShare of the
+	// common rate to all of it at the most.
+	maxGuaranteeRounds = 32
+)
+
 // customerDemand is the demand of one customer, or of all that are not listed, in one
 // class, in seconds of target time per second.
 type customerDemand struct {
@@ -59,13 +68,16 @@
 	// Urgent requests that take little target time raise the share of requests that are
 	// served above common, so the guarantee is raised until it is a part of that share.
 	guarantee = guaranteeShare * common
-	for range 4 {
+	for range maxGuaranteeRounds {
 		distribute(classes, guarantee, capacity-guarantee*slot, capacity-guarantee*prefill)
 		required := min(common, guaranteeShare*servedShare(classes, guarantee))
 		if required <= guarantee {
 			break
 		}
-		guarantee = required
+		settled := required < guarantee*(1+guaranteeTolerance)
+		if guarantee = required; settled {
+			break
+		}
 	}
 	distribute(classes, guarantee, capacity-guarantee*slot, capacity-guarantee*prefill)
 	return guarantee, true
