Ask twice for a stream that has just begun, and report it when it breaks off

Callers at a deployment with many entries saw resumptions refused as unknown although the entry that began their streams was well.

Cause: an entry reports the streams that begin there with its next pulse, 112 ms later at 30 entries; a client that resumed before that at an entry of another group got the answer of all who were asked, that nobody knew the stream, within a few milliseconds.

Change: whoever is asked is asked again after 40 ms, with further members and relays, unless all say that one version serves alone; an entry whose stream breaks off sends its records at once.

--- a/node/origins.go
+++ b/node/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -27,7 +28,7 @@
 
 	mu sync.Mutex
 	// pending are the questions that wait for answers, by number.
-	pending map[uint64]chan origin.Answer
+	pending map[uint64]chan receivedAnswer
 	// recent are the streams that were recorded within maxListingLag.
 	recent []recentBegin
 	// questions counts questions by result; nil disables counting.
@@ -52,7 +53,7 @@
 )
 
 func newStreamOrigins(p *peerExchange) *streamOrigins {
-	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan origin.Answer{}}
+	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan receivedAnswer{}}
 }
 
 func (o *streamOrigins) register(r *prometheus.Registry) {
@@ -63,7 +64,8 @@
 
 // Timing and size of questions.
 const (
-	// askAgainAfter is when further nodes are asked: a datagram was lost, or a node has ended.
+	// askAgainAfter is when they are asked again, and further ones: a datagram was lost, a node
+	// has ended, or the record was on its way.
 	askAgainAfter = 40 * time.Millisecond
 	// askTimeout bounds the time that a resumption waits for answers: a few round trips
 	// between data centres.
@@ -157,15 +159,15 @@
 	return ok && age < viewFreshFor
 }
 
-// askPlan is whom to ask for a stream: first at once, and second if that brings no answer.
+// askPlan is whom to ask for a stream: first at once, and again if nobody has a record of it.
 type askPlan struct {
-	first, second []string
+	first, again []string
 	// everyone is set if first holds all other nodes.
 	everyone bool
 }
 
 // newAskPlan returns whom to ask: members of this node's own group and relays of each other
-// group, since all members of the group in which a stream began have a record of it.
+// group, since all members of the group in which a stream began get a record of it.
 func newAskPlan(plan peering.Plan) askPlan {
 	group := plan.Peers
 	if !plan.Joined {
@@ -174,36 +176,34 @@
 	peers := addressesOf(group)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if len(plan.Links) == 0 && plan.GroupCount <= 1 && len(peers) <= maxAskedAlone {
-		return askPlan{first: peers, second: peers, everyone: plan.Joined}
+		return askPlan{first: peers, again: peers, everyone: plan.Joined}
 	}
-	out := askPlan{first: peers[:min(len(peers), askedPeers)]}
-	out.second = peers[len(out.first):min(len(peers), 2*askedPeers)]
+	out := askPlan{first: peers[:min(len(peers), askedPeers)], again: peers[:min(len(peers), 2*askedPeers)]}
 	for _, l := range plan.Links {
-		for i, address := range l.RemoteAddresses {
-			switch i {
-			case 0:
-				out.first = append(out.first, address)
-			case 1:
-				out.second = append(out.second, address)
-			}
-		}
+		out.first = append(out.first, l.RemoteAddresses[:min(len(l.RemoteAddresses), 1)]...)
+		out.again = append(out.again, l.RemoteAddresses[:min(len(l.RemoteAddresses), 2)]...)
 	}
 	return out
 }
 
-// ask asks other nodes for a stream until one has a record of it, all have answered, or time is
-// up.
+// receivedAnswer is an answer and the node that sent it.
+type receivedAnswer struct {
+	sender string
+	origin.Answer
+}
+
+// ask asks other nodes for a stream until one has a record of it, all have answered twice, or
+// time is up.
 func (o *streamOrigins) ask(ctx context.Context, s origin.Stream, named bool, service string, versions origin.Versions) origin.Resolution {
 	plan := newAskPlan(o.exchange.view.plan())
 	question := &keelv1.OriginQuestion{Number: rand.Uint64(), Service: service}
 	if named {
 		question.Stream = uint32(s)
 	}
-	answers := make(chan origin.Answer, len(plan.first)+len(plan.second))
+	answers := make(chan receivedAnswer, len(plan.first)+len(plan.again))
 	o.setPending(question.Number, answers)
 	defer o.setPending(question.Number, nil)
-	got := o.collect(ctx, plan, question, answers)
-	r := origin.ResolveAnswers(service, versions, got)
+	r := origin.ResolveAnswers(service, versions, o.collect(ctx, plan, question, answers))
 	o.count(string(r.Source))
 	if r.Source == origin.Asked {
 		o.table.Apply([]origin.Report{{Origin: r.Origin, Streams: []origin.Stream{s}}}, time.Now())
@@ -211,38 +211,51 @@
 	return r
 }
 
-// collect sends a question and collects the answers.
-func (o *streamOrigins) collect(ctx context.Context, plan askPlan, question *keelv1.OriginQuestion, answers <-chan origin.Answer) origin.Answers {
-	var got origin.Answers
-	o.send(question, plan.first)
+// collect sends a question and collects the answers. The record of a stream that has just begun
+// may still be on its way to those who are asked, so they are asked again.
+func (o *streamOrigins) collect(ctx context.Context, plan askPlan, question *keelv1.OriginQuestion, answers <-chan receivedAnswer) origin.Answers {
 	again, timeout := time.NewTimer(askAgainAfter), time.NewTimer(askTimeout)
 	defer again.Stop()
 	defer timeout.Stop()
-	asked := len(plan.first)
-	for len(got.Received) < asked || len(plan.second) > 0 && !plan.everyone {
+	latest := map[string]origin.Answer{}
+	o.send(question, plan.first)
+	for outstanding, repeated := len(plan.first), false; outstanding > 0 || !repeated && !allSole(latest); {
 		select {
 		case a := <-answers:
-			got.Received = append(got.Received, a)
-			if a.Known {
-				return got
-			}
-			if len(got.Received) < asked {
-				continue
-			}
+			latest[a.sender] = a.Answer
+			outstanding--
 		case <-again.C:
+			o.send(question, plan.again)
+			outstanding, repeated = outstanding+len(plan.again), true
+			continue
 		case <-timeout.C:
-			return got
+			outstanding, repeated = 0, true
 		case <-ctx.Done():
-			return got
+			outstanding, repeated = 0, true
+		}
+		if slices.ContainsFunc(slices.Collect(maps.Values(latest)), func(a origin.Answer) bool { return a.Known }) {
+			break
 		}
-		o.send(question, plan.second)
-		if !plan.everyone {
-			asked += len(plan.second)
+	}
+	return origin.Answers{Received: slices.Collect(maps.Values(latest)), Everyone: plan.everyone && len(latest) >= len(plan.first)}
+}
+
+// allSole reports whether all answers say that one version has served alone: there is no reason
+// to ask again.
+func allSole(answers map[string]origin.Answer) bool {
+	for _, a := range answers {
+		if !a.Known && !a.Versions.Sole {
+			return false
 		}
-		plan.second = nil
 	}
-	got.Everyone = plan.everyone
-	return got
+	return len(answers) > 0
+}
+
+// Flush implements router.Origins.
+func (o *streamOrigins) Flush() {
+	if o.table.HasUnsent() {
+		o.exchange.sendSoon()
+	}
 }
 
 func (o *streamOrigins) send(question *keelv1.OriginQuestion, to []string) {
@@ -254,7 +267,7 @@
 	o.exchange.sendTo(to, datagram)
 }
 
-func (o *streamOrigins) setPending(number uint64, answers chan origin.Answer) {
+func (o *streamOrigins) setPending(number uint64, answers chan receivedAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if answers == nil {
@@ -276,7 +289,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		select {
-		case o.pending[w.Number] <- pulses.DecodeOriginAnswer(w):
+		case o.pending[w.Number] <- receivedAnswer{message.Sender, pulses.DecodeOriginAnswer(w)}:
 		default:
 			// Nobody waits for it any more, or it has arrived before.
 		}
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -303,8 +303,8 @@
 		}
 		plan := peering.New("n000", members)
 		asked := newAskPlan(plan)
-		if most := 2 * (askedPeers + plan.GroupCount); n-1 > maxAskedAlone && len(asked.first)+len(asked.second) > most {
-			t.Errorf("%d members: %d are asked, at most %d should be", n, len(asked.first)+len(asked.second), most)
+		if most := 2 * (askedPeers + plan.GroupCount); n-1 > maxAskedAlone && len(asked.again) > most {
+			t.Errorf("%d members: %d are asked, at most %d should be", n, len(asked.again), most)
 		}
 		if asked.everyone != (n-1 <= maxAskedAlone) {
 			t.Errorf("%d members: everyone is %v", n, asked.everyone)
--- a/origin/table.go
+++ b/origin/table.go
@@ -110,6 +110,13 @@
 	return out
 }
 
+// HasUnsent reports whether there are records that have not been sent yet.
+func (t *Table) HasUnsent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unsent) > 0
+}
+
 // Lookup returns the origin of a stream, and whether this process recorded it itself.
 func (t *Table) Lookup(s Stream, now time.Time) (o Origin, own, ok bool) {
 	t.mu.Lock()
--- a/router/resume.go
+++ b/router/resume.go
@@ -18,6 +18,9 @@
 type Origins interface {
 	// Record records the origin of a stream of which a target produced events.
 	Record(s origin.Stream, from origin.Origin, target fleet.Instance)
+	// Flush has the records sent to other processes soon: a client whose stream broke off may
+	// resume it at one of them at once.
+	Flush()
 	// ListFresh reports whether the list of targets has been confirmed recently.
 	ListFresh() bool
 	// Disputed reports whether the origin recorded for a stream has turned out to be uncertain.
--- a/router/router.go
+++ b/router/router.go
@@ -112,6 +112,9 @@
 	s := &session{router: r, in: in, writer: writer, charge: charge}
 	defer s.settleCharge()
 	refused = s.run(ctx)
+	if refused != nil && s.stream.began && r.origins != nil {
+		r.origins.Flush()
+	}
 	if refused == nil {
 		refused = s.awaitDelivery()
 	}
