Ask targets that fail requests whether they have restarted

Callers saw, in a soak of targets that swap their software under their ids, up to 4 of 192 streams continue at the other version.

Cause: between a target's restart and its new entry in the list, half a second and more, streams began there and were recorded with the version of before; a client that resumed within that time was sent to it.

Change: while a service has several versions, a target that fails a request whose client still waits is asked which instance it is, every 0.3 s at most; until it answers, its version is not trusted for streams that begin there. The records of the latest streams at a target that has restarted are disputed, which ends what others know of them as well.

Why it works: a restart cuts the connections of requests that run there, so the question leaves within milliseconds of it, and its answer tells the restart.

--- a/fleet/builds.go
+++ b/fleet/builds.go
@@ -72,9 +72,53 @@
 		return t.Build, !listOutdated || t.Born == 0
 	}
 	same := s.target.Instance().Matches(t.Instance()) && s.target.Build == t.Build
+	if f.hasSeveralBuilds(t.Service, now) {
+		return t.Build, same && !s.mayHaveRestarted(listOutdated, now)
+	}
 	return t.Build, same && !s.isUnlisted(listOutdated, now)
 }
 
+// hasSeveralBuilds reports whether a service's targets have had several software versions
+// recently; the caller holds mu.
+func (f *Fleet) hasSeveralBuilds(service string, now time.Time) bool {
+	g := f.group(service)
+	if g == nil {
+		return false
+	}
+	for _, s := range g.states {
+		if s.target.Build != g.states[0].target.Build {
+			return true
+		}
+	}
+	for b, at := range f.formerBuilds {
+		if b.service == service && b.build != g.states[0].target.Build && now.Sub(at) <= buildRetention {
+			return true
+		}
+	}
+	return false
+}
+
+// identifyInterval is how often a target that fails requests is asked which instance it is.
+const identifyInterval = 300 * time.Millisecond
+
+// RecordInterruption records that a target failed a request while its client was waiting, so that
+// it may have restarted. It reports whether the target is to be asked which instance it is: its
+// service has had several software versions, and it was not asked just before.
+func (f *Fleet) RecordInterruption(l Instance, now time.Time) (identify bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.lookup(l)
+	if s == nil || s.target.Born == 0 {
+		return false
+	}
+	s.failedAt = now
+	if now.Sub(s.identifiedAt) < identifyInterval || !f.hasSeveralBuilds(s.target.Service, now) {
+		return false
+	}
+	s.identifiedAt = now
+	return true
+}
+
 // Times after which a target may have restarted unnoticed.
 const (
 	// restartWindow is how long a target that failed a request is taken to have restarted,
--- a/fleet/builds_test.go
+++ b/fleet/builds_test.go
@@ -61,7 +61,7 @@
 	f, now := New("z"), time.Now()
 	target := Target{ID: "a", Born: 1000, Service: "lm", Build: "v1"}
 	f.Put(target)
-	f.RecordFailure(target.Instance(), now.Add(time.Second))
+	f.RecordInterruption(target.Instance(), now.Add(time.Second))
 	if got := choices(f, bound("v1"), now.Add(time.Second)); got != nil {
 		t.Errorf("after a failure the stream goes to %v", got)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,9 +74,11 @@
 	// buildUnlisted is set from a restart until the entry of the new instance is listed: its
 	// software version is not known.
 	buildUnlisted bool
-	// failedAt is when it last failed a request, heardAt when the instance was last listed or
-	// heard from itself.
+	// failedAt is when it last failed a request whose client was waiting, heardAt when the
+	// instance was last listed or heard from itself.
 	failedAt, heardAt time.Time
+	// identifiedAt is when the target was last asked which instance it is.
+	identifiedAt time.Time
 	// malformed is set once a field of the target's notices could not be parsed.
 	malformed bool
 	// restartUnshared is set until an update to the other processes includes that this
--- a/fleet/observations.go
+++ b/fleet/observations.go
@@ -27,12 +27,7 @@
 func (f *Fleet) RecordFailure(l Instance, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.lookup(l)
-	if s == nil {
-		return
-	}
-	s.failedAt = now
-	if !now.Before(s.busyUntil) {
+	if s := f.lookup(l); s != nil && !now.Before(s.busyUntil) {
 		s.health.RecordFailure(now)
 	}
 }
@@ -42,7 +37,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.lookup(l); s != nil {
-		s.failedAt = now
 		s.health.RecordConnectFailure(now)
 	}
 }
--- a/node/origins.go
+++ b/node/origins.go
@@ -100,17 +100,18 @@
 	return !ok
 }
 
-// buildChanged is called when a target is listed with another software version than before. It
-// had that version since its restart, so either version may have begun the latest streams there.
-func (o *streamOrigins) buildChanged(target fleet.Target) {
+// targetChanged is called when a target is first known to have restarted, or is listed with
+// another software version than before. It may have had that version since its restart, so
+// either one may have begun the latest streams there.
+func (o *streamOrigins) targetChanged(id string) {
 	now := time.Now()
 	age, _ := o.exchange.view.follower.Age()
 	lag := max(listingLag, age+listingLag/2)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, b := range o.recent {
-		if b.target == target.ID && now.Sub(b.at) <= lag {
-			o.table.Record(b.stream, origin.Origin{Service: target.Service, Build: target.Build}, now)
+		if b.target == id && now.Sub(b.at) <= lag {
+			o.table.Record(b.stream, origin.Disputed, now)
 		}
 	}
 }
--- a/node/view.go
+++ b/node/view.go
@@ -216,13 +216,14 @@
 func (v *view) targetRestarted(current, previous fleet.Instance) {
 	v.log.WithFields(logrus.Fields{"event": "target_reborn", "target": current.ID, "born": current.Born, "former": previous.Born}).Info("the target restarted; the state of its earlier start is discarded")
 	v.controller.Wake()
+	v.origins.targetChanged(current.ID)
 	v.verdicts.Table.RecordCrash(previous, time.Now())
 }
 
 // targetBuildChanged is called when a target is listed with another software version.
 func (v *view) targetBuildChanged(r fleet.Target) {
 	v.log.WithFields(logrus.Fields{"event": "target_build_changed", "target": r.ID, "born": r.Born, "build": r.Build}).Info("the target is listed with another software version; what began its latest streams is uncertain")
-	v.origins.buildChanged(r)
+	v.origins.targetChanged(r.ID)
 }
 
 // TargetRemoved implements platform.StateHandler. Entries expire while the store can't be
--- a/origin/table.go
+++ b/origin/table.go
@@ -26,6 +26,10 @@
 	Build   string
 }
 
+// Disputed is reported for a stream whose recorded origin may be wrong. It ends what is known of
+// the stream.
+var Disputed = Origin{}
+
 // Report lists streams with one origin.
 type Report struct {
 	Origin  Origin
@@ -152,7 +156,7 @@
 func (t *Table) add(s Stream, o Origin, own bool, now time.Time) {
 	t.rotate(now)
 	record, isNew := t.current.encode(o, own)
-	if known, ok := t.find(s); ok && known != o {
+	if known, ok := t.find(s); o == Disputed || ok && known != o {
 		record = ambiguous
 	}
 	if _, ok := t.current.records[s]; !ok && len(t.current.records) >= maxRecords || isNew && len(t.current.origins) > maxOrigins {
@@ -165,13 +169,12 @@
 	t.current.records[s] = record
 }
 
-// find returns the recorded origin of a stream. An ambiguous one is returned as an origin that
-// differs from any other; the caller holds mu.
+// find returns the recorded origin of a stream, Disputed if it is ambiguous; the caller holds mu.
 func (t *Table) find(s Stream) (Origin, bool) {
 	for _, g := range []*generation{t.current, t.former} {
 		if record, ok := g.records[s]; ok {
 			if record == ambiguous {
-				return Origin{Service: "\x00"}, true
+				return Disputed, true
 			}
 			return g.origins[record>>1], true
 		}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against a dispute that leaves a stream known here or at another process, whether it was
+// recorded there before or not.
+func TestDisputedStreamIsNotKnown(t *testing.T) {
+	own, other := NewTable(start), NewTable(start)
+	own.Record(1, Origin{Service: "s", Build: "v1"}, start)
+	other.Apply(own.TakeReports(), start)
+	own.Record(1, Disputed, start)
+	own.Record(2, Disputed, start)
+	other.Apply(own.TakeReports(), start)
+	for name, table := range map[string]*Table{"own": own, "other": other} {
+		for s := Stream(1); s <= 2; s++ {
+			if o, _, ok := table.Lookup(s, start); ok {
+				t.Errorf("%s: stream %d has origin %v", name, s, o)
+			}
+		}
+	}
+}
+
 // Guards against one customer's streams found under another customer's name.
 func TestStreamsOfCustomersDiffer(t *testing.T) {
 	if NewStream("a", "id") == NewStream("b", "id") || NewStream("a", "bid") == NewStream("ab", "id") {
--- a/router/resume.go
+++ b/router/resume.go
@@ -159,6 +159,23 @@
 	return s.choose()
 }
 
+// identifyAfterFailure asks a target that failed a request which instance it is, if it may have
+// restarted with another software version. Streams that begin there until it has answered have
+// no known origin.
+func (s *session) identifyAfterFailure(clientCtx context.Context, t fleet.Target) {
+	r := s.router
+	if r.origins == nil || clientCtx.Err() != nil || !r.fleet.RecordInterruption(t.Instance(), time.Now()) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+		defer cancel()
+		if instance, err := r.sender.Identify(ctx, t); err == nil {
+			r.fleet.Observe(instance)
+		}
+	}()
+}
+
 // recordOrigin records what began the stream. It is called before each event is forwarded:
 // the client may name the stream from then on.
 func (s *session) recordOrigin(now time.Time) {
--- a/router/session.go
+++ b/router/session.go
@@ -89,6 +89,7 @@
 		if out.refused == nil && out.response == nil {
 			return nil
 		}
+		s.identifyAfterFailure(ctx, choice.Target)
 		if ctx.Err() == nil && out.retryable && s.attempts < retry.MaxAttempts && s.takeRetry(out.reason) {
 			s.logRetry(out)
 			s.awaitProbe(ctx)
