Bind a stream whose route was moved to a version of its new service

Callers could get events of two software versions of a service, if their stream had moved there from another one with its route.

Cause: a stream that goes on at another service kept its origin at the former one, which binds nothing at the new one.

Evidence: TestStreamOfAMovedRouteIsBoundToItsNewService: resumed a second time at the new service, which has two versions, the stream was served (200).

Change: its origin is that of the new service's target from then on. As two origins are on record, it can't be resumed once more. The log line of a refused continuation says why.

Why it works: the version binds within the response, and a record with two origins counts as none.

--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -316,3 +316,37 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at another service, to which its route was moved, and then
+// holds events of two software versions of that one: its origin is not known any more.
+func TestStreamOfAMovedRouteIsBoundToItsNewService(t *testing.T) {
+	w := newVersionEnv(t)
+	w.beginAndAbandon(w.node, streamRequest("begun", 1))
+	for i := range 2 {
+		r := runner.Start(fmt.Sprintf("m%d", i), "lm2", map[string]int64{model: 1})
+		r.SetBuild(builds[i])
+		r.SetPace(20 * time.Millisecond)
+		t.Cleanup(r.Close)
+		w.runners = append(w.runners, r)
+	}
+	w.streamService = "lm2"
+	w.configure(goodKey)
+	for _, r := range w.runners[len(builds):] {
+		w.store.Set(r.Entry("ready").Key, r.Entry("ready").Value)
+	}
+	w.until("the route is moved", func() bool {
+		c := w.node.view.Config()
+		return c.Version == int64(w.version) && len(w.node.view.fleet.Targets("lm2")) == 2
+	})
+	resume := func(id, last string) response {
+		r := streamRequest(id, 1)
+		r.Resumes, r.LastEventID = "begun", last
+		return w.exchange(w.node, r)
+	}
+	if a := resume("moved", "2"); a.status != http.StatusOK || a.body != restOfStream() {
+		t.Errorf("at the new service: status %d: %s", a.status, a.body)
+	}
+	if a := resume("moved-again", "3"); a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, "stream_unknown") {
+		t.Errorf("after that: status %d: %s", a.status, a.body)
+	}
+}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -34,6 +34,8 @@
 	graceS float64
 	// lookupService is the service that lookups go to.
 	lookupService string
+	// streamService is the service that streams which may be resumed go to.
+	streamService string
 	log           logrus.FieldLogger
 	// lastStart is when the last node was started.
 	lastStart time.Time
@@ -69,7 +71,7 @@
 // node starts.
 func newEnvWith(t *testing.T, log logrus.FieldLogger, changes ...func(*testEnv)) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, store: kv.NewStore(0), graceS: 8, lookupService: "desk", log: log, versionMS: 8000}
+	w := &testEnv{t: t, store: kv.NewStore(0), graceS: 8, lookupService: "desk", streamService: "lm", log: log, versionMS: 8000}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
@@ -148,6 +150,9 @@
 		map[string]any{"name": "lm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}},
 		map[string]any{"name": "desk", "max_conns": 100},
 	}
+	if w.streamService != "lm" {
+		services = append(services, map[string]any{"name": w.streamService, "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}})
+	}
 	if w.lookupService != "desk" {
 		services = append(services, map[string]any{"name": w.lookupService, "max_conns": 100})
 	}
@@ -156,7 +161,7 @@
 	value, _ := json.Marshal(map[string]any{
 		"version": w.version,
 		"routes": []any{
-			route("draft", "/draft/", "streaming", "lm", map[string]any{"sticky": true, "resumable": true}),
+			route("draft", "/draft/", "streaming", w.streamService, map[string]any{"sticky": true, "resumable": true}),
 			route("match", "/match/", "streaming", "lm", map[string]any{"sticky": true, "attempts": 1, "timeout_ms": 15000}),
 			route("hold", "/hold/", "non_idempotent", "desk", map[string]any{"attempts": 1, "timeout_ms": 15000}),
 			route("stock", "/stock/", "idempotent", w.lookupService, map[string]any{"target_latency_ms": 100}),
--- a/router/resume.go
+++ b/router/resume.go
@@ -122,7 +122,7 @@
 // refuseContinuation completes the refusal of a request that continues a stream, and logs and
 // counts it.
 func (s *session) refuseContinuation(refused *refusal.Error) *refusal.Error {
-	s.noteContinuation("refused", logrus.Fields{"kind": refused.Kind})
+	s.noteContinuation("refused", refused.Message, logrus.Fields{"kind": refused.Kind})
 	if s.executions > 0 {
 		refused.Outcome = refusal.Ran
 	}
@@ -182,7 +182,9 @@
 	if s.router.origins == nil || s.stream.began && (!s.stream.origin.Known() || now.Sub(s.stream.recordedAt) < origin.RefreshInterval) {
 		return
 	}
-	if !s.stream.began && !s.in.resumedByClient() {
+	if _, bound := s.boundBuild(); !s.stream.began && !bound {
+		// The stream begins here, or goes on at another service, whose versions bind it from
+		// now on.
 		s.stream.origin = s.newOrigin()
 	}
 	s.stream.began = true
@@ -221,10 +223,10 @@
 	case s.stream.origin.Known():
 		result = "other_service"
 	}
-	s.noteContinuation(result, logrus.Fields{"build": choice.Target.Build, "target": choice.Target.ID})
+	s.noteContinuation(result, "a stream is continued", logrus.Fields{"build": choice.Target.Build, "target": choice.Target.ID})
 }
 
-func (s *session) noteContinuation(result string, fields logrus.Fields) {
+func (s *session) noteContinuation(result, message string, fields logrus.Fields) {
 	by := "entry"
 	if !s.stream.began {
 		by = "client"
@@ -234,5 +236,5 @@
 	s.router.log.WithFields(logrus.Fields{
 		"event": "stream_resumed", "request": s.in.ID, "stream": s.in.Resumes, "last_event": s.resumeAfter(), "by": by,
 		"origin": o.Source, "began_service": o.Origin.Service, "began_build": o.Origin.Build, "waited_ms": s.stream.resolving.Milliseconds(), "result": result,
-	}).WithFields(fields).Info("a stream is continued")
+	}).WithFields(fields).Info(message)
 }
