--- a/origin/table.go
+++ b/origin/table.go
@@ -137,6 +137,15 @@
 	return Origin{}, false, false
 }
 
+// IsDisputed reports whether a stream has been recorded with different origins, or as Disputed.
+func (t *Table) IsDisputed(s Stream, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	o, ok := t.find(s)
+	return ok && o == Disputed
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -105,6 +105,9 @@
 			if o, _, ok := table.Lookup(s, start); ok {
 				t.Errorf("%s: stream %d has origin %v", name, s, o)
 			}
+			if !table.IsDisputed(s, start) || table.IsDisputed(9, start) {
+				t.Errorf("%s: stream %d is not disputed, or an unknown one is", name, s)
+			}
 		}
 	}
 }
