node: prune the recent streams by halves

Cause: each record moved all recent ones, some thousand at an entry with hundreds of streams a second.

Change: they are dropped by halves once the half is too old.

--- a/node/origins.go
+++ b/node/origins.go
@@ -23,7 +23,7 @@
 	mu sync.Mutex
 	// pending are the questions that wait for answers, by number.
 	pending map[uint64]chan receivedAnswer
-	// recent are the streams that were recorded within maxListingLag.
+	// recent are the streams that were recorded within maxListingLag, and some older ones.
 	recent []recentBegin
 	// questions counts questions by result; nil disables counting.
 	questions *prometheus.CounterVec
@@ -66,12 +66,11 @@
 	o.table.Record(s, from, now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	// Records are in the order of time.
-	expired := slices.IndexFunc(o.recent, func(b recentBegin) bool { return now.Sub(b.at) <= maxListingLag })
-	if expired < 0 {
-		expired = len(o.recent)
+	o.recent = append(o.recent, recentBegin{stream: s, target: target.ID, at: now})
+	// Records are in the order of time, and dropped by halves, not one by one.
+	if half := len(o.recent) / 2; now.Sub(o.recent[half].at) > maxListingLag {
+		o.recent = slices.Delete(o.recent, 0, half)
 	}
-	o.recent = append(slices.Delete(o.recent, 0, expired), recentBegin{stream: s, target: target.ID, at: now})
 }
 
 // Disputed implements router.Origins.
