node: close the store's listener before its connections in a test

Cause: TestKeysFailClosedWithoutTheStore closed the store's connections and then its listener. A node that connected again in between kept that connection, and with it the store; the test waited 20 s in vain, once.

Evidence: with 700 ms slept between the two, it times out so each time.

Change: the listener closes first.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -186,8 +186,8 @@
 // keys must be refused as not run, and the node report that it is not ready.
 func TestKeysFailClosedWithoutTheStore(t *testing.T) {
 	w := newEnv(t)
-	w.kv.CloseClientConnections()
 	w.kv.Listener.Close()
+	w.kv.CloseClientConnections()
 	w.until("the node reports that it is not ready", func() bool { return get(t, w.node.ReadyAddress()) == http.StatusServiceUnavailable })
 	before := len(w.executed(w.plainTargets))
 	a := w.send("GET", "/stock/x", "", nil)
