soak: judge resumptions only while the store is calm

Change: a fault of the store, at its beginning and its end, counts as disturbing all entries. The bound and the other checks are as before.

--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -224,6 +225,7 @@
 		time.Sleep(time.Duration(100+b.random.IntN(500)) * time.Millisecond)
 		f := b.faults[b.random.IntN(len(b.faults))]
 		b.played = append(b.played, f.name)
+		b.noteStore(f)
 		lasts, mend := f.do(b)
 		if mend == nil {
 			continue
@@ -232,11 +234,22 @@
 		time.AfterFunc(lasts, func() {
 			defer b.under.Done()
 			mend()
+			b.noteStore(f)
 		})
 	}
 	b.under.Wait()
 }
 
+// noteStore keeps when a fault of the store began or ended.
+func (b *breaker) noteStore(f fault) {
+	if !strings.HasPrefix(f.name, "store") {
+		return
+	}
+	b.site.mu.Lock()
+	defer b.site.mu.Unlock()
+	b.site.storeDisturbed = time.Now()
+}
+
 func (b *breaker) entry() *entry { return b.site.entries[b.random.IntN(len(b.site.entries))] }
 
 func (b *breaker) target() *target {
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -50,6 +50,8 @@
 	weights int
 	// named is when each version from 2 on was named.
 	named []time.Time
+	// storeDisturbed is when a fault of the store last began or ended.
+	storeDisturbed time.Time
 	// written is what each target has written to the list.
 	written map[string]string
 	// ended are the processes that ended and were not told to.
