Ask a target which instance it is before a stream is continued there

Callers saw, in a soak, up to 3 of 198 streams continue at another version.

Cause: the entry that continues a stream learnt of a target's restart with other software some 50 ms after the restart, if it had no request there that failed.

Change: while a service has several versions and its targets state their start, the chosen target is asked first, unless it was heard from within 5 ms.

Why it works: the answer names the instance, and the request follows it within milliseconds; a restart takes longer.

--- a/fleet/builds.go
+++ b/fleet/builds.go
@@ -119,6 +119,20 @@
 	return true
 }
 
+// NeedsIdentity reports whether a target is to be asked which instance it is before a stream is
+// continued there: its service has had several software versions, and it may have restarted with
+// another one since it was last heard from.
+func (f *Fleet) NeedsIdentity(l Instance, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.lookup(l)
+	return s != nil && s.target.Born != 0 && now.Sub(s.heardAt) > identityValidity && f.hasSeveralBuilds(s.target.Service, now)
+}
+
+// identityValidity is how long an answer of a target proves which instance it is: a restart takes
+// longer.
+const identityValidity = 5 * time.Millisecond
+
 // Times after which a target may have restarted unnoticed.
 const (
 	// restartWindow is how long a target that failed a request is taken to have restarted,
--- a/router/resume.go
+++ b/router/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -136,27 +137,49 @@
 // maxIdentified is how many targets are asked for that.
 const maxIdentified = 3
 
-// chooseBound chooses a target for a request that continues a stream if the targets of its
-// software version failed requests lately: they are asked whether they have restarted, maybe
-// with other software.
-func (s *session) chooseBound(ctx context.Context) (fleet.Choice, bool) {
+// chooseTarget chooses the target of the next attempt. One that continues a stream goes to a
+// target that has said which instance it is, if it may have restarted with other software.
+func (s *session) chooseTarget(ctx context.Context) (fleet.Choice, bool) {
 	f := s.router.fleet
-	targets := f.UnconfirmedTargets(s.query(), time.Now())
-	if len(targets) == 0 {
-		return fleet.Choice{}, false
+	choice, ok := s.choose()
+	if _, bound := s.boundBuild(); !bound {
+		return choice, ok
 	}
+	if !ok {
+		// The targets of the version failed requests lately.
+		s.identify(ctx, f.UnconfirmedTargets(s.query(), time.Now()))
+		choice, ok = s.choose()
+	}
+	for range maxIdentified {
+		if !ok || !f.NeedsIdentity(choice.Target.Instance(), time.Now()) {
+			return choice, ok
+		}
+		if s.identify(ctx, []fleet.Target{choice.Target}) == 0 {
+			f.RecordInterruption(choice.Target.Instance(), time.Now())
+		} else if _, confirmed := f.ConfirmedBuild(choice.Target, false, time.Now()); confirmed {
+			return choice, true
+		}
+		choice, ok = s.choose()
+	}
+	return fleet.Choice{}, false
+}
+
+// identify asks some targets which instance they are, and returns how many have answered.
+func (s *session) identify(ctx context.Context, targets []fleet.Target) int {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	var answered atomic.Int64
 	for _, t := range targets[:min(len(targets), maxIdentified)] {
 		wg.Go(func() {
 			if instance, err := s.router.sender.Identify(ctx, t); err == nil {
-				f.Observe(instance)
+				s.router.fleet.Observe(instance)
+				answered.Add(1)
 			}
 		})
 	}
 	wg.Wait()
-	return s.choose()
+	return int(answered.Load())
 }
 
 // identifyAfterFailure asks a target that failed a request which instance it is, if it may have
--- a/router/session.go
+++ b/router/session.go
@@ -75,10 +75,7 @@
 		if refused := s.resolveOrigin(ctx); refused != nil {
 			return s.giveUp(attemptResult{refused: refused})
 		}
-		choice, ok := s.choose()
-		if !ok {
-			choice, ok = s.chooseBound(ctx)
-		}
+		choice, ok := s.chooseTarget(ctx)
 		if !ok {
 			return s.giveUp(attemptResult{refused: s.refuseNoTarget()})
 		}
