router: clients that leave a stream don't count against its target

Callers were refused with 503 no_target although all targets were well: other clients had left in the middle of their streams.

Cause: the entry ends the response of the target when the client leaves, and counted the error of that reading as a failure of the target. After a few of them within seconds each target counted as dead.

Evidence: TestLeavingClientsDoNotCountAgainstTargets: with two sound targets the seventh stream is refused after six clients left.

Change: an error of reading a response counts against its target only if the client is still there, as an error of sending already did.

Why it works: the context of the client is done before the entry ends the response, and by nothing else with that error.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -114,6 +114,14 @@
 	return s.outcomeUnknown(retry.Interrupted, "target %s did not answer: %v", choice.Target.ID, err)
 }
 
+// recordInterruption records that a response broke off. If the client has disconnected, the entry
+// ended it, which says nothing about the health of the target.
+func (s *session) recordInterruption(clientCtx context.Context, choice fleet.Choice) {
+	if !errors.Is(clientCtx.Err(), context.Canceled) {
+		s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
+	}
+}
+
 // outcomeUnknown returns the result of an attempt that may have run but left no response to
 // forward.
 func (s *session) outcomeUnknown(reason retry.Reason, format string, args ...any) attemptResult {
@@ -138,13 +146,13 @@
 
 // forwardWhole buffers the whole response before it forwards it, so that a response that
 // breaks off can still be retried or reported as a failure.
-func (s *session) forwardWhole(choice fleet.Choice, resp *Response) attemptResult {
+func (s *session) forwardWhole(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil && s.unresponsive.Load() {
 		return s.handleUnresponsive(choice)
 	}
 	if err != nil || len(body) > maxResponseBytes {
-		s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
+		s.recordInterruption(clientCtx, choice)
 		s.recordBrokenResponse(choice, err)
 		return s.outcomeUnknown(retry.Interrupted, "the answer of target %s broke off: %v", choice.Target.ID, err)
 	}
--- a/router/session.go
+++ b/router/session.go
@@ -200,10 +200,10 @@
 		return s.outcomeUnknown(retry.Continued, "target %s answered %d in place of the rest of a stream", choice.Target.ID, response.Status)
 	}
 	if s.in.route.Kind == catalog.Stream && response.Status < 300 {
-		return s.forwardStream(choice, response)
+		return s.forwardStream(ctx, choice, response)
 	}
 	s.guard.stop()
-	return s.forwardWhole(choice, response)
+	return s.forwardWhole(ctx, choice, response)
 }
 
 // Timeouts of an attempt that may be repeated at another target.
--- a/router/stream.go
+++ b/router/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -29,7 +30,7 @@
 // forwardStream forwards the events of a stream, each once it is complete. A target may break
 // off in the middle of an event, and a partial event that the client has received cannot be
 // withdrawn.
-func (s *session) forwardStream(choice fleet.Choice, resp *Response) attemptResult {
+func (s *session) forwardStream(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	in := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(in)
@@ -43,7 +44,7 @@
 			return s.handleUnresponsive(choice)
 		}
 		if err != nil {
-			s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
+			s.recordInterruption(clientCtx, choice)
 			s.recordBrokenResponse(choice, err)
 			reason := retry.Interrupted
 			if s.headerWritten {
