router: log and count how responses of targets end

A truncated answer was logged like a whole one. Each request line now says how its last response marked the end of its body (framing), how it ended (end) and how many bytes followed the last complete event (partial_bytes); keel_router_response_ends_total counts them. No decision changes.

--- a/router/log_fields.go
+++ b/router/log_fields.go
@@ -44,6 +44,7 @@
 	if s.scarce != nil {
 		s.scarce.addLogFields(fields, s.in.customerName())
 	}
+	s.end.addLogFields(fields)
 	if s.status > 0 {
 		fields["status"] = s.status
 	}
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -148,6 +149,7 @@
 // breaks off can still be retried or reported as a failure.
 func (s *session) forwardWhole(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	s.recordEnd(cmp.Or(err, io.EOF), 0)
 	if err != nil && s.unresponsive.Load() {
 		return s.handleUnresponsive(choice)
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -85,6 +85,8 @@
 	Body   io.ReadCloser
 	// ContentLength is the length of the body, or -1 if it is not known in advance.
 	ContentLength int64
+	// Framing is how the end of the body is marked.
+	Framing Framing
 	// NotRun is set if the target did not run the request.
 	NotRun bool
 	// Misdirected is set if another target has the address now, or if the target has other
@@ -108,6 +110,17 @@
 	Notice         fleet.Notice
 }
 
+// Framing is how a response marks the end of its body (RFC 9112, section 6.3).
+type Framing string
+
+// The framings. Length and Chunks tell a truncated body from a complete one. With UntilClose the
+// body ends with its connection, which the kernel also closes in order if the process dies.
+const (
+	Length     Framing = "length"
+	Chunks     Framing = "chunks"
+	UntilClose Framing = "until_close"
+)
+
 // SendError is the error of an attempt that got no response.
 type SendError struct {
 	Err error
--- a/router/session.go
+++ b/router/session.go
@@ -57,6 +57,8 @@
 	tracked  *poison.ActiveRequest
 	decision poison.Decision
 	probed   <-chan struct{}
+	// end is how the last response ended.
+	end responseEnd
 	// scarce is the decision by which the request was refused while targets' time was scarce.
 	scarce *scarceDecision
 	// unresponsive is set when the current attempt is given up because its target does not
@@ -183,6 +185,7 @@
 		return s.handleSendError(ctx, choice, err)
 	}
 	defer response.Body.Close()
+	s.end = responseEnd{framing: response.Framing}
 	s.recordResponse(choice, response)
 	if out, ok := s.handleNotRun(choice, response); ok {
 		return out
--- a/router/stream.go
+++ b/router/stream.go
@@ -34,6 +34,7 @@
 	in := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(in)
+		s.recordEnd(err, len(event))
 		if err == io.EOF {
 			return s.finishStream(choice, resp, event)
 		}
