Reproduce truncated answers that reach clients as complete

The stand-in of a target frames its responses by length, by chunks or by neither, and breaks one off inside an event, between two events or before the body, by closing its connection, by a reset or by a crash.

On this code, of 24 combinations on four kinds of routes, five fail, all without length and chunks: the client gets a complete 200. Responses with a length or in chunks, and resets, are seen to be broken off.

--- a/internal/standin/runner/deadly.go
+++ b/internal/standin/runner/deadly.go
@@ -48,6 +48,9 @@
 	return out
 }
 
+// minDowntime is the least time after which a crashed target restarts.
+const minDowntime = 50 * time.Millisecond
+
 func (r *Runner) crashesOn(body string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,6 +64,10 @@
 	after := r.after
 	r.mu.Unlock()
 	time.Sleep(after)
+	r.crashNow()
+}
+
+func (r *Runner) crashNow() {
 	r.mu.Lock()
 	if r.isDown || r.isClosed {
 		r.mu.Unlock()
@@ -69,7 +76,7 @@
 	r.crashes = append(r.crashes, time.Now())
 	r.isDown = true
 	server := r.server
-	time.AfterFunc(r.down, r.restartAfterCrash)
+	time.AfterFunc(max(r.down, minDowntime), r.restartAfterCrash)
 	r.mu.Unlock()
 	server.Listener.Close()
 	server.CloseClientConnections()
@@ -87,7 +94,7 @@
 	}
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
-		time.AfterFunc(r.down, r.restartAfterCrash)
+		time.AfterFunc(minDowntime, r.restartAfterCrash)
 		return
 	}
 	next := httptest.NewUnstartedServer(r.server.Config.Handler)
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -67,6 +67,7 @@
 	pace    time.Duration
 	crashing
 	loading
+	truncating
 	limiting limiting
 	// leaves is set once responses carry Server-Leaving.
 	leaves bool
@@ -313,7 +314,7 @@
 		return
 	}
 	if req.Header.Get("Model") == "" {
-		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("Request-Id"))
+		r.answerPlain(w, req)
 		return
 	}
 	in, refused := r.acquireSlot(req, t.seen)
@@ -336,6 +337,20 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+func (r *Runner) answerPlain(w http.ResponseWriter, req *http.Request) {
+	body := "answer to " + req.Header.Get("Request-Id")
+	r.setFraming(w.Header(), len(body))
+	if cut := r.takeTruncation(); cut != nil {
+		sent := body[:len(body)/2]
+		if cut.At == BeforeBody {
+			sent = ""
+		}
+		r.truncate(w, sent, cut.By)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
 // breaksStream reports whether the fault aborts streams in the middle of an event.
 func breaksStream(f Fault) bool {
 	return f == Broken || f == BrokenShed || f == BrokenFailing || f == RebornInStream
@@ -372,7 +387,20 @@
 	}
 	flush := http.NewResponseController(w)
 	size := eventBytes(req)
+	r.setFraming(w.Header(), len(eventsFrom(first, size)))
+	var cut *Truncation
+	if first == 1 {
+		cut = r.takeTruncation()
+	}
 	for i := first; i <= Events; i++ {
+		if cut != nil && (i == 3 || cut.At == BeforeBody) {
+			rest := ""
+			if cut.At == InsideEvent {
+				rest = fmt.Sprintf("id: %d\ndata: tor", i)
+			}
+			r.truncate(w, rest, cut.By)
+			return
+		}
 		if i > first && !t.pause(req, r.slowed(t.pace)) {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/standin/runner/slow.go
+++ b/internal/standin/runner/slow.go
@@ -56,8 +56,13 @@
 
 // WholeStream returns all events of a stream.
 func WholeStream(size int) string {
+	return eventsFrom(1, size)
+}
+
+// eventsFrom returns the events of a stream from the first one given to the last.
+func eventsFrom(first, size int) string {
 	var b strings.Builder
-	for i := 1; i <= Events; i++ {
+	for i := first; i <= Events; i++ {
 		b.WriteString(Event(i, size))
 	}
 	return b.String()
