router: treat a stream that ends inside an event as broken off

Callers saw a complete 200 whose last event was cut in the middle. A response without length or chunks ends with its connection, which a target that fails closes in order; the end of the connection was taken for the end of the stream and the partial event forwarded.

The end inside an event is now an error like any other break: a resumable stream goes on at another target after the last whole event, any other one ends visibly, and neither the target's health nor the verdict on its content is credited with a success. Bodies of another type than an event stream have no events; they are buffered like plain answers.

TestTruncatedResponsesAreNotComplete/until_close/inside_event_close failed before and passes; the parts with crashes still fail.

--- a/router/request.go
+++ b/router/request.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -110,6 +111,17 @@
 	Notice         fleet.Notice
 }
 
+// isEventStream reports whether the body consists of events; a type that is not stated counts
+// as such.
+func (r *Response) isEventStream() bool {
+	stated := r.Header.Get("Content-Type")
+	if stated == "" {
+		return true
+	}
+	kind, _, err := mime.ParseMediaType(stated)
+	return err == nil && kind == "text/event-stream"
+}
+
 // Framing is how a response marks the end of its body (RFC 9112, section 6.3).
 type Framing string
 
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"errors"
+	"fmt"
 	"io"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +15,10 @@
 	endError       = "error"
 )
 
+// errInsideEvent is the end of a stream whose target broke it off inside an event, whatever the
+// framing says.
+var errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+
 // responseEnd is how the response of an attempt ended.
 type responseEnd struct {
 	framing Framing
@@ -27,12 +33,12 @@
 	switch {
 	case err == nil:
 		return
-	case err != io.EOF:
-		s.end.reason = endError
-	case partialBytes > 0:
+	case err == io.EOF:
+		s.end.reason = endComplete
+	case errors.Is(err, errInsideEvent):
 		s.end.reason = endInsideEvent
 	default:
-		s.end.reason = endComplete
+		s.end.reason = endError
 	}
 	s.end.partialBytes = partialBytes
 	s.router.metrics.ends.WithLabelValues(string(s.end.framing), s.end.reason).Inc()
--- a/router/session.go
+++ b/router/session.go
@@ -198,11 +198,12 @@
 		f.RecordFailure(choice.Target.Instance(), time.Now())
 		return s.outcomeUnknown(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Target.ID)
 	}
-	if s.headerWritten && response.Status >= 300 {
+	isStream := s.in.route.Kind == catalog.Stream && response.Status < 300 && response.isEventStream()
+	if s.headerWritten && !isStream {
 		// The client has already received the header and the first events of another response.
 		return s.outcomeUnknown(retry.Continued, "target %s answered %d in place of the rest of a stream", choice.Target.ID, response.Status)
 	}
-	if s.in.route.Kind == catalog.Stream && response.Status < 300 {
+	if isStream {
 		return s.forwardStream(ctx, choice, response)
 	}
 	s.guard.stop()
--- a/router/stream.go
+++ b/router/stream.go
@@ -34,9 +34,12 @@
 	in := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(in)
+		if err == io.EOF && len(event) > 0 {
+			err = errInsideEvent
+		}
 		s.recordEnd(err, len(event))
 		if err == io.EOF {
-			return s.finishStream(choice, resp, event)
+			return s.finishStream(choice, resp)
 		}
 		if err != nil && s.guard.hasExpired() {
 			return s.handleWithdrawn(choice)
@@ -90,14 +93,13 @@
 	}
 }
 
-// finishStream forwards the end of a stream, including any bytes that the target sent after
-// the last complete event.
-func (s *session) finishStream(choice fleet.Choice, resp *Response, rest []byte) attemptResult {
+// finishStream forwards the end of a complete stream.
+func (s *session) finishStream(choice fleet.Choice, resp *Response) attemptResult {
 	s.router.fleet.RecordSuccess(choice.Target.Instance())
 	s.active.Complete(time.Now())
 	s.router.poison.RecordSuccess(s.in.content, time.Now())
-	if !s.headerWritten || len(rest) > 0 {
-		if err := s.writeBody(resp, rest); err != nil {
+	if !s.headerWritten {
+		if err := s.writeBody(resp, nil); err != nil {
 			return attemptResult{refused: clientGone(err)}
 		}
 	}
