router: confirm the end of responses without length or chunks

Callers saw complete answers that their target had not finished: a response with neither length nor chunks ends with its connection, and the kernel of a process that dies closes its connections in the same way. A plain answer of that kind was even given a length.

Such an end now counts only once the target has said that it still serves as the same instance; the question is sent after the end, so that its answer proves that the process has outlived the response. Events are forwarded as before; only the end waits.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -149,11 +148,14 @@
 // breaks off can still be retried or reported as a failure.
 func (s *session) forwardWhole(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	s.recordEnd(cmp.Or(err, io.EOF), 0)
-	if err != nil && s.unresponsive.Load() {
+	if err == nil {
+		err = s.settleEnd(clientCtx, choice, resp)
+	}
+	s.recordEnd(err, 0)
+	if err != io.EOF && s.unresponsive.Load() {
 		return s.handleUnresponsive(choice)
 	}
-	if err != nil || len(body) > maxResponseBytes {
+	if err != io.EOF || len(body) > maxResponseBytes {
 		s.recordInterruption(clientCtx, choice)
 		s.recordBrokenResponse(choice, err)
 		return s.outcomeUnknown(retry.Interrupted, "the answer of target %s broke off: %v", choice.Target.ID, err)
--- a/router/request.go
+++ b/router/request.go
@@ -156,6 +156,9 @@
 	Probe(ctx context.Context, target fleet.Target) ProbeResult
 	// Identify asks a target which instance it is.
 	Identify(ctx context.Context, target fleet.Target) (fleet.Instance, error)
+	// Confirm asks a target whether it still serves as the same instance. It returns nil only
+	// if the target has answered since the call, within a fraction of a second.
+	Confirm(ctx context.Context, target fleet.Target) error
 }
 
 // ProbeResult is the result of probing the address of a target.
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -1,17 +1,22 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"acaciakeel/fleet"
 )
 
 // How a response ended; label values of its counter.
 const (
 	endComplete    = "complete"
 	endInsideEvent = "inside_event"
+	endUnconfirmed = "unconfirmed"
 	endError       = "error"
 )
 
@@ -19,6 +24,53 @@
 // framing says.
 var errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 
+// errNoEvent is the end of a stream without length or chunks that has brought nothing.
+var errNoEvent = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
+
+// errUnconfirmed is the end of a response without length or chunks whose target can't be shown
+// to have ended it on purpose.
+var errUnconfirmed = fmt.Errorf("the connection ended, which may not be the end of the response: %w", io.ErrUnexpectedEOF)
+
+// settleStreamEnd returns io.EOF if the end of the connection is that of the stream, after
+// partialBytes of an incomplete event, and otherwise why the stream counts as broken off.
+func (s *session) settleStreamEnd(ctx context.Context, choice fleet.Choice, resp *Response, partialBytes int) error {
+	if partialBytes > 0 {
+		return errInsideEvent
+	}
+	if resp.Framing == UntilClose && s.firstEventAt.IsZero() && s.resumeAfter() == "" {
+		return errNoEvent
+	}
+	return s.settleEnd(ctx, choice, resp)
+}
+
+// settleEnd returns io.EOF if a response whose body has been read to its end is complete. The
+// kernel of a target that has crashed closes its connections as the target itself does after a
+// response without length or chunks: only a target that still serves has ended it on purpose.
+func (s *session) settleEnd(ctx context.Context, choice fleet.Choice, resp *Response) error {
+	if resp.Framing != UntilClose {
+		return io.EOF
+	}
+	start := time.Now()
+	err := s.router.sender.Confirm(ctx, choice.Target)
+	s.router.metrics.confirmation.WithLabelValues(confirmationResult(err)).Observe(time.Since(start).Seconds())
+	switch {
+	case err == nil:
+		return io.EOF
+	case ctx.Err() != nil:
+		return ctx.Err()
+	}
+	// The error of the question is not that of the response, which its target ended.
+	return fmt.Errorf("%w; asked target %s: %v", errUnconfirmed, choice.Target.ID, err)
+}
+
+// confirmationResult is the label value for the result of a confirmation.
+func confirmationResult(err error) string {
+	if err == nil {
+		return "serves"
+	}
+	return "unconfirmed"
+}
+
 // responseEnd is how the response of an attempt ended.
 type responseEnd struct {
 	framing Framing
@@ -37,6 +89,8 @@
 		s.end.reason = endComplete
 	case errors.Is(err, errInsideEvent):
 		s.end.reason = endInsideEvent
+	case errors.Is(err, errUnconfirmed), errors.Is(err, errNoEvent):
+		s.end.reason = endUnconfirmed
 	default:
 		s.end.reason = endError
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -34,8 +34,8 @@
 	in := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(in)
-		if err == io.EOF && len(event) > 0 {
-			err = errInsideEvent
+		if err == io.EOF {
+			err = s.settleStreamEnd(clientCtx, choice, resp, len(event))
 		}
 		s.recordEnd(err, len(event))
 		if err == io.EOF {
--- a/router/unresponsive_test.go
+++ b/router/unresponsive_test.go
@@ -57,6 +57,8 @@
 	return target.Instance(), nil
 }
 
+func (s *silentSender) Confirm(context.Context, fleet.Target) error { return nil }
+
 func (s *silentSender) Probe(ctx context.Context, target fleet.Target) ProbeResult {
 	if target.ID != "a" || s.accepts {
 		return Listening
@@ -98,7 +100,7 @@
 
 // serveAtSilentTarget serves one request that is first sent to target a, and returns the
 // result, the response and the time that it took.
-func serveAtSilentTarget(t *testing.T, route catalog.Route, sender *silentSender, retries RetryBounds) (*refusal.Error, *recordedResponse, time.Duration, *logtest.Hook) {
+func serveAtSilentTarget(t *testing.T, route catalog.Route, sender Sender, retries RetryBounds) (*refusal.Error, *recordedResponse, time.Duration, *logtest.Hook) {
 	t.Helper()
 	var (
 		refused *refusal.Error
@@ -123,7 +125,8 @@
 		refused = r.Serve(ctx, &Request{ID: "1", Method: "POST", Host: "h", Path: "/x", URI: "/x", Received: start, Deadline: start.Add(8 * time.Second)}, &writer)
 		took = time.Since(start)
 		cancel()
-		synctest.Wait()
+		// Probes outlive the request.
+		time.Sleep(probeTimeout + reprobeDelay + probeTimeout)
 	})
 	return refused, &writer, took, hook
 }
