target: truncated answers of plain services are not complete

The other door had the same fault: an answer with neither length nor chunks that ended with the crash of its service was recorded in the ledger and given to the caller as complete, for calls that run at most once as well. After such an answer the service has to accept a connection; otherwise the outcome is unknown. Streams of engines end with a marker of their own, JSON answers of engines and of the platform's store end with their object, so that a cut is an error there.

TestAnswerWithoutLengthNeedsALivingService/truncated failed before and passes.

--- a/target/service.go
+++ b/target/service.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 )
 
 // maxAnswerBytes bounds the body of a plain service's response.
@@ -74,12 +76,39 @@
 	if err != nil {
 		return Answer{}, fmt.Errorf("read the service's answer: %w", err)
 	}
+	if endsWithConnection(resp) {
+		if err := s.confirm(ctx); err != nil {
+			return Answer{}, fmt.Errorf("the service's answer ended with its connection, which may not be its end: %w", err)
+		}
+	}
 	if len(body) > maxAnswerBytes {
 		return Answer{}, fmt.Errorf("the service's answer is over %d bytes", maxAnswerBytes)
 	}
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// endsWithConnection reports whether only the end of the connection marks that of the body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// confirm checks that the service still accepts connections. The kernel closes the connections
+// of a service that has crashed in order, as the service itself does after an answer without a
+// length, but it closes the listener with them.
+func (s *Service) confirm(ctx context.Context) error {
+	base, err := url.Parse(s.baseURL)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // requestBody returns the call's body, with its type hidden from the HTTP
 // library if the call must not be resent. net/http resends a request on a new
 // connection if an idle one turns out to be closed, the body can be rewound and
