--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -80,6 +80,8 @@
 	scarce bool
 	// versions has targets of two software versions, and clients that resume streams.
 	versions bool
+	// framings has targets that mark the end of their responses in different ways.
+	framings bool
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -123,6 +123,9 @@
 	if r.versions {
 		s.divideVersions()
 	}
+	if r.framings {
+		defer s.mixFramings()
+	}
 	for i := range 2 {
 		s.desks = append(s.desks, s.startTarget(fmt.Sprintf("d%d", i), "desk", nil))
 	}
