--- a/router/poison.go
+++ b/router/poison.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strings"
 	"time"
 
 	"acaciakeel/poison"
@@ -13,6 +14,28 @@
 	return poison.Case{Content: in.content, Service: in.service.Name, Customer: in.customerName(), Request: in.ID}
 }
 
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 16
+
+// sharedParts returns the parts of the prompt but the last one, which belongs to the request
+// alone.
+func (r *Request) sharedParts() []Part {
+	return r.Prefix[:max(0, len(r.Prefix)-1)]
+}
+
+// partsLogValue returns the IDs of the shared parts of the prompt, in their order.
+func (r *Request) partsLogValue() string {
+	var ids []string
+	for _, p := range r.sharedParts() {
+		if len(ids) == maxLoggedParts {
+			ids = append(ids, "...")
+			break
+		}
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // checkPoison refuses a request whose content is known to crash targets, and stores the
 // decision by which a suspect is isolated. A request that crashes its targets is repeated
 // under new IDs and at other processes, where limits per ID or per process start anew: with
