Reproduce prompt parts that crash runner after runner

The stand-in of a target crashes once it begins to answer a prompt of which a part but the last has a given id.

--- a/internal/standin/runner/deadly.go
+++ b/internal/standin/runner/deadly.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -14,6 +15,9 @@
 	marker string
 	after  time.Duration
 	down   time.Duration
+	// part is the ID of a part of prompts that makes the target crash once it begins to answer;
+	// it has no effect as the last part.
+	part string
 	// crashes holds the times of the crashes. isDown is set between a crash and the
 	// restart, isClosed after Close.
 	crashes  []time.Time
@@ -29,6 +33,29 @@
 	r.marker, r.after, r.down = marker, after, down
 }
 
+// CrashOnPart makes the target crash on requests of which a part but the last has an ID: the
+// delay after it has begun to answer one it crashes, and stays down for the duration down.
+func (r *Runner) CrashOnPart(id string, after, down time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.part, r.after, r.down = id, after, down
+}
+
+// HasPart reports whether a request's prompt has a part, not counting the last one.
+func HasPart(h http.Header, id string) bool {
+	parts := strings.Split(h.Get("Prefix-Hash"), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
+		got, _, _ := strings.Cut(p, ":")
+		return strings.EqualFold(got, id)
+	})
+}
+
+func (r *Runner) crashesOnPart(h http.Header) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.part != "" && HasPart(h, r.part)
+}
+
 // Crashes returns the number of crashes caused by CrashOn.
 func (r *Runner) Crashes() int {
 	r.mu.Lock()
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -323,6 +323,10 @@
 		t.run = in
 		var begun bool
 		if begun, refused = r.processPrompt(req, in, r.slowed(t.pace)); begun {
+			if r.crashesOnPart(req.Header) {
+				r.crash()
+				panic(http.ErrAbortHandler)
+			}
 			h.Set("Content-Type", "text/event-stream")
 			r.setWeights(h, req.Header.Get("Model"))
 			r.stream(w, req, t)
