poison: refuse requests by a prompt part that crashes targets

Callers of other requests lost their streams as target after target crashed, thirty in a series: what was known of crashes went by whole content, and no two of the requests that caused them were alike. They had one part of their prompts in common.

Crashes now count against the parts of a prompt as well, but the last, in the same table, pulses and verdicts. After three a request is refused if no other part, or content, that it does not have explains all of them: of parts that always stood together, a request without one shows which it is. A run counts for its parts once its target has lived on for 0.3 s, before or after a crash; a run that goes on so long is not blamed. A verdict of fewer than five crashes ends after 10 or 30 s with one trial at a time, so that a sound part is freed; then it lasts as long as that on a content. keelctl verdicts and the refusal name the part.

--- a/ctl/verdicts.go
+++ b/ctl/verdicts.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,18 +43,18 @@
 
 func (a *app) printVerdicts(entries []store.Entry, now time.Time) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "CONTENT\tSERVICE\tCUSTOMER\tLAST REQUEST\tENDED\tSTATE")
+	fmt.Fprintln(w, "CONTENT\tSERVICE\tCUSTOMER\tLAST REQUEST\tPART\tENDED\tSTATE")
 	for _, e := range entries {
 		v, err := verdicts.Decode(e, now)
 		if err != nil {
-			fmt.Fprintf(w, "%s\t\t\t\t\t%v\n", strings.TrimPrefix(e.Key, platform.VerdictPrefix), err)
+			fmt.Fprintf(w, "%s\t\t\t\t\t\t%v\n", strings.TrimPrefix(e.Key, platform.VerdictPrefix), err)
 			continue
 		}
 		var ended []string
 		for _, life := range v.Crashed {
 			ended = append(ended, life.ID)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", v.Content, v.Service, v.Customer, v.Request, strings.Join(ended, " "), verdictState(v, now))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", v.Content, v.Service, v.Customer, v.Request, cmp.Or(v.Part, "-"), strings.Join(ended, " "), verdictState(v, now))
 	}
 	return w.Flush()
 }
--- a/node/poison_parts_test.go
+++ b/node/poison_parts_test.go
@@ -33,7 +33,6 @@
 	length, badEvery, soundEvery time.Duration
 
 	mu          sync.Mutex
-	sent        int
 	sound       int
 	servedFirst int
 }
@@ -114,6 +113,7 @@
 			if n := l.lateSends(); n > maxLateSends {
 				t.Errorf("%d requests with the part ran later than %s after the fifth crash, at most %d may; %d runners crashed", n, crashedPartGrace, maxLateSends, w.crashes())
 			}
+			t.Logf("%d runners crashed; %d of %d sound requests were served at first", w.crashes(), l.servedFirst, l.sound)
 			if 2*l.servedFirst < l.sound {
 				t.Errorf("%d of %d sound requests were served, want half", l.servedFirst, l.sound)
 			}
--- a/poison/evaluate.go
+++ b/poison/evaluate.go
@@ -25,8 +25,10 @@
 // Decision tells how a request may be sent.
 type Decision struct {
 	Status Status
-	// Crashes is the number of targets that crashed while running the content.
+	// Crashes is the number of targets that crashed while running the content, or prompts with
+	// Part, the ID of the part that decides; Part is empty if the whole content does.
 	Crashes int
+	Part    string
 	// Remaining is the time until the verdict expires.
 	Remaining time.Duration
 	// Avoid are the targets that run other suspects. If two suspects were running on a
@@ -95,20 +97,30 @@
 
 // ActiveRequest is a request of this process, from its arrival until it is finished.
 type ActiveRequest struct {
-	table   *Table
-	content Fingerprint
-	target  *fleet.Instance
+	table  *Table
+	parts  []Part
+	target *fleet.Instance
+	// registered are the content and the parts for which the request counts as running.
+	registered []Fingerprint
 }
 
-// Track registers a request; the caller calls Finish when it is done.
-func (t *Table) Track(content Fingerprint) *ActiveRequest {
+// Track registers a request with its parts; the caller calls Finish when it is done.
+func (t *Table) Track(content Fingerprint, parts ...Part) *ActiveRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := &ActiveRequest{table: t, content: content}
-	t.running[content] = append(t.running[content], a)
+	a := &ActiveRequest{table: t, parts: parts}
+	a.register(content)
 	return a
 }
 
+// register has the request count as running for a content or a part. The caller holds mu.
+func (a *ActiveRequest) register(content Fingerprint) {
+	if !slices.Contains(a.registered, content) {
+		a.registered = append(a.registered, content)
+		a.table.running[content] = append(a.table.running[content], a)
+	}
+}
+
 // SentTo records the target to which the request is sent.
 func (a *ActiveRequest) SentTo(target fleet.Instance) {
 	a.setTarget(&target)
@@ -121,13 +133,21 @@
 	defer a.table.mu.Unlock()
 	a.target = target
 	delete(a.table.localSuspects, a)
-	r := a.table.records[a.content]
-	if r == nil || r.countedCrashes() == 0 {
-		return
+	for _, p := range a.parts {
+		// Below the threshold a part, which many may share, is sent like any other.
+		if r := a.table.records[p.Fingerprint]; r != nil && r.countedCrashes() >= CrashThreshold {
+			a.register(p.Fingerprint)
+		}
 	}
-	r.pendingSends = max(r.pendingSends, 1)
-	if target != nil {
-		a.table.localSuspects[a] = *target
+	for _, content := range a.registered {
+		r := a.table.records[content]
+		if r == nil || r.countedCrashes() == 0 {
+			continue
+		}
+		r.pendingSends = max(r.pendingSends, 1)
+		if target != nil {
+			a.table.localSuspects[a] = *target
+		}
 	}
 }
 
@@ -144,10 +164,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.localSuspects, a)
-	left := slices.DeleteFunc(t.running[a.content], func(other *ActiveRequest) bool { return other == a })
-	if len(left) == 0 {
-		delete(t.running, a.content)
-		return
+	for _, content := range a.registered {
+		left := slices.DeleteFunc(t.running[content], func(other *ActiveRequest) bool { return other == a })
+		if len(left) == 0 {
+			delete(t.running, content)
+			continue
+		}
+		t.running[content] = left
 	}
-	t.running[a.content] = left
 }
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"hash"
 )
 
 // Fingerprint is a hash of a request's content, equal for every repetition of the request.
@@ -30,15 +31,19 @@
 func (c Content) Fingerprint() Fingerprint {
 	h := sha256.New()
 	for _, field := range [][]byte{[]byte(c.Method), []byte(c.Host), []byte(c.URI), []byte(c.Customer), c.Body} {
-		// The length prefix keeps field boundaries unambiguous.
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-		h.Write(length[:])
-		h.Write(field)
+		writeField(h, field)
 	}
 	return Fingerprint(h.Sum(nil)[:16])
 }
 
+// writeField hashes a field with its length, which keeps field boundaries unambiguous.
+func writeField(h hash.Hash, field []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	h.Write(length[:])
+	h.Write(field)
+}
+
 // String returns the hexadecimal form that logs and commands show.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
--- a/poison/reports.go
+++ b/poison/reports.go
@@ -115,7 +115,7 @@
 
 // bytes returns the approximate encoded size.
 func (r Report) bytes() int {
-	n := reportBytes + crashBytes*len(r.Crashes) + len(r.Service) + len(r.Customer) + len(r.Request)
+	n := reportBytes + crashBytes*len(r.Crashes) + len(r.Service) + len(r.Customer) + len(r.Request) + len(r.Part)
 	if r.RunningOn != nil {
 		n += crashBytes
 	}
@@ -188,7 +188,11 @@
 		add = func(c Case, inst fleet.Instance, o Origin, now time.Time) { t.addCrash(c, inst, o, now) }
 	}
 	for _, e := range report.Crashes {
-		if !e.Cleared {
+		switch {
+		case e.Cleared:
+		case t.servedLately(report.Content, now):
+			t.clearCrash(report.Case, e.Instance, now)
+		default:
 			add(report.Case, e.Instance, origin, now)
 		}
 	}
--- a/poison/table.go
+++ b/poison/table.go
@@ -59,6 +59,8 @@
 	Customer string
 	// Request is the id of the latest request with the content.
 	Request string
+	// Part is the ID of the part of prompts that this is about; empty for a whole content.
+	Part string
 }
 
 // record is the state of one content.
@@ -96,6 +98,8 @@
 type brokenResponse struct {
 	request  Case
 	instance fleet.Instance
+	// parts are those of the prompt that may have crashed the target.
+	parts []Case
 	// sentAt is when the request was sent, brokenAt when the response broke off.
 	sentAt, brokenAt time.Time
 }
@@ -115,6 +119,8 @@
 	// evidence has arrived.
 	brokenResponses []brokenResponse
 	crashedAt       map[fleet.Instance]time.Time
+	// history is what this process has seen of parts that were served.
+	history partHistory
 	// sendBudget is the number of bytes that may be sent, as of sendBudgetAt.
 	sendBudget   int
 	sendBudgetAt time.Time
@@ -139,7 +145,7 @@
 func New(onChange func(Change)) *Table {
 	return &Table{
 		records: map[Fingerprint]*record{}, running: map[Fingerprint][]*ActiveRequest{}, localSuspects: map[*ActiveRequest]fleet.Instance{}, remoteSuspects: map[Fingerprint]remoteRun{},
-		crashedAt: map[fleet.Instance]time.Time{}, onChange: onChange,
+		crashedAt: map[fleet.Instance]time.Time{}, history: partHistory{servedAt: map[Fingerprint]time.Time{}}, onChange: onChange,
 	}
 }
 
@@ -158,12 +164,14 @@
 }
 
 // RecordBrokenResponse records that a target broke off the response to a request sent at
-// sentAt. It counts as a crash once there is evidence that the target has crashed.
-func (t *Table) RecordBrokenResponse(c Case, instance fleet.Instance, sentAt, now time.Time) {
+// sentAt. It counts as a crash, of the content and of the given parts of its prompt, once there
+// is evidence that the target has crashed.
+func (t *Table) RecordBrokenResponse(c Case, instance fleet.Instance, sentAt, now time.Time, parts ...Case) {
 	t.mu.Lock()
 	defer t.unlockAndNotify()
 	t.dropStaleEvidence(now)
-	b := brokenResponse{request: c, instance: instance, sentAt: sentAt, brokenAt: now}
+	t.dropRuns(instance)
+	b := brokenResponse{request: c, instance: instance, parts: parts, sentAt: sentAt, brokenAt: now}
 	for other, at := range t.crashedAt {
 		if other.Matches(instance) && !sentAt.After(at) {
 			t.countLocalCrash(b, now)
@@ -181,11 +189,19 @@
 // unavailable. A request sent after the target's last known crash ran in a later instance,
 // which gets the time of sending as its birth to distinguish it.
 func (t *Table) countLocalCrash(b brokenResponse, now time.Time) {
-	instance := b.instance
-	if r := t.records[b.request.Content]; r != nil && r.hasCrash(instance) && b.sentAt.After(r.lastCrash(instance.ID)) {
-		instance.Born = b.sentAt.UnixMilli()
+	count := func(c Case) {
+		instance := b.instance
+		if r := t.records[c.Content]; r != nil && r.hasCrash(instance) && b.sentAt.After(r.lastCrash(instance.ID)) {
+			instance.Born = b.sentAt.UnixMilli()
+		}
+		t.countCrash(c, instance, OriginLocal, now)
+	}
+	count(b.request)
+	for _, part := range b.parts {
+		if !t.servedLately(part.Content, b.brokenAt) {
+			count(part)
+		}
 	}
-	t.countCrash(b.request, instance, OriginLocal, now)
 }
 
 // AwaitsEvidence reports whether broken responses of an instance wait for evidence of a
@@ -201,6 +217,7 @@
 	t.mu.Lock()
 	defer t.unlockAndNotify()
 	t.dropStaleEvidence(now)
+	t.dropRuns(instance)
 	t.crashedAt[instance] = now
 	t.brokenResponses = slices.DeleteFunc(t.brokenResponses, func(b brokenResponse) bool {
 		if !b.instance.Matches(instance) {
@@ -227,7 +244,7 @@
 // The caller holds mu.
 func (t *Table) countCrash(c Case, instance fleet.Instance, origin Origin, now time.Time) {
 	r, added := t.addCrash(c, instance, origin, now)
-	if added && r.countedCrashes() >= CrashThreshold && !now.Before(r.until) {
+	if added && r.countedCrashes() >= CrashThreshold && (!now.Before(r.until) || r.verdictTooShort()) {
 		t.convict(r, c, instance, origin, now)
 	}
 }
@@ -250,7 +267,7 @@
 
 // convict starts a verdict. The caller holds mu.
 func (t *Table) convict(r *record, c Case, instance fleet.Instance, origin Origin, now time.Time) {
-	r.duration = min(max(2*r.duration, initialVerdictDuration), maxVerdictDuration)
+	r.duration = r.verdictDuration()
 	r.until, r.expiryReported, r.inStore = now.Add(r.duration), false, origin == OriginStore
 	r.needsWrite = r.needsWrite || origin == OriginLocal
 	t.addChange(Change{Kind: Convicted, Origin: origin, Target: instance, Crashes: r.countedCrashes(), Until: r.until}, c)
@@ -357,6 +374,11 @@
 	t.mu.Lock()
 	defer t.unlockAndNotify()
 	t.brokenResponses = slices.DeleteFunc(t.brokenResponses, func(b brokenResponse) bool { return b.request.Content == content })
+	t.clearContent(content, now)
+}
+
+// clearContent clears the crashes counted against a content or a part. The caller holds mu.
+func (t *Table) clearContent(content Fingerprint, now time.Time) {
 	r := t.records[content]
 	if r == nil || !r.clearCrashes() {
 		return
@@ -376,6 +398,8 @@
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.unlockAndNotify()
+	t.settleRuns(now)
+	t.dropServed(now)
 	for content, r := range t.records {
 		lapsed := !r.until.IsZero() && !now.Before(r.until)
 		if lapsed && !r.expiryReported {
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -120,6 +120,7 @@
 	Service  string         `json:"service"`
 	Customer string         `json:"customer"`
 	Request  string         `json:"request"`
+	Part     string         `json:"part,omitempty"`
 	Ended    []storedTarget `json:"ended"`
 	UntilMS  int64          `json:"until_unix_ms"`
 	Lifted   bool           `json:"lifted"`
@@ -132,7 +133,7 @@
 
 // Encode returns the store value of a verdict.
 func (v Verdict) Encode() ([]byte, error) {
-	w := storedVerdict{Service: v.Service, Customer: v.Customer, Request: v.Request, UntilMS: v.Until.UnixMilli(), Lifted: v.Lifted}
+	w := storedVerdict{Service: v.Service, Customer: v.Customer, Request: v.Request, Part: v.Part, UntilMS: v.Until.UnixMilli(), Lifted: v.Lifted}
 	for _, instance := range v.Crashed {
 		w.Ended = append(w.Ended, storedTarget{Target: instance.ID, Born: instance.Born})
 	}
@@ -149,7 +150,7 @@
 		return Verdict{}, fmt.Errorf("decode verdict: %w", err)
 	}
 	v := Verdict{
-		Case:  Case{Content: content, Service: w.Service, Customer: w.Customer, Request: w.Request},
+		Case:  Case{Content: content, Service: w.Service, Customer: w.Customer, Request: w.Request, Part: w.Part},
 		Until: time.UnixMilli(w.UntilMS), Lifted: w.Lifted, Revision: revision,
 	}
 	for _, target := range w.Ended {
--- a/pulses/suspects.go
+++ b/pulses/suspects.go
@@ -13,7 +13,7 @@
 	out := make([]*keelv1.SuspectContent, 0, len(reports))
 	for _, r := range reports {
 		w := &keelv1.SuspectContent{
-			Fingerprint: r.Content[:], Service: r.Service, Customer: r.Customer, Request: r.Request, RefusedMs: uint64(r.Remaining.Milliseconds()),
+			Fingerprint: r.Content[:], Service: r.Service, Customer: r.Customer, Request: r.Request, Part: r.Part, RefusedMs: uint64(r.Remaining.Milliseconds()),
 		}
 		for _, e := range r.Crashes {
 			w.Ends = append(w.Ends, &keelv1.TargetLife{Target: e.Instance.ID, Born: e.Instance.Born, Discharged: e.Cleared})
@@ -35,7 +35,7 @@
 			continue
 		}
 		r := poison.Report{
-			Case:      poison.Case{Content: poison.Fingerprint(w.Fingerprint), Service: w.Service, Customer: w.Customer, Request: w.Request},
+			Case:      poison.Case{Content: poison.Fingerprint(w.Fingerprint), Service: w.Service, Customer: w.Customer, Request: w.Request, Part: w.Part},
 			Remaining: time.Duration(min(w.RefusedMs, maxRefusedMs)) * time.Millisecond,
 		}
 		for _, e := range w.Ends {
--- a/router/crash_detector.go
+++ b/router/crash_detector.go
@@ -106,7 +106,7 @@
 func (s *session) recordBrokenResponse(choice fleet.Choice, err error) {
 	unavailable := !s.router.fleet.Available(choice.Target.Instance())
 	if !unavailable {
-		s.router.poison.RecordBrokenResponse(s.in.poisonCase(), choice.Target.Instance(), s.sentAt, time.Now())
+		s.router.poison.RecordBrokenResponse(s.in.poisonCase(), choice.Target.Instance(), s.sentAt, time.Now(), s.accusedParts()...)
 	}
 	if !causedByPeer(err) {
 		return
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -166,6 +166,7 @@
 	s.router.fleet.RecordSuccess(choice.Target.Instance())
 	if resp.Status < 300 {
 		s.router.poison.RecordSuccess(s.in.content, time.Now())
+		s.router.poison.RecordPartsServed(s.in.parts, choice.Target.Instance(), time.Now())
 	}
 	if refused := s.writeWhole(&bufferedResponse{resp, body}); refused != nil {
 		return attemptResult{refused: refused}
--- a/router/poison.go
+++ b/router/poison.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +16,41 @@
 	return poison.Case{Content: in.content, Service: in.service.Name, Customer: in.customerName(), Request: in.ID}
 }
 
+// poisonParts returns the shared parts of the prompt, each once.
+func (in *admittedRequest) poisonParts() []poison.Part {
+	var out []poison.Part
+	for _, p := range in.sharedParts() {
+		part := poison.NewPart(in.Model, p.ID)
+		if !slices.ContainsFunc(out, func(other poison.Part) bool { return other.Fingerprint == part.Fingerprint }) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// accusedParts returns the parts of the prompt that the crash of the current target counts
+// against: none if it has lived on after it began to answer.
+func (s *session) accusedParts() []poison.Case {
+	if s.survived {
+		return nil
+	}
+	var out []poison.Case
+	for _, p := range s.in.parts {
+		c := s.in.poisonCase()
+		c.Content, c.Part = p.Fingerprint, p.ID
+		out = append(out, c)
+	}
+	return out
+}
+
+// recordSurvival records that the current target lives on after it began to answer.
+func (s *session) recordSurvival(now time.Time) {
+	if !s.survived && now.Sub(s.attemptBegan) >= poison.SurvivalTime {
+		s.survived = true
+		s.router.poison.RecordPartsSurvived(s.in.parts, now)
+	}
+}
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 16
 
@@ -46,6 +83,11 @@
 		return nil
 	}
 	decision := s.router.poison.Evaluate(s.in.content, now)
+	subject := fmt.Sprintf("the same content (%s)", s.in.content)
+	if byPart := s.router.poison.EvaluateParts(s.in.parts, now); byPart.Outranks(decision) {
+		decision = byPart
+		subject = fmt.Sprintf("the same part of their prompts (%s)", byPart.Part)
+	}
 	s.decision = decision
 	disposition := "this one was not run"
 	if s.executions > 0 {
@@ -55,10 +97,10 @@
 	switch decision.Status {
 	case poison.Refused:
 		return refusal.New(refusal.CrashesTargets, "change the request, or come back after the time in Retry-After; operators can lift the verdict",
-			"%d targets ended while they ran requests with the same content (%s); %s", decision.Crashes, s.in.content, disposition).WithRetryAfter(decision.Remaining)
+			"%d targets ended while they ran requests with %s; %s", decision.Crashes, subject, disposition).WithRetryAfter(decision.Remaining)
 	case poison.Waiting:
 		return refusal.New(refusal.SuspectInProgress, "come back after the time in Retry-After",
-			"a target ended while it ran a request with the same content (%s), and another is being tried; %s", s.in.content, disposition).WithRetryAfter(defaultRetryAfter)
+			"targets ended while they ran requests with %s, and another is being tried; %s", subject, disposition).WithRetryAfter(defaultRetryAfter)
 	}
 	return nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,8 @@
 	deadline time.Time
 	// content identifies what the request asks for, independent of its ID.
 	content poison.Fingerprint
+	// parts are those of the prompt that other requests may share.
+	parts []poison.Part
 }
 
 // Serve answers a request. It returns nil once the response is complete, or the reason for
@@ -152,6 +154,7 @@
 		return in, refusal.New(refusal.UnknownService, "tell the operators", "route %s leads to no service", in.route.Name)
 	}
 	in.content = in.fingerprint()
+	in.parts = in.poisonParts()
 	in.deadline = earlierDeadline(req.Deadline, in.route.Timeout, req.Received)
 	if stop := r.shutdownDeadline.Load(); stop != nil && !in.expectedToEndBy(*stop) {
 		return in, refusal.New(refusal.Stopping, "ask another entry", "this entry stops before the request is expected to end").WithRetryAfter(shutdownRetryAfter)
--- a/router/session.go
+++ b/router/session.go
@@ -59,6 +59,10 @@
 	probed   <-chan struct{}
 	// end is how the last response ended.
 	end responseEnd
+	// attemptBegan is when the current target sent its first event, and survived is set once it
+	// has lived on after that.
+	attemptBegan time.Time
+	survived     bool
 	// scarce is the decision by which the request was refused while targets' time was scarce.
 	scarce *scarceDecision
 	// unresponsive is set when the current attempt is given up because its target does not
@@ -68,7 +72,7 @@
 
 func (s *session) run(ctx context.Context) *refusal.Error {
 	s.router.budgets.recordRequest(s.in.service.Name, time.Now())
-	s.tracked = s.router.poison.Track(s.in.content)
+	s.tracked = s.router.poison.Track(s.in.content, s.in.parts...)
 	defer s.tracked.Finish()
 	for {
 		if refused := s.checkPoison(time.Now()); refused != nil {
@@ -162,6 +166,7 @@
 	s.charge.SetExecutions(s.executions + 1)
 	s.lastChoice = choice
 	s.tried = append(s.tried, choice.Target.Instance())
+	s.attemptBegan, s.survived = time.Time{}, false
 	f := s.router.fleet
 	s.sentAt = time.Now()
 	s.shuttingDownFor = f.ShuttingDownFor(choice.Target.Instance(), s.sentAt)
--- a/router/stream.go
+++ b/router/stream.go
@@ -66,6 +66,10 @@
 
 // recordEvent records the arrival of an event.
 func (s *session) recordEvent(now time.Time) {
+	if s.attemptBegan.IsZero() {
+		s.attemptBegan = now
+	}
+	s.recordSurvival(now)
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = now
 		s.recordStart(now)
@@ -98,6 +102,7 @@
 	s.router.fleet.RecordSuccess(choice.Target.Instance())
 	s.active.Complete(time.Now())
 	s.router.poison.RecordSuccess(s.in.content, time.Now())
+	s.router.poison.RecordPartsServed(s.in.parts, choice.Target.Instance(), time.Now())
 	if !s.headerWritten {
 		if err := s.writeBody(resp, nil); err != nil {
 			return attemptResult{refused: clientGone(err)}
--- a/verdicts/syncer.go
+++ b/verdicts/syncer.go
@@ -85,6 +85,9 @@
 		"event": "content_" + string(c.Kind), "content": c.Content.String(), "service": c.Service, "customer": c.Customer,
 		"request": c.Request, "origin": c.Origin, "ends": c.Crashes,
 	}
+	if c.Part != "" {
+		fields["part"] = c.Part
+	}
 	if c.Target != (fleet.Instance{}) {
 		fields["target"], fields["born"] = c.Target.ID, c.Target.Born
 	}
