Close new connections unread while an entry gets too little processor time

The platform may lead most new connections to one entry.

What it is worth while one entry gets most new connections has not been measured: no tool here steers them.

--- a/door/door.go
+++ b/door/door.go
@@ -53,6 +53,12 @@
 	return d, nil
 }
 
+// RefuseNew has new connections closed unread while active returns true; onRefused is called for
+// each of them. Open connections are served as before.
+func (d *Server) RefuseNew(active func() bool, onRefused func()) {
+	d.listener.refuseNew.Store(&refusal{active: active, onRefused: onRefused})
+}
+
 // Address returns the listening address as IP:PORT.
 func (d *Server) Address() string {
 	return d.listener.Addr().String()
--- a/door/listener.go
+++ b/door/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,9 @@
 type listener struct {
 	*net.TCPListener
 	conns *connSet
+	// refuseNew, if set, reports whether new connections are closed unread; onRefused is called
+	// for each.
+	refuseNew atomic.Pointer[refusal]
 	// refusing is closed when the listener begins to refuse new connections.
 	refusing chan struct{}
 	// unlimited is used once the kernel could not be told to limit a connection.
@@ -31,6 +35,30 @@
 	lateLooks int
 }
 
+// refusal decides whether new connections are closed unread.
+type refusal struct {
+	active    func() bool
+	onRefused func()
+}
+
+// refuses closes a new connection unread if new connections are refused now. Its client then
+// knows that the request was not read, and may send it elsewhere.
+func (l *listener) refuses(c *net.TCPConn) bool {
+	r := l.refuseNew.Load()
+	if r == nil || !r.active() || l.shuttingDown() {
+		return false
+	}
+	_ = c.Close() // nothing was read from it or written to it
+	r.onRefused()
+	return true
+}
+
+func (l *listener) shuttingDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase != 0
+}
+
 // drainPhase is a phase of the shutdown of a listener; zero before the shutdown.
 type drainPhase int
 
@@ -69,6 +97,9 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.AcceptTCP()
+		if err == nil && l.refuses(c) {
+			continue
+		}
 		if err == nil {
 			l.extend(time.Now())
 			if err := limitUnsent(c); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,7 @@
 	targetLimits targetLimitMetrics
 	sharing      sharingMetrics
 	servers      struct{ front, ready, metrics *door.Server }
+	lateness     door.Lateness
 	// cancel stops everything that the node runs; cancelDuties stops what it does for the
 	// other nodes: its lease, the leader election, the node count and rollouts.
 	cancel       context.CancelFunc
@@ -238,6 +239,7 @@
 	go n.cacheWatcher.Run(ctx)
 	go n.router.CheckTargets(ctx)
 	go n.exchange.run(ctx)
+	go n.lateness.Run(ctx)
 	go n.logEngineStats(ctx)
 	go n.logLimits(ctx)
 	go n.logTargetLimits(ctx)
@@ -270,8 +272,11 @@
 	front := newServer(n.frontend)
 	front.ConnContext = platform.ConnContext
 	front.BaseContext = func(net.Listener) context.Context { return n.requestCtx }
-	n.servers.front, err = door.Start(n.settings.Listen.Front, front, watch)
-	return err
+	if n.servers.front, err = door.Start(n.settings.Listen.Front, front, watch); err != nil {
+		return err
+	}
+	n.refuseWhileOverloaded()
+	return nil
 }
 
 // FrontAddress returns the address at which the started node serves clients.
--- /dev/null
+++ b/node/overload_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"acaciakeel/internal/standin/client"
+)
+
+// Guards against requests that are read by an overloaded entry to which most new connections
+// lead, and against ones that run there and once more elsewhere: a client whose connection was
+// closed unread is served by another entry, and its request runs once.
+func TestRefusedConnectionIsServedElsewhere(t *testing.T) {
+	w := newEnv(t)
+	other := w.startPeer("n1")
+	var overloaded atomic.Bool
+	var refused atomic.Int64
+	w.node.servers.front.RefuseNew(overloaded.Load, func() { refused.Add(1) })
+	overloaded.Store(true)
+	// Without idle connections each attempt opens one.
+	http.DefaultClient.CloseIdleConnections()
+	for i, path := range []string{"/hold/x", "/stock/x", "/draft/x", "/match/x"} {
+		r := streamRequest("", i)
+		r.Path = path
+		if path == "/hold/x" || path == "/stock/x" {
+			r.Prompt = nil
+		}
+		served := false
+		for attempt, n := range []*Node{w.node, other} {
+			r.ID = "try-" + path + string(rune('a'+attempt))
+			if a := w.exchange(n, r); a.err == nil && a.status == http.StatusOK {
+				served = true
+				if n == w.node {
+					t.Errorf("%s was read by the overloaded node", path)
+				}
+			}
+			http.DefaultClient.CloseIdleConnections()
+		}
+		if !served {
+			t.Errorf("%s was not served", path)
+		}
+	}
+	if runs := len(w.executed(w.plainTargets)) + len(w.executed(w.runners)); runs != 4 || refused.Load() < 4 {
+		t.Errorf("%d runs, %d connections refused, want 4 and at least as many", runs, refused.Load())
+	}
+	overloaded.Store(false)
+	if a := w.exchange(w.node, client.Request{Method: http.MethodPost, Host: "h.example", Path: "/hold/x", ID: "after", Key: goodKey, Deadline: streamRequest("", 0).Deadline}); a.status != http.StatusOK {
+		t.Errorf("after the overload: %d (%v)", a.status, a.err)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,6 +85,9 @@
 	// TargetSlowdowns counts the current slowdown that a target reports.
 	TargetSpeeds    Mechanism = "speeds"
 	TargetSlowdowns Mechanism = "slowdowns"
+	// ConnectionRefusal closes new connections unread while the process gets too little
+	// processor time, and another node can take them.
+	ConnectionRefusal Mechanism = "connection-refusal"
 	// ResponseBuffering holds what clients that read slowly have not taken yet, so that
 	// the entry goes on reading from the target.
 	ResponseBuffering Mechanism = "response-buffer"
@@ -105,7 +108,7 @@
 		Learning, Packing, ReserveForLight, CacheFetching, MemoryBackpressure, CacheSaving, CrossDataCentreLinks, CandidateSampling,
 		WaitRefusal, LearnedSlotTime, PriorityWaits, ArrivalGrowth, CapacitySharing, LateAdmission, LightWaitAllowance, Truncation, LoadSharing, SharedWatch,
 		PoisonDetection, SuspectIsolation, CustomerLimits, SharedUsage, Pacing, DemandShares, TargetLimits,
-		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ResponseChecks, Division, EventPauses,
+		TargetSpeeds, TargetSlowdowns, ResponseBuffering, ConnectionRefusal, ResponseChecks, Division, EventPauses,
 	}
 }
 
