soak: a prompt part that crashes targets

Requests with the part, no two alike, come at random entries all the while, beside entries that are killed, alone and all at once, stopped and started, and targets that restart.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -121,7 +121,7 @@
 		Method: http.MethodPost, Host: host, Path: "/" + route + "/" + pathOf(id), ID: id, Key: goodKey, Body: bodyOf(id), Deadline: 6 * time.Second,
 	}
 	if route == "draft" || route == "match" {
-		r.Prompt = &client.Prompt{Model: model, Input: 3000, Output: 500, Parts: fmt.Sprintf("aa:800,b%d:1200,c%s:1000", thing, id)}
+		r.Prompt = &client.Prompt{Model: model, Input: 3000, Output: 500, Parts: promptParts(id, thing)}
 	}
 	if isSlow(id) {
 		r.Path += fmt.Sprintf("?%s=%d", runner.EventBytesParam, slowEventBytes)
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -82,6 +82,8 @@
 	versions bool
 	// framings has targets that mark the end of their responses in different ways.
 	framings bool
+	// badPart has requests with a prompt part that crashes targets.
+	badPart bool
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
@@ -137,6 +139,9 @@
 	if r.deadly != "" {
 		c.deadly(r.deadly, r.seed)
 	}
+	if r.badPart {
+		c.sendBadPart(r.seed)
+	}
 	if r.scarce {
 		c.readSlowly(r.seed)
 	}
@@ -159,7 +164,11 @@
 	if r.versions {
 		c.judgeVersions(streams)
 	}
-	c.judgeDeadly(r.deadly)
+	if r.badPart {
+		c.judgeBadPart()
+	} else {
+		c.judgeDeadly(r.deadly)
+	}
 	c.judgeNotices()
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
