--- a/integration/soak/truncation_test.go
+++ b/integration/soak/truncation_test.go
@@ -9,9 +9,8 @@
 	"acaciakeel/internal/standin/runner"
 )
 
-// Guards against truncated responses that reach clients as complete, beside entries that are
-// killed, paused and stopped and targets that restart: targets mark the end of their responses
-// by a length, by chunks or by neither.
+// Guards against truncated responses that reach clients as complete, by any framing, beside
+// entries that are killed, paused and stopped and targets that restart.
 func TestSoakTruncation(t *testing.T) {
 	seeds := []uint64{1, 2}
 	if n := number("SOAK_SEED", 0); n != 0 {
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -8,9 +8,8 @@
 	"acaciakeel/internal/standin/client"
 )
 
-// Guards against requests that are read by an overloaded entry to which most new connections
-// lead, and against ones that run there and once more elsewhere: a client whose connection was
-// closed unread is served by another entry, and its request runs once.
+// Guards against requests that an overloaded entry reads, or that run there and once more where
+// their clients go after their connection was closed unread.
 func TestRefusedConnectionIsServedElsewhere(t *testing.T) {
 	w := newEnv(t)
 	other := w.startPeer("n1")
--- a/node/poison_parts_test.go
+++ b/node/poison_parts_test.go
@@ -98,9 +98,8 @@
 	return late
 }
 
-// Guards against one part of prompts that crashes runner after runner, thirty in one case: the
-// requests that hold it have nothing else in common, wherever it stands, and sound requests
-// share their other parts.
+// Guards against one part of prompts that crashes runner after runner, while the requests with
+// it have nothing else in common and sound ones share their other parts.
 func TestPartThatCrashesRunnersIsRefused(t *testing.T) {
 	for _, prompt := range []string{"bad,aa,group", "aa,bad,group", "aa,group,bad"} {
 		t.Run(strings.ReplaceAll(prompt, ",", "_"), func(t *testing.T) {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -24,9 +24,12 @@
 	for _, field := range []string{"part", model, strings.ToLower(id)} {
 		writeField(h, []byte(field))
 	}
-	return Part{Fingerprint: Fingerprint(h.Sum(nil)[:16]), ID: id}
+	return Part{Fingerprint: Fingerprint(h.Sum(nil)[:16]), ID: id[:min(len(id), maxIDBytes)]}
 }
 
+// maxIDBytes bounds the ID that is logged, stored and told to other processes; clients choose it.
+const maxIDBytes = 64
+
 const (
 	// SurvivalTime is how long a target must live on after it has begun to answer a prompt, or
 	// has completed the answer, to show that the parts of the prompt do not crash it. Targets
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -36,6 +37,16 @@
 	}
 }
 
+// Guards against IDs of kilobytes in each report, and against parts that differ only at their end
+// and count as one.
+func TestIDsOfPartsAreBounded(t *testing.T) {
+	long := strings.Repeat("a", 5000)
+	a, b := part(long+"1"), part(long+"2")
+	if len(a.ID) > maxIDBytes || a.Fingerprint == b.Fingerprint {
+		t.Errorf("an ID of %d bytes, fingerprints %s and %s", len(a.ID), a.Fingerprint, b.Fingerprint)
+	}
+}
+
 func seconds(n float64) time.Time { return start.Add(time.Duration(n * float64(time.Second))) }
 
 // Guards against a part that crashes target after target because each request is new, and
--- a/router/session.go
+++ b/router/session.go
@@ -167,6 +167,7 @@
 	s.lastChoice = choice
 	s.tried = append(s.tried, choice.Target.Instance())
 	s.attemptBegan, s.survived = time.Time{}, false
+	s.end = responseEnd{}
 	f := s.router.fleet
 	s.sentAt = time.Now()
 	s.shuttingDownFor = f.ShuttingDownFor(choice.Target.Instance(), s.sentAt)
@@ -190,7 +191,7 @@
 		return s.handleSendError(ctx, choice, err)
 	}
 	defer response.Body.Close()
-	s.end = responseEnd{framing: response.Framing}
+	s.end.framing = response.Framing
 	s.recordResponse(choice, response)
 	if out, ok := s.handleNotRun(choice, response); ok {
 		return out
