--- a/node/departed_test.go
+++ b/node/departed_test.go
@@ -40,9 +40,16 @@
 	w.stopAll(w.node)
 	w.repeat("/match/deadly", 2, w.node)
 	fresh := w.startNode("n1")
-	w.until("it knows of two crashes", func() bool {
+	w.until("it knows of two crashes of the content and of both shared parts of its prompt", func() bool {
 		held := fresh.view.verdicts.Table.BootstrapReports(time.Now())
-		return len(held) == 1 && len(held[0].Crashes) == 2
+		parts := map[string]bool{}
+		for _, r := range held {
+			if len(r.Crashes) != 2 {
+				return false
+			}
+			parts[r.Part] = true
+		}
+		return len(held) == 3 && parts[""] && parts["aa"] && parts["bb"]
 	})
 }
 
