router: name what crashed targets had in common in one place

The text was formatted for each request, refused or not; it is now only where a refusal needs it. broke_off logs the bounded ids of parts. A type of package door no longer has the name of a package.

--- a/door/door.go
+++ b/door/door.go
@@ -56,7 +56,7 @@
 // RefuseNew has new connections closed unread while active returns true; onRefused is called for
 // each of them. Open connections are served as before.
 func (d *Server) RefuseNew(active func() bool, onRefused func()) {
-	d.listener.refuseNew.Store(&refusal{active: active, onRefused: onRefused})
+	d.listener.refuseNew.Store(&connRefusal{active: active, onRefused: onRefused})
 }
 
 // Address returns the listening address as IP:PORT.
--- a/door/listener.go
+++ b/door/listener.go
@@ -18,7 +18,7 @@
 	conns *connSet
 	// refuseNew, if set, reports whether new connections are closed unread; onRefused is called
 	// for each.
-	refuseNew atomic.Pointer[refusal]
+	refuseNew atomic.Pointer[connRefusal]
 	// refusing is closed when the listener begins to refuse new connections.
 	refusing chan struct{}
 	// unlimited is used once the kernel could not be told to limit a connection.
@@ -35,8 +35,8 @@
 	lateLooks int
 }
 
-// refusal decides whether new connections are closed unread.
-type refusal struct {
+// connRefusal decides whether new connections are closed unread.
+type connRefusal struct {
 	active    func() bool
 	onRefused func()
 }
--- a/router/poison.go
+++ b/router/poison.go
@@ -61,9 +61,9 @@
 }
 
 // partsLogValue returns the IDs of the shared parts of the prompt, in their order.
-func (r *Request) partsLogValue() string {
+func (in *admittedRequest) partsLogValue() string {
 	var ids []string
-	for _, p := range r.sharedParts() {
+	for _, p := range in.parts {
 		if len(ids) == maxLoggedParts {
 			ids = append(ids, "...")
 			break
@@ -83,10 +83,8 @@
 		return nil
 	}
 	decision := s.router.poison.Evaluate(s.in.content, now)
-	subject := fmt.Sprintf("the same content (%s)", s.in.content)
 	if byPart := s.router.poison.EvaluateParts(s.in.parts, now); byPart.Outranks(decision) {
 		decision = byPart
-		subject = fmt.Sprintf("the same part of their prompts (%s)", byPart.Part)
 	}
 	s.decision = decision
 	disposition := "this one was not run"
@@ -97,10 +95,18 @@
 	switch decision.Status {
 	case poison.Refused:
 		return refusal.New(refusal.CrashesTargets, "change the request, or come back after the time in Retry-After; operators can lift the verdict",
-			"%d targets ended while they ran requests with %s; %s", decision.Crashes, subject, disposition).WithRetryAfter(decision.Remaining)
+			"%d targets ended while they ran requests with %s; %s", decision.Crashes, s.poisonSubject(), disposition).WithRetryAfter(decision.Remaining)
 	case poison.Waiting:
 		return refusal.New(refusal.SuspectInProgress, "come back after the time in Retry-After",
-			"targets ended while they ran requests with %s, and another is being tried; %s", subject, disposition).WithRetryAfter(defaultRetryAfter)
+			"targets ended while they ran requests with %s, and another is being tried; %s", s.poisonSubject(), disposition).WithRetryAfter(defaultRetryAfter)
 	}
 	return nil
 }
+
+// poisonSubject names what the crashed targets had in common with the request.
+func (s *session) poisonSubject() string {
+	if s.decision.Part != "" {
+		return fmt.Sprintf("the same part of their prompts (%s)", s.decision.Part)
+	}
+	return fmt.Sprintf("the same content (%s)", s.in.content)
+}
