--- a/poison/parts.go
+++ b/poison/parts.go
@@ -140,9 +140,9 @@
 	maps.DeleteFunc(t.history.servedAt, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > soundTime+evidenceTimeout })
 }
 
-// EvaluateParts returns how a request with the parts may be sent now. A part that some crashes
-// are counted against is refused with others at first: of several that all crashed prompts had
-// in common, a request without one of them shows which of them it is.
+// EvaluateParts returns how a request with the parts may be sent now. If all crashed prompts had
+// several parts in common, a request with all of them is refused, and one that lacks some of them
+// is sent: its result shows which part is to blame.
 func (t *Table) EvaluateParts(parts []Part, now time.Time) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
