--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -56,6 +56,8 @@
 	LateBy     time.Duration
 	// OnUse is called with each use of a cached part.
 	OnUse func(Use)
+	// Loses, if set, has callers reach the runner over a Link with this Loses.
+	Loses func(p []byte) float64
 
 	bed      *Bed
 	listener net.Listener
@@ -84,6 +86,13 @@
 	mux.HandleFunc("POST /order", e.expected(e.order))
 	mux.HandleFunc("/", e.expected(e.run))
 	go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
+	if e.Loses != nil {
+		link, err := NewLink(ip, e.address, e.Loses)
+		if err != nil {
+			return err
+		}
+		e.address = link.Address()
+	}
 	e.list()
 	return nil
 }
