--- a/review/1/main.go
+++ b/review/1/main.go
@@ -107,6 +107,7 @@
 		one := func(client int) {
 			wg.Go(func() {
 				id := fmt.Sprintf("%02d%02d%012x", wave, client, rand.Uint64()>>16)
+				b.Note("client %d sends %s to %s", client, id, b.Entries[client%len(b.Entries)].Name)
 				status := request(b, client, id)
 				b.Note("client %d got %d for %s", client, status, id)
 				mu.Lock()
