--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -50,10 +50,6 @@
 	Load    time.Duration
 	// OnOrder is called with each order that arrived, in its order at this runner.
 	OnOrder func(Order)
-	// Unanswered, if set, is asked for each order whether it gets no answer and is carried out
-	// late, after LateBy.
-	Unanswered func() bool
-	LateBy     time.Duration
 	// OnUse is called with each use of a cached part.
 	OnUse func(Use)
 	// Loses, if set, has callers reach the runner over a Link with this Loses.
@@ -66,7 +62,9 @@
 	mu      sync.Mutex
 	version int64
 	seq     int64
+	// busy is set while an order is in progress, loading is its version.
 	busy    bool
+	loading int64
 	boot    int64
 	// cached are the parts by salt and ID.
 	cached map[string]made
@@ -151,16 +149,6 @@
 		return
 	}
 	o := Order{At: e.bed.Now(), Runner: e.ID, Holder: in.Holder, Fence: in.Fence, Version: in.Version}
-	if e.Unanswered != nil && e.Unanswered() {
-		e.bed.Note("%s gets an order of %s with fence %d for version %d and leaves it unanswered", e.ID, o.Holder, o.Fence, o.Version)
-		e.OnOrder(o)
-		time.AfterFunc(e.LateBy, func() {
-			status := e.take(in.Version, in.Precondition)
-			e.bed.Note("%s carries out the order of %s with fence %d late: %d", e.ID, o.Holder, o.Fence, status)
-		})
-		<-r.Context().Done()
-		return
-	}
 	o.Status = e.take(in.Version, in.Precondition)
 	e.bed.Note("%s gets an order of %s with fence %d for version %d: %d", e.ID, o.Holder, o.Fence, o.Version, o.Status)
 	e.OnOrder(o)
@@ -208,17 +196,20 @@
 	}
 }
 
-// take carries out an order, and returns the status that answers it.
+// take carries out an order, and returns the status that answers it. An order for the weights that
+// are being loaded is being carried out already.
 func (e *Engine) take(version int64, precondition *int64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case version == e.version:
 		return http.StatusOK
+	case e.busy && version == e.loading:
+		return http.StatusAccepted
 	case e.busy || precondition != nil && *precondition != e.seq:
 		return http.StatusConflict
 	}
-	e.busy = true
+	e.busy, e.loading = true, version
 	e.seq++
 	go e.load(version)
 	return http.StatusAccepted
