--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -215,6 +215,13 @@
 	return http.StatusAccepted
 }
 
+// Version returns the version of the weights that the runner has.
+func (e *Engine) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
 // load loads weights: no requests run here, so nothing has to finish first.
 func (e *Engine) load(version int64) {
 	time.Sleep(e.Load)
