--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -2,12 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -22,25 +18,8 @@
 	Status  int
 }
 
-// Use is a use of a cached part of a prompt.
-type Use struct {
-	At      time.Duration
-	Runner  string
-	Part    string
-	Salt    string
-	Request string
-	Tenant  string
-	// MadeBy and MakerTenant are the request that had the part prefilled, and its tenant.
-	MadeBy      string
-	MakerTenant string
-}
-
-// made is who had a part prefilled.
-type made struct{ request, tenant string }
-
-// Engine is a stand-in of a model runner, as the protocol's page describes it: it reports its
-// weights and loads new ones by order, runs requests with a prompt, and keeps the parts of their
-// prompts under their Cache-Salt.
+// Engine is a stand-in of a model runner without clients, as the protocol's page describes it: it
+// reports its weights and loads new ones by order.
 type Engine struct {
 	ID      string
 	Service string
@@ -50,8 +29,6 @@
 	Load    time.Duration
 	// OnOrder is called with each order that arrived, in its order at this runner.
 	OnOrder func(Order)
-	// OnUse is called with each use of a cached part.
-	OnUse func(Use)
 	// Loses, if set, has callers reach the runner over a Link with this Loses.
 	Loses func(p []byte) float64
 
@@ -66,8 +43,6 @@
 	busy    bool
 	loading int64
 	boot    int64
-	// cached are the parts by salt and ID.
-	cached map[string]made
 }
 
 // StartEngine starts a model runner with the first version and lists it in the store.
@@ -77,12 +52,10 @@
 		return err
 	}
 	e.bed, e.listener, e.address, e.version, e.boot = b, l, l.Addr().String(), 1, time.Now().UnixMilli()
-	e.cached = map[string]made{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.expected(e.report))
 	mux.HandleFunc("GET /kv-events", e.expected(e.events))
 	mux.HandleFunc("POST /order", e.expected(e.order))
-	mux.HandleFunc("/", e.expected(e.run))
 	go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
 	if e.Loses != nil {
 		link, err := NewLink(ip, e.address, e.Loses)
@@ -155,47 +128,6 @@
 	w.WriteHeader(o.Status)
 }
 
-// run runs a request with a prompt: it uses the parts that are cached under the request's salt, as
-// far as all parts before them are, keeps the others, and answers with a stream.
-func (e *Engine) run(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	h := r.Header
-	id, salt, tenant := h.Get("Request-Id"), h.Get("Cache-Salt"), h.Get("Tenant")
-	e.mu.Lock()
-	version := strconv.FormatInt(e.version, 10)
-	if expected := h.Get("Expect-Version"); expected != "" && expected != version {
-		e.mu.Unlock()
-		w.Header().Set("Instance-Id", e.ID)
-		w.Header().Set("Weight-Versions", version)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	e.bed.Note("%s runs %s of tenant %s under salt %s", e.ID, id, tenant, salt)
-	found := true
-	for _, entry := range strings.Split(h.Get("Prefix-Hash"), ",") {
-		part, _, _ := strings.Cut(entry, ":")
-		key := salt + " " + part
-		maker, cached := e.cached[key]
-		if found = found && cached; !found {
-			e.cached[key] = made{id, tenant}
-			continue
-		}
-		u := Use{At: e.bed.Now(), Runner: e.ID, Part: part, Salt: salt, Request: id, Tenant: tenant, MadeBy: maker.request, MakerTenant: maker.tenant}
-		e.bed.Note("%s: %s of tenant %s uses part %s, made by %s of tenant %s", e.ID, id, tenant, part, maker.request, maker.tenant)
-		e.OnUse(u)
-	}
-	e.mu.Unlock()
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Response-Seal", "seal-"+e.ID+"-"+id)
-	w.Header().Set("Weight-Versions", version)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range 5 {
-		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
-	}
-}
-
 // take carries out an order, and returns the status that answers it. An order for the weights that
 // are being loaded is being carried out already.
 func (e *Engine) take(version int64, precondition *int64) int {
