router: log and count responses that do not carry the request's ID

Cause: a target that sends a late second answer looks, in the log, like one that refused or failed the request: nothing tells whose answer it was, nor whether its connection had carried others before.

Change: event=response_unmatched and keel_router_unmatched_responses_total, by what the response names, whether it refuses, and whether its connection was reused. No change of behaviour.

--- a/router/request.go
+++ b/router/request.go
@@ -97,6 +97,11 @@
 	// MatchesRequest is set if the response carries the ID of the request, or refuses it
 	// without naming any ID.
 	MatchesRequest bool
+	// RequestID is the ID of the request that the response answers by its own word; empty if
+	// it names none.
+	RequestID string
+	// ConnReused is set if the connection had carried other responses before.
+	ConnReused bool
 	// Sealed is set if the response has the seal header, with which a target confirms that the
 	// body is its own. Encoded is set if a content encoding was applied, so that the body is
 	// not the one that the target produced.
--- a/router/session.go
+++ b/router/session.go
@@ -192,6 +192,7 @@
 	}
 	defer response.Body.Close()
 	s.end.framing = response.Framing
+	s.recordUnmatched(choice, response)
 	s.recordResponse(choice, response)
 	if out, ok := s.handleNotRun(choice, response); ok {
 		return out
--- /dev/null
+++ b/router/unmatched.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"acaciakeel/fleet"
+)
+
+// Label values of responses that do not carry the ID of the request.
+const (
+	idOther        = "other"
+	idMissing      = "missing"
+	answerRefusal  = "refusal"
+	answerOther    = "other"
+	connNew        = "new"
+	connReused     = "reused"
+	maxLoggedBytes = 64
+)
+
+// recordUnmatched counts a response that does not carry the ID of the request, and logs it if
+// it names another one.
+func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
+	if resp.RequestID == s.in.ID {
+		return
+	}
+	id, answer, conn := idOther, answerOther, connNew
+	if resp.RequestID == "" {
+		id = idMissing
+	}
+	if resp.NotRun {
+		answer = answerRefusal
+	}
+	if resp.ConnReused {
+		conn = connReused
+	}
+	s.router.metrics.unmatched.WithLabelValues(id, answer, conn).Inc()
+	if id == idMissing && resp.MatchesRequest {
+		return
+	}
+	s.router.log.WithFields(logrus.Fields{
+		"event": "response_unmatched", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "status": resp.Status,
+		"answer_id": truncate(resp.RequestID), "answer": answer, "connection": conn, "sends": s.attempts,
+	}).Warn("the target sent a response that is not known to answer this request")
+}
+
+// truncate bounds what a target's header adds to a log line.
+func truncate(text string) string {
+	return text[:min(len(text), maxLoggedBytes)]
+}
