router: a response counts only for the request that it names

What callers saw: a request that may run once ran at two targets, or was answered 429 although it had run (TWICE, REFUSED).

Cause: a target may send a second response to an earlier request where the next one is expected. Its status and Not-Executed were looked at before its Request-Id, so the refusal of another request counted as that of the one that waited, which was then sent to another target. A refusal without an ID was believed on any connection, and a foreign response without a body left its connection in the pool one response behind.

Nothing of any other response is used: its request may have run, goes elsewhere only if it may be repeated, and otherwise gets 502 at once.

Why it works: what is believed is what only the due response can bear, or what its connection can't hold otherwise.

--- a/internal/standin/runner/deadly.go
+++ b/internal/standin/runner/deadly.go
@@ -124,10 +124,7 @@
 		time.AfterFunc(minDowntime, r.restartAfterCrash)
 		return
 	}
-	next := httptest.NewUnstartedServer(r.server.Config.Handler)
-	next.Listener.Close()
-	next.Listener = listener
-	next.Start()
+	next := newServer(listener, r.server.Config.Handler)
 	r.server, r.isDown = next, false
 	r.born, r.accepted = max(time.Now().UnixMilli(), r.born+1), 0
 	r.resetLoading()
--- /dev/null
+++ b/internal/standin/runner/late.go
@@ -0,0 +1,140 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+)
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// newServer returns a started server whose requests know their connection. It uses an address of
+// its own if l is nil.
+func newServer(l net.Listener, h http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(h)
+	if l != nil {
+		s.Listener.Close()
+		s.Listener = l
+	}
+	s.Listener = lateListener{s.Listener}
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.Start()
+	return s
+}
+
+type lateListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{Conn: c}, nil
+}
+
+// lateConn is a connection on which additional bytes can be sent ahead of a response.
+type lateConn struct {
+	net.Conn
+	mu sync.Mutex
+	// requests counts the requests read, last holds the bytes of the response to the latest one.
+	requests int
+	last     []byte
+	ahead    []byte
+}
+
+// Write implements net.Conn.
+func (c *lateConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	ahead := c.ahead
+	c.ahead = nil
+	c.last = append(c.last, p...)
+	c.mu.Unlock()
+	if len(ahead) > 0 {
+		if _, err := c.Conn.Write(ahead); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// SetLinger sets what becomes of unsent data when the connection is closed.
+func (c *lateConn) SetLinger(seconds int) error {
+	return c.Conn.(*net.TCPConn).SetLinger(seconds)
+}
+
+// beginRequest has the bytes that choose returns sent ahead of the next response. choose is
+// given the number of earlier requests on the connection and the response to the last one.
+func (c *lateConn) beginRequest(choose func(earlier int, last []byte) []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = choose(c.requests, c.last)
+	c.requests++
+	c.last = nil
+}
+
+// late is what a target sends ahead of the responses that are due.
+type late struct {
+	// every is after how many requests on reused connections the previous response is sent
+	// once more; 0 is never. reused counts them.
+	every, reused int
+	// next is sent once, ahead of the next response on a reused connection.
+	next string
+	sent int
+}
+
+// SendLate has the target send the previous response on a connection once more where a response
+// is expected, at each n-th request on reused connections; 0 stops it.
+func (r *Runner) SendLate(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late.every = n
+}
+
+// SendAhead has the target send raw bytes once, ahead of the next response on a connection that
+// has carried others.
+func (r *Runner) SendAhead(raw string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late.next = raw
+}
+
+// LateSent returns how many late responses the target has sent.
+func (r *Runner) LateSent() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.late.sent
+}
+
+// beginRequest prepares the late response that precedes that to a request, if any.
+func (r *Runner) beginRequest(req *http.Request) {
+	c, ok := req.Context().Value(connKey{}).(*lateConn)
+	if !ok {
+		return
+	}
+	c.beginRequest(func(earlier int, last []byte) []byte {
+		if earlier == 0 {
+			return nil
+		}
+		return r.takeLate(last)
+	})
+}
+
+func (r *Runner) takeLate(last []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &r.late
+	l.reused++
+	switch {
+	case l.next != "":
+		last = []byte(l.next)
+		l.next = ""
+	case l.every == 0 || l.reused%l.every != 0:
+		return nil
+	}
+	l.sent++
+	return last
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -69,6 +69,7 @@
 	loading
 	truncating
 	limiting limiting
+	late     late
 	// leaves is set once responses carry Server-Leaving.
 	leaves bool
 	// rest is the Retry-After with which all requests are refused; 0 refuses none.
@@ -89,7 +90,10 @@
 	mux.HandleFunc("POST /order", r.order)
 	mux.HandleFunc("GET /kv-events", r.events)
 	mux.HandleFunc("/", r.serve)
-	r.server = httptest.NewServer(mux)
+	r.server = newServer(nil, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.beginRequest(req)
+		mux.ServeHTTP(w, req)
+	}))
 	r.address = r.server.Listener.Addr().String()
 	return r
 }
@@ -236,6 +240,7 @@
 		return
 	}
 	seen, fault, pace, refused := r.record(req, string(body))
+	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	r.setLoadHeader(w.Header())
 	r.setLimitHeader(w.Header(), seen)
 	r.setLeavingHeader(w.Header(), seen)
@@ -302,7 +307,6 @@
 func (r *Runner) answer(w http.ResponseWriter, req *http.Request, t *response) {
 	fault := t.fault
 	h := w.Header()
-	h.Set("Request-Id", req.Header.Get("Request-Id"))
 	if fault == Crossed {
 		h.Set("Request-Id", "another")
 	}
--- a/internal/standin/runner/truncation.go
+++ b/internal/standin/runner/truncation.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -112,7 +111,7 @@
 		r.crashNow()
 	case ByReset:
 		if conn, _, err := control.Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(*lateConn); ok {
 				_ = tcp.SetLinger(0)
 			}
 			conn.Close()
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,10 +23,12 @@
 	WeightsReplaced   Reason = "replaced"
 	// Unresponsive: the target was found not to respond while it had the request.
 	Unresponsive Reason = "unresponsive"
+	// Unmatched: the target sent the response to another request.
+	Unmatched Reason = "unmatched"
 )
 
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive}
+	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched}
 }
 
 // MaxAttempts is the maximum number of times that one request is sent, including the
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"acaciakeel/catalog"
@@ -43,7 +44,8 @@
 
 // handleNotRun handles responses of targets that did not run the request.
 func (s *session) handleNotRun(choice fleet.Choice, resp *Response) (attemptResult, bool) {
-	if !resp.NotRun {
+	if !resp.NotRun || resp.Status < http.StatusBadRequest {
+		// A status of success contradicts the statement that nothing ran.
 		return attemptResult{}, false
 	}
 	now := time.Now()
--- a/router/request.go
+++ b/router/request.go
@@ -94,8 +94,9 @@
 	// weights than the attempt requires.
 	Misdirected bool
 	InstanceID  string
-	// MatchesRequest is set if the response carries the ID of the request, or refuses it
-	// without naming any ID.
+	// MatchesRequest is set if the response is known to answer the request: it carries its ID,
+	// or refuses it without naming any on a connection that carried nothing else. Nothing of
+	// another response may be used.
 	MatchesRequest bool
 	// RequestID is the ID of the request that the response answers by its own word; empty if
 	// it names none.
@@ -116,6 +117,17 @@
 	Notice         fleet.Notice
 }
 
+// unusable reports whether a response is none that a target sends of a run.
+func (r *Response) unusable() bool {
+	switch {
+	case r.Status < http.StatusOK:
+		return true
+	case r.Status < http.StatusMultipleChoices:
+		return !r.Sealed || r.Encoded || r.NotRun
+	}
+	return r.NotRun
+}
+
 // isEventStream reports whether the body consists of events; a type that is not stated counts
 // as such.
 func (r *Response) isEventStream() bool {
--- a/router/session.go
+++ b/router/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -193,15 +192,16 @@
 	defer response.Body.Close()
 	s.end.framing = response.Framing
 	s.recordUnmatched(choice, response)
+	if !response.MatchesRequest {
+		return s.handleUnmatched(choice)
+	}
 	s.recordResponse(choice, response)
 	if out, ok := s.handleNotRun(choice, response); ok {
 		return out
 	}
 	s.executions++
-	if response.MatchesRequest {
-		f.RecordAccepted(choice.Target.Instance(), s.sentAt)
-	}
-	if !response.MatchesRequest || response.Status < http.StatusOK || (response.Status < 300 && (!response.Sealed || response.Encoded)) {
+	f.RecordAccepted(choice.Target.Instance(), s.sentAt)
+	if response.unusable() {
 		f.RecordFailure(choice.Target.Instance(), time.Now())
 		return s.outcomeUnknown(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Target.ID)
 	}
@@ -276,21 +276,15 @@
 	return attempt
 }
 
-// recordResponse records what the header of a response says about its target.
+// recordResponse records what the header of a response to this request says about its target.
 func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
-	if !resp.MatchesRequest {
-		// A delayed response says nothing of the target's current slowdown.
-		resp.Load.Slowdown = 0
-	}
 	s.active.Responded(time.Now())
 	if resp.HasLoad {
 		f.RecordLoad(choice.Target.Instance(), resp.Load, time.Now())
 	}
-	if resp.MatchesRequest {
-		s.recordNotice(choice, resp.Notice)
-	}
-	if s.in.Model != "" && resp.MatchesRequest {
+	s.recordNotice(choice, resp.Notice)
+	if s.in.Model != "" {
 		f.RecordWeights(choice.Target.Instance(), s.in.Model, resp.WeightsVersion, time.Now())
 	}
 }
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/fleet"
+	"acaciakeel/retry"
 )
 
 // Label values of responses that do not carry the ID of the request.
@@ -43,6 +46,14 @@
 	}).Warn("the target sent a response that is not known to answer this request")
 }
 
+// handleUnmatched handles an attempt whose response belongs to another request. Nothing in it
+// concerns this one: the target received the request and may run it.
+func (s *session) handleUnmatched(choice fleet.Choice) attemptResult {
+	s.executions++
+	s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
+	return s.outcomeUnknown(retry.Unmatched, "the target %s sent a response that is not known to answer this request", choice.Target.ID)
+}
+
 // truncate bounds what a target's header adds to a log line.
 func truncate(text string) string {
 	return text[:min(len(text), maxLoggedBytes)]
