router: a status alone does not promise that a request has not run

What callers saw: a request that may run once is answered 503, 429 or 408 although its target may have run it, and the caller repeats it.

Cause: a target's failure is passed on with its status.

Requests that may be repeated get it as it is.

Evidence: TestInvalidFinalStatusIsUnknownOutcome with 408, 429 and 503 fails on the code before.

--- a/node/answers_test.go
+++ b/node/answers_test.go
@@ -55,7 +55,7 @@
 }
 
 // invalidStatusProxy is a proxy for a target that answers clients' requests with a status that
-// no final answer has, with the request's id and a seal.
+// no final answer of a run has, with the request's id and a seal.
 func invalidStatusProxy(t *testing.T, d *runner.Runner, status string, runs *atomic.Int64) *httptest.Server {
 	t.Helper()
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: d.Address()})
@@ -79,9 +79,10 @@
 }
 
 // Guards against a connection closed without an answer when a target's final status is below
-// 200: the client must get 502 after one run.
+// 200, and against a status that promises that nothing ran when the target doesn't state that:
+// the client must get 502 after one run.
 func TestInvalidFinalStatusIsUnknownOutcome(t *testing.T) {
-	for _, status := range []string{"007", "101"} {
+	for _, status := range []string{"007", "101", "408", "429", "503"} {
 		t.Run(status, func(t *testing.T) {
 			w := newEnv(t)
 			var runs atomic.Int64
--- a/router/request.go
+++ b/router/request.go
@@ -128,6 +128,16 @@
 	return r.NotRun
 }
 
+// promisesNotRun reports whether clients take the status for the promise that the request has
+// not run and never will. They repeat any request after it.
+func (r *Response) promisesNotRun() bool {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isEventStream reports whether the body consists of events; a type that is not stated counts
 // as such.
 func (r *Response) isEventStream() bool {
--- a/router/session.go
+++ b/router/session.go
@@ -205,6 +205,9 @@
 		f.RecordFailure(choice.Target.Instance(), time.Now())
 		return s.outcomeUnknown(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Target.ID)
 	}
+	if response.promisesNotRun() && !s.in.route.Repeatable() {
+		return s.outcomeUnknown(retry.Interrupted, "target %s answered %d without stating that it did not run the request", choice.Target.ID, response.Status)
+	}
 	isStream := s.in.route.Kind == catalog.Stream && response.Status < 300 && response.isEventStream()
 	if s.headerWritten && !isStream {
 		// The client has already received the header and the first events of another response.
