--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,7 +9,7 @@
 for target in FuzzDecodeChat FuzzResumePoint; do
   go test ./entry -run xxx -fuzz "^$target\$" -fuzztime "${SECONDS_EACH:-15}s"
 done
-for target in FuzzDecodeHead FuzzParsePrefix FuzzParseTokenCount FuzzDecodeRunner FuzzDecodeConfig FuzzDecodeWeights FuzzDecodeItem FuzzDecodeCacheEvent; do
+for target in FuzzDecodeHead FuzzForwardedURI FuzzParsePrefix FuzzParseTokenCount FuzzDecodeRunner FuzzDecodeConfig FuzzDecodeWeights FuzzDecodeItem FuzzDecodeCacheEvent; do
   go test ./platform -run xxx -fuzz "^$target\$" -fuzztime "${SECONDS_EACH:-15}s"
 done
 go test ./node -run xxx -fuzz '^FuzzPulse$' -fuzztime "${SECONDS_EACH:-15}s"
