entry: the path of a call reaches its service as the caller sent it

What callers saw: a call for /holds/a%3Fb reached its service as /holds/a with a query, one for /holds/a%23b as /holds/a.

Cause: the path went on decoded and was encoded anew; an escaped ?, # or % changed its meaning on the way.

Change: the escaped path and the query go on as they came. Whether a call is idempotent is decided on that path too, so an escaped one counts as not idempotent.

--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -41,20 +42,28 @@
 		info:           requestInfoFrom(ctx),
 		service:        r.PathValue("service"),
 		method:         r.Method,
-		path:           "/" + r.PathValue("path"),
+		path:           servicePath(r.URL),
 		contentType:    r.Header.Get("Content-Type"),
 		body:           body,
 		idempotencyKey: r.Header.Get(headerIdempotencyKey),
 	}
-	if r.URL.RawQuery != "" {
-		c.path += "?" + r.URL.RawQuery
-	}
 	if len(c.idempotencyKey) > maxIdempotencyKeyBytes {
 		return nil, refusal.New(refusal.BadRequest, "use at most 255 bytes", "Idempotency-Key has %d bytes", len(c.idempotencyKey))
 	}
 	return c, nil
 }
 
+// servicePath returns the path and the query of a call behind the name of its service, escaped as
+// the caller sent them.
+func servicePath(u *url.URL) string {
+	const segments = 4 // empty, "services", the name, and the rest
+	path := "/" + strings.SplitN(u.EscapedPath(), "/", segments)[segments-1]
+	if u.RawQuery != "" || u.ForceQuery {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
 // isIdempotent reports whether a call may be repeated.
 func isIdempotent(s resource.Service, method, path string) bool {
 	if method == http.MethodGet || method == http.MethodHead {
