rollout: the lock is given up only once no order is on its way

What operators saw: a runner got a load order of the new holder of the leader lock and then one of the former holder, with a lower fencing token (ONE).

Cause: a planned stop gave up the lock, or the lease that it hangs on, at once; an order that had been sent was bounded by the lease, not by the hold of the lock, and a closed connection goes on sending what has not been acknowledged.

--- a/fleet/target.go
+++ b/fleet/target.go
@@ -80,6 +80,8 @@
 	// OrderLost means that there was no answer; the order may still be carried out, even
 	// much later.
 	OrderLost OrderResult = "lost"
+	// OrderNotSent means that nothing of the order was sent.
+	OrderNotSent OrderResult = "not_sent"
 )
 
 // loadTTL is for how long a target's reported load is taken as current: requests take
--- a/internal/standin/runner/orders.go
+++ b/internal/standin/runner/orders.go
@@ -32,6 +32,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.mu.Lock()
+	r.arrivals = append(r.arrivals, o)
+	r.mu.Unlock()
 	if fault := r.faultNow(); fault == DeafToOrders || fault == LateOrders {
 		if fault == LateOrders {
 			time.AfterFunc(lateOrderDelay, func() { r.accept(o) })
@@ -51,6 +54,14 @@
 	}
 }
 
+// OrderArrivals returns all orders for this target in the order of their arrival, whether it
+// accepted them or not.
+func (r *Runner) OrderArrivals() []Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Order(nil), r.arrivals...)
+}
+
 func (r *Runner) faultNow() Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -63,8 +63,10 @@
 	first   map[string]int64
 	weights map[string]int64
 	orders  []Order
-	seen    []Seen
-	pace    time.Duration
+	// arrivals holds the orders that arrived, accepted or not.
+	arrivals []Order
+	seen     []Seen
+	pace     time.Duration
 	crashing
 	loading
 	truncating
--- a/node/node.go
+++ b/node/node.go
@@ -151,7 +151,7 @@
 	n.view.verdicts.Leadership, n.view.verdicts.PublishNow = n.view.leaderLock, n.exchange.sendSoon
 	n.exchange.relay.outcomes = telemetry.NewCounter(n.registry, "keel_node_digests_total", "Digests between groups of entries: told, passed_on, left_out, over_link.", "what")
 	n.view.controller = rollout.NewController(s.Name, rollout.Config{
-		Leadership: n.view.leaderLock, Client: runners, Fleet: targets, Services: n.view.services, Notify: n.exchange.sendSoon, Metrics: rollout.NewMetrics(n.registry),
+		Leadership: n.view.leaderLock, Client: runners, Fleet: targets, Services: n.view.services, Notify: n.exchange.sendSoon, Metrics: rollout.NewMetrics(n.registry), OrderTransit: platform.MaxTransit,
 		MaxStaleness: n.view.oldWeightsLimit,
 	}, log)
 	targets.OnRestart(n.view.targetRestarted)
--- a/node/stop.go
+++ b/node/stop.go
@@ -70,17 +70,32 @@
 	defer cancel()
 	n.view.controller.DisableTruncation()
 	n.logReleaseFailure("the membership", n.deregister(ctx))
-	if n.view.otherCount() > 0 {
+	if n.view.otherCount() > 0 && n.settleOrders(ctx) {
 		n.logReleaseFailure("the seat", n.view.leaderLock.Release(ctx))
 	}
 }
 
+// settleOrders ends this node's load orders and waits until none can arrive at its runner any
+// more: one that arrives after the next leader's would bear a lower fencing token. It reports
+// whether the lock may be given up.
+func (n *Node) settleOrders(ctx context.Context) bool {
+	start := time.Now()
+	err := n.view.controller.SettleOrders(ctx)
+	n.log.WithError(err).WithFields(logrus.Fields{"event": "orders_settled", "settled": err == nil, "waited_ms": time.Since(start).Milliseconds()}).Info("load orders ended")
+	return err == nil
+}
+
 // releaseLease ends the rollout and the other background work, then the lease. A leader whose
-// process merely exited would hold the lock until the lease expires.
+// process merely exited would hold the lock until the lease expires; one with orders on their way
+// does so.
 func (n *Node) releaseLease(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	settled := n.settleOrders(ctx)
 	n.cancelDuties()
+	if !settled {
+		return
+	}
 	n.logReleaseFailure("the lease", n.session.Close(ctx))
 }
 
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -46,6 +46,9 @@
 	// MaxStaleness is how long after a newer version became desired a runner still gets
 	// requests.
 	MaxStaleness time.Duration
+	// OrderTransit is for how long after its call has ended without an answer an order may still
+	// arrive at its runner.
+	OrderTransit time.Duration
 }
 
 // Controller sends load orders to runners while this process is the leader: orders to load
@@ -61,6 +64,7 @@
 	notify       func()
 	waits        waitReporter
 	maxStaleness time.Duration
+	outstanding  *outstandingOrders
 
 	// truncationDisabled is set once the other nodes no longer report to this process
 	// which requests they have at runners.
@@ -90,6 +94,7 @@
 	return &Controller{
 		name: name, leadership: cfg.Leadership, client: cfg.Client, fleet: cfg.Fleet, services: cfg.Services, notify: cfg.Notify, maxStaleness: cfg.MaxStaleness, log: log,
 		wake: make(chan struct{}, 1), waits: newWaitReporter(cfg.Metrics, log), inProgress: map[string]activeOrder{}, contacts: newContacts(),
+		outstanding: newOutstandingOrders(cfg.OrderTransit),
 	}
 }
 
@@ -315,7 +320,11 @@
 	if !c.fleet.IsCurrent(r.Instance()) {
 		return
 	}
+	if !c.outstanding.begin(fence) {
+		return
+	}
 	result, err := c.sendOrder(ctx, fleet.Order{Target: r, Model: model, WeightsVersion: desired, Holder: c.name, Fence: fence, ExpectedOrders: report.AcceptedOrders, Truncate: truncate})
+	c.outstanding.end(result, time.Now())
 	c.logEvent("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.AcceptedOrders, "truncate": truncate, "cleared_ms": drainTime.Milliseconds(), "inflight": remaining.Inflight, "resumable": remaining.Resumable, "long": remaining.Long}).WithError(err).Info("load order sent")
 	switch result {
 	case fleet.OrderAlreadyLoaded:
@@ -328,7 +337,7 @@
 		if c.awaitLoad(ctx, r, model, desired) {
 			c.recordDuration(time.Since(start))
 		}
-	case fleet.OrderLost:
+	case fleet.OrderLost, fleet.OrderNotSent:
 		// The order may still be carried out. The next report shows whether it was, and
 		// its order count rules out that both are.
 		c.mu.Lock()
--- /dev/null
+++ b/rollout/outstanding.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"acaciakeel/clock"
+	"acaciakeel/fleet"
+)
+
+// outstandingOrders tracks the orders that may still arrive at their runners. The lock may be
+// given up only once there are none: the next holder's orders would overtake them.
+type outstandingOrders struct {
+	// transit is for how long after its call has ended without an answer an order may arrive.
+	transit time.Duration
+
+	mu sync.Mutex
+	// stopped is the fencing token up to which no further orders are given.
+	stopped int64
+	// inProgress counts the calls that have not ended; changed is closed when that changes.
+	inProgress int
+	changed    chan struct{}
+	// arrivesUntil is until when an order without an answer may still arrive.
+	arrivesUntil time.Time
+}
+
+func newOutstandingOrders(transit time.Duration) *outstandingOrders {
+	return &outstandingOrders{transit: transit, changed: make(chan struct{})}
+}
+
+// begin reports whether an order with a fencing token may be given, and counts it.
+func (o *outstandingOrders) begin(fence int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if fence <= o.stopped {
+		return false
+	}
+	o.inProgress++
+	return true
+}
+
+// end records that the call of an order has ended.
+func (o *outstandingOrders) end(result fleet.OrderResult, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.inProgress--
+	if result == fleet.OrderLost {
+		o.arrivesUntil = now.Add(o.transit)
+	}
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// stop ends the orders with a fencing token.
+func (o *outstandingOrders) stop(fence int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopped = max(o.stopped, fence)
+}
+
+// state returns how many calls are in progress, for how long orders without an answer may still
+// arrive, and a channel that is closed at the end of the next call.
+func (o *outstandingOrders) state(now time.Time) (inProgress int, arrivesFor time.Duration, changed <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.inProgress, o.arrivesUntil.Sub(now), o.changed
+}
+
+var errOrdersOutstanding = errors.New("orders that were sent may still arrive")
+
+// SettleOrders ends the orders of the current hold of the lock and returns once none of them can
+// arrive any more; if ctx ends before that, it returns an error and the lock must not be given up.
+// Orders of a later hold are not affected.
+func (c *Controller) SettleOrders(ctx context.Context) error {
+	fence, _ := c.leadership.Held()
+	c.outstanding.stop(fence)
+	for {
+		inProgress, arrivesFor, changed := c.outstanding.state(time.Now())
+		switch {
+		case inProgress > 0:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return errOrdersOutstanding
+			}
+		case arrivesFor <= 0:
+			return nil
+		case ctx.Err() != nil:
+			return errOrdersOutstanding
+		default:
+			clock.Sleep(ctx, arrivesFor)
+		}
+	}
+}
