router: isolating a customer ends the sharing of what it left before

Cause: all customers that are not isolated share one salt, which stayed the same.

Change: the shared salt names the set of isolated customers. It is what it was before where nobody is isolated. Price: as the set changes, the customers that share parts read theirs once more.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -144,8 +145,9 @@
 	Customers []*Customer
 	Limits    Limits
 
-	hosts map[string][]*Route
-	keys  map[string]*Customer
+	hosts    map[string][]*Route
+	keys     map[string]*Customer
+	isolated string
 }
 
 // Index builds the lookup tables and returns c. It must be called once, before
@@ -158,6 +160,7 @@
 	for _, routes := range c.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	c.isolated = c.isolatedNames()
 	c.keys = map[string]*Customer{}
 	for _, customer := range c.Customers {
 		for _, key := range customer.Keys {
@@ -181,6 +184,20 @@
 	return nil
 }
 
+// Isolated identifies the set of isolated customers; it is empty if there are none.
+func (c *Config) Isolated() string { return c.isolated }
+
+func (c *Config) isolatedNames() string {
+	var names []string
+	for _, customer := range c.Customers {
+		if customer.Isolated {
+			names = append(names, strconv.Quote(customer.Name))
+		}
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
 // Customer returns the customer to whom key belongs, or nil.
 func (c *Config) Customer(key string) *Customer {
 	return c.keys[key]
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -30,9 +30,12 @@
 const MinLevelTokens = 1500
 
 // Salt identifies the set of cache entries that a request may share: those of one
-// customer, model, version of weights and adapter.
+// customer, or of all that share entries, and of a model, version of weights and adapter.
 type Salt struct {
+	// Customer is empty where customers share entries. Excluded then identifies those that do
+	// not; it is empty if there are none.
 	Customer       string
+	Excluded       string
 	Model          string
 	WeightsVersion string
 	Adapter        string
@@ -43,6 +46,9 @@
 // never yield the same text.
 func (s Salt) String() string {
 	text := fmt.Sprintf("%q %q %q %q", s.Customer, s.Model, s.WeightsVersion, s.Adapter)
+	if s.Excluded != "" {
+		text += fmt.Sprintf(" without %q", s.Excluded)
+	}
 	sum := sha256.Sum256([]byte(text))
 	return hex.EncodeToString(sum[:16])
 }
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -18,6 +18,10 @@
 		{Customer: "a", Model: "m", WeightsVersion: "v2"},
 		{Customer: "a", Model: "m", WeightsVersion: "v1", Adapter: "x"},
 		{Customer: "a", Model: `m" "v1`, WeightsVersion: ""},
+		{Model: "m", WeightsVersion: "v1"},
+		{Model: "m", WeightsVersion: "v1", Excluded: "a"},
+		{Model: "m", WeightsVersion: "v1", Excluded: "b"},
+		{Model: "m", WeightsVersion: "v1", Adapter: ` without "a"`},
 	}
 	seen := map[uint64]bool{}
 	for _, salt := range salts {
--- a/router/router.go
+++ b/router/router.go
@@ -87,6 +87,8 @@
 	route    *catalog.Route
 	service  *catalog.Service
 	customer *catalog.Customer
+	// isolated identifies the customers that share no cached prompt parts.
+	isolated string
 	deadline time.Time
 	// content identifies what the request asks for, independent of its ID.
 	content poison.Fingerprint
@@ -132,6 +134,7 @@
 		return in, refusal.New(refusal.TargetNotReady, "come back after the time in Retry-After, or ask another entry",
 			"this entry has no configuration yet").WithRetryAfter(defaultRetryAfter)
 	}
+	in.isolated = config.Isolated()
 	in.route = config.Match(req.Host, req.Path)
 	keyed := config.NeedsKeys() && (in.route == nil || !in.route.Public)
 	if keyed && !r.config.Fresh() {
@@ -213,11 +216,14 @@
 
 // cacheSalt returns the salt that decides which cached prompt parts the request may reuse.
 // All customers share one salt for each model and version of weights, except isolated
-// customers, who have their own.
+// customers, who have their own. The shared salt changes with the set of isolated customers:
+// parts that one of them left behind before it was isolated must not be found any more.
 func (in *admittedRequest) cacheSalt(weights int64) string {
 	s := prefix.Salt{Model: in.Model, WeightsVersion: strconv.FormatInt(weights, 10)}
 	if in.customer != nil && in.customer.Isolated {
 		s.Customer = in.customer.Name
+	} else {
+		s.Excluded = in.isolated
 	}
 	return s.String()
 }
