integration: the session of software versions crashes engines that have streams

Cause of the known red entry: the session crashed two engines by name, and in some plays all eight streams had begun at the other two, so that nothing was continued.

Change: it crashes, of each software version, the engine that has begun most streams; at least one stream is then broken off. What is checked stays: all streams whole and right, one continued at least, none at another version.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -196,11 +196,7 @@
 	builds, attempts := map[string]map[string]bool{}, map[string]int{}
 	runners, _ := f.targets()
 	for i, name := range runners {
-		var begun []string
-		if err := json.Unmarshal([]byte(f.http(http.MethodGet, f.direct(name)+"/truth/begun", "")), &begun); err != nil {
-			f.t.Fatal(err)
-		}
-		for _, id := range begun {
+		for _, id := range f.begun(name) {
 			request, _, _ := strings.Cut(id, ".")
 			if builds[request] == nil {
 				builds[request] = map[string]bool{}
@@ -220,6 +216,29 @@
 	return all, otherBuild
 }
 
+// begun returns the IDs of the streams that an engine has begun.
+func (f *fleet) begun(name string) []string {
+	f.t.Helper()
+	var begun []string
+	if err := json.Unmarshal([]byte(f.http(http.MethodGet, f.direct(name)+"/truth/begun", "")), &begun); err != nil {
+		f.t.Fatal(err)
+	}
+	return begun
+}
+
+// busiestOf returns the engine of a software version that has begun most streams.
+func (f *fleet) busiestOf(build string) string {
+	f.t.Helper()
+	busiest, most := "", -1
+	runners, _ := f.targets()
+	for i, name := range runners {
+		if n := len(f.begun(name)); f.build(i) == build && n > most {
+			busiest, most = name, n
+		}
+	}
+	return busiest
+}
+
 func (f *fleet) startAgents() {
 	runners, services := f.targets()
 	for i := range f.options.entries {
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -58,6 +58,7 @@
 	entry, customer, tokens, prompt, ms, min int
 	file, key, body, process, link, kind, id string
 	name, question, path, version, adapter   string
+	build                                    string
 }
 
 func scan(t *testing.T, d *datadriven.TestData) args {
@@ -66,6 +67,7 @@
 		"entry": &a.entry, "customer": &a.customer, "tokens": &a.tokens, "prompt": &a.prompt, "ms": &a.ms, "min": &a.min,
 		"file": &a.file, "key": &a.key, "body": &a.body, "process": &a.process, "link": &a.link, "kind": &a.kind,
 		"id": &a.id, "name": &a.name, "question": &a.question, "path": &a.path, "version": &a.version, "adapter": &a.adapter,
+		"build": &a.build,
 	} {
 		d.MaybeScanArgs(t, name, into)
 	}
@@ -101,7 +103,11 @@
 		}
 		return fmt.Sprintf("%d streams continued, %d at another software version\n", all, otherBuild)
 	case "crash":
-		s.fleet.http(http.MethodPost, s.fleet.direct(a.process)+"/admin/crash", "")
+		process := a.process
+		if a.build != "" {
+			process = s.fleet.busiestOf(a.build)
+		}
+		s.fleet.http(http.MethodPost, s.fleet.direct(process)+"/admin/crash", "")
 		return ""
 	case "platform":
 		s.fleet.http(http.MethodPost, s.fleet.direct("platform")+"/faults", d.Input)
