target: each call of a service or an engine has a connection of its own

What callers could see: the answer to another customer's call as their own, a refusal of another completion, an order that counts as refused.

Cause: responses of services and engines name no request, and all but calls that may run once shared connections. A late second response is read as that to the next call.

Change: each call uses a new connection, beside its target. Load reports, read many times a second, share one of their own: a late one is as old as the one before. With it go the second client of services and the guard against calls that the HTTP library sends again, which it does on reused connections alone.

--- a/agent/call.go
+++ b/agent/call.go
@@ -103,7 +103,6 @@
 		ContentType:    req.ContentType,
 		Body:           req.Body,
 		IdempotencyKey: req.IdempotencyKey,
-		NoResend:       !req.Idempotent,
 	}
 }
 
--- a/target/engine.go
+++ b/target/engine.go
@@ -91,20 +91,34 @@
 type Engine struct {
 	baseURL string
 	http    *http.Client
+	// loads carries the load reports, which are read many times a second. A late one is as old
+	// as the one before.
+	loads *http.Client
 }
 
 // NewEngine returns a client of the engine at baseURL, such as http://127.0.0.1:8000.
 func NewEngine(baseURL string) *Engine {
-	return &Engine{baseURL: baseURL, http: newHTTPClient()}
+	return &Engine{baseURL: baseURL, http: newHTTPClient(noKeepAlive), loads: newHTTPClient(keepAlive)}
 }
 
-func newHTTPClient() *http.Client {
+// keepAliveMode is whether a connection carries several calls.
+type keepAliveMode bool
+
+const (
+	keepAlive keepAliveMode = true
+	// noKeepAlive uses a new connection for each call. Responses of engines and services name no
+	// request, so that on a connection that has carried others a late one could be taken for the
+	// answer. Nor does the HTTP library send a call again that it has sent on a new connection.
+	noKeepAlive keepAliveMode = false
+)
+
+func newHTTPClient(mode keepAliveMode) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		IdleConnTimeout:    30 * time.Second,
+		DisableKeepAlives:  mode == noKeepAlive,
+		DisableCompression: true,
 	}}
 }
 
@@ -138,9 +152,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("build resume: %w", err)
 	}
-	// A resumed stream must not use the connection on which the stream broke.
-	// Close ends this connection after the response instead of keeping it idle.
-	req.Close = true
 	return e.openStream(req)
 }
 
@@ -223,7 +234,7 @@
 // Load returns the engine's load report.
 func (e *Engine) Load(ctx context.Context) (Load, error) {
 	var l Load
-	err := e.call(ctx, http.MethodGet, "/v1/load", nil, &l)
+	err := e.callWith(ctx, e.loads, http.MethodGet, "/v1/load", nil, &l)
 	return l, err
 }
 
@@ -317,11 +328,15 @@
 }
 
 func (e *Engine) call(ctx context.Context, method, path string, body []byte, out any) error {
+	return e.callWith(ctx, e.http, method, path, body, out)
+}
+
+func (e *Engine) callWith(ctx context.Context, client *http.Client, method, path string, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, e.baseURL+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("build call: %w", err)
 	}
-	resp, err := e.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return sendError(err)
 	}
--- a/target/service.go
+++ b/target/service.go
@@ -17,16 +17,11 @@
 type Service struct {
 	baseURL string
 	http    *http.Client
-	// withoutKeepAlive opens a new connection for each call. If the service closes
-	// an idle connection while a call is sent on it, the outcome is unknown.
-	withoutKeepAlive *http.Client
 }
 
 // NewService returns a client of the service instance at baseURL.
 func NewService(baseURL string) *Service {
-	withoutKeepAlive := newHTTPClient()
-	withoutKeepAlive.Transport.(*http.Transport).DisableKeepAlives = true
-	return &Service{baseURL: baseURL, http: newHTTPClient(), withoutKeepAlive: withoutKeepAlive}
+	return &Service{baseURL: baseURL, http: newHTTPClient(noKeepAlive)}
 }
 
 // Call is a request to a plain service.
@@ -38,8 +33,6 @@
 	Body        []byte
 	// IdempotencyKey is forwarded to the service, which may ignore it.
 	IdempotencyKey string
-	// NoResend prevents the HTTP library from sending the call again on its own.
-	NoResend bool
 }
 
 // Answer is the complete response of a service.
@@ -52,7 +45,7 @@
 // Do sends the call. ErrNotSent means that nothing was sent; after any other
 // error it is unknown whether the call was executed.
 func (s *Service) Do(ctx context.Context, c Call) (Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, s.baseURL+c.Path, requestBody(c))
+	req, err := http.NewRequestWithContext(ctx, c.Method, s.baseURL+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -63,11 +56,7 @@
 	if c.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", c.IdempotencyKey)
 	}
-	client := s.http
-	if c.NoResend {
-		client = s.withoutKeepAlive
-	}
-	resp, err := client.Do(req)
+	resp, err := s.http.Do(req)
 	if err != nil {
 		return Answer{}, sendError(err)
 	}
@@ -108,14 +97,3 @@
 	}
 	return conn.Close()
 }
-
-// requestBody returns the call's body, with its type hidden from the HTTP
-// library if the call must not be resent. net/http resends a request on a new
-// connection if an idle one turns out to be closed, the body can be rewound and
-// the request has an Idempotency-Key. The service would receive it twice.
-func requestBody(c Call) io.Reader {
-	if !c.NoResend {
-		return bytes.NewReader(c.Body)
-	}
-	return io.NopCloser(bytes.NewReader(c.Body))
-}
