platform, rollout: name what a response is matched by; end orders for good at the end

Before the lease ends, orders of later holds end as well: the lock could be acquired between the last order and the end of the lease.

--- a/node/stop.go
+++ b/node/stop.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	n.view.controller.DisableTruncation()
 	n.logReleaseFailure("the membership", n.deregister(ctx))
-	if n.view.otherCount() > 0 && n.settleOrders(ctx) {
+	if n.view.otherCount() > 0 && n.settleOrders(ctx, n.view.controller.SettleOrders) {
 		n.logReleaseFailure("the seat", n.view.leaderLock.Release(ctx))
 	}
 }
@@ -78,9 +78,9 @@
 // settleOrders ends this node's load orders and waits until none can arrive at its runner any
 // more: one that arrives after the next leader's would bear a lower fencing token. It reports
 // whether the lock may be given up.
-func (n *Node) settleOrders(ctx context.Context) bool {
+func (n *Node) settleOrders(ctx context.Context, settle func(context.Context) error) bool {
 	start := time.Now()
-	err := n.view.controller.SettleOrders(ctx)
+	err := settle(ctx)
 	n.log.WithError(err).WithFields(logrus.Fields{"event": "orders_settled", "settled": err == nil, "waited_ms": time.Since(start).Milliseconds()}).Info("load orders ended")
 	return err == nil
 }
@@ -91,7 +91,7 @@
 func (n *Node) releaseLease(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	settled := n.settleOrders(ctx)
+	settled := n.settleOrders(ctx, n.view.controller.EndOrders)
 	n.cancelDuties()
 	if !settled {
 		return
--- a/rollout/outstanding.go
+++ b/rollout/outstanding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -75,9 +76,18 @@
 // Orders of a later hold are not affected.
 func (c *Controller) SettleOrders(ctx context.Context) error {
 	fence, _ := c.leadership.Held()
-	c.outstanding.stop(fence)
+	return c.outstanding.settle(ctx, fence)
+}
+
+// EndOrders is SettleOrders for this and all later holds of the lock.
+func (c *Controller) EndOrders(ctx context.Context) error {
+	return c.outstanding.settle(ctx, math.MaxInt64)
+}
+
+func (o *outstandingOrders) settle(ctx context.Context, fence int64) error {
+	o.stop(fence)
 	for {
-		inProgress, arrivesFor, changed := c.outstanding.state(time.Now())
+		inProgress, arrivesFor, changed := o.state(time.Now())
 		switch {
 		case inProgress > 0:
 			select {
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -13,6 +13,7 @@
 const (
 	idOther        = "other"
 	idMissing      = "missing"
+	idAmbiguous    = "ambiguous"
 	answerRefusal  = "refusal"
 	answerOther    = "other"
 	connNew        = "new"
@@ -20,15 +21,18 @@
 	maxLoggedBytes = 64
 )
 
-// recordUnmatched counts a response that does not carry the ID of the request, and logs it if
-// it names another one.
+// recordUnmatched counts a response that does not carry the ID of the request alone, and logs it
+// if it is not taken for the answer.
 func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
-	if resp.RequestID == s.in.ID {
+	if resp.RequestID == s.in.ID && resp.MatchesRequest {
 		return
 	}
 	id, answer, conn := idOther, answerOther, connNew
-	if resp.RequestID == "" {
+	switch resp.RequestID {
+	case "":
 		id = idMissing
+	case s.in.ID:
+		id = idAmbiguous
 	}
 	if resp.NotRun {
 		answer = answerRefusal
@@ -37,7 +41,7 @@
 		conn = connReused
 	}
 	s.router.metrics.unmatched.WithLabelValues(id, answer, conn).Inc()
-	if id == idMissing && resp.MatchesRequest {
+	if resp.MatchesRequest {
 		return
 	}
 	s.router.log.WithFields(logrus.Fields{
