node: OPTIONS * gets 404, as no route leads there

What callers saw: 200 without a target's seal, an answer that no target gave.

Cause: the HTTP library answers OPTIONS * before the handler sees it.

Change: it goes to the handler, which has no route for it.

Evidence: TestGeneralOptionsAreNotAnsweredAsSuccess fails on the code before (200).

--- a/node/answers_test.go
+++ b/node/answers_test.go
@@ -101,3 +101,23 @@
 		})
 	}
 }
+
+// Guards against a success that no target gave: the HTTP library answers OPTIONS * by itself.
+func TestGeneralOptionsAreNotAnsweredAsSuccess(t *testing.T) {
+	w := newEnv(t)
+	c, err := dial(w.node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.conn.Close()
+	fmt.Fprintf(c.conn, "OPTIONS * HTTP/1.1\r\nHost: h.example\r\nRequest-Id: general\r\nKey: %s\r\n\r\n", goodKey)
+	_ = c.conn.SetReadDeadline(time.Now().Add(waitTimeout))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNotFound {
+		t.Errorf("answered %d, want 404", resp.StatusCode)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -362,5 +362,9 @@
 )
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		// Only targets give successful answers.
+		DisableGeneralOptionsHandler: true,
+	}
 }
