router: the line of a request tells what each attempt's response was taken for

What is missing in the record: whether the client was refused because of a believed refusal, and whose that was by its own word, or without any response; how often the request was sent before; which code wrote the lines.

Change: the line of a request that was refused, failed or sent more than once has, for each attempt, the target, what the entry made of it, and of the response its status, what request and instance it names, and the age and use of its connection. keel_router_not_run_total counts the statements "not run" by what they rest on. event=started names the commit.

No decision changes.

--- a/node/node.go
+++ b/node/node.go
@@ -251,7 +251,7 @@
 	go n.view.controller.Run(duties)
 	go n.runElection(duties)
 	go n.maintainMembership(duties)
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.servers.front.Address()}).Info("serving")
+	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.servers.front.Address(), "commit": telemetry.Commit()}).Info("serving")
 	return nil
 }
 
--- a/router/log_fields.go
+++ b/router/log_fields.go
@@ -13,6 +13,7 @@
 func (s *session) addLogFields(fields logrus.Fields) {
 	fields["service"] = s.in.service.Name
 	fields["sends"] = s.attempts
+	fields["may_have_run"] = s.executions
 	fields["target"] = s.lastChoice.Target.ID
 	if s.in.route.Kind == catalog.Stream {
 		fields["build"] = s.lastChoice.Target.Build
--- a/router/request.go
+++ b/router/request.go
@@ -101,8 +101,10 @@
 	// RequestID is the ID of the request that the response answers by its own word; empty if
 	// it names none.
 	RequestID string
-	// ConnReused is set if the connection had carried other responses before.
+	// ConnReused is set if the connection had carried other responses before, Conn says more
+	// about it.
 	ConnReused bool
+	Conn       ConnUse
 	// Sealed is set if the response has the seal header, with which a target confirms that the
 	// body is its own. Encoded is set if a content encoding was applied, so that the body is
 	// not the one that the target produced.
@@ -160,6 +162,13 @@
 	UntilClose Framing = "until_close"
 )
 
+// ConnUse is the state of a connection when a request is sent on it.
+type ConnUse struct {
+	// Earlier is the number of requests that it carried before, Age the time since it was opened.
+	Earlier int64
+	Age     time.Duration
+}
+
 // SendError is the error of an attempt that got no response.
 type SendError struct {
 	Err error
--- a/router/router.go
+++ b/router/router.go
@@ -242,10 +242,19 @@
 		s.observePause()
 	}
 	if refused == nil {
+		if s != nil && s.attempts > 1 {
+			s.addAttempts(fields)
+		}
 		r.log.WithFields(fields).Info("served")
 		return nil
 	}
 	r.metrics.refusals.WithLabelValues(string(refused.Kind)).Inc()
+	if s != nil {
+		s.addAttempts(fields)
+		if refused.Outcome == refusal.NotRun {
+			r.metrics.promises.WithLabelValues(s.promiseBasis()).Inc()
+		}
+	}
 	fields["kind"] = refused.Kind
 	fields["outcome"] = refused.Outcome
 	r.log.WithFields(fields).Info(refused.Message)
--- a/router/session.go
+++ b/router/session.go
@@ -25,6 +25,7 @@
 	attempts      int
 	executions    int
 	tried         []fleet.Instance
+	records       []attemptRecord
 	headerWritten bool
 	// status is the status code sent to the client; 0 before that.
 	status int
@@ -87,7 +88,9 @@
 		if refused := s.refuseAdmission(choice); refused != nil {
 			return refused
 		}
+		s.records = append(s.records, attemptRecord{target: choice.Target.ID})
 		out := s.send(ctx, choice)
+		s.lastRecord().recordResult(out)
 		if out.refused == nil && out.response == nil {
 			return nil
 		}
@@ -191,6 +194,7 @@
 	}
 	defer response.Body.Close()
 	s.end.framing = response.Framing
+	s.lastRecord().recordResponse(s.in.ID, response)
 	s.recordUnmatched(choice, response)
 	if !response.MatchesRequest {
 		return s.handleUnmatched(choice)
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -11,6 +11,7 @@
 
 // Label values of responses that do not carry the ID of the request.
 const (
+	idOwn          = "own"
 	idOther        = "other"
 	idMissing      = "missing"
 	idAmbiguous    = "ambiguous"
@@ -21,17 +22,25 @@
 	maxLoggedBytes = 64
 )
 
+// namedID tells whether a response names the request with an ID.
+func (r *Response) namedID(id string) string {
+	switch r.RequestID {
+	case "":
+		return idMissing
+	case id:
+		return idOwn
+	}
+	return idOther
+}
+
 // recordUnmatched counts a response that does not carry the ID of the request alone, and logs it
 // if it is not taken for the answer.
 func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
 	if resp.RequestID == s.in.ID && resp.MatchesRequest {
 		return
 	}
-	id, answer, conn := idOther, answerOther, connNew
-	switch resp.RequestID {
-	case "":
-		id = idMissing
-	case s.in.ID:
+	id, answer, conn := resp.namedID(s.in.ID), answerOther, connNew
+	if id == idOwn {
 		id = idAmbiguous
 	}
 	if resp.NotRun {
