standin/runner: refuse requests beyond a bound, count late refusals

A target of the stand-in took any number of plain requests at once and let streams wait for a slot, so that none was ever full, which is when targets refuse truthfully with 503 and Not-Executed. SetRoom bounds what runs at once whatever number of slots the target states, as a full memory does, and gives plain requests a duration. LateRefusals tells how many of the late second responses were refusals.

--- a/internal/standin/runner/late.go
+++ b/internal/standin/runner/late.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -83,7 +84,8 @@
 	every, reused int
 	// next is sent once, ahead of the next response on a reused connection.
 	next string
-	sent int
+	// sent counts the late responses, refusals those that state that the request did not run.
+	sent, refusals int
 }
 
 // SendLate has the target send the previous response on a connection once more where a response
@@ -109,6 +111,13 @@
 	return r.late.sent
 }
 
+// LateRefusals returns how many of the late responses state that the request did not run.
+func (r *Runner) LateRefusals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.late.refusals
+}
+
 // beginRequest prepares the late response that precedes that to a request, if any.
 func (r *Runner) beginRequest(req *http.Request) {
 	c, ok := req.Context().Value(connKey{}).(*lateConn)
@@ -136,5 +145,8 @@
 		return nil
 	}
 	l.sent++
+	if bytes.Contains(last, []byte("\r\nNot-Executed:")) {
+		l.refusals++
+	}
 	return last
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -72,6 +72,7 @@
 	truncating
 	limiting limiting
 	late     late
+	room     room
 	// leaves is set once responses carry Server-Leaving.
 	leaves bool
 	// rest is the Retry-After with which all requests are refused; 0 refuses none.
@@ -242,6 +243,9 @@
 		return
 	}
 	seen, fault, pace, refused := r.record(req, string(body))
+	if refused == 0 {
+		defer r.leaveRoom()
+	}
 	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	r.setLoadHeader(w.Header())
 	r.setLimitHeader(w.Header(), seen)
@@ -299,9 +303,12 @@
 		refused = http.StatusMisdirectedRequest
 	case hasVersion && version[0] != strconv.FormatInt(r.weights[h.Get("Model")], 10):
 		refused = http.StatusMisdirectedRequest
-	case r.busy && h.Get("Model") != "", r.fault == Shed, r.rest > 0, r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
+	case r.busy && h.Get("Model") != "", r.fault == Shed, r.rest > 0, r.isFull(), r.fault == BrokenShed && h.Get("Last-Event-Id") != "":
 		refused = http.StatusServiceUnavailable
 	}
+	if refused == 0 {
+		r.room.inside++
+	}
 	r.seen = append(r.seen, Seen{ID: h.Get("Request-Id"), Method: req.Method, URI: req.RequestURI, Header: h.Clone(), Body: body, Ran: refused == 0, At: time.Now(), Born: r.born})
 	return len(r.seen) - 1, r.fault, r.pace, refused
 }
@@ -348,6 +355,7 @@
 }
 
 func (r *Runner) answerPlain(w http.ResponseWriter, req *http.Request) {
+	r.workPlain(req)
 	body := "answer to " + req.Header.Get("Request-Id")
 	r.setFraming(w.Header(), len(body))
 	if cut := r.takeTruncation(); cut != nil {
