soak: late second responses of most targets while clients press

TestSoakLate has one target at a time send late responses while the others are free, which shows TWICE and hardly REFUSED.

TestSoakPress has three real entries, 48 clients (a quarter of the added ones leave early), and three of four engines and one of two desks that send the previous response once more at each fifth request on reused connections. In "full" no target runs more than 8 requests; in "free" the target without late responses has room for all. judge now also counts 408 and 421 as promises.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -136,7 +136,7 @@
 		c.violate("request %s: %v", id, err)
 		return out
 	}
-	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: patienceOf(id), Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		out.err = err
@@ -194,9 +194,7 @@
 		if runs[id] > most[out.route] {
 			c.violate("%s %s ran %d times", out.route, id, runs[id])
 		}
-		once := out.route == "match" || out.route == "hold"
-		promise := out.status == http.StatusServiceUnavailable || out.status == http.StatusTooManyRequests
-		if once && promise && runs[id] > 0 {
+		if runsOnce(out.route) && isPromise(out.status) && runs[id] > 0 {
 			c.violate("%s %s was answered %d, and ran", out.route, id, out.status)
 		}
 	}
@@ -207,6 +205,18 @@
 	}
 }
 
+// runsOnce reports whether requests of a route may run once at most.
+func runsOnce(route string) bool { return route == "match" || route == "hold" }
+
+// isPromise reports whether a status states that the request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // judgeOrders: each life of a target accepts an order only by its own count.
 func (c *callers) judgeOrders(tg *target) {
 	accepted := map[int64]int64{}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -84,6 +84,8 @@
 	framings bool
 	// badPart has requests with a prompt part that crashes targets.
 	badPart bool
+	// press has clients send more than the targets can run.
+	press *press
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
@@ -145,9 +147,16 @@
 	if r.scarce {
 		c.readSlowly(r.seed)
 	}
+	if r.press != nil {
+		s.limitRoom(r.press)
+		c.sendPress(r.seed)
+	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
+	if r.press != nil {
+		s.endPress()
+	}
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
 	if r.scarce {
@@ -170,6 +179,9 @@
 		c.judgeDeadly(r.deadly)
 	}
 	c.judgeNotices()
+	if r.press != nil {
+		c.judgePress()
+	}
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
 		t.Error(v)
