target: the headers of responses are bounded

What was seen: an engine or a service may send a header of 10 MB, the HTTP library's default, to each call and load report of its agent.

Change: a response whose header, with the informational responses before it, is over 64 KB ends with its connection.

The outcome of a call stays unknown, as after any error that follows the sending.

--- a/target/engine.go
+++ b/target/engine.go
@@ -85,6 +85,9 @@
 	dataPrefix   = "data: "
 	endOfStream  = "[DONE]"
 	maxLineBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a response, together with informational responses
+	// before it. Headers take a few hundred bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // Engine is a client of one engine.
@@ -115,10 +118,11 @@
 func newHTTPClient(mode keepAliveMode) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		IdleConnTimeout:    30 * time.Second,
-		DisableKeepAlives:  mode == noKeepAlive,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        30 * time.Second,
+		DisableKeepAlives:      mode == noKeepAlive,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
