target: the bodies of engines' responses are bounded

What was seen: the body of a load report, a dump, a cache event or a lookup grew the agent's heap without a bound, a stream without a chunk was read on, and an order whose answer has no end counted as done.

Change: calls read their answer up to a limit: 256 KB, a dump 16 MB (400,000 blocks). A service's answer, limited already, is read by the same function.

Evidence: 21 rows of TestTargetCallsEndEndlessResponses read 25 MB, all that the target had, or counted as success before; now at most their limit, the framing of its chunks and 80 KB. Two rows had a bound that no limit gives: the 4 MB of a service's failure are passed on like those of its success, and the framing of 16 MB of chunks is over the allowance for buffers. Both bounds now say so.

--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -14,14 +14,13 @@
 
 // Limits of the bytes of a call's response, with what the buffers of the HTTP library add.
 const (
-	testHeaderBytes  = 64 << 10
-	testDiscardBytes = 0
-	testReportBytes  = 256 << 10
-	testDumpBytes    = 16 << 20
-	testEventBytes   = 1 << 20
-	testAnswerBytes  = 4 << 20
-	testBufferBytes  = 16 << 10
-	testCallTimeout  = time.Second
+	testHeaderBytes = 64 << 10
+	testReportBytes = 256 << 10
+	testDumpBytes   = 16 << 20
+	testEventBytes  = 1 << 20
+	testAnswerBytes = 4 << 20
+	testBufferBytes = 16 << 10
+	testCallTimeout = time.Second
 )
 
 // endlessCall is a call of a target.
@@ -111,11 +110,10 @@
 		t.Error("the connection stays open")
 	}
 	most := int64(testHeaderBytes + testBufferBytes)
-	switch response.Part {
-	case endless.Body:
-		most += call.bodyBytes
-	case endless.FailedBody:
-		most += testDiscardBytes
+	// A service's failure is passed on whole; nothing else reads the body of a failure.
+	if response.Part == endless.Body || (response.Part == endless.FailedBody && call.name == "service") {
+		// Chunks of 1,024 bytes come with 7 bytes each.
+		most += call.bodyBytes + call.bodyBytes*7/1024
 	}
 	if read := meter.Read(); read > most {
 		t.Errorf("%d bytes were read, want at most %d", read, most)
--- a/target/engine.go
+++ b/target/engine.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"acaciakeel/cache"
+	"acaciakeel/httpbody"
 )
 
 // Errors that callers distinguish.
@@ -88,6 +89,14 @@
 	// maxHeaderBytes bounds the header of a response, together with informational responses
 	// before it. Headers take a few hundred bytes.
 	maxHeaderBytes = 64 << 10
+	// maxReportBytes bounds the answers to a load report, an order and the like, of some hundred
+	// bytes.
+	maxReportBytes = 256 << 10
+	// maxDumpBytes bounds a dump of the cache: 400,000 blocks of 42 bytes, which are 6 million
+	// tokens in blocks of 16.
+	maxDumpBytes = 16 << 20
+	// maxEventBytes bounds a cache event: 50,000 blocks, more than any prompt has.
+	maxEventBytes = 1 << 20
 )
 
 // Engine is a client of one engine.
@@ -201,13 +210,19 @@
 	return fmt.Errorf("send to the target: %w", err)
 }
 
+var errNoChunk = fmt.Errorf("the stream has no chunk in %d bytes", maxLineBytes)
+
 // Next returns the next chunk, or io.EOF after the last one. If the stream
 // breaks before its end marker, Next returns io.ErrUnexpectedEOF or the
 // connection's error.
 func (s *Stream) Next() (Chunk, error) {
+	skipped := 0
 	for s.scanner.Scan() {
 		data, ok := strings.CutPrefix(s.scanner.Text(), dataPrefix)
 		if !ok {
+			if skipped += len(s.scanner.Bytes()); skipped > maxLineBytes {
+				return Chunk{}, errNoChunk
+			}
 			continue
 		}
 		if data == endOfStream {
@@ -232,13 +247,13 @@
 
 // Cancel requests the engine to abort a request.
 func (e *Engine) Cancel(ctx context.Context, requestID string) error {
-	return e.call(ctx, http.MethodDelete, "/v1/streams/"+url.PathEscape(requestID), nil, nil)
+	return e.call(ctx, e.http, call{method: http.MethodDelete, path: "/v1/streams/" + url.PathEscape(requestID), maxBytes: maxReportBytes})
 }
 
 // Load returns the engine's load report.
 func (e *Engine) Load(ctx context.Context) (Load, error) {
 	var l Load
-	err := e.callWith(ctx, e.loads, http.MethodGet, "/v1/load", nil, &l)
+	err := e.call(ctx, e.loads, call{method: http.MethodGet, path: "/v1/load", out: &l, maxBytes: maxReportBytes})
 	return l, err
 }
 
@@ -251,7 +266,7 @@
 // CacheDump returns all blocks that the engine has cached.
 func (e *Engine) CacheDump(ctx context.Context) (cache.Dump, error) {
 	var raw cacheDump
-	if err := e.call(ctx, http.MethodGet, "/v1/cache", nil, &raw); err != nil {
+	if err := e.call(ctx, e.http, call{method: http.MethodGet, path: "/v1/cache", out: &raw, maxBytes: maxDumpBytes}); err != nil {
 		return cache.Dump{}, err
 	}
 	d := cache.Dump{BootID: raw.BootID, Seq: raw.Seq, Blocks: make([]cache.Block, len(raw.Blocks))}
@@ -285,8 +300,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode)
 	}
-	decoder := json.NewDecoder(resp.Body)
+	events := &io.LimitedReader{R: resp.Body}
+	decoder := json.NewDecoder(events)
 	for {
+		events.N = maxEventBytes
 		var raw cacheEvent
 		if err := decoder.Decode(&raw); err != nil {
 			return fmt.Errorf("read cache events: %w", err)
@@ -305,7 +322,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	return e.call(ctx, http.MethodPost, "/v1/orders", body, nil)
+	return e.call(ctx, e.http, call{method: http.MethodPost, path: "/v1/orders", body: body, maxBytes: maxReportBytes})
 }
 
 // LookupResult is the actual state of an engine with respect to one prompt.
@@ -327,16 +344,22 @@
 		return LookupResult{}, fmt.Errorf("encode lookup: %w", err)
 	}
 	var a LookupResult
-	err = e.call(ctx, http.MethodPost, "/truth/lookup", body, &a)
+	err = e.call(ctx, e.http, call{method: http.MethodPost, path: "/truth/lookup", body: body, out: &a, maxBytes: maxReportBytes})
 	return a, err
 }
 
-func (e *Engine) call(ctx context.Context, method, path string, body []byte, out any) error {
-	return e.callWith(ctx, e.http, method, path, body, out)
+// call is a call of an engine that is answered at once.
+type call struct {
+	method, path string
+	body         []byte
+	// out receives the body of the answer; nil discards it.
+	out any
+	// maxBytes bounds that body.
+	maxBytes int64
 }
 
-func (e *Engine) callWith(ctx context.Context, client *http.Client, method, path string, body []byte, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, e.baseURL+path, bytes.NewReader(body))
+func (e *Engine) call(ctx context.Context, client *http.Client, c call) error {
+	req, err := http.NewRequestWithContext(ctx, c.method, e.baseURL+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return fmt.Errorf("build call: %w", err)
 	}
@@ -348,11 +371,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode)
 	}
-	if out == nil {
-		return nil
+	if c.out == nil {
+		err = httpbody.Discard(resp, c.maxBytes)
+	} else {
+		err = httpbody.Decode(resp, c.maxBytes, c.out)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return fmt.Errorf("decode the target's answer: %w", err)
+	if err != nil {
+		return fmt.Errorf("read the target's answer: %w", err)
 	}
 	return nil
 }
--- a/target/service.go
+++ b/target/service.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
+
+	"acaciakeel/httpbody"
 )
 
 // maxAnswerBytes bounds the body of a plain service's response.
@@ -61,7 +62,7 @@
 		return Answer{}, sendError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := httpbody.Read(resp, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("read the service's answer: %w", err)
 	}
@@ -70,9 +71,6 @@
 			return Answer{}, fmt.Errorf("the service's answer ended with its connection, which may not be its end: %w", err)
 		}
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, fmt.Errorf("the service's answer is over %d bytes", maxAnswerBytes)
-	}
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
