target: a redirect is the answer to a call

What callers saw: a service that has run a call and answers it with a redirect to an address at which nothing listens counts as one to which nothing was sent. The entry is told "not run" and sends the call to another target: it runs twice. A redirect with status 307 or 308 to a target that serves sends the call again as well. Engines the same.

Cause: the HTTP client follows redirects, with the body, and its error is that of the last address.

Change: no redirect is followed.

--- a/target/engine.go
+++ b/target/engine.go
@@ -126,7 +126,7 @@
 
 func newHTTPClient(mode keepAliveMode) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 		DialContext:            dialer.DialContext,
 		IdleConnTimeout:        30 * time.Second,
 		DisableKeepAlives:      mode == noKeepAlive,
@@ -135,6 +135,10 @@
 	}}
 }
 
+// keepRedirect makes a redirect the answer of the target, which may have executed the call. To
+// follow it would send the call again, or take an unreachable address for a call that was not sent.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Stream is one open stream of an engine.
 type Stream struct {
 	// BootID, WeightsVersion and Build are the engine's values from the response header.
