--- /dev/null
+++ b/agent/outcome_test.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/ledger"
+	"acaciakeel/refusal"
+	"acaciakeel/store"
+	"acaciakeel/target"
+)
+
+// Guards against "not run" for a request that its engine was running when its entry gave it up,
+// told to a client that resumes the stream elsewhere.
+func TestGivenUpJobMayHaveRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		phase phase
+		want  refusal.Outcome
+	}{
+		"waiting": {waiting, refusal.NotRun}, "prefilling": {prefilling, refusal.Unknown}, "decoding": {decoding, refusal.Unknown},
+	} {
+		for _, by := range []string{"abandoned", "unread"} {
+			t.Run(name+"/"+by, func(t *testing.T) {
+				r := newRunner(DefaultSettings(), target.NewEngine("http://127.0.0.1:1"), newMetrics(prometheus.NewRegistry()))
+				now := time.Now()
+				j := newJob(&keelv1.GenerateRequest{RequestId: "r", Customer: "c"}, 0, now)
+				j.phase, r.jobs[j.id] = test.phase, j
+				if by == "abandoned" {
+					r.abandon(j.id, now)
+				} else {
+					r.sweep(now.Add(time.Hour))
+				}
+				_, finish, _ := j.buffer.TokensFrom(0)
+				if finish == nil || refusal.From(finish.Err).Outcome != test.want {
+					t.Errorf("ended with %+v, want the outcome %s", finish, test.want)
+				}
+			})
+		}
+	}
+}
+
+// heldStore is a store in which another agent holds each claim.
+type heldStore struct{ store.Store }
+
+func (heldStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
+
+func (heldStore) Put(context.Context, string, []byte, int64, store.LeaseID) (int64, error) {
+	return 0, store.ErrConflict
+}
+
+func (heldStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{Value: []byte(`{"target":"other","incarnation":"x","nonce":"n"}`), Revision: 7}, nil
+}
+
+// Guards against "not run" for a call that another agent has, told to an entry that lost the first
+// answer and asks again.
+func TestCallHeldElsewhereStaysSo(t *testing.T) {
+	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the service got the call") }))
+	defer service.Close()
+	c := &callExecutor{
+		service:     target.NewService(service.URL),
+		claims:      &claimStore{store: heldStore{}, self: claim{Target: "own", Incarnation: "i"}, ttl: time.Hour},
+		incarnation: "i",
+		slots:       1,
+		metrics:     newMetrics(prometheus.NewRegistry()),
+		homeStatus:  func(ledger.Key) (bool, time.Time) { return true, time.Now() },
+		ledger:      ledger.New(ledger.Limits{MaxRecords: 9, MaxAnswerBytes: 9, Retention: time.Hour, TombstoneRetention: time.Hour}),
+	}
+	req := &keelv1.CallRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", Method: http.MethodPost, Path: "/", RequireIncarnation: "i"}
+	first := c.call(t.Context(), req)
+	state := c.abandon(&keelv1.AbandonRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", RequireIncarnation: "i"})
+	again := c.call(t.Context(), req)
+	if first.Refusal == nil || first.Refusal.Outcome != string(refusal.Unknown) || state == ledger.NotRun {
+		t.Errorf("refused with %v, then settled as %s", first.Refusal, state)
+	}
+	if again.Refusal == nil || again.Refusal.Outcome != string(refusal.Unknown) || again.HolderTarget != "other" {
+		t.Errorf("asked again: %v, holder %q, want an unknown outcome and the holder", again.Refusal, again.HolderTarget)
+	}
+}
