entry: a refusal after an attempt that may have run is unknown

What callers saw: a model request whose first target lost its stream before the first token, and whose second target was full, was refused as "not run", although the first one may have run it.

Cause: the refusal of the last attempt was passed on as that of the request; only a stream of which the client had text was excepted.

Change: the session keeps whether any attempt may have run.

Evidence: TestRefusalAfterAnUnknownAttemptIsUnknown, queue_full as not_run before.

--- a/entry/session.go
+++ b/entry/session.go
@@ -61,7 +61,9 @@
 	sentText  []byte
 	// build is the software version of the engine that sent the first token. The stream is
 	// continued only at engines of that version.
-	build        string
+	build string
+	// mayHaveRun is set once an attempt may have run.
+	mayHaveRun   bool
 	attempt      uint32
 	attemptCount int
 	triedTargets []string
@@ -102,8 +104,9 @@
 			}
 			return refusal.New(refusal.Canceled, "nothing", "the caller left")
 		}
-		if len(s.sentText) > 0 && refused.Outcome == refusal.NotRun {
-			// Earlier attempts of this stream did run.
+		s.mayHaveRun = s.mayHaveRun || len(s.sentText) > 0 || refused.Outcome != refusal.NotRun
+		if s.mayHaveRun && refused.Outcome == refusal.NotRun {
+			// The refusal speaks for the last attempt only.
 			refused.Outcome = refusal.Unknown
 		}
 		if s.canWaitForRunner(refused) {
