entry: an agent that is not reached again leaves the outcome unknown

What callers saw: a model request was sent to an agent, whose process then ended. After the entry's further connections were refused, the client was told "not run"; so was one that resumed a stream of which it had events already.

Cause: "not run" follows from a connection that could not be made. That holds for the connection that would have sent the request, not for one that only reads its stream.

Change: after a failed connection that resumes an attempt the outcome is unknown. A resumed stream is tried again for as long as other attempts are.

Evidence: both rows of TestLostAgentLeavesTheOutcomeUnknown, not_run before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,6 +76,10 @@
 			a.recordTargetHealth(refused)
 			return refused
 		}
+		if request.AttachOnly {
+			// The request was sent over an earlier connection.
+			refused.Outcome = refusal.Unknown
+		}
 		budget--
 		if errors.Is(connErr, errSilentConnection) {
 			budget -= silentConnectionCost - 1
