entry: a stream of a target that is not configured may have run

What callers saw: a client that resumes a stream whose target is gone from the configuration was told that the stream did not run.

Change: the outcome is unknown, as at an agent that has lost the stream.

Evidence: TestResumeAtAnUnknownTargetIsNoRefusalOfTheRun, not_run before.

--- a/entry/resume.go
+++ b/entry/resume.go
@@ -47,8 +47,10 @@
 func (e *Entry) resumeSession(ctx context.Context, m *modelRequest, point resumePoint) (*session, *refusal.Error) {
 	url, ok := e.table.Load().agentURL[point.target]
 	if !ok {
-		return nil, refusal.New(refusal.ResumeUnavailable, "send the request again without Last-Event-ID",
+		refused := refusal.New(refusal.ResumeUnavailable, "send the request again without Last-Event-ID",
 			"target %q of the stream is not configured", point.target)
+		refused.Outcome = refusal.Unknown
+		return nil, refused
 	}
 	m.requestID = point.requestID
 	s := &session{entry: e, request: m, attempt: point.attempt, events: make(chan streamEvent, eventBuffer)}
