entry: "not run" of a call whose answer was lost comes from Abandon only

What callers saw: nothing yet; found by reading. An entry whose connection to an agent breaks asks for the outcome, hears that a call with that key is running, joins it with a second copy of its attempt, and is refused as the other attempt is ("all slots are busy"). It passes "not run" on. The first copy of its attempt may still arrive over the old connection, finds no tombstone and runs.

Change: a refusal of the joined copy with the outcome "not run" is not passed on. The entry asks Abandon again, which rules the first copy out with a tombstone.

Evidence: TestNotRunIsSettledBeforeItIsSaid, refused as not run before although nothing had ruled the copy out.

--- a/entry/call.go
+++ b/entry/call.go
@@ -300,10 +300,16 @@
 			return nil, refusal.NewUnknown("the process of %s that had the call is gone", name)
 		}
 		if outcome.Outcome == string(refusal.NotRun) {
-			return nil, refusal.New(refusal.TargetFailed, "another target takes the call", "the agent of %s never had the call", name)
+			return nil, refusal.New(refusal.TargetFailed, "another target takes the call", "the agent of %s has not run the call and will not", name)
 		}
-		if response, err := p.joinCall(ctx, clients.Agent.Call); err == nil {
-			return p.decodeResponse(response)
+		response, err := p.joinCall(ctx, clients.Agent.Call)
+		if err != nil {
+			continue
+		}
+		// The refusal of a second copy says nothing of the first, which may be on its way: only
+		// Abandon rules that out.
+		if answer, refused := p.decodeResponse(response); refused == nil || refused.Outcome != refusal.NotRun {
+			return answer, refused
 		}
 	}
 	return nil, refusal.NewUnknown("the agent of %s had the call and does not answer", name)
