ledger: an attempt at a call that another agent has can be made again

What callers saw: a call with the caller's own key is refused with an unknown outcome, as another agent has its claim, and that answer is lost. The entry asks for the outcome, hears "unsent" and sends the attempt again to learn who has the call. It gets attempt_abandoned, "not run", and passes it on, although the other agent may have run the call.

Cause: Abandon left a tombstone for an attempt in state Unsent.

Change: only a call that has not run leaves one. The attempt is made again, finds the claim and names its holder, which the entry then asks.

Evidence: TestCallHeldElsewhereStaysSo, not_run before. A late copy of the attempt can't run either: it finds the claim as well.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -241,17 +241,15 @@
 }
 
 // Abandon returns the state of a call for an attempt whose answer did not reach
-// its entry. Unless the call is running or was sent, it also adds a tombstone,
-// so that Begin refuses a delayed copy of the attempt.
+// its entry. If the call has not run, it also adds a tombstone, so that Begin
+// refuses a delayed copy of the attempt. An attempt in state Unsent gets none:
+// it may be made again, to find out which process has the call.
 func (l *Ledger) Abandon(key Key, attempt Attempt, now time.Time) State {
 	r := l.records[key]
-	if r != nil && (r.State == Running || r.State == Done || r.State == Unknown) {
+	if r != nil && r.State != NotRun {
 		return r.State
 	}
 	l.tombstones[attempt] = now
-	if r != nil {
-		return r.State
-	}
 	return NotRun
 }
 
