agent: a request given up while its engine ran it may have run

What callers saw: a client that resumes its stream at another entry, after the first one gave it up or nobody read it for a while, was told "canceled, not run" of a request that the engine was running.

Change: "not run" is said only of a request that was still queued.

Evidence: 4 of 6 rows of TestGivenUpJobMayHaveRun said not_run before: prefilling and decoding, given up and unread.

--- a/agent/runner.go
+++ b/agent/runner.go
@@ -249,6 +249,16 @@
 	}
 }
 
+// canceledRefusal is the refusal of a job that nobody reads. Another entry may still ask for its
+// stream, so it says "not run" only of a job that was not sent to the engine.
+func canceledRefusal(j *job) *refusal.Error {
+	e := queueRefusal(admission.Canceled, 0)
+	if j.phase != waiting {
+		e.Outcome = refusal.Unknown
+	}
+	return e
+}
+
 // abandon ends a job that its entry has given up.
 func (r *runner) abandon(id string, now time.Time) {
 	r.mu.Lock()
@@ -258,7 +268,7 @@
 		return
 	}
 	r.queue.Remove(id)
-	r.finishLocked(j, stream.Finish{Err: queueRefusal(admission.Canceled, 0)}, now)
+	r.finishLocked(j, stream.Finish{Err: canceledRefusal(j)}, now)
 	r.dispatch(now)
 }
 
@@ -288,7 +298,7 @@
 			delete(r.jobs, id)
 		case j.phase != ended && j.readers == 0 && now.Sub(j.unreadSince) > orphan:
 			r.queue.Remove(id)
-			r.finishLocked(j, stream.Finish{Err: queueRefusal(admission.Canceled, 0)}, now)
+			r.finishLocked(j, stream.Finish{Err: canceledRefusal(j)}, now)
 			r.metrics.orphans.Inc()
 		}
 	}
