agent: a stream resumed at an agent of a plain service may have run

What callers saw: a client that resumes a stream at an agent whose target has become a plain service was told "no_target, not run".

Change: the outcome is unknown where only the stream of an earlier request is asked for.

Evidence: TestResumeAtAServiceIsNoRefusalOfTheRun, not_run without the change.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -19,7 +19,7 @@
 func (a *Agent) Generate(ctx context.Context, req *connect.Request[keelv1.GenerateRequest], out *connect.ServerStream[keelv1.GenerateResponse]) error {
 	a.follower.Hint(int64(req.Msg.ConfigRevision))
 	if a.runner == nil {
-		return a.sendRefusal(out, refusal.New(refusal.NoTarget, "check the Target resource", "this agent's target is no engine"))
+		return a.sendRefusal(out, noEngineRefusal(req.Msg))
 	}
 	j, refused := a.findOrSubmit(ctx, req.Msg)
 	if refused != nil {
@@ -28,6 +28,16 @@
 	return a.sendEvents(ctx, j, int(req.Msg.Offset), out)
 }
 
+// noEngineRefusal is the refusal of a request at an agent of a plain service. A stream that is
+// resumed may have run at the engine that was there before.
+func noEngineRefusal(req *keelv1.GenerateRequest) *refusal.Error {
+	e := refusal.New(refusal.NoTarget, "check the Target resource", "this agent's target is no engine")
+	if req.AttachOnly {
+		e.Outcome = refusal.Unknown
+	}
+	return e
+}
+
 func (a *Agent) findOrSubmit(ctx context.Context, req *keelv1.GenerateRequest) (*job, *refusal.Error) {
 	if req.AttachOnly {
 		return a.runner.findOrAdopt(ctx, req)
--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// Guards against "not run" for a stream that was begun before the agent's target became a plain
+// service.
+func TestResumeAtAServiceIsNoRefusalOfTheRun(t *testing.T) {
+	for attach, want := range map[bool]refusal.Outcome{false: refusal.NotRun, true: refusal.Unknown} {
+		if got := noEngineRefusal(&keelv1.GenerateRequest{AttachOnly: attach}).Outcome; got != want {
+			t.Errorf("attach only %t: the outcome is %s, want %s", attach, got, want)
+		}
+	}
+}
+
 // heldStore is a store in which another agent holds each claim.
 type heldStore struct{ store.Store }
 
