platform: only a response that names the request answers it

What callers saw: a request that may run once ran at two targets, or was answered 503 although a target ran it, when the first response on a new connection was a refusal without an ID. It was believed even if its bytes had been sent while the connection was accepted, before the request was.

Cause: matchResponse took a refusal without an ID for the request's own if its connection had carried no other response. That rules out a late response to an earlier request of that connection, and no other bytes that belong to no request.

Change: a response answers the request whose ID it bears, and no other; what its connection carried doesn't matter. The time at which bytes arrive can't decide it either: a target that writes as it accepts is heard after the first byte of the request has been written, since the connection is established one transit earlier on this side.

Price: a true refusal without an ID would become 502 for a request that may run once. By the platform's protocol there is none: targets echo the ID, and the front refuses a request that has none, the only one to which 400 without an ID can be due.

--- a/router/request.go
+++ b/router/request.go
@@ -94,9 +94,8 @@
 	// weights than the attempt requires.
 	Misdirected bool
 	InstanceID  string
-	// MatchesRequest is set if the response is known to answer the request: it carries its ID,
-	// or refuses it without naming any on a connection that carried nothing else. Nothing of
-	// another response may be used.
+	// MatchesRequest is set if the response is known to answer the request: it carries its ID
+	// and no other. Nothing of another response may be used.
 	MatchesRequest bool
 	// RequestID is the ID of the request that the response answers by its own word; empty if
 	// it names none.
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -21,10 +21,9 @@
 	maxLoggedBytes = 64
 )
 
-// recordUnmatched counts a response that does not carry the ID of the request alone, and logs it
-// if it is not taken for the answer.
+// recordUnmatched counts and logs a response that is not known to answer the request.
 func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
-	if resp.RequestID == s.in.ID && resp.MatchesRequest {
+	if resp.MatchesRequest {
 		return
 	}
 	id, answer, conn := idOther, answerOther, connNew
@@ -41,9 +40,6 @@
 		conn = connReused
 	}
 	s.router.metrics.unmatched.WithLabelValues(id, answer, conn).Inc()
-	if resp.MatchesRequest {
-		return
-	}
 	s.router.log.WithFields(logrus.Fields{
 		"event": "response_unmatched", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "status": resp.Status,
 		"answer_id": truncate(resp.RequestID), "answer": answer, "connection": conn, "sends": s.attempts,
