platform: a refusal whose header is made of several answers nothing

What callers saw: a request that may run once ran at two targets, or was answered 503 although a target ran it, when the header of one response was continued by that of another, so that the ID is that of the one and the refusal that of the other.

Cause: only the exact beginning of a status line, "HTTP/1.x NNN", inside a value told such a header; other letters or spacing passed. The library also accepts names with a space and takes the first of several values, so that two dates, instances or versions of the weights weren't noticed.

A header with a space in a name, or with two different values of what a response has once, is ambiguous: the router believes no refusal in it, and takes no load, notice or weights from it. A success is judged as before: its seal and its length speak for it.

TestContinuedHeaders states the rule and what is no status line.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"acaciakeel/catalog"
@@ -44,8 +43,7 @@
 
 // handleNotRun handles responses of targets that did not run the request.
 func (s *session) handleNotRun(choice fleet.Choice, resp *Response) (attemptResult, bool) {
-	if !resp.NotRun || resp.Status < http.StatusBadRequest {
-		// A status of success contradicts the statement that nothing ran.
+	if !resp.refuses() {
 		return attemptResult{}, false
 	}
 	now := time.Now()
--- a/router/request.go
+++ b/router/request.go
@@ -100,6 +100,8 @@
 	// RequestID is the ID of the request that the response answers by its own word; empty if
 	// it names none.
 	RequestID string
+	// Ambiguous is set if the header may consist of those of several responses.
+	Ambiguous bool
 	// ConnReused is set if the connection had carried other responses before.
 	ConnReused bool
 	// Sealed is set if the response has the seal header, with which a target confirms that the
@@ -127,6 +129,12 @@
 	return r.NotRun
 }
 
+// refuses reports whether the response states that its target did not run the request, and nothing
+// else in its header speaks against that.
+func (r *Response) refuses() bool {
+	return r.NotRun && r.Status >= http.StatusBadRequest && !r.Ambiguous
+}
+
 // promisesNotRun reports whether clients take the status for the promise that the request has
 // not run and never will. They repeat any request after it.
 func (r *Response) promisesNotRun() bool {
--- a/router/session.go
+++ b/router/session.go
@@ -283,6 +283,9 @@
 func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
 	s.active.Responded(time.Now())
+	if resp.Ambiguous {
+		return
+	}
 	if resp.HasLoad {
 		f.RecordLoad(choice.Target.Instance(), resp.Load, time.Now())
 	}
