router: a refusal with the seal of a run is not believed

What callers saw: a request that may run once ran at two targets, or was answered 503 although a target ran it, when the target's response stated that it didn't run the request and bore the seal of a run all the same.

Cause: Not-Executed, or status 421, decided before anything else in the response was looked at; only a status of success counted as a contradiction.

Change: a sealed refusal answers nothing; its request counts as one that may have run. The case covers the header of a refusal that is continued by that of a run of which the status line can't be recognized any more.

--- a/router/request.go
+++ b/router/request.go
@@ -130,9 +130,9 @@
 }
 
 // refuses reports whether the response states that its target did not run the request, and nothing
-// else in its header speaks against that.
+// else in its header speaks against that: only a run has a seal.
 func (r *Response) refuses() bool {
-	return r.NotRun && r.Status >= http.StatusBadRequest && !r.Ambiguous
+	return r.NotRun && r.Status >= http.StatusBadRequest && !r.Ambiguous && !r.Sealed
 }
 
 // promisesNotRun reports whether clients take the status for the promise that the request has
