router: a refusal that breaks off is not believed

What callers saw: a request that may run once ran at two targets, or was answered 503 although a target ran it, when the body of a refusal broke off, stalled or never ended.

Cause: the entry took a refusal by its header and dropped the rest unread. By the platform's protocol what a faulty target truncates belongs to no request, and a body that is not what its header announces shows that the bytes are not one response.

Change: a refusal is read to its end, 64 KiB and half a second at most. Otherwise its request counts as one that may have run, and the target as having failed. A refusal that ends with its connection counts if that was closed and not reset.

Price: a true refusal whose body breaks off becomes 502 for a request that may run once.

TestTrueRefusalIsBelieved has bodies with a length, in chunks and until close, and passes.

--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -369,6 +369,7 @@
 		"continued by the run": kept(chunked + "{run}"),
 		"421":                  closed(refusalHead(421, ownID, "Instance-Id: i-other", "Content-Length: 100") + "busy"),
 		"stalled":              kept(sized),
+		"without end":          kept(chunked + "20000\r\n" + strings.Repeat("x", 0x20000) + "\r\n"),
 	})
 }
 
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -41,11 +42,41 @@
 // one batch step.
 const queueFullBackoff = 30 * time.Millisecond
 
-// handleNotRun handles responses of targets that did not run the request.
-func (s *session) handleNotRun(choice fleet.Choice, resp *Response) (attemptResult, bool) {
-	if !resp.refuses() {
-		return attemptResult{}, false
+const (
+	// refusalTimeout is how long the body of a refusal may take after its header, which is sent
+	// with it; links take milliseconds.
+	refusalTimeout = 500 * time.Millisecond
+	// maxRefusalBytes is the maximum size of that body, which holds an error message.
+	maxRefusalBytes = 64 << 10
+)
+
+var errRefusalTooLong = fmt.Errorf("the refusal is longer than %d bytes", maxRefusalBytes)
+
+// readRefusal reads a refusal to its end. cancel ends the attempt.
+func readRefusal(resp *Response, cancel context.CancelFunc) error {
+	timer := time.AfterFunc(refusalTimeout, cancel)
+	defer timer.Stop()
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes+1))
+	if err == nil && n > maxRefusalBytes {
+		err = errRefusalTooLong
 	}
+	return err
+}
+
+// handleRefusal handles a response which states that the target did not run the request. One that
+// breaks off is none: what a target truncates belongs to no request.
+func (s *session) handleRefusal(ctx context.Context, cancel context.CancelFunc, choice fleet.Choice, resp *Response) attemptResult {
+	s.guard.stop()
+	if err := readRefusal(resp, cancel); err != nil {
+		s.executions++
+		s.recordInterruption(ctx, choice)
+		return s.outcomeUnknown(retry.Interrupted, "the refusal of target %s broke off: %v", choice.Target.ID, err)
+	}
+	return s.handleNotRun(choice, resp)
+}
+
+// handleNotRun handles a request that the target did not run.
+func (s *session) handleNotRun(choice fleet.Choice, resp *Response) attemptResult {
 	now := time.Now()
 	f := s.router.fleet
 	kind := refusal.QueueFull
@@ -63,7 +94,7 @@
 		f.RecordBusy(choice.Target.Instance(), now.Add(queueFullBackoff))
 	}
 	refused := refusal.New(kind, "come back after the time in Retry-After", "target %s did not take the request (status %d)", choice.Target.ID, resp.Status).WithRetryAfter(defaultRetryAfter)
-	return attemptResult{refused: refused, reason: retry.TargetUnavailable, retryable: true}, true
+	return attemptResult{refused: refused, reason: retry.TargetUnavailable, retryable: true}
 }
 
 // correctWeights corrects the recorded weights of a runner that refused a request because its
--- a/router/session.go
+++ b/router/session.go
@@ -196,8 +196,8 @@
 		return s.handleUnmatched(choice)
 	}
 	s.recordResponse(choice, response)
-	if out, ok := s.handleNotRun(choice, response); ok {
-		return out
+	if response.refuses() {
+		return s.handleRefusal(ctx, cancel, choice, response)
 	}
 	s.executions++
 	f.RecordAccepted(choice.Target.Instance(), s.sentAt)
