--- a/router/request.go
+++ b/router/request.go
@@ -94,17 +94,15 @@
 	// weights than the attempt requires.
 	Misdirected bool
 	InstanceID  string
-	// MatchesRequest is set if the response is known to answer the request: it carries its ID,
-	// or refuses it without naming any on a connection that carried nothing else. Nothing of
-	// another response may be used.
+	// MatchesRequest is set if the response is known to answer the request: it carries its ID
+	// and no other. Nothing of another response may be used.
 	MatchesRequest bool
 	// RequestID is the ID of the request that the response answers by its own word; empty if
 	// it names none.
 	RequestID string
-	// ConnReused is set if the connection had carried other responses before, Conn says more
-	// about it.
-	ConnReused bool
-	Conn       ConnUse
+	// Ambiguous is set if the header may consist of those of several responses.
+	Ambiguous bool
+	Conn      ConnUse
 	// Sealed is set if the response has the seal header, with which a target confirms that the
 	// body is its own. Encoded is set if a content encoding was applied, so that the body is
 	// not the one that the target produced.
@@ -130,6 +128,12 @@
 	return r.NotRun
 }
 
+// refuses reports whether the response states that its target did not run the request, and nothing
+// else in its header speaks against that: only a run has a seal.
+func (r *Response) refuses() bool {
+	return r.NotRun && r.Status >= http.StatusBadRequest && !r.Ambiguous && !r.Sealed
+}
+
 // promisesNotRun reports whether clients take the status for the promise that the request has
 // not run and never will. They repeat any request after it.
 func (r *Response) promisesNotRun() bool {
--- a/router/session.go
+++ b/router/session.go
@@ -200,8 +200,8 @@
 		return s.handleUnmatched(choice)
 	}
 	s.recordResponse(choice, response)
-	if out, ok := s.handleNotRun(choice, response); ok {
-		return out
+	if response.refuses() {
+		return s.handleRefusal(ctx, cancel, choice, response)
 	}
 	s.executions++
 	f.RecordAccepted(choice.Target.Instance(), s.sentAt)
@@ -287,6 +287,9 @@
 func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
 	s.active.Responded(time.Now())
+	if resp.Ambiguous {
+		return
+	}
 	if resp.HasLoad {
 		f.RecordLoad(choice.Target.Instance(), resp.Load, time.Now())
 	}
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -33,10 +33,9 @@
 	return idOther
 }
 
-// recordUnmatched counts a response that does not carry the ID of the request alone, and logs it
-// if it is not taken for the answer.
+// recordUnmatched counts and logs a response that is not known to answer the request.
 func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
-	if resp.RequestID == s.in.ID && resp.MatchesRequest {
+	if resp.MatchesRequest {
 		return
 	}
 	id, answer, conn := resp.namedID(s.in.ID), answerOther, connNew
@@ -46,13 +45,10 @@
 	if resp.NotRun {
 		answer = answerRefusal
 	}
-	if resp.ConnReused {
+	if resp.Conn.Earlier > 0 {
 		conn = connReused
 	}
 	s.router.metrics.unmatched.WithLabelValues(id, answer, conn).Inc()
-	if resp.MatchesRequest {
-		return
-	}
 	s.router.log.WithFields(logrus.Fields{
 		"event": "response_unmatched", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "status": resp.Status,
 		"answer_id": truncate(resp.RequestID), "answer": answer, "connection": conn, "sends": s.attempts,
