node: tests of responses without end

What callers see: one faulty target whose bytes go on until its connection is closed makes an entry grow beyond its VM's memory, which ends it with all that it holds.

Change: a target that writes to the raw connection, one row for each kind (head, informational responses, plain bodies, events), the same one byte at a time, and 32 bodies of 7 MB at once. What a target could send is counted, so that no row judges a time; its request must run once and get 502 or 504.

--- /dev/null
+++ b/node/endless_response_test.go
@@ -0,0 +1,357 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/standin/runner"
+	"acaciakeel/telemetry"
+)
+
+// Bounds of what a target can send before the entry ends its connection: what the entry reads,
+// and what the kernel takes beyond that.
+const (
+	headBound   = 32 << 10
+	eventBound  = 1 << 20
+	bodyBound   = 8 << 20
+	socketBytes = 4 << 20
+	// bodySocketBytes is larger: the kernel's buffer grows with what is read.
+	bodySocketBytes = 40 << 20
+)
+
+// endlessResponse is a response that goes on until its connection is closed.
+type endlessResponse struct {
+	path string
+	// head is sent once, with the request's ID in place of ID; piece is sent again and again.
+	head  string
+	piece func(i int) string
+	// pause is the time after each byte; 0 sends as fast as the entry reads.
+	pause time.Duration
+	// sent bounds the bytes that are sent before the connection ends.
+	sent int
+	// headForwarded is set if the client has got a part of the response.
+	headForwarded bool
+}
+
+func repeated(text string) func(int) string { return func(int) string { return text } }
+
+const (
+	okHead     = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nWeight-Versions: 1\r\n"
+	chunked    = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	eventsHead = okHead + "Content-Type: text/event-stream\r\n\r\n"
+	oneEvent   = "id: 1\ndata: x\n\n"
+	earlyHints = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	textOf4KB  = 4 << 10
+)
+
+func endlessResponses() map[string]endlessResponse {
+	text := repeated(strings.Repeat("x", textOf4KB))
+	chunk := repeated(fmt.Sprintf("%x\r\n%s\r\n", textOf4KB, strings.Repeat("x", textOf4KB)))
+	headerLine := func(i int) string { return fmt.Sprintf("X-%d: value\r\n", i) }
+	out := map[string]endlessResponse{}
+	for kind, path := range map[string]string{"plain": "/hold/endless", "stream": "/match/endless"} {
+		out["a header line, "+kind] = endlessResponse{path: path, head: okHead + "X: ", piece: text, sent: headBound + socketBytes}
+		out["header lines, "+kind] = endlessResponse{path: path, head: okHead, piece: headerLine, sent: headBound + socketBytes}
+		out["no status line, "+kind] = endlessResponse{path: path, piece: text, sent: headBound + socketBytes}
+		out["informational responses, "+kind] = endlessResponse{path: path, piece: repeated(earlyHints), sent: headBound + socketBytes}
+	}
+	out["a chunked body"] = endlessResponse{path: "/hold/endless", head: chunked, piece: chunk, sent: bodyBound + bodySocketBytes}
+	out["a body until close"] = endlessResponse{path: "/hold/endless", head: okHead + "\r\n", piece: text, sent: bodyBound + bodySocketBytes}
+	out["a body of a stated terabyte"] = endlessResponse{path: "/hold/endless", head: okHead + "Content-Length: 1000000000000\r\n\r\n", piece: text, sent: headBound + socketBytes}
+	out["a line of a stream"] = endlessResponse{path: "/match/endless", head: eventsHead, piece: text, sent: eventBound + 4*socketBytes}
+	out["lines of an event"] = endlessResponse{path: "/match/endless", head: eventsHead, piece: repeated("data: x\n"), sent: eventBound + 4*socketBytes}
+	out["a line after an event"] = endlessResponse{path: "/match/endless", head: eventsHead + oneEvent, piece: text, sent: eventBound + 4*socketBytes, headForwarded: true}
+	return out
+}
+
+// slowResponses returns the responses whose bytes come one at a time, which only the deadline of
+// the request ends.
+func slowResponses() map[string]endlessResponse {
+	out := map[string]endlessResponse{}
+	for kind, path := range map[string]string{"plain": "/hold/endless", "stream": "/match/endless"} {
+		out["a header line, "+kind] = endlessResponse{path: path, head: okHead + "X: ", piece: repeated("x")}
+		out["header lines, "+kind] = endlessResponse{path: path, head: okHead, piece: repeated("X: x\r\n")}
+		out["no status line, "+kind] = endlessResponse{path: path, piece: repeated("x")}
+		out["informational responses, "+kind] = endlessResponse{path: path, piece: repeated(earlyHints)}
+	}
+	out["a chunked body"] = endlessResponse{path: "/hold/endless", head: chunked, piece: repeated("1\r\nx\r\n")}
+	out["a body until close"] = endlessResponse{path: "/hold/endless", head: okHead + "\r\n", piece: repeated("x")}
+	out["a body with a length"] = endlessResponse{path: "/hold/endless", head: okHead + "Content-Length: 1000000\r\n\r\n", piece: repeated("x")}
+	out["before the first event"] = endlessResponse{path: "/match/endless", head: eventsHead, piece: repeated("x")}
+	out["between events"] = endlessResponse{path: "/match/endless", head: eventsHead + oneEvent, piece: repeated("x"), headForwarded: true}
+	for name, r := range out {
+		r.pause, r.sent = time.Millisecond, headBound+socketBytes
+		out[name] = r
+	}
+	return out
+}
+
+// connEnd is how a connection with an endless response ended.
+type connEnd struct {
+	id   string
+	sent int
+	// closed is set if the entry closed it.
+	closed bool
+}
+
+// endlessTargets stand before the targets of an environment: requests for a path that ends in
+// /endless get what play writes, all others reach the target.
+type endlessTargets struct {
+	w    *testEnv
+	play atomic.Pointer[func(conn *net.TCPConn, id string) connEnd]
+	ends chan connEnd
+
+	mu   sync.Mutex
+	runs map[string]int
+	// forwarded counts the other requests by target.
+	forwarded map[string]int
+}
+
+func startEndlessTargets(t *testing.T, w *testEnv) *endlessTargets {
+	t.Helper()
+	e := &endlessTargets{w: w, ends: make(chan connEnd, 64), runs: map[string]int{}, forwarded: map[string]int{}}
+	for _, other := range []*runner.Runner{w.runners[1], w.plainTargets[1]} {
+		leaving := other.Entry("draining")
+		w.store.Set(leaving.Key, leaving.Value)
+	}
+	targets := []*runner.Runner{w.runners[0], w.plainTargets[0]}
+	for _, target := range targets {
+		entry := target.EntryAt("ready", e.startProxy(t, target))
+		w.store.Set(entry.Key, entry.Value)
+	}
+	w.until("requests reach each proxy", func() bool {
+		w.send("POST", "/hold/sound", "box", nil)
+		w.send("POST", "/match/sound", "box", promptHeaders())
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.forwarded) == len(targets)
+	})
+	return e
+}
+
+func (e *endlessTargets) startProxy(t *testing.T, target *runner.Runner) (address string) {
+	t.Helper()
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target.Address()})
+	proxy.FlushInterval = -1
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/endless") {
+			if strings.HasSuffix(r.URL.Path, "/sound") {
+				e.count(e.forwarded, target.ID)
+			}
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		id := r.Header.Get("Request-Id")
+		e.count(e.runs, id)
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetWriteBuffer(64 << 10)
+		_ = tcp.SetDeadline(time.Now().Add(waitTimeout))
+		e.ends <- (*e.play.Load())(tcp, id)
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String()
+}
+
+func (e *endlessTargets) count(of map[string]int, key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	of[key]++
+}
+
+func (e *endlessTargets) runsOf(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// write sends the response until the entry ends the connection, or has taken more than it may.
+func (r endlessResponse) write(conn *net.TCPConn, id string) connEnd {
+	end := connEnd{id: id}
+	send := func(text string) bool {
+		n, err := io.WriteString(conn, text)
+		end.sent += n
+		end.closed = err != nil && !isTimeout(err)
+		return err == nil && end.sent <= r.sent
+	}
+	if !send(strings.Replace(r.head, "ID", id, 1)) {
+		return end
+	}
+	var batch strings.Builder
+	for i := 0; ; i++ {
+		piece := r.piece(i)
+		if r.pause == 0 {
+			batch.WriteString(piece)
+			if batch.Len() < textOf4KB {
+				continue
+			}
+			if !send(batch.String()) {
+				return end
+			}
+			batch.Reset()
+			continue
+		}
+		for _, b := range []byte(piece) {
+			time.Sleep(r.pause)
+			if !send(string(b)) {
+				return end
+			}
+		}
+	}
+}
+
+// checkEndless sends one request to a target with an endless response, and checks that the target
+// is stopped, that the request ran once and that its outcome promises nothing.
+func (e *endlessTargets) checkEndless(t *testing.T, r endlessResponse, id string, headers map[string]string) {
+	t.Helper()
+	play := r.write
+	e.play.Store(&play)
+	answered := make(chan response, 1)
+	go func() { answered <- e.w.sendTo(e.w.node, "POST", r.path, "body", id, headers) }()
+	end := <-e.ends
+	if !end.closed || end.sent > r.sent {
+		t.Errorf("the target could send %d bytes, its connection was closed: %v", end.sent, end.closed)
+	}
+	got := <-answered
+	switch {
+	case r.headForwarded && got.err == nil:
+		t.Errorf("answered %d with %d bytes that look whole", got.status, len(got.body))
+	case !r.headForwarded && (got.err != nil || got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout):
+		t.Errorf("answered %d (%v), want 502 or 504", got.status, got.err)
+	}
+	if n := e.runsOf(id); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+	if got := e.w.send("POST", "/hold/sound", "box", nil); got.status != http.StatusOK {
+		t.Errorf("a plain request after it got %d %q (%v)", got.status, got.body, got.err)
+	}
+	if got := e.w.send("POST", "/match/sound", "box", promptHeaders()); got.status != http.StatusOK || got.body != completeStream() {
+		t.Errorf("a stream after it got %d %q (%v)", got.status, got.body, got.err)
+	}
+}
+
+func endlessHeaders(path string) map[string]string {
+	if strings.HasPrefix(path, "/match/") {
+		return promptHeaders()
+	}
+	return map[string]string{}
+}
+
+// Guards against a faulty target that fills the entry's memory: bytes that are no answer and go
+// on until the entry closes the connection.
+func TestEndlessResponseIsEnded(t *testing.T) {
+	for name, r := range endlessResponses() {
+		t.Run(name, func(t *testing.T) {
+			log := &lockedBuffer{}
+			w := newEnvWith(t, telemetry.NewLoggerTo(log, "info"))
+			e := startEndlessTargets(t, w)
+			e.checkEndless(t, r, "endless", endlessHeaders(r.path))
+			if n := w.gauge("keel_router_oversized_responses_total"); n != 1 {
+				t.Errorf("%v oversized responses counted, want 1", n)
+			}
+			if !strings.Contains(log.String(), "event=response_oversized") {
+				t.Error("the log does not tell the oversized response apart")
+			}
+			if n := w.gauge("keel_node_response_bytes_held"); n != 0 {
+				t.Errorf("%v bytes are still held", n)
+			}
+		})
+	}
+}
+
+// Guards against a request that stays while single bytes come that are no answer: its deadline
+// must end it and its connection at each stage of the response.
+func TestSlowEndlessResponseEndsAtDeadline(t *testing.T) {
+	for name, r := range slowResponses() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := startEndlessTargets(t, newEnv(t))
+			headers := endlessHeaders(r.path)
+			headers["Deadline-Ms"] = "500"
+			e.checkEndless(t, r, "endless", headers)
+		})
+	}
+}
+
+// Guards against bodies that together fill the memory although each is within its own bound.
+func TestBodiesShareABudget(t *testing.T) {
+	const (
+		requests  = 32
+		bodyBytes = 7 << 20
+		// budget is what responses may hold on a VM without a stated memory size.
+		budget = 28 << 20
+	)
+	for name, framing := range map[string]string{"chunked": "Transfer-Encoding: chunked\r\n\r\n800000\r\n", "until close": "\r\n", "with a length": "Content-Length: 8000000\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			w := newEnv(t)
+			e := startEndlessTargets(t, w)
+			var arrived sync.WaitGroup
+			arrived.Add(requests)
+			var open atomic.Int64
+			open.Store(requests)
+			var conns sync.Map
+			play := func(conn *net.TCPConn, id string) connEnd {
+				arrived.Done()
+				arrived.Wait()
+				end := connEnd{id: id}
+				conns.Store(id, conn)
+				_, err := io.WriteString(conn, strings.Replace(okHead, "ID", id, 1)+framing+strings.Repeat("x", bodyBytes))
+				if err == nil {
+					// The rest of the body never comes.
+					_, err = conn.Read(make([]byte, 1))
+				}
+				end.closed = !isTimeout(err)
+				open.Add(-1)
+				return end
+			}
+			e.play.Store(&play)
+			answered := make(chan response, requests)
+			for i := range requests {
+				go func() {
+					answered <- w.sendTo(w.node, "POST", "/hold/endless", "body", fmt.Sprint("endless-", i), map[string]string{"Deadline-Ms": "14000"})
+				}()
+			}
+			arrived.Wait()
+			held := int64(budget / bodyBytes)
+			for end := time.Now().Add(8 * time.Second); open.Load() > held && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if got := w.send("POST", "/hold/sound", "box", nil); got.status == http.StatusBadGateway || got.err != nil {
+					t.Fatalf("a sound request meanwhile got %d %q (%v)", got.status, got.body, got.err)
+				}
+			}
+			if n := open.Load(); n > held {
+				t.Errorf("%d bodies of %d bytes are held at once, want at most %d", n, bodyBytes, held)
+			}
+			if n := w.gauge("keel_node_response_bytes_held"); n > budget {
+				t.Errorf("%v bytes are held", n)
+			}
+			conns.Range(func(_, conn any) bool {
+				_ = conn.(*net.TCPConn).Close()
+				return true
+			})
+			for range requests {
+				<-e.ends
+				if got := <-answered; slices.Contains([]int{408, 421, 429, 503}, got.status) {
+					t.Errorf("answered %d, which promises that it did not run", got.status)
+				}
+			}
+		})
+	}
+}
