router, platform: the head of a response is bounded by 32 KB

What callers saw: requests at one entry fail together, as the head of a faulty target's responses has filled the memory of its VM (216 MB and more).

Cause: the HTTP library reads a head to 10 MB, informational responses included, and keeps several times as much for many header lines.

Change: router.MaxResponseHeadBytes, 32 KB: a response repeats the ID of its request, which may take most of a client's 16 KB, and as much again is left for the target. It holds for the header with all informational responses before it, so that these need no bound of their own, and for responses to calls as well. What passes it ends its connection, counts as a failure of the target, and its request may have run. New: event=response_oversized, keel_router_oversized_responses_total by part, the retry reason oversized. The library's error has no type, so the connection counts the bytes.

Evidence: the 8 rows of heads and informational responses of TestEndlessResponseIsEnded pass.

Why it works: the library counts what it reads from the connection, whatever the bytes are, and closes the connection at the bound.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -25,10 +25,12 @@
 	Unresponsive Reason = "unresponsive"
 	// Unmatched: the target sent the response to another request.
 	Unmatched Reason = "unmatched"
+	// Oversized: the target sent more than a response may have.
+	Oversized Reason = "oversized"
 )
 
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched}
+	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched, Oversized}
 }
 
 // MaxAttempts is the maximum number of times that one request is sent, including the
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -26,6 +26,7 @@
 	ends           *prometheus.CounterVec
 	confirmation   *prometheus.HistogramVec
 	unmatched      *prometheus.CounterVec
+	oversized      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a router with r.
@@ -47,6 +48,7 @@
 		ends:           telemetry.NewCounter(r, "keel_router_response_ends_total", "Responses of targets that ended, by how they mark the end of their body and by how it ended.", "framing", "end"),
 		confirmation:   telemetry.NewLatency(r, "keel_router_end_confirmation_seconds", "Time for which the end of a response without length or chunks waited until its target had said that it still serves, by result.", "result"),
 		unmatched:      telemetry.NewCounter(r, "keel_router_unmatched_responses_total", "Responses of targets that do not carry the ID of the request, by what they carry (other, missing), by whether they refuse to run it, and by whether their connection had carried other responses (new, reused).", "id", "answer", "connection"),
+		oversized:      telemetry.NewCounter(r, "keel_router_oversized_responses_total", "Responses of targets that were ended because a part of them was over its bound, by that part.", "part"),
 		startStaleness: telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
 }
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -92,6 +92,10 @@
 		s.executions++
 		return s.handleUnresponsive(choice)
 	}
+	if sent && sendErr != nil && sendErr.HeadBytes > 0 {
+		s.executions++
+		return s.handleOversized(choice, partHead, sendErr.HeadBytes)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), s.guard.hasExpired():
 		// The client disconnected or the guard withdrew the attempt: neither says anything
