router, responsebuffer: bodies that are read whole share the memory for responses

What callers saw: requests at one entry fail together, as plain responses of a faulty target that don't end have filled the memory of its VM.

Cause: each body is bounded by 8 MB, all of them by nothing, and io.ReadAll allocates up to a quarter more, with copies of what it has read.

Change: a body is read in chunks of 4 to 64 KB and written from these, each counted before it is allocated in the pool that bounds what clients leave unread (a quarter of the VM's memory): responsebuffer.Reservation. Beyond the limit of all the one that holds most is ended, whether it is being read or waits for its client: not a small sound one. Ended while it is read, its connection is closed at once, its target has failed, and its request may have run. A stated length over 8 MB is refused before it is read. The first 4 KB of each are not counted, which saves most responses the lock.

Evidence: TestBodiesShareABudget and the rows of bodies of TestEndlessResponseIsEnded pass; 32 bodies of 7 MB were held at once before, 4 are now.

Why it works: every allocation for a body beyond its first 4 KB passes through the one ledger, and what it ends is released and cancelled there and then.

--- a/node/buffer.go
+++ b/node/buffer.go
@@ -11,7 +11,7 @@
 
 const (
 	// responseMemoryShare is the divisor of the VM's memory that gives what responses may
-	// hold for clients that read slowly.
+	// hold while they are read whole and for clients that read slowly.
 	responseMemoryShare = 4
 	// defaultMemoryMB is assumed where the settings don't state the VM's memory: about that of
 	// the smallest VMs in use.
@@ -45,10 +45,10 @@
 		aborted.WithLabelValues(string(reason)).Inc()
 		log.WithFields(logrus.Fields{"event": "response_aborted", "request": id, "reason": reason, "held_bytes": bytes}).Info("the client did not take the response in time")
 	})
-	telemetry.NewGaugeFunc(r, "keel_node_response_bytes_held", "Bytes held for clients that read slowly.", func() float64 {
+	telemetry.NewGaugeFunc(r, "keel_node_response_bytes_held", "Bytes of responses that are read whole or wait for clients that read slowly.", func() float64 {
 		return float64(pool.Usage().Bytes)
 	})
-	telemetry.NewGaugeFunc(r, "keel_node_responses_held", "Responses of which a part waits for the client.", func() float64 {
+	telemetry.NewGaugeFunc(r, "keel_node_responses_held", "Responses of which a part is held.", func() float64 {
 		return float64(pool.Usage().Responses)
 	})
 	telemetry.NewGaugeFunc(r, "keel_node_response_bytes_largest", "Bytes held by the response that holds most.", func() float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -176,6 +176,7 @@
 	n.router.ShareCapacity(n.exchange.sharer)
 	n.router.TrackOrigins(n.exchange.origins)
 	n.exchange.origins.register(n.registry)
+	n.router.LimitBodies(buffer)
 	n.frontend = platform.NewFrontend(n.router, n.view.limits, platform.Telemetry{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
--- a/responsebuffer/ledger.go
+++ b/responsebuffer/ledger.go
@@ -1,6 +1,7 @@
 package responsebuffer
 
-// Limits bound the memory that responses occupy while they wait for their clients.
+// Limits bound the memory that responses occupy while they are read whole and while they wait for
+// their clients.
 type Limits struct {
 	// Response is the limit of one response in bytes, Total that of all together.
 	Response int64
@@ -32,9 +33,14 @@
 	opened uint64
 }
 
+// owner is what an account belongs to. abort is called once the ledger has aborted it.
+type owner interface {
+	abort(reason Reason, held int64)
+}
+
 // account is what one response holds. The zero value holds nothing.
 type account struct {
-	owner *Response
+	owner owner
 	bytes int64
 	// opened orders accounts by when they began to hold bytes.
 	opened uint64
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -27,7 +27,7 @@
 // bufferedResponse is a complete response that has not been forwarded yet.
 type bufferedResponse struct {
 	response *Response
-	body     []byte
+	chunks   [][]byte
 }
 
 // succeeded is the result of an attempt whose response was forwarded completely.
@@ -94,7 +94,7 @@
 	}
 	if sent && sendErr != nil && sendErr.HeadBytes > 0 {
 		s.executions++
-		return s.handleOversized(choice, partHead, sendErr.HeadBytes)
+		return s.handleOversized(choice, &oversizedError{partHead, sendErr.HeadBytes})
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), s.guard.hasExpired():
@@ -142,39 +142,40 @@
 	return s.in.route.Repeatable() && s.executions < s.in.route.Attempts
 }
 
-// maxResponseBytes is the maximum body size of a response that is buffered.
-const maxResponseBytes = 8 << 20
-
 // MaxHeldResponse is the limit for what a response holds while its client reads slowly: the
-// largest plain response, whose buffer may have grown a quarter too large, or as much of a
-// stream, and one event.
+// largest plain response, or as much of a stream, whose buffers may be a quarter too large, and one
+// event.
 const MaxHeldResponse = maxResponseBytes + maxResponseBytes/4 + maxEventBytes
 
 // forwardWhole buffers the whole response before it forwards it, so that a response that
 // breaks off can still be retried or reported as a failure.
 func (s *session) forwardWhole(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil {
+	chunks, err := s.readBody(resp)
+	if err == io.EOF {
 		err = s.settleEnd(clientCtx, choice, resp)
 	}
 	s.recordEnd(err, 0)
 	if err != io.EOF && s.unresponsive.Load() {
 		return s.handleUnresponsive(choice)
 	}
-	if err != io.EOF || len(body) > maxResponseBytes {
+	var oversized *oversizedError
+	if errors.As(err, &oversized) {
+		return s.handleOversized(choice, oversized)
+	}
+	if err != io.EOF {
 		s.recordInterruption(clientCtx, choice)
 		s.recordBrokenResponse(choice, err)
 		return s.outcomeUnknown(retry.Interrupted, "the answer of target %s broke off: %v", choice.Target.ID, err)
 	}
 	if resp.Status >= 500 && s.in.route.Kind == catalog.Idempotent {
-		return attemptResult{reason: retry.Interrupted, retryable: s.repeatable(), response: &bufferedResponse{resp, body}}
+		return attemptResult{reason: retry.Interrupted, retryable: s.repeatable(), response: &bufferedResponse{resp, chunks}}
 	}
 	s.router.fleet.RecordSuccess(choice.Target.Instance())
 	if resp.Status < 300 {
 		s.router.poison.RecordSuccess(s.in.content, time.Now())
 		s.router.poison.RecordPartsServed(s.in.parts, choice.Target.Instance(), time.Now())
 	}
-	if refused := s.writeWhole(&bufferedResponse{resp, body}); refused != nil {
+	if refused := s.writeWhole(&bufferedResponse{resp, chunks}); refused != nil {
 		return attemptResult{refused: refused}
 	}
 	return succeeded
@@ -182,13 +183,20 @@
 
 // writeWhole writes a buffered response to the client.
 func (s *session) writeWhole(b *bufferedResponse) *refusal.Error {
-	b.response.ContentLength = int64(len(b.body))
+	b.response.ContentLength = 0
+	for _, chunk := range b.chunks {
+		b.response.ContentLength += int64(len(chunk))
+	}
 	s.headerWritten, s.status = true, b.response.Status
 	if err := s.writer.WriteHeader(b.response); err != nil {
 		return clientGone(err)
 	}
-	if err := s.writer.Write(b.body); err != nil {
-		return clientGone(err)
+	// The writer counts from now on what it keeps.
+	s.held.Release()
+	for _, chunk := range b.chunks {
+		if err := s.writer.Write(chunk); err != nil {
+			return clientGone(err)
+		}
 	}
 	return nil
 }
--- a/router/oversized.go
+++ b/router/oversized.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,16 +19,36 @@
 // The parts of a response that may exceed their bounds; label values of its counter.
 const (
 	partHead = "head"
+	partBody = "body"
+	// partAll: all responses of the process together are over theirs, and this one held most.
+	partAll = "all"
 )
 
-// handleOversized handles an attempt whose response exceeds a bound with the given part, and after
-// the given number of bytes. Its connection is closed, and the request may have run.
-func (s *session) handleOversized(choice fleet.Choice, part string, bytes int64) attemptResult {
-	s.router.metrics.oversized.WithLabelValues(part).Inc()
+// oversizedError is the error of a response that exceeds a bound.
+type oversizedError struct {
+	part string
+	// bytes is what was received of the part, or what its header states.
+	bytes int64
+}
+
+// Error implements error.
+func (e *oversizedError) Error() string {
+	return fmt.Sprintf("the response is too large (%s, %d bytes)", e.part, e.bytes)
+}
+
+func isOversized(err error) bool {
+	var oversized *oversizedError
+	return errors.As(err, &oversized)
+}
+
+// handleOversized handles an attempt whose response exceeds a bound. Its connection is closed, and
+// the request may have run.
+func (s *session) handleOversized(choice fleet.Choice, err *oversizedError) attemptResult {
+	s.router.metrics.oversized.WithLabelValues(err.part).Inc()
 	s.router.log.WithFields(logrus.Fields{
-		"event": "response_oversized", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "part": part, "bytes": bytes, "sends": s.attempts,
+		"event": "response_oversized", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "part": err.part, "bytes": err.bytes, "sends": s.attempts,
 	}).Warn("the target sent more than a response may have; its connection is closed")
 	s.router.fleet.RecordFailure(choice.Target.Instance(), time.Now())
 	s.recordBrokenResponse(choice, nil)
-	return s.outcomeUnknown(retry.Oversized, "the response of target %s is too large (%s)", choice.Target.ID, part)
+	return s.outcomeUnknown(retry.Oversized, "target %s: %v", choice.Target.ID, err)
 }
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -17,6 +17,7 @@
 	endComplete    = "complete"
 	endInsideEvent = "inside_event"
 	endUnconfirmed = "unconfirmed"
+	endOversized   = "oversized"
 	endError       = "error"
 )
 
@@ -91,6 +92,8 @@
 		s.end.reason = endInsideEvent
 	case errors.Is(err, errUnconfirmed), errors.Is(err, errNoEvent):
 		s.end.reason = endUnconfirmed
+	case isOversized(err):
+		s.end.reason = endOversized
 	default:
 		s.end.reason = endError
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"acaciakeel/prefix"
 	"acaciakeel/quota"
 	"acaciakeel/refusal"
+	"acaciakeel/responsebuffer"
 	"acaciakeel/retry"
 	"acaciakeel/sharing"
 )
@@ -59,6 +60,8 @@
 	bounds   Bounds
 	// sharer decides who is admitted where targets' time is scarce; nil admits by waits alone.
 	sharer *sharing.Sharer
+	// bodies counts what is read of responses before it is passed on; nil limits only each.
+	bodies *responsebuffer.Pool
 	// origins knows what began a stream; nil lets streams be continued anywhere.
 	origins Origins
 	// shutdownDeadline is when the last requests must have ended; nil unless the process is
--- a/router/session.go
+++ b/router/session.go
@@ -11,6 +11,7 @@
 	"acaciakeel/prefix"
 	"acaciakeel/quota"
 	"acaciakeel/refusal"
+	"acaciakeel/responsebuffer"
 	"acaciakeel/retry"
 )
 
@@ -64,6 +65,9 @@
 	survived     bool
 	// scarce is the decision by which the request was refused while targets' time was scarce.
 	scarce *scarceDecision
+	// held counts what the session holds of the current response. Releasing it is part of the
+	// end of an attempt, as its response may be forwarded after that.
+	held *responsebuffer.Reservation
 	// unresponsive is set when the current attempt is given up because its target does not
 	// respond. Each attempt has its own, as it may be set when the attempt has just ended.
 	unresponsive *atomic.Bool
@@ -73,6 +77,7 @@
 	s.router.budgets.recordRequest(s.in.service.Name, time.Now())
 	s.tracked = s.router.poison.Track(s.in.content, s.in.parts...)
 	defer s.tracked.Finish()
+	defer func() { s.held.Release() }()
 	for {
 		if refused := s.checkPoison(time.Now()); refused != nil {
 			return s.giveUp(attemptResult{refused: refused})
@@ -167,6 +172,8 @@
 	s.tried = append(s.tried, choice.Target.Instance())
 	s.attemptBegan, s.survived = time.Time{}, false
 	s.end = responseEnd{}
+	s.held.Release()
+	s.held = s.router.bodies.Reserve(cancel)
 	f := s.router.fleet
 	s.sentAt = time.Now()
 	s.shuttingDownFor = f.ShuttingDownFor(choice.Target.Instance(), s.sentAt)
