router: an event is bounded by 1 MB also if it consists of many lines

What callers saw: requests at one entry fail together, as one stream of a faulty target, lines without an empty one between them, has filled the memory of its VM.

Cause: the length of an event was looked at only where a line was longer than the reader's buffer of 4 KB, so that an event of shorter lines grew until the deadline.

Change: it is looked at after each part of a line. Beyond the bound the attempt ends as for other oversized responses, with part=event in the log line and the counter.

Evidence: TestEventOverBoundIsNotRead fails on the code before for "data: x" lines (all that is sent is read); the last rows of TestEndlessResponseIsEnded pass ("lines of an event": the target could send the 17 MB at which the row gives up).

Why it works: nothing is appended without the check, and a part is at most 4 KB.

--- a/router/oversized.go
+++ b/router/oversized.go
@@ -20,6 +20,8 @@
 const (
 	partHead = "head"
 	partBody = "body"
+	// partEvent: one event of a stream.
+	partEvent = "event"
 	// partAll: all responses of the process together are over theirs, and this one held most.
 	partAll = "all"
 )
--- a/router/stream.go
+++ b/router/stream.go
@@ -17,8 +17,6 @@
 // send an event stream.
 const maxEventBytes = 1 << 20
 
-var errEventTooLong = errors.New("an event is over a megabyte long")
-
 // resumeAfter returns the ID of the event after which the next target continues the stream.
 func (s *session) resumeAfter() string {
 	if s.hasLastEventID {
@@ -47,6 +45,10 @@
 		if err != nil && s.unresponsive.Load() {
 			return s.handleUnresponsive(choice)
 		}
+		var oversized *oversizedError
+		if errors.As(err, &oversized) {
+			return s.handleOversized(choice, oversized)
+		}
 		if err != nil {
 			s.recordInterruption(clientCtx, choice)
 			s.recordBrokenResponse(choice, err)
@@ -137,17 +139,18 @@
 }
 
 // readEvent reads up to and including the empty line that ends an event. At the end of the
-// stream it returns the remaining bytes with io.EOF.
+// stream it returns the remaining bytes with io.EOF. Beyond maxEventBytes the error is an
+// *oversizedError, whether the event consists of one line or of many.
 func readEvent(in *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := in.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) <= maxEventBytes:
-			continue
+		case len(event) > maxEventBytes:
+			return nil, &oversizedError{part: partEvent, bytes: int64(len(event))}
 		case err == bufio.ErrBufferFull:
-			return nil, errEventTooLong
+			continue
 		case err != nil:
 			return event, err
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -60,6 +60,31 @@
 	})
 }
 
+// Guards against an event without end, which would fill the memory: as one line, and as lines
+// without an empty one.
+func TestEventOverBoundIsNotRead(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", "\r", ":\r\n"} {
+		in := &countingReader{Reader: strings.NewReader(strings.Repeat(text, 2*maxEventBytes/len(text)))}
+		if event, err := readEvent(bufio.NewReader(in)); !isOversized(err) || event != nil {
+			t.Errorf("%q: read %d bytes (%v)", text, len(event), err)
+		}
+		if in.read > maxEventBytes+8<<10 {
+			t.Errorf("%q: %d bytes were read", text, in.read)
+		}
+	}
+}
+
+type countingReader struct {
+	io.Reader
+	read int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	return n, err
+}
+
 // Guards against long pauses that no metric shows, and against streams within their bound, or
 // without one, that are counted as late.
 func TestPausesBeyondTheBoundAreObserved(t *testing.T) {
