router: events that are being read share the memory for responses

What callers saw: requests at one entry fail together, as many streams of faulty targets that bring no whole event have filled the memory of its VM.

Cause: an event may have 1 MB, and nothing bounded what the events of all streams have together while they are read: as much as there are connections to targets.

Change: what an event occupies beyond its first 4 KB is counted in the pool of responses before it is allocated, as for plain bodies. Reading events has a file of its own.

Evidence: TestEventsShareTheMemory.

Why it works: an event grows in one place, which counts first.

--- a/router/stream.go
+++ b/router/stream.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -13,10 +12,6 @@
 	"acaciakeel/retry"
 )
 
-// maxEventBytes is the maximum size of an event. A target that exceeds it is assumed not to
-// send an event stream.
-const maxEventBytes = 1 << 20
-
 // resumeAfter returns the ID of the event after which the next target continues the stream.
 func (s *session) resumeAfter() string {
 	if s.hasLastEventID {
@@ -29,11 +24,13 @@
 // off in the middle of an event, and a partial event that the client has received cannot be
 // withdrawn.
 func (s *session) forwardStream(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
-	in := bufio.NewReader(resp.Body)
+	events := newEventReader(resp.Body, s.held)
 	for {
-		event, err := readEvent(in)
+		event, err := events.next()
 		if err == io.EOF {
 			err = s.settleStreamEnd(clientCtx, choice, resp, len(event))
+		} else if err != nil {
+			err = s.asOversized(err)
 		}
 		s.recordEnd(err, len(event))
 		if err == io.EOF {
@@ -60,6 +57,8 @@
 		}
 		s.guard.stop()
 		s.recordEvent(time.Now())
+		// The writer counts from now on what it keeps.
+		events.release()
 		if err := s.forwardEvent(resp, event); err != nil {
 			return attemptResult{refused: clientGone(err)}
 		}
@@ -138,27 +137,6 @@
 	return s.writer.Write(p)
 }
 
-// readEvent reads up to and including the empty line that ends an event. At the end of the
-// stream it returns the remaining bytes with io.EOF. Beyond maxEventBytes the error is an
-// *oversizedError, whether the event consists of one line or of many.
-func readEvent(in *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case len(event) > maxEventBytes:
-			return nil, &oversizedError{part: partEvent, bytes: int64(len(event))}
-		case err == bufio.ErrBufferFull:
-			continue
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return event, nil
-		}
-	}
-}
-
 var idField = []byte("id:")
 
 // eventID returns the ID of an event, if it has a numeric one.
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"strings"
@@ -13,10 +12,11 @@
 
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
+	"acaciakeel/responsebuffer"
 )
 
 func TestReadEvent(t *testing.T) {
-	in := bufio.NewReader(strings.NewReader("id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: ha"))
+	in := newEventReader(strings.NewReader("id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: ha"), nil)
 	for _, want := range []struct {
 		event string
 		id    int64
@@ -25,7 +25,7 @@
 		{"id: 1\ndata: a\n\n", 1, true},
 		{"weight-versions: 2\nid: 2\r\ndata: b\r\n\r\n", 2, true},
 	} {
-		event, err := readEvent(in)
+		event, err := in.next()
 		if err != nil || string(event) != want.event {
 			t.Fatalf("read %q (%v), want %q", event, err, want.event)
 		}
@@ -33,7 +33,7 @@
 			t.Errorf("id %d %v of %q", id, ok, event)
 		}
 	}
-	rest, err := readEvent(in)
+	rest, err := in.next()
 	if err != io.EOF || string(rest) != "id: 3\ndata: ha" {
 		t.Errorf("read %q (%v) at the end", rest, err)
 	}
@@ -44,10 +44,10 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"))
 	f.Add([]byte("\n\n\r\n:"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		in := bufio.NewReader(bytes.NewReader(sent))
+		in := newEventReader(bytes.NewReader(sent), nil)
 		var got []byte
 		for {
-			event, err := readEvent(in)
+			event, err := in.next()
 			got = append(got, event...)
 			_, _ = eventID(event)
 			if err != nil {
@@ -65,7 +65,7 @@
 func TestEventOverBoundIsNotRead(t *testing.T) {
 	for _, text := range []string{"x", "data: x\n", "\r", ":\r\n"} {
 		in := &countingReader{Reader: strings.NewReader(strings.Repeat(text, 2*maxEventBytes/len(text)))}
-		if event, err := readEvent(bufio.NewReader(in)); !isOversized(err) || event != nil {
+		if event, err := newEventReader(in, nil).next(); !isOversized(err) || event != nil {
 			t.Errorf("%q: read %d bytes (%v)", text, len(event), err)
 		}
 		if in.read > maxEventBytes+8<<10 {
@@ -74,6 +74,30 @@
 	}
 }
 
+// Guards against events that together fill the memory although each is within its own bound.
+func TestEventsShareTheMemory(t *testing.T) {
+	pool := responsebuffer.NewPool(responsebuffer.Limits{Response: 4 << 20, Total: 4 << 20}, nil)
+	event := strings.Repeat("x", 900_000) + "\n\n"
+	given := 0
+	var readers []*eventReader
+	for range 8 {
+		r := newEventReader(strings.NewReader(event+event), pool.Reserve(func() { given++ }))
+		if got, err := r.next(); err == nil && string(got) != event {
+			t.Errorf("read %d bytes of %d", len(got), len(event))
+		}
+		readers = append(readers, r)
+	}
+	if given < 4 || pool.Usage().Bytes > 4<<20 {
+		t.Errorf("%d readers were given up, %+v held", given, pool.Usage())
+	}
+	for _, r := range readers {
+		r.release()
+	}
+	if u := pool.Usage(); u != (responsebuffer.Usage{}) {
+		t.Errorf("held after the end: %+v", u)
+	}
+}
+
 type countingReader struct {
 	io.Reader
 	read int
