router: a line as long as the reader's buffer doesn't end its event

What callers saw: an event with a line of a multiple of 4 KB reaches the client in two parts. If the target breaks off between them, the client has half an event; an id after that line isn't seen, so that a continued stream may repeat or lack it. Found by a test of this series, not in operation.

Cause: such a line comes from the buffered reader without its end, and the end alone then looks like the empty line that ends an event.

Change: only a part at the beginning of a line can be an empty line.

--- a/router/event_reader.go
+++ b/router/event_reader.go
@@ -35,6 +35,8 @@
 // is that of the reservation.
 func (r *eventReader) next() ([]byte, error) {
 	var event []byte
+	// continued is set if the last part ended inside a line.
+	continued := false
 	for {
 		line, err := r.in.ReadSlice('\n')
 		var full error
@@ -45,12 +47,14 @@
 		case len(event) > maxEventBytes:
 			return nil, &oversizedError{part: partEvent, bytes: int64(len(event))}
 		case err == bufio.ErrBufferFull:
+			continued = true
 			continue
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case !continued && len(bytes.TrimRight(line, "\r\n")) == 0:
 			return event, nil
 		}
+		continued = false
 	}
 }
 
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// Guards against an event that is taken for whole before its last line: the end of a line that fills
+// the reader's buffer exactly looks like an empty line.
+func TestLineOfBufferSizeIsNoEndOfEvent(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n"} {
+		for _, cut := range []int{0, 1, 2} {
+			event := strings.Repeat("x", 2*eventReadBytes-cut) + end + "id: 7" + end + end
+			got, err := newEventReader(strings.NewReader(event+event), nil).next()
+			if id, ok := eventID(got); err != nil || string(got) != event || id != 7 || !ok {
+				t.Errorf("%q, %d bytes less than the buffer: read %d bytes of %d (%v)", end, cut, len(got), len(event), err)
+			}
+		}
+	}
+}
+
 // Guards against events that together fill the memory although each is within its own bound.
 func TestEventsShareTheMemory(t *testing.T) {
 	pool := responsebuffer.NewPool(responsebuffer.Limits{Response: 4 << 20, Total: 4 << 20}, nil)
