agent: tests of engines whose streams do not begin or do not end

An engine that sends no complete header holds its request for good, as does one that repeats a chunk; one that sends chunks without an end grows the agent's heap.

--- /dev/null
+++ b/agent/feed_test.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/internal/standin/endless"
+	"acaciakeel/refusal"
+	"acaciakeel/target"
+)
+
+// newTestRunner returns a runner whose engine may be silent for 100 ms.
+func newTestRunner(url string) *runner {
+	s := DefaultSettings()
+	s.Stream.EngineSilenceMS = 100
+	return newRunner(s, target.NewEngine(url), newMetrics(prometheus.NewRegistry()))
+}
+
+// runTestJob runs a job at the runner's engine and returns it once it has ended.
+func runTestJob(t *testing.T, r *runner) *job {
+	t.Helper()
+	j := newJob(&keelv1.GenerateRequest{RequestId: "r", Customer: "c"}, 0, time.Now())
+	t.Cleanup(j.cancel)
+	r.startJob(j, time.Now())
+	deadline := time.After(5 * time.Second)
+	for {
+		_, finish, changed := j.buffer.TokensFrom(j.buffer.EndOffset())
+		if finish != nil {
+			if refusal.From(finish.Err).Outcome != refusal.Unknown {
+				t.Errorf("ended with %+v, want an error with an unknown outcome", finish)
+			}
+			return j
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			t.Fatal("the job still runs")
+		}
+	}
+}
+
+// Guards against a job that never ends since its engine sends no complete header.
+func TestEngineWithoutHeaderEndsTheJob(t *testing.T) {
+	for _, response := range []endless.Response{
+		{Name: "nothing"},
+		{Name: "slow_header", First: "HTTP/1.1 200 OK\r\nX: ", Repeated: "a", Slow: true},
+		{Name: "slow_informational_responses", Repeated: "HTTP/1.1 103 Early Hints\r\n\r\n", Slow: true},
+	} {
+		t.Run(response.Name, func(t *testing.T) {
+			url := "http://" + silentEngine(t)
+			if response.Repeated != "" {
+				url = "http://" + endless.Start(t, response).Address
+			}
+			runTestJob(t, newTestRunner(url))
+			resumed := make(chan *refusal.Error, 1)
+			go func() {
+				_, refused := newTestRunner(url).findOrAdopt(t.Context(), &keelv1.GenerateRequest{RequestId: "r", Customer: "c", AttachOnly: true})
+				resumed <- refused
+			}()
+			select {
+			case refused := <-resumed:
+				if refused == nil || refused.Outcome != refusal.Unknown {
+					t.Errorf("resumed: %+v, want an unknown outcome", refused)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the resumption still waits")
+			}
+		})
+	}
+}
+
+// silentEngine returns the address of an engine that accepts connections and sends nothing.
+func silentEngine(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// Guards against an engine whose stream never ends: it takes the agent's memory, or keeps the
+// request for good.
+func TestEndlessStreamEndsTheJob(t *testing.T) {
+	text := strings.Repeat("a", 1024)
+	for name, test := range map[string]struct {
+		chunk func(i int) string
+		// count is the number of chunks, after which the engine sends nothing more, and pause
+		// separates them.
+		count int
+		pause time.Duration
+	}{
+		"tokens":       {chunk: func(i int) string { return fmt.Sprintf(`{"offset":%d,"text":%q}`, i, text) }, count: 16 << 10},
+		"empty_tokens": {chunk: func(i int) string { return fmt.Sprintf(`{"offset":%d}`, i) }, count: 1 << 19},
+		"duplicates":   {chunk: func(int) string { return `{"offset":0,"text":"a"}` }, count: 1 << 19, pause: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const most = 4 << 20
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost {
+					w.WriteHeader(http.StatusNotFound)
+					return
+				}
+				// The end of the connection is noticed once the request has been read.
+				_, _ = io.Copy(io.Discard, r.Body)
+				for i := 0; i < test.count && r.Context().Err() == nil; i++ {
+					if _, err := io.WriteString(w, "data: "+test.chunk(i)+"\n\n"); err != nil {
+						return
+					}
+					if test.pause > 0 {
+						_ = http.NewResponseController(w).Flush()
+						time.Sleep(test.pause)
+					}
+				}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(engine.Close)
+			j := runTestJob(t, newTestRunner(engine.URL))
+			// A string takes 16 bytes beside its text.
+			if held := j.buffer.Bytes() + 16*j.buffer.EndOffset(); held > most+len(text)+16 {
+				t.Errorf("%d bytes are held, want at most %d", held, most)
+			}
+		})
+	}
+}
