agent: the header of an engine's stream has a time limit

What callers saw: an engine that accepts a request, or the resumption of its stream, and sends no header or one byte of it at a time, holds the request until its client leaves. Heartbeats of the agent go on meanwhile.

Cause: the silence of an engine is watched only once its header has arrived.

Change: the header must arrive as soon as the first chunk would have to: within the accepted silence, and four times the expected prefill where a prompt is being computed. The outcome is unknown after it.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -18,7 +18,9 @@
 
 // runJob sends a job to the engine and fills the job's buffer until the stream ends.
 func (r *runner) runJob(j *job) {
-	s, err := r.engine.Start(j.ctx, j.completion())
+	s, err := openWithin(j.ctx, r.firstChunkTimeout(j), func(ctx context.Context) (*target.Stream, error) {
+		return r.engine.Start(ctx, j.completion())
+	})
 	if err != nil {
 		r.finishAndDispatch(j, stream.Finish{Err: startRefusal(err)}, time.Now())
 		return
@@ -35,6 +37,27 @@
 	r.bufferStream(j, s)
 }
 
+// openWithin opens a stream of the engine. The header of the response must arrive within a timeout,
+// which does not bound the stream: a job has readers meanwhile, so that nothing else would end it.
+func openWithin(ctx context.Context, timeout time.Duration, open func(context.Context) (*target.Stream, error)) (*target.Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(errSilent) })
+	defer timer.Stop()
+	s, err := open(ctx)
+	if err != nil {
+		cancel(err)
+		return nil, err
+	}
+	return s, nil
+}
+
+// resume reopens the stream of a request that the engine has.
+func (r *runner) resume(ctx context.Context, id string, offset int) (*target.Stream, error) {
+	return openWithin(ctx, settings.Millis(r.settings.Stream.EngineSilenceMS), func(ctx context.Context) (*target.Stream, error) {
+		return r.engine.Resume(ctx, id, offset)
+	})
+}
+
 // startRefusal returns the refusal for a request that the engine failed to start. Its
 // outcome is "not run" only if the request was not sent or the engine answered that it
 // takes no requests; otherwise the engine may have started it.
@@ -69,7 +92,7 @@
 			return
 		}
 		r.metrics.engineResumes.Inc()
-		s, err = r.engine.Resume(j.ctx, j.id, j.buffer.EndOffset())
+		s, err = r.resume(j.ctx, j.id, j.buffer.EndOffset())
 		if err != nil {
 			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
 			return
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -146,7 +146,7 @@
 	if stopping {
 		return nil, streamLostRefusal()
 	}
-	s, err := r.engine.Resume(context.WithoutCancel(ctx), id, int(req.Offset))
+	s, err := r.resume(context.WithoutCancel(ctx), id, int(req.Offset))
 	if err != nil {
 		return nil, adoptRefusal(err)
 	}
