agent: a stream of an engine is bounded

What callers saw: an engine that sends chunks without an end grew the agent's heap until it ended with all its streams; one that repeats a chunk kept its request, and its slot, for good.

Change: a stream may take 4 MB, with 16 bytes for each token beside its text; what is over it ends as broken and isn't resumed here. Only a chunk that adds a token ends a silence.

Evidence: 3 rows of TestEndlessStreamEndsTheJob held 17,035,200 and 8,386,624 bytes, all that the engine had, or still ran after 5 s; now at most 4 MB and one chunk, and the row of repeated chunks ends.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -87,7 +87,7 @@
 			return
 		}
 		resumes++
-		if resumes > maxResumes {
+		if resumes > maxResumes || errors.Is(err, errStreamTooLarge) {
 			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
 			return
 		}
@@ -118,6 +118,11 @@
 	return e
 }
 
+// maxStreamBytes bounds the memory of one stream: 100,000 tokens of 24 bytes and their strings.
+const maxStreamBytes = 4 << 20
+
+var errStreamTooLarge = fmt.Errorf("the stream is over %d bytes", maxStreamBytes)
+
 var errSilent = errors.New("the engine's stream went silent")
 
 // readChunks reads chunks until the stream ends. A watchdog closes a connection that
@@ -134,17 +139,21 @@
 		if err != nil {
 			return stream.Finish{}, fmt.Errorf("%w or broke: %w", errSilent, unexpectedEOF(err))
 		}
-		watchdog.Reset(silence)
 		if c.FinishReason != "" {
 			return finishOf(c), nil
 		}
 		if c.Offset < j.buffer.EndOffset() {
+			// Chunks that repeat others end no silence.
 			r.metrics.duplicates.Inc()
 			continue
 		}
+		watchdog.Reset(silence)
 		if !j.buffer.Append(c.Offset, c.Text) {
 			return stream.Finish{}, fmt.Errorf("the engine skipped from token %d to %d", j.buffer.EndOffset(), c.Offset)
 		}
+		if j.buffer.Bytes() > maxStreamBytes {
+			return stream.Finish{}, errStreamTooLarge
+		}
 		if c.Offset == 0 {
 			r.firstToken(j, time.Now())
 		}
--- a/agent/feed_test.go
+++ b/agent/feed_test.go
@@ -126,8 +126,7 @@
 			}))
 			t.Cleanup(engine.Close)
 			j := runTestJob(t, newTestRunner(engine.URL))
-			// A string takes 16 bytes beside its text.
-			if held := j.buffer.Bytes() + 16*j.buffer.EndOffset(); held > most+len(text)+16 {
+			if held := j.buffer.Bytes(); held > most+len(text)+16 {
 				t.Errorf("%d bytes are held, want at most %d", held, most)
 			}
 		})
--- a/stream/buffer.go
+++ b/stream/buffer.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	b.tokens = append(b.tokens, text)
-	b.bytes += len(text)
+	b.bytes += len(text) + stringBytes
 	b.notify()
 	return true
 }
@@ -71,7 +71,10 @@
 	return offset >= b.base && offset <= b.base+len(b.tokens)
 }
 
-// Bytes returns the total size of the tokens held.
+// stringBytes is the memory of a string beside its text, in bytes.
+const stringBytes = 16
+
+// Bytes returns the memory of the tokens held, in bytes.
 func (b *Buffer) Bytes() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
