endless: one check for the calls of both doors

The tests of platform and target each had the same part: start the target, count what the caller reads, wait until it closes. It is one function beside the target. Nothing that is checked has changed.

--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -83,7 +84,8 @@
 // Target sends a response without an end on each connection.
 type Target struct {
 	Address string
-	closed  chan struct{}
+	// closed receives a value for each connection that the caller has closed.
+	closed chan struct{}
 }
 
 // Start returns a target that sends r, until the test ends.
@@ -107,9 +109,6 @@
 	return target
 }
 
-// Closed receives a value for each connection that the caller has closed.
-func (t *Target) Closed() <-chan struct{} { return t.closed }
-
 func (t *Target) serve(conn net.Conn, r Response) {
 	defer func() { t.closed <- struct{}{} }()
 	defer conn.Close()
@@ -141,8 +140,19 @@
 // Read returns the number of bytes read so far.
 func (m *Meter) Read() int64 { return m.read.Load() }
 
-// Conn returns conn, counted.
-func (m *Meter) Conn(conn net.Conn) net.Conn { return &meteredConn{conn, m} }
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a dial function whose connections are counted.
+func (m *Meter) Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{conn, m}, nil
+	}
+}
 
 type meteredConn struct {
 	net.Conn
@@ -154,3 +164,28 @@
 	c.meter.read.Add(int64(n))
 	return n, err
 }
+
+// closeTimeout ends the wait for a connection that stays open.
+const closeTimeout = 10 * time.Second
+
+// Check executes a call of a target that sends r. The call must fail, close its connection and read
+// at most a number of bytes from it.
+func Check(t *testing.T, r Response, most int64, call func(m *Meter, address string) error) {
+	t.Helper()
+	if r.Slow {
+		t.Parallel()
+	}
+	target := Start(t, r)
+	var meter Meter
+	if err := call(&meter, target.Address); err == nil {
+		t.Error("the call succeeded")
+	}
+	select {
+	case <-target.closed:
+	case <-time.After(closeTimeout):
+		t.Error("the connection stays open")
+	}
+	if read := meter.Read(); read > most {
+		t.Errorf("%d bytes were read, want at most %d", read, most)
+	}
+}
--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -82,40 +81,20 @@
 }
 
 func testEndless(t *testing.T, call endlessCall, response endless.Response) {
-	if response.Slow {
-		t.Parallel()
-	}
-	target := endless.Start(t, response)
-	var meter endless.Meter
-	engine, service := NewEngine("http://"+target.Address), NewService("http://"+target.Address)
-	for _, client := range []*http.Client{engine.http, engine.loads, service.http} {
-		transport := client.Transport.(*http.Transport)
-		dial := transport.DialContext
-		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return meter.Conn(conn), nil
-		}
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), testCallTimeout)
-	defer cancel()
-	if err := call.run(ctx, engine, service); err == nil {
-		t.Error("the call succeeded")
-	}
-	select {
-	case <-target.Closed():
-	case <-time.After(10 * time.Second):
-		t.Error("the connection stays open")
-	}
 	most := int64(testHeaderBytes + testBufferBytes)
 	// A service's failure is passed on whole; nothing else reads the body of a failure.
 	if response.Part == endless.Body || (response.Part == endless.FailedBody && call.name == "service") {
 		// Chunks of 1,024 bytes come with 7 bytes each.
 		most += call.bodyBytes + call.bodyBytes*7/1024
 	}
-	if read := meter.Read(); read > most {
-		t.Errorf("%d bytes were read, want at most %d", read, most)
-	}
+	endless.Check(t, response, most, func(m *endless.Meter, address string) error {
+		engine, service := NewEngine("http://"+address), NewService("http://"+address)
+		for _, client := range []*http.Client{engine.http, engine.loads, service.http} {
+			transport := client.Transport.(*http.Transport)
+			transport.DialContext = m.Dial(transport.DialContext)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), testCallTimeout)
+		defer cancel()
+		return call.run(ctx, engine, service)
+	})
 }
