store: the list of VMs is bounded

What was seen: the response with the list of VMs grew the heap without a bound for two seconds at each process, with a header of up to 10 MB.

Change: the header may have 64 KB, the list 4 MB (20,000 VMs).

--- a/store/directory.go
+++ b/store/directory.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
+	"acaciakeel/httpbody"
 	"acaciakeel/vm"
 )
 
-// listTimeout bounds one request for the list of VMs.
-const listTimeout = 2 * time.Second
+// Limits of one request for the list of VMs.
+const (
+	listTimeout = 2 * time.Second
+	// maxListHeaderBytes bounds the header of the response, of a few hundred bytes.
+	maxListHeaderBytes = 64 << 10
+	// maxListBytes bounds the list: 20,000 VMs of 200 bytes.
+	maxListBytes = 4 << 20
+)
 
 // VMList is a Directory that fetches the list of VMs over HTTP.
 type VMList struct {
@@ -21,7 +27,9 @@
 
 // NewVMList returns a client for the list served at baseURL, such as http://10.0.0.1:4000.
 func NewVMList(baseURL string) *VMList {
-	return &VMList{baseURL: baseURL, http: &http.Client{Timeout: listTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxListHeaderBytes
+	return &VMList{baseURL: baseURL, http: &http.Client{Timeout: listTimeout, Transport: transport}}
 }
 
 // VMs implements Directory.
@@ -39,7 +47,7 @@
 		return nil, fmt.Errorf("fetch the list of VMs: status %d", resp.StatusCode)
 	}
 	var vms []vm.VM
-	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
+	if err := httpbody.Decode(resp, maxListBytes, &vms); err != nil {
 		return nil, fmt.Errorf("decode the list of VMs: %w", err)
 	}
 	return vms, nil
