agent: a call that the agent has forgotten is not sent again

What callers saw: a call with the caller's own key ran and was answered.

Cause: a claim that the process itself holds was written once more and counted as made for the new attempt. That is meant for a claim whose release was lost, after an attempt that was not sent.

Change: the ledger keeps with a record that an attempt ended here unsent. Only then is an own claim written again; otherwise the outcome is unknown, as the design says of forgotten calls.

Evidence: TestForgottenCallIsNotSentAgain: status 200 and sent 2 times before; an unknown outcome and sent once now. TestClaimOfUnsentCallIsUsedAgain holds before and after: an unsent call whose claim could not be released is sent.

--- a/agent/call.go
+++ b/agent/call.go
@@ -265,7 +265,7 @@
 	keys := c.ledger.Unclaimed()
 	c.mu.Unlock()
 	for _, key := range keys {
-		result, _, _ := c.claims.make(ctx, key)
+		result, _, _ := c.claims.make(ctx, key, true)
 		if result == claimFailed {
 			return
 		}
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -41,7 +41,8 @@
 const (
 	// claimOwned: this incarnation owns the claim.
 	claimOwned claimResult = "ours"
-	// claimHeldElsewhere: another agent or incarnation owns the claim.
+	// claimHeldElsewhere: another agent or incarnation owns the claim, or this one for an
+	// earlier call with the key.
 	claimHeldElsewhere claimResult = "other"
 	// claimFailed: the platform's service did not give a definite result.
 	claimFailed claimResult = "failed"
@@ -69,10 +70,10 @@
 }
 
 // make claims a call and returns the claim's revision. A write whose response was
-// lost may have taken effect, so the claim is read back. A claim that this incarnation
-// already owns is written again: a release of it that is still in flight then finds a
-// different revision and has no effect.
-func (c *claimStore) make(ctx context.Context, k ledger.Key) (claimResult, claim, int64) {
+// lost may have taken effect, so the claim is read back. If rewrite is set, a claim that
+// this incarnation already owns is written again: a release of it that is still in flight
+// then finds a different revision and has no effect. Otherwise it is held by another call.
+func (c *claimStore) make(ctx context.Context, k ledger.Key, rewrite bool) (claimResult, claim, int64) {
 	revision := int64(0)
 	own := c.self
 	own.Nonce = uuid.NewString()
@@ -92,7 +93,7 @@
 			return claimFailed, claim{}, 0
 		case found == own:
 			return claimOwned, own, foundRevision
-		case !found.sameOwner(own):
+		case !found.sameOwner(own) || !rewrite:
 			return claimHeldElsewhere, found, 0
 		default:
 			revision = foundRevision
--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,20 @@
 	}
 }
 
+// newTestExecutor returns the executor of incarnation "i" of agent "own", which keeps calls for an
+// hour.
+func newTestExecutor(url string, s store.Store) *callExecutor {
+	return &callExecutor{
+		service:     target.NewService(url),
+		claims:      &claimStore{store: s, self: claim{Target: "own", Incarnation: "i"}, ttl: 24 * time.Hour},
+		incarnation: "i",
+		slots:       1,
+		metrics:     newMetrics(prometheus.NewRegistry()),
+		homeStatus:  func(ledger.Key) (bool, time.Time) { return true, time.Now() },
+		ledger:      ledger.New(ledger.Limits{MaxRecords: 9, MaxAnswerBytes: 9, Retention: time.Hour, TombstoneRetention: time.Hour}),
+	}
+}
+
 // heldStore is a store in which another agent holds each claim.
 type heldStore struct{ store.Store }
 
@@ -73,15 +88,7 @@
 func TestCallHeldElsewhereStaysSo(t *testing.T) {
 	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the service got the call") }))
 	defer service.Close()
-	c := &callExecutor{
-		service:     target.NewService(service.URL),
-		claims:      &claimStore{store: heldStore{}, self: claim{Target: "own", Incarnation: "i"}, ttl: time.Hour},
-		incarnation: "i",
-		slots:       1,
-		metrics:     newMetrics(prometheus.NewRegistry()),
-		homeStatus:  func(ledger.Key) (bool, time.Time) { return true, time.Now() },
-		ledger:      ledger.New(ledger.Limits{MaxRecords: 9, MaxAnswerBytes: 9, Retention: time.Hour, TombstoneRetention: time.Hour}),
-	}
+	c := newTestExecutor(service.URL, heldStore{})
 	req := &keelv1.CallRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", Method: http.MethodPost, Path: "/", RequireIncarnation: "i"}
 	first := c.call(t.Context(), req)
 	state := c.abandon(&keelv1.AbandonRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", RequireIncarnation: "i"})
@@ -93,3 +100,63 @@
 		t.Errorf("asked again: %v, holder %q, want an unknown outcome and the holder", again.Refusal, again.HolderTarget)
 	}
 }
+
+// claimedStore is a store with one key.
+type claimedStore struct {
+	store.Store
+	entry store.Entry
+}
+
+func (*claimedStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
+
+func (s *claimedStore) Put(_ context.Context, key string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+	if ifRevision != s.entry.Revision {
+		return 0, store.ErrConflict
+	}
+	s.entry = store.Entry{Key: key, Value: value, Revision: s.entry.Revision + 1}
+	return s.entry.Revision, nil
+}
+
+func (*claimedStore) Delete(context.Context, string, int64) (int64, error) {
+	return 0, store.ErrUnavailable
+}
+
+func (s *claimedStore) Get(context.Context, string) (store.Entry, error) { return s.entry, nil }
+
+// Guards against a call sent twice: a caller repeats it after the agent has forgotten its answer,
+// while its own claim still stands.
+func TestForgottenCallIsNotSentAgain(t *testing.T) {
+	var calls atomic.Int32
+	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer service.Close()
+	c := newTestExecutor(service.URL, &claimedStore{})
+	req := &keelv1.CallRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", Method: http.MethodPost, Path: "/", RequireIncarnation: "i"}
+	if first := c.call(t.Context(), req); first.Refusal != nil {
+		t.Fatal(first.Refusal)
+	}
+	c.sweep(time.Now().Add(2 * time.Hour))
+	req.RequestId = "r2"
+	again := c.call(t.Context(), req)
+	if again.Refusal == nil || again.Refusal.Outcome != string(refusal.Unknown) {
+		t.Errorf("repeated: status %d, refusal %v, want an unknown outcome", again.Status, again.Refusal)
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// Guards against a key that stays unusable after its first attempt was not sent and the claim could
+// not be released.
+func TestClaimOfUnsentCallIsUsedAgain(t *testing.T) {
+	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer service.Close()
+	c := newTestExecutor("http://127.0.0.1:1", &claimedStore{})
+	req := &keelv1.CallRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: "k", Method: http.MethodPost, Path: "/", RequireIncarnation: "i"}
+	if first := c.call(t.Context(), req); first.Refusal == nil || first.Refusal.Outcome != string(refusal.NotRun) {
+		t.Fatalf("refusal %v, want one that says not run", first.Refusal)
+	}
+	c.service = target.NewService(service.URL)
+	if again := c.call(t.Context(), req); again.Refusal != nil {
+		t.Errorf("sent again: %v", again.Refusal)
+	}
+}
--- a/agent/permit.go
+++ b/agent/permit.go
@@ -30,14 +30,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	result, holder, revision := c.claims.make(ctx, key)
+	result, holder, revision := c.claims.make(ctx, key, c.wasNotSent(record))
 	c.metrics.claimWrites.WithLabelValues(string(result)).Inc()
 	switch {
 	case result == claimOwned:
 		c.setClaimed(record, true)
 		return revision, claim{}, nil
 	case result == claimHeldElsewhere && holder.Target == c.claims.self.Target:
-		return 0, claim{}, refusal.NewUnknown("an earlier process of this agent had the call")
+		return 0, claim{}, refusal.NewUnknown("this agent had the call before and has lost its answer")
 	case result == claimHeldElsewhere:
 		return 0, holder, heldElsewhereRefusal()
 	case provable:
@@ -80,6 +80,13 @@
 // platformRetryAfter is the Retry-After time while the platform's service is down.
 const platformRetryAfter = 2 * time.Second
 
+// wasNotSent reports whether an earlier attempt at a call ended here without sending it.
+func (c *callExecutor) wasNotSent(record *ledger.Record) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return record.NotSent
+}
+
 func (c *callExecutor) setClaimed(record *ledger.Record, claimed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -95,6 +95,10 @@
 	// GeneratedKey is set if the entry generated the key. No caller can repeat
 	// such a call, so its record can be removed like that of a claimed one.
 	GeneratedKey bool
+	// NotSent is set once an attempt of this process ended without sending the call. A claim of
+	// this process that is found then was made in vain; otherwise it is that of a call that may
+	// have run and was forgotten.
+	NotSent bool
 	// Refusal is the reason why a call in state NotRun or Unsent was not sent.
 	// Attempts that joined the call return it as well.
 	Refusal any
@@ -208,6 +212,7 @@
 		return
 	}
 	r.State = state
+	r.NotSent = state == NotRun || state == Unsent
 	r.endedAt = now
 	close(r.Done)
 }
