agent: a key is not new if its call may have been forgotten

What callers saw: a call with a UUIDv7 key ran and was answered. Repeated after the ledger had forgotten it, while the platform's service was down, it was sent again without a claim, as "provably new".

Cause: such a key is new if it is younger than the process and the set of targets. That tells what other processes can have run, not what this one has forgotten.

Change: the ledger keeps when the last of the calls ended that may have run and that it forgot. A key must be younger than that too.

--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
 	keelv1 "acaciakeel/api/keel/v1"
@@ -160,3 +161,40 @@
 		t.Errorf("sent again: %v", again.Refusal)
 	}
 }
+
+// Guards against a call sent twice while the platform's service is down: its key carries a time
+// after the start of the process, which has run it and has forgotten it.
+func TestForgottenCallIsNotProvablyNew(t *testing.T) {
+	var calls atomic.Int32
+	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer service.Close()
+	c := newTestExecutor(service.URL, &claimedStore{})
+	// The process is an hour old.
+	hour := time.Now().Add(-time.Hour)
+	c.started, c.homeStatus = hour, func(ledger.Key) (bool, time.Time) { return true, hour }
+	key := uuid.Must(uuid.NewV7()).String()
+	req := &keelv1.CallRequest{RequestId: "r", Customer: "c", Service: "s", IdempotencyKey: key, Method: http.MethodPost, Path: "/", RequireIncarnation: "i"}
+	if first := c.call(t.Context(), req); first.Refusal != nil {
+		t.Fatal(first.Refusal)
+	}
+	c.sweep(time.Now().Add(2 * time.Hour))
+	c.claims.store = downStore{}
+	again := c.call(t.Context(), req)
+	if again.Refusal == nil || again.Refusal.Outcome != string(refusal.Unknown) {
+		t.Errorf("repeated: status %d, refusal %v, want an unknown outcome", again.Status, again.Refusal)
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// downStore is a store that is down.
+type downStore struct{ store.Store }
+
+func (downStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	return "", store.ErrUnavailable
+}
+
+func (downStore) Put(context.Context, string, []byte, int64, store.LeaseID) (int64, error) {
+	return 0, store.ErrUnavailable
+}
--- a/agent/permit.go
+++ b/agent/permit.go
@@ -26,7 +26,7 @@
 		return 0, claim{}, notHomeRefusal()
 	}
 	if carriesTime && !provable {
-		return 0, claim{}, refusal.NewUnknown("the key is older than the agent's process, or its clock is off; an earlier process may have run it")
+		return 0, claim{}, refusal.NewUnknown("the key is older than what the agent remembers, or its clock is off; the call may have run")
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -51,6 +51,11 @@
 	if c.started.After(since) {
 		since = c.started
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if forgotten := c.ledger.ForgottenUntil(); forgotten.After(since) {
+		since = forgotten
+	}
 	return ledger.Freshness{StartTime: since, ClockMargin: c.margin}
 }
 
--- a/ledger/fresh.go
+++ b/ledger/fresh.go
@@ -18,13 +18,13 @@
 }
 
 // Freshness decides whether a key was created after this incarnation of its
-// home agent started. No other process can have run the call of such a key, so
-// it can be sent without a claim in the platform's service, even while that
-// service is down.
+// home agent started, and after the calls that it has forgotten. No process can
+// have run the call of such a key unknown to the ledger, so it can be sent
+// without a claim in the platform's service, even while that service is down.
 type Freshness struct {
-	// StartTime is the later of two times: when this incarnation began to
-	// listen, and when the set of targets from which a key's home is chosen
-	// last changed.
+	// StartTime is the latest of three times: when this incarnation began to
+	// listen, when the set of targets from which a key's home is chosen last
+	// changed, and the ledger's ForgottenUntil.
 	StartTime time.Time
 	// ClockMargin bounds the clock skew between two machines, in either
 	// direction, and the time until all processes apply a change of the targets.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -113,6 +113,9 @@
 	records     map[Key]*Record
 	answerBytes int
 	tombstones  map[Attempt]time.Time
+	// forgottenUntil is when the last of the calls ended that may have run and have no record any
+	// more.
+	forgottenUntil time.Time
 }
 
 // New returns an empty ledger.
@@ -202,6 +205,9 @@
 }
 
 func (l *Ledger) remove(key Key, r *Record) {
+	if !r.NotSent && !r.GeneratedKey && r.endedAt.After(l.forgottenUntil) {
+		l.forgottenUntil = r.endedAt
+	}
 	l.answerBytes -= len(r.Answer.Body)
 	delete(l.records, key)
 }
@@ -273,6 +279,10 @@
 	}
 }
 
+// ForgottenUntil returns the time after which no call ended that may have run and has no record any
+// more. A key that was created later is not that of a forgotten call.
+func (l *Ledger) ForgottenUntil() time.Time { return l.forgottenUntil }
+
 // Len returns the number of records.
 func (l *Ledger) Len() int { return len(l.records) }
 
