entry: the agent that holds a call can't refuse it as not run

What callers saw: a call with the caller's own key is sent to the agent that has its claim. That agent refuses it before it looks the call up, or after it has forgotten it (all slots busy, stopping, ledger full, no service there any more): the caller was told "not run" of a call that may have run.

Change: what the holder refuses has an unknown outcome.

Evidence: 4 rows of TestHolderCannotRefuseItsCallAsNotRun, not_run before.

--- a/entry/call.go
+++ b/entry/call.go
@@ -192,6 +192,10 @@
 	if next.Kind == refusal.HeldElsewhere || next.Kind == refusal.AgentRestarted || isNotSent(next) {
 		return nil, refusal.NewUnknown("the agent that had the call can't be reached (%s)", refused.Message)
 	}
+	if next.Kind != refusal.KeyReused {
+		// It refuses the repetition; the call itself it may have run and forgotten.
+		next.Outcome = refusal.Unknown
+	}
 	return nil, next
 }
 
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -207,3 +207,35 @@
 		t.Errorf("refused with %+v; the late copy was ruled out: %t", refused, ruledOut.Load())
 	}
 }
+
+// Guards against "not run" of a call that another agent has: the refusal of that agent speaks for the
+// repetition, not for the call, which it may have run and forgotten.
+func TestHolderCannotRefuseItsCallAsNotRun(t *testing.T) {
+	for kind, want := range map[refusal.Kind]refusal.Outcome{
+		refusal.QueueFull: refusal.Unknown, refusal.Stopping: refusal.Unknown, refusal.LedgerFull: refusal.Unknown, refusal.NoTarget: refusal.Unknown,
+		// The holder knows the key and has refused another call with it.
+		refusal.KeyReused: refusal.NotRun,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			holder := &fakeAgent{call: func(*keelv1.CallRequest) (*keelv1.CallResponse, error) {
+				return &keelv1.CallResponse{Refusal: wireRefusal(refusal.New(kind, "", "refused")), Incarnation: "h"}, nil
+			}}
+			other := &fakeAgent{call: func(*keelv1.CallRequest) (*keelv1.CallResponse, error) {
+				held := refusal.NewUnknown("another agent has this call")
+				held.Kind = refusal.HeldElsewhere
+				return &keelv1.CallResponse{Refusal: wireRefusal(held), HolderTarget: "holder", HolderIncarnation: "h", Incarnation: "o"}, nil
+			}}
+			holderURL, _ := holder.start(t)
+			otherURL, _ := other.start(t)
+			e := newTestEntry(t, map[string]string{"holder": holderURL, "other": otherURL})
+			e.incarnations.set("other", "o")
+			call := &pendingCall{
+				entry: e, call: &serviceCall{service: "s"}, targets: []string{"other"},
+				request: &keelv1.CallRequest{RequestId: "r", IdempotencyKey: "k", DeadlineMs: 2000},
+			}
+			if _, refused := call.run(t.Context()); refused == nil || refused.Outcome != want {
+				t.Errorf("refused with %+v, want the outcome %s", refused, want)
+			}
+		})
+	}
+}
