--- a/agent/feed.go
+++ b/agent/feed.go
@@ -18,7 +18,9 @@
 
 // runJob sends a job to the engine and fills the job's buffer until the stream ends.
 func (r *runner) runJob(j *job) {
-	s, err := r.engine.Start(j.ctx, j.completion())
+	s, err := openWithin(j.ctx, r.firstChunkTimeout(j), func(ctx context.Context) (*target.Stream, error) {
+		return r.engine.Start(ctx, j.completion())
+	})
 	if err != nil {
 		r.finishAndDispatch(j, stream.Finish{Err: startRefusal(err)}, time.Now())
 		return
@@ -35,6 +37,27 @@
 	r.bufferStream(j, s)
 }
 
+// openWithin opens a stream of the engine. The header of the response must arrive within a timeout,
+// which does not bound the stream: a job has readers meanwhile, so that nothing else would end it.
+func openWithin(ctx context.Context, timeout time.Duration, open func(context.Context) (*target.Stream, error)) (*target.Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(errSilent) })
+	defer timer.Stop()
+	s, err := open(ctx)
+	if err != nil {
+		cancel(err)
+		return nil, err
+	}
+	return s, nil
+}
+
+// resume reopens the stream of a request that the engine has.
+func (r *runner) resume(ctx context.Context, id string, offset int) (*target.Stream, error) {
+	return openWithin(ctx, settings.Millis(r.settings.Stream.EngineSilenceMS), func(ctx context.Context) (*target.Stream, error) {
+		return r.engine.Resume(ctx, id, offset)
+	})
+}
+
 // startRefusal returns the refusal for a request that the engine failed to start. Its
 // outcome is "not run" only if the request was not sent or the engine answered that it
 // takes no requests; otherwise the engine may have started it.
@@ -64,12 +87,12 @@
 			return
 		}
 		resumes++
-		if resumes > maxResumes {
+		if resumes > maxResumes || errors.Is(err, errStreamTooLarge) {
 			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
 			return
 		}
 		r.metrics.engineResumes.Inc()
-		s, err = r.engine.Resume(j.ctx, j.id, j.buffer.EndOffset())
+		s, err = r.resume(j.ctx, j.id, j.buffer.EndOffset())
 		if err != nil {
 			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
 			return
@@ -95,6 +118,11 @@
 	return e
 }
 
+// maxStreamBytes bounds the memory of one stream: 100,000 tokens of 24 bytes and their strings.
+const maxStreamBytes = 4 << 20
+
+var errStreamTooLarge = fmt.Errorf("the stream is over %d bytes", maxStreamBytes)
+
 var errSilent = errors.New("the engine's stream went silent")
 
 // readChunks reads chunks until the stream ends. A watchdog closes a connection that
@@ -111,17 +139,21 @@
 		if err != nil {
 			return stream.Finish{}, fmt.Errorf("%w or broke: %w", errSilent, unexpectedEOF(err))
 		}
-		watchdog.Reset(silence)
 		if c.FinishReason != "" {
 			return finishOf(c), nil
 		}
 		if c.Offset < j.buffer.EndOffset() {
+			// Chunks that repeat others end no silence.
 			r.metrics.duplicates.Inc()
 			continue
 		}
+		watchdog.Reset(silence)
 		if !j.buffer.Append(c.Offset, c.Text) {
 			return stream.Finish{}, fmt.Errorf("the engine skipped from token %d to %d", j.buffer.EndOffset(), c.Offset)
 		}
+		if j.buffer.Bytes() > maxStreamBytes {
+			return stream.Finish{}, errStreamTooLarge
+		}
 		if c.Offset == 0 {
 			r.firstToken(j, time.Now())
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -95,6 +95,10 @@
 	// GeneratedKey is set if the entry generated the key. No caller can repeat
 	// such a call, so its record can be removed like that of a claimed one.
 	GeneratedKey bool
+	// NotSent is set once an attempt of this process ended without sending the call. A claim of
+	// this process that is found then was made in vain; otherwise it is that of a call that may
+	// have run and was forgotten.
+	NotSent bool
 	// Refusal is the reason why a call in state NotRun or Unsent was not sent.
 	// Attempts that joined the call return it as well.
 	Refusal any
@@ -109,6 +113,9 @@
 	records     map[Key]*Record
 	answerBytes int
 	tombstones  map[Attempt]time.Time
+	// forgottenUntil is when the last of the calls ended that may have run and have no record any
+	// more.
+	forgottenUntil time.Time
 }
 
 // New returns an empty ledger.
@@ -198,6 +205,9 @@
 }
 
 func (l *Ledger) remove(key Key, r *Record) {
+	if !r.NotSent && !r.GeneratedKey && r.endedAt.After(l.forgottenUntil) {
+		l.forgottenUntil = r.endedAt
+	}
 	l.answerBytes -= len(r.Answer.Body)
 	delete(l.records, key)
 }
@@ -208,6 +218,7 @@
 		return
 	}
 	r.State = state
+	r.NotSent = state == NotRun || state == Unsent
 	r.endedAt = now
 	close(r.Done)
 }
@@ -268,6 +279,10 @@
 	}
 }
 
+// ForgottenUntil returns the time after which no call ended that may have run and has no record any
+// more. A key that was created later is not that of a forgotten call.
+func (l *Ledger) ForgottenUntil() time.Time { return l.forgottenUntil }
+
 // Len returns the number of records.
 func (l *Ledger) Len() int { return len(l.records) }
 
