--- a/integration/soak/press_test.go
+++ b/integration/soak/press_test.go
@@ -14,6 +14,9 @@
 	// room is how many requests each target runs at once, spare the same for the one target of
 	// each service that sends no late responses.
 	room, spare int
+	// unnamed has targets send a refusal without an ID ahead of the first response on some new
+	// connections.
+	unnamed bool
 }
 
 const (
@@ -23,6 +26,8 @@
 	pressCallers = 32
 	// pressLateEvery is which request on reused connections meets a late response.
 	pressLateEvery = 5
+	// pressUnnamedEvery is which new connection meets a refusal without an ID.
+	pressUnnamedEvery = 20
 	// pressWork is how long a plain request runs.
 	pressWork = 40 * time.Millisecond
 	// leavingID begins the IDs of the requests whose client disconnects after leavingAfter, while
@@ -31,16 +36,17 @@
 	leavingAfter = 60 * time.Millisecond
 )
 
-// Guards against late second responses of most targets at once that count as refusals of requests
-// that may run once: where the other targets are full as well, the client gets a refusal of a
-// request that ran; where one takes it, it runs twice.
+// Guards against responses of most targets at once that belong to no request, or to another one,
+// and count as refusals of requests that may run once: where the other targets are full as well,
+// the client gets a refusal of a request that ran; where one takes it, it runs twice.
 func TestSoakPress(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
 	loads := map[string]regression{
-		"full": {press: &press{room: 8, spare: 8}},
-		"free": {press: &press{room: 4, spare: 64}},
+		"full":            {press: &press{room: 8, spare: 8}},
+		"free":            {press: &press{room: 4, spare: 64}},
+		"new connections": {press: &press{room: 4, spare: 64, unnamed: true}},
 	}
-	for _, name := range []string{"full", "free"} {
+	for _, name := range []string{"full", "free", "new connections"} {
 		t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 			r := loads[name]
 			r.seed, r.faults, r.direct, r.seconds = seed, pressFaults(), true, pressSeconds
@@ -58,6 +64,11 @@
 
 // limitRoom bounds what targets run at once, and has all but one of each service repeat responses.
 func (s *site) limitRoom(p *press) {
+	for _, tg := range s.targets() {
+		if p.unnamed {
+			tg.SendUnnamedRefusal(pressUnnamedEvery)
+		}
+	}
 	for _, group := range [][]*target{s.runners, s.desks} {
 		group[0].SetRoom(p.spare, pressWork)
 		for _, tg := range group[1:] {
@@ -71,6 +82,7 @@
 	for _, tg := range s.targets() {
 		tg.SetRoom(0, 0)
 		tg.SendLate(0)
+		tg.SendUnnamedRefusal(0)
 	}
 }
 
--- a/internal/standin/runner/late.go
+++ b/internal/standin/runner/late.go
@@ -84,6 +84,9 @@
 	every, reused int
 	// next is sent once, ahead of the next response on a reused connection.
 	next string
+	// firstEvery is on which new connections unnamedRefusal precedes the first response; 0 is
+	// never. opened counts them.
+	firstEvery, opened int
 	// sent counts the late responses, refusals those that state that the request did not run.
 	sent, refusals int
 }
@@ -104,6 +107,17 @@
 	r.late.next = raw
 }
 
+// unnamedRefusal is a refusal that does not name its request.
+const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// SendUnnamedRefusal has the target send a refusal without a Request-Id ahead of the first
+// response on each n-th new connection; 0 stops it.
+func (r *Runner) SendUnnamedRefusal(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late.firstEvery = n
+}
+
 // LateSent returns how many late responses the target has sent.
 func (r *Runner) LateSent() int {
 	r.mu.Lock()
@@ -126,12 +140,25 @@
 	}
 	c.beginRequest(func(earlier int, last []byte) []byte {
 		if earlier == 0 {
-			return nil
+			return r.takeUnnamedRefusal()
 		}
 		return r.takeLate(last)
 	})
 }
 
+func (r *Runner) takeUnnamedRefusal() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &r.late
+	l.opened++
+	if l.firstEvery == 0 || l.opened%l.firstEvery != 0 {
+		return nil
+	}
+	l.sent++
+	l.refusals++
+	return []byte(unnamedRefusal)
+}
+
 func (r *Runner) takeLate(last []byte) []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
