router: the head of a response counts against the memory for responses

What callers would see: many responses with heads of thousands of short fields, each within 32 KB, fill the memory of the VM while their bodies are awaited.

Cause: a header field takes about 100 bytes beside its name and value.

Change: what a head takes is counted with the body that it belongs to, where it is over 4 KB: a usual head takes no lock.

Evidence: TestHeadIsCounted. There is no trial at the size at which it matters (some 50 such heads on the smallest VM).

Why it works: the count stays until the response has been passed on, and makes its response the one that holds most.

--- a/router/body.go
+++ b/router/body.go
@@ -37,6 +37,22 @@
 	return nil
 }
 
+// headerFieldBytes is what a header field takes beside its name and value: two string headers, a
+// slice and a place in a map.
+const headerFieldBytes = 100
+
+// countHead counts what the header of a response takes, which is kept until the response has been
+// passed on. Every error is an *oversizedError.
+func (s *session) countHead(resp *Response) error {
+	n := int64(0)
+	for name, values := range resp.Header {
+		for _, value := range values {
+			n += headerFieldBytes + int64(len(name)+len(value))
+		}
+	}
+	return s.reserve(n, 0)
+}
+
 // asOversized returns the *oversizedError of a response that was given up because of the memory
 // that it occupies, otherwise err.
 func (s *session) asOversized(err error) error {
--- a/router/body_test.go
+++ b/router/body_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
+	"net/http"
+	"strconv"
 	"testing"
 	"testing/iotest"
 
@@ -40,6 +43,31 @@
 	})
 }
 
+// Guards against heads within their bound that together fill the memory while their bodies are
+// awaited: many short fields take several times their bytes. Usual heads take no lock.
+func TestHeadIsCounted(t *testing.T) {
+	pool := responsebuffer.NewPool(responsebuffer.Limits{Response: 1 << 20, Total: 1 << 20}, nil)
+	header := http.Header{}
+	count := func() error {
+		return (&session{held: pool.Reserve(func() {})}).countHead(&Response{Header: header})
+	}
+	for i := range 5000 {
+		header[strconv.Itoa(i)] = []string{""}
+		if i != 20 {
+			continue
+		}
+		if err := count(); err != nil || pool.Usage().Bytes != 0 {
+			t.Errorf("a usual head: %v, %d bytes counted", err, pool.Usage().Bytes)
+		}
+	}
+	if err := count(); err != nil || pool.Usage().Bytes < 500_000 {
+		t.Errorf("a head of 5,000 fields: %v, %d bytes counted", err, pool.Usage().Bytes)
+	}
+	if err := errors.Join(count(), count()); !isOversized(err) || pool.Usage().Bytes > 1<<20 {
+		t.Errorf("beyond the limit of all: %v, %d bytes counted", err, pool.Usage().Bytes)
+	}
+}
+
 // Guards against a body that is read although its stated length is over the bound.
 func TestStatedLengthOverBoundIsNotRead(t *testing.T) {
 	resp := &Response{Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), ContentLength: maxResponseBytes + 1}
--- a/router/session.go
+++ b/router/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -212,6 +213,10 @@
 		f.RecordFailure(choice.Target.Instance(), time.Now())
 		return s.outcomeUnknown(retry.Interrupted, "the target %s sent bytes that are not its answer to this request", choice.Target.ID)
 	}
+	var oversized *oversizedError
+	if errors.As(s.countHead(response), &oversized) {
+		return s.handleOversized(choice, oversized)
+	}
 	if response.promisesNotRun() && !s.in.route.Repeatable() {
 		return s.outcomeUnknown(retry.Interrupted, "target %s answered %d without stating that it did not run the request", choice.Target.ID, response.Status)
 	}
