router: a refusal is drained as the bodies of calls are

One function reads a body that isn't used. A refusal whose stated length is over the limit is refused before it is read.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
+	"acaciakeel/httpbody"
 	"acaciakeel/refusal"
 	"acaciakeel/responsebuffer"
 	"acaciakeel/retry"
@@ -50,17 +51,11 @@
 	maxRefusalBytes = 64 << 10
 )
 
-var errRefusalTooLong = fmt.Errorf("the refusal is longer than %d bytes", maxRefusalBytes)
-
 // readRefusal reads a refusal to its end. cancel ends the attempt.
 func readRefusal(resp *Response, cancel context.CancelFunc) error {
 	timer := time.AfterFunc(refusalTimeout, cancel)
 	defer timer.Stop()
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes+1))
-	if err == nil && n > maxRefusalBytes {
-		err = errRefusalTooLong
-	}
-	return err
+	return httpbody.Discard(&http.Response{Body: resp.Body, ContentLength: resp.ContentLength}, maxRefusalBytes)
 }
 
 // handleRefusal handles a response which states that the target did not run the request. One that
