router: the table of attempts has the new ends of responses

Seven results more: a refusal of several headers, one with a seal, one that breaks off or has no end, and a header, a body and an event without an end. After each the request may have run. All sequences hold.

--- a/router/promise_test.go
+++ b/router/promise_test.go
@@ -124,6 +124,11 @@
 	}
 }
 
+// stating makes a response state the length of its body.
+func stating(length int64) func(r *Response) {
+	return func(r *Response) { r.ContentLength = length }
+}
+
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -179,6 +184,17 @@
 		answering("refused without an ID", false, 503, both(notRun, func(r *Response) { r.RequestID = "" })),
 		answering("refused with 429", false, 429, notRun),
 		answering("refused with 400", false, 400, notRun),
+		answering("refusal of several headers", true, 503, both(notRun, func(r *Response) { r.Ambiguous = true })),
+		answering("sealed refusal", true, 503, both(notRun, sealed)),
+		answering("refusal that breaks off", true, 503, both(notRun, brokenBody(""), func(r *Response) { r.Sealed = false })),
+		answering("refusal without an end", true, 503, both(notRun, stating(maxRefusalBytes+1))),
+		{name: "header without an end", mayRun: true, send: func(context.Context, *play, *Attempt) (*Response, error) {
+			return nil, &SendError{Err: io.EOF, Sent: true, HeadBytes: MaxResponseHeadBytes}
+		}},
+		answering("body without an end", true, 200, both(sealed, stating(maxResponseBytes+1), func(r *Response) { r.Header.Set("Content-Type", "application/json") })),
+		answering("event without an end", true, 200, both(sealed, func(r *Response) {
+			r.Framing, r.Body = Chunks, io.NopCloser(strings.NewReader(strings.Repeat("x", maxEventBytes+1)))
+		})),
 		answering("other instance", false, 421, both(notRun, func(r *Response) { r.Misdirected, r.InstanceID = true, "other" })),
 		answering("other weights, newer", false, 421, both(notRun, func(r *Response) { r.Misdirected, r.WeightsVersion = true, 2 })),
 		failing("canceled, not sent", false, context.Canceled),
