node: the rows of slow responses run one after another

Cause: the environments of a package share the counter of request ids, which isn't safe for parallel tests: the race detector failed 6 of the 13 rows run in parallel.

Change: no parallel rows; checks and bounds are the same.

--- a/node/endless_response_test.go
+++ b/node/endless_response_test.go
@@ -282,7 +282,6 @@
 func TestSlowEndlessResponseEndsAtDeadline(t *testing.T) {
 	for name, r := range slowResponses() {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			e := startEndlessTargets(t, newEnv(t))
 			headers := endlessHeaders(r.path)
 			headers["Deadline-Ms"] = "500"
