target: blank lines of an engine's stream count against its bound

What callers saw: nothing; an engine that sends blank lines without end was read until its stream had been silent for too long.

Cause: the bound of bytes without a chunk counted the text of lines without their ends.

Change: a line's end counts too.

Evidence: TestTargetCallsEndEndlessResponses/{start,resume}/blank_lines: 25,165,843 bytes read before, at most 1,137,664 allowed; holds now.

--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -76,6 +76,8 @@
 		if call.bodyStart == "data: " {
 			comments := endless.Response{Name: "comments", First: "HTTP/1.1 200 OK\r\n\r\n", Repeated: ":" + strings.Repeat("a", 1000) + "\n", Part: endless.Body}
 			t.Run(call.name+"/"+comments.Name, func(t *testing.T) { testEndless(t, call, comments) })
+			blank := endless.Response{Name: "blank_lines", First: "HTTP/1.1 200 OK\r\n\r\n", Repeated: strings.Repeat("\n", 1024), Part: endless.Body}
+			t.Run(call.name+"/"+blank.Name, func(t *testing.T) { testEndless(t, call, blank) })
 		}
 	}
 }
--- a/target/engine.go
+++ b/target/engine.go
@@ -224,7 +224,7 @@
 	for s.scanner.Scan() {
 		data, ok := strings.CutPrefix(s.scanner.Text(), dataPrefix)
 		if !ok {
-			if skipped += len(s.scanner.Bytes()); skipped > maxLineBytes {
+			if skipped += len(s.scanner.Bytes()) + 1; skipped > maxLineBytes {
 				return Chunk{}, errNoChunk
 			}
 			continue
