router: a lack of memory is no failure of a target

What callers saw: while responses that wait for slow clients held the memory for all, a sound response was given up, its target counted as failed (dead after two) and its content was suspected; the log said that the target had sent too much.

Cause: a response over its own bound and the largest one when all together are over theirs were handled alike.

Change: the latter leaves the target and the content alone and has its own log line. The outcome stays unknown.

Evidence: TestLackOfMemoryIsNoFailureOfTheTarget: targets "near near far near" before, with two lines that blame them; "near near near near" now.

--- a/router/oversized.go
+++ b/router/oversized.go
@@ -47,6 +47,12 @@
 // the request may have run.
 func (s *session) handleOversized(choice fleet.Choice, err *oversizedError) attemptResult {
 	s.router.metrics.oversized.WithLabelValues(err.part).Inc()
+	if err.part == partAll {
+		// The process lacks memory, which says nothing about the target.
+		s.router.log.WithFields(logrus.Fields{"event": "response_given_up", "request": s.in.ID, "target": choice.Target.ID, "bytes": err.bytes}).
+			Warn("all responses together are over their limit; the largest is given up")
+		return s.outcomeUnknown(retry.Oversized, "target %s: %v", choice.Target.ID, err)
+	}
 	s.router.log.WithFields(logrus.Fields{
 		"event": "response_oversized", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "part": err.part, "bytes": err.bytes, "sends": s.attempts,
 	}).Warn("the target sent more than a response may have; its connection is closed")
