configsync: a request for the configuration is bounded

What callers saw: nothing yet. Anyone who reaches an entry's port, without a key, could have it read a request of any size into memory, also one that is small and expands.

Cause: the service reads messages without a limit; its paths are served beside those of clients, whose bodies are bounded where their key is checked.

Change: 1 KB, as received and as decompressed; a request has four numbers.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -175,7 +175,7 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(keelv1connect.NewAgentServiceHandler(a))
-	mux.Handle(keelv1connect.NewConfigServiceHandler(a.config))
+	mux.Handle(a.config.Handler())
 	mux.Handle("GET /metrics", promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", a.serveReady)
--- a/configsync/neighbour.go
+++ b/configsync/neighbour.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
 	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/api/keel/v1/keelv1connect"
 )
 
 // fetch long-polls a neighbour for up to wait and applies its state if newer.
@@ -46,11 +48,21 @@
 	stopped  chan struct{}
 }
 
+// maxRequestBytes bounds a request for the state, which has four numbers.
+const maxRequestBytes = 1 << 10
+
 // NewServer returns a server of the follower's state.
 func NewServer(f *Follower) *Server {
 	return &Server{follower: f, stopped: make(chan struct{})}
 }
 
+// Handler returns the server's HTTP handler and the path that it serves. Requests are bounded as
+// received and as decompressed, since clients reach it without a key.
+func (s *Server) Handler() (path string, handler http.Handler) {
+	path, handler = keelv1connect.NewConfigServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes))
+	return path, http.MaxBytesHandler(handler, maxRequestBytes)
+}
+
 // Stop ends all long polls, so that a planned shutdown does not wait for them.
 // It must be called at most once.
 func (s *Server) Stop() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
-	"acaciakeel/api/keel/v1/keelv1connect"
 	"acaciakeel/configsync"
 	"acaciakeel/link"
 	"acaciakeel/platform"
@@ -130,7 +129,7 @@
 	mux.Handle("POST /v1/completions", e.customerHandler("completion", e.completionEndpoint, decodeText, e.encodeCompletion))
 	mux.Handle("GET /v1/models", e.customerHandler("models", e.modelsEndpoint, decodeNothing, encodeJSON))
 	mux.Handle("/services/{service}/{path...}", e.customerHandler("call", e.callEndpoint, decodeCall, encodeCall))
-	mux.Handle(keelv1connect.NewConfigServiceHandler(e.configServer))
+	mux.Handle(e.configServer.Handler())
 	e.addOperatorRoutes(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
