agent: a full ledger doesn't refuse new keys while claims can be made

What callers saw: once an agent's ledger was full, calls with new UUIDv7 keys were refused with an unknown outcome, for 2 s after each call that it forgot.

Cause: asked that a key be younger than the last forgotten call, always. What a full ledger forgets has a claim, and the claim is what rules a second send out while the platform's service answers.

Change: the time of forgotten calls decides only where no claim can be made.

--- a/agent/permit.go
+++ b/agent/permit.go
@@ -26,7 +26,7 @@
 		return 0, claim{}, notHomeRefusal()
 	}
 	if carriesTime && !provable {
-		return 0, claim{}, refusal.NewUnknown("the key is older than what the agent remembers, or its clock is off; the call may have run")
+		return 0, claim{}, refusal.NewUnknown("the key is older than the agent's process, or its clock is off; an earlier process may have run it")
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -40,23 +40,31 @@
 		return 0, claim{}, refusal.NewUnknown("this agent had the call before and has lost its answer")
 	case result == claimHeldElsewhere:
 		return 0, holder, heldElsewhereRefusal()
-	case provable:
+	case carriesTime && c.remembers(since).ProvesNew(made, time.Now()):
 		c.metrics.calls.WithLabelValues("provably_new").Inc()
 		return 0, claim{}, nil
 	}
 	return 0, claim{}, c.platformDownRefusal(home, since)
 }
 
+// freshness tells which keys no earlier process can have had.
 func (c *callExecutor) freshness(since time.Time) ledger.Freshness {
 	if c.started.After(since) {
 		since = c.started
 	}
+	return ledger.Freshness{StartTime: since, ClockMargin: c.margin}
+}
+
+// remembers tells which keys belong to no call that this process has forgotten either. Such calls
+// have claims, so that it matters only while claims can't be made.
+func (c *callExecutor) remembers(since time.Time) ledger.Freshness {
+	f := c.freshness(since)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if forgotten := c.ledger.ForgottenUntil(); forgotten.After(since) {
-		since = forgotten
+	if forgotten := c.ledger.ForgottenUntil(); forgotten.After(f.StartTime) {
+		f.StartTime = forgotten
 	}
-	return ledger.Freshness{StartTime: since, ClockMargin: c.margin}
+	return f
 }
 
 func notHomeRefusal() *refusal.Error {
@@ -73,7 +81,7 @@
 	r := refusal.New(refusal.PlatformDown,
 		"come back after the time in Retry-After with the same key, or use UUIDv7 keys, which are served during an outage",
 		"the platform's service is down and the key can't be proved new").WithRetryAfter(platformRetryAfter)
-	if !home || time.Since(c.freshness(since).StartTime) < clientRetryWindow {
+	if !home || time.Since(c.remembers(since).StartTime) < clientRetryWindow {
 		r.Outcome = refusal.Unknown
 	}
 	return r
