router: the head of a response has room for the longest ID

What callers saw: 502 for a request that ran, and its sound target counted as failed, where the client's Request-Id had over 32 KB.

Cause: the bound of 32 KB took a client's header for at most 16 KB; an entry reads 64 KB of it, and the library 4 KB more.

The bound of TestEndlessResponseIsEnded is the new one.

Evidence: TestResponseToLongestIDIsRead failed with 40 and 60 KB, passes. The rows of TestEndlessResponseIsEnded, TestCallsEndEndlessResponses and TestBodiesShareABudget pass.

--- a/router/oversized.go
+++ b/router/oversized.go
@@ -12,9 +12,9 @@
 )
 
 // MaxResponseHeadBytes is the maximum size of the header of a response with all informational
-// responses before it: it repeats the ID of its request, which may take most of the 16 KB that
-// a client's header has, and as much again is left for what the target adds.
-const MaxResponseHeadBytes = 32 << 10
+// responses before it: it repeats the ID of its request, which may take most of the 68 KB that an
+// entry reads of a client's header, and 28 KB are left for what the target adds.
+const MaxResponseHeadBytes = 96 << 10
 
 // The parts of a response that may exceed their bounds; label values of its counter.
 const (
