platform: an order is refused by refusals only

What callers saw: nothing yet. An order that its target answered with 500, 502, 504, a redirect or another success counted as refused, so that a leader that stops did not wait for it, though its target may carry it out after the next leader's.

Cause: each status without a meaning of its own counted as a refusal. Only 4xx and 503 say that nothing was done.

Change: any other status is OrderLost, as if there were no answer: the next report tells.

--- a/fleet/target.go
+++ b/fleet/target.go
@@ -77,8 +77,8 @@
 	OrderFenced        OrderResult = "fenced"
 	OrderMisdirected   OrderResult = "misdirected"
 	OrderRefused       OrderResult = "refused"
-	// OrderLost means that there was no answer; the order may still be carried out, even
-	// much later.
+	// OrderLost means that there was no answer, or one that neither accepts nor refuses; the
+	// order may still be carried out, even much later.
 	OrderLost OrderResult = "lost"
 	// OrderNotSent means that nothing of the order was sent.
 	OrderNotSent OrderResult = "not_sent"
