node: the test of bytes ahead of a request awaits reachable targets

Trace: attempts="d0 not_sent; d1 not_sent". The bytes had arrived before the request was written; the HTTP library then closes the connection, nothing was sent, and the target counts as unreachable for a while, as it does for any connection that ends before it is used. Both targets of the test do this, so that the 503 is true: the further requests were checked too early. The test awaits a served request first; its checks are the same. The environment of raw targets also awaits that all of them are listed: no target at all satisfied it.

--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -169,14 +169,16 @@
 		w.store.Set(e.Key, e.Value)
 	}
 	w.until("the node knows the addresses", func() bool {
+		known := 0
 		for _, service := range []string{"desk", "lm"} {
 			for _, target := range w.node.view.fleet.Targets(service) {
 				if !slices.ContainsFunc(append(slices.Clone(plain), models...), func(r *rawTarget) bool { return r.listener.Addr().String() == target.Address }) {
 					return false
 				}
+				known++
 			}
 		}
-		return true
+		return known == len(plain)+len(models)
 	})
 	answerTo := func(id string) string { return "answer to " + id }
 	stream := func(string) string { return completeStream() }
@@ -385,11 +387,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, routes := newRawEnv(t)
+			probes := 0
 			for _, route := range routes {
 				got := sendRaw(t, w, route, rawAnswer{}, greeting, false)
 				if !route.repeatable && (got.runs > 1 || got.runs > 0 && got.promised()) {
 					t.Errorf("%s: ran %d times, answered %d %q (%v)", route.path, got.runs, got.status, got.body, got.err)
 				}
+				// Bytes that arrive before the request is written end the connection, and the
+				// target counts as unreachable for a while.
+				w.until("targets of "+route.path+" are reachable", func() bool {
+					probes++
+					return w.sendTo(w.node, "POST", route.path, "body", fmt.Sprintf("probe-%d", probes), route.headers).status == http.StatusOK
+				})
 				sendAfter(t, w, route)
 			}
 		})
