node: the proxies of the tests of endless responses read requests first

Trace: the entry's line says that its target's stream ended with unexpected EOF; in some plays before the endless response was sent. The test's reverse proxy logs "read error during body copy: use of closed network connection": the runner's response began before the proxy had read the request's body, the server then ends that reading, and the proxy's transport closes its connection to the runner. The entry did what it should.

Change: the proxy reads the body first. Checks and bounds are the same.

--- a/node/endless_response_test.go
+++ b/node/endless_response_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -149,6 +150,12 @@
 			if strings.HasSuffix(r.URL.Path, "/sound") {
 				e.count(e.forwarded, target.ID)
 			}
+			// A response that begins before its request has been read ends the proxy's reading.
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
 			proxy.ServeHTTP(w, r)
 			return
 		}
