--- a/integration/soak/press_test.go
+++ b/integration/soak/press_test.go
@@ -36,9 +36,8 @@
 	leavingAfter = 60 * time.Millisecond
 )
 
-// Guards against responses of most targets at once that belong to no request, or to another one,
-// and count as refusals of requests that may run once: where the other targets are full as well,
-// the client gets a refusal of a request that ran; where one takes it, it runs twice.
+// Guards against responses that belong to no request, or to another one, and count as refusals of
+// requests that ran, while most targets send them and are full.
 func TestSoakPress(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
 	loads := map[string]regression{
--- a/node/promise_test.go
+++ b/node/promise_test.go
@@ -130,9 +130,8 @@
 	return changes.Wait
 }
 
-// Guards against requests that ran and whose clients were told that they did not, and against
-// second runs, while most targets are faulty and deadlines end at any point of an attempt; then
-// while the node stops.
+// Guards against clients that are told that a request has not run which did, and against second
+// runs, at faulty targets and in a planned stop.
 func TestPromisesHoldAtFaultyTargets(t *testing.T) {
 	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
 		w.graceS = 4
--- a/router/promise_test.go
+++ b/router/promise_test.go
@@ -342,9 +342,8 @@
 	return plays
 }
 
-// Guards against clients that are told that a request has not run after an attempt that may run
-// it, and against requests that may run once and are sent again after such an attempt: each
-// sequence of results of attempts on each kind of route.
+// Guards against "not run" and against a further send after an attempt that may have run a request,
+// for each sequence of results of attempts.
 func TestPromisesHoldAfterAnySequenceOfAttempts(t *testing.T) {
 	for _, c := range []promiseCase{
 		{"plain, once", catalog.Route{Kind: catalog.AtMostOnce, Attempts: 1}, "", ampleRetries, nil},
