agent: a call's slot is free before its caller has the answer

What callers saw: a caller that sends one call after the other was refused with queue_full and "Retry-After: 1" while the service was idle.

Cause: sendOnce recorded the outcome, which wakes the callers that wait for it, and released the slot in a deferred call after that. Whoever sent its next call in between found the slot taken.

--- a/agent/call.go
+++ b/agent/call.go
@@ -187,32 +187,40 @@
 // outcome.
 func (c *callExecutor) sendOnce(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) {
 	if r := c.acquireSlot(); r != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.recordNotSent(key, record, r, claim{})
 		return
 	}
-	defer c.releaseSlot()
+	recordOutcome := c.sendInSlot(ctx, req, key, record)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// The slot is released together with the outcome: a caller that has its answer may send the
+	// next call at once.
+	c.running--
+	recordOutcome()
+}
+
+// sendInSlot sends a call that holds a slot and returns the function that records its outcome,
+// which is called with mu held.
+func (c *callExecutor) sendInSlot(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) func() {
 	claimed, holder, r := c.permit(ctx, req, key, record)
 	if r != nil {
-		c.recordNotSent(key, record, r, holder)
-		return
+		return func() { c.recordNotSent(key, record, r, holder) }
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout(req))
 	defer cancel()
 	answer, err := c.service.Do(ctx, serviceCall(req))
-	if errors.Is(err, target.ErrNotSent) {
+	switch {
+	case errors.Is(err, target.ErrNotSent):
 		// The record stays in state Running until the claim is released, so that no
 		// other attempt starts the call here in the meantime.
 		c.releaseClaim(context.WithoutCancel(ctx), key, record, claimed)
-		c.recordNotSent(key, record, callRefusal(err), claim{})
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil {
-		c.ledger.MarkUnknown(key, time.Now())
-		return
+		return func() { c.recordNotSent(key, record, callRefusal(err), claim{}) }
+	case err != nil:
+		return func() { c.ledger.MarkUnknown(key, time.Now()) }
 	}
-	c.ledger.Finish(key, ledger.Answer(answer), time.Now())
+	return func() { c.ledger.Finish(key, ledger.Answer(answer), time.Now()) }
 }
 
 // unsentRefusal is stored in the record of a call that was not sent, for the attempts
@@ -223,10 +231,8 @@
 }
 
 // recordNotSent ends the record of a call that this process did not send. The call
-// counts as not run only if the refusal says so.
+// counts as not run only if the refusal says so. mu must be held.
 func (c *callExecutor) recordNotSent(key ledger.Key, record *ledger.Record, r *refusal.Error, holder claim) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	record.Refusal = unsentRefusal{refusal: r, holder: holder}
 	if r.Outcome == refusal.NotRun {
 		c.ledger.MarkNotRun(key, time.Now())
--- a/agent/full_ledger_test.go
+++ b/agent/full_ledger_test.go
@@ -22,6 +22,8 @@
 	entries map[string]store.Entry
 }
 
+func (*mapStore) Delete(context.Context, string, int64) (int64, error) { return 0, nil }
+
 func (*mapStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
 
 func (s *mapStore) Put(_ context.Context, key string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
