platform: the body of a request without Deadline-Ms is limited in time

Cause: readBody took the time from Deadline-Ms alone; the route's timeout counted only once the body was whole.

The answer is 408 as before, which is true: a request isn't sent before its body is whole.

The test posted to /hold/, whose timeout is 15 s in the test's configuration and not the 5 s that its comment states, so its bound of 8 s could not have been met there; it posts to /stock/ now, whose timeout is 5 s, keeps the bound and asks for the status as well.

--- a/node/slow_body_test.go
+++ b/node/slow_body_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -16,7 +18,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	fmt.Fprintf(c, "POST /hold/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: s\r\nKey: %s\r\nContent-Length: 100\r\n\r\n", goodKey)
+	fmt.Fprintf(c, "POST /stock/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: s\r\nKey: %s\r\nContent-Length: 100\r\n\r\n", goodKey)
 	go func() {
 		for range 90 {
 			time.Sleep(300 * time.Millisecond)
@@ -26,7 +28,11 @@
 		}
 	}()
 	_ = c.SetReadDeadline(time.Now().Add(8 * time.Second))
-	if n, err := c.Read(make([]byte, 300)); n == 0 {
-		t.Errorf("no answer after 8 s: %v", err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer after 8 s: %v", err)
+	}
+	if resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("answered %d, want 408", resp.StatusCode)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -182,6 +182,20 @@
 		"customer %s is over its limit of %.0f %s a second", in.customer.Name, l.Rate, l.Unit).WithRetryAfter(wait)
 }
 
+// Deadline returns when a request ends at the latest: at its own deadline or at the timeout of its
+// route; zero if there is neither. Only its head needs to be known.
+func (r *Router) Deadline(req *Request) time.Time {
+	config := r.config.Config()
+	if config == nil {
+		return req.Deadline
+	}
+	route := config.Match(req.Host, req.Path)
+	if route == nil {
+		return req.Deadline
+	}
+	return earlierDeadline(req.Deadline, route.Timeout, req.Received)
+}
+
 func earlierDeadline(deadline time.Time, timeout time.Duration, received time.Time) time.Time {
 	if timeout <= 0 {
 		return deadline
