Tests: an endless stream is bounded in tokens and stalls, not in seconds

The trace: 172,364 of the 262,144 empty tokens that 4 MiB hold had been read after 5 s, with -race; without it the part takes 1.4 s. The agent was reading, at the engine's pace; the product bounds a stream by its bytes and by its silence, and states no 5 s.

The test asks for both now: at no moment may the job hold more than 4 MiB and one token, and 5 s without a new token fail it. A stream without progress (duplicates) is held to the 5 s as before; one that grows can't pass the bytes unseen.

--- a/agent/feed_test.go
+++ b/agent/feed_test.go
@@ -25,13 +25,19 @@
 	return newRunner(s, target.NewEngine(url), newMetrics(prometheus.NewRegistry()))
 }
 
-// runTestJob runs a job at the runner's engine and returns it once it has ended.
+// most is how many bytes of tokens an agent may hold of one stream.
+const most = 4 << 20
+
+// runTestJob runs a job at the runner's engine and returns it once it has ended. The job fails the
+// test if it holds more than a stream may, or goes on for 5 s without a new token.
 func runTestJob(t *testing.T, r *runner) *job {
 	t.Helper()
 	j := newJob(&keelv1.GenerateRequest{RequestId: "r", Customer: "c"}, 0, time.Now())
 	t.Cleanup(j.cancel)
 	r.startJob(j, time.Now())
-	deadline := time.After(5 * time.Second)
+	const stallTimeout = 5 * time.Second
+	stalled := time.NewTimer(stallTimeout)
+	end := 0
 	for {
 		_, finish, changed := j.buffer.TokensFrom(j.buffer.EndOffset())
 		if finish != nil {
@@ -40,10 +46,17 @@
 			}
 			return j
 		}
+		if held := j.buffer.Bytes(); held > most+1024+16 {
+			t.Fatalf("the job still runs with %d bytes", held)
+		}
+		if offset := j.buffer.EndOffset(); offset > end {
+			end = offset
+			stalled.Reset(stallTimeout)
+		}
 		select {
 		case <-changed:
-		case <-deadline:
-			t.Fatal("the job still runs")
+		case <-stalled.C:
+			t.Fatalf("the job still runs after %d tokens", end)
 		}
 	}
 }
@@ -105,7 +118,6 @@
 		"duplicates":   {chunk: func(int) string { return `{"offset":0,"text":"a"}` }, count: 1 << 19, pause: 10 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			const most = 4 << 20
 			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.Method != http.MethodPost {
 					w.WriteHeader(http.StatusNotFound)
