router: the header of a refusal that breaks off says nothing about its target

What callers saw: nothing that was measured; later choices went by it. A refusal whose body breaks off counts as no refusal, yet the load, the notices and the weights in its header had been recorded before its body was read: a target counted as having weights that a truncated response named.

Cause: recordResponse ran before handleRefusal read the body.

Change: the header of a refusal is recorded once its body is whole. Its time of arrival is recorded with the header, as before, and other responses are recorded at their header: a stream's choices can't wait for its end.

Evidence: TestHeaderOfBrokenRefusalIsNotRecorded fails on the code before ("counts as having weights 2, want 1") and passes now, as its part "whole" does on both. TestPromisesHoldAfterAnySequenceOfAttempts passes.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -67,6 +67,7 @@
 		s.recordInterruption(ctx, choice)
 		return s.outcomeUnknown(retry.Interrupted, "the refusal of target %s broke off: %v", choice.Target.ID, err)
 	}
+	s.recordHeader(choice, resp)
 	return s.handleNotRun(choice, resp)
 }
 
--- a/router/promise_test.go
+++ b/router/promise_test.go
@@ -364,3 +364,29 @@
 		})
 	}
 }
+
+// Guards against weights, load and notices that are believed of a refusal which breaks off, and so
+// counts as no refusal of this request.
+func TestHeaderOfBrokenRefusalIsNotRecorded(t *testing.T) {
+	newer := func(r *Response) { r.WeightsVersion = 2 }
+	for _, test := range []struct {
+		step step
+		want int64
+	}{
+		{answering("whole", false, 503, both(notRun, newer)), 2},
+		{answering("breaks off", true, 503, both(notRun, newer, brokenBody(""), func(r *Response) { r.Sealed = false })), 1},
+	} {
+		t.Run(test.step.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := promiseCase{"", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", RetryBounds{Window: time.Second}, NewMetrics(prometheus.NewRegistry())}
+				p := &play{steps: []step{test.step}, silent: map[string]bool{}}
+				c.serve(t.Context(), p, &toldClient{})
+				for _, target := range p.fleet.Targets("s") {
+					if target.ID == p.targets[0] && target.Weights["m"] != test.want {
+						t.Errorf("target %s counts as having weights %d, want %d", target.ID, target.Weights["m"], test.want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/router/session.go
+++ b/router/session.go
@@ -207,10 +207,11 @@
 	if !response.MatchesRequest {
 		return s.handleUnmatched(choice)
 	}
-	s.recordResponse(choice, response)
+	s.active.Responded(time.Now())
 	if response.refuses() {
 		return s.handleRefusal(ctx, cancel, choice, response)
 	}
+	s.recordHeader(choice, response)
 	s.executions++
 	f.RecordAccepted(choice.Target.Instance(), s.sentAt)
 	if response.unusable() {
@@ -295,10 +296,9 @@
 	return attempt
 }
 
-// recordResponse records what the header of a response to this request says about its target.
-func (s *session) recordResponse(choice fleet.Choice, resp *Response) {
+// recordHeader records what the header of a response to this request says about its target.
+func (s *session) recordHeader(choice fleet.Choice, resp *Response) {
 	f := s.router.fleet
-	s.active.Responded(time.Now())
 	if resp.Ambiguous {
 		return
 	}
