target: an engine's refusal that breaks off doesn't say "not run"

What callers saw: nothing that was measured; the other door could say "not run" of a request, and send it to another runner, on the header of a 503 whose body broke off.

Cause: openStream closed the body of each other status unread and took 503 as ErrNotAccepting by its header alone.

Change: a 503 counts once its body is whole, 64 KB of it at most. Anything else is an error after which the request may have run. Other statuses are closed unread as before.

Evidence: TestTruncatedRefusalOfEngineMayHaveRun: "truncated" and "without a body" fail on the code before ("the target takes no requests now", not run); all parts pass now.

--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -198,3 +201,32 @@
 func (downStore) Put(context.Context, string, []byte, int64, store.LeaseID) (int64, error) {
 	return 0, store.ErrUnavailable
 }
+
+// Guards against "not run" for a request whose engine's refusal breaks off: what an engine
+// truncates states nothing.
+func TestTruncatedRefusalOfEngineMayHaveRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		length int
+		body   string
+		want   refusal.Outcome
+	}{
+		"whole": {4, "full", refusal.NotRun}, "truncated": {4, "fu", refusal.Unknown}, "without a body": {4, "", refusal.Unknown},
+		"without an end": {1 << 30, strings.Repeat("full", 64<<10), refusal.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", strconv.Itoa(test.length))
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			t.Cleanup(engine.Close)
+			r := newRunner(DefaultSettings(), target.NewEngine(engine.URL), newMetrics(prometheus.NewRegistry()))
+			j := newJob(&keelv1.GenerateRequest{RequestId: "r", Customer: "c"}, 0, time.Now())
+			r.runJob(j)
+			_, finish, _ := j.buffer.TokensFrom(0)
+			if finish == nil || refusal.From(finish.Err).Outcome != test.want {
+				t.Errorf("ended with %+v, want the outcome %s", finish, test.want)
+			}
+		})
+	}
+}
--- a/target/engine.go
+++ b/target/engine.go
@@ -89,6 +89,8 @@
 	// maxHeaderBytes bounds the header of a response, together with informational responses
 	// before it. Headers take a few hundred bytes.
 	maxHeaderBytes = 64 << 10
+	// maxRefusalBytes bounds the body of a refusal, which holds an error message.
+	maxRefusalBytes = 64 << 10
 	// maxReportBytes bounds the answers to a load report, an order and the like, of some hundred
 	// bytes.
 	maxReportBytes = 256 << 10
@@ -178,8 +180,8 @@
 		return nil, sendError(err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, statusError(resp.StatusCode)
+		defer resp.Body.Close()
+		return nil, readStatusError(resp)
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 4096), maxLineBytes)
@@ -192,6 +194,19 @@
 	}, nil
 }
 
+// readStatusError returns the error that a response states. ErrNotAccepting, on which a request is
+// sent elsewhere, takes a whole response: what the target truncates states nothing.
+func readStatusError(resp *http.Response) error {
+	err := statusError(resp.StatusCode)
+	if !errors.Is(err, ErrNotAccepting) {
+		return err
+	}
+	if err := httpbody.Discard(resp, maxRefusalBytes); err != nil {
+		return fmt.Errorf("read the target's refusal: %w", err)
+	}
+	return err
+}
+
 func statusError(status int) error {
 	switch status {
 	case http.StatusServiceUnavailable:
