router: a request has left its target before its response is forwarded

What callers saw: a client that had its whole response and sent the same request again could be refused with suspect_under_way and "Retry-After: 1", or be treated as behind itself at a target with one slot, although nothing ran. Only whole responses can: the server sends the end of a stream after the request has ended, but the last bytes of a response with a length as soon as they are written, if they don't fit its buffer of 4 KB.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -199,12 +199,20 @@
 		s.router.poison.RecordSuccess(s.in.content, time.Now())
 		s.router.poison.RecordPartsServed(s.in.parts, choice.Target.Instance(), time.Now())
 	}
+	s.leaveTarget()
 	if refused := s.writeWhole(&bufferedResponse{resp, chunks}); refused != nil {
 		return attemptResult{refused: refused}
 	}
 	return succeeded
 }
 
+// leaveTarget counts the request out at its target, whose response has been read to its end. The
+// client may have the whole response, and send its next request, before writing it has returned.
+func (s *session) leaveTarget() {
+	s.active.End()
+	s.tracked.LeftTarget()
+}
+
 // writeWhole writes a buffered response to the client.
 func (s *session) writeWhole(b *bufferedResponse) *refusal.Error {
 	b.response.ContentLength = 0
