entry: a stream is not counted once its last event is sent

What callers saw: a customer at the limit of streams of its contract that sent its next request on the last event of a stream, the one with finish_reason, could be refused with contract_exceeded and "Retry-After: 1", although the stream had ended.

Cause: the stream was counted out once the session had closed its channel, and the last event is written and flushed before that.

How often a client comes in between was not measured.

--- a/entry/encode.go
+++ b/entry/encode.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 
 	"acaciakeel/refusal"
 	"acaciakeel/stream"
@@ -28,12 +29,15 @@
 // in the contract.
 func (e *Entry) forEachEvent(r *completionReply, handle func(streamEvent)) *refusal.Error {
 	tokens := 0
-	defer func() { r.endRequest(tokens) }()
+	endRequest := sync.OnceFunc(func() { r.endRequest(tokens) })
+	defer endRequest()
 	finished := false
 	process := func(ev streamEvent) {
 		if ev.finish != nil {
 			finished = true
 			e.recordPromptTokens(ev.finish)
+			// The client may send its next request as soon as it has the last event.
+			endRequest()
 		} else {
 			tokens++
 		}
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -54,6 +54,12 @@
 
 // start serves the agent until the test ends or stop is called, which also ends its connections.
 func (a *fakeAgent) start(t *testing.T) (url string, stop func()) {
+	t.Helper()
+	return startAgent(t, a)
+}
+
+// startAgent serves an agent as start does.
+func startAgent(t *testing.T, a keelv1connect.AgentServiceHandler) (url string, stop func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
