--- a/router/router.go
+++ b/router/router.go
@@ -163,7 +163,7 @@
 	in.parts = in.poisonParts()
 	in.deadline = earlierDeadline(req.Deadline, in.route.Timeout, req.Received)
 	if stop := r.shutdownDeadline.Load(); stop != nil && !in.expectedToEndBy(*stop) {
-		return in, refusal.New(refusal.Stopping, "ask another entry", "this entry stops before the request is expected to end").WithRetryAfter(shutdownRetryAfter)
+		return in, RefuseAtShutdown("this entry stops before the request is expected to end")
 	}
 	return in, nil
 }
--- a/router/shutdown.go
+++ b/router/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciakeel/catalog"
+	"acaciakeel/refusal"
 )
 
 // ErrShutdown is the cause with which the contexts of requests are canceled when the process
@@ -16,6 +17,12 @@
 // because other nodes still serve, and a new connection leads to one of them.
 const shutdownRetryAfter = 100 * time.Millisecond
 
+// RefuseAtShutdown returns the refusal of a request that no target has and that this process
+// doesn't send any more.
+func RefuseAtShutdown(reason string) *refusal.Error {
+	return refusal.New(refusal.Stopping, "ask another entry", "%s", reason).WithRetryAfter(shutdownRetryAfter)
+}
+
 // SetShutdownDeadline announces when the process stops. Requests that are not expected to end
 // by then are refused immediately as not run. If they were broken off later, a request that
 // may run only once could not be retried, and the client would have to know where to resume
