rollout: a runner whose load ends during planning gets no second order

What was seen: TestUnresponsiveRunnersTakeNoSlot/300_-500ms failed now and then with 21.2 s where 20.6 s are allowed.

Cause: reconcile read the runners and their weights first and the orders in progress afterwards. An order records the weights of its runner and then ends; if both happened between the two reads, the runner was stale without an order in progress. It is the first of its kind in the order of the plan and took a slot: for one report, or for 1.2 s of clearing and two reports where long runs count there, during which new requests are kept away. No load was repeated, since the report before the order shows the weights. Orders planned together are polled together, so their loads end, and wake the controller, in the same instant. Which goroutine runs first in it is up to the scheduler.

TestNoOrderToLoadedRunner pauses the controller before and after it reads the runners.

Effect on callers: the 1.2 s need long runs that are counted at a runner after its load. Orders are sent as block or truncate, which leave none there.

Change: the orders in progress are read before the runners. An order that ends in between is still in progress for this plan; its end wakes the controller again. An order that ended before has recorded its weights by then. Orders are started by the planning goroutine only, so none is missed.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,8 @@
 	waits        waitReporter
 	maxStaleness time.Duration
 	outstanding  *outstandingOrders
+	// targets returns the runners of a service. Tests replace it.
+	targets func(service string) []fleet.Target
 
 	// truncationDisabled is set once the other nodes no longer report to this process
 	// which requests they have at runners.
@@ -94,7 +97,7 @@
 	return &Controller{
 		name: name, leadership: cfg.Leadership, client: cfg.Client, fleet: cfg.Fleet, services: cfg.Services, notify: cfg.Notify, maxStaleness: cfg.MaxStaleness, log: log,
 		wake: make(chan struct{}, 1), waits: newWaitReporter(cfg.Metrics, log), inProgress: map[string]activeOrder{}, contacts: newContacts(),
-		outstanding: newOutstandingOrders(cfg.OrderTransit),
+		outstanding: newOutstandingOrders(cfg.OrderTransit), targets: cfg.Fleet.Targets,
 	}
 }
 
@@ -143,11 +146,7 @@
 	c.mu.Unlock()
 	c.waits.beginPass()
 	for model, desired := range c.fleet.DesiredVersions() {
-		var runners []fleet.Target
-		for _, service := range services[model] {
-			runners = append(runners, c.fleet.Targets(service)...)
-		}
-		in := c.planInput(model, desired, runners)
+		in := c.planInput(model, desired, services[model])
 		decisions := Plan(in)
 		c.waits.record(in, decisions)
 		for _, decision := range decisions {
@@ -162,7 +161,15 @@
 	c.waits.endPass()
 }
 
-func (c *Controller) planInput(model string, desired int64, runners []fleet.Target) Input {
+func (c *Controller) planInput(model string, desired int64, services []string) Input {
+	// An order records its runner's weights before it ends. Read in this order, a runner
+	// whose order ends in between counts as in progress; in the other order it would be
+	// stale without an order, and get a second one.
+	orders := c.ordersInProgress()
+	var runners []fleet.Target
+	for _, service := range services {
+		runners = append(runners, c.targets(service)...)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := Input{
@@ -176,7 +183,7 @@
 		StaleFor:     map[string]time.Duration{},
 	}
 	now := time.Now()
-	for id, u := range c.inProgress {
+	for id, u := range orders {
 		if c.fleet.IsCurrent(u.instance) {
 			in.InProgress[id] = now.Sub(u.since)
 		}
@@ -199,6 +206,12 @@
 	return in
 }
 
+func (c *Controller) ordersInProgress() map[string]activeOrder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.inProgress)
+}
+
 func (c *Controller) startOrder(ctx context.Context, decision Decision, model string, desired int64) {
 	r := decision.Runner
 	c.mu.Lock()
--- a/rollout/restart_test.go
+++ b/rollout/restart_test.go
@@ -117,7 +117,7 @@
 	if v := now[0].Weights["m"]; v != 1 {
 		t.Fatalf("new instance has weights %d, want 1", v)
 	}
-	if due := runnersToOrder(c.planInput("m", 2, now)); len(due) != 1 || due[0].Born != 20 {
+	if due := runnersToOrder(c.planInput("m", 2, []string{"lm"})); len(due) != 1 || due[0].Born != 20 {
 		t.Errorf("runners to order: %+v, want the new instance", due)
 	}
 }
--- a/rollout/unresponsive_test.go
+++ b/rollout/unresponsive_test.go
@@ -21,10 +21,15 @@
 	loadedAt                map[string]time.Time
 	orderedAt               map[string]time.Time
 	reports                 map[string]int
+	// reportsOfLoaded counts the reports of runners that have loaded the weights.
+	reportsOfLoaded map[string]int
+	// pauseBefore and pauseAfter are for how long the controller's goroutine is suspended
+	// before and after it reads the runners.
+	pauseBefore, pauseAfter time.Duration
 }
 
 func newLoadingRunners(loadTime time.Duration) *loadingRunners {
-	return &loadingRunners{loadTime: loadTime, silentFrom: map[string]time.Time{}, silentUntil: map[string]time.Time{}, loadedAt: map[string]time.Time{}, orderedAt: map[string]time.Time{}, reports: map[string]int{}}
+	return &loadingRunners{loadTime: loadTime, silentFrom: map[string]time.Time{}, silentUntil: map[string]time.Time{}, loadedAt: map[string]time.Time{}, orderedAt: map[string]time.Time{}, reports: map[string]int{}, reportsOfLoaded: map[string]int{}}
 }
 
 func (l *loadingRunners) silent(id string, now time.Time) bool {
@@ -63,6 +68,7 @@
 		s.Busy = time.Since(at) < l.loadTime
 		if !s.Busy {
 			s.Weights["m"] = 2
+			l.reportsOfLoaded[of.ID]++
 		}
 	}
 	return s, nil
@@ -101,6 +107,12 @@
 	}
 	f.RecordDesired("m", 2, time.Now(), false)
 	c := NewController("n", Config{Leadership: alwaysLeader{}, Client: runners, Fleet: f, Services: modelOfLM, Notify: func() {}}, discardLogger())
+	c.targets = func(service string) []fleet.Target {
+		time.Sleep(runners.pauseBefore)
+		targets := f.Targets(service)
+		time.Sleep(runners.pauseAfter)
+		return targets
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	c.Run(ctx)
@@ -124,6 +136,34 @@
 	return last
 }
 
+// checkOneOrder fails the test if a runner that reported that it has the weights was asked
+// again.
+func (l *loadingRunners) checkOneOrder(t *testing.T) {
+	for id, n := range l.reportsOfLoaded {
+		if n > 1 {
+			t.Errorf("runner %s was asked %d times after it had loaded the weights, want once", id, n)
+		}
+	}
+}
+
+// Guards against planning an order for a runner whose load ends while the controller plans: it
+// took a slot, for 1.2 s of clearing where long runs counted there.
+func TestNoOrderToLoadedRunner(t *testing.T) {
+	for _, n := range []int{8, 42, 225} {
+		for _, pause := range [][2]time.Duration{{0, time.Nanosecond}, {time.Nanosecond, 0}, {0, time.Millisecond}, {0, 120 * time.Millisecond}, {50 * time.Millisecond, 50 * time.Millisecond}} {
+			t.Run(fmt.Sprint(n, " ", pause), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					start, runners := time.Now(), newLoadingRunners(2*time.Second)
+					runners.pauseBefore, runners.pauseAfter = pause[0], pause[1]
+					runRollout(t, runners, n, 1, 60*time.Second)
+					t.Logf("%d runners loaded after %v", n, runners.lastLoad(t, n, start))
+					runners.checkOneOrder(t)
+				})
+			})
+		}
+	}
+}
+
 // Guards against unresponsive runners in rollout slots: 14 of 56 became unresponsive half
 // a second before the announcement, each kept its slot for more than 6 s, and from 6.5 to
 // 9.4 s no order was sent.
@@ -151,6 +191,8 @@
 				runRollout(t, runners, test.n, 1, 60*time.Second)
 				got := runners.lastLoad(t, test.n, start)
 				t.Logf("%d responsive runners loaded after %v, after %v with %d unresponsive ones", responsive, want, got, test.n/4)
+				alone.checkOneOrder(t)
+				runners.checkOneOrder(t)
 				limit := want + maxDelay
 				if test.silentAfter > 0 {
 					// Until then they took slots as responsive runners do. Those with an order
