--- a/agent/feed_test.go
+++ b/agent/feed_test.go
@@ -25,8 +25,8 @@
 	return newRunner(s, target.NewEngine(url), newMetrics(prometheus.NewRegistry()))
 }
 
-// most is how many bytes of tokens an agent may hold of one stream.
-const most = 4 << 20
+// maxHeldBytes is how many bytes of tokens an agent may hold of one stream.
+const maxHeldBytes = 4 << 20
 
 // runTestJob runs a job at the runner's engine and returns it once it has ended. The job fails the
 // test if it holds more than a stream may, or goes on for 5 s without a new token.
@@ -46,7 +46,7 @@
 			}
 			return j
 		}
-		if held := j.buffer.Bytes(); held > most+1024+16 {
+		if held := j.buffer.Bytes(); held > maxHeldBytes+1024+16 {
 			t.Fatalf("the job still runs with %d bytes", held)
 		}
 		if offset := j.buffer.EndOffset(); offset > end {
@@ -138,8 +138,8 @@
 			}))
 			t.Cleanup(engine.Close)
 			j := runTestJob(t, newTestRunner(engine.URL))
-			if held := j.buffer.Bytes(); held > most+len(text)+16 {
-				t.Errorf("%d bytes are held, want at most %d", held, most)
+			if held := j.buffer.Bytes(); held > maxHeldBytes+len(text)+16 {
+				t.Errorf("%d bytes are held, want at most %d", held, maxHeldBytes)
 			}
 		})
 	}
