rollout: log and count what tells late orders apart

A load order that reaches its runner after the next leader's can't be traced by the logs alone: neither what was left of the lease when it was sent nor whether the lock was given up or ended with its lease is recorded.

event=order says lease_ms and took_ms, event=seat_released that the leader gave the lock up itself, keel_node_orders_total counts orders by result.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -68,6 +68,7 @@
 	outstanding  *outstandingOrders
 	// targets returns the runners of a service. Tests replace it.
 	targets func(service string) []fleet.Target
+	metrics *Metrics
 
 	// truncationDisabled is set once the other nodes no longer report to this process
 	// which requests they have at runners.
@@ -97,7 +98,7 @@
 	return &Controller{
 		name: name, leadership: cfg.Leadership, client: cfg.Client, fleet: cfg.Fleet, services: cfg.Services, notify: cfg.Notify, maxStaleness: cfg.MaxStaleness, log: log,
 		wake: make(chan struct{}, 1), waits: newWaitReporter(cfg.Metrics, log), inProgress: map[string]activeOrder{}, contacts: newContacts(),
-		outstanding: newOutstandingOrders(cfg.OrderTransit), targets: cfg.Fleet.Targets,
+		outstanding: newOutstandingOrders(cfg.OrderTransit), targets: cfg.Fleet.Targets, metrics: cfg.Metrics,
 	}
 }
 
@@ -336,9 +337,11 @@
 	if !c.outstanding.begin(fence) {
 		return
 	}
+	leaseLeft, sentAt := c.leadership.Remaining(), time.Now()
 	result, err := c.sendOrder(ctx, fleet.Order{Target: r, Model: model, WeightsVersion: desired, Holder: c.name, Fence: fence, ExpectedOrders: report.AcceptedOrders, Truncate: truncate})
 	c.outstanding.end(result, time.Now())
-	c.logEvent("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "orders": report.AcceptedOrders, "truncate": truncate, "cleared_ms": drainTime.Milliseconds(), "inflight": remaining.Inflight, "resumable": remaining.Resumable, "long": remaining.Long}).WithError(err).Info("load order sent")
+	c.metrics.countOrder(result)
+	c.logEvent("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "lease_ms": leaseLeft.Milliseconds(), "took_ms": time.Since(sentAt).Milliseconds(), "orders": report.AcceptedOrders, "truncate": truncate, "cleared_ms": drainTime.Milliseconds(), "inflight": remaining.Inflight, "resumable": remaining.Resumable, "long": remaining.Long}).WithError(err).Info("load order sent")
 	switch result {
 	case fleet.OrderAlreadyLoaded:
 		c.fleet.RecordWeights(r.Instance(), model, desired, time.Now())
--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -252,6 +252,7 @@
 		return nil
 	}
 	_, err := l.store.Delete(ctx, l.key, fence)
+	l.log.WithError(err).WithFields(logrus.Fields{"event": "seat_released", "fence": fence}).Info("leader lock given up")
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrNotFound) {
 		// Another process holds the lock already.
 		return nil
--- a/rollout/waiting.go
+++ b/rollout/waiting.go
@@ -10,13 +10,23 @@
 	"acaciakeel/telemetry"
 )
 
-// Metrics holds the rollout gauges as seen by the leader.
+// Metrics holds the rollout's metrics as seen by the leader.
 type Metrics struct {
 	waiting *prometheus.GaugeVec
+	orders  *prometheus.CounterVec
 }
 
 func NewMetrics(r *prometheus.Registry) *Metrics {
-	return &Metrics{waiting: telemetry.NewGauge(r, "keel_node_orders_waiting", "Runners on older weights that got no order at the last look, by reason.", "reason")}
+	return &Metrics{
+		orders:  telemetry.NewCounter(r, "keel_node_orders_total", "Load orders to runners, by result.", "result"),
+		waiting: telemetry.NewGauge(r, "keel_node_orders_waiting", "Runners on older weights that got no order at the last look, by reason.", "reason"),
+	}
+}
+
+func (m *Metrics) countOrder(result fleet.OrderResult) {
+	if m != nil {
+		m.orders.WithLabelValues(string(result)).Inc()
+	}
 }
 
 // logAfter is how long a runner must be stale before the reason is logged; a rollout of
