rollout: an order is sent only if it arrives before the lease ends

Seen by runners: an order of a former leader after one of the next, with the lower fencing token, where the former one doesn't stop in a planned way: its lease ends or it is killed or held up.

A packet sent last is on its way for up to 1.2 s more (TCP sends it again until then), and between the check of the lease and the write the process may be suspended; a timer that fires late doesn't stop the write.

Now an order is written only while the lease lasts for longer than the order can be on its way (1.3 s of 2 s; renewals come every 0.5 s), and that is checked in the call that writes it. The lock is checked after the lease was read, so a lease that was replaced in between doesn't count.

--- a/fleet/target.go
+++ b/fleet/target.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"time"
+
+	"acaciakeel/clock"
 )
 
 // Target is a target as the platform lists it.
@@ -65,6 +67,8 @@
 	ExpectedOrders int64
 	// Truncate ends the streams of the requests that run there; otherwise they end first.
 	Truncate bool
+	// SendBefore is when the order may no longer be sent; 0 sets no limit.
+	SendBefore clock.BootTime
 }
 
 // OrderResult is the outcome of an order.
@@ -82,6 +86,8 @@
 	OrderLost OrderResult = "lost"
 	// OrderNotSent means that nothing of the order was sent.
 	OrderNotSent OrderResult = "not_sent"
+	// OrderExpired means that nothing was sent because SendBefore had passed.
+	OrderExpired OrderResult = "expired"
 )
 
 // loadTTL is for how long a target's reported load is taken as current: requests take
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -21,6 +21,8 @@
 	refuse  bool
 	lossy   bool
 	stopped bool
+	// packetDelay returns the delay of a client's packet, or Lost; nil delays none.
+	packetDelay func(packet []byte) time.Duration
 	// silent is set while nothing passes; it is closed when bytes pass again.
 	silent chan struct{}
 }
@@ -132,6 +134,26 @@
 	p.lossy = lose
 }
 
+// Lost is the delay of a packet that never arrives; its connection ends.
+const Lost time.Duration = -1
+
+// DelayPackets delays each packet of a client by what delay returns for it, or loses it; nil delays
+// none. What is on its way arrives also if the client has closed the connection meanwhile.
+func (p *Proxy) DelayPackets(delay func(packet []byte) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.packetDelay = delay
+}
+
+func (p *Proxy) delayOf(packet []byte) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packetDelay == nil {
+		return 0
+	}
+	return p.packetDelay(packet)
+}
+
 func (p *Proxy) state() (delay time.Duration, refuse, lossy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,6 +214,13 @@
 			return
 		}
 		time.Sleep(delay)
+		if !answers {
+			onTheWay := p.delayOf(buffer[:n])
+			if onTheWay == Lost {
+				return
+			}
+			time.Sleep(onTheWay)
+		}
 		p.awaitSpeech()
 		select {
 		case <-pair.frozen:
--- a/internal/standin/runner/orders.go
+++ b/internal/standin/runner/orders.go
@@ -19,6 +19,14 @@
 	Born int64 `json:"-"`
 }
 
+// Arrival is an order that arrived at the target.
+type Arrival struct {
+	Order
+	At time.Time
+	// Accepted is set once the target has accepted the order.
+	Accepted bool
+}
+
 // lateOrderDelay is the delay before a target with the fault LateOrders executes an order.
 const lateOrderDelay = 1500 * time.Millisecond
 
@@ -32,17 +40,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.mu.Lock()
-	r.arrivals = append(r.arrivals, o)
-	r.mu.Unlock()
+	arrival := r.recordArrival(o)
 	if fault := r.faultNow(); fault == DeafToOrders || fault == LateOrders {
 		if fault == LateOrders {
-			time.AfterFunc(lateOrderDelay, func() { r.accept(o) })
+			time.AfterFunc(lateOrderDelay, func() { r.accept(arrival) })
 		}
 		<-req.Context().Done()
 		return
 	}
-	accepted, fault := r.accept(o)
+	accepted, fault := r.accept(arrival)
 	switch {
 	case !accepted:
 		w.WriteHeader(http.StatusConflict)
@@ -56,10 +62,18 @@
 
 // OrderArrivals returns all orders for this target in the order of their arrival, whether it
 // accepted them or not.
-func (r *Runner) OrderArrivals() []Order {
+func (r *Runner) OrderArrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrivals...)
+}
+
+// recordArrival records an order and returns its index among the arrivals.
+func (r *Runner) recordArrival(o Order) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]Order(nil), r.arrivals...)
+	r.arrivals = append(r.arrivals, Arrival{Order: o, At: time.Now()})
+	return len(r.arrivals) - 1
 }
 
 func (r *Runner) faultNow() Fault {
@@ -68,17 +82,19 @@
 	return r.fault
 }
 
-// accept executes an order unless another is in progress or its precondition differs
-// from the number of accepted orders.
-func (r *Runner) accept(o Order) (bool, Fault) {
+// accept executes the order of an arrival unless another is in progress or its precondition
+// differs from the number of accepted orders.
+func (r *Runner) accept(arrival int) (bool, Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	o := r.arrivals[arrival].Order
 	if r.busy || o.Precondition != nil && *o.Precondition != int64(r.accepted) {
 		return false, r.fault
 	}
 	o.Born = r.born
 	r.orders = append(r.orders, o)
 	r.accepted++
+	r.arrivals[arrival].Accepted = true
 	r.startOrder(o)
 	return true, r.fault
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -64,7 +64,7 @@
 	weights map[string]int64
 	orders  []Order
 	// arrivals holds the orders that arrived, accepted or not.
-	arrivals []Order
+	arrivals []Arrival
 	seen     []Seen
 	pace     time.Duration
 	crashing
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -47,8 +47,8 @@
 	// MaxStaleness is how long after a newer version became desired a runner still gets
 	// requests.
 	MaxStaleness time.Duration
-	// OrderTransit is for how long after its call has ended without an answer an order may still
-	// arrive at its runner.
+	// OrderTransit is for how long after it was sent an order without an answer may still arrive at
+	// its runner.
 	OrderTransit time.Duration
 }
 
@@ -364,11 +364,18 @@
 	}
 }
 
-// sendOrder sends an order within the remaining time of the leadership. An order that
-// is delayed by a slow link or connection setup must not arrive while the next leader
-// sends its own.
+// sendOrder sends an order while the leadership lasts for longer than the order can be on its
+// way, whatever happens to this process meanwhile: the next leader's orders must not overtake it.
 func (c *Controller) sendOrder(ctx context.Context, o fleet.Order) (fleet.OrderResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.leadership.Remaining())
+	// The clock is read first and the leadership checked last: if this process is suspended or
+	// the lease replaced in between, the order expires too early rather than too late.
+	now := clock.Now()
+	remaining := c.leadership.Remaining()
+	if fence, held := c.leadership.Held(); !held || fence != o.Fence || remaining <= c.outstanding.transit {
+		return fleet.OrderExpired, nil
+	}
+	o.SendBefore = now.Add(remaining - c.outstanding.transit)
+	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	return c.client.Order(ctx, o)
 }
--- a/rollout/outstanding.go
+++ b/rollout/outstanding.go
@@ -14,7 +14,7 @@
 // outstandingOrders tracks the orders that may still arrive at their runners. The lock may be
 // given up only once there are none: the next holder's orders would overtake them.
 type outstandingOrders struct {
-	// transit is for how long after its call has ended without an answer an order may arrive.
+	// transit is for how long after it was sent an order may arrive.
 	transit time.Duration
 
 	mu sync.Mutex
