rollout: a machine doesn't take turns with the leaders that followed it

Cause: a process that lost the lock waits for lease_ms, but its memory of that ends with it.

The store keeps a record of the machines that led within lease_ms, the latest one last. A leader writes it before its first order; a process whose machine is in it, and not as the last one, doesn't try the lock until it has run for lease_ms. Machines that nobody followed don't wait, so a restart of all entries loses no time at the last leader's.

--- a/node/rejected.go
+++ b/node/rejected.go
@@ -183,6 +183,9 @@
 		v.leaderLock.ObserveForeign(e.Revision)
 		v.controller.Wake()
 	}
+	if e.Key == v.keys.leaders {
+		v.leaderLock.ObserveHistory(nil, true, e.Revision)
+	}
 	if e.Key == v.keys.nodeCount {
 		v.nodeCountRejected(e.Revision)
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -81,6 +81,8 @@
 type systemKeys struct {
 	leader  string
 	members string
+	// leaders is the key of the record of the latest leaders.
+	leaders string
 	// nodeCount is the key of the recent number of nodes.
 	nodeCount string
 	// versions is the prefix of the marks of services with several software versions.
@@ -88,7 +90,7 @@
 }
 
 func newSystemKeys() systemKeys {
-	return systemKeys{leader: platform.SystemPrefix + "orders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
+	return systemKeys{leader: platform.SystemPrefix + "orders", leaders: platform.SystemPrefix + "leaders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
 }
 
 // Config implements router.ConfigSource.
@@ -199,6 +201,10 @@
 		v.leaderChanged(value, revision)
 		return
 	}
+	if key == v.keys.leaders {
+		v.leaderHistoryChanged(value, revision)
+		return
+	}
 	if key == v.keys.nodeCount {
 		v.setNodeCount(value, revision)
 		return
@@ -255,6 +261,23 @@
 	v.controller.Wake()
 }
 
+// leaderHistoryChanged applies the stored record of the latest leaders; an empty value means that
+// there is none.
+func (v *view) leaderHistoryChanged(value string, revision int64) {
+	if value == "" {
+		v.rejected.removeRecord(v.keys.leaders)
+		v.leaderLock.ObserveHistory(nil, false, revision)
+		return
+	}
+	names, err := rollout.ParseHistory(value)
+	if err != nil {
+		v.EntryRejected(platform.RejectedEntry{Key: v.keys.leaders, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
+		return
+	}
+	v.rejected.removeRecord(v.keys.leaders)
+	v.leaderLock.ObserveHistory(names, true, revision)
+}
+
 // membersChanged discards the cached plan; it is computed again when it is next needed, since
 // nodes that start together cause a hundred changes within a second. The caller holds mu.
 func (v *view) membersChanged() {
@@ -303,6 +326,9 @@
 	if !keys[v.keys.leader] {
 		v.leaderLock.Observe("", revision)
 	}
+	if !keys[v.keys.leaders] {
+		v.leaderLock.ObserveHistory(nil, false, revision)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !keys[v.keys.nodeCount] {
--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -38,6 +38,10 @@
 	// it was held.
 	lostAt    clock.BootTime
 	lostFence int64
+	// holder is the name of the latest known holder, this process or another.
+	holder string
+	// history is nil if no record of the holders is kept.
+	history *leaderHistory
 }
 
 // NewLeaderLock returns the lock at key. name identifies this start of the process. A
@@ -76,6 +80,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	held := l.fence() != 0 && l.leaseID == l.session.ID() && l.session.Valid()
+	if l.history != nil && l.history.recorded != l.fence() {
+		held = false
+	}
 	return l.fence(), held
 }
 
@@ -105,10 +112,10 @@
 		return
 	}
 	if value == "" {
-		l.apply(ownerNone, revision)
+		l.apply(ownerNone, revision, "")
 		return
 	}
-	l.apply(l.ownerOf(value), revision)
+	l.apply(l.ownerOf(value), revision, value)
 }
 
 // ObserveForeign records that the key has an entry, at a revision, that was not written
@@ -121,7 +128,7 @@
 	if revision < l.fence() {
 		return
 	}
-	l.apply(ownerForeign, revision)
+	l.apply(ownerForeign, revision, "")
 }
 
 // ownerOf returns the owner of an entry with the given value; the caller holds mu. An
@@ -135,18 +142,23 @@
 	return ownerOther
 }
 
-// apply replaces the known state of the key; the caller holds mu.
-func (l *LeaderLock) apply(owner lockOwner, revision int64) {
+// apply replaces the known state of the key, which names holder; the caller holds mu.
+func (l *LeaderLock) apply(owner lockOwner, revision int64, holder string) {
 	next := lockState{owner: owner, revision: revision, learnedAt: clock.Now()}
 	if next.sameAs(l.state) {
 		return
 	}
 	before := l.fence()
 	l.state = next
+	if l.history != nil {
+		l.history.recordHolder(machineOf(l.holder))
+		l.history.recordHolder(machineOf(holder))
+	}
+	l.holder = holder
 	l.report.recordHolder(next.hasHolder())
 	switch {
 	case l.fence() != 0:
-		l.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": l.fence()}).Info("leader lock acquired; this process sends load orders now")
+		l.log.WithFields(logrus.Fields{"event": "seat_taken", "fence": l.fence()}).Info("leader lock acquired")
 	case before != 0:
 		l.lostFence, l.lostAt = before, next.learnedAt
 		l.log.WithFields(logrus.Fields{"event": "seat_lost", "state": next}).Warn("leader lock lost; another process may send load orders now")
@@ -161,9 +173,9 @@
 	switch {
 	case !r.known || (!l.state.sameAs(before) && r.entry.Revision <= l.state.revision):
 	case r.entry.Revision == 0:
-		l.apply(ownerNone, l.state.revision)
+		l.apply(ownerNone, l.state.revision, "")
 	default:
-		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision)
+		l.apply(l.ownerOf(string(r.entry.Value)), r.entry.Revision, string(r.entry.Value))
 	}
 }
 
@@ -172,7 +184,7 @@
 // be missing if the entry had been replaced or the store's contents were restored.
 func (l *LeaderLock) endWithLease() {
 	if id := l.session.ID(); l.fence() != 0 && id != "" && id != l.leaseID {
-		l.apply(ownerNone, l.state.revision)
+		l.apply(ownerNone, l.state.revision, "")
 	}
 }
 
@@ -192,6 +204,9 @@
 	case l.lostAt != 0 && l.lostAt.Since() < l.backoff:
 		return LossBackoff
 	}
+	if l.history != nil {
+		return l.history.blocker()
+	}
 	return NotBlocked
 }
 
@@ -204,12 +219,18 @@
 }
 
 // TryAcquire tries to acquire the lock if it is available, and reports whether this
-// process has acquired it.
+// process may send orders now and could not before.
 func (l *LeaderLock) TryAcquire(ctx context.Context) bool {
 	a, ok := l.beginAttempt()
-	if !ok {
-		return false
+	acquired := ok && l.attempt(ctx, a)
+	if l.history != nil {
+		return l.recordHold(ctx)
 	}
+	return acquired
+}
+
+// attempt makes an attempt, and reports whether this process has the lock.
+func (l *LeaderLock) attempt(ctx context.Context, a attempt) bool {
 	r, err := l.write(ctx, a)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -244,7 +265,7 @@
 	fence := l.fence()
 	if fence != 0 {
 		// The entry remains until it is deleted.
-		l.apply(ownerOther, fence)
+		l.apply(ownerOther, fence, l.name)
 	}
 	released := l.state
 	l.mu.Unlock()
--- a/rollout/lockreport.go
+++ b/rollout/lockreport.go
@@ -25,13 +25,16 @@
 	NotCandidate AcquireBlocker = "not_candidate"
 	// NoLease: the process has no lease in the store.
 	NoLease AcquireBlocker = "no_lease"
+	// NoHistory: the record of the latest holders has not been read.
+	NoHistory AcquireBlocker = "no_history"
 	// HeldHere: the process holds the lock.
 	HeldHere AcquireBlocker = "held_here"
 	// HeldElsewhere: another process holds the lock.
 	HeldElsewhere AcquireBlocker = "held_elsewhere"
 	// AttemptInProgress: the response to an earlier attempt is awaited.
 	AttemptInProgress AcquireBlocker = "attempt_in_progress"
-	// LossBackoff: the process lost the lock a short time ago.
+	// LossBackoff: the process lost the lock a short time ago, or an earlier process of its
+	// machine may have.
 	LossBackoff AcquireBlocker = "loss_backoff"
 	// ForeignBackoff: the key got the entry of another writer a short time ago.
 	ForeignBackoff AcquireBlocker = "foreign_backoff"
