--- a/integration/soak/orders_test.go
+++ b/integration/soak/orders_test.go
@@ -23,7 +23,7 @@
 	ordersSeconds = 20
 	// orderLoss is the share of the packets with orders that are lost, queuedShare that of those
 	// that wait in a queue. None arrives later than the sender's kernel gives up.
-	orderLoss, queuedShare = 0.3, 0.2
+	orderLoss, queuedShare = 0.3, 0.4
 	minRetransmission      = 200 * time.Millisecond
 	userTimeout            = 1200 * time.Millisecond
 	// leaseMS is the bound of the settings within which holders may not take turns, in
@@ -209,6 +209,13 @@
 	}
 	stopped := atOnce("holder stopped", func(b *breaker) { h.end(h.leader(b), syscall.SIGTERM, b.upTo(time.Second)) })
 	killed := atOnce("holder killed", func(b *breaker) { h.end(h.leader(b), syscall.SIGKILL, b.upTo(2500*time.Millisecond)) })
+	leaseEnds := atOnce("lease of holder ends", func(b *breaker) {
+		e := h.leader(b)
+		e.proxy.SetRefuse(true)
+		e.proxy.Cut()
+		time.Sleep(leaseMS * time.Millisecond)
+		e.proxy.SetRefuse(false)
+	})
 	return []fault{
 		stopped, stopped, stopped, killed, killed,
 		atOnce("holder stopped, then killed", func(b *breaker) {
@@ -237,6 +244,7 @@
 				time.Sleep(b.upTo(400 * time.Millisecond))
 			}
 		}),
+		leaseEnds, leaseEnds,
 		atOnce("store silent for holder", func(b *breaker) { h.leader(b).proxy.Freeze() }),
 		storeFault("store away from holder", func(e *entry) func() {
 			e.proxy.SetRefuse(true)
