--- a/integration/soak/orders_test.go
+++ b/integration/soak/orders_test.go
@@ -163,9 +163,9 @@
 
 // end ends an entry's process and starts it again after a while, unless it is ending already.
 func (h *holders) end(e *entry, s syscall.Signal, restart time.Duration) {
-	e.signal(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	e.signal(s)
 	if h.ending[e] {
 		return
 	}
