rollout: a new leader always writes the record of leaders

A process could take the lock on the word of an old listing, although another leader had been recorded and had gone since: it compared its new record with the one that it knew, found them equal and gave orders, in turns with that leader within lease_ms.

The record is written at each change of the leader, on the condition that nobody else has, and the process waits if it then finds itself followed by another one. TestLeaderInBetweenIsFoundInTheRecord fails with the comparison.

--- a/node/rejected.go
+++ b/node/rejected.go
@@ -183,7 +183,7 @@
 		v.leaderLock.ObserveForeign(e.Revision)
 		v.controller.Wake()
 	}
-	if e.Key == v.keys.leaders {
+	if e.Key == v.keys.leaderHistory {
 		v.leaderLock.ObserveHistory(nil, true, e.Revision)
 	}
 	if e.Key == v.keys.nodeCount {
--- a/node/view.go
+++ b/node/view.go
@@ -81,8 +81,8 @@
 type systemKeys struct {
 	leader  string
 	members string
-	// leaders is the key of the record of the latest leaders.
-	leaders string
+	// leaderHistory is the key of the record of the latest leaders.
+	leaderHistory string
 	// nodeCount is the key of the recent number of nodes.
 	nodeCount string
 	// versions is the prefix of the marks of services with several software versions.
@@ -90,7 +90,7 @@
 }
 
 func newSystemKeys() systemKeys {
-	return systemKeys{leader: platform.SystemPrefix + "orders", leaders: platform.SystemPrefix + "leaders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
+	return systemKeys{leader: platform.SystemPrefix + "orders", leaderHistory: platform.SystemPrefix + "leaders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
 }
 
 // Config implements router.ConfigSource.
@@ -201,7 +201,7 @@
 		v.leaderChanged(value, revision)
 		return
 	}
-	if key == v.keys.leaders {
+	if key == v.keys.leaderHistory {
 		v.leaderHistoryChanged(value, revision)
 		return
 	}
@@ -265,16 +265,16 @@
 // there is none.
 func (v *view) leaderHistoryChanged(value string, revision int64) {
 	if value == "" {
-		v.rejected.removeRecord(v.keys.leaders)
+		v.rejected.removeRecord(v.keys.leaderHistory)
 		v.leaderLock.ObserveHistory(nil, false, revision)
 		return
 	}
 	names, err := rollout.ParseHistory(value)
 	if err != nil {
-		v.EntryRejected(platform.RejectedEntry{Key: v.keys.leaders, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
+		v.EntryRejected(platform.RejectedEntry{Key: v.keys.leaderHistory, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
 		return
 	}
-	v.rejected.removeRecord(v.keys.leaders)
+	v.rejected.removeRecord(v.keys.leaderHistory)
 	v.leaderLock.ObserveHistory(names, true, revision)
 }
 
@@ -326,7 +326,7 @@
 	if !keys[v.keys.leader] {
 		v.leaderLock.Observe("", revision)
 	}
-	if !keys[v.keys.leaders] {
+	if !keys[v.keys.leaderHistory] {
 		v.leaderLock.ObserveHistory(nil, false, revision)
 	}
 	v.mu.Lock()
--- a/rollout/leaderhistory.go
+++ b/rollout/leaderhistory.go
@@ -125,16 +125,16 @@
 func (l *LeaderLock) recordHold(ctx context.Context) bool {
 	l.mu.Lock()
 	h, fence := l.history, l.fence()
-	if h == nil || !h.known || fence == 0 || h.recorded == fence {
+	// Another leader may have been recorded and gone since the lock was free by what this process
+	// knew, which the write of the record shows.
+	if h == nil || h.blocker() != NotBlocked || fence == 0 || h.recorded == fence {
 		l.mu.Unlock()
 		return false
 	}
-	names, stored, revision := h.next(), h.names, h.revision
+	names, revision := h.next(), h.revision
 	l.mu.Unlock()
-	var err error
-	if !slices.Equal(names, stored) {
-		revision, err = l.writeHistory(ctx, names, revision)
-	}
+	// Written even if it would not change: the condition shows that no other record is newer.
+	revision, err := l.writeHistory(ctx, names, revision)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/rollout/leaderhistory_test.go
+++ b/rollout/leaderhistory_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// Guards against leaders that take turns where the one in between was recorded and gone before the
+// restarted process heard of it.
+func TestLeaderInBetweenIsFoundInTheRecord(t *testing.T) {
+	const period = 100 * time.Millisecond
+	s := newKeyedStore()
+	lock := newHistoryLock(t, s, period)
+	lock.ObserveHistory([]string{"a"}, true, 1)
+	s.entries["leaders"] = store.Entry{Key: "leaders", Value: []byte(`["a","b"]`), Revision: 2}
+	for range 3 {
+		lock.TryAcquire(t.Context())
+	}
+	if _, held := lock.Held(); held {
+		t.Error("may send orders right after another leader's")
+	}
+	time.Sleep(period)
+	lock.TryAcquire(t.Context())
+	if _, held := lock.Held(); !held {
+		t.Error("may not send orders after the period")
+	}
+}
+
 // Guards against a leader whose orders are not in the record: after a restart it would take turns
 // with the next one.
 func TestNoOrdersBeforeTheHoldIsRecorded(t *testing.T) {
