clock: time passes where the kernel's clock of suspended time is missing

Nothing was logged, and the time stood still: no lease ended for a process that had lost it, no view grew old, so a former leader would go on giving orders.

Cause: a clock that failed was read as 0 at each call.

Go's monotonic clock is used then, chosen once at the start.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -13,18 +13,37 @@
 // BootTime is the time since the VM booted, including time spent suspended.
 type BootTime time.Duration
 
-// Now returns the current time.
-func Now() BootTime {
+// bootClock reads the clock of the kernel. Tests replace it.
+var bootClock = func() (BootTime, error) {
 	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// Every Linux kernel since 2.6.39 has CLOCK_BOOTTIME, so the call is not
-		// expected to fail. No data may count as fresh without the clock; returning 0
-		// does not ensure that by itself.
-		return 0
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return BootTime(t.Nano()), err
+}
+
+var (
+	processStart = time.Now()
+	// readClock is selected once, since times of different clocks can't be compared.
+	readClock, unavailable = selectClock()
+)
+
+// selectClock returns the clock to use. Without the kernel's, Go's monotonic clock still has
+// leases and views expire, only not while the VM is suspended.
+func selectClock() (read func() BootTime, unavailable error) {
+	if _, err := bootClock(); err != nil {
+		return func() BootTime { return BootTime(time.Since(processStart)) + 1 }, err
 	}
-	return BootTime(t.Nano())
+	return func() BootTime {
+		t, _ := bootClock() // it has worked, and no other call fails
+		return t
+	}, nil
 }
 
+// Unavailable returns why the time that the VM is suspended isn't counted, or nil if it is.
+func Unavailable() error { return unavailable }
+
+// Now returns the current time.
+func Now() BootTime { return readClock() }
+
 // Since returns the time elapsed since b.
 func (b BootTime) Since() time.Duration {
 	return time.Duration(Now() - b)
