node: what the kernel lacks is logged at the start

Bounds of load orders rest on a clock of suspended time and on a limit for unacknowledged data. Where one is missing nothing said so: event=clock_degraded, unacked_timeout_missing. An order that wasn't sent is no longer logged as sent.

--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/clock"
 	"acaciakeel/door"
 	"acaciakeel/fleet"
 	"acaciakeel/follow"
@@ -253,10 +254,21 @@
 	go n.view.controller.Run(duties)
 	go n.runElection(duties)
 	go n.maintainMembership(duties)
+	n.logMissingSupport()
 	n.log.WithFields(logrus.Fields{"event": "started", "node": n.settings.Name, "zone": n.settings.Zone, "listen": n.servers.front.Address(), "commit": telemetry.Commit()}).Info("serving")
 	return nil
 }
 
+// logMissingSupport logs what the kernel lacks of that on which bounds in time rest.
+func (n *Node) logMissingSupport() {
+	if err := clock.Unavailable(); err != nil {
+		n.log.WithError(err).WithField("event", "clock_degraded").Warn("no clock that goes on while the VM is suspended; after a suspension a lease may be taken for valid that has ended")
+	}
+	if err := platform.CheckUnackedTimeout(); err != nil {
+		n.log.WithError(err).WithField("event", "unacked_timeout_missing").Warn("connections can't be closed by unacknowledged data; a load order of a suspended process may arrive after the next leader's")
+	}
+}
+
 // startServers starts the client server last, when nothing else can fail: otherwise clients
 // could connect and send requests to a process that is about to exit.
 func (n *Node) startServers() error {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -341,7 +341,7 @@
 	result, err := c.sendOrder(ctx, fleet.Order{Target: r, Model: model, WeightsVersion: desired, Holder: c.name, Fence: fence, ExpectedOrders: report.AcceptedOrders, Truncate: truncate})
 	c.outstanding.end(result, time.Now())
 	c.metrics.countOrder(result)
-	c.logEvent("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "lease_ms": leaseLeft.Milliseconds(), "took_ms": time.Since(sentAt).Milliseconds(), "orders": report.AcceptedOrders, "truncate": truncate, "cleared_ms": drainTime.Milliseconds(), "inflight": remaining.Inflight, "resumable": remaining.Resumable, "long": remaining.Long}).WithError(err).Info("load order sent")
+	c.logEvent("order", r, model, desired).WithFields(logrus.Fields{"result": result, "fence": fence, "lease_ms": leaseLeft.Milliseconds(), "took_ms": time.Since(sentAt).Milliseconds(), "orders": report.AcceptedOrders, "truncate": truncate, "cleared_ms": drainTime.Milliseconds(), "inflight": remaining.Inflight, "resumable": remaining.Resumable, "long": remaining.Long}).WithError(err).Info("load order ended")
 	switch result {
 	case fleet.OrderAlreadyLoaded:
 		c.fleet.RecordWeights(r.Instance(), model, desired, time.Now())
