--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -96,6 +97,14 @@
 	os.Exit(code)
 }
 
+func init() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		Fail("ended by signal %v", <-told)
+	}()
+}
+
 // Trouble reports whether the disruption is to be played.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
