router: say when a target sends an event that the client already has

The entry dropped the events up to the last one forwarded, and neither a log line nor a metric told that from a sound continuation.

One line a response, stream_repeated, and keel_router_repeated_streams_total, by whether the request has a prompt.

--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,6 +28,7 @@
 	unmatched      *prometheus.CounterVec
 	promises       *prometheus.CounterVec
 	oversized      *prometheus.CounterVec
+	repeatedEvents *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a router with r.
@@ -51,6 +52,7 @@
 		unmatched:      telemetry.NewCounter(r, "keel_router_unmatched_responses_total", "Responses of targets that do not carry the ID of the request, by what they carry (other, missing), by whether they refuse to run it, and by whether their connection had carried other responses (new, reused).", "id", "answer", "connection"),
 		promises:       telemetry.NewCounter(r, "keel_router_not_run_total", "Requests whose client was told that they have not run, by what that rests on.", "basis"),
 		oversized:      telemetry.NewCounter(r, "keel_router_oversized_responses_total", "Responses of targets that were ended because a part of them was over its bound, by that part.", "part"),
+		repeatedEvents: telemetry.NewCounter(r, "keel_router_repeated_streams_total", "Responses of targets that brought an event again which the client had, by whether the request has a prompt.", "prompt"),
 		startStaleness: telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
 	}
 }
--- a/router/session.go
+++ b/router/session.go
@@ -34,9 +34,11 @@
 	// lastEventID is the ID of the last event forwarded to the client.
 	lastEventID    int64
 	hasLastEventID bool
-	stream         streamState
-	lastChoice     fleet.Choice
-	active         *fleet.ActiveRequest
+	// repeated is set once the current response has brought an event that the client has.
+	repeated   bool
+	stream     streamState
+	lastChoice fleet.Choice
+	active     *fleet.ActiveRequest
 	// guard withdraws the current attempt if it does not start in time.
 	guard        *startGuard
 	firstEventAt time.Time
@@ -174,7 +176,7 @@
 	s.charge.SetExecutions(s.executions + 1)
 	s.lastChoice = choice
 	s.tried = append(s.tried, choice.Target.Instance())
-	s.attemptBegan, s.survived = time.Time{}, false
+	s.attemptBegan, s.survived, s.repeated = time.Time{}, false, false
 	s.end = responseEnd{}
 	s.held.Release()
 	s.held = s.router.bodies.Reserve(cancel)
--- a/router/stream.go
+++ b/router/stream.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"acaciakeel/fleet"
 	"acaciakeel/retry"
 )
@@ -117,6 +119,7 @@
 func (s *session) forwardEvent(resp *Response, event []byte) error {
 	id, ok := eventID(event)
 	if ok && s.hasLastEventID && id <= s.lastEventID {
+		s.recordRepeatedEvent(id)
 		return nil
 	}
 	if ok {
@@ -126,6 +129,20 @@
 	return s.writeBody(resp, event)
 }
 
+// recordRepeatedEvent logs and counts the first event of a response that its client already has:
+// the target was not told after which event to continue, or began the stream anew all the same.
+func (s *session) recordRepeatedEvent(id int64) {
+	if s.repeated {
+		return
+	}
+	s.repeated = true
+	prompt := strconv.FormatBool(s.in.Model != "")
+	s.router.metrics.repeatedEvents.WithLabelValues(prompt).Inc()
+	s.router.log.WithFields(logrus.Fields{
+		"event": "stream_repeated", "request": s.in.ID, "target": s.lastChoice.Target.ID, "prompt": prompt, "last_event": s.lastEventID, "event_id": id, "sends": s.attempts,
+	}).Warn("the target sent an event again that the client has; its response does not continue the stream")
+}
+
 func (s *session) writeBody(resp *Response, p []byte) error {
 	if !s.headerWritten {
 		s.headerWritten, s.status = true, resp.Status
