--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -33,6 +33,14 @@
 	cut chan struct{}
 }
 
+// aborted returns the channel that is closed to abort the stream; nil for a run without a slot.
+func (r *run) aborted() <-chan struct{} {
+	if r == nil {
+		return nil
+	}
+	return r.cut
+}
+
 // SetLoading sets the duration of a load and the number of concurrent requests.
 func (r *Runner) SetLoading(load time.Duration, slots int) {
 	r.mu.Lock()
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -79,6 +79,8 @@
 	rest time.Duration
 	// build is the version of the target's software; empty states none.
 	build string
+	// runs is how streams tell which run made them.
+	runs runNaming
 	// slowness is the fourth figure of Server-Load; 0 sends no Server-Load.
 	slowness int
 }
@@ -327,6 +329,11 @@
 		return
 	}
 	if req.Header.Get("Model") == "" {
+		if r.runNaming().plainStreams {
+			h.Set("Content-Type", "text/event-stream")
+			r.stream(w, req, t)
+			return
+		}
 		r.answerPlain(w, req)
 		return
 	}
--- a/internal/standin/runner/stream.go
+++ b/internal/standin/runner/stream.go
@@ -31,15 +31,16 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-t.run.cut:
+	case <-t.run.aborted():
 	case <-req.Context().Done():
 	}
 	return false
 }
 
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, t *response) {
-	fault, first := t.fault, 1
-	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+	fault, first, runs := t.fault, 1, r.runNaming()
+	run := fmt.Sprintf("%s/%d", r.ID, t.seen)
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil && !runs.startsAnew {
 		first = last + 1
 	}
 	flush := http.NewResponseController(w)
@@ -49,7 +50,11 @@
 	if first == 1 {
 		cut = r.takeTruncation()
 	}
+	breaks := runs.takeBreak()
 	for i := first; i <= Events; i++ {
+		if breaks && i == first+2 {
+			panic(http.ErrAbortHandler)
+		}
 		if cut != nil && (i == 3 || cut.At == BeforeBody) {
 			rest := ""
 			if cut.At == InsideEvent {
@@ -69,7 +74,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, Event(i, size))
+		_, _ = io.WriteString(w, runs.event(run, first, i, size))
 		_ = flush.Flush()
 	}
 }
--- /dev/null
+++ b/node/continuation_test.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/standin/runner"
+)
+
+// continuationCase is a stream that its targets break off once, and how its client asks for it.
+type continuationCase struct {
+	name string
+	// prompt is set if the request has a model and a prompt.
+	prompt bool
+	// resumed is set if the client breaks the stream off itself first, and resumes it.
+	resumed bool
+}
+
+func continuationCases() []continuationCase {
+	return []continuationCase{
+		{"with a prompt", true, false},
+		{"with a prompt, resumed by its client", true, true},
+		{"without a prompt", false, false},
+		{"without a prompt, resumed by its client", false, true},
+	}
+}
+
+// newRunEnv returns an environment whose streams, with and without a prompt, go to two targets that
+// name the run in each event. Changes are applied to both.
+func newRunEnv(t *testing.T, changes ...func(*runner.Runner)) *testEnv {
+	t.Helper()
+	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+		w.streamService = "news"
+		for i := range 2 {
+			w.runners = append(w.runners, runner.Start(fmt.Sprintf("n%d", i), w.streamService, map[string]int64{model: 1}))
+		}
+		for _, r := range w.runners {
+			r.SetPace(5 * time.Millisecond)
+			r.NameRuns()
+			r.StreamWithoutModel()
+			for _, change := range changes {
+				change(r)
+			}
+		}
+	})
+	w.until("the targets are known", func() bool { return len(w.node.view.fleet.Targets(w.streamService)) == 2 })
+	return w
+}
+
+// play begins the stream, resumes it if the case says so, and returns all that the client got and
+// the response to its last attempt.
+func (c continuationCase) play(w *testEnv) (received string, last response) {
+	w.t.Helper()
+	r := streamRequest("begun", 1)
+	if !c.prompt {
+		r.Prompt = nil
+	}
+	if c.resumed {
+		received = w.beginAndAbandon(w.node, r)
+		r.ID, r.Resumes, r.LastEventID = "resumed", "begun", "2"
+	}
+	runner.BreakNext(w.runners)
+	last = w.exchange(w.node, r)
+	return received + last.body, last
+}
+
+// Guards against pieces of two runs in one stream: the target that continues it is not told after
+// which event, or only what the client had asked for itself, and begins anew.
+func TestBrokenStreamGoesOnAfterItsLastEvent(t *testing.T) {
+	for _, c := range continuationCases() {
+		t.Run(c.name, func(t *testing.T) {
+			received, last := c.play(newRunEnv(t))
+			if last.err != nil || last.status != http.StatusOK {
+				t.Errorf("status %d, error %v", last.status, last.err)
+			}
+			if n, err := runner.JudgeRuns(received); err != nil || n != runner.Events {
+				t.Errorf("%d pieces, %v:\n%s", n, err, received)
+			}
+		})
+	}
+}
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -69,8 +69,9 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
-// beginAndAbandon sends a request, reads two events and closes the connection.
-func (w *testEnv) beginAndAbandon(n *Node, r client.Request) {
+// beginAndAbandon sends a request, reads two events, closes the connection, and returns what was
+// read.
+func (w *testEnv) beginAndAbandon(n *Node, r client.Request) string {
 	w.t.Helper()
 	ctx, cancel := context.WithCancel(w.t.Context())
 	defer cancel()
@@ -84,15 +85,18 @@
 	}
 	defer resp.Body.Close()
 	in := bufio.NewReader(resp.Body)
+	var read strings.Builder
 	for ends := 0; ends < 2; {
 		line, err := in.ReadString('\n')
 		if err != nil {
 			w.t.Fatalf("stream %s ended early with status %d: %v", r.ID, resp.StatusCode, err)
 		}
+		read.WriteString(line)
 		if line == "\n" {
 			ends++
 		}
 	}
+	return read.String()
 }
 
 // restOfStream is what a stream brings after its second event.
