router: a response that begins a stream anew is not joined to what the client has

Cause: events up to the last one forwarded were dropped as repetitions. They are the sign of another run. The event after which the client itself resumes did not count at all.

Change: the position of the client starts at its own Last-Event-Id, and an event that it already has ends the response: retried at another target, within the budget, else broken off, or 502 where nothing was forwarded. IDs need only increase, so a gap says nothing. stream_repeated becomes stream_misplaced, one for each response that was ended.

The tests' sender of TestRequestsAtUnresponsiveTargetAreGivenUp ignored Last-Event-Id, and the test expected the join; it goes on after it now, with the same bodies expected. "events" of broke_off lines tells of the response that broke off, not of earlier ones.

--- a/node/continuation_test.go
+++ b/node/continuation_test.go
@@ -81,3 +81,23 @@
 		})
 	}
 }
+
+// Guards against pieces of two runs in one stream whose target begins it anew although it is told
+// after which event to continue: its response is not passed on as complete, whoever resumed.
+func TestStreamBegunAnewIsNotJoined(t *testing.T) {
+	for _, c := range continuationCases() {
+		t.Run(c.name, func(t *testing.T) {
+			w := newRunEnv(t, (*runner.Runner).IgnoreLastEventID)
+			received, last := c.play(w)
+			if last.err == nil && last.status == http.StatusOK {
+				t.Errorf("the last response counts as complete: %s", last.body)
+			}
+			if c.resumed && last.status != http.StatusBadGateway {
+				t.Errorf("the client that resumes gets status %d, want 502", last.status)
+			}
+			if n, err := runner.JudgeRuns(received); err != nil || n != 2 {
+				t.Errorf("%d pieces, %v:\n%s", n, err, received)
+			}
+		})
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -27,10 +27,12 @@
 	Unmatched Reason = "unmatched"
 	// Oversized: the target sent more than a response may have.
 	Oversized Reason = "oversized"
+	// Misplaced: the target did not continue the stream after the last event that the client has.
+	Misplaced Reason = "misplaced"
 )
 
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched, Oversized}
+	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched, Oversized, Misplaced}
 }
 
 // MaxAttempts is the maximum number of times that one request is sent, including the
--- a/router/crash_detector.go
+++ b/router/crash_detector.go
@@ -113,7 +113,7 @@
 	}
 	s.router.log.WithFields(logrus.Fields{
 		"event": "broke_off", "request": s.in.ID, "content": s.in.content.String(), "target": choice.Target.ID, "born": choice.Target.Born,
-		"leaving": unavailable, "events": s.hasLastEventID, "parts": s.in.partsLogValue(),
+		"leaving": unavailable, "events": !s.attemptBegan.IsZero(), "parts": s.in.partsLogValue(),
 	}).Info("response of the target broke off")
 	if !unavailable {
 		// After a planned shutdown, the end of the target says nothing about the request.
--- a/router/response_checker.go
+++ b/router/response_checker.go
@@ -114,7 +114,7 @@
 	out := s.outcomeUnknown(retry.Unresponsive, "target %s does not respond", choice.Target.ID)
 	s.router.log.WithFields(logrus.Fields{
 		"event": "given_up", "request": s.in.ID, "target": choice.Target.ID, "born": choice.Target.Born, "reason": reason, "retryable": out.retryable,
-		"waited_ms": time.Since(s.sentAt).Milliseconds(), "last_event": s.lastEventID,
+		"waited_ms": time.Since(s.sentAt).Milliseconds(), "last_event": s.resumeAfter(),
 	}).Info("request given up: its target does not respond")
 	return out
 }
--- a/router/router.go
+++ b/router/router.go
@@ -117,6 +117,9 @@
 		return r.finish(ctx, in, nil, refused)
 	}
 	s := &session{router: r, in: in, writer: writer, charge: charge}
+	if in.resumedByClient() {
+		s.position = newStreamPosition(in.LastEventID)
+	}
 	defer s.settleCharge()
 	refused = s.run(ctx)
 	if refused != nil && s.stream.began && r.origins != nil {
--- a/router/session.go
+++ b/router/session.go
@@ -31,11 +31,8 @@
 	headerWritten bool
 	// status is the status code sent to the client; 0 before that.
 	status int
-	// lastEventID is the ID of the last event forwarded to the client.
-	lastEventID    int64
-	hasLastEventID bool
-	// repeated is set once the current response has brought an event that the client has.
-	repeated   bool
+	// position is how far the client has the stream.
+	position   streamPosition
 	stream     streamState
 	lastChoice fleet.Choice
 	active     *fleet.ActiveRequest
@@ -176,7 +173,7 @@
 	s.charge.SetExecutions(s.executions + 1)
 	s.lastChoice = choice
 	s.tried = append(s.tried, choice.Target.Instance())
-	s.attemptBegan, s.survived, s.repeated = time.Time{}, false, false
+	s.attemptBegan, s.survived = time.Time{}, false
 	s.end = responseEnd{}
 	s.held.Release()
 	s.held = s.router.bodies.Reserve(cancel)
--- a/router/stream.go
+++ b/router/stream.go
@@ -1,23 +1,20 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"acaciakeel/fleet"
 	"acaciakeel/retry"
 )
 
 // resumeAfter returns the ID of the event after which the next target continues the stream.
 func (s *session) resumeAfter() string {
-	if s.hasLastEventID {
-		return strconv.FormatInt(s.lastEventID, 10)
+	if s.position.ok {
+		return strconv.FormatInt(s.position.last, 10)
 	}
 	return s.in.LastEventID
 }
@@ -58,6 +55,9 @@
 			return s.outcomeUnknown(reason, "the stream of target %s broke off: %v", choice.Target.ID, err)
 		}
 		s.guard.stop()
+		if err := s.position.advance(event); err != nil {
+			return s.handleMisplacedEvent(choice, event, err)
+		}
 		s.recordEvent(time.Now())
 		// The writer counts from now on what it keeps.
 		events.release()
@@ -114,35 +114,11 @@
 	return succeeded
 }
 
-// forwardEvent forwards an event, unless the client has already received it from an earlier
-// target.
 func (s *session) forwardEvent(resp *Response, event []byte) error {
-	id, ok := eventID(event)
-	if ok && s.hasLastEventID && id <= s.lastEventID {
-		s.recordRepeatedEvent(id)
-		return nil
-	}
-	if ok {
-		s.lastEventID, s.hasLastEventID = id, true
-	}
 	s.recordOrigin(time.Now())
 	return s.writeBody(resp, event)
 }
 
-// recordRepeatedEvent logs and counts the first event of a response that its client already has:
-// the target was not told after which event to continue, or began the stream anew all the same.
-func (s *session) recordRepeatedEvent(id int64) {
-	if s.repeated {
-		return
-	}
-	s.repeated = true
-	prompt := strconv.FormatBool(s.in.Model != "")
-	s.router.metrics.repeatedEvents.WithLabelValues(prompt).Inc()
-	s.router.log.WithFields(logrus.Fields{
-		"event": "stream_repeated", "request": s.in.ID, "target": s.lastChoice.Target.ID, "prompt": prompt, "last_event": s.lastEventID, "event_id": id, "sends": s.attempts,
-	}).Warn("the target sent an event again that the client has; its response does not continue the stream")
-}
-
 func (s *session) writeBody(resp *Response, p []byte) error {
 	if !s.headerWritten {
 		s.headerWritten, s.status = true, resp.Status
@@ -153,17 +129,3 @@
 	}
 	return s.writer.Write(p)
 }
-
-var idField = []byte("id:")
-
-// eventID returns the ID of an event, if it has a numeric one.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
-		if !bytes.HasPrefix(line, idField) {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
--- a/router/unresponsive_test.go
+++ b/router/unresponsive_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -35,20 +36,25 @@
 	after  []string
 }
 
+// silentSenderEvents are the events of a stream. Targets continue it after the event that they are
+// told.
+var silentSenderEvents = []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n", "id: 3\ndata: z\n\n"}
+
 func (s *silentSender) Send(ctx context.Context, a *Attempt) (*Response, error) {
 	s.mu.Lock()
 	s.sent, s.after = append(s.sent, a.Target.ID), append(s.after, a.LastEventID)
 	s.mu.Unlock()
 	response := &Response{Status: http.StatusOK, Header: http.Header{}, MatchesRequest: true, Sealed: true}
 	if a.Target.ID != "a" {
-		response.Body = io.NopCloser(strings.NewReader("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n"))
+		last, _ := strconv.Atoi(a.LastEventID)
+		response.Body = io.NopCloser(strings.NewReader(strings.Join(silentSenderEvents[last:], "")))
 		return response, nil
 	}
 	if s.events < 0 {
 		<-ctx.Done()
 		return nil, &SendError{Err: ctx.Err(), Sent: !s.unsent}
 	}
-	sent := []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}[:s.events]
+	sent := silentSenderEvents[:s.events]
 	response.Body = &stoppedBody{ctx: ctx, rest: strings.NewReader(strings.Join(sent, ""))}
 	return response, nil
 }
