router: a stream is not continued after an event that no target can be told of

What callers saw: events without an ID followed by a break got another run's first event joined to them (2 of 2 forms of the test: no event has an ID, or only the first one).

Cause: the ID of the last event that has one was taken for the place where the client is. What came after it was not known to the next target.

Change: after an event with data and without an ID the stream is broken off rather than continued, until a later event has an ID. A continuation whose first event has none can't be placed, and ends. Comments and fields that clients drop move nothing.

TestStreamAfterUnnumberedEventIsNotContinued failed before in both forms.

--- a/node/continuation_test.go
+++ b/node/continuation_test.go
@@ -101,3 +101,20 @@
 		})
 	}
 }
+
+// Guards against a stream that is continued after an event that no target can be told: its last
+// events have no ID, so that another target begins anew or repeats them.
+func TestStreamAfterUnnumberedEventIsNotContinued(t *testing.T) {
+	for _, first := range []int{1, 2} {
+		t.Run(fmt.Sprintf("from event %d on", first), func(t *testing.T) {
+			w := newRunEnv(t, func(r *runner.Runner) { r.OmitEventIDs(first) })
+			received, last := continuationCase{}.play(w)
+			if last.err == nil {
+				t.Errorf("status %d, counts as complete", last.status)
+			}
+			if n, err := runner.JudgeRuns(received); err != nil || n != 2 {
+				t.Errorf("%d pieces, %v:\n%s", n, err, received)
+			}
+		})
+	}
+}
--- a/router/session.go
+++ b/router/session.go
@@ -100,7 +100,7 @@
 			return nil
 		}
 		s.identifyAfterFailure(ctx, choice.Target)
-		if ctx.Err() == nil && out.retryable && s.attempts < retry.MaxAttempts && s.takeRetry(out.reason) {
+		if ctx.Err() == nil && out.retryable && s.position.continuable() && s.attempts < retry.MaxAttempts && s.takeRetry(out.reason) {
 			s.logRetry(out)
 			s.awaitProbe(ctx)
 			continue
--- a/router/stream.go
+++ b/router/stream.go
@@ -24,6 +24,7 @@
 // withdrawn.
 func (s *session) forwardStream(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	events := newEventReader(resp.Body, s.held)
+	s.position.beginResponse()
 	for {
 		event, err := events.next()
 		if err == io.EOF {
--- a/router/stream_position.go
+++ b/router/stream_position.go
@@ -18,10 +18,20 @@
 	// known.
 	last int64
 	ok   bool
+	// unnumbered is set if an event without an ID has followed it. The stream can't be continued
+	// then: a target can only be told of an event with an ID.
+	unnumbered bool
+	// placed is set once an event of the current response has shown that it follows what the
+	// client has.
+	placed bool
 }
 
-// errRepeatedEvent is the error of an event that the client already has.
-var errRepeatedEvent = errors.New("the target began the stream anew")
+// errRepeatedEvent is the error of an event that the client already has, and errUnplacedEvent that
+// of a first event without an ID in a response that has to continue a stream.
+var (
+	errRepeatedEvent = errors.New("the target began the stream anew")
+	errUnplacedEvent = errors.New("the first event has no ID, which does not show that it continues the stream")
+)
 
 // newStreamPosition returns the position of a client that resumes a stream after an event; "" for a
 // new stream.
@@ -30,17 +40,28 @@
 	return streamPosition{last: id, ok: err == nil}
 }
 
+// beginResponse is called before the events of each response.
+func (p *streamPosition) beginResponse() { p.placed = false }
+
+// continuable reports whether another target can be told where to continue.
+func (p *streamPosition) continuable() bool { return !p.unnumbered }
+
 // advance moves the position past an event that is to be forwarded. It returns an error if the event
 // does not follow what the client has.
 func (p *streamPosition) advance(event []byte) error {
 	id, numbered := eventID(event)
-	if !numbered {
-		return nil
-	}
-	if p.ok && id <= p.last {
+	switch {
+	case numbered && p.ok && id <= p.last:
 		return errRepeatedEvent
+	case numbered:
+		p.last, p.ok, p.unnumbered, p.placed = id, true, false, true
+	case !hasData(event):
+		// A comment or a field that clients ignore.
+	case p.ok && !p.placed:
+		return errUnplacedEvent
+	default:
+		p.unnumbered, p.placed = true, true
 	}
-	p.last, p.ok = id, true
 	return nil
 }
 
@@ -56,7 +77,10 @@
 	return s.outcomeUnknown(retry.Misplaced, "target %s: %v", choice.Target.ID, err)
 }
 
-var idField = []byte("id:")
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
 
 // eventID returns the ID of an event, if it has a numeric one.
 func eventID(event []byte) (int64, bool) {
@@ -69,3 +93,15 @@
 	}
 	return 0, false
 }
+
+// hasData reports whether clients take an event for one: without data it is dropped (WHATWG HTML,
+// section 9.2.6).
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if bytes.Equal(name, dataField) {
+			return true
+		}
+	}
+	return false
+}
