node, origin: what began a stream outlasts all entries

Cause: records of streams were in the entries' memory alone. What was left after a kill was that there is doubt, so all were refused.

Change: while several versions may begin streams of a service, entries save 4 bytes a stream and its version to the store, under a lease of 60 s, one key a second rewritten every 50 ms (4 ms an entry, where there are many). What began before the second version appeared is saved when it does. Entries read the records in their first listing; they are not passed on within groups.

With one version alone nothing is written.

--- a/node/node.go
+++ b/node/node.go
@@ -249,6 +249,7 @@
 	go n.reportSharing(ctx)
 	go n.maintainNodeCount(duties)
 	go n.maintainVersionMarks(duties)
+	go n.saveStreamRecords(ctx)
 	go n.view.verdicts.Run(ctx)
 	go n.session.Run(duties, n.onNewLease)
 	go n.view.controller.Run(duties)
--- a/node/origins.go
+++ b/node/origins.go
@@ -27,6 +27,10 @@
 	recent []recentBegin
 	// questions counts questions by result; nil disables counting.
 	questions *prometheus.CounterVec
+	// batchSaved is closed once the records that wait now are saved.
+	batchSaved chan struct{}
+	// saves counts records that were saved, or read.
+	saves *prometheus.CounterVec
 }
 
 // recentBegin is a stream that was recorded with the software version of a target.
@@ -47,11 +51,12 @@
 )
 
 func newStreamOrigins(p *peerExchange) *streamOrigins {
-	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan receivedAnswer{}}
+	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan receivedAnswer{}, batchSaved: make(chan struct{})}
 }
 
 func (o *streamOrigins) register(r *prometheus.Registry) {
 	o.questions = telemetry.NewCounter(r, "keel_node_origin_questions_total", "Streams for which other entries were asked what began them, by result.", "result")
+	o.saves = telemetry.NewCounter(r, "keel_node_stream_records_total", "Records of streams in the platform's store, by what became of them: saved, read, failed (they are tried again).", "result")
 	telemetry.NewGaugeFunc(r, "keel_node_stream_origins", "Streams of which this entry knows what began them.", func() float64 { return float64(o.table.Len()) })
 	telemetry.NewGaugeFunc(r, "keel_node_stream_origins_dropped_early", "Times that records of streams were dropped early because there were too many.", func() float64 { return float64(o.table.DroppedEarly()) })
 }
@@ -61,9 +66,13 @@
 const viewFreshFor = 1500 * time.Millisecond
 
 // Record implements router.Origins.
-func (o *streamOrigins) Record(s origin.Stream, from origin.Origin, target fleet.Instance) {
+func (o *streamOrigins) Record(s origin.Stream, from origin.Origin, target fleet.Instance, announced bool) {
 	now := time.Now()
-	o.table.Record(s, from, now)
+	if announced {
+		o.table.RecordSaved(s, from, now)
+	} else {
+		o.table.Record(s, from, now)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recent = append(o.recent, recentBegin{stream: s, target: target.ID, at: now})
@@ -114,12 +123,7 @@
 	if !named {
 		return origin.Resolution{}, false
 	}
-	from, own, ok := o.table.Lookup(s, now)
-	r := origin.Resolution{Origin: from, Source: origin.OtherEntry}
-	if own {
-		r.Source = origin.ThisEntry
-	}
-	return r, ok
+	return o.table.Lookup(s, now)
 }
 
 // versions returns what this node knows of the software versions that may have begun a service's
--- a/node/restart_versions_test.go
+++ b/node/restart_versions_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"acaciakeel/internal/standin/runner"
+	"acaciakeel/origin"
 	"acaciakeel/platform"
+	"acaciakeel/pulses"
 )
 
 // newRestartEnv returns an environment with one node and two runners of each of the given software
@@ -129,3 +132,107 @@
 		})
 	}
 }
+
+// awaitRecords waits until records of all streams are in the store.
+func (w *testEnv) awaitRecords() {
+	w.t.Helper()
+	w.until("the records are saved", func() bool { known, _ := w.savedRecords(); return known >= streamCount })
+}
+
+// savedRecords returns how many records of streams are in the store, and how many are disputed.
+func (w *testEnv) savedRecords() (known, disputed int) {
+	listing, err := w.node.store.List(w.t.Context(), w.node.view.keys.streams)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, e := range listing.Entries {
+		if !strings.HasPrefix(e.Key, w.node.view.keys.streams) {
+			continue
+		}
+		reports, err := pulses.DecodeStoredOrigins(e.Value)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		for _, r := range reports {
+			if r.Origin == origin.Disputed {
+				disputed += len(r.Streams)
+			} else {
+				known += len(r.Streams)
+			}
+		}
+	}
+	return known, disputed
+}
+
+// Guards against streams of several versions that nobody knows after all entries were killed, so
+// that none goes on although targets of each version serve.
+func TestStreamsAreKnownAfterAllEntriesRestarted(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// listedLater is set if the second version is listed after the streams began.
+		listedLater bool
+		meanwhile   func(*testEnv)
+		// gone is the version that has no target left.
+		gone string
+	}{
+		{"both versions serve", false, func(*testEnv) {}, ""},
+		{"a third version is listed", false, func(w *testEnv) { w.list("v3") }, ""},
+		{"one version has left", false, func(w *testEnv) { w.unlist("v1") }, "v1"},
+		{"the second version came later", true, func(*testEnv) {}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			served := []string{"v1", "v2"}
+			if test.listedLater {
+				served = served[:1]
+			}
+			w := newRestartEnv(t, served...)
+			w.awaitMark(fmt.Sprint(served))
+			w.beginStreams()
+			if test.listedLater {
+				w.list("v2")
+			}
+			w.awaitRecords()
+			want := 0
+			for _, s := range w.executed(w.runners) {
+				if s.Build != test.gone {
+					want++
+				}
+			}
+			w.restartAll(func() { test.meanwhile(w) })
+			if went := w.resumeStreams(); went != want {
+				t.Errorf("%d of %d streams went on", went, want)
+			}
+			w.checkContinuations(want)
+		})
+	}
+}
+
+// Guards against a record that was disputed before all entries were killed and counts as certain
+// afterwards.
+func TestDisputedStreamIsUnknownAfterAllEntriesRestarted(t *testing.T) {
+	w := newRestartEnv(t, "v1", "v2")
+	w.awaitMark("[v1 v2]")
+	w.beginStreams()
+	w.awaitRecords()
+	for _, r := range w.runners {
+		w.node.exchange.origins.targetChanged(r.ID)
+	}
+	w.until("the disputes are saved", func() bool { _, disputed := w.savedRecords(); return disputed >= streamCount })
+	w.restartAll(func() {})
+	if went := w.resumeStreams(); went > 0 {
+		t.Errorf("%d streams of unknown origin went on", went)
+	}
+}
+
+// Guards against calls of the store for records that nobody needs: one version serves alone.
+func TestRecordsAreSavedOnlyInDoubt(t *testing.T) {
+	w := newRestartEnv(t, "v1")
+	w.awaitMark("[v1]")
+	w.until("streams begin and are not saved", func() bool {
+		before, _ := w.savedRecords()
+		w.beginStreams()
+		time.Sleep(3 * saveInterval)
+		after, _ := w.savedRecords()
+		return after == before
+	})
+}
--- /dev/null
+++ b/node/stream_records.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"acaciakeel/clock"
+	"acaciakeel/follow"
+	"acaciakeel/origin"
+	"acaciakeel/platform"
+	"acaciakeel/pulses"
+	"acaciakeel/store"
+)
+
+// Timing and size of the records of streams that are saved to the store. They are what is known of
+// streams once all nodes have been killed.
+const (
+	// saveInterval is how often a node saves its records. First events wait for that, and targets
+	// need longer for most. saveIntervalPerNode lengthens it for many nodes: all together then
+	// write 250 times a second.
+	saveInterval        = 50 * time.Millisecond
+	saveIntervalPerNode = 4 * time.Millisecond
+	// recordKeyTime is for how long records are added to one key, so that a node which starts has
+	// few keys to read.
+	recordKeyTime = time.Second
+	// recordLease is how long a record is kept at most, and recordLeaseUse how long a lease is
+	// used for new ones: each is kept for origin.Retention at least.
+	recordLease    = 2 * origin.Retention
+	recordLeaseUse = recordLease - origin.Retention
+	// maxSavedStreams is how many streams one key holds, at 4 bytes each. More are not read.
+	maxSavedStreams = 4096
+	// uncertaintyInterval is how often it is checked which services' records are saved.
+	uncertaintyInterval = 200 * time.Millisecond
+)
+
+// recordSaver saves this node's records of streams; used by one goroutine.
+type recordSaver struct {
+	node  *Node
+	lease store.LeaseID
+	// leaseEnds is until when the lease is used for new records.
+	leaseEnds time.Time
+	// key is the key to which records are added, former the one before.
+	key, former recordKey
+	// keys is the number of keys used.
+	keys int
+	// waiting are closed once what was taken is saved.
+	waiting []chan struct{}
+	// failing is set while writes fail, which is logged once.
+	failing bool
+}
+
+// recordKey is a key of the store and the records that it has.
+type recordKey struct {
+	name     string
+	revision int64
+	records  map[origin.Stream]origin.Origin
+	ends     time.Time
+}
+
+// reports returns the records by origin.
+func (k recordKey) reports() []origin.Report {
+	byOrigin := map[origin.Origin][]origin.Stream{}
+	for s, o := range k.records {
+		byOrigin[o] = append(byOrigin[o], s)
+	}
+	out := make([]origin.Report, 0, len(byOrigin))
+	for o, streams := range byOrigin {
+		out = append(out, origin.Report{Origin: o, Streams: streams})
+	}
+	return out
+}
+
+// withdraw removes records that others replace, and reports whether there were any.
+func (k recordKey) withdraw(others map[origin.Stream]origin.Origin) (any bool) {
+	for s, o := range others {
+		if known, ok := k.records[s]; ok && known != o {
+			delete(k.records, s)
+			any = true
+		}
+	}
+	return any
+}
+
+// saveStreamRecords saves the records of streams of those services whose version could not be told
+// without them.
+func (n *Node) saveStreamRecords(ctx context.Context) {
+	saver := &recordSaver{node: n}
+	origins := n.exchange.origins
+	var checkedAt time.Time
+	for {
+		clock.Sleep(ctx, max(saveInterval, time.Duration(n.view.otherCount()+1)*saveIntervalPerNode))
+		if ctx.Err() != nil {
+			return
+		}
+		if now := time.Now(); now.Sub(checkedAt) >= uncertaintyInterval {
+			origins.table.SaveServices(n.view.uncertainServices())
+			checkedAt = now
+		}
+		if !n.view.follower.Disconnected() {
+			saver.save(ctx)
+		}
+	}
+}
+
+// Announce implements router.Origins.
+func (o *streamOrigins) Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ok = o.table.Save(s, from); !ok || o.exchange.view.follower.Disconnected() {
+		return nil, ok
+	}
+	return o.batchSaved, ok
+}
+
+// takeBatch returns the records that wait to be saved, and the channel to be closed once they are.
+func (o *streamOrigins) takeBatch() (map[origin.Stream]origin.Origin, chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	records, saved := o.table.TakeUnsaved(), o.batchSaved
+	if len(records) > 0 {
+		o.batchSaved = make(chan struct{})
+	}
+	return records, saved
+}
+
+// uncertainServices returns the services at which several versions may begin streams, or may soon.
+func (v *view) uncertainServices() []string {
+	var out []string
+	for _, service := range v.markedServices() {
+		build, sole := v.soleMarked(service)
+		targets := v.fleet.BuildTargets(service)
+		if _, listed := targets[build]; !sole || len(targets) > 1 || len(targets) == 1 && !listed {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
+// save saves the records that wait.
+func (s *recordSaver) save(ctx context.Context) {
+	origins := s.node.exchange.origins
+	records, saved := origins.takeBatch()
+	if len(records) == 0 {
+		return
+	}
+	s.waiting = append(s.waiting, saved)
+	for len(records) > 0 {
+		batch := takeRecords(records, maxSavedStreams)
+		err := s.write(ctx, batch)
+		s.report(ctx, len(batch), err)
+		if err != nil {
+			origins.table.PutBackUnsaved(batch)
+			origins.table.PutBackUnsaved(records)
+			return
+		}
+	}
+	for _, w := range s.waiting {
+		close(w)
+	}
+	s.waiting = nil
+}
+
+// takeRecords removes at most a number of records and returns them.
+func takeRecords(from map[origin.Stream]origin.Origin, most int) map[origin.Stream]origin.Origin {
+	out := map[origin.Stream]origin.Origin{}
+	for s, o := range from {
+		if len(out) == most {
+			break
+		}
+		out[s] = o
+		delete(from, s)
+	}
+	return out
+}
+
+// write adds a batch to the records of the current key, or begins the next one.
+func (s *recordSaver) write(ctx context.Context, batch map[origin.Stream]origin.Origin) error {
+	now := time.Now()
+	if s.lease == "" || now.After(s.leaseEnds) {
+		granted, err := s.node.store.Grant(ctx, recordLease)
+		if err != nil {
+			return err
+		}
+		s.lease, s.leaseEnds, s.key, s.former = granted, now.Add(recordLeaseUse), recordKey{}, recordKey{}
+	}
+	if now.After(s.key.ends) || len(s.key.records)+len(batch) > maxSavedStreams {
+		s.keys++
+		s.former = s.key
+		name := fmt.Sprintf("%s%s/%d", s.node.view.keys.streams, s.node.name, s.keys)
+		s.key = recordKey{name: name, records: map[origin.Stream]origin.Origin{}, ends: now.Add(recordKeyTime)}
+	}
+	if s.former.withdraw(batch) {
+		if err := s.put(ctx, &s.former); err != nil {
+			return err
+		}
+	}
+	maps.Copy(s.key.records, batch)
+	return s.put(ctx, &s.key)
+}
+
+// put writes a key. After an error its revision is not known, and other keys are used.
+func (s *recordSaver) put(ctx context.Context, k *recordKey) error {
+	value, err := pulses.EncodeStoredOrigins(k.reports())
+	if err != nil {
+		return err
+	}
+	if len(value) == 0 {
+		_, err = s.node.store.Delete(ctx, k.name, k.revision)
+		*k = recordKey{}
+		return err
+	}
+	k.revision, err = s.node.store.Put(ctx, k.name, value, k.revision, s.lease)
+	if errors.Is(err, store.ErrNotFound) {
+		s.lease = ""
+	}
+	if err != nil {
+		s.key, s.former = recordKey{}, recordKey{}
+	}
+	return err
+}
+
+func (s *recordSaver) report(ctx context.Context, records int, err error) {
+	result := "saved"
+	if err != nil {
+		result = "failed"
+	}
+	s.node.exchange.origins.countRecords(result, records)
+	if err != nil && !s.failing && ctx.Err() == nil {
+		s.node.log.WithError(err).WithField("event", "stream_records_failed").Warn("could not save which software versions began streams; if all nodes are killed until it succeeds, clients can't resume those")
+	}
+	s.failing = err != nil
+}
+
+func (o *streamOrigins) countRecords(result string, n int) {
+	if o.saves != nil {
+		o.saves.WithLabelValues(result).Add(float64(n))
+	}
+}
+
+func countStreams(reports []origin.Report) (n int) {
+	for _, r := range reports {
+		n += len(r.Streams)
+	}
+	return n
+}
+
+// receiveStreamRecords applies saved records; those that this node has saved are known here.
+func (v *view) receiveStreamRecords(key, value string, revision int64) {
+	if value == "" {
+		v.rejected.removeRecord(key)
+		return
+	}
+	if strings.HasPrefix(key, v.keys.streams+strings.TrimPrefix(v.self, v.keys.members)+"/") {
+		return
+	}
+	reports, err := pulses.DecodeStoredOrigins([]byte(value))
+	if err == nil && countStreams(reports) > maxSavedStreams {
+		err = fmt.Errorf("%d streams, over %d", countStreams(reports), maxSavedStreams)
+	}
+	if err != nil {
+		v.EntryRejected(platform.RejectedEntry{Key: key, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
+		return
+	}
+	v.rejected.removeRecord(key)
+	v.origins.table.ApplyStored(reports, time.Now())
+	v.origins.countRecords("read", countStreams(reports))
+}
+
+// withoutStreamRecords returns changes of the store without saved records of streams, which the
+// other members of the group have been told of by the nodes at which those began.
+func (v *view) withoutStreamRecords(c follow.Changes) follow.Changes {
+	var kept []store.Event
+	for _, e := range c.Events.Events {
+		if !strings.HasPrefix(e.Key, v.keys.streams) {
+			kept = append(kept, e)
+		}
+	}
+	c.Events.Events = kept
+	return c
+}
--- a/node/view.go
+++ b/node/view.go
@@ -88,10 +88,12 @@
 	// versions is the prefix of the marks of the versions that may have begun a service's
 	// streams.
 	versions string
+	// streams is the prefix of the saved records of streams.
+	streams string
 }
 
 func newSystemKeys() systemKeys {
-	return systemKeys{leader: platform.SystemPrefix + "orders", leaderHistory: platform.SystemPrefix + "leaders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/"}
+	return systemKeys{leader: platform.SystemPrefix + "orders", leaderHistory: platform.SystemPrefix + "leaders", members: platform.SystemPrefix + "members/", nodeCount: platform.SystemPrefix + "entries", versions: platform.SystemPrefix + "versions/", streams: platform.SystemPrefix + "streams/"}
 }
 
 // Config implements router.ConfigSource.
@@ -214,6 +216,10 @@
 		v.receiveVerdict(key, value, revision, content, err)
 		return
 	}
+	if strings.HasPrefix(key, v.keys.streams) {
+		v.receiveStreamRecords(key, value, revision)
+		return
+	}
 	if service, ok := strings.CutPrefix(key, v.keys.versions); ok {
 		v.setVersionMark(service, value, revision)
 		return
--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -86,7 +86,7 @@
 	if p.fleet.Disabled(policy.SharedWatch) {
 		return
 	}
-	pieces, ok := splitChanges(c)
+	pieces, ok := splitChanges(p.view.withoutStreamRecords(c))
 	if !ok {
 		return
 	}
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -7,6 +7,8 @@
 	// ThisEntry: this process recorded it. OtherEntry: another one did and reported it.
 	ThisEntry  Source = "this_entry"
 	OtherEntry Source = "other_entry"
+	// Stored: a process saved it to the store.
+	Stored Source = "store"
 	// Response: the stream began within the response that is being continued.
 	Response Source = "response"
 	// Asked: another process had it and was asked for it.
--- a/origin/table.go
+++ b/origin/table.go
@@ -11,7 +11,8 @@
 )
 
 // Stream identifies a stream: the low 32 bits of a hash. Among 65,536 records, one lookup in
-// 65,536 of a stream that is not recorded finds another one's record.
+// 65,536 of a stream that is not recorded finds another one's record; among the most that a Table
+// holds, one in 16,384.
 type Stream uint32
 
 // NewStream returns the stream that a customer's attempt began. Another customer that names
@@ -43,8 +44,9 @@
 	Retention = 30 * time.Second
 	// RefreshInterval is how often a stream that is in progress is recorded again.
 	RefreshInterval = Retention / 2
-	// maxRecords bounds the records of one generation, at about 12 bytes each.
-	maxRecords = 1 << 15
+	// maxRecords bounds the records of one generation, at about 24 bytes each: 4,800 streams a
+	// second for most of Retention, as an entry that starts reads them in the store.
+	maxRecords = 1 << 17
 	// maxOrigins bounds the origins of one generation.
 	maxOrigins = 1 << 10
 )
@@ -56,19 +58,36 @@
 	// current receives records; former is dropped when current becomes former.
 	current, former *generation
 	rotatedAt       time.Time
-	// unsent are this process's records that have not been sent yet.
+	// unsent are this process's records that have not been sent to other processes yet.
 	unsent map[Origin][]Stream
-	early  int
+	// unsaved are those that have not been saved to the store. A later one replaces that of an
+	// attempt which did not begin the stream.
+	unsaved map[Stream]Origin
+	// saved are the services whose records are saved.
+	saved map[string]bool
+	early int
 }
 
-// generation is the records of a period. A record is an index in origins, shifted left, and
-// whether this process made it.
+// generation is the records of a period. A record is an index in origins, shifted left by
+// sourceBits, and who made it.
 type generation struct {
 	records map[Stream]uint16
 	origins []Origin
 	index   map[Origin]uint16
 }
 
+// Who made a record.
+const (
+	byOther uint16 = iota
+	bySelf
+	byStore
+
+	sourceBits = 2
+	sourceMask = 1<<sourceBits - 1
+)
+
+var recordSources = [...]Source{byOther: OtherEntry, bySelf: ThisEntry, byStore: Stored}
+
 // ambiguous is the record of a stream that has been recorded with different origins.
 const ambiguous = ^uint16(0)
 
@@ -78,26 +97,125 @@
 
 // NewTable returns an empty table.
 func NewTable(now time.Time) *Table {
-	return &Table{current: newGeneration(), former: newGeneration(), rotatedAt: now, unsent: map[Origin][]Stream{}}
+	return &Table{current: newGeneration(), former: newGeneration(), rotatedAt: now, unsent: map[Origin][]Stream{}, unsaved: map[Stream]Origin{}}
 }
 
-// Record records a stream that began at this process, to be sent with the next reports.
+// Record records a stream that began at this process, to be sent with the next reports and saved.
 func (t *Table) Record(s Stream, o Origin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(s, o, true, now)
+	t.record(s, o, now)
+	if recorded, _ := t.find(s); t.isSaved(o) {
+		t.save(s, recorded)
+	}
+}
+
+// RecordSaved is Record for a stream that Save was called for with the same origin.
+func (t *Table) RecordSaved(s Stream, o Origin, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(s, o, now)
+	if recorded, _ := t.find(s); recorded == Disputed {
+		t.save(s, Disputed)
+	}
+}
+
+// record records a stream that began at this process; the caller holds mu.
+func (t *Table) record(s Stream, o Origin, now time.Time) {
+	t.add(s, o, bySelf, now)
 	if len(t.unsent) < maxOrigins && len(t.unsent[o]) < maxRecords {
 		t.unsent[o] = append(t.unsent[o], s)
 	}
 }
 
+// Save has a stream saved that is about to begin, and reports whether the records of its service
+// are saved.
+func (t *Table) Save(s Stream, o Origin) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isSaved(o) {
+		return false
+	}
+	t.save(s, o)
+	return true
+}
+
+// save has a record saved; the caller holds mu.
+func (t *Table) save(s Stream, o Origin) {
+	if _, ok := t.unsaved[s]; ok || len(t.unsaved) < maxRecords {
+		t.unsaved[s] = o
+	}
+}
+
 // Apply records the reports of another process.
 func (t *Table) Apply(reports []Report, now time.Time) {
+	t.apply(reports, byOther, now)
+}
+
+// ApplyStored records the reports that a process has saved.
+func (t *Table) ApplyStored(reports []Report, now time.Time) {
+	t.apply(reports, byStore, now)
+}
+
+func (t *Table) apply(reports []Report, source uint16, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
 		for _, s := range r.Streams {
-			t.add(s, r.Origin, false, now)
+			t.add(s, r.Origin, source, now)
+		}
+	}
+}
+
+// SaveServices has the records of streams that begin at some services saved, and those that this
+// process has made of them before.
+func (t *Table) SaveServices(services []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	former := t.saved
+	t.saved = make(map[string]bool, len(services))
+	isNew := false
+	for _, service := range services {
+		t.saved[service] = true
+		isNew = isNew || !former[service]
+	}
+	if !isNew {
+		return
+	}
+	for _, g := range []*generation{t.current, t.former} {
+		for s, record := range g.records {
+			switch o, ok := g.origin(record); {
+			case !ok:
+				t.save(s, Disputed)
+			case record&sourceMask == bySelf && t.saved[o.Service] && !former[o.Service]:
+				t.save(s, o)
+			}
+		}
+	}
+}
+
+// isSaved reports whether records with an origin are saved; the caller holds mu.
+func (t *Table) isSaved(o Origin) bool {
+	return t.saved[o.Service] || o == Disputed && len(t.saved) > 0
+}
+
+// TakeUnsaved returns the records that have to be saved and have not been, Disputed for those of
+// uncertain streams.
+func (t *Table) TakeUnsaved() map[Stream]Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.unsaved
+	t.unsaved = map[Stream]Origin{}
+	return out
+}
+
+// PutBackUnsaved takes records back that could not be saved. Later ones of the same streams stay.
+func (t *Table) PutBackUnsaved(records map[Stream]Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s, o := range records {
+		if _, ok := t.unsaved[s]; !ok {
+			t.save(s, o)
 		}
 	}
 }
@@ -121,20 +239,21 @@
 	return len(t.unsent) > 0
 }
 
-// Lookup returns the origin of a stream, and whether this process recorded it itself.
-func (t *Table) Lookup(s Stream, now time.Time) (o Origin, own, ok bool) {
+// Lookup returns the recorded origin of a stream; ok is false if there is none, or a disputed one.
+func (t *Table) Lookup(s Stream, now time.Time) (r Resolution, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
 	for _, g := range []*generation{t.current, t.former} {
 		if record, found := g.records[s]; found {
-			if record == ambiguous {
-				return Origin{}, false, false
+			o, ok := g.origin(record)
+			if !ok {
+				return Resolution{}, false
 			}
-			return g.origins[record>>1], record&1 == 1, true
+			return Resolution{Origin: o, Source: recordSources[record&sourceMask]}, true
 		}
 	}
-	return Origin{}, false, false
+	return Resolution{}, false
 }
 
 // IsDisputed reports whether a stream has been recorded with different origins, or as Disputed.
@@ -162,9 +281,9 @@
 }
 
 // add adds a record; the caller holds mu.
-func (t *Table) add(s Stream, o Origin, own bool, now time.Time) {
+func (t *Table) add(s Stream, o Origin, source uint16, now time.Time) {
 	t.rotate(now)
-	record, isNew := t.current.encode(o, own)
+	record, isNew := t.current.encode(o, source)
 	if known, ok := t.find(s); o == Disputed || ok && known != o {
 		record = ambiguous
 	}
@@ -172,7 +291,7 @@
 		t.early++
 		t.startGeneration(now)
 		if record != ambiguous {
-			record, _ = t.current.encode(o, own)
+			record, _ = t.current.encode(o, source)
 		}
 	}
 	t.current.records[s] = record
@@ -182,27 +301,31 @@
 func (t *Table) find(s Stream) (Origin, bool) {
 	for _, g := range []*generation{t.current, t.former} {
 		if record, ok := g.records[s]; ok {
-			if record == ambiguous {
-				return Disputed, true
+			if o, ok := g.origin(record); ok {
+				return o, true
 			}
-			return g.origins[record>>1], true
+			return Disputed, true
 		}
 	}
 	return Origin{}, false
 }
 
 // encode returns the record of an origin, and whether the origin is new to the generation.
-func (g *generation) encode(o Origin, own bool) (record uint16, isNew bool) {
+func (g *generation) encode(o Origin, source uint16) (record uint16, isNew bool) {
 	i, ok := g.index[o]
 	if !ok {
 		i = uint16(len(g.origins))
 		g.origins, g.index[o] = append(g.origins, o), i
 	}
-	record = i << 1
-	if own {
-		record |= 1
+	return i<<sourceBits | source, !ok
+}
+
+// origin returns the origin of a record; ok is false if it is ambiguous.
+func (g *generation) origin(record uint16) (o Origin, ok bool) {
+	if record == ambiguous {
+		return Origin{}, false
 	}
-	return record, !ok
+	return g.origins[record>>sourceBits], true
 }
 
 // rotate starts a new generation once the current one is as old as Retention; the caller holds
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -40,7 +40,8 @@
 
 // checkLookup holds a lookup against when the stream was recorded with each origin.
 func checkLookup(t *rapid.T, table *Table, s Stream, recorded map[Origin]time.Time, now time.Time) {
-	got, _, ok := table.Lookup(s, now)
+	r, ok := table.Lookup(s, now)
+	got := r.Origin
 	latest := time.Time{}
 	for _, at := range recorded {
 		if at.After(latest) {
@@ -76,8 +77,8 @@
 	if table.DroppedEarly() == 0 {
 		t.Error("records were dropped early, and none is counted")
 	}
-	if got, _, ok := table.Lookup(4*maxRecords-1, start); !ok || got.Build != "v1" {
-		t.Errorf("the newest stream has origin %v, known %v", got, ok)
+	if r, ok := table.Lookup(4*maxRecords-1, start); !ok || r.Origin.Build != "v1" {
+		t.Errorf("the newest stream has origin %+v, known %v", r, ok)
 	}
 	for i := range 4 * maxOrigins {
 		table.Record(Stream(i), Origin{Service: "s", Build: fmt.Sprint(i)}, start)
@@ -102,8 +103,8 @@
 	other.Apply(own.TakeReports(), start)
 	for name, table := range map[string]*Table{"own": own, "other": other} {
 		for s := Stream(1); s <= 2; s++ {
-			if o, _, ok := table.Lookup(s, start); ok {
-				t.Errorf("%s: stream %d has origin %v", name, s, o)
+			if r, ok := table.Lookup(s, start); ok {
+				t.Errorf("%s: stream %d has origin %v", name, s, r.Origin)
 			}
 			if !table.IsDisputed(s, start) || table.IsDisputed(9, start) {
 				t.Errorf("%s: stream %d is not disputed, or an unknown one is", name, s)
@@ -152,3 +153,72 @@
 		}
 	}
 }
+
+// Guards against streams that are unknown, or known with another origin, once all processes have
+// been killed: what was saved tells the same as the table did, whenever saving was switched on, and
+// whatever an attempt that did not begin the stream had announced.
+func TestSavedRecordsTellWhatTheTableDid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(start)
+		saved := map[Stream]Origin{}
+		save := func() {
+			records := table.TakeUnsaved()
+			if rapid.IntRange(0, 3).Draw(t, "write fails") == 0 {
+				table.PutBackUnsaved(records)
+				return
+			}
+			for s, o := range records {
+				saved[s] = o
+			}
+		}
+		announced := map[Stream]Origin{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			s := Stream(rapid.IntRange(0, 8).Draw(t, "stream"))
+			o := Origin{Service: "s", Build: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "build"))}
+			switch rapid.IntRange(0, 4).Draw(t, "call") {
+			case 0:
+				if _, begun := table.Lookup(s, start); !begun && !table.IsDisputed(s, start) && table.Save(s, o) {
+					announced[s] = o
+				}
+			case 1:
+				if announced[s] == o {
+					table.RecordSaved(s, o, start)
+				} else {
+					table.Record(s, o, start)
+				}
+				delete(announced, s)
+			case 2:
+				table.Record(s, Disputed, start)
+			case 3:
+				save()
+			default:
+				table.SaveServices([]string{"s"})
+			}
+		}
+		table.SaveServices([]string{"s"})
+		for records := table.TakeUnsaved(); len(records) > 0; records = table.TakeUnsaved() {
+			for s, o := range records {
+				saved[s] = o
+			}
+		}
+		checkRestored(t, table, saved)
+	})
+}
+
+// checkRestored holds a table that has read the saved records against the one that saved them.
+func checkRestored(t *rapid.T, table *Table, saved map[Stream]Origin) {
+	restored := NewTable(start)
+	for s, o := range saved {
+		restored.ApplyStored([]Report{{Origin: o, Streams: []Stream{s}}}, start)
+	}
+	for s := Stream(0); s <= 8; s++ {
+		before, known := table.Lookup(s, start)
+		after, ok := restored.Lookup(s, start)
+		if known && (!ok || after.Origin != before.Origin || after.Source != Stored) {
+			t.Fatalf("stream %d has origin %+v, and %+v of the records", s, before, after)
+		}
+		if table.IsDisputed(s, start) && ok {
+			t.Fatalf("stream %d is disputed, and has origin %+v of the records", s, after)
+		}
+	}
+}
--- a/pulses/origins.go
+++ b/pulses/origins.go
@@ -1,6 +1,10 @@
 package pulses
 
 import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/origin"
 )
@@ -55,3 +59,25 @@
 	}
 	return origin.Answer{Versions: origin.Versions{Sole: w.Sole, Build: w.Build, Fresh: w.Fresh}}
 }
+
+// EncodeStoredOrigins encodes the origins of streams for the store, in the form that a pulse has.
+func EncodeStoredOrigins(reports []origin.Report) ([]byte, error) {
+	message := &keelv1.Pulse{}
+	for _, r := range reports {
+		w := &keelv1.StreamOrigins{Service: r.Origin.Service, Build: r.Origin.Build, Stream: make([]uint32, 0, len(r.Streams))}
+		for _, s := range r.Streams {
+			w.Stream = append(w.Stream, uint32(s))
+		}
+		message.Origins = append(message.Origins, w)
+	}
+	return proto.Marshal(message)
+}
+
+// DecodeStoredOrigins decodes the origins of streams from the store.
+func DecodeStoredOrigins(value []byte) ([]origin.Report, error) {
+	var message keelv1.Pulse
+	if err := proto.Unmarshal(value, &message); err != nil {
+		return nil, fmt.Errorf("decode records of streams: %w", err)
+	}
+	return DecodeOrigins(message.Origins), nil
+}
--- a/router/promise_test.go
+++ b/router/promise_test.go
@@ -255,10 +255,12 @@
 	model   string
 	retries RetryBounds
 	metrics *Metrics
+	// origins is nil where streams may be continued anywhere.
+	origins Origins
 }
 
 // serve plays one request and returns what was refused.
-func (c *promiseCase) serve(ctx context.Context, p *play, w *toldClient) *refusal.Error {
+func (c *promiseCase) serve(ctx context.Context, p *play, w ResponseWriter) *refusal.Error {
 	route := c.route
 	p.fleet = fleet.New("here")
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
@@ -272,6 +274,9 @@
 	log, _ := logtest.NewNullLogger()
 	bounds := Bounds{MaxStaleness: time.Second, MaxStartStaleness: 500 * time.Millisecond}
 	r := New(fixedConfig{config}, p.fleet, p, poison.New(nil), quota.NewLimiter(quota.Tolerance{}, nil, nil, time.Now()), c.metrics, log, bounds, c.retries)
+	if c.origins != nil {
+		r.TrackOrigins(c.origins)
+	}
 	ctx, p.cancel = context.WithCancelCause(ctx)
 	go r.CheckTargets(ctx)
 	start := time.Now()
@@ -346,15 +351,15 @@
 // for each sequence of results of attempts.
 func TestPromisesHoldAfterAnySequenceOfAttempts(t *testing.T) {
 	for _, c := range []promiseCase{
-		{"plain, once", catalog.Route{Kind: catalog.AtMostOnce, Attempts: 1}, "", ampleRetries, nil},
-		{"plain, once, no retries", catalog.Route{Kind: catalog.AtMostOnce, Attempts: 1}, "", RetryBounds{Window: time.Second}, nil},
-		{"stream that can't be resumed", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", ampleRetries, nil},
-		{"stream that can't be resumed, two attempts", catalog.Route{Kind: catalog.Stream, Attempts: 2}, "m", ampleRetries, nil},
-		{"stream that can't be resumed, no retries", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", RetryBounds{Window: time.Second}, nil},
-		{"idempotent", catalog.Route{Kind: catalog.Idempotent, Attempts: 2}, "", ampleRetries, nil},
-		{"idempotent, no retries", catalog.Route{Kind: catalog.Idempotent, Attempts: 2}, "", RetryBounds{Window: time.Second}, nil},
-		{"resumable stream", catalog.Route{Kind: catalog.Stream, Resumable: true, Attempts: 2}, "m", ampleRetries, nil},
-		{"resumable stream, one attempt", catalog.Route{Kind: catalog.Stream, Resumable: true, Attempts: 1}, "m", ampleRetries, nil},
+		{"plain, once", catalog.Route{Kind: catalog.AtMostOnce, Attempts: 1}, "", ampleRetries, nil, nil},
+		{"plain, once, no retries", catalog.Route{Kind: catalog.AtMostOnce, Attempts: 1}, "", RetryBounds{Window: time.Second}, nil, nil},
+		{"stream that can't be resumed", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", ampleRetries, nil, nil},
+		{"stream that can't be resumed, two attempts", catalog.Route{Kind: catalog.Stream, Attempts: 2}, "m", ampleRetries, nil, nil},
+		{"stream that can't be resumed, no retries", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", RetryBounds{Window: time.Second}, nil, nil},
+		{"idempotent", catalog.Route{Kind: catalog.Idempotent, Attempts: 2}, "", ampleRetries, nil, nil},
+		{"idempotent, no retries", catalog.Route{Kind: catalog.Idempotent, Attempts: 2}, "", RetryBounds{Window: time.Second}, nil, nil},
+		{"resumable stream", catalog.Route{Kind: catalog.Stream, Resumable: true, Attempts: 2}, "m", ampleRetries, nil, nil},
+		{"resumable stream, one attempt", catalog.Route{Kind: catalog.Stream, Resumable: true, Attempts: 1}, "m", ampleRetries, nil, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			plays := 0
@@ -378,7 +383,7 @@
 	} {
 		t.Run(test.step.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := promiseCase{"", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", RetryBounds{Window: time.Second}, NewMetrics(prometheus.NewRegistry())}
+				c := promiseCase{"", catalog.Route{Kind: catalog.Stream, Attempts: 1}, "m", RetryBounds{Window: time.Second}, NewMetrics(prometheus.NewRegistry()), nil}
 				p := &play{steps: []step{test.step}, silent: map[string]bool{}}
 				c.serve(t.Context(), p, &toldClient{})
 				for _, target := range p.fleet.Targets("s") {
--- a/router/resume.go
+++ b/router/resume.go
@@ -17,8 +17,13 @@
 
 // Origins knows which software version began a stream.
 type Origins interface {
-	// Record records the origin of a stream of which a target produced events.
-	Record(s origin.Stream, from origin.Origin, target fleet.Instance)
+	// Announce is called before a stream that may be resumed can begin, and reports whether its
+	// origin will be saved, so that it outlasts all processes. The channel is closed once that is
+	// done; nil if it can't be awaited.
+	Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool)
+	// Record records the origin of a stream of which a target produced events. announced is set
+	// if Announce has the same origin saved.
+	Record(s origin.Stream, from origin.Origin, target fleet.Instance, announced bool)
 	// Flush has the records sent to other processes soon: a client whose stream broke off may
 	// resume it at one of them at once.
 	Flush()
@@ -46,6 +51,10 @@
 	// recorded.
 	began      bool
 	recordedAt time.Time
+	// announced is the origin that is saved ahead of the first event, if any, and saved is closed
+	// once it is; nil if nothing is to be awaited.
+	announced origin.Origin
+	saved     <-chan struct{}
 	// resolving is how long it took to resolve the origin.
 	resolving time.Duration
 }
@@ -202,6 +211,50 @@
 	}()
 }
 
+// beginsResumable reports whether the next attempt begins a stream that may be resumed.
+func (s *session) beginsResumable() bool {
+	return s.router.origins != nil && s.in.route.Kind == catalog.Stream && s.in.route.Resumable && !s.continues()
+}
+
+// announceOrigin has the origin of the stream that the attempt may begin saved while its target
+// works on the first event.
+func (s *session) announceOrigin(target fleet.Target) {
+	if !s.beginsResumable() {
+		return
+	}
+	from := origin.Origin{Service: s.in.service.Name, Build: target.Build}
+	saved, ok := s.router.origins.Announce(origin.NewStream(s.in.customerName(), s.in.ID), from)
+	s.stream.announced, s.stream.saved = origin.Origin{}, saved
+	if ok {
+		s.stream.announced = from
+	}
+}
+
+// maxSaveWait bounds the time for which the first event of a stream waits until its origin is saved.
+// A store that is slow or away delays no stream for longer.
+const maxSaveWait = 150 * time.Millisecond
+
+// awaitSaved waits until the origin of the stream is saved. The client can name the stream once it
+// has the first event.
+func (s *session) awaitSaved(ctx context.Context) {
+	if s.stream.saved == nil {
+		return
+	}
+	start := time.Now()
+	timer := time.NewTimer(maxSaveWait)
+	defer timer.Stop()
+	result := "saved"
+	select {
+	case <-s.stream.saved:
+	case <-timer.C:
+		result = "timeout"
+	case <-ctx.Done():
+		result = "canceled"
+	}
+	s.stream.saved = nil
+	s.router.metrics.saveWait.WithLabelValues(result).Observe(time.Since(start).Seconds())
+}
+
 // recordOrigin records what began the stream. It is called before each event is forwarded:
 // the client may name the stream from then on.
 func (s *session) recordOrigin(now time.Time) {
@@ -213,15 +266,15 @@
 		// now on.
 		s.stream.origin = s.newOrigin()
 	}
-	s.stream.began = true
-	if !s.stream.origin.Known() {
-		return
-	}
-	s.stream.recordedAt = now
+	s.stream.began, s.stream.recordedAt = true, now
+	// What is not known is recorded as disputed: the announced origin may be wrong.
+	from, known := s.stream.origin.Origin, s.stream.origin.Known()
+	announced := known && s.stream.announced == from
+	s.stream.announced = origin.Origin{}
 	target := s.lastChoice.Target.Instance()
-	s.router.origins.Record(origin.NewStream(s.in.customerName(), s.in.ID), s.stream.origin.Origin, target)
+	s.router.origins.Record(origin.NewStream(s.in.customerName(), s.in.ID), from, target, announced)
 	if id, named := s.streamID(); named && s.in.resumedByClient() {
-		s.router.origins.Record(id, s.stream.origin.Origin, target)
+		s.router.origins.Record(id, from, target, false)
 	}
 }
 
--- a/router/session.go
+++ b/router/session.go
@@ -153,7 +153,7 @@
 		Class:         fleet.PriorityClass(in.priority()),
 	}
 	q.Build, q.BuildBound = s.boundBuild()
-	if s.router.origins != nil && in.route.Kind == catalog.Stream && in.route.Resumable && !s.continues() {
+	if s.beginsResumable() {
 		q.Builds = s.router.origins.BeginAt(in.service.Name)
 	}
 	q.ListOutdated = q.BuildBound && !s.router.origins.ListFresh()
@@ -196,6 +196,7 @@
 	s.tracked.SentTo(choice.Target.Instance())
 	defer s.tracked.LeftTarget()
 	s.recordContinuation(choice)
+	s.announceOrigin(choice.Target)
 	s.guard = s.guardStart(choice, cancel)
 	defer s.guard.stop()
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
--- a/router/stream.go
+++ b/router/stream.go
@@ -62,6 +62,7 @@
 		s.recordEvent(time.Now())
 		// The writer counts from now on what it keeps.
 		events.release()
+		s.awaitSaved(clientCtx)
 		if err := s.forwardEvent(resp, event); err != nil {
 			return attemptResult{refused: clientGone(err)}
 		}
