node: a stream of disputed origin is not taken for one of the only version

Cause: that it isn't known what began a stream was not recorded, and a disputed record counted as none, so the stream was taken for one of the only version. The same in answers to other entries' questions.

TestStreamOfUnlistedSoftwareIsNotTakenForTheSoleVersion failed before.

--- a/node/origin_questions.go
+++ b/node/origin_questions.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// answer returns what this node knows of a stream and of the versions of its service. A disputed
+// stream may be of any version.
+func (o *streamOrigins) answer(s origin.Stream, named bool, service string, now time.Time) origin.Answer {
+	if r, ok := o.lookup(s, named, now); ok {
+		return origin.Answer{Known: true, Origin: r.Origin}
+	}
+	if named && o.table.IsDisputed(s, now) {
+		return origin.Answer{}
+	}
+	return origin.Answer{Versions: o.versions(service)}
+}
+
 // receive answers a question, or passes an answer on to the request that waits for it.
 func (o *streamOrigins) receive(message *keelv1.Pulse, from netip.AddrPort, now time.Time) {
 	if w := message.OriginAnswer; w != nil {
@@ -156,10 +168,7 @@
 		return
 	}
 	question := message.OriginQuestion
-	answer := origin.Answer{Versions: o.versions(question.Service)}
-	if r, ok := o.lookup(origin.Stream(question.Stream), question.Stream != 0, now); ok {
-		answer = origin.Answer{Known: true, Origin: r.Origin}
-	}
+	answer := o.answer(origin.Stream(question.Stream), question.Stream != 0, question.Service, now)
 	datagram, err := pulses.Encode(&keelv1.Pulse{Sender: o.exchange.name, OriginAnswer: pulses.EncodeOriginAnswer(question.Number, answer)})
 	if err != nil {
 		o.exchange.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode the origin of a stream; another node counts it as unknown")
--- a/node/origins.go
+++ b/node/origins.go
@@ -109,11 +109,14 @@
 	if r, ok := o.lookup(s, named, now); ok {
 		return r
 	}
+	if named && o.table.IsDisputed(s, now) {
+		return origin.Resolution{Source: origin.Unknown}
+	}
 	versions := o.versions(service)
 	if r, ok := origin.ResolveLocally(service, versions); ok {
 		return r
 	}
-	if !versions.Sole && (!named || o.table.IsDisputed(s, now)) {
+	if !versions.Sole && !named {
 		return origin.Resolution{Source: origin.Unknown}
 	}
 	return o.ask(ctx, s, named, service, versions)
--- a/node/restart_versions_test.go
+++ b/node/restart_versions_test.go
@@ -236,3 +236,30 @@
 		return after == before
 	})
 }
+
+// Guards against streams joined from two software versions where one alone is marked: the target
+// that began them has restarted with other software and is not listed anew yet.
+func TestStreamOfUnlistedSoftwareIsNotTakenForTheSoleVersion(t *testing.T) {
+	w := newRestartEnv(t, "v1")
+	w.awaitMark("[v1]")
+	listed, restarted := w.runners[0], w.runners[1]
+	restarted.Upgrade("v2")
+	w.until("the restart is known", func() bool {
+		for _, target := range w.node.view.fleet.Targets("lm") {
+			if target.ID == restarted.ID {
+				_, ok := w.node.view.fleet.ConfirmedBuild(target, false, time.Now())
+				return !ok
+			}
+		}
+		return false
+	})
+	listed.SetFault(runner.Shed)
+	w.beginAndAbandon(w.node, streamRequest("begun", 1))
+	listed.SetFault(runner.None)
+	r := streamRequest("resumed", 1)
+	r.Resumes, r.LastEventID = "begun", "2"
+	if a := w.exchange(w.node, r); a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, "stream_unknown") {
+		t.Errorf("status %d: %s", a.status, a.body)
+	}
+	w.checkContinuations(0)
+}
