node: a stream without a record is of the version that was alone before

What callers saw: one version serves, streams begin, and a second one is listed while all entries are dark, or after they are back: until the store names it, the streams go on, and from then on none does (stream_unknown), as nothing had been saved while there was one version.

Cause: with several versions named, no record meant doubt, whatever had been certain before.

Change: the store's mark names the base version: the one that was alone when the others were added, until it is removed. Streams of the others are saved before their clients have the first event (up to 40 entries; with more there is no base version, and first events don't wait), so one that neither an entry nor the store knows is of the base version. The records are read again for that, by one read for all who wait, begun after they asked; one record that can't be read, or an old view, means doubt. While nothing can be saved, new streams begin at the base version alone. The wait for an entry's start before a version is added goes.

--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -80,6 +80,8 @@
 	scarce bool
 	// versions has targets of two software versions, and clients that resume streams.
 	versions bool
+	// build is the software version of all targets; empty states none.
+	build string
 	// framings has targets that mark the end of their responses in different ways.
 	framings bool
 	// badPart has requests with a prompt part that crashes targets.
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -120,6 +120,9 @@
 	for i := range 4 {
 		s.runners = append(s.runners, s.startTarget(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
 	}
+	for _, tg := range s.runners {
+		tg.SetBuild(r.build)
+	}
 	if r.versions {
 		s.divideVersions()
 	}
--- a/node/origins.go
+++ b/node/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +32,9 @@
 	batchSaved chan struct{}
 	// saves counts records that were saved, or read.
 	saves *prometheus.CounterVec
+	// savesFail is set while records can't be saved.
+	savesFail atomic.Bool
+	reads     recordReads
 }
 
 // recentBegin is a stream that was recorded with the software version of a target.
@@ -66,13 +70,9 @@
 const viewFreshFor = 1500 * time.Millisecond
 
 // Record implements router.Origins.
-func (o *streamOrigins) Record(s origin.Stream, from origin.Origin, target fleet.Instance, announced bool) {
+func (o *streamOrigins) Record(s origin.Stream, from, announced origin.Origin, target fleet.Instance) {
 	now := time.Now()
-	if announced {
-		o.table.RecordSaved(s, from, now)
-	} else {
-		o.table.Record(s, from, now)
-	}
+	o.table.Record(s, from, announced, now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recent = append(o.recent, recentBegin{stream: s, target: target.ID, at: now})
@@ -98,7 +98,7 @@
 	defer o.mu.Unlock()
 	for _, b := range o.recent {
 		if b.target == id && now.Sub(b.at) <= lag {
-			o.table.Record(b.stream, origin.Disputed, now)
+			o.table.Record(b.stream, origin.Disputed, origin.Origin{}, now)
 		}
 	}
 }
@@ -119,7 +119,11 @@
 	if !versions.Sole && !named {
 		return origin.Resolution{Source: origin.Unknown}
 	}
-	return o.ask(ctx, s, named, service, versions)
+	r := o.ask(ctx, s, named, service, versions)
+	if r.Known() || !named {
+		return r
+	}
+	return o.resolveByRecords(ctx, s, service)
 }
 
 func (o *streamOrigins) lookup(s origin.Stream, named bool, now time.Time) (origin.Resolution, bool) {
@@ -142,7 +146,7 @@
 
 // BeginAt implements router.Origins.
 func (o *streamOrigins) BeginAt(service string) []string {
-	return o.exchange.view.beginAt(service, time.Now())
+	return o.exchange.view.beginAt(service, !o.cannotSave(), time.Now())
 }
 
 // ListFresh implements router.Origins.
--- a/node/stream_records.go
+++ b/node/stream_records.go
@@ -20,10 +20,13 @@
 // streams once all nodes have been killed.
 const (
 	// saveInterval is how often a node saves its records. First events wait for that, and targets
-	// need longer for most. saveIntervalPerNode lengthens it for many nodes: all together then
-	// write 250 times a second.
+	// need longer for most. With more nodes it is longer, as calls are billed: all together write
+	// 100 times a second up to maxBaseNodes, whose first events wait for maxBaseSaveInterval at
+	// most, and then up to 250 times.
 	saveInterval        = 50 * time.Millisecond
-	saveIntervalPerNode = 4 * time.Millisecond
+	saveIntervalPerNode = 10 * time.Millisecond
+	minIntervalPerNode  = 4 * time.Millisecond
+	maxBaseSaveInterval = maxBaseNodes * saveIntervalPerNode
 	// recordKeyTime is for how long records are added to one key, so that a node which starts has
 	// few keys to read.
 	recordKeyTime = time.Second
@@ -92,7 +95,7 @@
 	origins := n.exchange.origins
 	var checkedAt time.Time
 	for {
-		clock.Sleep(ctx, max(saveInterval, time.Duration(n.view.otherCount()+1)*saveIntervalPerNode))
+		clock.Sleep(ctx, saveIntervalFor(n.view.otherCount()+1))
 		if ctx.Err() != nil {
 			return
 		}
@@ -106,14 +109,31 @@
 	}
 }
 
-// Announce implements router.Origins.
+// saveIntervalFor returns how often each of a number of nodes saves its records.
+func saveIntervalFor(nodes int) time.Duration {
+	n := time.Duration(nodes)
+	return max(saveInterval, min(n*saveIntervalPerNode, maxBaseSaveInterval), n*minIntervalPerNode)
+}
+
+// Announce implements router.Origins. Streams of the base version need not wait: one without a
+// record is taken for one of it.
 func (o *streamOrigins) Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if ok = o.table.Save(s, from); !ok || o.exchange.view.follower.Disconnected() {
-		return nil, ok
+	if ok = o.table.Save(s, from); !ok {
+		return nil, false
 	}
-	return o.batchSaved, ok
+	v := o.exchange.view
+	base, hasBase := v.markedBase(from.Service)
+	if hasBase && base == from.Build || o.cannotSave() || v.otherCount() >= maxBaseNodes {
+		return nil, true
+	}
+	return o.batchSaved, true
+}
+
+// cannotSave reports whether records can't be saved at present.
+func (o *streamOrigins) cannotSave() bool {
+	return o.savesFail.Load() || o.exchange.view.follower.Disconnected()
 }
 
 // takeBatch returns the records that wait to be saved, and the channel to be closed once they are.
@@ -233,6 +253,7 @@
 		s.node.log.WithError(err).WithField("event", "stream_records_failed").Warn("could not save which software versions began streams; if all nodes are killed until it succeeds, clients can't resume those")
 	}
 	s.failing = err != nil
+	s.node.exchange.origins.savesFail.Store(s.failing)
 }
 
 func (o *streamOrigins) countRecords(result string, n int) {
@@ -257,17 +278,26 @@
 	if strings.HasPrefix(key, v.keys.streams+strings.TrimPrefix(v.self, v.keys.members)+"/") {
 		return
 	}
-	reports, err := pulses.DecodeStoredOrigins([]byte(value))
-	if err == nil && countStreams(reports) > maxSavedStreams {
-		err = fmt.Errorf("%d streams, over %d", countStreams(reports), maxSavedStreams)
-	}
+	reports, err := decodeRecords([]byte(value))
 	if err != nil {
 		v.EntryRejected(platform.RejectedEntry{Key: key, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
 		return
 	}
 	v.rejected.removeRecord(key)
-	v.origins.table.ApplyStored(reports, time.Now())
-	v.origins.countRecords("read", countStreams(reports))
+	v.origins.applyStored(reports)
+}
+
+func (o *streamOrigins) applyStored(reports []origin.Report) {
+	o.table.ApplyStored(reports, time.Now())
+	o.countRecords("read", countStreams(reports))
+}
+
+func decodeRecords(value []byte) ([]origin.Report, error) {
+	reports, err := pulses.DecodeStoredOrigins(value)
+	if err == nil && countStreams(reports) > maxSavedStreams {
+		err = fmt.Errorf("%d streams, over %d", countStreams(reports), maxSavedStreams)
+	}
+	return reports, err
 }
 
 // withoutStreamRecords returns changes of the store without saved records of streams, which the
--- a/node/version_marks.go
+++ b/node/version_marks.go
@@ -20,7 +20,12 @@
 // nodes were killed at once it is all that is known of versions whose targets are gone.
 type versionMark struct {
 	// builds are in the order in which they were added.
-	builds   []string
+	builds []string
+	// base is the one that was alone before others were added, if hasBase is set. Streams of the
+	// others are saved before their clients can name them, so that one without a record is of
+	// this version.
+	base     string
+	hasBase  bool
 	revision int64
 	// unreadable is set if the mark can't be read: any version may have begun streams.
 	unreadable bool
@@ -45,21 +50,26 @@
 	// write it, and versionMarkTakeoverStep spreads them by their number, so that few try.
 	versionMarkTakeover     = 500 * time.Millisecond
 	versionMarkTakeoverStep = 10 * time.Millisecond
-	// restartSettling is how long a node that has started adds no version beside those that
-	// have most of the targets. Clients whose streams ended with all nodes come back within
-	// that time, and only while one version is marked it is known which began them.
-	restartSettling = 3 * time.Second
+	// maxBaseNodes is up to how many nodes first events wait until their streams are saved, so that
+	// there is a base version: the more, the longer that takes.
+	maxBaseNodes = 40
 )
 
+// markValue is a mark in the store.
+type markValue struct {
+	Builds []string `json:"builds"`
+	Base   *string  `json:"base,omitempty"`
+}
+
 // setVersionMark applies a mark from the store; an empty value removes it.
 func (v *view) setVersionMark(service, value string, revision int64) {
 	key := v.keys.versions + service
-	var builds []string
+	var read markValue
 	var unreadable bool
 	if value != "" {
-		if err := json.Unmarshal([]byte(value), &builds); err != nil || len(builds) == 0 {
+		if err := json.Unmarshal([]byte(value), &read); err != nil || len(read.Builds) == 0 {
 			v.EntryRejected(platform.RejectedEntry{Key: key, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
-			builds, unreadable = nil, true
+			read, unreadable = markValue{}, true
 		} else {
 			v.rejected.removeRecord(key)
 		}
@@ -74,9 +84,12 @@
 		delete(v.versionMarks, service)
 		return
 	}
-	mark := &versionMark{builds: builds, revision: revision, unreadable: unreadable, seenAt: map[string]time.Time{}, absentSince: map[string]time.Time{}}
+	mark := &versionMark{builds: read.Builds, revision: revision, unreadable: unreadable, seenAt: map[string]time.Time{}, absentSince: map[string]time.Time{}}
+	if read.Base != nil {
+		mark.base, mark.hasBase = *read.Base, slices.Contains(read.Builds, *read.Base)
+	}
 	now := time.Now()
-	for _, b := range builds {
+	for _, b := range read.Builds {
 		switch at, known := former.seen(b); {
 		case known:
 			mark.seenAt[b], mark.absentSince[b] = at, former.absentSince[b]
@@ -115,14 +128,33 @@
 	return mark.builds[0], true
 }
 
+// markedBase returns the version that began all streams of a service without a record; ok is false if
+// there is none.
+func (v *view) markedBase(service string) (build string, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	mark := v.versionMarks[service]
+	if mark == nil {
+		return "", false
+	}
+	if len(mark.builds) == 1 {
+		return mark.builds[0], true
+	}
+	return mark.base, mark.hasBase
+}
+
 // beginAt returns the versions of a service at which streams begin; empty for all. Streams begin at
-// a version once all nodes with a fresh view have seen it marked. Where the marked versions have
-// few targets, streams are served rather than known after all nodes were killed.
-func (v *view) beginAt(service string, now time.Time) []string {
+// a version once all nodes with a fresh view have seen it marked, and only at the base version while
+// nothing can be saved. Where the marked versions have few targets, streams are served rather than
+// known after all nodes were killed.
+func (v *view) beginAt(service string, canSave bool, now time.Time) []string {
 	targets := v.fleet.BuildTargets(service)
 	if len(targets) < 2 {
 		return nil
 	}
+	if base, ok := v.markedBase(service); ok && targets[base] > 0 && !canSave {
+		return []string{base}
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	mark := v.versionMarks[service]
@@ -165,9 +197,9 @@
 type markChange struct {
 	service  string
 	builds   []string
+	base     string
+	hasBase  bool
 	revision int64
-	// adds is set if versions are added to those of a mark.
-	adds bool
 	// dueFor is how long the change has been due.
 	dueFor time.Duration
 }
@@ -193,10 +225,11 @@
 	}
 	for _, b := range present {
 		if !slices.Contains(c.builds, b) && len(c.builds) < maxMarkedVersions {
-			c.builds, c.adds = append(c.builds, b), len(mark.builds) > 0
+			c.builds = append(c.builds, b)
 		}
 	}
-	if slices.Equal(c.builds, mark.builds) && !mark.unreadable {
+	c.base, c.hasBase = mark.nextBase(c.builds, len(v.members))
+	if slices.Equal(c.builds, mark.builds) && c.hasBase == mark.hasBase && !mark.unreadable {
 		mark.dueSince = time.Time{}
 		return markChange{}, false
 	}
@@ -207,6 +240,16 @@
 	return c, true
 }
 
+// nextBase returns the base version of a mark that names the given versions; ok is false if there is
+// none, as there is no need while it names one.
+func (m *versionMark) nextBase(builds []string, nodes int) (base string, ok bool) {
+	base, ok = m.base, m.hasBase
+	if len(m.builds) == 1 {
+		base, ok = m.builds[0], true
+	}
+	return base, ok && len(builds) > 1 && slices.Contains(builds, base) && nodes <= maxBaseNodes
+}
+
 // isObsolete reports whether a version without targets need not stay marked any more.
 func (m *versionMark) isObsolete(build string, present bool, now time.Time) bool {
 	if present {
@@ -222,26 +265,22 @@
 // maintainVersionMarks keeps the marks in the store up to date. The leader writes them; others do
 // so if it has not for a while.
 func (n *Node) maintainVersionMarks(ctx context.Context) {
-	start := time.Now()
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, versionMarkInterval)
 		for _, service := range n.view.markedServices() {
 			c, due := n.view.dueMarkChange(service, time.Now())
-			if due && n.writesMark(c, time.Since(start)) && !n.view.follower.Disconnected() {
+			if due && n.writesMark(c) && !n.view.follower.Disconnected() {
 				n.writeMark(ctx, c)
 			}
 		}
 	}
 }
 
-// writesMark reports whether this node, which started some time ago, is to write a change now.
-func (n *Node) writesMark(c markChange, uptime time.Duration) bool {
+// writesMark reports whether this node is to write a change now.
+func (n *Node) writesMark(c markChange) bool {
 	if !n.view.hasListed() {
 		return false
 	}
-	if c.adds && uptime < restartSettling && n.view.marksHaveMost(c.service) {
-		return false
-	}
 	if _, leads := n.view.leaderLock.Held(); leads {
 		return true
 	}
@@ -249,15 +288,6 @@
 	return c.dueFor >= versionMarkTakeover+jitter
 }
 
-// marksHaveMost reports whether the marked versions of a service have most of its targets.
-func (v *view) marksHaveMost(service string) bool {
-	targets := v.fleet.BuildTargets(service)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	mark := v.versionMarks[service]
-	return mark != nil && haveMost(mark.builds, targets)
-}
-
 // markedServices returns the services that have streams or marks.
 func (v *view) markedServices() []string {
 	var services []string
@@ -277,7 +307,7 @@
 // writeMark writes a change and applies it here.
 func (n *Node) writeMark(ctx context.Context, c markChange) {
 	value, revision, err := n.putMark(ctx, c)
-	fields := logrus.Fields{"event": "versions_marked", "service": c.service, "builds": c.builds, "due_ms": c.dueFor.Milliseconds()}
+	fields := logrus.Fields{"event": "versions_marked", "service": c.service, "builds": c.builds, "base": c.base, "due_ms": c.dueFor.Milliseconds()}
 	switch {
 	case err == nil:
 		n.view.setVersionMark(c.service, value, revision)
@@ -294,7 +324,11 @@
 		revision, err = n.store.Delete(ctx, key, c.revision)
 		return "", revision, err
 	}
-	data, err := json.Marshal(c.builds)
+	mark := markValue{Builds: c.builds}
+	if c.hasBase {
+		mark.Base = &c.base
+	}
+	data, err := json.Marshal(mark)
 	if err != nil {
 		return "", 0, err
 	}
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -16,6 +16,9 @@
 	// SoleVersion: nobody has a record of the stream, and the service has had one version
 	// alone for longer than any stream lasts.
 	SoleVersion Source = "sole_version"
+	// BaseVersion: nobody has a record of the stream, nor is there one in the store, which has
+	// those of all streams that other versions began.
+	BaseVersion Source = "base_version"
 	// Unknown: nobody has a record of the stream, and several versions may have begun it, or
 	// it was not named.
 	Unknown Source = "unknown"
--- a/origin/table.go
+++ b/origin/table.go
@@ -4,6 +4,7 @@
 package origin
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -100,26 +101,20 @@
 	return &Table{current: newGeneration(), former: newGeneration(), rotatedAt: now, unsent: map[Origin][]Stream{}, unsaved: map[Stream]Origin{}}
 }
 
-// Record records a stream that began at this process, to be sent with the next reports and saved.
-func (t *Table) Record(s Stream, o Origin, now time.Time) {
+// Record records a stream that began at this process, to be sent with the next reports and saved if
+// that is necessary. announced is the origin that Save was last called with; empty if it was not, or
+// if it was not necessary.
+func (t *Table) Record(s Stream, o, announced Origin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.record(s, o, now)
-	if recorded, _ := t.find(s); t.isSaved(o) {
+	recorded, _ := t.find(s)
+	isAnnounced := announced != Origin{}
+	if isAnnounced && announced != recorded || !isAnnounced && t.isSaved(recorded) {
 		t.save(s, recorded)
 	}
 }
 
-// RecordSaved is Record for a stream that Save was called for with the same origin.
-func (t *Table) RecordSaved(s Stream, o Origin, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.record(s, o, now)
-	if recorded, _ := t.find(s); recorded == Disputed {
-		t.save(s, Disputed)
-	}
-}
-
 // record records a stream that began at this process; the caller holds mu.
 func (t *Table) record(s Stream, o Origin, now time.Time) {
 	t.add(s, o, bySelf, now)
@@ -128,8 +123,8 @@
 	}
 }
 
-// Save has a stream saved that is about to begin, and reports whether the records of its service
-// are saved.
+// Save has a stream saved that is about to begin, and reports whether that is necessary. What was
+// saved before for an attempt that did not begin the stream is replaced.
 func (t *Table) Save(s Stream, o Origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,15 +169,13 @@
 	defer t.mu.Unlock()
 	former := t.saved
 	t.saved = make(map[string]bool, len(services))
-	isNew := false
 	for _, service := range services {
 		t.saved[service] = true
-		isNew = isNew || !former[service]
 	}
-	if !isNew {
+	if maps.Equal(former, t.saved) {
 		return
 	}
-	for _, g := range []*generation{t.current, t.former} {
+	for _, g := range []*generation{t.former, t.current} {
 		for s, record := range g.records {
 			switch o, ok := g.origin(record); {
 			case !ok:
--- a/router/resume.go
+++ b/router/resume.go
@@ -19,11 +19,11 @@
 type Origins interface {
 	// Announce is called before a stream that may be resumed can begin, and reports whether its
 	// origin will be saved, so that it outlasts all processes. The channel is closed once that is
-	// done; nil if it can't be awaited.
+	// done; nil if it need not be awaited, or can't be.
 	Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool)
-	// Record records the origin of a stream of which a target produced events. announced is set
-	// if Announce has the same origin saved.
-	Record(s origin.Stream, from origin.Origin, target fleet.Instance, announced bool)
+	// Record records the origin of a stream of which a target produced events. announced is the
+	// origin that Announce has last saved for it, if any.
+	Record(s origin.Stream, from, announced origin.Origin, target fleet.Instance)
 	// Flush has the records sent to other processes soon: a client whose stream broke off may
 	// resume it at one of them at once.
 	Flush()
@@ -224,15 +224,14 @@
 	}
 	from := origin.Origin{Service: s.in.service.Name, Build: target.Build}
 	saved, ok := s.router.origins.Announce(origin.NewStream(s.in.customerName(), s.in.ID), from)
-	s.stream.announced, s.stream.saved = origin.Origin{}, saved
-	if ok {
+	if s.stream.saved = saved; ok {
 		s.stream.announced = from
 	}
 }
 
-// maxSaveWait bounds the time for which the first event of a stream waits until its origin is saved.
-// A store that is slow or away delays no stream for longer.
-const maxSaveWait = 150 * time.Millisecond
+// maxSaveWait bounds the time for which the first event of a stream waits until its origin is saved:
+// a store that is slow takes a quarter of a second, and one that is away is known to be after that.
+const maxSaveWait = time.Second
 
 // awaitSaved waits until the origin of the stream is saved. The client can name the stream once it
 // has the first event.
@@ -268,13 +267,11 @@
 	}
 	s.stream.began, s.stream.recordedAt = true, now
 	// What is not known is recorded as disputed: the announced origin may be wrong.
-	from, known := s.stream.origin.Origin, s.stream.origin.Known()
-	announced := known && s.stream.announced == from
+	from, target := s.stream.origin.Origin, s.lastChoice.Target.Instance()
+	s.router.origins.Record(origin.NewStream(s.in.customerName(), s.in.ID), from, s.stream.announced, target)
 	s.stream.announced = origin.Origin{}
-	target := s.lastChoice.Target.Instance()
-	s.router.origins.Record(origin.NewStream(s.in.customerName(), s.in.ID), from, target, announced)
 	if id, named := s.streamID(); named && s.in.resumedByClient() {
-		s.router.origins.Record(id, from, target, false)
+		s.router.origins.Record(id, from, origin.Origin{}, target)
 	}
 }
 
