catalog: routes are matched by the path as it is written

Cause: the decoded path of the request was compared with the prefix as the operators wrote it, escapes and all; an escaped slash counted as a slash.

What is sent on is unchanged.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -38,7 +38,9 @@
 	Host string
 	// Prefix begins and ends with a slash.
 	Prefix string
-	Kind   Kind
+	// normalPrefix is Prefix in the form in which equivalent paths are equal; set by Index.
+	normalPrefix string
+	Kind         Kind
 	// Timeout bounds the time that a client waits; 0 means no bound.
 	Timeout time.Duration
 	// Objective is the latency objective: the response time, or for streams the
@@ -155,10 +157,11 @@
 func (c *Config) Index() *Config {
 	c.hosts = map[string][]*Route{}
 	for _, r := range c.Routes {
+		r.normalPrefix = normalizePath(r.Prefix)
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
 	}
 	for _, routes := range c.hosts {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].normalPrefix) > len(routes[j].normalPrefix) })
 	}
 	c.isolated = c.isolatedNames()
 	c.keys = map[string]*Customer{}
@@ -170,14 +173,15 @@
 	return c
 }
 
-// Match returns the route with the longest prefix that matches the request, or
-// nil. A port in host is ignored.
+// Match returns the route with the longest prefix that begins the path as written in the request's
+// URI, or nil. A port in host is ignored.
 func (c *Config) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
 	}
+	path = normalizePath(path)
 	for _, r := range c.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+		if strings.HasPrefix(path, r.normalPrefix) {
 			return r
 		}
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -28,7 +28,7 @@
 	ID     string
 	Method string
 	Host   string
-	// Path selects the route. URI is sent to the target unchanged.
+	// Path selects the route, with its escapes. URI is sent to the target unchanged.
 	Path   string
 	URI    string
 	Header http.Header
