--- a/node/record_reads.go
+++ b/node/record_reads.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
+	"acaciakeel/follow"
 	"acaciakeel/origin"
+	"acaciakeel/platform"
+	"acaciakeel/pulses"
 	"acaciakeel/store"
 )
 
@@ -102,3 +106,54 @@
 	}
 	return nil
 }
+
+func countStreams(reports []origin.Report) (n int) {
+	for _, r := range reports {
+		n += len(r.Streams)
+	}
+	return n
+}
+
+// receiveStreamRecords applies saved records; those that this node has saved are known here.
+func (v *view) receiveStreamRecords(key, value string, revision int64) {
+	if value == "" {
+		v.rejected.removeRecord(key)
+		return
+	}
+	if strings.HasPrefix(key, v.keys.streams+strings.TrimPrefix(v.self, v.keys.members)+"/") {
+		return
+	}
+	reports, err := decodeRecords([]byte(value))
+	if err != nil {
+		v.EntryRejected(platform.RejectedEntry{Key: key, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
+		return
+	}
+	v.rejected.removeRecord(key)
+	v.origins.applyStored(reports)
+}
+
+func (o *streamOrigins) applyStored(reports []origin.Report) {
+	o.table.ApplyStored(reports, time.Now())
+	o.countRecords("read", countStreams(reports))
+}
+
+func decodeRecords(value []byte) ([]origin.Report, error) {
+	reports, err := pulses.DecodeStoredOrigins(value)
+	if err == nil && countStreams(reports) > maxSavedStreams {
+		err = fmt.Errorf("%d streams, over %d", countStreams(reports), maxSavedStreams)
+	}
+	return reports, err
+}
+
+// withoutStreamRecords returns changes of the store without saved records of streams, which the
+// other members of the group have been told of by the nodes at which those began.
+func (v *view) withoutStreamRecords(c follow.Changes) follow.Changes {
+	var kept []store.Event
+	for _, e := range c.Events.Events {
+		if !strings.HasPrefix(e.Key, v.keys.streams) {
+			kept = append(kept, e)
+		}
+	}
+	c.Events.Events = kept
+	return c
+}
--- a/node/stream_records.go
+++ b/node/stream_records.go
@@ -5,13 +5,10 @@
 	"errors"
 	"fmt"
 	"maps"
-	"strings"
 	"time"
 
 	"acaciakeel/clock"
-	"acaciakeel/follow"
 	"acaciakeel/origin"
-	"acaciakeel/platform"
 	"acaciakeel/pulses"
 	"acaciakeel/store"
 )
@@ -22,11 +19,11 @@
 	// saveInterval is how often a node saves its records. First events wait for that, and targets
 	// need longer for most. With more nodes it is longer, as calls are billed: all together write
 	// 100 times a second up to maxBaseNodes, whose first events wait for maxBaseSaveInterval at
-	// most, and then up to 250 times.
-	saveInterval        = 50 * time.Millisecond
-	saveIntervalPerNode = 10 * time.Millisecond
-	minIntervalPerNode  = 4 * time.Millisecond
-	maxBaseSaveInterval = maxBaseNodes * saveIntervalPerNode
+	// most, and up to 250 times beyond that.
+	saveInterval           = 50 * time.Millisecond
+	saveIntervalPerNode    = 10 * time.Millisecond
+	maxBaseSaveInterval    = maxBaseNodes * saveIntervalPerNode
+	minSaveIntervalPerNode = 4 * time.Millisecond
 	// recordKeyTime is for how long records are added to one key, so that a node which starts has
 	// few keys to read.
 	recordKeyTime = time.Second
@@ -78,14 +75,14 @@
 }
 
 // withdraw removes records that others replace, and reports whether there were any.
-func (k recordKey) withdraw(others map[origin.Stream]origin.Origin) (any bool) {
+func (k recordKey) withdraw(others map[origin.Stream]origin.Origin) (found bool) {
 	for s, o := range others {
 		if known, ok := k.records[s]; ok && known != o {
 			delete(k.records, s)
-			any = true
+			found = true
 		}
 	}
-	return any
+	return found
 }
 
 // saveStreamRecords saves the records of streams of those services whose version could not be told
@@ -112,7 +109,7 @@
 // saveIntervalFor returns how often each of a number of nodes saves its records.
 func saveIntervalFor(nodes int) time.Duration {
 	n := time.Duration(nodes)
-	return max(saveInterval, min(n*saveIntervalPerNode, maxBaseSaveInterval), n*minIntervalPerNode)
+	return max(saveInterval, min(n*saveIntervalPerNode, maxBaseSaveInterval), n*minSaveIntervalPerNode)
 }
 
 // Announce implements router.Origins. Streams of the base version need not wait: one without a
@@ -261,54 +258,3 @@
 		o.saves.WithLabelValues(result).Add(float64(n))
 	}
 }
-
-func countStreams(reports []origin.Report) (n int) {
-	for _, r := range reports {
-		n += len(r.Streams)
-	}
-	return n
-}
-
-// receiveStreamRecords applies saved records; those that this node has saved are known here.
-func (v *view) receiveStreamRecords(key, value string, revision int64) {
-	if value == "" {
-		v.rejected.removeRecord(key)
-		return
-	}
-	if strings.HasPrefix(key, v.keys.streams+strings.TrimPrefix(v.self, v.keys.members)+"/") {
-		return
-	}
-	reports, err := decodeRecords([]byte(value))
-	if err != nil {
-		v.EntryRejected(platform.RejectedEntry{Key: key, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
-		return
-	}
-	v.rejected.removeRecord(key)
-	v.origins.applyStored(reports)
-}
-
-func (o *streamOrigins) applyStored(reports []origin.Report) {
-	o.table.ApplyStored(reports, time.Now())
-	o.countRecords("read", countStreams(reports))
-}
-
-func decodeRecords(value []byte) ([]origin.Report, error) {
-	reports, err := pulses.DecodeStoredOrigins(value)
-	if err == nil && countStreams(reports) > maxSavedStreams {
-		err = fmt.Errorf("%d streams, over %d", countStreams(reports), maxSavedStreams)
-	}
-	return reports, err
-}
-
-// withoutStreamRecords returns changes of the store without saved records of streams, which the
-// other members of the group have been told of by the nodes at which those began.
-func (v *view) withoutStreamRecords(c follow.Changes) follow.Changes {
-	var kept []store.Event
-	for _, e := range c.Events.Events {
-		if !strings.HasPrefix(e.Key, v.keys.streams) {
-			kept = append(kept, e)
-		}
-	}
-	c.Events.Events = kept
-	return c
-}
