--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -389,14 +389,3 @@
 	}
 	return Occupancy{}
 }
-
-// IDs returns the IDs of all known targets.
-func (f *Fleet) IDs() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ids := make([]string, 0, len(f.states))
-	for id := range f.states {
-		ids = append(ids, id)
-	}
-	return ids
-}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -93,3 +93,14 @@
 // loadTTL is for how long a target's reported load is taken as current: requests take
 // tens to hundreds of milliseconds.
 const loadTTL = 400 * time.Millisecond
+
+// IDs returns the IDs of all known targets.
+func (f *Fleet) IDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ids := make([]string, 0, len(f.states))
+	for id := range f.states {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- a/node/restart_versions_test.go
+++ b/node/restart_versions_test.go
@@ -99,8 +99,7 @@
 	w.node = w.startNode("n0")
 }
 
-// Guards against streams joined from two software versions after all entries were killed: the
-// targets of the version that began them were replaced before an entry was back.
+// Guards against streams joined from two versions after all entries were killed and targets replaced.
 func TestReplacedVersionIsKnownAfterAllEntriesRestarted(t *testing.T) {
 	w := newRestartEnv(t, "v1")
 	w.awaitMark("[v1]")
@@ -112,9 +111,7 @@
 	w.checkContinuations(0)
 }
 
-// Guards against streams refused in doubt after all entries were killed although one version alone
-// has begun streams: it served alone all the time, or another one was first listed while no entry
-// ran.
+// Guards against streams of the only version that are refused after all entries were killed.
 func TestSoleVersionIsKnownAfterAllEntriesRestarted(t *testing.T) {
 	for name, meanwhile := range map[string]func(*testEnv){
 		"it serves alone":        func(*testEnv) {},
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -154,9 +154,7 @@
 	}
 }
 
-// Guards against streams that are unknown, or known with another origin, once all processes have
-// been killed: what was saved tells the same as the table did, whenever saving was switched on, and
-// whatever an attempt that did not begin the stream had announced.
+// Guards against saved records that tell another origin than the table did, or none.
 func TestSavedRecordsTellWhatTheTableDid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := NewTable(start)
--- a/router/announce_test.go
+++ b/router/announce_test.go
@@ -64,9 +64,7 @@
 	return w.toldClient.Write(p)
 }
 
-// Guards against a stream that its client can name before what began it outlasts the entries, against
-// one that waits long for a store that is slow, and against an announcement which was not saved and
-// counts as saved.
+// Guards against a stream that its client can name before its origin is saved.
 func TestFirstEventWaitsUntilItsOriginIsSaved(t *testing.T) {
 	served := answering("served", true, 200, both(sealed, func(r *Response) { r.Body = io.NopCloser(strings.NewReader(allEvents)) }))
 	refused := answering("refused", false, 503, notRun)
