router, node: a stream of the base version waits for a record that it replaces

What callers would see: the first attempt of a request is announced at one version and brings no event, the second begins the stream at the base version. Killed before the saver's next write, all entries would have the stream as the first version's, and continue it there (ORDER).

Cause: streams of the base version don't wait to be saved, as having no record says the same; here there was a record, of another version.

Change: an announcement that replaces another one is awaited, at any version.

TestReplacedAnnouncementIsAwaited failed with the former condition and passes; the tests of AllEntriesRestarted and of first events pass.

--- a/node/restart_versions_test.go
+++ b/node/restart_versions_test.go
@@ -267,3 +267,24 @@
 	}
 	w.checkContinuations(0)
 }
+
+// Guards against a stream that begins at the base version while the store has it as another's.
+func TestReplacedAnnouncementIsAwaited(t *testing.T) {
+	w := newRestartEnv(t, "v1")
+	w.awaitMark("[v1]")
+	w.list("v2")
+	w.awaitMark("[v1 v2]")
+	o := w.node.exchange.origins
+	announce := func(build string, replaces bool) (saved <-chan struct{}, ok bool) {
+		return o.Announce(1, origin.Origin{Service: "lm", Build: build}, replaces)
+	}
+	w.until("streams are saved", func() bool { _, ok := announce("v2", false); return ok })
+	if saved, _ := announce("v1", false); saved != nil {
+		t.Error("a stream of the base version waits")
+	}
+	saved, _ := announce("v1", true)
+	if saved == nil {
+		t.Fatal("a record of another version is not replaced before the stream begins")
+	}
+	<-saved
+}
--- a/node/stream_records.go
+++ b/node/stream_records.go
@@ -113,8 +113,8 @@
 }
 
 // Announce implements router.Origins. Streams of the base version need not wait: one without a
-// record is taken for one of it.
-func (o *streamOrigins) Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool) {
+// record is taken for one of it, unless the store has a record of another version to be replaced.
+func (o *streamOrigins) Announce(s origin.Stream, from origin.Origin, replaces bool) (saved <-chan struct{}, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if ok = o.table.Save(s, from); !ok {
@@ -122,7 +122,7 @@
 	}
 	v := o.exchange.view
 	base, hasBase := v.markedBase(from.Service)
-	if hasBase && base == from.Build || o.cannotSave() || v.otherCount() >= maxBaseNodes {
+	if hasBase && base == from.Build && !replaces || o.cannotSave() || v.otherCount() >= maxBaseNodes {
 		return nil, true
 	}
 	return o.batchSaved, true
--- a/router/announce.go
+++ b/router/announce.go
@@ -21,7 +21,8 @@
 		return
 	}
 	from := origin.Origin{Service: s.in.service.Name, Build: target.Build}
-	saved, ok := s.router.origins.Announce(origin.NewStream(s.in.customerName(), s.in.ID), from)
+	replaces := s.stream.announced != (origin.Origin{}) && s.stream.announced != from
+	saved, ok := s.router.origins.Announce(origin.NewStream(s.in.customerName(), s.in.ID), from, replaces)
 	if s.stream.saved = saved; ok {
 		s.stream.announced = from
 	}
--- a/router/announce_test.go
+++ b/router/announce_test.go
@@ -25,7 +25,7 @@
 	calls      []string
 }
 
-func (o *recordingOrigins) Announce(_ origin.Stream, from origin.Origin) (<-chan struct{}, bool) {
+func (o *recordingOrigins) Announce(_ origin.Stream, from origin.Origin, _ bool) (<-chan struct{}, bool) {
 	o.calls = append(o.calls, "announce "+from.Build)
 	if o.refuses {
 		return nil, false
--- a/router/resume.go
+++ b/router/resume.go
@@ -19,8 +19,9 @@
 type Origins interface {
 	// Announce is called before a stream that may be resumed can begin, and reports whether its
 	// origin will be saved, so that it outlasts all processes. The channel is closed once that is
-	// done; nil if it need not be awaited, or can't be.
-	Announce(s origin.Stream, from origin.Origin) (saved <-chan struct{}, ok bool)
+	// done; nil if it need not be awaited, or can't be. replaces is set if another origin was
+	// announced for an attempt that did not begin the stream.
+	Announce(s origin.Stream, from origin.Origin, replaces bool) (saved <-chan struct{}, ok bool)
 	// Record records the origin of a stream of which a target produced events. announced is the
 	// origin that Announce has last saved for it, if any.
 	Record(s origin.Stream, from, announced origin.Origin, target fleet.Instance)
