soak: engines with room, small services that shed, streams that outlive their connection

TestSoakShed plays that; it also judges streams that go on at a second target while the first one's connection is open.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -100,9 +100,14 @@
 	return id
 }
 
-// sendAs sends one attempt under an id.
+// sendAs sends one attempt under an id, on a new connection.
 func (c *callers) sendAs(e *entry, route, id string, thing int) bool {
-	out := c.exchange(e, route, id, thing)
+	return c.sendOn(&http.Transport{DisableKeepAlives: true}, e, route, id, thing)
+}
+
+// sendOn sends one attempt under an id on a connection of a transport.
+func (c *callers) sendOn(conns *http.Transport, e *entry, route, id string, thing int) bool {
+	out := c.exchange(conns, e, route, id, thing)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seen[id] = out
@@ -129,14 +134,16 @@
 	return r.To(e.front)
 }
 
-func (c *callers) exchange(e *entry, route, id string, thing int) outcome {
+func (c *callers) exchange(conns *http.Transport, e *entry, route, id string, thing int) outcome {
 	out := outcome{route: route}
 	req, err := c.request(e, route, id, thing)
 	if err != nil {
 		c.violate("request %s: %v", id, err)
 		return out
 	}
-	client := http.Client{Timeout: patienceOf(id), Transport: &http.Transport{DisableKeepAlives: true}}
+	// The library must not send an attempt a second time.
+	req.GetBody = nil
+	client := http.Client{Timeout: patienceOf(id), Transport: conns}
 	resp, err := client.Do(req)
 	if err != nil {
 		out.err = err
--- /dev/null
+++ b/integration/soak/shed_test.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/standin/runner"
+)
+
+// shedding is a load of engines with room and of few small plain targets that refuse what is beyond
+// their slots.
+type shedding struct {
+	runners, desks int
+	// slots is how many requests a plain target runs at once, work how long each takes.
+	slots int
+	work  time.Duration
+	// deaf has every third engine go on with streams whose client has disconnected.
+	deaf bool
+}
+
+const (
+	// shedSeconds is how long a load is played.
+	shedSeconds = 8
+	// shedCallers is how many clients send besides the usual ones.
+	shedCallers = 96
+	// shedLateEvery is which request on reused connections meets a late response.
+	shedLateEvery = 5
+	// shedLoad is how long an engine loads weights, shedEngineSlots how many requests it runs.
+	shedLoad        = 300 * time.Millisecond
+	shedEngineSlots = 64
+	// shedVersionMS is the bound on older weights, in milliseconds: nine loads, three at a time,
+	// one of them lost.
+	shedVersionMS = 15000
+	// shedPace is the pause between events: a stream lasts longer than overlapAllowed.
+	shedPace = 120 * time.Millisecond
+	// overlapAllowed is for how long a target may work on a request that has gone on at another.
+	overlapAllowed = 400 * time.Millisecond
+)
+
+// Guards against promises "not run" for requests that run, second runs and streams that go on while
+// their first target works on them, where engines have room and small services shed: late and lost
+// responses, entries that end, new weights.
+func TestSoakShed(t *testing.T) {
+	seeds := []uint64{1}
+	if n := number("SOAK_SEED", 0); n != 0 {
+		seeds = []uint64{uint64(n)}
+	}
+	loads := map[string]shedding{
+		"room":   {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond},
+		"full":   {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
+		"silent": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
+	}
+	for _, seed := range seeds {
+		for _, name := range []string{"room", "full", "silent"} {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				load := loads[name]
+				play(t, regression{seed: seed, faults: shedFaults(), direct: true, shed: &load, seconds: shedSeconds})
+			})
+		}
+	}
+}
+
+// losesAnswers has several targets of one service lose answers at once, by a reset or by a close.
+func losesAnswers(kind runner.Fault) fault {
+	return fault{"targets " + string(kind), func(b *breaker) (time.Duration, func()) {
+		group := [][]*target{b.site.runners, b.site.desks}[b.random.IntN(2)]
+		chosen := []*target{group[b.random.IntN(len(group))], group[b.random.IntN(len(group))]}
+		for _, tg := range chosen {
+			tg.SetFault(kind)
+		}
+		return b.upTo(400 * time.Millisecond), func() {
+			for _, tg := range chosen {
+				tg.SetFault(runner.None)
+			}
+		}
+	}}
+}
+
+func shedFaults() []fault {
+	byName := func(f fault) bool {
+		return slices.Contains([]string{"entry killed", "entry paused", "entry stopped and started", "new weights", "new configuration", "target reborn", "store away from one"}, f.name)
+	}
+	chosen := slices.DeleteFunc(slices.Clone(allFaults), func(f fault) bool { return !byName(f) })
+	for range 2 {
+		chosen = append(chosen, losesAnswers(runner.LoseAnswer), losesAnswers(runner.LoseAnswerByReset), repeatsRefusals)
+	}
+	return append(chosen, spoil(runner.Broken), spoil(runner.Failing), spoil(runner.Crossed), spoil(runner.Unsealed), spoil(runner.Shed))
+}
+
+// shed has targets behave as the load says, and all but one of each service repeat responses.
+func (s *site) shed(load *shedding) {
+	for i, tg := range s.runners {
+		tg.SetLoading(shedLoad, shedEngineSlots)
+		tg.SetPace(shedPace)
+		if load.deaf && i%3 == 0 {
+			tg.IgnoreDisconnects()
+		}
+	}
+	for _, tg := range s.desks {
+		tg.SetRoom(load.slots, load.work)
+	}
+	for _, group := range [][]*target{s.runners, s.desks} {
+		for _, tg := range group[1:] {
+			tg.SendLate(shedLateEvery)
+		}
+	}
+}
+
+func (s *site) endShed() {
+	for _, tg := range s.targets() {
+		tg.SetRoom(0, 0)
+		tg.SendLate(0)
+		tg.SetLoading(0, 0)
+		tg.SetPace(streamPace)
+	}
+}
+
+// sendShed adds clients to the end of the soak, three of four on connections that they keep.
+func (c *callers) sendShed(seed uint64) {
+	for i := range shedCallers {
+		c.done.Add(1)
+		kept := &http.Transport{}
+		send := c.sendOnce
+		if i%4 != 0 {
+			send = func(random *rand.Rand) { c.sendKept(kept, random) }
+		}
+		go c.keepSending(c.stop, rand.New(rand.NewPCG(seed, 1<<37+uint64(i))), send)
+	}
+}
+
+// sendKept sends a request on a connection that its client keeps; the clients of some leave early.
+func (c *callers) sendKept(kept *http.Transport, random *rand.Rand) {
+	e := c.site.anyEntry(random)
+	route := oneOf(random, []string{"match", "hold", "hold", "draft", "draft"})
+	prefix := oneOf(random, []string{"shed-", "shed-", "shed-", leavingID})
+	c.sendOn(kept, e, route, c.newID(prefix, e), random.IntN(12))
+}
+
+// judgeShed adds the requests that went on at a second target to what judge reports. A target may
+// not notice that its connection has closed.
+func (c *callers) judgeShed() {
+	var all []*runner.Runner
+	late, lateRefusals, notRun := 0, 0, 0
+	for _, tg := range c.site.targets() {
+		all = append(all, tg.Runner)
+		late += tg.LateSent()
+		lateRefusals += tg.LateRefusals()
+		notRun += tg.NotRun()
+	}
+	unnoticed := 0
+	for _, o := range runner.Overlaps(all, overlapAllowed) {
+		if o.Closed {
+			unnoticed++
+			continue
+		}
+		c.violate("%s went on at %s while its connection to %s was open, which worked on it for %v more", o.ID, o.Second, o.First, o.For)
+	}
+	c.site.t.Logf("targets refused %d and sent %d late responses, %d of them refusals; %d requests went on beside a target that did not notice its closed connection", notRun, late, lateRefusals, unnoticed)
+}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -35,6 +35,11 @@
 	}
 	defer os.RemoveAll(dir)
 	binDir = dir
+	if released := os.Getenv("SOAK_ENTRIES_DIR"); released != "" {
+		// The entries of another release.
+		binDir = released
+		return m.Run(), nil
+	}
 	build := exec.Command("go", "build", "-race", "-o", dir+"/", "./cmd/acaciakeel-entry")
 	build.Dir = "../.."
 	if out, err := build.CombinedOutput(); err != nil {
@@ -88,6 +93,8 @@
 	badPart bool
 	// press has clients send more than the targets can run.
 	press *press
+	// shed is a load of services of which one sheds what is beyond its slots.
+	shed *shedding
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
@@ -153,12 +160,19 @@
 		s.limitRoom(r.press)
 		c.sendPress(r.seed)
 	}
+	if r.shed != nil {
+		s.shed(r.shed)
+		c.sendShed(r.seed)
+	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
 	if r.press != nil {
 		s.endPress()
 	}
+	if r.shed != nil {
+		s.endShed()
+	}
 	s.await("all entries are ready after the faults", s.allReady)
 	s.await("requests are served after the faults", func() bool { return c.send(s.entries[0], "stock", 0) && c.send(s.entries[0], "draft", 0) })
 	if r.scarce {
@@ -184,6 +198,9 @@
 	if r.press != nil {
 		c.judgePress()
 	}
+	if r.shed != nil {
+		c.judgeShed()
+	}
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
 		t.Error(v)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -117,7 +117,11 @@
 	s.server = httptest.NewServer(s.service.Handler())
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
-	for i := range 4 {
+	runners, desks := 4, 2
+	if r.shed != nil {
+		runners, desks = r.shed.runners, r.shed.desks
+	}
+	for i := range runners {
 		s.runners = append(s.runners, s.startTarget(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
 	}
 	for _, tg := range s.runners {
@@ -129,7 +133,7 @@
 	if r.framings {
 		defer s.mixFramings()
 	}
-	for i := range 2 {
+	for i := range desks {
 		s.desks = append(s.desks, s.startTarget(fmt.Sprintf("d%d", i), "desk", nil))
 	}
 	s.beat()
--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -14,6 +14,9 @@
 	BrokenFailing Fault = "broken_failing"
 	// LoseAnswer executes the request and closes the connection without a response.
 	LoseAnswer Fault = "lose_answer"
+	// LoseAnswerByReset executes the request, a plain one for as long as it takes, and resets
+	// the connection without a response.
+	LoseAnswerByReset Fault = "lose_answer_by_reset"
 	// Crossed answers with the Request-Id of another request.
 	Crossed Fault = "crossed"
 	// Unsealed omits the Response-Seal header.
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -41,6 +41,9 @@
 	Limited time.Time
 	// ToldLeaving is the time of a response with Server-Leaving.
 	ToldLeaving time.Time
+	// Left is when its connection ended while the target worked on it; zero if it did not.
+	// Ended is when the target stopped working on it; zero while it works.
+	Left, Ended time.Time
 	// Rest is the Retry-After of the 503 that refused it, Answered the time of that response.
 	Rest     time.Duration
 	Answered time.Time
@@ -75,6 +78,8 @@
 	room     room
 	// leaves is set once responses carry Server-Leaving.
 	leaves bool
+	// deaf is set if work goes on after its connection has ended.
+	deaf bool
 	// rest is the Retry-After with which all requests are refused; 0 refuses none.
 	rest time.Duration
 	// build is the version of the target's software; empty states none.
@@ -247,6 +252,7 @@
 	seen, fault, pace, refused := r.record(req, string(body))
 	if refused == 0 {
 		defer r.leaveRoom()
+		defer r.recordWork(req, seen)()
 	}
 	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	r.setLoadHeader(w.Header())
@@ -268,11 +274,15 @@
 		panic(http.ErrAbortHandler)
 	case fault == LoseAnswer:
 		panic(http.ErrAbortHandler)
+	case fault == LoseAnswerByReset:
+		r.workPlain(req)
+		reset(w)
+		return
 	case fault == Mute:
 		<-req.Context().Done()
 		return
 	}
-	r.answer(w, req, &response{seen: seen, fault: fault, pace: pace})
+	r.answer(w, req, &response{seen: seen, fault: fault, pace: pace, deaf: r.isDeaf()})
 }
 
 // response is the state of the response to a request.
@@ -282,6 +292,8 @@
 	pace  time.Duration
 	// run is the occupied slot; nil if the request needs none.
 	run *run
+	// deaf is set if the target does not notice that the client disconnects.
+	deaf bool
 }
 
 // setWeights sets Weight-Versions to the loaded version of a model.
--- a/internal/standin/runner/stream.go
+++ b/internal/standin/runner/stream.go
@@ -32,11 +32,20 @@
 	case <-timer.C:
 		return true
 	case <-t.run.aborted():
-	case <-req.Context().Done():
+	case <-t.disconnected(req):
 	}
 	return false
 }
 
+// disconnected returns the channel that is closed when the client disconnects; nil if the target
+// does not notice.
+func (t *response) disconnected(req *http.Request) <-chan struct{} {
+	if t.deaf {
+		return nil
+	}
+	return req.Context().Done()
+}
+
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, t *response) {
 	fault, first, runs := t.fault, 1, r.runNaming()
 	run := fmt.Sprintf("%s/%d", r.ID, t.seen)
--- a/internal/standin/runner/truncation.go
+++ b/internal/standin/runner/truncation.go
@@ -110,14 +110,21 @@
 	case ByCrash:
 		r.crashNow()
 	case ByReset:
-		if conn, _, err := control.Hijack(); err == nil {
-			if tcp, ok := conn.(*lateConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			conn.Close()
-			return
-		}
+		reset(w)
+		return
 	}
 	// net/http closes the connection without completing the response.
 	panic(http.ErrAbortHandler)
 }
+
+// reset resets the connection of a request.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*lateConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
