router: when an attempt was sent, how long it was open and what was written of it

Logs could not tell three hypotheses of the incident apart: a request that counts as not sent though bytes went out (no bytes and no connection in the log), a refusal of the entry's own (promises were not counted by kind), and a request that goes on at a second target while the first works on it (no times of attempts).

The attempts of a request's line have at_ms, for_ms and, without a response, written, conn_earlier and conn_age_ms. keel_router_not_run_total has the label kind; keel_router_resend_seconds has the time from the end of an attempt that its target may still work on to the next one, by reason. No decision changes.

--- a/router/attempt_log.go
+++ b/router/attempt_log.go
@@ -1,18 +1,26 @@
 package router
 
 import (
+	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/refusal"
 )
 
-// attemptRecord is what the log says about one attempt: what its response named, on which
-// connection it came and what the entry made of it.
+// attemptRecord is what the log says about one attempt: when it was sent, how long its connection
+// was open for it, what its response named, on which connection it came and what the entry made of
+// it.
 type attemptRecord struct {
 	target string
+	// at is the time from the arrival of the request to the attempt, took that to the attempt's end.
+	// Its connection carries nothing of the request after that.
+	at, took time.Duration
+	// written is the number of bytes sent if no response has arrived.
+	written int64
 	// answered is set once a response has arrived; the fields below it are then valid.
 	answered bool
 	status   int
@@ -50,6 +58,13 @@
 	a.id, a.instance = resp.namedID(requestID), resp.InstanceID
 }
 
+func (a *attemptRecord) recordSendError(err error) {
+	var sendErr *SendError
+	if errors.As(err, &sendErr) {
+		a.written, a.conn = sendErr.Written, sendErr.Conn
+	}
+}
+
 func (a *attemptRecord) recordResult(out attemptResult) {
 	switch {
 	case out.refused == nil && out.response == nil:
@@ -67,8 +82,9 @@
 
 // String implements fmt.Stringer.
 func (a *attemptRecord) String() string {
+	conn := fmt.Sprintf("conn_earlier=%d conn_age_ms=%d at_ms=%d for_ms=%d", a.conn.Earlier, a.conn.Age.Milliseconds(), a.at.Milliseconds(), a.took.Milliseconds())
 	if !a.answered {
-		return fmt.Sprintf("%s %s", a.target, a.result)
+		return fmt.Sprintf("%s %s written=%d %s", a.target, a.result, a.written, conn)
 	}
 	instance := "none"
 	switch a.instance {
@@ -78,7 +94,7 @@
 	default:
 		instance = truncate(a.instance)
 	}
-	return fmt.Sprintf("%s %s status=%d id=%s instance=%s conn_earlier=%d conn_age_ms=%d", a.target, a.result, a.status, a.id, instance, a.conn.Earlier, a.conn.Age.Milliseconds())
+	return fmt.Sprintf("%s %s status=%d id=%s instance=%s %s", a.target, a.result, a.status, a.id, instance, conn)
 }
 
 // addAttempts adds the attempts to the log line of a request.
--- a/router/request.go
+++ b/router/request.go
@@ -182,6 +182,10 @@
 	// HeadBytes is the number of bytes received if the header of the response was over
 	// MaxResponseHeadBytes, otherwise 0.
 	HeadBytes int64
+	// Written is the number of bytes that the kernel accepted for sending, on the last connection
+	// that the attempt used, and Conn the state of that connection.
+	Written int64
+	Conn    ConnUse
 }
 
 // Error implements error.
--- a/router/router.go
+++ b/router/router.go
@@ -272,7 +272,7 @@
 	if s != nil {
 		s.addAttempts(fields)
 		if refused.Outcome == refusal.NotRun {
-			r.metrics.promises.WithLabelValues(s.promiseBasis()).Inc()
+			r.metrics.promises.WithLabelValues(s.promiseBasis(), string(refused.Kind)).Inc()
 		}
 	}
 	fields["kind"] = refused.Kind
--- a/router/session.go
+++ b/router/session.go
@@ -69,6 +69,12 @@
 	// held counts what the session holds of the current response. Releasing it is part of the
 	// end of an attempt, as its response may be forwarded after that.
 	held *responsebuffer.Reservation
+	// unsettled is the last attempt, if its target may still work on the request: why it ended,
+	// and when. reason is empty for others.
+	unsettled struct {
+		reason  retry.Reason
+		endedAt time.Time
+	}
 	// unresponsive is set when the current attempt is given up because its target does not
 	// respond. Each attempt has its own, as it may be set when the attempt has just ended.
 	unresponsive *atomic.Bool
@@ -95,7 +101,7 @@
 		}
 		s.records = append(s.records, attemptRecord{target: choice.Target.ID})
 		out := s.send(ctx, choice)
-		s.lastRecord().recordResult(out)
+		s.endAttempt(out, time.Now())
 		if out.refused == nil && out.response == nil {
 			return nil
 		}
@@ -109,6 +115,26 @@
 	}
 }
 
+// endAttempt records the end of an attempt: its connection is closed, or carries nothing more of
+// the request.
+func (s *session) endAttempt(out attemptResult, now time.Time) {
+	last := s.lastRecord()
+	last.recordResult(out)
+	last.took = now.Sub(s.sentAt)
+	s.unsettled.reason = ""
+	if out.response == nil && out.refused != nil && out.refused.Outcome == refusal.Unknown {
+		s.unsettled.reason, s.unsettled.endedAt = out.reason, now
+	}
+}
+
+// observeResend records the time from the end of an attempt that its target may still work on to
+// the next one.
+func (s *session) observeResend() {
+	if s.unsettled.reason != "" {
+		s.router.metrics.resends.WithLabelValues(string(s.unsettled.reason)).Observe(s.sentAt.Sub(s.unsettled.endedAt).Seconds())
+	}
+}
+
 // settleCharge refunds the customer for attempts that did not run.
 func (s *session) settleCharge() {
 	s.charge.SetExecutions(s.executions)
@@ -182,6 +208,8 @@
 	s.held = s.router.bodies.Reserve(cancel)
 	f := s.router.fleet
 	s.sentAt = time.Now()
+	s.lastRecord().at = s.sentAt.Sub(s.in.Received)
+	s.observeResend()
 	s.shuttingDownFor = f.ShuttingDownFor(choice.Target.Instance(), s.sentAt)
 	s.backoffLeft = f.RemainingBackoff(choice.Target.Instance(), s.sentAt)
 	s.staleness.atSend, s.staleness.atFirstEvent = f.StaleFor(s.in.Model, choice.WeightsVersion, s.sentAt), 0
@@ -201,6 +229,7 @@
 	defer s.guard.stop()
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
 	if err != nil {
+		s.lastRecord().recordSendError(err)
 		return s.handleSendError(ctx, choice, err)
 	}
 	defer response.Body.Close()
