soak: unnamed refusals on new connections in the load of services that shed

What still believed of refusals on new connections is not played by the other loads of TestSoakShed.

--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -20,6 +20,9 @@
 	work  time.Duration
 	// deaf has every third engine go on with streams whose client has disconnected.
 	deaf bool
+	// unnamed has targets send a refusal without an ID ahead of the first response on some new
+	// connections.
+	unnamed bool
 }
 
 const (
@@ -50,12 +53,13 @@
 		seeds = []uint64{uint64(n)}
 	}
 	loads := map[string]shedding{
-		"room":   {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond},
-		"full":   {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
-		"silent": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
+		"room":            {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond},
+		"full":            {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
+		"silent":          {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
+		"new connections": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, unnamed: true},
 	}
 	for _, seed := range seeds {
-		for _, name := range []string{"room", "full", "silent"} {
+		for _, name := range []string{"room", "full", "silent", "new connections"} {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				load := loads[name]
 				play(t, regression{seed: seed, faults: shedFaults(), direct: true, shed: &load, seconds: shedSeconds})
@@ -103,6 +107,11 @@
 	for _, tg := range s.desks {
 		tg.SetRoom(load.slots, load.work)
 	}
+	for _, tg := range s.targets() {
+		if load.unnamed {
+			tg.SendUnnamedRefusal(pressUnnamedEvery)
+		}
+	}
 	for _, group := range [][]*target{s.runners, s.desks} {
 		for _, tg := range group[1:] {
 			tg.SendLate(shedLateEvery)
@@ -114,6 +123,7 @@
 	for _, tg := range s.targets() {
 		tg.SetRoom(0, 0)
 		tg.SendLate(0)
+		tg.SendUnnamedRefusal(0)
 		tg.SetLoading(0, 0)
 		tg.SetPace(streamPace)
 	}
