router: an empty success that ends with its connection is broken off

What callers saw: where a runner stopped after the header of an answer without a length and closed its connection, a plain request got a 200 with an empty body, framed as whole (MIXED). Streams were not affected.

Cause: the end of the connection counted as that of the answer once the target had said that it still serves, also if not one byte of the body had come. A target that means an empty answer says so by a length or by its status; one that stops there does not.

The end before the first event of a stream is the same error now.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -177,7 +177,7 @@
 func (s *session) forwardWhole(clientCtx context.Context, choice fleet.Choice, resp *Response) attemptResult {
 	chunks, err := s.readBody(resp)
 	if err == io.EOF {
-		err = s.settleEnd(clientCtx, choice, resp)
+		err = s.settleWholeEnd(clientCtx, choice, resp, len(chunks) == 0)
 	}
 	s.recordEnd(err, 0)
 	if err != io.EOF && s.unresponsive.Load() {
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,8 +26,9 @@
 // framing says.
 var errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 
-// errNoEvent is the end of a stream without length or chunks that has brought nothing.
-var errNoEvent = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
+// errNoBody is the end of a success without length or chunks that has brought nothing. A target
+// whose answer is empty states that; one that stops after its head does not.
+var errNoBody = fmt.Errorf("the connection ended before the body of the response: %w", io.ErrUnexpectedEOF)
 
 // errUnconfirmed is the end of a response without length or chunks whose target can't be shown
 // to have ended it on purpose.
@@ -39,7 +41,16 @@
 		return errInsideEvent
 	}
 	if resp.Framing == UntilClose && s.firstEventAt.IsZero() && s.resumeAfter() == "" {
-		return errNoEvent
+		return errNoBody
+	}
+	return s.settleEnd(ctx, choice, resp)
+}
+
+// settleWholeEnd returns io.EOF if the end of the body of a response that is buffered is that of
+// the response. empty is set if the body has no byte.
+func (s *session) settleWholeEnd(ctx context.Context, choice fleet.Choice, resp *Response, empty bool) error {
+	if empty && resp.Framing == UntilClose && resp.Status < http.StatusMultipleChoices {
+		return errNoBody
 	}
 	return s.settleEnd(ctx, choice, resp)
 }
@@ -90,7 +101,7 @@
 		s.end.reason = endComplete
 	case errors.Is(err, errInsideEvent):
 		s.end.reason = endInsideEvent
-	case errors.Is(err, errUnconfirmed), errors.Is(err, errNoEvent):
+	case errors.Is(err, errUnconfirmed), errors.Is(err, errNoBody):
 		s.end.reason = endUnconfirmed
 	case isOversized(err):
 		s.end.reason = endOversized
