target: an empty answer of a service that ends with its connection is lost

What callers saw at the other door: where a plain service stopped after the header of an answer without a length, its caller got a 200 with an empty body, and the ledger recorded that as the result of a call that runs once: each repetition with its key got it, too.

Cause: the same as at the platform's door; that the service accepts connections proves that it lives, not that it meant an empty answer.

Evidence: TestCutAnswerIsNotTheAnswerOfACall cuts five answers at each byte by a close and a reset, for calls that may be repeated and that may not. On the code before the cut after the last byte of a header without a length failed (answered 200, state done); all others held. With the change it passes: outcome unknown, one call, state unknown.

--- a/target/service.go
+++ b/target/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -67,6 +68,9 @@
 		return Answer{}, fmt.Errorf("read the service's answer: %w", err)
 	}
 	if endsWithConnection(resp) {
+		if len(body) == 0 && resp.StatusCode < http.StatusMultipleChoices {
+			return Answer{}, errNoBody
+		}
 		if err := s.confirm(ctx); err != nil {
 			return Answer{}, fmt.Errorf("the service's answer ended with its connection, which may not be its end: %w", err)
 		}
@@ -74,6 +78,10 @@
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// errNoBody is the end of a success without length or chunks that has brought nothing. A service
+// whose answer is empty states that; one that stops after the header does not.
+var errNoBody = errors.New("the service's answer ended with its connection before its body")
+
 // endsWithConnection reports whether only the end of the connection marks that of the body.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
