--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -49,13 +49,21 @@
 
 // rawResponse returns a whole response to a request, and where its body begins.
 func rawResponse(path, id string, framing cutFraming) (text string, body int) {
-	content := wholeBody(path)
 	fields := "Request-Id: " + id + "\r\nResponse-Seal: s\r\nWeight-Versions: 1\r\n"
 	if isStreamPath(path) {
 		fields += "Content-Type: text/event-stream\r\n"
 	}
+	return frame("HTTP/1.1 200 OK\r\n", fields, wholeBody(path), framing)
+}
+
+// rawRefusal returns a whole response which states that the request did not run.
+func rawRefusal(id string, framing cutFraming) (text string, body int) {
+	return frame("HTTP/1.1 503 Service Unavailable\r\n", "Request-Id: "+id+"\r\nNot-Executed: 1\r\n", "no room", framing)
+}
+
+// frame returns a response, and where its body begins.
+func frame(status, fields, content string, framing cutFraming) (text string, body int) {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(content))
-	status := "HTTP/1.1 200 OK\r\n"
 	switch framing {
 	case lengthFirst:
 		fields = length + fields
@@ -79,17 +87,32 @@
 	framing cutFraming
 	end     cut.End
 	bytes   int
+	// refusal is set if the response states that the request did not run.
+	refusal bool
 }
 
 func (c cutCase) String() string {
 	return fmt.Sprintf("%s, %s, %s after %d bytes", c.path, c.framing, c.end, c.bytes)
 }
 
+// raw returns the whole response of the case, and where its body begins.
+func (c cutCase) raw(id string) (text string, body int) {
+	if c.refusal {
+		return rawRefusal(id, c.framing)
+	}
+	return rawResponse(c.path, id, c.framing)
+}
+
 // mayBeWhole reports whether what was sent is a whole response to anyone who receives it: one
 // without a length or chunks ends with its connection.
 func (c cutCase) mayBeWhole() bool {
-	text, body := rawResponse(c.path, cutID(0, 0), c.framing)
-	if c.framing != noLength || c.end == cut.Reset || c.bytes <= body {
+	text, body := c.raw(cutID(0, 0))
+	switch {
+	case c.framing != noLength || c.end == cut.Reset:
+		return false
+	case c.refusal:
+		return c.bytes >= body
+	case c.bytes <= body:
 		return false
 	}
 	return !isStreamPath(c.path) || strings.HasSuffix(text[:c.bytes], "\n\n")
@@ -216,7 +239,7 @@
 
 // respond returns the response of a case.
 func (c cutCase) respond(id string) cut.Response {
-	text, _ := rawResponse(c.path, id, c.framing)
+	text, _ := c.raw(id)
 	return cut.Response{Text: text, Bytes: c.bytes, EndsWhole: true, End: c.end}
 }
 
@@ -227,6 +250,7 @@
 	switch whole := got.err == nil && got.status == http.StatusOK; {
 	case arrivals == 0:
 		e.t.Errorf("%v: no target got it; the client got %d %q (%v)", c, got.status, got.body, got.err)
+	case c.refusal && c.mayBeWhole():
 	case once && arrivals > 1:
 		e.t.Errorf("%v: %d targets got it", c, arrivals)
 	case slices.Contains(promises, got.status):
@@ -239,15 +263,16 @@
 }
 
 // cutCases returns the cases of all paths and framings for some ends, at each step-th byte.
-func cutCases(ends []cut.End, step int) []cutCase {
+func cutCases(ends []cut.End, step int, refusal bool) []cutCase {
 	var out []cutCase
 	for _, path := range []string{"/stock/cut", "/hold/cut", "/draft/cut", "/match/cut"} {
 		for _, framing := range []cutFraming{lengthLast, lengthFirst, trailers, noLength, informational} {
-			text, body := rawResponse(path, cutID(0, 0), framing)
 			for _, end := range ends {
-				for n := 0; n < len(text); n++ {
-					if n%step == 0 || n == body {
-						out = append(out, cutCase{path, framing, end, n})
+				c := cutCase{path: path, framing: framing, end: end, refusal: refusal}
+				text, body := c.raw(cutID(0, 0))
+				for c.bytes = range text {
+					if c.bytes%step == 0 || c.bytes == body {
+						out = append(out, c)
 					}
 				}
 			}
@@ -259,13 +284,23 @@
 // Guards against a response that ends within its head, a chunk's size, a trailer or its body and
 // reaches its client as a whole one: each byte, by each framing and route.
 func TestCutResponsesAreNotWhole(t *testing.T) {
+	playCuts(t, false)
+}
+
+// Guards against a statement "not run" that ends within its header or body and is believed: the
+// client is told so, or the request goes on elsewhere, although its target may run it.
+func TestCutRefusalsAreNotBelieved(t *testing.T) {
+	playCuts(t, true)
+}
+
+// playCuts plays each byte by a close, and some by a reset and after a pause; all if CUT_ALL is set.
+func playCuts(t *testing.T, refusal bool) {
 	e := newCutEnv(t)
-	cases := cutCases([]cut.End{cut.Close}, 1)
 	step := 11
 	if os.Getenv("CUT_ALL") != "" {
 		step = 1
 	}
-	cases = append(cases, cutCases([]cut.End{cut.Reset, cut.Stall}, step)...)
+	cases := append(cutCases([]cut.End{cut.Close}, 1, refusal), cutCases([]cut.End{cut.Reset, cut.Stall}, step, refusal)...)
 	next := make(chan int)
 	var clients sync.WaitGroup
 	for range cutClients {
