router: the answer to HEAD keeps its target's length

What callers saw: a HEAD request was answered with Content-Length: 0, whatever its target had said, as if the body that GET returns were empty.

Cause: the length of a buffered answer was that of the bytes that arrived; the answer to HEAD has none.

--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -209,7 +209,7 @@
 
 // play sends a request until a target gets it, and returns what its client got. All requests have
 // different numbers.
-func (e *cutEnv) play(path string, first firstResponse, number int) (id string, got response) {
+func (e *cutEnv) play(method, path string, first firstResponse, number int) (id string, got response) {
 	for try := range 200 {
 		id = cutID(number, try)
 		e.mu.Lock()
@@ -221,7 +221,7 @@
 			header["Prefix-Hash"] = fmt.Sprintf("%x:400,%x:500", 2*number, 2*number+1)
 		}
 		// A content of its own, as targets seem to end while they run it.
-		got = e.sendTo(e.node, "POST", path, "body of "+id, id, header)
+		got = e.sendTo(e.node, method, path, "body of "+id, id, header)
 		if len(e.arrived(id)) > 0 {
 			return id, got
 		}
@@ -306,7 +306,7 @@
 	for range cutClients {
 		clients.Go(func() {
 			for i := range next {
-				id, got := e.play(cases[i].path, cases[i].respond, i)
+				id, got := e.play("POST", cases[i].path, cases[i].respond, i)
 				e.judge(cases[i], id, got)
 			}
 		})
--- a/node/resend_test.go
+++ b/node/resend_test.go
@@ -59,7 +59,7 @@
 		own := number
 		requests.Go(func() {
 			closed := make(chan time.Time, 1)
-			id, got := e.play(held.path, func(id string) cut.Response {
+			id, got := e.play("POST", held.path, func(id string) cut.Response {
 				text := strings.ReplaceAll(held.text, "ID", id)
 				return cut.Response{Text: text, Bytes: len(text), EndsWhole: true, End: cut.Hold, Closed: func() { closed <- time.Now() }}
 			}, own)
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -31,6 +31,15 @@
 	chunks   [][]byte
 }
 
+// length returns the number of bytes of the body.
+func (b *bufferedResponse) length() int64 {
+	n := int64(0)
+	for _, chunk := range b.chunks {
+		n += int64(len(chunk))
+	}
+	return n
+}
+
 // succeeded is the result of an attempt whose response was forwarded completely.
 var succeeded = attemptResult{}
 
@@ -216,9 +225,9 @@
 
 // writeWhole writes a buffered response to the client.
 func (s *session) writeWhole(b *bufferedResponse) *refusal.Error {
-	b.response.ContentLength = 0
-	for _, chunk := range b.chunks {
-		b.response.ContentLength += int64(len(chunk))
+	if s.in.Method != http.MethodHead {
+		// The length that answers HEAD is that of a body which is not sent.
+		b.response.ContentLength = b.length()
 	}
 	s.headerWritten, s.status = true, b.response.Status
 	if err := s.writer.WriteHeader(b.response); err != nil {
