target: a refusal of an engine that breaks off states nothing

What callers saw at the other door: an engine's 404 or 409 whose body ended early counted ("does not know this stream", which ends a stream as lost; "old fencing number", which ends an order), and its 503 to anything but a new request.

Cause: only a 503 to a new request was read to its end.

Evidence: TestCutAnswersOfEnginesAreNotBelieved cuts five answers at each byte for each call of an engine. On the code before all parts with 404 and 409 and those with 503 of calls failed; streams, reports, dumps and accepted orders held. With the change it passes; agent and entry tests pass.

--- a/target/cache.go
+++ b/target/cache.go
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp.StatusCode)
+		return readStatusError(resp)
 	}
 	events := &io.LimitedReader{R: resp.Body}
 	decoder := json.NewDecoder(events)
--- a/target/engine.go
+++ b/target/engine.go
@@ -192,17 +192,13 @@
 	}, nil
 }
 
-// readStatusError returns the error that a response states. ErrNotAccepting, on which a request is
-// sent elsewhere, takes a whole response: what the target truncates states nothing.
+// readStatusError returns the error that a response states. What the target truncates states
+// nothing: a request may be sent elsewhere because of it, or a stream counts as lost.
 func readStatusError(resp *http.Response) error {
-	err := statusError(resp.StatusCode)
-	if !errors.Is(err, ErrNotAccepting) {
-		return err
-	}
 	if err := httpbody.Discard(resp, maxRefusalBytes); err != nil {
-		return fmt.Errorf("read the target's refusal: %w", err)
+		return fmt.Errorf("read the target's response with status %d: %w", resp.StatusCode, err)
 	}
-	return err
+	return statusError(resp.StatusCode)
 }
 
 func statusError(status int) error {
@@ -331,7 +327,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp.StatusCode)
+		return readStatusError(resp)
 	}
 	if c.out == nil {
 		err = httpbody.Discard(resp, c.maxBytes)
