router: a continuation that brings no event does not end a stream

What callers saw: a stream broke off after some events, the entry continued it at another target, and that one stopped after the header of a response without a length and closed its connection.

Cause: the end before the first event was looked at for the stream, not for the response: once any target had sent an event, or the client had resumed the stream, an empty response until close counted as the rest.

Evidence: TestContinuationWithoutEventsIsNotTheEnd; on the code before the client got one event of two and an end in order, now an error. A response that states its length, or ends its chunks, may still bring nothing.

Price: a stream that broke off after its last event, continued at a target that answers so, ends with an error although the client has all of it.

--- a/node/bodiless_test.go
+++ b/node/bodiless_test.go
@@ -26,10 +26,10 @@
 		text += "\r\n"
 		play := func(bytes int) (id string, got response) {
 			number++
-			return e.play(c.method, "/hold/x", func(id string) cut.Response {
+			return e.play(c.method, "/hold/x", atFirst(func(id string) cut.Response {
 				text := strings.Replace(text, "ID", id, 1)
 				return cut.Response{Text: text, Bytes: min(bytes, len(text)), EndsWhole: true, End: cut.Close}
-			}, number)
+			}), number)
 		}
 		for bytes := range len(text) {
 			if _, got := play(bytes); got.err != nil || got.status != http.StatusBadGateway {
--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -118,16 +118,26 @@
 	return !isStreamPath(c.path) || strings.HasSuffix(text[:c.bytes], "\n\n")
 }
 
-// firstResponse is what the first target that gets a request sends.
-type firstResponse func(id string) cut.Response
+// script is what targets send at each arrival of a request, counted from 1; nil is a whole response.
+type script func(id string, arrival int) *cut.Response
 
-// cutEnv is an environment whose targets answer the first arrival of each request as told, and
-// further ones with a whole response.
+// atFirst returns the script of which only the first arrival has a response of its own.
+func atFirst(respond func(id string) cut.Response) script {
+	return func(id string, arrival int) *cut.Response {
+		if arrival > 1 {
+			return nil
+		}
+		r := respond(id)
+		return &r
+	}
+}
+
+// cutEnv is an environment whose targets answer each arrival of a request as told.
 type cutEnv struct {
 	*testEnv
 	mu sync.Mutex
-	// first and arrivals have the first response and the arrivals by the ID of the request.
-	first    map[string]firstResponse
+	// scripts and arrivals have those of each request by its ID.
+	scripts  map[string]script
 	arrivals map[string][]time.Time
 	// born is the start time of each target.
 	born    map[string]int64
@@ -135,7 +145,7 @@
 }
 
 func newCutEnv(t *testing.T) *cutEnv {
-	e := &cutEnv{first: map[string]firstResponse{}, arrivals: map[string][]time.Time{}, born: map[string]int64{}}
+	e := &cutEnv{scripts: map[string]script{}, arrivals: map[string][]time.Time{}, born: map[string]int64{}}
 	e.testEnv = newEnvWith(t, newDiscardLog(), func(w *testEnv) {
 		for _, r := range append(w.runners, w.plainTargets...) {
 			r.Close()
@@ -167,20 +177,21 @@
 func (e *cutEnv) respond(req *http.Request, _ []byte) cut.Response {
 	id := req.Header.Get("Request-Id")
 	e.mu.Lock()
-	first, known := e.first[id]
+	respond, known := e.scripts[id]
 	e.arrivals[id] = append(e.arrivals[id], time.Now())
-	isFirst := len(e.arrivals[id]) == 1
+	arrival := len(e.arrivals[id])
 	target := req.Header.Get("Expect-Instance")
 	born := e.born[target]
 	e.mu.Unlock()
-	switch {
-	case !known:
+	if !known {
 		return respondToCall(req, born)
-	case !isFirst:
+	}
+	own := respond(id, arrival)
+	if own == nil {
 		return cut.Whole(wholeFrom(req, id), false)
 	}
 	time.AfterFunc(rebirthDelay, func() { e.start(e.testEnv, target) })
-	return first(id)
+	return *own
 }
 
 // wholeFrom returns the whole response to a request, which may continue a stream.
@@ -209,11 +220,11 @@
 
 // play sends a request until a target gets it, and returns what its client got. All requests have
 // different numbers.
-func (e *cutEnv) play(method, path string, first firstResponse, number int) (id string, got response) {
+func (e *cutEnv) play(method, path string, respond script, number int) (id string, got response) {
 	for try := range 200 {
 		id = cutID(number, try)
 		e.mu.Lock()
-		e.first[id] = first
+		e.scripts[id] = respond
 		e.mu.Unlock()
 		var header map[string]string
 		if isStreamPath(path) {
@@ -306,7 +317,7 @@
 	for range cutClients {
 		clients.Go(func() {
 			for i := range next {
-				id, got := e.play("POST", cases[i].path, cases[i].respond, i)
+				id, got := e.play("POST", cases[i].path, atFirst(cases[i].respond), i)
 				e.judge(cases[i], id, got)
 			}
 		})
@@ -318,3 +329,20 @@
 	clients.Wait()
 	t.Logf("%d responses were cut", len(cases))
 }
+
+// Guards against a stream that looks whole because the target that continues it stops after the
+// header of a response without a length: nothing says that the last event was the last one.
+func TestContinuationWithoutEventsIsNotTheEnd(t *testing.T) {
+	e := newCutEnv(t)
+	head, body := rawResponse("/draft/x", cutID(0, 0), noLength)
+	id, got := e.play("POST", "/draft/x", func(id string, arrival int) *cut.Response {
+		text := strings.Replace(head, cutID(0, 0), id, 1)[:body]
+		if arrival == 1 {
+			text += runner.Event(1, 0) + "id: 2\ndata: pie"
+		}
+		return &cut.Response{Text: text, Bytes: len(text), EndsWhole: true, End: cut.Close}
+	}, 1)
+	if n := len(e.arrived(id)); n != 2 || got.err == nil || got.body != runner.Event(1, 0) {
+		t.Errorf("%d targets got it, and the client %d %q (%v), want the first event and then an error", n, got.status, got.body, got.err)
+	}
+}
--- a/node/resend_test.go
+++ b/node/resend_test.go
@@ -59,10 +59,10 @@
 		own := number
 		requests.Go(func() {
 			closed := make(chan time.Time, 1)
-			id, got := e.play("POST", held.path, func(id string) cut.Response {
+			id, got := e.play("POST", held.path, atFirst(func(id string) cut.Response {
 				text := strings.ReplaceAll(held.text, "ID", id)
 				return cut.Response{Text: text, Bytes: len(text), EndsWhole: true, End: cut.Hold, Closed: func() { closed <- time.Now() }}
-			}, own)
+			}), own)
 			arrivals := e.arrived(id)
 			if got.status != http.StatusOK || got.err != nil || got.body != wholeBody(held.path) || len(arrivals) != 2 {
 				t.Errorf("%s: %d targets got it, and the client %d %q (%v)", name, len(arrivals), got.status, got.body, got.err)
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -40,7 +40,7 @@
 	if partialBytes > 0 {
 		return errInsideEvent
 	}
-	if resp.Framing == UntilClose && s.firstEventAt.IsZero() && s.resumeAfter() == "" {
+	if resp.Framing == UntilClose && s.attemptBegan.IsZero() {
 		return errNoBody
 	}
 	return s.settleEnd(ctx, choice, resp)
