--- a/agent/cut_answer_test.go
+++ b/agent/cut_answer_test.go
@@ -15,9 +15,8 @@
 	"acaciakeel/refusal"
 )
 
-// Guards against a service's answer that ends within its header, a chunk's size or its body and is
-// passed on or recorded as the answer to a call, or lets the call be sent again: each byte, by a
-// close and by a reset.
+// Guards against a service's answer that ends early, at any byte, and is passed on or recorded as
+// the answer to a call, or lets the call be sent again.
 func TestCutAnswerIsNotTheAnswerOfACall(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length":       "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nbox held",
--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -45,8 +45,7 @@
 )
 
 // Guards against promises "not run" for requests that run, second runs and streams that go on while
-// their first target works on them, where engines have room and small services shed: late and lost
-// responses, entries that end, new weights.
+// their first target works on them, where engines have room and small services shed.
 func TestSoakShed(t *testing.T) {
 	seeds := []uint64{1}
 	if n := number("SOAK_SEED", 0); n != 0 {
--- a/node/promise_changes_test.go
+++ b/node/promise_changes_test.go
@@ -52,9 +52,8 @@
 	return newest + 1
 }
 
-// Guards against an entry's own refusal that says "not run" of a request which a target has, because
-// a key, a route, weights or the target itself goes or changes while it is under way, or the entry
-// stops.
+// Guards against an entry's own refusal that says "not run" of a request which a target has: keys,
+// routes, weights and targets change while it is under way, and the entry stops.
 func TestPromisesHoldBesideChanges(t *testing.T) {
 	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
 		w.graceS = 4
