--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -35,9 +35,6 @@
 	// shedLoad is how long an engine loads weights, shedEngineSlots how many requests it runs.
 	shedLoad        = 300 * time.Millisecond
 	shedEngineSlots = 64
-	// shedVersionMS is the bound on older weights, in milliseconds: nine loads, three at a time,
-	// one of them lost.
-	shedVersionMS = 15000
 	// shedPace is the pause between events: a stream lasts longer than overlapAllowed.
 	shedPace = 120 * time.Millisecond
 	// overlapAllowed is for how long a target may work on a request that has gone on at another.
