catalog: a percent sign that begins no escape stays one

Cause: a percent sign that begins no escape was kept as it is, and the escape after it was decoded into the digit that it lacked. So a route's prefix /a/%2%46/ was taken for /a/%2F/ and got that path's requests, and /a/100%25/ wasn't matched by the prefix /a/100%/. Callers can't send the raw sign (net/http rejects it), operators can write it.

Change: it is escaped, like any other character that a URI can't have.

--- a/catalog/path.go
+++ b/catalog/path.go
@@ -6,8 +6,8 @@
 
 // normalizePath returns a path as written in a URI in the form in which equivalent ones are equal
 // (RFC 3986, section 6.2.2): escapes of unreserved characters are decoded, others written with upper
-// case digits, and characters that a URI can't have are escaped. An escaped slash divides no
-// segments and stays escaped.
+// case digits, and characters that a URI can't have, which includes a percent sign that begins no
+// escape, are escaped. An escaped slash divides no segments and stays escaped.
 func normalizePath(path string) string {
 	if isNormal(path) {
 		return path
@@ -16,12 +16,9 @@
 	for i := 0; i < len(path); i++ {
 		c := path[i]
 		if c == '%' {
-			decoded, ok := unescape(path[i:])
-			if !ok {
-				out.WriteByte(c)
-				continue
+			if decoded, ok := unescape(path[i:]); ok {
+				c, i = decoded, i+2
 			}
-			c, i = decoded, i+2
 			if isUnreserved(c) {
 				out.WriteByte(c)
 				continue
--- a/catalog/path_test.go
+++ b/catalog/path_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// Guards against a percent sign that begins no escape and forms one with a character decoded after it.
+func TestLonePercentSignFormsNoEscape(t *testing.T) {
+	c := &Config{Routes: []*Route{{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "lone", Host: "h", Prefix: "/a/%2%46/"}}}
+	c.Index()
+	for path, want := range map[string]string{
+		"/a/%2F/x":    "short",
+		"/a/%2%46/x":  "lone",
+		"/a/%252F/x":  "lone",
+		"/a/%25/x":    "short",
+		"/a/%252%46/": "lone",
+	} {
+		if got := c.Match("h", path); got == nil || got.Name != want {
+			t.Errorf("%s is matched by %+v, want %s", path, got, want)
+		}
+	}
+}
+
 // Whatever a path is, normalizing it twice changes nothing more, and prefixes stay prefixes.
 func TestNormalizedPaths(t *testing.T) {
 	segment := rapid.StringMatching(`([a-z~%/ü]|%[0-9a-fA-F]{2})*`)
