node: request bodies share a quarter of the VM's memory

Cause: an entry keeps a body until its request ends. Each body was bounded, all together were not. io.ReadAll's growing buffers came on top.

Change: httpbody.Budget. A body may grow as long as it leaves as much free as it takes (dynamic threshold), and is refused otherwise with memory_full: 503, not run, Retry-After.

--- a/node/buffer.go
+++ b/node/buffer.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/httpbody"
 	"acaciakeel/responsebuffer"
 	"acaciakeel/router"
 	"acaciakeel/telemetry"
@@ -13,17 +14,37 @@
 	// responseMemoryShare is the divisor of the VM's memory that gives what responses may
 	// hold while they are read whole and for clients that read slowly.
 	responseMemoryShare = 4
+	// requestMemoryShare is the divisor that gives what the bodies of requests may hold.
+	requestMemoryShare = 4
 	// defaultMemoryMB is assumed where the settings don't state the VM's memory: about that of
 	// the smallest VMs in use.
 	defaultMemoryMB = 112
 )
 
-// responseLimits returns the limits of what responses hold on a VM with the given memory.
-func responseLimits(memoryMB int) responsebuffer.Limits {
+// memoryBytes returns the memory of a VM by its setting.
+func memoryBytes(memoryMB int) int64 {
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
-	return responsebuffer.Limits{Response: router.MaxHeldResponse, Total: int64(memoryMB) << 20 / responseMemoryShare}
+	return int64(memoryMB) << 20
+}
+
+// responseLimits returns the limits of what responses hold on a VM with the given memory.
+func responseLimits(memoryMB int) responsebuffer.Limits {
+	return responsebuffer.Limits{Response: router.MaxHeldResponse, Total: memoryBytes(memoryMB) / responseMemoryShare}
+}
+
+// newBodyBudget returns the budget of the bodies of requests, which are held until their requests
+// end: they may have to be sent again.
+func newBodyBudget(r *prometheus.Registry, memoryMB int) *httpbody.Budget {
+	budget := httpbody.NewBudget(memoryBytes(memoryMB) / requestMemoryShare)
+	telemetry.NewGaugeFunc(r, "keel_node_request_bytes_held", "Bytes of requests' bodies that are held.", func() float64 {
+		return float64(budget.Held())
+	})
+	telemetry.NewGaugeFunc(r, "keel_node_request_bodies_refused_total", "Requests refused because other requests' bodies took the memory.", func() float64 {
+		return float64(budget.Refused())
+	})
+	return budget
 }
 
 // HeapLimit returns the soft limit of the Go runtime on a VM with the given memory, or 0 if
--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,7 @@
 	n.exchange.origins.register(n.registry)
 	n.exchange.origins.reads.store = n.store
 	n.router.LimitBodies(buffer)
-	n.frontend = platform.NewFrontend(n.router, n.view.limits, platform.Telemetry{
+	n.frontend = platform.NewFrontend(n.router, n.view.limits, newBodyBudget(n.registry, s.Limits.MemoryMB), platform.Telemetry{
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
 	})
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -43,6 +43,8 @@
 	customer map[string]any
 	// versionMS is the bound on older weights, in milliseconds.
 	versionMS int
+	// maxBodyBytes is the limit of clients' bodies in the configuration.
+	maxBodyBytes int
 }
 
 // testLimiter returns the limiter of customers' limits of a node without peers.
@@ -71,7 +73,7 @@
 // node starts.
 func newEnvWith(t *testing.T, log logrus.FieldLogger, changes ...func(*testEnv)) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, store: kv.NewStore(0), graceS: 8, lookupService: "desk", streamService: "lm", log: log, versionMS: 8000}
+	w := &testEnv{t: t, store: kv.NewStore(0), graceS: 8, lookupService: "desk", streamService: "lm", log: log, versionMS: 8000, maxBodyBytes: 1000}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
@@ -167,7 +169,7 @@
 			route("stock", "/stock/", "idempotent", w.lookupService, map[string]any{"target_latency_ms": 100}),
 		},
 		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": w.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{customer},
 	})
 	w.store.Set("op/config", value)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -63,6 +64,8 @@
 	// version began that. StreamVersionGone: that version has no target left.
 	StreamUnknown     Kind = "stream_unknown"
 	StreamVersionGone Kind = "stream_version_gone"
+	// MemoryFull: the bodies of other requests take the memory that the process has for them.
+	MemoryFull Kind = "memory_full"
 )
 
 // Outcome states whether the refused request ran.
@@ -109,6 +112,17 @@
 	}
 }
 
+// memoryRetryAfter is the minimum Retry-After of a request for whose body there is no memory: the
+// bodies of others leave as these end. A random delay of up to the same length is added, so that
+// clients refused together do not return together.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// NewMemoryFull returns the refusal of a request for whose body there is no memory.
+func NewMemoryFull() *Error {
+	return New(MemoryFull, "come back after the time in Retry-After, also at another entry",
+		"the bodies of other requests take the memory of this entry").WithRetryAfter(memoryRetryAfter + rand.N(memoryRetryAfter))
+}
+
 // WithRetryAfter returns a copy of e with RetryAfter set to d.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	c := *e
@@ -170,6 +184,7 @@
 	StreamUnknown:     http.StatusServiceUnavailable,
 	StreamVersionGone: http.StatusServiceUnavailable,
 	CapacityShared:    http.StatusTooManyRequests,
+	MemoryFull:        http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status code for e.
