entry: request bodies share a bound on their memory

Callers of the other door could fill an entry in the same way as those of the platform's: each body was bounded by limits.body_bytes, all together by nothing, and a body is held while its call waits.

Change: the same budget, limits.body_memory_bytes (64 MB, or four bodies if that is more), refused with memory_full.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/configsync"
+	"acaciakeel/httpbody"
 	"acaciakeel/link"
 	"acaciakeel/platform"
 	"acaciakeel/refusal"
@@ -34,8 +35,10 @@
 	contracts    *contracts
 	retryBudgets *retryBudgets
 	incarnations *incarnationCache
-	rollouts     *rolloutTracker
-	stopping     atomic.Bool
+	// bodies bounds the memory of the requests' bodies.
+	bodies   *httpbody.Budget
+	rollouts *rolloutTracker
+	stopping atomic.Bool
 	// configured is closed when the first configuration is applied, stopped when
 	// waiting watch requests must end.
 	configured chan struct{}
@@ -53,6 +56,7 @@
 		contracts:    newContracts(),
 		retryBudgets: newRetryBudgets(s.Routing.RetryRatio),
 		incarnations: newIncarnationCache(),
+		bodies:       httpbody.NewBudget(s.Limits.bodyMemory()),
 		rollouts:     newRolloutTracker(),
 		configured:   make(chan struct{}),
 		stopped:      make(chan struct{}),
@@ -83,6 +87,9 @@
 	telemetry.NewGaugeFunc(e.registry, "keel_entry_config_revision", "Revision of the configuration in force.", func() float64 {
 		return float64(e.follower.Revision())
 	})
+	telemetry.NewGaugeFunc(e.registry, "keel_entry_request_bytes_held", "Bytes of requests' bodies that are held.", func() float64 {
+		return float64(e.bodies.Held())
+	})
 	telemetry.NewGaugeFunc(e.registry, "keel_entry_link_bytes", "Bytes on the wire to and from the system's own processes.", func() float64 {
 		sent, received := e.links.Bytes()
 		return float64(sent + received)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -27,6 +27,9 @@
 type LimitSettings struct {
 	// BodyBytes is the maximum size of a request body. Default 8388608.
 	BodyBytes int64 `toml:"body_bytes"`
+	// BodyMemoryBytes is how much the bodies of all requests may take, at least two of BodyBytes.
+	// Default 67108864, or four of BodyBytes if that is more.
+	BodyMemoryBytes int64 `toml:"body_memory_bytes"`
 	// MaxTokens is the maximum number of tokens that a request may generate. Default 4096.
 	MaxTokens int `toml:"max_tokens"`
 	// DefaultTokens is the token limit of a request that sets none. Default 256.
@@ -66,6 +69,21 @@
 	Role Role `toml:"role"`
 }
 
+// defaultBodyMemoryBytes and defaultBodies give BodyMemoryBytes where it isn't set.
+const (
+	defaultBodyMemoryBytes = 64 << 20
+	defaultBodies          = 4
+)
+
+// bodyMemory returns how much the bodies of all requests may take, in bytes.
+func (l LimitSettings) bodyMemory() int64 {
+	if l.BodyMemoryBytes > 0 {
+		return l.BodyMemoryBytes
+	}
+	return max(defaultBodyMemoryBytes, defaultBodies*l.BodyBytes)
+}
+
+// DefaultSettings returns the settings of which none is stated.
 func DefaultSettings() Settings {
 	return Settings{
 		Limits:      LimitSettings{BodyBytes: 8 << 20, MaxTokens: 4096, DefaultTokens: 256},
@@ -80,6 +98,9 @@
 	s.Platform.Validate(ps)
 	s.Log.Validate(ps)
 	settings.CheckPositive(ps, "limits.body_bytes", float64(s.Limits.BodyBytes))
+	if s.Limits.BodyMemoryBytes != 0 && s.Limits.BodyMemoryBytes/2 < s.Limits.BodyBytes {
+		ps.Add("limits.body_memory_bytes", "set at least twice limits.body_bytes", "%d", s.Limits.BodyMemoryBytes)
+	}
 	settings.CheckPositive(ps, "limits.max_tokens", float64(s.Limits.MaxTokens))
 	settings.CheckPositive(ps, "limits.default_tokens", float64(s.Limits.DefaultTokens))
 	settings.CheckPositive(ps, "routing.ask_timeout_ms", s.Routing.AskTimeoutMS)
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -18,6 +19,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
 
+	"acaciakeel/httpbody"
 	"acaciakeel/prefix"
 	"acaciakeel/refusal"
 	"acaciakeel/resource"
@@ -40,6 +42,7 @@
 const (
 	requestInfoKey contextKey = iota
 	operationKey
+	bodyKey
 )
 
 // Headers of the client API.
@@ -56,16 +59,18 @@
 	return kithttp.NewServer(ep, e.authenticate(decode), encode, e.serverOptions(operation)...)
 }
 
-// serverOptions assign the request id, encode errors and log completed requests.
+// serverOptions assign the request id, hold the request's body until its end, encode errors and log
+// completed requests.
 func (e *Entry) serverOptions(operation string) []kithttp.ServerOption {
 	return []kithttp.ServerOption{
 		kithttp.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
 			id := uuid.Must(uuid.NewV7()).String()
 			ctx = context.WithValue(ctx, operationKey, operation)
+			ctx = context.WithValue(ctx, bodyKey, e.bodies.Reserve())
 			return context.WithValue(ctx, requestInfoKey, requestInfo{requestID: id, received: time.Now()})
 		}),
 		kithttp.ServerErrorEncoder(e.encodeError),
-		kithttp.ServerFinalizer(e.logRequest),
+		kithttp.ServerFinalizer(releaseBody, e.logRequest),
 	}
 }
 
@@ -86,11 +91,36 @@
 			return nil, refusal.New(refusal.Unauthorized, "send a customer's key as 'Authorization: Bearer KEY'", "no customer has this key")
 		}
 		c.customer, c.contract = customer, spec
-		r.Body = http.MaxBytesReader(nil, r.Body, e.settings.Limits.BodyBytes)
+		if err := e.holdBody(ctx, r); err != nil {
+			return nil, err
+		}
 		return decode(context.WithValue(ctx, requestInfoKey, c), r)
 	}
 }
 
+// holdBody reads the body of a request into the memory that there is for all bodies.
+func (e *Entry) holdBody(ctx context.Context, r *http.Request) error {
+	in := http.MaxBytesReader(nil, r.Body, e.settings.Limits.BodyBytes)
+	held, _ := ctx.Value(bodyKey).(*httpbody.Reservation)
+	body, err := held.Read(in, r.ContentLength)
+	if errors.Is(err, httpbody.ErrNoRoom) {
+		// A client that writes its whole request before it reads would not see a response that came
+		// before the end of the body.
+		_, _ = io.Copy(io.Discard, in)
+	}
+	if err != nil {
+		return bodyError(err)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+func releaseBody(ctx context.Context, _ int, _ *http.Request) {
+	if held, ok := ctx.Value(bodyKey).(*httpbody.Reservation); ok {
+		held.Release()
+	}
+}
+
 func bearerKey(r *http.Request) string {
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 	return key
@@ -107,6 +137,12 @@
 	if errors.As(err, &tooLarge) {
 		return refusal.New(refusal.BodyTooLarge, "send a smaller one", "the body is over %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, httpbody.ErrNoRoom) {
+		return refusal.NewMemoryFull()
+	}
+	if errors.Is(err, httpbody.ErrTooLarge) {
+		return refusal.New(refusal.BodyTooLarge, "send a smaller one", "this entry can't hold it: %v", err)
+	}
 	return refusal.New(refusal.BadRequest, "send JSON in OpenAI's format", "the body can't be read: %v", err)
 }
 
