sharing: sizes that come in turn don't lock in step with the count

Cause: the count grows by the admitted fraction with each request and admits at 1. With a fraction near 1/15 and a pattern of three requests it reaches 1 always at the same one.

Change: each threshold is drawn anew around 1. Its range is the part that is refused: a range of 1 for all was tried and refused 4 to 5 of 100 urgent requests, of which all are to be admitted.

--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -63,6 +63,24 @@
 	// credits are the running counts by size: each new request adds the fraction, and each
 	// admitted one takes 1.
 	credits [sizeBuckets]float64
+	// offsets move the counts at which the next requests are admitted, from -0.5 to 0.5, and random
+	// is the state from which they are drawn.
+	offsets [sizeBuckets]float64
+	random  uint64
+}
+
+// threshold returns the running count at which the next request of a size is admitted. It varies
+// around 1, as the count of requests that alternate in step with it would otherwise reach 1 always at
+// the same ones. The variation is that of one request's place among those refused with it, so that
+// none is refused where all are admitted.
+func (t *total) threshold(bucket int, fraction float64) float64 {
+	return 1 + t.offsets[bucket]*(1-fraction)
+}
+
+// nextThreshold draws the next threshold of a size.
+func (t *total) nextThreshold(bucket int) {
+	t.random = mix(t.random)
+	t.offsets[bucket] = unit(t.random) - 0.5
 }
 
 // amounts are target times per second, in microseconds.
@@ -199,8 +217,9 @@
 	// gets a few requests would be refused by all.
 	for i := range t.credits {
 		seed = mix(seed ^ k.customer ^ uint64(k.class)<<8 ^ uint64(i))
-		t.credits[i] = float64(seed>>11) / (1 << 53)
+		t.credits[i] = unit(seed)
 	}
+	t.random = seed
 	s.totals[k] = t
 	return t
 }
@@ -224,6 +243,9 @@
 	return x ^ x>>31
 }
 
+// unit maps a hash to the interval from 0 to 1.
+func unit(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 // compute sets the fractions of all keys for a part of the targets' capacity.
 func (s *service) compute(part float64, now time.Time) {
 	s.computedAt = now
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -196,17 +196,18 @@
 	if now.Sub(svc.contendedSince) < r.Patience {
 		free = max(free, r.LateWait)
 	}
-	credit := t.credits[bucket]
+	credit, threshold := t.credits[bucket], t.threshold(bucket, d.Fraction)
 	if !returning {
-		credit = min(credit+d.Fraction, maxCredit+d.Fraction)
+		credit = min(credit, max(maxCredit, threshold)) + d.Fraction
 	}
 	admitted := true
 	switch {
 	case r.Wait <= free:
 		// Time that nobody else could use leaves no debt.
 		credit = max(credit-1, min(credit, 0))
-	case credit >= 1, returning && credit >= 1-maxOverdraft && svc.mayBorrow(r.Class, now):
+	case credit >= threshold, returning && credit >= 1-maxOverdraft && svc.mayBorrow(r.Class, now):
 		credit--
+		t.nextThreshold(bucket)
 	default:
 		admitted = false
 	}
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -487,34 +487,42 @@
 // step with the running count.
 func TestNoSizeIsStarved(t *testing.T) {
 	t.Parallel()
+	for _, pattern := range [][]int{{500, 100, 500, 500, 20, 20}, {20, 500, 500, 20, 500, 100}, {100, 20, 500, 20}} {
+		checkSizes(t, pattern)
+	}
 	rapid.Check(t, func(rt *rapid.T) {
-		pattern := rapid.SliceOfN(rapid.SampledFrom([]int{20, 100, 500}), 2, 7).Draw(rt, "pattern")
-		s := New("e", func() int { return 1 }, hash, start)
-		now := start
-		asked, served := map[int]float64{}, map[int]float64{}
-		for i := range 4000 {
-			now = now.Add(20 * time.Millisecond)
-			ms := pattern[i%len(pattern)]
-			r := Request{Service: "lm", Customer: "c", Cost: Cost{Slot: time.Duration(ms) * time.Millisecond}, Targets: 1, Wait: time.Hour}
-			binary.LittleEndian.PutUint64(r.Content[:], uint64(i+1))
-			d := s.Decide(r, now)
-			if i > 1000 {
-				asked[ms]++
-				if d.Admitted {
-					served[ms]++
-				}
+		checkSizes(rt, rapid.SliceOfN(rapid.SampledFrom([]int{20, 100, 500}), 2, 7).Draw(rt, "pattern"))
+	})
+}
+
+// checkSizes sends requests whose sizes, in milliseconds, follow a pattern, and reports the sizes of
+// which less than half as much is admitted as of all.
+func checkSizes(t rapid.TB, pattern []int) {
+	s := New("e", func() int { return 1 }, hash, start)
+	now := start
+	asked, served := map[int]float64{}, map[int]float64{}
+	for i := range 4000 {
+		now = now.Add(20 * time.Millisecond)
+		ms := pattern[i%len(pattern)]
+		r := Request{Service: "lm", Customer: "c", Cost: Cost{Slot: time.Duration(ms) * time.Millisecond}, Targets: 1, Wait: time.Hour}
+		binary.LittleEndian.PutUint64(r.Content[:], uint64(i+1))
+		d := s.Decide(r, now)
+		if i > 1000 {
+			asked[ms]++
+			if d.Admitted {
+				served[ms]++
 			}
 		}
-		total, all := 0.0, 0.0
-		for ms := range asked {
-			total, all = total+served[ms], all+asked[ms]
-		}
-		for ms, n := range asked {
-			if served[ms]/n < total/all/2 {
-				rt.Errorf("%.3f of the requests of %d ms admitted, %.3f of all", served[ms]/n, ms, total/all)
-			}
+	}
+	total, all := 0.0, 0.0
+	for ms := range asked {
+		total, all = total+served[ms], all+asked[ms]
+	}
+	for ms, n := range asked {
+		if served[ms]/n < total/all/2 {
+			t.Errorf("sizes %v: %.3f of the requests of %d ms admitted, %.3f of all", pattern, served[ms]/n, ms, total/all)
 		}
-	})
+	}
 }
 
 // Guards against allocations that exceed the capacity, leave some unused, starve a class or
