integration: runs beside each other use different ports

Seen: two of these test binaries side by side fail in 7 of 12 runs: processes that should listen find their port in use, and sessions wait 30 s for them.

Cause: each run counted its ports up from 11000. A port is found free before its process listens, so both runs pick the same ones.

Change: runs begin at a port by their process ID, from 30000 on, above the range of the soak (12000 to 30000) and below the kernel's. A run of the whole package takes 182 ports.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -103,12 +103,19 @@
 	return f
 }
 
-// nextPort counts up through ports below those that the kernel hands out by
-// itself, so that no connection or parallel test takes one between its being
-// found free and its process listening.
+// nextPort counts up through ports below those that the kernel hands out by itself and above those of
+// the soak, so that no connection or other test takes one between its being found free and its process
+// listening. Runs of these tests beside each other begin at different ports.
 var nextPort atomic.Int32
 
-const firstPort, lastPort = 11000, 19999
+const (
+	firstPort, lastPort = 30000, 32767
+	portsOfARun         = 300
+)
+
+func init() {
+	nextPort.Store(int32(os.Getpid() * portsOfARun % (lastPort - firstPort)))
+}
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
