node: failed tests show the end of the nodes' log

Now the last 64 KB are shown where a test fails, and TestBodiesShareABudget says how many bytes the entry had counted, which tells an entry that holds too much from one that has not read so much yet.

--- a/node/body_memory_test.go
+++ b/node/body_memory_test.go
@@ -38,7 +38,7 @@
 // Guards against an entry whose memory fills with the bodies of requests whose targets don't read.
 func TestUnreadBodiesAreBounded(t *testing.T) {
 	const bodyBytes, senders = 4 << 20, 24
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) { w.maxBodyBytes = bodyBytes })
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) { w.maxBodyBytes = bodyBytes })
 	unread := startUnread(t, w.runners[0], "/match/")
 	moved, leaving := w.runners[0].EntryAt("ready", unread.Listener.Addr().String()), w.runners[1].Entry("draining")
 	w.store.Set(moved.Key, moved.Value)
--- a/node/continuation_test.go
+++ b/node/continuation_test.go
@@ -31,7 +31,7 @@
 // name the run in each event. Changes are applied to both.
 func newRunEnv(t *testing.T, changes ...func(*runner.Runner)) *testEnv {
 	t.Helper()
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		w.streamService = "news"
 		for i := range 2 {
 			w.runners = append(w.runners, runner.Start(fmt.Sprintf("n%d", i), w.streamService, map[string]int64{model: 1}))
--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -146,7 +146,7 @@
 
 func newCutEnv(t *testing.T) *cutEnv {
 	e := &cutEnv{scripts: map[string]script{}, arrivals: map[string][]time.Time{}, born: map[string]int64{}}
-	e.testEnv = newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	e.testEnv = newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		for _, r := range append(w.runners, w.plainTargets...) {
 			r.Close()
 		}
--- a/node/endless_response_test.go
+++ b/node/endless_response_test.go
@@ -343,7 +343,7 @@
 				}
 			}
 			if n := open.Load(); n > held {
-				t.Errorf("%d bodies of %d bytes are held at once, want at most %d", n, bodyBytes, held)
+				t.Errorf("%d bodies of %d bytes are held at once, want at most %d; %v bytes are counted", n, bodyBytes, held, w.gauge("keel_node_response_bytes_held"))
 			}
 			if n := w.gauge("keel_node_response_bytes_held"); n > budget {
 				t.Errorf("%v bytes are held", n)
--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -159,7 +159,7 @@
 func newRawEnv(t *testing.T) (*testEnv, []rawRoute) {
 	t.Helper()
 	var plain, models []*rawTarget
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		for _, r := range w.plainTargets {
 			plain = append(plain, startRawTarget(t, r))
 		}
--- a/node/order_release_test.go
+++ b/node/order_release_test.go
@@ -91,7 +91,7 @@
 // arrives after the next holder's, with a lower fencing token.
 func TestStopGivesUpTheLockAfterItsOrders(t *testing.T) {
 	var slow *slowOrders
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) { slow = startSlowOrders(t, w.runners[0].Address()) })
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) { slow = startSlowOrders(t, w.runners[0].Address()) })
 	entry := w.runners[0].EntryAt("ready", slow.listener.Addr().String())
 	w.store.Set(entry.Key, entry.Value)
 	peer := w.startNode("n1")
--- a/node/promise_changes_test.go
+++ b/node/promise_changes_test.go
@@ -55,7 +55,7 @@
 // Guards against an entry's own refusal that says "not run" of a request which a target has: keys,
 // routes, weights and targets change while it is under way, and the entry stops.
 func TestPromisesHoldBesideChanges(t *testing.T) {
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		w.graceS = 4
 		w.versionMS = 1000
 		for i := len(w.runners); i < 6; i++ {
--- a/node/promise_test.go
+++ b/node/promise_test.go
@@ -133,7 +133,7 @@
 // Guards against clients that are told that a request has not run which did, and against second
 // runs, at faulty targets and in a planned stop.
 func TestPromisesHoldAtFaultyTargets(t *testing.T) {
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		w.graceS = 4
 		for i := len(w.runners); i < 10; i++ {
 			w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
--- a/node/restart_versions_test.go
+++ b/node/restart_versions_test.go
@@ -17,7 +17,7 @@
 // versions.
 func newRestartEnv(t *testing.T, served ...string) *testEnv {
 	t.Helper()
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		w.runners = w.runners[:0]
 		for _, build := range served {
 			for range 2 {
--- a/node/slow_body_test.go
+++ b/node/slow_body_test.go
@@ -12,7 +12,7 @@
 // Guards against a client that holds a connection and its goroutine for as long as it likes: it
 // states no deadline, and its body takes longer than the timeout of the route (5 s).
 func TestSlowBodyWithoutDeadlineEnds(t *testing.T) {
-	w := newEnvWith(t, newDiscardLog(), func(*testEnv) {})
+	w := newEnvWith(t, newFailureLog(t), func(*testEnv) {})
 	c, err := net.Dial("tcp", w.node.FrontAddress())
 	if err != nil {
 		t.Fatal(err)
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -24,7 +24,7 @@
 // newVersionEnv returns an environment with two runners of each of two software versions.
 func newVersionEnv(t *testing.T) *testEnv {
 	t.Helper()
-	w := newEnvWith(t, newDiscardLog(), func(w *testEnv) {
+	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
 		for i := len(w.runners); i < len(builds); i++ {
 			w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
 		}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
 	"acaciakeel/quota"
+	"acaciakeel/telemetry"
 )
 
 // testEnv is a node with its platform: a store, two runners of a model and two targets of a
@@ -60,13 +62,41 @@
 
 func newEnv(t *testing.T) *testEnv {
 	t.Helper()
-	return newEnvWith(t, newDiscardLog())
+	return newEnvWith(t, newFailureLog(t))
 }
 
-func newDiscardLog() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
+// shownLogBytes is how much of the nodes' log a failed test shows, from its end.
+const shownLogBytes = 64 << 10
+
+// logEnd keeps the end of what is written to it.
+type logEnd struct {
+	mu  sync.Mutex
+	end []byte
+}
+
+// Write implements io.Writer.
+func (l *logEnd) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = append(l.end, p...)
+	if len(l.end) > 2*shownLogBytes {
+		l.end = append(l.end[:0], l.end[len(l.end)-shownLogBytes:]...)
+	}
+	return len(p), nil
+}
+
+// newFailureLog returns a log that is shown if the test fails.
+func newFailureLog(t *testing.T) *logrus.Logger {
+	l := &logEnd{}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		t.Logf("end of the nodes' log:\n%s", l.end[max(0, len(l.end)-shownLogBytes):])
+	})
+	return telemetry.NewLoggerTo(l, "info")
 }
 
 // newEnvWith returns an environment whose nodes log to log; changes are applied before its
