httpbody, doors: a body without room is counted no longer, and 413 goes before 503

Change: Reservation.Read releases after an error, and an error met while the rest is dropped (too large, late, broken off) is the one answered.

--- a/entry/transport.go
+++ b/entry/transport.go
@@ -106,7 +106,9 @@
 	if errors.Is(err, httpbody.ErrNoRoom) {
 		// A client that writes its whole request before it reads would not see a response that came
 		// before the end of the body.
-		_, _ = io.Copy(io.Discard, in)
+		if _, rest := io.Copy(io.Discard, in); rest != nil {
+			err = rest
+		}
 	}
 	if err != nil {
 		return bodyError(err)
--- a/httpbody/budget.go
+++ b/httpbody/budget.go
@@ -81,8 +81,17 @@
 
 // Read reads a whole body of the given length, -1 if that isn't known. The error is ErrNoRoom if
 // there is no room for it, before anything is read where the length is known, and ErrTooLarge if
-// there never would be.
+// there never would be. After an error nothing is counted any more.
 func (r *Reservation) Read(in io.Reader, length int64) ([]byte, error) {
+	body, err := r.read(in, length)
+	if err != nil {
+		r.Release()
+		return nil, err
+	}
+	return body, nil
+}
+
+func (r *Reservation) read(in io.Reader, length int64) ([]byte, error) {
 	largest := r.budget.Largest()
 	if length > largest {
 		return nil, tooLarge(largest)
