httpbody: the error of a body that is too large says so of requests too

A request over half of what an entry has for all bodies was refused with "the body of the response is too large" in its message. Only the text changes.

--- a/httpbody/httpbody.go
+++ b/httpbody/httpbody.go
@@ -1,5 +1,5 @@
-// Package httpbody reads the bodies of HTTP responses up to a limit. A faulty server may send a
-// body without an end.
+// Package httpbody reads the bodies of HTTP responses up to a limit, as a faulty server may send a
+// body without an end, and those of requests within a budget.
 package httpbody
 
 import (
@@ -11,7 +11,7 @@
 )
 
 // ErrTooLarge is returned for a body that is longer than its limit.
-var ErrTooLarge = errors.New("the body of the response is too large")
+var ErrTooLarge = errors.New("the body is too large")
 
 // Read returns a body of at most limit bytes. The caller closes the body; after an error, and
 // only then, that closes the connection too.
