--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -70,9 +70,9 @@
 }
 
 // threshold returns the running count at which the next request of a size is admitted. It varies
-// around 1, as the count of requests that alternate in step with it would otherwise reach 1 always at
-// the same ones. The variation is that of one request's place among those refused with it, so that
-// none is refused where all are admitted.
+// around 1: sizes that come in turn could otherwise keep in step with the count, which would then
+// reach 1 always at the same one. It varies by the part that is refused, so that no request is refused
+// where all are to be admitted.
 func (t *total) threshold(bucket int, fraction float64) float64 {
 	return 1 + t.offsets[bucket]*(1-fraction)
 }
