--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -48,6 +48,16 @@
 	return s != nil
 }
 
+// Born returns the start of a target's current instance; 0 if it is not known.
+func (f *Fleet) Born(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.states[id]; s != nil {
+		return s.target.Born
+	}
+	return 0
+}
+
 // IsCurrent reports whether an instance is the target's current one, and listed.
 func (f *Fleet) IsCurrent(l Instance) bool {
 	f.mu.Lock()
--- a/node/origins.go
+++ b/node/origins.go
@@ -105,6 +105,12 @@
 
 // Resolve implements router.Origins.
 func (o *streamOrigins) Resolve(ctx context.Context, s origin.Stream, named bool, service string) origin.Resolution {
+	r := o.resolve(ctx, s, named, service)
+	r.ViewAge, _ = o.exchange.view.follower.Age()
+	return r
+}
+
+func (o *streamOrigins) resolve(ctx context.Context, s origin.Stream, named bool, service string) origin.Resolution {
 	now := time.Now()
 	if r, ok := o.lookup(s, named, now); ok {
 		return r
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if !v.fleet.Put(r) {
-		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born}).Warn("the store lists an earlier start of the target; ignored")
+		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born, "believed": v.fleet.Born(r.ID), "draining": r.Draining, "revision": revision}).Warn("the store lists an earlier start of the target; ignored")
 		return
 	}
 	v.mu.Lock()
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -1,5 +1,7 @@
 package origin
 
+import "time"
+
 // Source is how the origin of a stream is known.
 type Source string
 
@@ -28,6 +30,8 @@
 type Resolution struct {
 	Origin Origin
 	Source Source
+	// ViewAge is how long ago the view by which it was resolved was last confirmed.
+	ViewAge time.Duration
 }
 
 // Known reports whether the origin is known.
--- a/router/resume.go
+++ b/router/resume.go
@@ -269,6 +269,6 @@
 	s.router.metrics.resumptions.WithLabelValues(by, string(o.Source), result).Inc()
 	s.router.log.WithFields(logrus.Fields{
 		"event": "stream_resumed", "request": s.in.ID, "stream": s.in.Resumes, "last_event": s.resumeAfter(), "by": by,
-		"origin": o.Source, "began_service": o.Origin.Service, "began_build": o.Origin.Build, "waited_ms": s.stream.resolving.Milliseconds(), "result": result,
+		"origin": o.Source, "began_service": o.Origin.Service, "began_build": o.Origin.Build, "waited_ms": s.stream.resolving.Milliseconds(), "view_age_ms": o.ViewAge.Milliseconds(), "result": result,
 	}).WithFields(fields).Info(message)
 }
