soak: many small entries that share few plain services

The load of the incident's large deployment was not played before: entries of small VMs (112 MB, few descriptors) share five services of which each runs a request at a time.

--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -23,6 +24,10 @@
 	// unnamed has targets send a refusal without an ID ahead of the first response on some new
 	// connections.
 	unnamed bool
+	// entries is how many entries share the targets, small has them run on small VMs; engineSlots is
+	// how many requests an engine runs at once. 0 is the usual number.
+	entries, engineSlots int
+	small                bool
 }
 
 const (
@@ -41,6 +46,12 @@
 	overlapAllowed = 400 * time.Millisecond
 )
 
+// What an entry of a small VM has: memory, and descriptors of which some stay free for files.
+const (
+	smallMemoryMB    = 112
+	smallDescriptors = 160
+)
+
 // Guards against promises "not run" for requests that run, second runs and streams that go on while
 // their first target works on them, where engines have room and small services shed.
 func TestSoakShed(t *testing.T) {
@@ -53,9 +64,10 @@
 		"full":            {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
 		"silent":          {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
 		"new connections": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, unnamed: true},
+		"many entries":    {runners: 12, desks: 5, slots: 1, work: 40 * time.Millisecond, entries: 8, engineSlots: 8, small: true},
 	}
 	for _, seed := range seeds {
-		for _, name := range []string{"room", "full", "silent", "new connections"} {
+		for _, name := range []string{"room", "full", "silent", "new connections", "many entries"} {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				load := loads[name]
 				play(t, regression{seed: seed, faults: shedFaults(), direct: true, shed: &load, seconds: shedSeconds})
@@ -94,7 +106,7 @@
 // shed has targets behave as the load says, and all but one of each service repeat responses.
 func (s *site) shed(load *shedding) {
 	for i, tg := range s.runners {
-		tg.SetLoading(shedLoad, shedEngineSlots)
+		tg.SetLoading(shedLoad, cmp.Or(load.engineSlots, shedEngineSlots))
 		tg.SetPace(shedPace)
 		if load.deaf && i%3 == 0 {
 			tg.IgnoreDisconnects()
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -133,11 +133,18 @@
 	}
 }
 
-// usualSeconds is how long most seeds are played.
-const usualSeconds = 8
+// usualSeconds is how long most seeds are played, usualEntries with how many entries.
+const (
+	usualSeconds = 8
+	usualEntries = 3
+)
 
 func play(t *testing.T, r regression) {
-	s := newSite(t, number("SOAK_ENTRIES", 3), r)
+	entries := usualEntries
+	if r.shed != nil {
+		entries = cmp.Or(r.shed.entries, usualEntries)
+	}
+	s := newSite(t, number("SOAK_ENTRIES", entries), r)
 	s.await("all entries are ready at the start", s.allReady)
 	if r.versionMS != 0 {
 		s.loading(r.seed)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -21,6 +21,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"acaciakeel/internal/faultproxy"
 	"acaciakeel/internal/standin/kv"
 	"acaciakeel/internal/standin/runner"
@@ -61,8 +63,10 @@
 	direct bool
 	// versionMS is the entries' bound on older weights, in milliseconds.
 	versionMS int
-	// memoryMB is the memory of the entries' VMs.
-	memoryMB int
+	// memoryMB is the memory of the entries' VMs, descriptors how many an entry may open; 0 sets no
+	// limit.
+	memoryMB    int
+	descriptors uint64
 }
 
 func (s *site) addressOf(tg *target) string {
@@ -112,6 +116,9 @@
 	if r.scarce {
 		s.memoryMB = scarceMemoryMB
 	}
+	if r.shed != nil && r.shed.small {
+		s.memoryMB, s.descriptors = smallMemoryMB, smallDescriptors
+	}
 	s.trap = newTrap(t)
 	s.service = kv.NewServer(s.store)
 	s.server = httptest.NewServer(s.service.Handler())
@@ -289,7 +296,7 @@
 const (
 	firstPort    = 12000
 	lastPort     = 30000
-	portsOfASoak = 60
+	portsOfASoak = 360
 )
 
 var (
@@ -341,6 +348,9 @@
 		e.site.t.Error(err)
 		return
 	}
+	if err := e.limitDescriptors(cmd.Process.Pid); err != nil {
+		e.site.t.Error(err)
+	}
 	p := &process{cmd: cmd, gone: make(chan struct{})}
 	e.mu.Lock()
 	e.now = p
@@ -349,6 +359,13 @@
 	go e.follow(p, log)
 }
 
+func (e *entry) limitDescriptors(pid int) error {
+	if e.site.descriptors == 0 {
+		return nil
+	}
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: e.site.descriptors, Max: e.site.descriptors}, nil)
+}
+
 // follow waits for the end of a process and keeps that it was not told to end.
 func (e *entry) follow(p *process, log io.Closer) {
 	err := p.cmd.Wait()
