--- /dev/null
+++ b/node/out_of_step_test.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciakeel/internal/faultproxy"
+	"acaciakeel/internal/standin/runner"
+)
+
+// outOfStep is an environment with a second node that reaches the store through a proxy.
+type outOfStep struct {
+	*testEnv
+	late  *Node
+	proxy *faultproxy.Proxy
+}
+
+func newOutOfStep(t *testing.T, served ...string) *outOfStep {
+	w := &outOfStep{testEnv: newRestartEnv(t, served...)}
+	w.awaitMark(fmt.Sprint(served))
+	proxy, err := faultproxy.New(strings.TrimPrefix(w.kv.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	w.proxy, w.storeVia = proxy, proxy.Addr()
+	w.late = w.startPeer("n1")
+	return w
+}
+
+// cutOff cuts the second node off from the store, and from the first node if alone is set.
+func (w *outOfStep) cutOff(alone bool) {
+	w.proxy.SetRefuse(true)
+	w.proxy.Cut()
+	if alone {
+		_ = w.late.exchange.conn.Close()
+	}
+}
+
+// beginAtNew has targets of a new version listed and begins streams at the first node until several
+// have begun there; it returns the IDs of those, with the version.
+func (w *outOfStep) beginAtNew(build string, targets int) (begun []string) {
+	w.t.Helper()
+	for range targets / 2 {
+		w.list(build)
+	}
+	for i := 0; len(begun) < streamCount/2; i++ {
+		if i == 40*streamCount {
+			w.t.Fatalf("no streams begin at %s", build)
+		}
+		id := fmt.Sprintf("begun-%d", i)
+		w.beginAndAbandon(w.node, streamRequest(id, i))
+		for _, s := range w.executed(w.runners) {
+			if s.ID == id && s.Build == build {
+				begun = append(begun, id)
+			}
+		}
+	}
+	return begun
+}
+
+// resumeAtLate resumes streams at the second node and fails for those that get an answer other than
+// their rest or a refusal.
+func (w *outOfStep) resumeAtLate(begun []string) {
+	w.t.Helper()
+	for i, id := range begun {
+		r := streamRequest(fmt.Sprintf("late-%d", i), i)
+		r.Resumes, r.LastEventID = id, "2"
+		a := w.exchange(w.late, r)
+		rest := a.status == http.StatusOK && a.body == restOfStream()
+		if !rest && a.status != http.StatusServiceUnavailable {
+			w.t.Errorf("%s: status %d, error %v: %s", id, a.status, a.err, a.body)
+		}
+	}
+	for _, violation := range runner.JudgeContinuations(w.runners).OtherBuild {
+		w.t.Error(violation)
+	}
+}
+
+// Guards against streams of a new software version that go on at the former one at a node which was
+// cut off from the store and the others as the new version's targets joined.
+func TestCutOffNodeDoesNotJoinVersions(t *testing.T) {
+	for _, targets := range []int{2, 4, 8} {
+		t.Run(fmt.Sprint(targets, " new targets"), func(t *testing.T) {
+			w := newOutOfStep(t, "v1")
+			w.cutOff(true)
+			w.resumeAtLate(w.beginAtNew("v2", targets))
+		})
+	}
+}
+
+// Guards against the same at a node that is back in touch with the store and whose view is not yet.
+func TestNodeThatIsBackDoesNotJoinVersions(t *testing.T) {
+	w := newOutOfStep(t, "v1")
+	w.cutOff(true)
+	begun := w.beginAtNew("v2", 4)
+	w.proxy.SetRefuse(false)
+	w.resumeAtLate(begun)
+}
+
+// Guards against the same where the node that is asked is as far behind: a group whose watcher is out
+// of step.
+func TestNodesThatAreBehindTogetherDoNotJoinVersions(t *testing.T) {
+	w := newOutOfStep(t, "v1")
+	w.startPeer("n2")
+	w.until("all nodes are peers", func() bool { return len(w.late.view.plan().Peers) == 2 })
+	w.cutOff(false)
+	_ = w.node.exchange.conn.Close()
+	w.resumeAtLate(w.beginAtNew("v2", 4))
+}
+
+// Guards against streams that begin at a version which the store does not name yet: nodes that look
+// there take them for streams of the only version named.
+func TestStreamsWaitForTheMark(t *testing.T) {
+	w := newOutOfStep(t, "v1")
+	w.unlist("v1")
+	w.list("v2")
+	named := func() bool {
+		entry, err := w.node.store.Get(t.Context(), w.node.view.keys.versions+"lm")
+		return err == nil && strings.Contains(string(entry.Value), "v2")
+	}
+	for i := 0; ; i++ {
+		before := named()
+		a := w.exchange(w.node, streamRequest(fmt.Sprintf("new-%d", i), i))
+		if a.status == http.StatusOK && !named() {
+			t.Fatal("a stream has begun at a version that the store does not name")
+		}
+		if before && a.status == http.StatusOK {
+			return
+		}
+		if i == 2000 {
+			t.Fatalf("no stream begins: status %d: %s", a.status, a.body)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,6 +48,8 @@
 	versionMS int
 	// maxBodyBytes is the limit of clients' bodies in the configuration.
 	maxBodyBytes int
+	// storeVia is the address by which nodes started from now on reach the store; empty for its own.
+	storeVia string
 }
 
 // testLimiter returns the limiter of customers' limits of a node without peers.
@@ -133,7 +136,7 @@
 			GraceS: w.graceS, RevokeMS: 5000, RevokeFailClosed: true, VersionMS: w.versionMS, LeaseMS: 3000,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10,
 		},
-		Store: platform.StoreConfig{Address: strings.TrimPrefix(w.kv.URL, "http://"), MinLeaseMS: 1000},
+		Store: platform.StoreConfig{Address: cmp.Or(w.storeVia, strings.TrimPrefix(w.kv.URL, "http://")), MinLeaseMS: 1000},
 	}
 	n := New(settings, Options{}, w.log)
 	if err := n.Start(); err != nil {
