node: a sole software version is believed only if the store confirms it now

Callers saw streams that began at a new version's target go on at the former version (ORDER) at an entry that was cut off, stood still or was behind while the targets joined. Cause: the store's mark was believed by a view up to 1.5 s old, or by that of another entry as young, while streams begin at a version as soon as its mark is written where the settled ones have few targets. No age of a view fits that.

The mark is read when a stream without a record is to be continued. The read begins after the request came, hence after its stream began, and a version is named before streams begin there; so it has the stream's version whatever the view has. Requests share reads. If the store does not answer, an entry that it answers is asked, or all agree; else the request is refused.

--- a/node/node.go
+++ b/node/node.go
@@ -178,7 +178,7 @@
 	n.router.ShareCapacity(n.exchange.sharer)
 	n.router.TrackOrigins(n.exchange.origins)
 	n.exchange.origins.register(n.registry)
-	n.exchange.origins.reads.store = n.store
+	n.exchange.origins.useStore(n.store)
 	n.router.LimitBodies(buffer)
 	n.frontend = platform.NewFrontend(n.router, n.view.limits, newBodyBudget(n.registry, s.Limits.MemoryMB), platform.Telemetry{
 		Log:    log,
--- a/node/origin_questions.go
+++ b/node/origin_questions.go
@@ -145,14 +145,14 @@
 
 // answer returns what this node knows of a stream and of the versions of its service. A disputed
 // stream may be of any version.
-func (o *streamOrigins) answer(s origin.Stream, named bool, service string, now time.Time) origin.Answer {
+func (o *streamOrigins) answer(ctx context.Context, s origin.Stream, named bool, service string, now time.Time) origin.Answer {
 	if r, ok := o.lookup(s, named, now); ok {
 		return origin.Answer{Known: true, Origin: r.Origin}
 	}
 	if named && o.table.IsDisputed(s, now) {
 		return origin.Answer{}
 	}
-	return origin.Answer{Versions: o.versions(service)}
+	return origin.Answer{Versions: o.versions(ctx, service)}
 }
 
 // receive answers a question, or passes an answer on to the request that waits for it.
@@ -167,8 +167,15 @@
 		}
 		return
 	}
-	question := message.OriginQuestion
-	answer := o.answer(origin.Stream(question.Stream), question.Stream != 0, question.Service, now)
+	// The store may have to be asked, which must not hold up other messages.
+	go o.reply(message.OriginQuestion, from, now)
+}
+
+// reply answers a question of another node.
+func (o *streamOrigins) reply(question *keelv1.OriginQuestion, from netip.AddrPort, now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	answer := o.answer(ctx, origin.Stream(question.Stream), question.Stream != 0, question.Service, now)
 	datagram, err := pulses.Encode(&keelv1.Pulse{Sender: o.exchange.name, OriginAnswer: pulses.EncodeOriginAnswer(question.Number, answer)})
 	if err != nil {
 		o.exchange.log.WithError(err).WithField("event", "pulse_failed").Error("could not encode the origin of a stream; another node counts it as unknown")
--- a/node/origins.go
+++ b/node/origins.go
@@ -11,6 +11,7 @@
 
 	"acaciakeel/fleet"
 	"acaciakeel/origin"
+	"acaciakeel/store"
 	"acaciakeel/telemetry"
 )
 
@@ -34,7 +35,10 @@
 	saves *prometheus.CounterVec
 	// savesFail is set while records can't be saved.
 	savesFail atomic.Bool
-	reads     recordReads
+	store     store.Store
+	// records reads the saved records of streams, marks the mark of each service.
+	records sharedRead
+	marks   markReads
 }
 
 // recentBegin is a stream that was recorded with the software version of a target.
@@ -58,9 +62,15 @@
 	return &streamOrigins{table: origin.NewTable(time.Now()), exchange: p, pending: map[uint64]chan receivedAnswer{}, batchSaved: make(chan struct{})}
 }
 
+// useStore sets the store. It must be called before origins are resolved.
+func (o *streamOrigins) useStore(s store.Store) {
+	o.store, o.records.read = s, o.readRecords
+}
+
 func (o *streamOrigins) register(r *prometheus.Registry) {
 	o.questions = telemetry.NewCounter(r, "keel_node_origin_questions_total", "Streams for which other entries were asked what began them, by result.", "result")
 	o.saves = telemetry.NewCounter(r, "keel_node_stream_records_total", "Records of streams in the platform's store, by what became of them: saved, read, failed (they are tried again).", "result")
+	o.marks.reads = telemetry.NewCounter(r, "keel_node_version_mark_reads_total", "Reads of the software versions that may have begun a service's streams, for streams without a record, by result: read, failed (other entries are asked).", "result")
 	telemetry.NewGaugeFunc(r, "keel_node_stream_origins", "Streams of which this entry knows what began them.", func() float64 { return float64(o.table.Len()) })
 	telemetry.NewGaugeFunc(r, "keel_node_stream_origins_dropped_early", "Times that records of streams were dropped early because there were too many.", func() float64 { return float64(o.table.DroppedEarly()) })
 }
@@ -118,7 +128,7 @@
 	if named && o.table.IsDisputed(s, now) {
 		return origin.Resolution{Source: origin.Unknown}
 	}
-	versions := o.versions(service)
+	versions := o.versions(ctx, service)
 	if r, ok := origin.ResolveLocally(service, versions); ok {
 		return r
 	}
@@ -139,15 +149,20 @@
 	return o.table.Lookup(s, now)
 }
 
-// versions returns what this node knows of the software versions that may have begun a service's
-// streams. A version is named in the store before a stream begins there, so one that is named
-// alone has begun all of them, whichever versions are listed.
-func (o *streamOrigins) versions(service string) origin.Versions {
+// versions returns what is known of the software versions that may have begun a service's streams. A
+// version is named in the store before a stream begins there, so one that is named alone has begun
+// all of them, whichever versions are listed. Any view may be behind, also that of a node which was
+// confirmed just now or which others rely on, so the store is asked.
+func (o *streamOrigins) versions(ctx context.Context, service string) origin.Versions {
+	if _, sole := o.exchange.view.soleMarked(service); !sole {
+		return origin.Versions{}
+	}
+	confirmed := o.confirmMark(ctx, service) == nil
 	build, sole := o.exchange.view.soleMarked(service)
 	if !sole {
 		return origin.Versions{}
 	}
-	return origin.Versions{Sole: true, Build: build, Fresh: o.ListFresh()}
+	return origin.Versions{Sole: true, Build: build, Confirmed: confirmed}
 }
 
 // BeginAt implements router.Origins.
--- a/node/record_reads.go
+++ b/node/record_reads.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"acaciakeel/follow"
@@ -14,21 +13,6 @@
 	"acaciakeel/store"
 )
 
-// recordReads reads the saved records of streams from the store. Those who ask while it is read
-// wait for the next read, which begins after they asked.
-type recordReads struct {
-	store store.Store
-
-	mu            sync.Mutex
-	running, next *recordRead
-}
-
-// recordRead is one read. err is set before done is closed.
-type recordRead struct {
-	done chan struct{}
-	err  error
-}
-
 // recordReadTimeout bounds one read: a page takes milliseconds, and a store that is slow a quarter
 // of a second.
 const recordReadTimeout = time.Second
@@ -38,59 +22,27 @@
 // them.
 func (o *streamOrigins) resolveByRecords(ctx context.Context, s origin.Stream, service string) origin.Resolution {
 	base, ok := o.exchange.view.markedBase(service)
-	if !ok || o.readRecords(ctx) != nil {
+	if !ok || o.records.do(ctx) != nil {
 		return origin.Resolution{Source: origin.Unknown}
 	}
 	now := time.Now()
 	if r, ok := o.lookup(s, true, now); ok {
 		return r
 	}
-	if still, ok := o.exchange.view.markedBase(service); !ok || still != base || !o.ListFresh() || o.table.IsDisputed(s, now) {
+	if o.confirmMark(ctx, service) != nil || o.table.IsDisputed(s, now) {
 		return origin.Resolution{Source: origin.Unknown}
 	}
-	return origin.Resolution{Origin: origin.Origin{Service: service, Build: base}, Source: origin.BaseVersion}
-}
-
-// readRecords returns once all records have been read that were saved before the call.
-func (o *streamOrigins) readRecords(ctx context.Context) error {
-	r := &o.reads
-	r.mu.Lock()
-	if r.next == nil {
-		r.next = &recordRead{done: make(chan struct{})}
-	}
-	read := r.next
-	if r.running == nil {
-		o.beginRead()
-	}
-	r.mu.Unlock()
-	select {
-	case <-read.done:
-		return read.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// beginRead begins the next read, if any; the caller holds mu of the reads.
-func (o *streamOrigins) beginRead() {
-	r := &o.reads
-	if r.running, r.next = r.next, nil; r.running == nil {
-		return
+	if still, ok := o.exchange.view.markedBase(service); !ok || still != base {
+		return origin.Resolution{Source: origin.Unknown}
 	}
-	go func(read *recordRead) {
-		read.err = o.readAll()
-		close(read.done)
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		o.beginRead()
-	}(r.running)
+	return origin.Resolution{Origin: origin.Origin{Service: service, Build: base}, Source: origin.BaseVersion}
 }
 
-// readAll reads all records. One that can't be read is an error: it may be that of any stream.
-func (o *streamOrigins) readAll() error {
+// readRecords reads all records. One that can't be read is an error: it may be that of any stream.
+func (o *streamOrigins) readRecords() error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
 	defer cancel()
-	listing, err := o.reads.store.List(ctx, o.exchange.view.keys.streams)
+	listing, err := o.store.List(ctx, o.exchange.view.keys.streams)
 	if err != nil {
 		return err
 	}
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -43,9 +43,9 @@
 	// last.
 	Sole  bool
 	Build string
-	// Fresh is set if its view of the targets was confirmed recently. A process that is cut
-	// off does not see versions that appear.
-	Fresh bool
+	// Confirmed is set if the store has said so since the question. A process that is behind does
+	// not see versions that appear.
+	Confirmed bool
 }
 
 // Answer is the answer of another process that was asked for a stream.
@@ -60,7 +60,7 @@
 // ResolveLocally returns the resolution of a stream without a record from this process's view
 // alone; ok is false if others have to be asked.
 func ResolveLocally(service string, v Versions) (r Resolution, ok bool) {
-	if !v.Sole || !v.Fresh {
+	if !v.Sole || !v.Confirmed {
 		return Resolution{Source: Unknown}, false
 	}
 	return soleVersion(service, v.Build), true
@@ -74,22 +74,22 @@
 }
 
 // ResolveAnswers returns the resolution of a stream without a record here from the answers of
-// others. That one version serves alone must be confirmed by a process with a fresh view, or by
-// everyone: whoever was not asked may have seen another version.
+// others. That one version serves alone must be confirmed by a process that has asked the store, or
+// by everyone: whoever was not asked may have seen another version.
 func ResolveAnswers(service string, v Versions, answers Answers) Resolution {
-	fresh := v.Fresh
+	confirmed := v.Confirmed
 	for _, a := range answers.Received {
 		if a.Known {
 			return Resolution{Origin: a.Origin, Source: Asked}
 		}
-		fresh = fresh || a.Versions.Fresh
+		confirmed = confirmed || a.Versions.Confirmed
 	}
 	for _, a := range answers.Received {
 		if !a.Versions.Sole || a.Versions.Build != v.Build {
 			return Resolution{Source: Unknown}
 		}
 	}
-	if !v.Sole || !fresh && !answers.Everyone {
+	if !v.Sole || !confirmed && !answers.Everyone {
 		return Resolution{Source: Unknown}
 	}
 	return soleVersion(service, v.Build)
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -124,7 +124,7 @@
 // seen in a view that may be old.
 func TestResolveWithoutRecord(t *testing.T) {
 	v1, v2 := Versions{Sole: true, Build: "v1"}, Versions{Sole: true, Build: "v2"}
-	fresh := Versions{Sole: true, Build: "v1", Fresh: true}
+	confirmed := Versions{Sole: true, Build: "v1", Confirmed: true}
 	known := Answer{Known: true, Origin: Origin{Service: "s", Build: "v9"}}
 	for _, test := range []struct {
 		name    string
@@ -134,15 +134,15 @@
 		build   string
 	}{
 		{"several versions here", Versions{}, Answers{}, Unknown, ""},
-		{"one version, fresh view", fresh, Answers{}, SoleVersion, "v1"},
+		{"one version, confirmed", confirmed, Answers{}, SoleVersion, "v1"},
 		{"one version, old view, nobody answers", v1, Answers{}, Unknown, ""},
 		{"one version, old view, one old answer", v1, Answers{Received: []Answer{{Versions: v1}}}, Unknown, ""},
-		{"one version, old view, one fresh answer", v1, Answers{Received: []Answer{{Versions: v1}, {Versions: fresh}}}, SoleVersion, "v1"},
+		{"one version, old view, one confirmed answer", v1, Answers{Received: []Answer{{Versions: v1}, {Versions: confirmed}}}, SoleVersion, "v1"},
 		{"one version, old views everywhere", v1, Answers{Received: []Answer{{Versions: v1}, {Versions: v1}}, Everyone: true}, SoleVersion, "v1"},
 		{"another version at another entry", v1, Answers{Received: []Answer{{Versions: v2}}, Everyone: true}, Unknown, ""},
-		{"several versions at another entry", v1, Answers{Received: []Answer{{Versions: fresh}, {}}, Everyone: true}, Unknown, ""},
+		{"several versions at another entry", v1, Answers{Received: []Answer{{Versions: confirmed}, {}}, Everyone: true}, Unknown, ""},
 		{"several versions here, known elsewhere", Versions{}, Answers{Received: []Answer{{}, known}}, Asked, "v9"},
-		{"several versions here, one elsewhere", Versions{}, Answers{Received: []Answer{{Versions: fresh}}, Everyone: true}, Unknown, ""},
+		{"several versions here, one elsewhere", Versions{}, Answers{Received: []Answer{{Versions: confirmed}}, Everyone: true}, Unknown, ""},
 	} {
 		r, ok := ResolveLocally("s", test.own)
 		if !ok {
--- a/pulses/origins.go
+++ b/pulses/origins.go
@@ -49,7 +49,7 @@
 	if a.Known {
 		return &keelv1.OriginAnswer{Number: number, Known: true, Service: a.Origin.Service, Build: a.Origin.Build}
 	}
-	return &keelv1.OriginAnswer{Number: number, Sole: a.Versions.Sole, Build: a.Versions.Build, Fresh: a.Versions.Fresh}
+	return &keelv1.OriginAnswer{Number: number, Sole: a.Versions.Sole, Build: a.Versions.Build, Fresh: a.Versions.Confirmed}
 }
 
 // DecodeOriginAnswer decodes an answer.
@@ -57,7 +57,7 @@
 	if w.Known {
 		return origin.Answer{Known: true, Origin: origin.Origin{Service: w.Service, Build: w.Build}}
 	}
-	return origin.Answer{Versions: origin.Versions{Sole: w.Sole, Build: w.Build, Fresh: w.Fresh}}
+	return origin.Answer{Versions: origin.Versions{Sole: w.Sole, Build: w.Build, Confirmed: w.Fresh}}
 }
 
 // EncodeStoredOrigins encodes the origins of streams for the store, in the form that a pulse has.
--- a/pulses/origins_test.go
+++ b/pulses/origins_test.go
@@ -50,7 +50,7 @@
 		{Known: true, Origin: origin.Origin{Service: "lm", Build: ""}},
 		{Known: true, Origin: origin.Origin{Service: "lm", Build: "v1"}},
 		{Versions: origin.Versions{Sole: true, Build: "v1"}},
-		{Versions: origin.Versions{Sole: true, Build: "v1", Fresh: true}},
+		{Versions: origin.Versions{Sole: true, Build: "v1", Confirmed: true}},
 	} {
 		if got := DecodeOriginAnswer(EncodeOriginAnswer(7, a)); got != a {
 			t.Errorf("%+v became %+v", a, got)
