node: streams that may be resumed begin only at versions that the store names

Where no named version had targets, or one version alone was listed, any target took new streams; whoever reads the mark then takes them for the version named.

--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -30,6 +30,8 @@
 	LateMS int `json:"late_ms"`
 	// LoseAnswers cuts the connection after a write took effect.
 	LoseAnswers bool `json:"lose_answers"`
+	// ReadOnly answers each write with 503.
+	ReadOnly bool `json:"read_only"`
 }
 
 // Server serves the stand-in over HTTP.
@@ -78,7 +80,7 @@
 		s.calls.Add(1)
 		faults := s.current()
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-		if faults.Down {
+		if faults.Down || faults.ReadOnly && r.Method != http.MethodGet {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
--- a/node/out_of_step_test.go
+++ b/node/out_of_step_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"acaciakeel/internal/faultproxy"
 	"acaciakeel/internal/standin/runner"
@@ -112,28 +111,37 @@
 	w.resumeAtLate(w.beginAtNew("v2", 4))
 }
 
+// setStoreFaults sets what goes wrong with the store, in JSON.
+func (w *testEnv) setStoreFaults(faults string) {
+	w.t.Helper()
+	resp, err := http.Post(w.kv.URL+"/faults", "application/json", strings.NewReader(faults))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
 // Guards against streams that begin at a version which the store does not name yet: nodes that look
 // there take them for streams of the only version named.
 func TestStreamsWaitForTheMark(t *testing.T) {
-	w := newOutOfStep(t, "v1")
+	w := newRestartEnv(t, "v1")
+	w.awaitMark("[v1]")
+	w.setStoreFaults(`{"read_only":true}`)
 	w.unlist("v1")
 	w.list("v2")
-	named := func() bool {
-		entry, err := w.node.store.Get(t.Context(), w.node.view.keys.versions+"lm")
-		return err == nil && strings.Contains(string(entry.Value), "v2")
-	}
-	for i := 0; ; i++ {
-		before := named()
-		a := w.exchange(w.node, streamRequest(fmt.Sprintf("new-%d", i), i))
-		if a.status == http.StatusOK && !named() {
-			t.Fatal("a stream has begun at a version that the store does not name")
-		}
-		if before && a.status == http.StatusOK {
-			return
-		}
-		if i == 2000 {
-			t.Fatalf("no stream begins: status %d: %s", a.status, a.body)
+	w.until("the new version alone is listed", func() bool {
+		targets := w.node.view.fleet.BuildTargets("lm")
+		return len(targets) == 1 && targets["v2"] > 0
+	})
+	for i := range streamCount {
+		if a := w.exchange(w.node, streamRequest(fmt.Sprintf("early-%d", i), i)); a.status != http.StatusServiceUnavailable {
+			t.Errorf("stream %d began at a version that the store does not name: status %d", i, a.status)
 		}
-		time.Sleep(time.Millisecond)
 	}
+	w.setStoreFaults(`{}`)
+	i := 0
+	w.until("streams begin", func() bool {
+		i++
+		return w.exchange(w.node, streamRequest(fmt.Sprintf("later-%d", i), i)).status == http.StatusOK
+	})
 }
--- a/node/version_marks.go
+++ b/node/version_marks.go
@@ -47,7 +47,8 @@
 	// maxMarkedVersions bounds the versions that a mark names.
 	maxMarkedVersions = 100
 	// versionMarkTakeover is how long a change has been due when nodes other than the leader
-	// write it, and versionMarkTakeoverStep spreads them by their number, so that few try.
+	// write it, unless it is urgent, and versionMarkTakeoverStep spreads them by their number, so
+	// that few try.
 	versionMarkTakeover     = 500 * time.Millisecond
 	versionMarkTakeoverStep = 10 * time.Millisecond
 	// maxBaseNodes is up to how many nodes first events wait until their streams are saved, so that
@@ -143,15 +144,12 @@
 	return mark.base, mark.hasBase
 }
 
-// beginAt returns the versions of a service at which streams begin; empty for all. Streams begin at
-// a version once all nodes with a fresh view have seen it marked, and only at the base version while
-// nothing can be saved. Where the marked versions have few targets, streams are served rather than
-// known after all nodes were killed.
+// beginAt returns the versions of a service at which streams begin; empty for all. Streams begin only
+// at marked versions, as those without a record are taken for one of them, and preferably at those
+// that all nodes with a fresh view have seen marked. While nothing can be saved, they begin at the
+// base version if it has targets.
 func (v *view) beginAt(service string, canSave bool, now time.Time) []string {
 	targets := v.fleet.BuildTargets(service)
-	if len(targets) < 2 {
-		return nil
-	}
 	if base, ok := v.markedBase(service); ok && targets[base] > 0 && !canSave {
 		return []string{base}
 	}
@@ -167,13 +165,10 @@
 			settled = append(settled, b)
 		}
 	}
-	switch {
-	case haveMost(settled, targets):
+	if haveMost(settled, targets) {
 		return settled
-	case countTargets(mark.builds, targets) > 0:
-		return mark.builds
 	}
-	return nil
+	return mark.builds
 }
 
 // countTargets returns how many of a service's targets have one of the versions.
@@ -202,6 +197,8 @@
 	revision int64
 	// dueFor is how long the change has been due.
 	dueFor time.Duration
+	// urgent is set if no stream can begin until it is written.
+	urgent bool
 }
 
 // dueMarkChange returns the change of a service's mark that is due, if any.
@@ -237,6 +234,7 @@
 		mark.dueSince = now
 	}
 	c.dueFor = now.Sub(mark.dueSince)
+	c.urgent = countTargets(mark.builds, v.fleet.BuildTargets(service)) == 0
 	return c, true
 }
 
@@ -284,8 +282,12 @@
 	if _, leads := n.view.leaderLock.Held(); leads {
 		return true
 	}
+	takeover := versionMarkTakeover
+	if c.urgent {
+		takeover = versionMarkInterval
+	}
 	jitter := time.Duration(rand.Int64N(int64(n.view.otherCount()+1))) * versionMarkTakeoverStep
-	return c.dueFor >= versionMarkTakeover+jitter
+	return c.dueFor >= takeover+jitter
 }
 
 // markedServices returns the services that have streams or marks.
@@ -314,7 +316,7 @@
 		n.log.WithFields(fields).WithField("revision", revision).Info("the store names the software versions that may have begun streams")
 	case !errors.Is(err, store.ErrConflict) && ctx.Err() == nil:
 		fields["event"] = "version_mark_failed"
-		n.log.WithError(err).WithFields(fields).Warn("could not store which software versions may have begun streams; until it succeeds, streams begin at the others only if those have few targets")
+		n.log.WithError(err).WithFields(fields).Warn("could not store which software versions may have begun streams; until it succeeds, no streams begin at the others")
 	}
 }
 
