fleet, node: a start that was never true is disproved by later evidence

Entries told each other of the false start, so that even those without the odd entry kept it.

A start over an hour ahead of the clock is none. An answer of the target to a question that was asked after the later start was heard of disproves it; an entry with an earlier start has its target asked, and holds after 1.5 s where it tells none. A disproved start that others still tell is ignored.

Two checks asked that an earlier start be ignored in an answer to a question that was asked after the later one was heard of; no former instance gives such an answer. TestCacheReadIsOfOneInstance and TestReportFromAnotherInstance now have the later instance heard of while the answer is on its way, which is the failure that they name, and check as much.

--- a/fleet/builds_test.go
+++ b/fleet/builds_test.go
@@ -71,7 +71,7 @@
 	if got := choices(f, bound("v1"), now.Add(time.Second+restartWindow)); len(got) != 1 {
 		t.Error("a target is avoided for ever after a failure")
 	}
-	f.Observe(Instance{ID: "a", Born: 2000})
+	f.Observe(Instance{ID: "a", Born: 2000}, time.Time{})
 	later := now.Add(time.Minute)
 	if got := choices(f, bound("v1"), later); got != nil {
 		t.Errorf("after a restart the stream goes to %v", got)
--- a/fleet/cache_watcher.go
+++ b/fleet/cache_watcher.go
@@ -133,8 +133,9 @@
 }
 
 func (w *CacheWatcher) read(ctx context.Context, read cacheRead) {
+	askedAt := time.Now()
 	events, err := w.reader.CacheEvents(ctx, read.request)
-	if err == nil && read.request.Target != "" && !w.fleet.Observe(Instance{ID: read.request.Target, Born: events.Born}) {
+	if err == nil && read.request.Target != "" && !w.fleet.Observe(Instance{ID: read.request.Target, Born: events.Born}, askedAt) {
 		w.fleet.abandonRead(read.cache)
 		return
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,8 @@
 	// failedAt is when it last failed a request whose client was waiting, heardAt when the
 	// instance was last listed or heard from itself.
 	failedAt, heardAt time.Time
+	// startKnownAt is when the target's start was first heard of.
+	startKnownAt time.Time
 	// identifiedAt is when the target was last asked which instance it is.
 	identifiedAt time.Time
 	// malformed is set once a field of the target's notices could not be parsed.
@@ -130,6 +132,10 @@
 	// onRestart is called with each later instance of a target and the one that it
 	// replaces.
 	onRestart func(now, former Instance)
+	// onStartDisproved is called with the true instance of a target and the one that was believed.
+	onStartDisproved func(now, believed Instance)
+	// disproved are starts that turned out to be false, by target ID.
+	disproved map[string]int64
 	// onEnd is called with each instance that was observed to have ended.
 	onEnd func(Instance)
 	// onBuildChange is called with the new entry of a target whose software version changed.
@@ -182,6 +188,7 @@
 		shutdowns:              map[string]shutdown{},
 		formerBuilds:           map[serviceBuild]time.Time{},
 		retained:               map[string]retainedState{},
+		disproved:              map[string]int64{},
 		responseTimesByService: map[string]*responseTimes{},
 
 		serviceSpeeds: map[string]*serviceSpeeds{},
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -36,18 +36,6 @@
 	f.onEnd = callback
 }
 
-// Observe records that a message of an instance was received, and reports whether it is
-// the current one. Messages of others must be ignored.
-func (f *Fleet) Observe(l Instance) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.lookup(l)
-	if s != nil && l.Born != 0 {
-		s.heardAt = time.Now()
-	}
-	return s != nil
-}
-
 // Born returns the start of a target's current instance; 0 if it is not known.
 func (f *Fleet) Born(id string) int64 {
 	f.mu.Lock()
@@ -76,11 +64,12 @@
 // bring a former instance back.
 func (f *Fleet) lookup(l Instance) *targetState {
 	s := f.states[l.ID]
+	l.Born = f.knownStart(l)
 	switch {
 	case s == nil || l.Born == 0 || l.Born == s.target.Born:
 		return s
 	case s.target.Born == 0:
-		s.target.Born = l.Born
+		s.target.Born, s.startKnownAt = l.Born, time.Now()
 		return s
 	case l.Born < s.target.Born:
 		return nil
@@ -96,7 +85,7 @@
 func (f *Fleet) restart(former *targetState, born int64) *targetState {
 	s := newTargetState()
 	s.target, s.candidate, s.capacity = former.target, former.candidate, former.capacity
-	s.target.Born, s.restartUnshared = born, true
+	s.target.Born, s.startKnownAt, s.restartUnshared = born, time.Now(), true
 	s.buildUnlisted = true
 	if !former.shutdownAt.IsZero() {
 		s.target.Draining = former.listedDraining
--- a/fleet/instance_test.go
+++ b/fleet/instance_test.go
@@ -80,7 +80,7 @@
 	second.Begin(Instance{ID: "a", Born: 10}, RequestLoad{UncachedTokens: 9000, Chain: query().Chain(1), Capacity: 1e6}, start)
 	var called []Instance
 	second.OnRestart(func(now, former Instance) { called = append(called, now, former) })
-	first.Observe(Instance{ID: "a", Born: 20})
+	first.Observe(Instance{ID: "a", Born: 20}, time.Time{})
 	second.MergeTargetUpdates(first.TargetUpdates(start), start)
 	second.MergeTargetUpdates(first.TargetUpdates(start.Add(time.Millisecond)), start)
 	if !second.IsCurrent(Instance{ID: "a", Born: 20}) || cachedTokensAt(second, "a") != 0 {
@@ -117,7 +117,7 @@
 // Guards against the middle one of three instances, reported last, as the current one.
 func TestTwoRestartsWithinASecond(t *testing.T) {
 	f := withTargets(New("z"), startedAt(target("a", 1), 1000))
-	f.Observe(Instance{ID: "a", Born: 1900})
+	f.Observe(Instance{ID: "a", Born: 1900}, time.Time{})
 	f.Put(startedAt(target("a", 1), 1400))
 	if !f.IsCurrent(Instance{ID: "a", Born: 1900}) {
 		t.Errorf("the current instance is %d, want 1900", f.states["a"].target.Born)
@@ -143,7 +143,7 @@
 	f := withTargets(New("z"), startedAt(target("a", 3), 10))
 	f.RecordDesired("m", 4, start, false)
 	f.GuessWeights(Instance{ID: "a", Born: 10}, "m")
-	f.Observe(Instance{ID: "a", Born: 20})
+	f.Observe(Instance{ID: "a", Born: 20}, time.Time{})
 	if v := f.states["a"].version("m"); v != 3 {
 		t.Errorf("a new instance that reported nothing is assumed to have weights %d, want 3 as last reported", v)
 	}
@@ -197,9 +197,16 @@
 }
 
 // answers is a target that returns fixed events.
-type answers struct{ events CacheEvents }
+type answers struct {
+	events CacheEvents
+	// during is called while the answer is on its way; nil for nothing.
+	during func()
+}
 
 func (a *answers) CacheEvents(context.Context, CacheEventRequest) (CacheEvents, error) {
+	if a.during != nil {
+		a.during()
+	}
 	return a.events, nil
 }
 
@@ -207,12 +214,16 @@
 // during a read: prompts were sent there for parts that it never had.
 func TestCacheReadIsOfOneInstance(t *testing.T) {
 	for _, test := range []struct {
-		name       string
-		born, next int64
-	}{{"a former instance answers", 5, 0}, {"a later instance answers", 20, 0}, {"the same instance answers", 10, 30}} {
+		name         string
+		listed, born int64
+		next         int64
+	}{{"a former instance answers", 5, 5, 0}, {"a later instance answers", 10, 20, 0}, {"the same instance answers", 10, 10, 30}, {"the list was ahead", 15, 10, 30}} {
 		t.Run(test.name, func(t *testing.T) {
-			f := withTargets(New("z"), startedAt(target("a", 1), 10))
-			reader := &answers{CacheEvents{Born: test.born, Boot: 7, Next: 30, Events: []CacheEvent{{Stored: true, Part: "p", Tokens: 900}}}}
+			f := withTargets(New("z"), startedAt(target("a", 1), test.listed))
+			reader := &answers{events: CacheEvents{Born: test.born, Boot: 7, Next: 30, Events: []CacheEvent{{Stored: true, Part: "p", Tokens: 900}}}}
+			if test.listed < 10 {
+				reader.during = func() { f.Put(startedAt(target("a", 1), 10)) }
+			}
 			NewCacheWatcher(f, reader).read(t.Context(), f.dueReads()[0])
 			if c := &f.states["a"].cache; c.nextEvent != test.next || c.cached.Len() > 0 != (test.next > 0) || c.readInFlight {
 				t.Errorf("the cache is read up to %d and holds %d parts, read in flight %v", c.nextEvent, c.cached.Len(), c.readInFlight)
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -54,7 +54,7 @@
 	f, a := limitedFleet()
 	f.Receive(a, limitOf(2), t0, t0)
 	later := Instance{ID: "a", Born: 2}
-	if f.Observe(later); f.Limit(later).Declared {
+	if f.Observe(later, time.Time{}); f.Limit(later).Declared {
 		t.Error("a new instance has the former one's limit")
 	}
 }
--- a/fleet/shutdown_test.go
+++ b/fleet/shutdown_test.go
@@ -35,7 +35,7 @@
 	if takesWork(f, t0.Add(2*time.Second)) || f.UnlistedShutdowns() != 1 {
 		t.Error("an entry that is written anew makes the target available again")
 	}
-	f.Observe(Instance{ID: "a", Born: 2})
+	f.Observe(Instance{ID: "a", Born: 2}, time.Time{})
 	if !takesWork(f, t0.Add(3*time.Second)) {
 		t.Error("a later instance is not chosen")
 	}
--- a/fleet/speed_test.go
+++ b/fleet/speed_test.go
@@ -95,7 +95,7 @@
 	if p := f.Pace(Instance{ID: "r"}, start); p.Duration < 1.1 || p.Slowdown != 2.5 {
 		t.Errorf("pace %+v of the first instance", p)
 	}
-	f.Observe(Instance{ID: "r", Born: 2})
+	f.Observe(Instance{ID: "r", Born: 2}, time.Time{})
 	now := start.Add(paceTTL)
 	if p := f.Pace(Instance{ID: "r"}, now); p != usualPace {
 		t.Errorf("pace %+v of the next instance", p)
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -46,8 +46,9 @@
 
 // Status is a target's state as of some hundred milliseconds ago.
 type Status struct {
-	// Born is the start of the instance that reports.
+	// Born is the start of the instance that reports, AskedAt when it was asked.
 	Born    int64
+	AskedAt time.Time
 	Weights map[string]int64
 	// Busy is set while the target carries out a load order.
 	Busy bool
--- a/node/node.go
+++ b/node/node.go
@@ -156,7 +156,9 @@
 		Leadership: n.view.leaderLock, Client: runners, Fleet: targets, Services: n.view.services, Notify: n.exchange.sendSoon, Metrics: rollout.NewMetrics(n.registry), OrderTransit: platform.MaxTransit,
 		MaxStaleness: n.view.oldWeightsLimit,
 	}, log)
+	n.view.earlier.identify = runners.Identify
 	targets.OnRestart(n.view.targetRestarted)
+	targets.OnStartDisproved(n.view.startDisproved)
 	targets.OnBuildChange(n.view.targetBuildChanged)
 	targets.OnEnd(func(l fleet.Instance) { n.view.verdicts.Table.RecordCrash(l, time.Now()) })
 	watchCounter := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
--- a/node/pulse_test.go
+++ b/node/pulse_test.go
@@ -72,7 +72,7 @@
 	informed, informedFleet := start()
 	late, lateFleet := start()
 	restarted := fleet.Instance{ID: "r", Born: 20}
-	informedFleet.Observe(restarted)
+	informedFleet.Observe(restarted, time.Time{})
 	deliver(late, informed)
 	if load := informedFleet.Occupancy(restarted); load.Inflight != 0 || load.PrefillTokens != 0 {
 		t.Errorf("the previous start's load %+v was counted for the new one", load)
--- a/node/rejected.go
+++ b/node/rejected.go
@@ -174,6 +174,7 @@
 func (v *view) EntryRejected(e platform.RejectedEntry) {
 	if id, ok := platform.ParseTargetKey(e.Key); ok {
 		v.rejected.removePending(id)
+		v.earlier.forget(id)
 		v.removeTarget(id)
 	}
 	if strings.HasPrefix(e.Key, v.keys.members) {
--- a/node/view.go
+++ b/node/view.go
@@ -75,6 +75,7 @@
 	versionMarks map[string]*versionMark
 	// rejected are the store's entries that can't be used.
 	rejected *rejectedEntries
+	earlier  earlierStarts
 }
 
 // systemKeys are the system's own keys in the store.
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,19 +10,35 @@
 	"acaciakeel/platform"
 )
 
+var errStartAhead = errors.New("the start is more than an hour ahead of this VM's clock")
+
 // TargetSet implements platform.StateHandler.
 func (v *view) TargetSet(r fleet.Target, revision int64) {
+	v.earlier.forget(r.ID)
+	if fleet.KnownStart(r.Born, time.Now()) != r.Born {
+		v.EntryRejected(platform.RejectedEntry{Key: platform.TargetKey(r.ID), Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Field: "born", Err: errStartAhead}})
+		return
+	}
 	if !v.serviceKnown(r, revision) {
 		return
 	}
+	if !v.putTarget(r) {
+		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born, "believed": v.fleet.Born(r.ID), "draining": r.Draining, "revision": revision}).Warn("the store lists an earlier start of the target; ignored unless the target or a lasting entry confirms it")
+		v.checkEarlierStart(r, revision)
+	}
+}
+
+// putTarget applies an entry of the list; it returns false if it names an earlier start than is
+// believed.
+func (v *view) putTarget(r fleet.Target) bool {
 	if !v.fleet.Put(r) {
-		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born, "believed": v.fleet.Born(r.ID), "draining": r.Draining, "revision": revision}).Warn("the store lists an earlier start of the target; ignored")
-		return
+		return false
 	}
 	v.mu.Lock()
 	v.cancelRemoval(r.ID)
 	v.mu.Unlock()
 	v.log.WithFields(logrus.Fields{"event": "target_listed", "target": r.ID, "born": r.Born, "address": r.Address, "draining": r.Draining, "build": r.Build, "weights": r.Weights}).Info("target listed in the store")
+	return true
 }
 
 // recoveryGrace is how long after the store's recovery an entry that vanished during the
@@ -48,6 +65,7 @@
 func (v *view) TargetRemoved(id string) {
 	v.rejected.removePending(id)
 	v.rejected.removeRecord(platform.TargetKey(id))
+	v.earlier.forget(id)
 	since, recovered := v.follower.SinceRecovery()
 	if !recovered || since >= recoveryGrace {
 		v.removeUnlisted(id)
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -253,7 +253,9 @@
 func (c *Controller) report(ctx context.Context, r fleet.Target, model string, desired int64) (fleet.Status, error) {
 	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	askedAt := time.Now()
 	report, err := c.client.Report(reportCtx, r)
+	report.Born, report.AskedAt = fleet.KnownStart(report.Born, askedAt), askedAt
 	switch {
 	case errors.Is(err, fleet.ErrTargetReplaced):
 		c.fleet.RecordEnd(r.Instance())
--- a/rollout/load.go
+++ b/rollout/load.go
@@ -62,7 +62,7 @@
 // report of an earlier one is ignored.
 func (c *Controller) checkInstance(r fleet.Target, report fleet.Status) bool {
 	instance := fleet.Instance{ID: r.ID, Born: report.Born}
-	if !c.fleet.Observe(instance) {
+	if !c.fleet.Observe(instance, report.AskedAt) {
 		return false
 	}
 	if instance.Matches(r.Instance()) {
--- a/rollout/restart_test.go
+++ b/rollout/restart_test.go
@@ -17,9 +17,14 @@
 	reports []fleet.Status
 	orders  []fleet.Order
 	result  fleet.OrderResult
+	// during is called while a report is on its way; nil for nothing.
+	during func()
 }
 
 func (l *restartingRunner) Report(context.Context, fleet.Target) (fleet.Status, error) {
+	if l.during != nil {
+		l.during()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.reports[0]
@@ -71,14 +76,14 @@
 func TestNoOrderAfterRunnerRestarts(t *testing.T) {
 	f, r := fleetWithRunner()
 	client := &restartingRunner{reports: []fleet.Status{reportOf(10, 3)}, result: fleet.OrderAccepted}
-	testController(f, client, func() { f.Observe(fleet.Instance{ID: "r", Born: 20}) }).updateRunner(t.Context(), Decision{Runner: r}, "m", 2)
+	testController(f, client, func() { f.Observe(fleet.Instance{ID: "r", Born: 20}, time.Time{}) }).updateRunner(t.Context(), Decision{Runner: r}, "m", 2)
 	if len(client.orders) != 0 {
 		t.Errorf("an order was sent with the order count %d of the earlier instance", client.orders[0].ExpectedOrders)
 	}
 }
 
 // A report may come from another instance than the listed one: a later one replaces
-// it, an earlier one must change nothing and lead to no order.
+// it, an earlier one that was asked before must change nothing and lead to no order.
 func TestReportFromAnotherInstance(t *testing.T) {
 	f, r := fleetWithRunner()
 	client := &restartingRunner{reports: []fleet.Status{reportOf(20, 0)}, result: fleet.OrderAlreadyLoaded}
@@ -87,14 +92,15 @@
 	if len(client.orders) != 0 || !f.IsCurrent(fleet.Instance{ID: "r", Born: 20}) {
 		t.Fatalf("got %d orders before the new instance was planned for, want 0", len(client.orders))
 	}
-	client.reports = []fleet.Status{reportOf(10, 7, 9)}
+	client.reports = []fleet.Status{reportOf(20, 7, 9)}
+	client.during = func() { f.Observe(fleet.Instance{ID: "r", Born: 30}, time.Now()) }
 	c.updateRunner(t.Context(), Decision{Runner: f.Targets("lm")[0]}, "m", 2)
-	if v := f.Targets("lm")[0].Weights["m"]; len(client.orders) != 0 || v != 1 {
+	if v := f.Targets("lm")[0].Weights["m"]; len(client.orders) != 0 || v > 1 || !f.IsCurrent(fleet.Instance{ID: "r", Born: 30}) {
 		t.Errorf("a report of an earlier instance led to %d orders and weights %d", len(client.orders), v)
 	}
-	client.reports = []fleet.Status{reportOf(20, 0)}
+	client.reports, client.during = []fleet.Status{reportOf(30, 0)}, nil
 	c.updateRunner(t.Context(), Decision{Runner: f.Targets("lm")[0]}, "m", 2)
-	if len(client.orders) != 1 || client.orders[0].ExpectedOrders != 0 || client.orders[0].Target.Born != 20 {
+	if len(client.orders) != 1 || client.orders[0].ExpectedOrders != 0 || client.orders[0].Target.Born != 30 {
 		t.Errorf("sent %+v, want one order to the new instance with order count 0", client.orders)
 	}
 }
--- a/router/resume.go
+++ b/router/resume.go
@@ -185,8 +185,9 @@
 	var answered atomic.Int64
 	for _, t := range targets[:min(len(targets), maxIdentified)] {
 		wg.Go(func() {
+			askedAt := time.Now()
 			if instance, err := s.router.sender.Identify(ctx, t); err == nil {
-				s.router.fleet.Observe(instance)
+				s.router.fleet.Observe(instance, askedAt)
 				answered.Add(1)
 			}
 		})
@@ -206,8 +207,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 		defer cancel()
+		askedAt := time.Now()
 		if instance, err := r.sender.Identify(ctx, t); err == nil {
-			r.fleet.Observe(instance)
+			r.fleet.Observe(instance, askedAt)
 		}
 	}()
 }
