fleet, node: weights that nobody named are not believed of the list, and answers lower them

A version that the list has is believed only as far as operators have named one; what another process states beyond it is a guess, as this process may be cut off. An answer of the target to a question that was asked after the belief began takes it back. Where nothing is named yet, an entry that contradicts what is believed has its target asked.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,8 @@
 	// kept until a version is confirmed.
 	weights        map[string]int64
 	guessedWeights map[string]int64
+	// weightsKnownAt is when each model's assumed version was first heard of.
+	weightsKnownAt map[string]time.Time
 	// inflight counts this process's requests at the target, prefillTokens the prompt
 	// tokens of those that have had no first event yet.
 	inflight      int
@@ -100,7 +102,7 @@
 }
 
 func newTargetState() *targetState {
-	return &targetState{weights: map[string]int64{}, guessedWeights: map[string]int64{}, cache: newCache(), active: map[*ActiveRequest]struct{}{}}
+	return &targetState{weights: map[string]int64{}, guessedWeights: map[string]int64{}, weightsKnownAt: map[string]time.Time{}, cache: newCache(), active: map[*ActiveRequest]struct{}{}}
 }
 
 // Fleet is one process's view of the targets. It is safe for concurrent use.
@@ -233,9 +235,7 @@
 	s.buildUnlisted, s.heardAt = false, now
 	regroup := s.target.Service != r.Service || s.target.Address != r.Address || s.target.Draining != r.Draining || s.target.Build != r.Build
 	s.target = r
-	for model, version := range r.Weights {
-		s.setWeights(model, version)
-	}
+	f.setListedWeights(s, r.Weights, now)
 	s.updateCandidate()
 	if regroup {
 		f.regroupNeeded = true
@@ -252,11 +252,11 @@
 // setWeights records the version of a model that a target has and reports whether it is
 // new. Versions only grow within one instance, so that a late list entry never undoes
 // newer knowledge.
-func (s *targetState) setWeights(model string, version int64) bool {
+func (s *targetState) setWeights(model string, version int64, now time.Time) bool {
 	if version <= s.weights[model] {
 		return false
 	}
-	s.weights[model] = version
+	s.weights[model], s.weightsKnownAt[model] = version, now
 	delete(s.guessedWeights, model)
 	s.weightsChanged()
 	return true
@@ -292,7 +292,12 @@
 	if s == nil || newest <= s.version(model) {
 		return
 	}
-	s.guessedWeights[model] = newest
+	s.guessWeights(model, newest, time.Now())
+}
+
+// guessWeights assumes a version until the target states one.
+func (s *targetState) guessWeights(model string, version int64, now time.Time) {
+	s.guessedWeights[model], s.weightsKnownAt[model] = version, now
 	s.weightsChanged()
 }
 
--- a/fleet/observations.go
+++ b/fleet/observations.go
@@ -8,7 +8,7 @@
 func (f *Fleet) RecordWeights(l Instance, model string, version int64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.lookup(l); s != nil && s.setWeights(model, version) {
+	if s := f.lookup(l); s != nil && s.setWeights(model, version, now) {
 		s.weightsSeenAt = now
 	}
 }
--- a/fleet/target_updates.go
+++ b/fleet/target_updates.go
@@ -95,9 +95,7 @@
 		if s == nil {
 			continue
 		}
-		for model, version := range update.Weights {
-			s.setWeights(model, version)
-		}
+		f.mergeWeights(s, update.Weights, now)
 		if until := now.Add(update.BusyFor); update.BusyFor > 0 && until.After(s.busyUntil) {
 			s.busyUntil = until
 		}
--- a/node/earlier_starts.go
+++ b/node/earlier_starts.go
@@ -12,7 +12,7 @@
 
 // Times of the check of an entry that names an earlier start of its target than is believed.
 const (
-	identifyTimeout = time.Second
+	targetReportTimeout = time.Second
 	// earlierStartHold is how long such an entry stands in the list before it is believed although
 	// its target did not tell its start. If it were a late write of a former instance, the current
 	// one would have replaced it by then: targets write about every second.
@@ -22,9 +22,6 @@
 // earlierStarts are the entries that name an earlier start of their target than is believed. Either
 // is wrong: the entry is a late write of a former instance, or the later start was never true.
 type earlierStarts struct {
-	// identify asks a target which instance it is; nil asks none.
-	identify func(context.Context, fleet.Target) (fleet.Instance, error)
-
 	mu sync.Mutex
 	// revisions are those of the latest such entries, by target ID.
 	revisions map[string]int64
@@ -63,14 +60,7 @@
 	v.earlier.add(r.ID, revision)
 	listedAt := time.Now()
 	go func() {
-		if v.earlier.identify != nil {
-			ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
-			instance, err := v.earlier.identify(ctx, r)
-			cancel()
-			if err == nil && instance.Born != 0 {
-				v.fleet.Observe(instance, listedAt)
-			}
-		}
+		v.askTarget(r)
 		if v.fleet.Born(r.ID) != r.Born {
 			time.Sleep(time.Until(listedAt.Add(earlierStartHold)))
 		}
@@ -82,6 +72,28 @@
 	}()
 }
 
+// askTarget asks a target for its report, and applies what it says of its start and its weights.
+func (v *view) askTarget(r fleet.Target) {
+	if v.report == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), targetReportTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	report, err := v.report(ctx, r)
+	if err != nil {
+		v.log.WithError(err).WithFields(logrus.Fields{"event": "target_unasked", "target": r.ID}).Info("could not ask the target for its start and weights, which the list contradicts")
+		return
+	}
+	instance := fleet.Instance{ID: r.ID, Born: report.Born}
+	if instance.Born != 0 {
+		v.fleet.Observe(instance, askedAt)
+	}
+	for model, version := range report.Weights {
+		v.fleet.RecordAnsweredWeights(instance, model, version, askedAt, time.Now())
+	}
+}
+
 // startDisproved is called when the start that was believed of a target turns out to be false.
 func (v *view) startDisproved(now, believed fleet.Instance) {
 	v.log.WithFields(logrus.Fields{"event": "target_start_disproved", "target": now.ID, "born": now.Born, "believed": believed.Born}).Warn("the target did not start as late as was believed; its earlier start holds")
--- a/node/node.go
+++ b/node/node.go
@@ -156,7 +156,7 @@
 		Leadership: n.view.leaderLock, Client: runners, Fleet: targets, Services: n.view.services, Notify: n.exchange.sendSoon, Metrics: rollout.NewMetrics(n.registry), OrderTransit: platform.MaxTransit,
 		MaxStaleness: n.view.oldWeightsLimit,
 	}, log)
-	n.view.earlier.identify = runners.Identify
+	n.view.report = runners.Report
 	targets.OnRestart(n.view.targetRestarted)
 	targets.OnStartDisproved(n.view.startDisproved)
 	targets.OnBuildChange(n.view.targetBuildChanged)
--- a/node/view.go
+++ b/node/view.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"strings"
@@ -76,6 +77,8 @@
 	// rejected are the store's entries that can't be used.
 	rejected *rejectedEntries
 	earlier  earlierStarts
+	// report asks a target for its report; nil asks none.
+	report func(context.Context, fleet.Target) (fleet.Status, error)
 }
 
 // systemKeys are the system's own keys in the store.
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -25,6 +25,11 @@
 	if !v.putTarget(r) {
 		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born, "believed": v.fleet.Born(r.ID), "draining": r.Draining, "revision": revision}).Warn("the store lists an earlier start of the target; ignored unless the target or a lasting entry confirms it")
 		v.checkEarlierStart(r, revision)
+		return
+	}
+	if v.fleet.DoubtsWeights(r) {
+		v.log.WithFields(logrus.Fields{"event": "target_weights_doubted", "target": r.ID, "weights": r.Weights, "revision": revision}).Warn("the store lists older weights than are believed, which nobody has named; asking the target")
+		go v.askTarget(r)
 	}
 }
 
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -316,7 +316,7 @@
 	if report.Born != 0 {
 		r.Born = report.Born
 	}
-	c.fleet.RecordWeights(r.Instance(), model, report.Weights[model], time.Now())
+	c.fleet.RecordAnsweredWeights(r.Instance(), model, report.Weights[model], report.AskedAt, time.Now())
 	if report.Weights[model] >= desired {
 		return
 	}
--- a/rollout/load.go
+++ b/rollout/load.go
@@ -69,7 +69,7 @@
 		return true
 	}
 	for model, version := range report.Weights {
-		c.fleet.RecordWeights(instance, model, version, time.Now())
+		c.fleet.RecordAnsweredWeights(instance, model, version, report.AskedAt, time.Now())
 	}
 	return false
 }
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -111,7 +111,7 @@
 		f.GuessWeights(choice.Target.Instance(), s.in.Model)
 		return
 	}
-	f.RecordWeights(choice.Target.Instance(), s.in.Model, resp.WeightsVersion, time.Now())
+	f.RecordAnsweredWeights(choice.Target.Instance(), s.in.Model, resp.WeightsVersion, s.sentAt, time.Now())
 }
 
 // handleSendError handles an attempt that got no response.
--- a/router/session.go
+++ b/router/session.go
@@ -339,6 +339,6 @@
 	}
 	s.recordNotice(choice, resp.Notice)
 	if s.in.Model != "" {
-		f.RecordWeights(choice.Target.Instance(), s.in.Model, resp.WeightsVersion, time.Now())
+		f.RecordAnsweredWeights(choice.Target.Instance(), s.in.Model, resp.WeightsVersion, s.sentAt, time.Now())
 	}
 }
