--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -28,6 +28,8 @@
 	// how many requests an engine runs at once. 0 is the usual number.
 	entries, engineSlots int
 	small                bool
+	// stalls has targets stand still for a while, and read what was sent to them meanwhile after that.
+	stalls bool
 }
 
 const (
@@ -65,12 +67,17 @@
 		"silent":          {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
 		"new connections": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, unnamed: true},
 		"many entries":    {runners: 12, desks: 5, slots: 1, work: 40 * time.Millisecond, entries: 8, engineSlots: 8, small: true},
+		"stalls":          {runners: 9, desks: 5, slots: 2, work: 30 * time.Millisecond, stalls: true},
 	}
 	for _, seed := range seeds {
-		for _, name := range []string{"room", "full", "silent", "new connections", "many entries"} {
+		for _, name := range []string{"room", "full", "silent", "new connections", "many entries", "stalls"} {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				load := loads[name]
-				play(t, regression{seed: seed, faults: shedFaults(), direct: true, shed: &load, seconds: shedSeconds})
+				faults := shedFaults()
+				if load.stalls {
+					faults = append(faults, standsStill, standsStill, standsStill, standsStill)
+				}
+				play(t, regression{seed: seed, faults: faults, direct: !load.stalls, shed: &load, seconds: shedSeconds})
 			})
 		}
 	}
@@ -92,6 +99,21 @@
 	}}
 }
 
+// standsStill has half of a service's targets read and send nothing for a while. What was sent to them
+// arrives after that, also on connections that have been closed since.
+var standsStill = fault{"targets stand still", func(b *breaker) (time.Duration, func()) {
+	group := [][]*target{b.site.runners, b.site.desks}[b.random.IntN(2)]
+	chosen := group[:len(group)/2]
+	for _, tg := range chosen {
+		tg.proxy.SetSilent(true)
+	}
+	return b.upTo(1500 * time.Millisecond), func() {
+		for _, tg := range chosen {
+			tg.proxy.SetSilent(false)
+		}
+	}
+}}
+
 func shedFaults() []fault {
 	byName := func(f fault) bool {
 		return slices.Contains([]string{"entry killed", "entry paused", "entry stopped and started", "new weights", "new configuration", "target reborn", "store away from one"}, f.name)
