fleet, router: a stream that its client resumes goes on only at a target that tells its start

Targets were asked for their start before a stream went on there only where several versions were known. They are now also where the client resumes, as the stream may have broken off at another entry. Where it broke off here the target that failed counts as restarted, as before.

--- a/fleet/builds.go
+++ b/fleet/builds.go
@@ -134,13 +134,17 @@
 }
 
 // NeedsIdentity reports whether a target is to be asked which instance it is before a stream is
-// continued there: its service has had several software versions, and it may have restarted with
-// another one since it was last heard from.
-func (f *Fleet) NeedsIdentity(l Instance, now time.Time) bool {
+// continued there: it may have restarted with another software version since it was last heard from.
+// Where the stream broke off at this process, a service with one version need not be asked, as the
+// target that failed counts as restarted; elsewhere is set if it may have done so at another one.
+func (f *Fleet) NeedsIdentity(l Instance, elsewhere bool, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.lookup(l)
-	return s != nil && s.target.Born != 0 && now.Sub(s.heardAt) > identityValidity && f.hasSeveralBuilds(s.target.Service, now)
+	if s == nil || s.target.Born == 0 || now.Sub(s.heardAt) <= identityValidity {
+		return false
+	}
+	return elsewhere || f.hasSeveralBuilds(s.target.Service, now)
 }
 
 // identityValidity is how long an answer of a target proves which instance it is: a restart takes
--- a/node/out_of_step_test.go
+++ b/node/out_of_step_test.go
@@ -145,3 +145,20 @@
 		return w.exchange(w.node, streamRequest(fmt.Sprintf("later-%d", i), i)).status == http.StatusOK
 	})
 }
+
+// Guards against streams that go on at a target which has restarted with other software, at a node that
+// was cut off meanwhile and knows of one version alone.
+func TestCutOffNodeDoesNotContinueAtRestartedSoftware(t *testing.T) {
+	w := newOutOfStep(t, "v1")
+	var begun []string
+	for i := range streamCount / 2 {
+		begun = append(begun, fmt.Sprintf("begun-%d", i))
+		w.beginAndAbandon(w.node, streamRequest(begun[i], i))
+	}
+	w.until("the other node knows the streams", func() bool { return w.late.exchange.origins.table.Len() == len(begun) })
+	w.cutOff(true)
+	for _, r := range w.runners {
+		r.Upgrade("v2")
+	}
+	w.resumeAtLate(begun)
+}
--- a/router/resume.go
+++ b/router/resume.go
@@ -164,7 +164,7 @@
 		choice, ok = s.choose()
 	}
 	for range maxIdentified {
-		if !ok || !f.NeedsIdentity(choice.Target.Instance(), time.Now()) {
+		if !ok || !f.NeedsIdentity(choice.Target.Instance(), s.in.resumedByClient(), time.Now()) {
 			return choice, ok
 		}
 		if s.identify(ctx, []fleet.Target{choice.Target}) == 0 {
