--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,3 +131,43 @@
 	w.writeOwn(r, "draining")
 	w.until(r.ID+" is taken out of use", func() bool { return drains(w.node, r) })
 }
+
+// oddEntries returns values that another writer may leave among the targets' entries.
+func oddEntries() map[string]string {
+	out := map[string]string{}
+	for _, depth := range []int{100, 9_999, 10_001, 30_000} {
+		out[fmt.Sprint("lists ", depth, " deep")] = strings.Repeat("[", depth) + strings.Repeat("]", depth)
+		out[fmt.Sprint("a field ", depth, " deep")] = fmt.Sprintf(`{"service":"lm","address":"127.0.0.1:1","zone":"z1","state":"ready","x":%s1%s}`, strings.Repeat(`{"a":`, depth), strings.Repeat("}", depth))
+	}
+	for _, number := range []string{"1e400", "-1e400", "1e-400", strings.Repeat("9", 5_000), "9223372036854775808", "-1"} {
+		for _, field := range []string{"slots", "seq_no", "born", "cold_remaining_ms"} {
+			out[field+" "+number[:min(len(number), 20)]] = fmt.Sprintf(`{"service":"lm","address":"127.0.0.1:1","zone":"z1","state":"ready",%q:%s}`, field, number)
+		}
+		out["weights "+number[:min(len(number), 20)]] = fmt.Sprintf(`{"service":"lm","address":"127.0.0.1:1","zone":"z1","state":"ready","models":[{"name":"m","version":%s}]}`, number)
+	}
+	for _, port := range []string{"-1", "0", "65536", "18446744073709551616", ""} {
+		out["port "+port] = fmt.Sprintf(`{"service":"lm","address":"127.0.0.1:%s","zone":"z1","state":"ready"}`, port)
+	}
+	return out
+}
+
+// Guards against a node that ends, or stops following the list, for an entry that is deeply nested or
+// has a number or a port out of range.
+func TestOddEntriesEndNothing(t *testing.T) {
+	w := newEnv(t)
+	for name, value := range oddEntries() {
+		w.store.Set(platform.TargetKey("odd"), []byte(value))
+		w.store.Set(platform.TargetKey(w.runners[0].ID), []byte(value))
+		w.writeOwn(w.runners[0], "ready")
+		if a := w.exchange(w.node, streamRequest("beside-"+fmt.Sprint(lastID), 1)); a.status != http.StatusOK {
+			t.Errorf("%s: status %d: %s", name, a.status, a.body)
+		}
+		lastID++
+	}
+	// A node that starts reads them in its first listing.
+	for _, value := range oddEntries() {
+		lastID++
+		w.store.Set(platform.TargetKey(fmt.Sprint("odd-", lastID)), []byte(value))
+	}
+	w.startNode("n1")
+}
