--- a/integration/soak/foreign_test.go
+++ b/integration/soak/foreign_test.go
@@ -124,6 +124,22 @@
 	return encode(entry)
 }
 
+// falseValue returns a target's own entry with a start that is ahead, or with weights that are.
+func (s *site) falseValue(tg *target, random *rand.Rand) []byte {
+	var entry map[string]any
+	_ = json.Unmarshal(tg.EntryAt("ready", s.addressOf(tg)).Value, &entry)
+	s.mu.Lock()
+	named := s.weights > 1
+	s.mu.Unlock()
+	if named && random.IntN(2) == 0 {
+		entry["models"] = []any{map[string]any{"name": model, "version": 1 << 53}}
+		return encode(entry)
+	}
+	ahead := oneOf(random, []time.Duration{time.Minute, 20 * time.Minute, 24 * time.Hour})
+	entry["born"] = time.Now().Add(ahead).UnixMilli()
+	return encode(entry)
+}
+
 // trapEntry returns a target's entry that is sound, at the trap's address.
 func (s *site) trapEntry(service string) map[string]any {
 	return map[string]any{
@@ -153,7 +169,11 @@
 		return foreign{key, func(*rand.Rand) []byte { return encode(s.trapEntry("lm")) }, removed(key)}
 	case 3:
 		tg := oneOf(random, []*target{s.runners[0], s.runners[1], s.desks[0]})
-		return foreign{"servers/" + tg.ID, s.serverValue, func(s *site) { s.register(tg, true) }}
+		value := s.serverValue
+		if random.IntN(2) == 0 {
+			value = func(random *rand.Rand) []byte { return s.falseValue(tg, random) }
+		}
+		return foreign{"servers/" + tg.ID, value, func(s *site) { s.register(tg, true) }}
 	case 4:
 		return foreign{"op/version/" + model, text("", "\xff", "{}", `{"model":"m"}`, `{"model":"m","version":"9"}`, `{"model":"m","version":1.5}`, `{"model":7,"version":9}`, `[9]`),
 			func(s *site) { s.mu.Lock(); defer s.mu.Unlock(); s.writeWeights() }}
