--- a/node/earlier_starts.go
+++ b/node/contradictions.go
@@ -10,12 +10,13 @@
 	"acaciakeel/fleet"
 )
 
-// Times of the check of an entry that names an earlier start of its target than is believed.
+// Times of the check of an entry that contradicts what is believed of its target.
 const (
+	// targetReportTimeout bounds the wait for the target's own report.
 	targetReportTimeout = time.Second
-	// earlierStartHold is how long such an entry stands in the list before it is believed although
-	// its target did not tell its start. If it were a late write of a former instance, the current
-	// one would have replaced it by then: targets write about every second.
+	// earlierStartHold is how long an entry that names an earlier start stands in the list before it
+	// is believed although its target did not tell its start. If it were a late write of a former
+	// instance, the current one would have replaced it by then: targets write about every second.
 	earlierStartHold = 1500 * time.Millisecond
 )
 
