--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,7 +7,6 @@
 
 	"acaciakeel/forecast"
 	"acaciakeel/health"
-	"acaciakeel/lru"
 	"acaciakeel/placement"
 	"acaciakeel/policy"
 	"acaciakeel/quota"
@@ -249,58 +248,6 @@
 	s.candidate = placement.NewRunner(s.target.ID, s.target.Zone, "", s.target.Draining)
 }
 
-// setWeights records the version of a model that a target has and reports whether it is
-// new. Versions only grow within one instance, so that a late list entry never undoes
-// newer knowledge.
-func (s *targetState) setWeights(model string, version int64, now time.Time) bool {
-	if version <= s.weights[model] {
-		return false
-	}
-	s.weights[model], s.weightsKnownAt[model] = version, now
-	delete(s.guessedWeights, model)
-	s.weightsChanged()
-	return true
-}
-
-// hasWeights reports whether the target is known to serve any model.
-func (s *targetState) hasWeights() bool {
-	return len(s.weights)+len(s.guessedWeights) > 0
-}
-
-// version returns the version of a model that the target is assumed to have.
-func (s *targetState) version(model string) int64 {
-	return max(s.weights[model], s.guessedWeights[model])
-}
-
-// weightsChanged resets what is valid for the previous weights only.
-func (s *targetState) weightsChanged() {
-	// KV cache computed with the previous weights can't be reused.
-	s.cached = lru.New()
-	s.unsharedParts = nil
-	s.busyUntil, s.observedBusyUntil = time.Time{}, time.Time{}
-}
-
-// GuessWeights assumes the newest desired version for a target that refused a request
-// because of its weights without stating their version: it has most likely just loaded
-// them. The guess steers this process's own requests only. Shared with other processes or
-// used by the rollout controller, a wrong guess would suppress the load order that makes
-// it true.
-func (f *Fleet) GuessWeights(l Instance, model string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, newest := f.lookup(l), f.desired[model].newest()
-	if s == nil || newest <= s.version(model) {
-		return
-	}
-	s.guessWeights(model, newest, time.Now())
-}
-
-// guessWeights assumes a version until the target states one.
-func (s *targetState) guessWeights(model string, version int64, now time.Time) {
-	s.guessedWeights[model], s.weightsKnownAt[model] = version, now
-	s.weightsChanged()
-}
-
 // Remove deletes a target whose list entry is gone, and returns its last entry.
 func (f *Fleet) Remove(id string) (last Target, ok bool) {
 	f.mu.Lock()
