docs, node: what holds before a service has a mark; what is by reading in an account

The comment of beginAt said that streams begin only at marked versions, which leaves out services without a readable mark; the window at a first start stands under what remains.

--- a/node/version_marks.go
+++ b/node/version_marks.go
@@ -147,7 +147,8 @@
 // beginAt returns the versions of a service at which streams begin; empty for all. Streams begin only
 // at marked versions, as those without a record are taken for one of them, and preferably at those
 // that all nodes with a fresh view have seen marked. While nothing can be saved, they begin at the
-// base version if it has targets.
+// base version if it has targets. Without a readable mark no version is taken for the only one, so
+// they begin at all.
 func (v *view) beginAt(service string, canSave bool, now time.Time) []string {
 	targets := v.fleet.BuildTargets(service)
 	if base, ok := v.markedBase(service); ok && targets[base] > 0 && !canSave {
