router, platform: a stream goes on elsewhere only once its first run has ended

A stream that may be resumed went on at a second engine while the first worked on it for 0.9 s more.

Cause: where the entry itself ended an attempt (a response that names another request, bytes that are none, no seal, an event twice, weights that became too old), it closed the connection, took that for the end of the run and sent at once. Not every engine notices a closed connection.

Now a request goes on at another engine once its target has closed the connection in order, refused, is gone, or no longer names the run in a report that must name it; else it fails here, and its client may repeat it. A target that can't be reached is not waited for. Questions are shared by the requests of a target and are logged (event=run_end) and timed.

--- a/internal/standin/runner/loading.go
+++ b/internal/standin/runner/loading.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -29,10 +30,14 @@
 type run struct {
 	seen int
 	born int64
-	// cut is closed to abort the stream.
-	cut chan struct{}
+	// cut is closed to abort the stream, once.
+	cut  chan struct{}
+	once sync.Once
 }
 
+// abort ends the stream, also one that goes on without its client.
+func (r *run) abort() { r.once.Do(func() { close(r.cut) }) }
+
 // aborted returns the channel that is closed to abort the stream; nil for a run without a slot.
 func (r *run) aborted() <-chan struct{} {
 	if r == nil {
@@ -67,9 +72,12 @@
 	r.changed = make(chan struct{})
 }
 
-// resetLoading drops the running requests and the order in progress, as a restart does; the
+// resetLoading ends the running requests and the order in progress, as a restart does; the
 // caller holds mu.
 func (r *Runner) resetLoading() {
+	for in := range r.running {
+		in.abort()
+	}
 	r.busy, r.running = false, map[*run]bool{}
 	r.notifyChanged()
 }
@@ -173,7 +181,7 @@
 	r.busy = true
 	if o.Mode == "truncate" {
 		for in := range r.running {
-			close(in.cut)
+			in.abort()
 		}
 	}
 	r.notifyChanged()
--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -190,6 +190,9 @@
 	if own == nil {
 		return cut.Whole(wholeFrom(req, id), false)
 	}
+	if own.End == cut.Hold {
+		return *own
+	}
 	time.AfterFunc(rebirthDelay, func() { e.start(e.testEnv, target) })
 	return *own
 }
@@ -206,7 +209,7 @@
 
 // respondToCall answers the calls of an entry.
 func respondToCall(req *http.Request, born int64) cut.Response {
-	body := fmt.Sprintf(`{"born":%d,"models":[{"name":"m","version":1}],"busy":false,"seq_no":0}`, born)
+	body := fmt.Sprintf(`{"born":%d,"models":[{"name":"m","version":1}],"busy":false,"seq_no":0,"queued":0,"active":0,"runs":[]}`, born)
 	if req.URL.Path == "/kv-events" {
 		time.Sleep(100 * time.Millisecond)
 		body = fmt.Sprintf(`{"born":%d,"boot_epoch":1,"next_token":1,"lost":false,"events":[]}`, born)
--- a/router/memory_test.go
+++ b/router/memory_test.go
@@ -30,6 +30,10 @@
 	return &Response{Status: http.StatusOK, Header: http.Header{}, MatchesRequest: true, Sealed: true, Framing: Length, ContentLength: int64(s.size), Body: io.NopCloser(strings.NewReader(strings.Repeat("x", s.size)))}, nil
 }
 
+func (s *soundSender) Runs(context.Context, fleet.Target) (RunReport, error) {
+	return RunReport{Idle: true}, nil
+}
+
 func (s *soundSender) Identify(_ context.Context, target fleet.Target) (fleet.Instance, error) {
 	return target.Instance(), nil
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,6 +28,7 @@
 	unmatched       *prometheus.CounterVec
 	promises        *prometheus.CounterVec
 	resends         *prometheus.HistogramVec
+	runEnds         *prometheus.HistogramVec
 	oversized       *prometheus.CounterVec
 	saveWait        *prometheus.HistogramVec
 	misplacedEvents *prometheus.CounterVec
@@ -54,6 +55,7 @@
 		unmatched:       telemetry.NewCounter(r, "keel_router_unmatched_responses_total", "Responses of targets that do not carry the ID of the request, by what they carry (other, missing), by whether they refuse to run it, and by whether their connection had carried other responses (new, reused).", "id", "answer", "connection"),
 		promises:        telemetry.NewCounter(r, "keel_router_not_run_total", "Requests whose client was told that they have not run, by what that rests on and by kind.", "basis", "kind"),
 		resends:         telemetry.NewLatency(r, "keel_router_resend_seconds", "Time from the end of an attempt that its target may still work on to the next one, by the reason of the retry.", "reason"),
+		runEnds:         telemetry.NewLatency(r, "keel_router_run_end_seconds", "Time for which a request waited until it was known whether the engine of its last attempt still works on it, by result.", "result"),
 		oversized:       telemetry.NewCounter(r, "keel_router_oversized_responses_total", "Responses of targets that were ended because a part of them was over its bound, by that part.", "part"),
 		saveWait:        telemetry.NewLatency(r, "keel_router_save_wait_seconds", "Time for which the first event of a stream waited until what began the stream was saved, by result.", "result"),
 		misplacedEvents: telemetry.NewCounter(r, "keel_router_misplaced_streams_total", "Responses of targets that were ended because an event did not follow what the client had of the stream, by whether the request has a prompt.", "prompt"),
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -21,6 +21,9 @@
 	reason  retry.Reason
 	// retryable is set if another target may succeed.
 	retryable bool
+	// ended is set if the target has ended its work on the request by its own word: it has
+	// closed the connection in order.
+	ended bool
 	// response is an error response of the target, forwarded if no retry succeeds.
 	response *bufferedResponse
 }
@@ -74,7 +77,7 @@
 	if err := readRefusal(resp, cancel); err != nil {
 		s.executions++
 		s.recordInterruption(ctx, choice)
-		return s.outcomeUnknown(retry.Interrupted, "the refusal of target %s broke off: %v", choice.Target.ID, err)
+		return s.brokeOff(retry.Interrupted, choice, err)
 	}
 	s.recordHeader(choice, resp)
 	return s.handleNotRun(choice, resp)
@@ -151,7 +154,9 @@
 	}
 	s.executions++
 	s.recordBrokenResponse(choice, err)
-	return s.outcomeUnknown(retry.Interrupted, "target %s did not answer: %v", choice.Target.ID, err)
+	out := s.outcomeUnknown(retry.Interrupted, "target %s did not answer: %v", choice.Target.ID, err)
+	out.ended = sendErr != nil && sendErr.ClosedByTarget
+	return out
 }
 
 // recordInterruption records that a response broke off. If the client has disconnected, the entry
@@ -170,6 +175,14 @@
 	return attemptResult{refused: refused, reason: reason, retryable: s.repeatable()}
 }
 
+// brokeOff returns the result of an attempt whose response ended early with an error.
+func (s *session) brokeOff(reason retry.Reason, choice fleet.Choice, err error) attemptResult {
+	out := s.outcomeUnknown(reason, "the response of target %s broke off: %v", choice.Target.ID, err)
+	// A reset may come from elsewhere on the way.
+	out.ended = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	return out
+}
+
 // repeatable reports whether another target may run the request after an attempt that may
 // have run.
 func (s *session) repeatable() bool {
@@ -199,7 +212,7 @@
 	if err != io.EOF {
 		s.recordInterruption(clientCtx, choice)
 		s.recordBrokenResponse(choice, err)
-		return s.outcomeUnknown(retry.Interrupted, "the answer of target %s broke off: %v", choice.Target.ID, err)
+		return s.brokeOff(retry.Interrupted, choice, err)
 	}
 	if resp.Status >= 500 && s.in.route.Kind == catalog.Idempotent {
 		return attemptResult{reason: retry.Interrupted, retryable: s.repeatable(), response: &bufferedResponse{resp, chunks}}
--- a/router/promise_test.go
+++ b/router/promise_test.go
@@ -70,6 +70,10 @@
 	return Inconclusive
 }
 
+func (p *play) Runs(context.Context, fleet.Target) (RunReport, error) {
+	return RunReport{Idle: true}, nil
+}
+
 func (p *play) Identify(_ context.Context, target fleet.Target) (fleet.Instance, error) {
 	return target.Instance(), nil
 }
--- a/router/request.go
+++ b/router/request.go
@@ -186,6 +186,8 @@
 	// that the attempt used, and Conn the state of that connection.
 	Written int64
 	Conn    ConnUse
+	// ClosedByTarget is set if the target has closed that connection in order.
+	ClosedByTarget bool
 }
 
 // Error implements error.
@@ -206,6 +208,10 @@
 	// Confirm asks a target whether it still serves as the same instance. It returns nil only
 	// if the target has answered since the call, within a fraction of a second.
 	Confirm(ctx context.Context, target fleet.Target) error
+	// Runs asks an engine which requests it works on. It has ended if it tells another start than
+	// the target's, or no process listens at its address. A response that is no report tells
+	// nothing.
+	Runs(ctx context.Context, target fleet.Target) (RunReport, error)
 }
 
 // ProbeResult is the result of probing the address of a target.
--- a/router/router.go
+++ b/router/router.go
@@ -47,17 +47,18 @@
 
 // Router routes requests to targets. It is safe for concurrent use.
 type Router struct {
-	config   ConfigSource
-	fleet    *fleet.Fleet
-	sender   Sender
-	budgets  *retryBudgets
-	limiter  *quota.Limiter
-	poison   *poison.Table
-	detector *crashDetector
-	checker  *responseChecker
-	metrics  *Metrics
-	log      logrus.FieldLogger
-	bounds   Bounds
+	config     ConfigSource
+	fleet      *fleet.Fleet
+	sender     Sender
+	budgets    *retryBudgets
+	limiter    *quota.Limiter
+	poison     *poison.Table
+	detector   *crashDetector
+	checker    *responseChecker
+	runReports *runReports
+	metrics    *Metrics
+	log        logrus.FieldLogger
+	bounds     Bounds
 	// sharer decides who is admitted where targets' time is scarce; nil admits by waits alone.
 	sharer *sharing.Sharer
 	// bodies counts what is read of responses before it is passed on; nil limits only each.
@@ -72,7 +73,7 @@
 // New returns a router. It records contents that crash targets in t and enforces customer
 // limits with q.
 func New(c ConfigSource, f *fleet.Fleet, s Sender, t *poison.Table, q *quota.Limiter, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
-	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), checker: newResponseChecker(s, f, m, log), metrics: m, log: log, bounds: b}
+	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), checker: newResponseChecker(s, f, m, log), runReports: newRunReports(s), metrics: m, log: log, bounds: b}
 }
 
 // costWeights weighs missing cached tokens against waiting in the choice of a runner. A
--- a/router/session.go
+++ b/router/session.go
@@ -106,7 +106,7 @@
 			return nil
 		}
 		s.identifyAfterFailure(ctx, choice.Target)
-		if ctx.Err() == nil && out.retryable && s.position.continuable() && s.attempts < retry.MaxAttempts && s.takeRetry(out.reason) {
+		if ctx.Err() == nil && out.retryable && s.position.continuable() && s.attempts < retry.MaxAttempts && s.awaitRunEnd(ctx, choice) && s.takeRetry(out.reason) {
 			s.logRetry(out)
 			s.awaitProbe(ctx)
 			continue
@@ -122,7 +122,7 @@
 	last.recordResult(out)
 	last.took = now.Sub(s.sentAt)
 	s.unsettled.reason = ""
-	if out.response == nil && out.refused != nil && out.refused.Outcome == refusal.Unknown {
+	if out.response == nil && out.refused != nil && out.refused.Outcome == refusal.Unknown && !out.ended {
 		s.unsettled.reason, s.unsettled.endedAt = out.reason, now
 	}
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -53,7 +53,7 @@
 			if s.headerWritten {
 				reason = retry.Continued
 			}
-			return s.outcomeUnknown(reason, "the stream of target %s broke off: %v", choice.Target.ID, err)
+			return s.brokeOff(reason, choice, err)
 		}
 		s.guard.stop()
 		if err := s.position.advance(event); err != nil {
--- a/router/unresponsive_test.go
+++ b/router/unresponsive_test.go
@@ -59,6 +59,10 @@
 	return response, nil
 }
 
+func (s *silentSender) Runs(context.Context, fleet.Target) (RunReport, error) {
+	return RunReport{Idle: true}, nil
+}
+
 func (s *silentSender) Identify(_ context.Context, target fleet.Target) (fleet.Instance, error) {
 	return target.Instance(), nil
 }
