router, node: nothing is passed on in a planned stop that may not end in it

What callers saw: requests that became whole late in a planned stop were passed on, run, and answered 502 with an unknown outcome as the grace ended; ones that may run only once can't be repeated after that.

Cause: whether a request ends in time was asked once, as it was admitted, by the time at which its head had come and its route's objective. A body that takes seconds and a second attempt come after that, and an objective says nothing of how long targets take. It was first asked at the end of the notice.

Now it is asked before each attempt. Targets' recent times decide, by route: during the notice a request that may run only once is refused if the usual time doesn't fit, after it any request if the longest one doesn't, or, of one that may run only once, if none is known. Refusals say "not run", as nothing was sent.

--- a/node/stop.go
+++ b/node/stop.go
@@ -36,7 +36,9 @@
 // Stop shuts the node down in order, within the platform's grace period.
 func (n *Node) Stop() {
 	defer n.cancel()
-	e := n.stopDeadlines(time.Now())
+	begun := time.Now()
+	e := n.stopDeadlines(begun)
+	n.router.SetShutdown(router.Shutdown{NoticeEnd: begun.Add(stopNotice), Deadline: e.AnswerDeadline})
 	notice := time.NewTimer(min(stopNotice, time.Until(e.AnswerDeadline)))
 	defer notice.Stop()
 	close(n.stopping)
@@ -48,7 +50,6 @@
 	releaseTimer := time.AfterFunc(time.Until(e.AnswerDeadline), release)
 	defer releaseTimer.Stop()
 	<-notice.C
-	n.router.SetShutdownDeadline(e.AnswerDeadline)
 	if n.servers.front.Shutdown(e) {
 		n.log.WithField("event", "stopped").Info("all requests finished")
 	} else {
--- a/router/router.go
+++ b/router/router.go
@@ -65,15 +65,15 @@
 	bodies *responsebuffer.Pool
 	// origins knows what began a stream; nil lets streams be continued anywhere.
 	origins Origins
-	// shutdownDeadline is when the last requests must have ended; nil unless the process is
-	// stopping.
-	shutdownDeadline atomic.Pointer[time.Time]
+	// shutdown is the planned stop that the process is in; nil before one.
+	shutdown     atomic.Pointer[Shutdown]
+	serviceTimes *serviceTimes
 }
 
 // New returns a router. It records contents that crash targets in t and enforces customer
 // limits with q.
 func New(c ConfigSource, f *fleet.Fleet, s Sender, t *poison.Table, q *quota.Limiter, m *Metrics, log logrus.FieldLogger, b Bounds, r RetryBounds) *Router {
-	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), checker: newResponseChecker(s, f, m, log), runReports: newRunReports(s), metrics: m, log: log, bounds: b}
+	return &Router{config: c, fleet: f, sender: s, budgets: newRetryBudgets(r), limiter: q, poison: t, detector: newCrashDetector(s, f, t, log), checker: newResponseChecker(s, f, m, log), runReports: newRunReports(s), serviceTimes: newServiceTimes(), metrics: m, log: log, bounds: b}
 }
 
 // costWeights weighs missing cached tokens against waiting in the choice of a runner. A
@@ -166,9 +166,6 @@
 	in.content = in.fingerprint()
 	in.parts = in.poisonParts()
 	in.deadline = earlierDeadline(req.Deadline, in.route.Timeout, req.Received)
-	if stop := r.shutdownDeadline.Load(); stop != nil && !in.expectedToEndBy(*stop) {
-		return in, RefuseAtShutdown("this entry stops before the request is expected to end")
-	}
 	return in, nil
 }
 
--- a/router/session.go
+++ b/router/session.go
@@ -99,6 +99,9 @@
 		if refused := s.refuseAdmission(choice); refused != nil {
 			return refused
 		}
+		if refused := s.refuseAtShutdown(time.Now()); refused != nil {
+			return s.giveUp(attemptResult{refused: refused})
+		}
 		s.records = append(s.records, attemptRecord{target: choice.Target.ID})
 		out := s.send(ctx, choice)
 		s.endAttempt(out, time.Now())
@@ -121,6 +124,9 @@
 	last := s.lastRecord()
 	last.recordResult(out)
 	last.took = now.Sub(s.sentAt)
+	if out.refused == nil || out.refused.Outcome != refusal.NotRun {
+		s.router.serviceTimes.record(s.in.route.Name, last.took, now)
+	}
 	s.unsettled.reason = ""
 	if out.response == nil && out.refused != nil && out.refused.Outcome == refusal.Unknown && !out.ended {
 		s.unsettled.reason, s.unsettled.endedAt = out.reason, now
--- a/router/shutdown.go
+++ b/router/shutdown.go
@@ -23,19 +23,48 @@
 	return refusal.New(refusal.Stopping, "ask another entry", "%s", reason).WithRetryAfter(shutdownRetryAfter)
 }
 
-// SetShutdownDeadline announces when the process stops. Requests that are not expected to end
-// by then are refused immediately as not run. If they were broken off later, a request that
-// may run only once could not be retried, and the client would have to know where to resume
-// a stream.
-func (r *Router) SetShutdownDeadline(deadline time.Time) {
-	r.shutdownDeadline.Store(&deadline)
+// Shutdown is a planned stop of the process.
+type Shutdown struct {
+	// NoticeEnd is until when clients may not know of the stop and send as usual.
+	NoticeEnd time.Time
+	// Deadline is when the last requests must have ended.
+	Deadline time.Time
 }
 
-// expectedToEndBy reports whether a request is expected to end by a time: a stream by the
-// deadline of its client or route, any other request within the objective of its route.
-func (in *admittedRequest) expectedToEndBy(until time.Time) bool {
-	if in.route.Kind == catalog.Stream {
-		return !in.deadline.IsZero() && !in.deadline.After(until)
+// SetShutdown announces a planned stop. Attempts that may not end by its deadline are not begun, and
+// their requests are refused as not run. If they were broken off later, a request that may run only
+// once could not be retried, and the client would have to know where to resume a stream.
+func (r *Router) SetShutdown(s Shutdown) {
+	r.shutdown.Store(&s)
+}
+
+// refuseAtShutdown refuses a request before an attempt that may not end before the process stops; it
+// returns nil for others. It is asked before each attempt: a body, the question for the origin of a
+// stream and earlier attempts take time.
+func (s *session) refuseAtShutdown(now time.Time) *refusal.Error {
+	stop := s.router.shutdown.Load()
+	if stop == nil || s.endsInTime(*stop, now) {
+		return nil
+	}
+	return RefuseAtShutdown("this entry stops before the request is expected to end")
+}
+
+// endsInTime reports whether an attempt that begins now is expected to end by the deadline of a stop.
+//
+// During the notice other entries may not be known to the client yet, so only a request that may not
+// be repeated and that usually takes longer is not begun. After it the longest time of late decides,
+// and where none is known, the deadline of the request.
+func (s *session) endsInTime(stop Shutdown, now time.Time) bool {
+	in := s.in
+	if !in.deadline.IsZero() && !in.deadline.After(stop.Deadline) {
+		return true
+	}
+	mean, longest, known := s.router.serviceTimes.of(in.route.Name, now)
+	if now.Before(stop.NoticeEnd) {
+		return !known || in.route.Repeatable() || !now.Add(mean).After(stop.Deadline)
+	}
+	if !known && in.route.Kind == catalog.Idempotent {
+		longest, known = in.route.Objective, true
 	}
-	return !in.Received.Add(in.route.Objective).After(until)
+	return known && !now.Add(longest).After(stop.Deadline)
 }
