entry: in a stop no call is sent that may run only once and may not end

Before each send a call that may run only once is refused if its timeout ends after the stop: as not run, or, where its client has named a key under which an earlier one may have run, as unknown.

--- a/entry/call.go
+++ b/entry/call.go
@@ -145,6 +145,9 @@
 func (p *pendingCall) run(ctx context.Context) (*keelv1.CallResponse, *refusal.Error) {
 	last := refusal.New(refusal.NoTarget, "come back after the time in Retry-After", "service %q has no target that answers", p.call.service).WithRetryAfter(noTargetRetryAfter)
 	for _, name := range p.targetsByAvailability() {
+		if refused := p.refuseAtShutdown(time.Now()); refused != nil {
+			return nil, refused
+		}
 		if p.sendCount > 0 && !p.entry.retryBudgets.take(p.call.info.customer) {
 			p.entry.metrics.retryBudgetExhausted.Inc()
 			return nil, last
@@ -165,6 +168,25 @@
 	return nil, last
 }
 
+// refuseAtShutdown refuses a call that may run only once, and longer than this process does; it
+// returns nil for others. It is asked before each send, and only calls that have not run are sent
+// again.
+func (p *pendingCall) refuseAtShutdown(now time.Time) *refusal.Error {
+	stop := p.entry.stopDeadline.Load()
+	if stop == nil || p.request.Idempotent || !now.Add(time.Duration(p.request.DeadlineMs)*time.Millisecond).After(*stop) {
+		return nil
+	}
+	refused := refusal.New(refusal.Stopping, "send it to another entry", "this process stops before the call is certain to end").WithRetryAfter(stoppingRetryAfter)
+	if !p.request.FreshKey {
+		// An earlier call with the client's key may have run.
+		refused.Outcome, refused.Remedy = refusal.Unknown, "ask again with the same Idempotency-Key"
+	}
+	return refused
+}
+
+// stoppingRetryAfter is short: other entries serve, and a new connection leads to one of them.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 // targetsByAvailability returns the targets with dead and draining ones last. They are
 // not omitted, because the home target of a key decides even if it is slow to answer.
 func (p *pendingCall) targetsByAvailability() []string {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	bodies   *httpbody.Budget
 	rollouts *rolloutTracker
 	stopping atomic.Bool
+	// stopDeadline is when the last requests must have ended; nil before the notice of a stop is over.
+	stopDeadline atomic.Pointer[time.Time]
 	// configured is closed when the first configuration is applied, stopped when
 	// waiting watch requests must end.
 	configured chan struct{}
@@ -188,6 +190,9 @@
 	case <-time.After(shutdownNotice):
 	case <-ctx.Done():
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		e.stopDeadline.Store(&deadline)
+	}
 	// End the requests that only wait for configuration changes.
 	close(e.stopped)
 	e.configServer.Stop()
