--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -95,6 +95,8 @@
 	press *press
 	// shed is a load of services of which one sheds what is beyond its slots.
 	shed *shedding
+	// endless has clients press while targets send responses without an end.
+	endless bool
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
@@ -171,6 +173,10 @@
 		s.shed(r.shed)
 		c.sendShed(r.seed)
 	}
+	if r.endless {
+		s.watchMemory(c.stop)
+		c.sendEndless(r.seed)
+	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
@@ -208,6 +214,9 @@
 	if r.shed != nil {
 		c.judgeShed()
 	}
+	if r.endless {
+		c.judgeMemory()
+	}
 	t.Logf("soak seed=%d requests=%d outcomes=%v faults=%v", r.seed, c.seq, c.counts, b.played)
 	for _, v := range c.broken {
 		t.Error(v)
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -56,6 +56,8 @@
 	storeDisturbed time.Time
 	// written is what each target has written to the list.
 	written map[string]string
+	// residentMB is the most memory that the processes of each entry had resident.
+	residentMB map[string]int
 	// ended are the processes that ended and were not told to.
 	ended []string
 	// direct has targets be reached without their proxies: an address where nobody
@@ -119,6 +121,9 @@
 	if r.shed != nil && r.shed.small {
 		s.memoryMB, s.descriptors = smallMemoryMB, smallDescriptors
 	}
+	if r.endless {
+		s.memoryMB = number("SOAK_MEMORY_MB", smallMemoryMB)
+	}
 	s.trap = newTrap(t)
 	s.service = kv.NewServer(s.store)
 	s.server = httptest.NewServer(s.service.Handler())
--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -37,4 +37,10 @@
 	// them and executes each after lateOrderDelay.
 	DeafToOrders Fault = "deaf_to_orders"
 	LateOrders   Fault = "late_orders"
+	// The endless faults execute the request and send a head, a body or a refusal until the
+	// caller closes the connection.
+	EndlessHead       Fault = "endless_head"
+	EndlessChunks     Fault = "endless_chunks"
+	EndlessUntilClose Fault = "endless_until_close"
+	EndlessRefusal    Fault = "endless_refusal"
 )
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -275,6 +275,8 @@
 	case r.crashesOn(string(body)):
 		r.crash()
 		panic(http.ErrAbortHandler)
+	case sendWithoutEnd(w, req, fault):
+		return
 	case fault == LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case fault == LoseAnswerByReset:
