--- a/integration/soak/repeat_test.go
+++ b/integration/soak/repeat_test.go
@@ -18,12 +18,12 @@
 	head := fmt.Sprintf("POST /hold/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nKey: %s\r\nDeadline-Ms: 14000\r\n", host, id, goodKey)
 	large := strings.Repeat("b", 4096)
 	return map[string]string{
-		"no body":             head + "Content-Length: 0\r\n\r\n",
-		"a length":            head + "Content-Length: 3\r\n\r\nbox",
-		"a body of the largest size":        head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(large), large),
-		"chunks":              head + "Transfer-Encoding: chunked\r\n\r\n3\r\nbox\r\n0\r\n\r\n",
-		"chunks and trailers": head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n3\r\nbox\r\n0\r\nX-Sum: 1\r\n\r\n",
-		"an empty line after": head + "Content-Length: 3\r\n\r\nbox\r\n",
+		"no body":                    head + "Content-Length: 0\r\n\r\n",
+		"a length":                   head + "Content-Length: 3\r\n\r\nbox",
+		"a body of the largest size": head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(large), large),
+		"chunks":                     head + "Transfer-Encoding: chunked\r\n\r\n3\r\nbox\r\n0\r\n\r\n",
+		"chunks and trailers":        head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n3\r\nbox\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"an empty line after":        head + "Content-Length: 3\r\n\r\nbox\r\n",
 	}
 }
 
