--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -86,6 +86,8 @@
 	build string
 	// runs is how streams tell which run made them.
 	runs runNaming
+	// misdirectsCalls is set if calls are answered as another target would.
+	misdirectsCalls bool
 	// slowness is the fourth figure of Server-Load; 0 sends no Server-Load.
 	slowness int
 }
@@ -213,6 +215,25 @@
 	return out
 }
 
+// MisdirectCalls has the target answer calls, other than requests, as another one would.
+func (r *Runner) MisdirectCalls(misdirect bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.misdirectsCalls = misdirect
+}
+
+// misdirects answers a call as another target would, if it is to, and reports whether it has.
+func (r *Runner) misdirects(w http.ResponseWriter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.misdirectsCalls {
+		return false
+	}
+	w.Header().Set("Instance-Id", "i-other")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
 // rejectOtherInstance reports whether the request expects another instance, and if so answers 421.
 func (r *Runner) rejectOtherInstance(w http.ResponseWriter, req *http.Request) bool {
 	meant := req.Header.Get("Expect-Instance")
@@ -225,7 +246,7 @@
 }
 
 func (r *Runner) report(w http.ResponseWriter, req *http.Request) {
-	if r.rejectOtherInstance(w, req) {
+	if r.misdirects(w) || r.rejectOtherInstance(w, req) {
 		return
 	}
 	r.mu.Lock()
@@ -237,7 +258,7 @@
 }
 
 func (r *Runner) events(w http.ResponseWriter, req *http.Request) {
-	if r.rejectOtherInstance(w, req) {
+	if r.misdirects(w) || r.rejectOtherInstance(w, req) {
 		return
 	}
 	wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms"))
