fleet: an answer proves a target's instance from when it was asked for

Cause: a target need not be asked again which instance it is within 5 ms of an answer, as a restart takes longer. The time of the answer's arrival was taken, and an answer to a question after cache events may have been on its way, or in this process's queue, since before the restart.

Now the time of the question counts for that.

TestLateAnswerProvesNoInstance fails without it.

--- a/fleet/builds.go
+++ b/fleet/builds.go
@@ -141,14 +141,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.lookup(l)
-	if s == nil || s.target.Born == 0 || now.Sub(s.heardAt) <= identityValidity {
+	if s == nil || s.target.Born == 0 || now.Sub(s.askedAt) <= identityValidity {
 		return false
 	}
 	return elsewhere || f.hasSeveralBuilds(s.target.Service, now)
 }
 
-// identityValidity is how long an answer of a target proves which instance it is: a restart takes
-// longer.
+// identityValidity is how long after a question the target's answer proves which instance it is: a
+// restart takes longer. The answer itself may have been on its way for any time.
 const identityValidity = 5 * time.Millisecond
 
 // Times after which a target may have restarted unnoticed.
--- a/fleet/builds_test.go
+++ b/fleet/builds_test.go
@@ -123,3 +123,20 @@
 		t.Error("the listed versions are not those of the targets")
 	}
 }
+
+// Guards against a stream that goes on at a target which has restarted with other software: an answer
+// that was long on its way does not prove which instance the target is now.
+func TestLateAnswerProvesNoInstance(t *testing.T) {
+	f := New("here")
+	target := Target{ID: "a", Zone: "here", Service: "s", Address: "a:1", Slots: 8, Build: "v1", Born: 1}
+	f.Put(target)
+	now := time.Now()
+	f.Observe(target.Instance(), now.Add(-time.Second))
+	if !f.NeedsIdentity(target.Instance(), true, now) {
+		t.Error("an answer to a question of a second ago proves the instance of now")
+	}
+	f.Observe(target.Instance(), now)
+	if f.NeedsIdentity(target.Instance(), true, now) {
+		t.Error("the target has just been asked, and is asked again")
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,6 +78,8 @@
 	// failedAt is when it last failed a request whose client was waiting, heardAt when the
 	// instance was last listed or heard from itself.
 	failedAt, heardAt time.Time
+	// askedAt is when the target was last asked which instance it is and answered.
+	askedAt time.Time
 	// startKnownAt is when the target's start was first heard of.
 	startKnownAt time.Time
 	// identifiedAt is when the target was last asked which instance it is.
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -71,6 +71,9 @@
 	s := f.lookup(l)
 	if s != nil && l.Born != 0 {
 		s.heardAt = now
+		if askedAt.After(s.askedAt) {
+			s.askedAt = askedAt
+		}
 	}
 	return s != nil
 }
