door, node: many pending requests are interrupted earlier in a planned stop

What callers saw: at the end of the grace period pending requests were cut with no answer, among them ones that may not be repeated.

Cause: their final answers had 200 ms, however many there were and however slow the machine. An entry with a seventh of a core writes a hundred in that time.

Now 2 ms are kept for each request in progress, within the last sixth of the grace period, in which the platform expects no end of running work.

--- a/door/door.go
+++ b/door/door.go
@@ -75,10 +75,22 @@
 	// must make each request still in progress send its final response.
 	AnswerDeadline time.Time
 	Interrupt      func()
+	// AnswerTime is how long one final response may take. Where those of all requests in progress
+	// take longer than from AnswerDeadline to Deadline, Interrupt is called earlier, but not before
+	// EarliestInterrupt. 0 sets no such time.
+	AnswerTime        time.Duration
+	EarliestInterrupt time.Time
 	// Deadline is when the server closes in any case.
 	Deadline time.Time
 }
 
+// mustInterrupt reports whether the final responses of all requests in progress take the time that is
+// left.
+func (o *ShutdownOptions) mustInterrupt(t connCounts, now time.Time) bool {
+	inProgress := t.open - t.idle - t.http2
+	return !now.Before(o.EarliestInterrupt) && now.Add(time.Duration(inProgress)*o.AnswerTime).After(o.Deadline)
+}
+
 // pollInterval is the interval between checks of the connections. It is short compared with
 // idleGrace.
 const pollInterval = 20 * time.Millisecond
@@ -94,12 +106,13 @@
 	}
 	d.conns.startClosing()
 	d.logCounts("door_closed", "new connections are refused")
-	complete := d.await(options.AnswerDeadline, d.allAnswered)
+	_ = d.await(options.AnswerDeadline, func(t connCounts) bool { return d.allAnswered(t) || options.mustInterrupt(t, time.Now()) })
+	complete := d.allAnswered(d.conns.counts())
 	if complete {
 		complete = d.shutdownHTTP2(options.AnswerDeadline)
 	}
 	if !complete {
-		d.logCounts("interrupted", "interrupting requests: the answer deadline has passed")
+		d.logCounts("interrupted", "interrupting requests: it is time for their final responses")
 		options.Interrupt()
 		if d.await(options.Deadline, d.allAnswered) {
 			d.shutdownHTTP2(options.Deadline)
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -150,3 +150,50 @@
 		t.Errorf("got status %d (%v)", status, err)
 	}
 }
+
+// Guards against requests that are closed without a final response as a stop ends, because there are
+// more of them than can be answered after the answer deadline.
+func TestManyWaitingRequestsAreInterruptedEarlier(t *testing.T) {
+	now := time.Now()
+	o := ShutdownOptions{
+		AnswerDeadline: now.Add(7500 * time.Millisecond), Deadline: now.Add(7700 * time.Millisecond),
+		AnswerTime: 2 * time.Millisecond, EarliestInterrupt: now.Add(6600 * time.Millisecond),
+	}
+	for _, test := range []struct {
+		waiting connCounts
+		after   time.Duration
+		want    bool
+	}{
+		{connCounts{open: 400}, 6850 * time.Millisecond, false},
+		{connCounts{open: 400}, 6950 * time.Millisecond, true},
+		{connCounts{open: 400, idle: 390}, 7450 * time.Millisecond, false},
+		{connCounts{open: 4000}, 6550 * time.Millisecond, false},
+		{connCounts{open: 4000}, 6650 * time.Millisecond, true},
+	} {
+		if got := o.mustInterrupt(test.waiting, now.Add(test.after)); got != test.want {
+			t.Errorf("%+v after %v: interrupted %t, want %t", test.waiting, test.after, got, test.want)
+		}
+	}
+
+	ctx, interrupt := context.WithCancel(context.Background())
+	begun := make(chan struct{})
+	d := open(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-ctx.Done()
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	c := ask(t, d, wholeGet)
+	<-begun
+	options := shutdownOptions(interrupt)
+	// One response takes all of the time that is left.
+	options.AnswerTime = 2 * ample
+	if d.Shutdown(options) {
+		t.Error("Shutdown reports no interrupted request")
+	}
+	if status, err := answer(bufio.NewReader(c)); err != nil || status != http.StatusBadGateway {
+		t.Errorf("got status %d (%v)", status, err)
+	}
+	if !time.Now().Before(options.AnswerDeadline) {
+		t.Error("the request was interrupted no earlier than at the answer deadline")
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,18 +18,26 @@
 	stopNotice = 2600 * time.Millisecond
 	// stopMargin is the time left before the platform kills the process.
 	stopMargin = 300 * time.Millisecond
-	// finalAnswerTime is reserved before that for answering requests that are given up: a
-	// small machine writes some hundred answers in this time.
+	// finalAnswerTime is reserved before that for answering requests that are given up, and
+	// answerTime for each of them where that is more: so long takes an answer on a VM with a
+	// seventh of a core.
 	finalAnswerTime = 200 * time.Millisecond
+	answerTime      = 2 * time.Millisecond
+	// unservedShare is the divisor of the grace period that gives its last part, in which requests
+	// may be given up for that: the platform expects no end of theirs then.
+	unservedShare = 6
 )
 
 // stopDeadlines returns the deadlines of a stop that began at the given time.
 func (n *Node) stopDeadlines(begun time.Time) door.ShutdownOptions {
-	end := begun.Add(n.settings.Bounds.Grace() - stopMargin)
+	grace := n.settings.Bounds.Grace()
+	end := begun.Add(grace - stopMargin)
 	return door.ShutdownOptions{
-		AnswerDeadline: end.Add(-finalAnswerTime),
-		Interrupt:      func() { n.cancelRequests(router.ErrShutdown) },
-		Deadline:       end,
+		AnswerDeadline:    end.Add(-finalAnswerTime),
+		Interrupt:         func() { n.cancelRequests(router.ErrShutdown) },
+		AnswerTime:        answerTime,
+		EarliestInterrupt: begun.Add(grace - grace/unservedShare),
+		Deadline:          end,
 	}
 }
 
