--- a/node/stop.go
+++ b/node/stop.go
@@ -23,9 +23,9 @@
 	// seventh of a core.
 	finalAnswerTime = 200 * time.Millisecond
 	answerTime      = 2 * time.Millisecond
-	// unservedShare is the divisor of the grace period that gives its last part, in which requests
-	// may be given up for that: the platform expects no end of theirs then.
-	unservedShare = 6
+	// lastPart is the divisor of the grace period that gives its last part. Only in it are requests
+	// given up before finalAnswerTime: the platform does not expect them to end in it.
+	lastPart = 6
 )
 
 // stopDeadlines returns the deadlines of a stop that began at the given time.
@@ -36,7 +36,7 @@
 		AnswerDeadline:    end.Add(-finalAnswerTime),
 		Interrupt:         func() { n.cancelRequests(router.ErrShutdown) },
 		AnswerTime:        answerTime,
-		EarliestInterrupt: begun.Add(grace - grace/unservedShare),
+		EarliestInterrupt: begun.Add(grace - grace/lastPart),
 		Deadline:          end,
 	}
 }
--- a/router/run_end.go
+++ b/router/run_end.go
@@ -54,9 +54,9 @@
 )
 
 // awaitRunEnd waits until it is known whether the target of the last attempt still works on the
-// request, and reports whether the request may go on at another one. Not every engine notices a
-// closed connection, and two that run the same request give its client one stream for the time of
-// two. Plain targets are not asked: they have no report, and what they repeat may run more than once.
+// request, and reports whether the request may go on at another one: not every engine notices a closed
+// connection. Plain targets are not asked. They have no report, and only requests that may run more
+// than once are repeated there.
 func (s *session) awaitRunEnd(ctx context.Context, choice fleet.Choice) bool {
 	if s.unsettled.reason == "" || choice.Model == "" || s.unsettled.reason == retry.Unresponsive {
 		return true
