agent: a broken stream is canceled at its engine before it goes on elsewhere

Evidence: TestBrokenStreamIsCanceledFirst: the engine had no cancellation by the end of the job in 3 of 3 ways before, in each now.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -22,16 +22,15 @@
 		return r.engine.Start(ctx, j.completion())
 	})
 	if err != nil {
-		r.finishAndDispatch(j, stream.Finish{Err: startRefusal(err)}, time.Now())
+		r.breakOff(j, startRefusal(err))
 		return
 	}
 	if j.req.Bound && s.Build != j.req.Build {
 		// The engine has restarted since its last load report.
 		s.Close()
-		r.cancelAtEngine(j)
 		refused := otherBuildRefusal(s.Build, j.req.Build)
 		refused.Outcome = refusal.Unknown
-		r.finishAndDispatch(j, stream.Finish{Err: refused}, time.Now())
+		r.breakOff(j, refused)
 		return
 	}
 	r.bufferStream(j, s)
@@ -88,18 +87,27 @@
 		}
 		resumes++
 		if resumes > maxResumes || errors.Is(err, errStreamTooLarge) {
-			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
+			r.breakOff(j, streamBrokenRefusal(err))
 			return
 		}
 		r.metrics.engineResumes.Inc()
 		s, err = r.resume(j.ctx, j.id, j.buffer.EndOffset())
 		if err != nil {
-			r.finishAndDispatch(j, stream.Finish{Err: streamBrokenRefusal(err)}, time.Now())
+			r.breakOff(j, streamBrokenRefusal(err))
 			return
 		}
 	}
 }
 
+// breakOff ends a job whose stream can't be read to its end. An engine goes on with a stream that has
+// no reader, so the request is canceled there before an entry hears that it may go on elsewhere.
+func (r *runner) breakOff(j *job, refused *refusal.Error) {
+	if refused.Outcome != refusal.NotRun {
+		r.cancelAtEngine(j)
+	}
+	r.finishAndDispatch(j, stream.Finish{Err: refused}, time.Now())
+}
+
 func (r *runner) setBuild(j *job, build string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/agent/feed_test.go
+++ b/agent/feed_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,3 +145,44 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another engine while the first one works on it: engines keep
+// streams without readers, so the request must be canceled there first.
+func TestBrokenStreamIsCanceledFirst(t *testing.T) {
+	text := strings.Repeat("a", 1024)
+	for name, start := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"breaks off and can't be resumed": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "data: {\"offset\":0,\"text\":\"a\"}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"is too large": func(w http.ResponseWriter, r *http.Request) {
+			for i := 0; r.Context().Err() == nil; i++ {
+				if _, err := fmt.Fprintf(w, "data: {\"offset\":%d,\"text\":%q}\n\n", i, text); err != nil {
+					return
+				}
+			}
+		},
+		"has no header": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var canceled atomic.Bool
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				switch r.Method {
+				case http.MethodPost:
+					start(w, r)
+				case http.MethodDelete:
+					canceled.Store(true)
+				default:
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+			}))
+			t.Cleanup(engine.Close)
+			runTestJob(t, newTestRunner(engine.URL))
+			if !canceled.Load() {
+				t.Error("the job ended before its request was canceled at the engine")
+			}
+		})
+	}
+}
