--- a/fleet/cache_watcher.go
+++ b/fleet/cache_watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 )
@@ -141,11 +142,26 @@
 	if err == nil && read.request.Target != "" {
 		w.fleet.RecordResponse(Instance{ID: read.request.Target, Born: events.Born}, time.Now())
 	}
+	if errors.Is(err, ErrTargetReplaced) {
+		w.fleet.targetReplaced(read)
+		return
+	}
 	// If a later instance answered, this cache is that of the former one, which is no
 	// longer used; the new one is read from its first event.
 	w.fleet.finishRead(read.cache, events, err == nil, time.Now())
 }
 
+// targetReplaced removes a target when another one answers at its address: it has ended.
+// Kept as unresponsive, it would be taken for one that may come back.
+func (f *Fleet) targetReplaced(read cacheRead) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	read.cache.readInFlight, read.cache.unresponsive = false, true
+	if s := f.states[read.request.Target]; s != nil && &s.cache == read.cache && s.target.Address == read.request.Address {
+		f.removeEnded(s)
+	}
+}
+
 // abandonRead ends a read that a former instance answered.
 func (f *Fleet) abandonRead(c *cache) {
 	f.mu.Lock()
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -40,10 +40,9 @@
 	Slowdown float64
 }
 
-// ErrTargetReplaced means that the response to a call says that the address belongs to another
-// target. Such a response names no request, so that it may be a late or foreign one: only the
-// refusal of a request shows that the addressed target has ended.
-var ErrTargetReplaced = errors.New("another target answered the call")
+// ErrTargetReplaced means that the address belongs to another target by now: the
+// addressed one has ended and must be removed.
+var ErrTargetReplaced = errors.New("the address belongs to another target; the addressed one has ended and is to be removed")
 
 // Status is a target's state as of some hundred milliseconds ago.
 type Status struct {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -256,6 +257,8 @@
 	report, err := c.client.Report(reportCtx, r)
 	report.Born, report.AskedAt = fleet.KnownStart(report.Born, askedAt), askedAt
 	switch {
+	case errors.Is(err, fleet.ErrTargetReplaced):
+		c.fleet.RecordEnd(r.Instance())
 	case err == nil:
 		c.fleet.RecordResponse(r.Instance(), time.Now())
 		c.mu.Lock()
@@ -344,14 +347,17 @@
 	switch result {
 	case fleet.OrderAlreadyLoaded:
 		c.fleet.RecordWeights(r.Instance(), model, desired, time.Now())
+	case fleet.OrderMisdirected:
+		// Another runner answers at this address, so this one has ended even if it is
+		// still listed.
+		c.fleet.RecordEnd(r.Instance())
 	case fleet.OrderAccepted:
 		if c.awaitLoad(ctx, r, model, desired) {
 			c.recordDuration(time.Since(start))
 		}
-	case fleet.OrderLost, fleet.OrderNotSent, fleet.OrderMisdirected:
+	case fleet.OrderLost, fleet.OrderNotSent:
 		// The order may still be carried out. The next report shows whether it was, and
-		// its order count rules out that both are. A refusal in another runner's name need not
-		// be the answer to the order, which names no request.
+		// its order count rules out that both are.
 		c.mu.Lock()
 		c.contacts.recordFailure(r.Instance(), time.Now())
 		c.mu.Unlock()
