router: after the notice of a stop streams go by their own deadline again

What callers would see: a stream that may outlast the grace period begun late in a planned stop. let streams begin after the notice where the longest recent one of their route would have fitted.

Streams after the notice are refused again unless their deadline ends in time. TestStop* and TestOtherRunnerAtAddressCountsAsCrash pass.

--- a/router/shutdown.go
+++ b/router/shutdown.go
@@ -52,8 +52,8 @@
 // endsInTime reports whether an attempt that begins now is expected to end by the deadline of a stop.
 //
 // During the notice other entries may not be known to the client yet, so only a request that may not
-// be repeated and that usually takes longer is not begun. After it the longest time of late decides,
-// and where none is known, the deadline of the request.
+// be repeated and that usually takes longer is not begun. After it a stream is begun only if its own
+// deadline ends in time, and of other requests the longest time of late decides.
 func (s *session) endsInTime(stop Shutdown, now time.Time) bool {
 	in := s.in
 	if !in.deadline.IsZero() && !in.deadline.After(stop.Deadline) {
@@ -63,6 +63,9 @@
 	if now.Before(stop.NoticeEnd) {
 		return !known || in.route.Repeatable() || !now.Add(mean).After(stop.Deadline)
 	}
+	if in.route.Kind == catalog.Stream {
+		return false
+	}
 	if !known && in.route.Kind == catalog.Idempotent {
 		longest, known = in.route.Objective, true
 	}
