platform, router: an attempt tells whether its connection had carried its ID

A response that names a request may answer an earlier send of it, if one went over the same connection. Nothing in logs or metrics told so. No logic changes.

Tests of platform, router and docs pass.

--- a/router/attempt_log.go
+++ b/router/attempt_log.go
@@ -83,6 +83,9 @@
 // String implements fmt.Stringer.
 func (a *attemptRecord) String() string {
 	conn := fmt.Sprintf("conn_earlier=%d conn_age_ms=%d at_ms=%d for_ms=%d", a.conn.Earlier, a.conn.Age.Milliseconds(), a.at.Milliseconds(), a.took.Milliseconds())
+	if a.conn.CarriedID {
+		conn += " conn_carried_id=true"
+	}
 	if !a.answered {
 		return fmt.Sprintf("%s %s written=%d %s", a.target, a.result, a.written, conn)
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -171,6 +171,9 @@
 	// Earlier is the number of requests that it carried before, Age the time since it was opened.
 	Earlier int64
 	Age     time.Duration
+	// CarriedID is set if one of them had the ID of this one: what names that ID may then answer
+	// the earlier request.
+	CarriedID bool
 }
 
 // SendError is the error of an attempt that got no response.
--- a/router/session.go
+++ b/router/session.go
@@ -241,6 +241,7 @@
 	defer response.Body.Close()
 	s.end.framing = response.Framing
 	s.lastRecord().recordResponse(s.in.ID, response)
+	s.recordRepeatedID(response)
 	s.recordUnmatched(choice, response)
 	if !response.MatchesRequest {
 		return s.handleUnmatched(choice)
