node: failing tests of copies of refusals

A target refuses a request (503 with and without Retry-After, 429, 421, 400), gets its ID again on the same connection, sends a copy of the refusal ahead of the answer and runs the request.

The second test needs no client that repeats its ID: the list has two targets at one address, as after an address is used again. The send to the one that has ended gets 421, and the entry's own second send goes to the other one on the same pooled connection.

--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -26,6 +26,14 @@
 	answer   rawAnswer
 	greeting string
 	runs     map[string]int
+	// refusal, if it is not empty, answers the first send of each ID. Further sends run, and have a
+	// copy of it ahead of the answer if their connection carried it.
+	refusal string
+	refused map[string]bool
+	// misdirects is set if sends that expect another instance are answered with 421.
+	misdirects bool
+	// again counts the sends that run after the target has refused one with their ID.
+	again int
 }
 
 // rawAnswer is what a target sends in answer to a request: {id} stands for its ID, {instance} for
@@ -48,7 +56,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	r := &rawTarget{calls: calls, listener: l, runs: map[string]int{}}
+	r := &rawTarget{calls: calls, listener: l, runs: map[string]int{}, refused: map[string]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -68,6 +76,7 @@
 	greeting := r.greeting
 	r.mu.Unlock()
 	_, _ = io.WriteString(c, greeting)
+	carried := map[string]string{}
 	for in := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(in)
 		if err != nil {
@@ -80,7 +89,15 @@
 			r.call(c, req)
 			continue
 		}
+		if refusal := r.refuses(req); refusal != "" {
+			carried[req.Header.Get("Request-Id")] = refusal
+			_, _ = io.WriteString(c, r.expand(refusal, req))
+			continue
+		}
 		answer := r.run(req)
+		if refusal := carried[req.Header.Get("Request-Id")]; refusal != "" {
+			answer.bytes = refusal + answer.bytes
+		}
 		_, _ = io.WriteString(c, r.expand(answer.bytes, req))
 		if answer.resets {
 			_ = c.SetLinger(0)
@@ -91,6 +108,44 @@
 	}
 }
 
+// refuses returns the refusal of a request; empty if it runs.
+func (r *rawTarget) refuses(req *http.Request) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := req.Header.Get("Request-Id")
+	switch {
+	case r.misdirects && req.Header.Get("Expect-Instance") != r.calls.ID:
+		r.refused[id] = true
+		return refusalHead(421, ownID, "Instance-Id: {instance}", noBody)
+	case r.refusal != "" && !r.refused[id]:
+		r.refused[id] = true
+		return r.refusal
+	case r.refused[id]:
+		r.again++
+	}
+	return ""
+}
+
+func (r *rawTarget) sentAgain() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.again
+}
+
+// refuseFirst has the target refuse the first send of each ID.
+func (r *rawTarget) refuseFirst(refusal string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusal = refusal
+}
+
+// misdirect has the target refuse what expects another instance.
+func (r *rawTarget) misdirect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.misdirects = true
+}
+
 // call passes a call on to the stand-in.
 func (r *rawTarget) call(c net.Conn, req *http.Request) {
 	req.URL.Scheme, req.URL.Host, req.RequestURI = "http", r.calls.Address(), ""
