platform: a connection to a target carries each request ID once

Callers saw 503 or 429, the promise that nothing ran, for requests that had run, and requests that may run once run at two targets: a target refused a request, got its ID again on the same connection and sent a copy of the refusal ahead of the answer.

Cause: a response was matched to its request by the ID alone. The ID names a client's attempt, not one send of it. An ID comes to a connection twice when a client repeats it, and, without that, when the list has two targets at one address: the send to the one that has ended there gets 421, and the entry's own next send goes to the other one on the same pooled connection.

The fix holds because on a connection that carries an ID once, only one send can be answered by a response with that ID. conn_carried_id and its counter give way to conn_replaces and keel_router_replaced_connections_total.

--- a/router/attempt_log.go
+++ b/router/attempt_log.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// recordReplacedConn counts the connection that could not take the request of the last attempt, if any.
+func (s *session) recordReplacedConn() {
+	if reason := s.lastRecord().conn.Replaces; reason != "" {
+		s.router.metrics.replacedConns.WithLabelValues(string(reason)).Inc()
+	}
+}
+
 func (a *attemptRecord) recordResult(out attemptResult) {
 	switch {
 	case out.refused == nil && out.response == nil:
@@ -83,8 +90,8 @@
 // String implements fmt.Stringer.
 func (a *attemptRecord) String() string {
 	conn := fmt.Sprintf("conn_earlier=%d conn_age_ms=%d at_ms=%d for_ms=%d", a.conn.Earlier, a.conn.Age.Milliseconds(), a.at.Milliseconds(), a.took.Milliseconds())
-	if a.conn.CarriedID {
-		conn += " conn_carried_id=true"
+	if a.conn.Replaces != "" {
+		conn += " conn_replaces=" + string(a.conn.Replaces)
 	}
 	if !a.answered {
 		return fmt.Sprintf("%s %s written=%d %s", a.target, a.result, a.written, conn)
--- a/router/request.go
+++ b/router/request.go
@@ -171,11 +171,20 @@
 	// Earlier is the number of requests that it carried before, Age the time since it was opened.
 	Earlier int64
 	Age     time.Duration
-	// CarriedID is set if one of them had the ID of this one: what names that ID may then answer
-	// the earlier request.
-	CarriedID bool
+	// Replaces is why another connection could not take the request; empty if there was none.
+	Replaces ConnReplacement
 }
 
+// ConnReplacement is why a connection can't take a request.
+type ConnReplacement string
+
+const (
+	// CarriedID: it has carried a request with the same ID, whose response may come once more.
+	CarriedID ConnReplacement = "carried_id"
+	// RequestLimit: it has carried as many requests as it may.
+	RequestLimit ConnReplacement = "request_limit"
+)
+
 // SendError is the error of an attempt that got no response.
 type SendError struct {
 	Err error
--- a/router/session.go
+++ b/router/session.go
@@ -236,12 +236,13 @@
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
 	if err != nil {
 		s.lastRecord().recordSendError(err)
+		s.recordReplacedConn()
 		return s.handleSendError(ctx, choice, err)
 	}
 	defer response.Body.Close()
 	s.end.framing = response.Framing
 	s.lastRecord().recordResponse(s.in.ID, response)
-	s.recordRepeatedID(response)
+	s.recordReplacedConn()
 	s.recordUnmatched(choice, response)
 	if !response.MatchesRequest {
 		return s.handleUnmatched(choice)
--- a/router/unmatched.go
+++ b/router/unmatched.go
@@ -33,29 +33,18 @@
 	return idOther
 }
 
-func (r *Response) answerLabel() string {
-	if r.NotRun {
-		return answerRefusal
-	}
-	return answerOther
-}
-
-// recordRepeatedID counts a response on a connection that had carried the ID of the request before.
-func (s *session) recordRepeatedID(resp *Response) {
-	if resp.Conn.CarriedID {
-		s.router.metrics.repeatedIDs.WithLabelValues(resp.answerLabel()).Inc()
-	}
-}
-
 // recordUnmatched counts and logs a response that is not known to answer the request.
 func (s *session) recordUnmatched(choice fleet.Choice, resp *Response) {
 	if resp.MatchesRequest {
 		return
 	}
-	id, answer, conn := resp.namedID(s.in.ID), resp.answerLabel(), connNew
+	id, answer, conn := resp.namedID(s.in.ID), answerOther, connNew
 	if id == idOwn {
 		id = idAmbiguous
 	}
+	if resp.NotRun {
+		answer = answerRefusal
+	}
 	if resp.Conn.Earlier > 0 {
 		conn = connReused
 	}
