platform: a surplus response to an earlier request is dropped

Callers got 502 for requests whose own answer followed: a target sends the answer to an earlier request once more, often a refusal, ahead of the one that is due. The entry took nothing from it, but ended the attempt, closed the connection and counted a failure of the target, of which two in a row take it out of use.

--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -32,6 +32,8 @@
 	refused map[string]bool
 	// misdirects is set if sends that expect another instance are answered with 421.
 	misdirects bool
+	// repeatsRefusals has the last refusal on a connection sent once more ahead of the next answer.
+	repeatsRefusals bool
 	// again counts the sends that run after the target has refused one with their ID.
 	again int
 }
@@ -76,7 +78,7 @@
 	greeting := r.greeting
 	r.mu.Unlock()
 	_, _ = io.WriteString(c, greeting)
-	carried := map[string]string{}
+	carried, last := map[string]string{}, ""
 	for in := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(in)
 		if err != nil {
@@ -91,12 +93,15 @@
 		}
 		if refusal := r.refuses(req); refusal != "" {
 			carried[req.Header.Get("Request-Id")] = refusal
-			_, _ = io.WriteString(c, r.expand(refusal, req))
+			last = r.expand(refusal, req)
+			_, _ = io.WriteString(c, last)
 			continue
 		}
 		answer := r.run(req)
 		if refusal := carried[req.Header.Get("Request-Id")]; refusal != "" {
 			answer.bytes = refusal + answer.bytes
+		} else if r.repeats() {
+			answer.bytes, last = last+answer.bytes, ""
 		}
 		_, _ = io.WriteString(c, r.expand(answer.bytes, req))
 		if answer.resets {
@@ -139,6 +144,19 @@
 	r.refusal = refusal
 }
 
+// repeatRefusals has the target send each refusal once more ahead of the next answer.
+func (r *rawTarget) repeatRefusals() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.repeatsRefusals = true
+}
+
+func (r *rawTarget) repeats() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repeatsRefusals
+}
+
 // misdirect has the target refuse what expects another instance.
 func (r *rawTarget) misdirect() {
 	r.mu.Lock()
--- a/node/refusal_copy_test.go
+++ b/node/refusal_copy_test.go
@@ -100,6 +100,48 @@
 	}
 }
 
+// Guards against a target's surplus refusal that costs another request its answer, which follows on the
+// same connection, and the target its health.
+func TestCopyOfRefusalCostsNoOtherRequest(t *testing.T) {
+	for name, refusal := range refusalCopies() {
+		t.Run(name, func(t *testing.T) {
+			w, routes := newRawEnv(t)
+			for _, route := range routes {
+				for _, target := range route.targets {
+					target.repeatRefusals()
+				}
+				for i := range 4 {
+					id := fmt.Sprintf("full-%d-%s", i, route.path)
+					setRefusal(route, refusal)
+					w.sendTo(w.node, "POST", route.path, "body", id, route.headers)
+					setRefusal(route, "")
+					id, got := sendUntilRun(w, route, fmt.Sprintf("next-%d", i))
+					checkAgain(t, route, id, got)
+				}
+			}
+		})
+	}
+}
+
+func setRefusal(route rawRoute, refusal string) {
+	for _, target := range route.targets {
+		target.refuseFirst(refusal)
+	}
+}
+
+// sendUntilRun sends requests with new IDs until one of them has run.
+func sendUntilRun(w *testEnv, route rawRoute, prefix string) (id string, got response) {
+	w.t.Helper()
+	sent := 0
+	w.until("a request runs", func() bool {
+		id = fmt.Sprintf("%s-%d-%s", prefix, sent, route.path)
+		sent++
+		got = w.sendTo(w.node, "POST", route.path, "body", id, route.headers)
+		return totalRuns(route.targets, id) > 0
+	})
+	return id, got
+}
+
 // formerEntry is the list entry of a target that has ended, at the address of the one that runs there.
 func formerEntry(target *rawTarget, id string) store.Entry {
 	entry := target.calls.EntryAt("ready", target.listener.Addr().String())
--- a/router/attempt_log.go
+++ b/router/attempt_log.go
@@ -65,11 +65,13 @@
 	}
 }
 
-// recordReplacedConn counts the connection that could not take the request of the last attempt, if any.
-func (s *session) recordReplacedConn() {
-	if reason := s.lastRecord().conn.Replaces; reason != "" {
-		s.router.metrics.replacedConns.WithLabelValues(string(reason)).Inc()
+// countConnUse counts what the connection of the last attempt was used for beside its response.
+func (s *session) countConnUse() {
+	conn := s.lastRecord().conn
+	if conn.Replaces != "" {
+		s.router.metrics.replacedConns.WithLabelValues(string(conn.Replaces)).Inc()
 	}
+	s.router.metrics.surplus.Add(float64(conn.Surplus))
 }
 
 func (a *attemptRecord) recordResult(out attemptResult) {
@@ -93,6 +95,9 @@
 	if a.conn.Replaces != "" {
 		conn += " conn_replaces=" + string(a.conn.Replaces)
 	}
+	if a.conn.Surplus > 0 {
+		conn += fmt.Sprintf(" conn_surplus=%d", a.conn.Surplus)
+	}
 	if !a.answered {
 		return fmt.Sprintf("%s %s written=%d %s", a.target, a.result, a.written, conn)
 	}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -26,6 +26,7 @@
 	ends            *prometheus.CounterVec
 	confirmation    *prometheus.HistogramVec
 	unmatched       *prometheus.CounterVec
+	surplus         prometheus.Counter
 	replacedConns   *prometheus.CounterVec
 	promises        *prometheus.CounterVec
 	resends         *prometheus.HistogramVec
@@ -54,6 +55,7 @@
 		ends:            telemetry.NewCounter(r, "keel_router_response_ends_total", "Responses of targets that ended, by how they mark the end of their body and by how it ended.", "framing", "end"),
 		confirmation:    telemetry.NewLatency(r, "keel_router_end_confirmation_seconds", "Time for which the end of a response without length or chunks waited until its target had said that it still serves, by result.", "result"),
 		unmatched:       telemetry.NewCounter(r, "keel_router_unmatched_responses_total", "Responses of targets that do not carry the ID of the request, by what they carry (other, missing), by whether they refuse to run it, and by whether their connection had carried other responses (new, reused).", "id", "answer", "connection"),
+		surplus:         telemetry.NewCounter(r, "keel_router_surplus_responses_total", "Responses of targets to earlier requests that came once more, ahead of the one that was due, and were dropped.").WithLabelValues(),
 		replacedConns:   telemetry.NewCounter(r, "keel_router_replaced_connections_total", "Connections to targets that could not take a request, which got a new one, by reason.", "reason"),
 		promises:        telemetry.NewCounter(r, "keel_router_not_run_total", "Requests whose client was told that they have not run, by what that rests on and by kind.", "basis", "kind"),
 		resends:         telemetry.NewLatency(r, "keel_router_resend_seconds", "Time from the end of an attempt that its target may still work on to the next one, by the reason of the retry.", "reason"),
--- a/router/request.go
+++ b/router/request.go
@@ -173,6 +173,9 @@
 	Age     time.Duration
 	// Replaces is why another connection could not take the request; empty if there was none.
 	Replaces ConnReplacement
+	// Surplus is how many responses to earlier requests came once more ahead of the one that was due,
+	// and were dropped.
+	Surplus int
 }
 
 // ConnReplacement is why a connection can't take a request.
--- a/router/session.go
+++ b/router/session.go
@@ -236,13 +236,13 @@
 	response, err := s.router.sender.Send(attemptCtx, s.newAttempt(choice))
 	if err != nil {
 		s.lastRecord().recordSendError(err)
-		s.recordReplacedConn()
+		s.countConnUse()
 		return s.handleSendError(ctx, choice, err)
 	}
 	defer response.Body.Close()
 	s.end.framing = response.Framing
 	s.lastRecord().recordResponse(s.in.ID, response)
-	s.recordReplacedConn()
+	s.countConnUse()
 	s.recordUnmatched(choice, response)
 	if !response.MatchesRequest {
 		return s.handleUnmatched(choice)
