standin: a target can send copies of refusals alone

A target may send one answer too many, the copy of a refusal, ahead of the next response on the connection; it bears the ID of the request that was refused, also when that request is under way again there. The stand-in could repeat its last response, whatever it was, and did not tell whose ID the copy had.

CopyRefusals(n) has each n-th refusal (Not-Executed, or status 421) that a request follows on its connection sent once more, ahead of that request's response, and nothing else. Copies counts those that were written, those with the ID of the request under way, and those of the latter whose request ran. A connection keeps the ID beside the bytes of its last response.

--- a/internal/standin/runner/late.go
+++ b/internal/standin/runner/late.go
@@ -41,24 +41,40 @@
 type lateConn struct {
 	net.Conn
 	mu sync.Mutex
-	// requests counts the requests read, last holds the bytes of the response to the latest one.
+	// requests counts the requests read, latest is the one that was read last.
 	requests int
-	last     []byte
-	ahead    []byte
+	latest   exchange
+	ahead    ahead
+}
+
+// exchange is a request on a connection: its ID and the bytes of its response.
+type exchange struct {
+	id       string
+	response []byte
+}
+
+// ahead is what precedes a response; sent, if set, is called once it has been written, with the
+// first bytes of the response.
+type ahead struct {
+	bytes []byte
+	sent  func(response []byte)
 }
 
 // Write implements net.Conn.
 func (c *lateConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	ahead := c.ahead
-	c.ahead = nil
-	c.last = append(c.last, p...)
+	first := c.ahead
+	c.ahead = ahead{}
+	c.latest.response = append(c.latest.response, p...)
 	c.mu.Unlock()
-	if len(ahead) > 0 {
-		if _, err := c.Conn.Write(ahead); err != nil {
+	if len(first.bytes) > 0 {
+		if _, err := c.Conn.Write(first.bytes); err != nil {
 			return 0, err
 		}
 	}
+	if first.sent != nil {
+		first.sent(p)
+	}
 	return c.Conn.Write(p)
 }
 
@@ -67,14 +83,14 @@
 	return c.Conn.(*net.TCPConn).SetLinger(seconds)
 }
 
-// beginRequest has the bytes that choose returns sent ahead of the next response. choose is
-// given the number of earlier requests on the connection and the response to the last one.
-func (c *lateConn) beginRequest(choose func(earlier int, last []byte) []byte) {
+// beginRequest has what choose returns sent ahead of the response to a request. choose is given
+// the number of earlier requests on the connection and the last of them.
+func (c *lateConn) beginRequest(id string, choose func(earlier int, last exchange) ahead) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ahead = choose(c.requests, c.last)
+	c.ahead = choose(c.requests, c.latest)
 	c.requests++
-	c.last = nil
+	c.latest = exchange{id: id}
 }
 
 // late is what a target sends ahead of the responses that are due.
@@ -87,6 +103,8 @@
 	// firstEvery is on which new connections unnamedRefusal precedes the first response; 0 is
 	// never. opened counts them.
 	firstEvery, opened int
+	// copies are the refusals that are sent once more.
+	copies copies
 	// sent counts the late responses, refusals those that state that the request did not run.
 	sent, refusals int
 }
@@ -138,11 +156,15 @@
 	if !ok {
 		return
 	}
-	c.beginRequest(func(earlier int, last []byte) []byte {
+	id := req.Header.Get("Request-Id")
+	c.beginRequest(id, func(earlier int, last exchange) ahead {
 		if earlier == 0 {
-			return r.takeUnnamedRefusal()
+			return ahead{bytes: r.takeUnnamedRefusal()}
+		}
+		if late := r.takeLate(last.response); late != nil {
+			return ahead{bytes: late}
 		}
-		return r.takeLate(last)
+		return r.takeCopy(last, id)
 	})
 }
 
