soak: sends of one ID are judged together

The soak kept one outcome for each ID, so that a client which sends its ID again after a refusal could not be played: the later outcome replaced the earlier one, and a run was held against the last answer alone.

Each ID has a list of sends now. From the second on a send carries its number in a header, which entries pass on, so that a run names its send: a promise (503, 429, 408, 421) is broken if any run names the send that it answered, whenever that run began. Times alone could not tell a run for a refused send that begins while the next send is under way. All sends of an ID together may run as often as one, as a client sends an ID again only after a promise. A run that names a send which no client made breaks a rule too; a lost number would show as a broken promise of the first send. For IDs that are sent once the checks are as before.

The counts of the press load come from the same judge (tally).

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,9 +20,10 @@
 	stop chan struct{}
 	done sync.WaitGroup
 
-	mu   sync.Mutex
-	seq  int
-	seen map[string]outcome
+	mu  sync.Mutex
+	seq int
+	// seen are the sends of each ID, in their order.
+	seen map[string][]outcome
 	// sentTo is the entry that each request went to.
 	sentTo map[string]*entry
 	counts map[string]int
@@ -31,12 +33,16 @@
 	lost map[string][]string
 }
 
-// outcome is what a caller saw of one attempt.
+// outcome is what a caller saw of one send of an attempt.
 type outcome struct {
 	route  string
 	status int
 	err    error
 	whole  bool
+	// retryAfter is the time to wait that a refusal names.
+	retryAfter time.Duration
+	// began and ended are when it was sent and when its answer was read.
+	began, ended time.Time
 }
 
 // callerCount is how many callers send at the same time, each its next request
@@ -44,7 +50,7 @@
 const callerCount = 16
 
 func (s *site) call(seed uint64) *callers {
-	c := &callers{site: s, stop: make(chan struct{}), seen: map[string]outcome{}, sentTo: map[string]*entry{}, counts: map[string]int{}}
+	c := &callers{site: s, stop: make(chan struct{}), seen: map[string][]outcome{}, sentTo: map[string]*entry{}, counts: map[string]int{}}
 	for i := range callerCount {
 		c.done.Add(1)
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
@@ -107,17 +113,25 @@
 
 // sendOn sends one attempt under an id on a connection of a transport.
 func (c *callers) sendOn(conns *http.Transport, e *entry, route, id string, thing int) bool {
-	out := c.exchange(conns, e, route, id, thing)
+	out := c.sendNth(conns, e, route, id, thing, 1)
+	return out.status == http.StatusOK && out.err == nil
+}
+
+// sendNth sends an attempt for the nth time.
+func (c *callers) sendNth(conns *http.Transport, e *entry, route, id string, thing, n int) outcome {
+	began := time.Now()
+	out := c.exchange(conns, e, route, id, thing, n)
+	out.began, out.ended = began, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seen[id] = out
+	c.seen[id] = append(c.seen[id], out)
 	switch {
 	case out.err != nil:
 		c.counts["cut"]++
 	default:
 		c.counts[fmt.Sprint(out.status)]++
 	}
-	return out.status == http.StatusOK && out.err == nil
+	return out
 }
 
 // request returns one attempt at a route.
@@ -134,7 +148,7 @@
 	return r.To(e.front)
 }
 
-func (c *callers) exchange(conns *http.Transport, e *entry, route, id string, thing int) outcome {
+func (c *callers) exchange(conns *http.Transport, e *entry, route, id string, thing, n int) outcome {
 	out := outcome{route: route}
 	req, err := c.request(e, route, id, thing)
 	if err != nil {
@@ -143,6 +157,9 @@
 	}
 	// The library must not send an attempt a second time.
 	req.GetBody = nil
+	if n > 1 {
+		req.Header.Set(sendHeader, strconv.Itoa(n))
+	}
 	client := http.Client{Timeout: patienceOf(id), Transport: conns}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -151,7 +168,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(readerOf(id, resp.Body))
-	out.status, out.err = resp.StatusCode, err
+	out.status, out.err, out.retryAfter = resp.StatusCode, err, retryAfter(resp.Header)
 	c.checkAnswer(id, &out, resp, string(body))
 	return out
 }
@@ -179,12 +196,8 @@
 
 // judge holds what the callers saw against what the targets saw.
 func (c *callers) judge() {
-	runs := map[string]int{}
 	for _, tg := range c.site.targets() {
 		for _, s := range tg.Seen() {
-			if s.Ran {
-				runs[s.ID]++
-			}
 			c.judgeArrival(tg, s)
 		}
 		c.judgeOrders(tg)
@@ -193,16 +206,13 @@
 	for _, what := range c.site.trap.caught() {
 		c.violate("an address that only other writers name got %s", what)
 	}
+	runs := c.site.runs()
 	c.mu.Lock()
 	outcomes := c.seen
 	c.mu.Unlock()
-	most := map[string]int{"draft": 2, "match": 1, "hold": 1, "stock": 2}
-	for id, out := range outcomes {
-		if runs[id] > most[out.route] {
-			c.violate("%s %s ran %d times", out.route, id, runs[id])
-		}
-		if runsOnce(out.route) && isPromise(out.status) && runs[id] > 0 {
-			c.violate("%s %s was answered %d, and ran", out.route, id, out.status)
+	for id, sends := range outcomes {
+		for _, broken := range judgeSends(sends, runs[id]).violations {
+			c.violate("%s %s %s", sends[0].route, id, broken)
 		}
 	}
 	for id := range runs {
--- a/integration/soak/foreign_test.go
+++ b/integration/soak/foreign_test.go
@@ -218,8 +218,8 @@
 	s.await("every runner has the newest weights", s.allLoaded)
 	c.judge()
 	t.Logf("soak of foreign entries seed=%d requests=%d outcomes=%v faults=%v", seed, c.seq, c.counts, b.played)
-	for id, out := range c.seen {
-		if out.err != nil || out.status != http.StatusOK {
+	for id, sends := range c.seen {
+		if out := sends[0]; out.err != nil || out.status != http.StatusOK {
 			t.Errorf("%s %s ended with %d, %v beside foreign entries", out.route, id, out.status, out.err)
 		}
 	}
--- a/integration/soak/press_test.go
+++ b/integration/soak/press_test.go
@@ -112,35 +112,13 @@
 // judgePress counts by route what judge reports: refusals of requests that ran, and requests that
 // ran more often than once. Without late refusals a load shows nothing.
 func (c *callers) judgePress() {
-	runs := map[string]int{}
 	notRun, late, lateRefusals := 0, 0, 0
 	for _, tg := range c.site.targets() {
-		for _, s := range tg.Seen() {
-			if s.Ran {
-				runs[s.ID]++
-			}
-		}
 		notRun += tg.NotRun()
 		late += tg.LateSent()
 		lateRefusals += tg.LateRefusals()
 	}
-	c.mu.Lock()
-	outcomes := c.seen
-	c.mu.Unlock()
-	statuses, refused, twice := map[string]int{}, map[string]int{}, map[string]int{}
-	for id, out := range outcomes {
-		if !runsOnce(out.route) {
-			continue
-		}
-		statuses[fmt.Sprint(out.status)]++
-		if runs[id] > 0 && isPromise(out.status) {
-			refused[out.route]++
-		}
-		if runs[id] > 1 {
-			twice[out.route]++
-		}
-	}
-	c.site.t.Logf("requests that may run once: %v; targets refused %d and sent %d late responses, %d of them refusals; refused and ran: %v; ran more than once: %v", statuses, notRun, late, lateRefusals, refused, twice)
+	c.site.t.Logf("%v; targets refused %d and sent %d late responses, %d of them refusals", c.tally(), notRun, late, lateRefusals)
 	if lateRefusals == 0 {
 		c.violate("targets refused %d requests and sent %d late responses, none of them a refusal", notRun, late)
 	}
--- a/integration/soak/stops_test.go
+++ b/integration/soak/stops_test.go
@@ -168,7 +168,7 @@
 
 // callKept has callers send over connections that they keep, until c ends.
 func (s *site) callKept(seed uint64, b *believed) *callers {
-	c := &callers{site: s, stop: make(chan struct{}), seen: map[string]outcome{}, counts: map[string]int{}, lost: map[string][]string{}}
+	c := &callers{site: s, stop: make(chan struct{}), seen: map[string][]outcome{}, counts: map[string]int{}, lost: map[string][]string{}}
 	for i := range regulars {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		c.done.Go(func() { c.keep(b, random) })
@@ -231,7 +231,7 @@
 		fault := fmt.Sprintf("to %s: %v", l.entry.name, err)
 		c.lost[fault] = append(c.lost[fault], fmt.Sprintf("%s %s, %v on its way", out.route, id, delay.Round(time.Millisecond)))
 	}
-	c.seen[id] = out
+	c.seen[id] = []outcome{out}
 	c.counts[what]++
 	return err == nil && !resp.Close
 }
--- a/integration/soak/versions_test.go
+++ b/integration/soak/versions_test.go
@@ -169,7 +169,7 @@
 	out := outcome{route: "draft"}
 	defer func() {
 		c.mu.Lock()
-		c.seen[id] = out
+		c.seen[id] = []outcome{out}
 		c.mu.Unlock()
 	}()
 	r := client.Request{
