agent: a send that joined a refused one is not refused while the call runs again

What callers saw: "not run" for a call while it ran. Three sends of one Idempotency-Key: the first is refused, the second has joined it, and the third begins the call again before the second wakes up.

Cause: the record of a call belongs to its key, not to one send. The joined send read the refusal of the first from a record that was running again. The branch meant for that ("withdrawn and begun again") was never reached, as the refusal stays in the record. If the record had been forgotten meanwhile, the refusal came from one that was no longer in use.

Fix: a send that finds its call running again waits for that outcome; one whose record was replaced gets an unknown outcome. Both are true of the call whatever the order in which the goroutines run.

--- a/agent/call.go
+++ b/agent/call.go
@@ -164,22 +164,38 @@
 
 // join waits for a running call to end and returns its outcome.
 func (c *callExecutor) join(ctx context.Context, key ledger.Key, record *ledger.Record, replayed bool) *keelv1.CallResponse {
-	c.mu.Lock()
-	done := record.Done
-	c.mu.Unlock()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return c.refuse(refusal.NewUnknown("the call still runs; ask again with the same Idempotency-Key"))
+	for {
+		c.mu.Lock()
+		done := record.Done
+		c.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return c.refuse(refusal.NewUnknown("the call still runs; ask again with the same Idempotency-Key"))
+		}
+		if answer := c.outcome(key, record, replayed); answer != nil {
+			return answer
+		}
+		// Another attempt with the key has begun the call again.
+		replayed = true
 	}
+}
+
+// outcome returns the outcome of a call that has ended, or nil if it runs again.
+func (c *callExecutor) outcome(key ledger.Key, record *ledger.Record, replayed bool) *keelv1.CallResponse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch record.State {
+	case ledger.Running:
+		return nil
 	case ledger.Done:
 		return c.answerResponse(record.Answer, replayed)
 	case ledger.Unknown:
 		return c.refuse(refusal.NewUnknown("the answer to this call was lost"))
 	}
+	if !c.ledger.IsCurrent(key, record) {
+		return c.refuse(refusal.NewUnknown("the call was withdrawn and begun again"))
+	}
 	return c.notRunResponse(record)
 }
 
@@ -242,10 +258,7 @@
 }
 
 func (c *callExecutor) notRunResponse(record *ledger.Record) *keelv1.CallResponse {
-	r, ok := record.Refusal.(unsentRefusal)
-	if !ok {
-		return c.refuse(refusal.NewUnknown("the call was withdrawn and begun again"))
-	}
+	r := record.Refusal.(unsentRefusal)
 	answer := c.refuse(r.refusal)
 	answer.HolderTarget = r.holder.Target
 	answer.HolderIncarnation = r.holder.Incarnation
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -264,6 +264,13 @@
 	return NotRun
 }
 
+// IsCurrent reports whether no later attempt has begun the call of a record anew, after the record was
+// removed.
+func (l *Ledger) IsCurrent(key Key, r *Record) bool {
+	current := l.records[key]
+	return current == nil || current == r
+}
+
 // Expire removes records and tombstones that are past their retention times.
 // Records that are not evictable are kept whatever their age.
 func (l *Ledger) Expire(now time.Time) {
