entry, agent: the refusal of a repeated call is no refusal of the call

What callers saw: "not run" (queue_full, stopping, ledger_full, no agent reached, contract_exceeded) for a call that an earlier send with the same Idempotency-Key had run. A client that believes it makes the call again under a new key.

Cause: the key is the client's, and names the call; the refusal speaks for one send of it. An agent without a free slot refuses before it looks for the claim; a ledger that has forgotten a call refuses it as a new one; an entry that reaches no agent knows nothing of earlier sends. A stop and the agent that has the claim were treated so already.

Evidence: calls/refused-after-its-run, real agents and services: the agent that ran the hold is cut off, the other one is busy: 429 not_run for a hold that ran once.

Fix: what is sent to other targets still rests on the refusal of the send; the client gets an unknown outcome, unless the entry generated the key or the agent covers all sends of it: the home of a UUIDv7 key that it proves newer than its process and than the calls that it has forgotten.

Price: with keys of their own that carry no time, clients hear "unknown" where "not run" was often true. Status, Retry-After and what to do (ask again with the same key) don't change.

--- a/agent/call.go
+++ b/agent/call.go
@@ -157,7 +157,8 @@
 	case ledger.RefuseAbandoned:
 		return c.refuse(refusal.New(refusal.AttemptAbandoned, "send the call again", "this attempt was given up as not run"))
 	case ledger.RefuseFull:
-		return c.refuse(refusal.New(refusal.LedgerFull, "come back after the time in Retry-After", "the ledger of calls is full").WithRetryAfter(time.Second))
+		full := refusal.New(refusal.LedgerFull, "come back after the time in Retry-After", "the ledger of calls is full").WithRetryAfter(time.Second)
+		return c.refuse(c.refusalOfCall(full, req, key))
 	}
 	return c.refuse(refusal.NewUnknown("the answer to this call was lost"))
 }
@@ -203,6 +204,7 @@
 // outcome.
 func (c *callExecutor) sendOnce(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) {
 	if r := c.acquireSlot(); r != nil {
+		r = c.refusalOfCall(r, req, key)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.recordNotSent(key, record, r, claim{})
--- a/agent/permit.go
+++ b/agent/permit.go
@@ -67,6 +67,22 @@
 	return f
 }
 
+// refusalOfCall returns a refusal that was decided without a claim as the outcome of the call. Of
+// keys that carry a time, this process tells whether an earlier send may have run; of others, the
+// entry takes that for possible.
+func (c *callExecutor) refusalOfCall(r *refusal.Error, req *keelv1.CallRequest, key ledger.Key) *refusal.Error {
+	made, carriesTime := ledger.KeyTime(key.IdempotencyKey)
+	if req.FreshKey || !carriesTime {
+		return r
+	}
+	if home, since := c.homeStatus(key); home && c.remembers(since).ProvesNew(made, time.Now()) {
+		return r
+	}
+	unknown := *r
+	unknown.Outcome = refusal.Unknown
+	return &unknown
+}
+
 func notHomeRefusal() *refusal.Error {
 	r := refusal.NewUnknown("this agent is not the home of the key")
 	r.Kind = refusal.NotOwner
--- a/agent/repeated_call_test.go
+++ b/agent/repeated_call_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/ledger"
 	"acaciakeel/refusal"
+	"acaciakeel/store"
 )
 
 func holdRequest(requestID, key string) *keelv1.CallRequest {
@@ -51,3 +55,39 @@
 		})
 	}
 }
+
+// Guards against "not run" for a call that has run and was forgotten: the refusal of its repetition,
+// for which there is no room, speaks for the repetition alone.
+func TestRefusedRepetitionOfForgottenCallIsUnknown(t *testing.T) {
+	for name, refuse := range map[string]func(*callExecutor){
+		"queue full": func(c *callExecutor) { c.slots = 0 },
+		"stopping":   func(c *callExecutor) { c.stop() },
+		"ledger full": func(c *callExecutor) {
+			for i := range 9 {
+				c.ledger.Begin(ledger.Key{IdempotencyKey: fmt.Sprint(i)}, ledger.Attempt{}, 0, time.Now())
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer service.Close()
+			c := newTestExecutor(service.URL, &mapStore{entries: map[string]store.Entry{}})
+			hour := time.Now().Add(-time.Hour)
+			c.started, c.homeStatus = hour, func(ledger.Key) (bool, time.Time) { return true, hour }
+			key := uuid.Must(uuid.NewV7()).String()
+			if first := c.call(t.Context(), holdRequest("r", key)); first.Refusal != nil {
+				t.Fatal(first.Refusal)
+			}
+			c.sweep(time.Now().Add(2 * time.Hour))
+			refuse(c)
+			if again := c.call(t.Context(), holdRequest("r2", key)); again.Refusal == nil || again.Refusal.Outcome != string(refusal.Unknown) {
+				t.Errorf("repeated: status %d, refusal %v, want an unknown outcome", again.Status, again.Refusal)
+			}
+			time.Sleep(5 * time.Millisecond) // keys carry milliseconds
+			fresh := uuid.Must(uuid.NewV7()).String()
+			if other := c.call(t.Context(), holdRequest("r3", fresh)); other.Refusal == nil || other.Refusal.Outcome != string(refusal.NotRun) {
+				t.Errorf("a new call: status %d, refusal %v, want one that says not run", other.Status, other.Refusal)
+			}
+		})
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -82,19 +82,19 @@
 	if !ok {
 		return nil, refusal.New(refusal.UnknownService, "ask the operator which there are", "there is no service %q", c.service)
 	}
-	if err := e.contracts.beginRequest(c.info.customer, c.info.contract, 0); err != nil {
-		return nil, err
+	call := &pendingCall{entry: e, call: c, request: e.newCallRequest(c, spec)}
+	if refused := e.contracts.beginRequest(c.info.customer, c.info.contract, 0); refused != nil {
+		return nil, call.refusalOfCall(refused)
 	}
 	defer e.contracts.endRequest(c.info.customer, 0)
 	e.retryBudgets.recordRequest(c.info.customer)
-	call := &pendingCall{entry: e, call: c, request: e.newCallRequest(c, spec)}
 	call.targets = placement.RankTargets(snapshot.TargetsOfService(c.service), call.request.IdempotencyKey)
 	if call.requiresHomeTarget() && len(call.targets) > 1 {
 		call.targets = call.targets[:1]
 	}
 	answer, refused := call.run(ctx)
 	if refused != nil {
-		return nil, refused
+		return nil, call.refusalOfCall(refused)
 	}
 	return answer, nil
 }
@@ -129,6 +129,28 @@
 	request   *keelv1.CallRequest
 	targets   []string
 	sendCount int
+	// agentRefusal is the last refusal that an agent sent; nil if there is none.
+	agentRefusal *refusal.Error
+}
+
+// refusalOfCall returns a refusal of this send as the outcome of the call. An earlier send with the
+// client's key may have run, also through another entry.
+func (p *pendingCall) refusalOfCall(refused *refusal.Error) *refusal.Error {
+	if p.request.Idempotent || p.request.FreshKey || refused.Outcome != refusal.NotRun || p.coversEarlierSends(refused) {
+		return refused
+	}
+	unknown := *refused
+	unknown.Outcome = refusal.Unknown
+	return &unknown
+}
+
+// coversEarlierSends reports whether a refusal holds for all sends with the key: the agent that
+// refused is the only one that may run the call, or has ruled out that the call ran.
+func (p *pendingCall) coversEarlierSends(refused *refusal.Error) bool {
+	if refused != p.agentRefusal {
+		return false
+	}
+	return p.requiresHomeTarget() || refused.Kind == refusal.KeyReused || refused.Kind == refusal.PlatformDown
 }
 
 // requiresHomeTarget reports whether only the home target of the key, the first in
@@ -303,7 +325,8 @@
 	if m.Refusal == nil {
 		return m, nil
 	}
-	return m, decodeRefusal(m.Refusal)
+	p.agentRefusal = decodeRefusal(m.Refusal)
+	return m, p.agentRefusal
 }
 
 // resolveOutcome determines the outcome of a call whose answer was lost. It uses
