--- a/fleet/cache_watcher.go
+++ b/fleet/cache_watcher.go
@@ -36,7 +36,9 @@
 	// at its address. It is empty for a store.
 	Target  string
 	Address string
-	Since   int64
+	// Boot and Since are the Boot and Next of the events known so far; 0 if there are none.
+	Boot  int64
+	Since int64
 	// Wait is how long the answer may be held back while there are no events.
 	Wait time.Duration
 }
@@ -129,7 +131,7 @@
 		return out
 	}
 	c.readInFlight = true
-	return append(out, cacheRead{cache: c, request: CacheEventRequest{Target: target, Address: address, Since: c.nextEvent, Wait: longPollWait}})
+	return append(out, cacheRead{cache: c, request: CacheEventRequest{Target: target, Address: address, Boot: c.bootID, Since: c.nextEvent, Wait: longPollWait}})
 }
 
 func (w *CacheWatcher) read(ctx context.Context, read cacheRead) {
