origin: a stream sent again does not replace the record of the one that began

What callers could see: a stream joined from two software versions. A client has events of a stream of version a, sends the same Request-Id again from the beginning, the entry announces version b for it and the target refuses. All entries are then killed, and the client resumes what it has: the store says b.

Cause: an announcement replaces what was saved for an attempt that did not begin the stream, and takes the ID for that attempt. That an earlier send of the ID had begun was in the table, and not looked up.

Evidence: TestStreamSentAgainKeepsNoWrongRecord, "another version, not begun" failed before; the other four rows held (a second send that begins makes the record disputed, as before).

Fix: a stream that is announced with another origin than the recorded one is saved as disputed ahead of its first event, so that neither of the two is continued by a record of the other, whichever the client resumes.

--- a/origin/saving.go
+++ b/origin/saving.go
@@ -54,13 +54,17 @@
 }
 
 // Save has a stream saved that is about to begin, and reports whether that is necessary. What was
-// saved before for an attempt that did not begin the stream is replaced.
+// saved before for an attempt that did not begin the stream is replaced. If an earlier send of the
+// same attempt began it with another origin, both are in doubt: the client may resume either.
 func (t *Table) Save(s Stream, o Origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.isSaved(o) {
 		return false
 	}
+	if known, ok := t.find(s); ok && known != o {
+		o = Disputed
+	}
 	t.save(s, o)
 	return true
 }
