--- a/target/late_test.go
+++ b/target/late_test.go
@@ -33,7 +33,10 @@
 				_, _ = io.WriteString(c, late)
 			}
 			body := req.URL.Path
-			if strings.HasPrefix(body, "/v1/") {
+			switch {
+			case body == "/v1/load":
+				body = `{"boot_id":"own"}`
+			case strings.HasPrefix(body, "/v1/"):
 				body = "data: {\"text\":\"own\"}\n\ndata: [DONE]\n\n"
 			}
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
@@ -56,11 +59,11 @@
 }
 
 // Guards against a late second response of a service or an engine that is taken for the answer to
-// the next call, which may be another customer's: responses here name no request.
+// the next call, which may be another customer's or a second send: responses here name no request.
 func TestLateResponsesAnswerNoOtherCall(t *testing.T) {
 	for _, late := range []string{
 		lateResponse(200, "another customer's answer"), lateResponse(503, ""), lateResponse(409, ""), lateResponse(500, ""), lateResponse(204, ""),
-		lateResponse(200, "data: {\"text\":\"another's\"}\n\ndata: [DONE]\n\n"),
+		lateResponse(200, "data: {\"text\":\"another's\"}\n\ndata: [DONE]\n\n"), lateResponse(200, `{"boot_id":"former"}`),
 	} {
 		t.Run(fmt.Sprintf("%q", late), func(t *testing.T) {
 			url := startLate(t, late)
@@ -68,14 +71,14 @@
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
 				for i := range 3 {
 					path := fmt.Sprintf("/holds/%d", i)
-					answer, err := service.Do(t.Context(), Call{RequestID: path, Method: method, Path: path})
+					answer, err := service.Do(t.Context(), Call{RequestID: "one", IdempotencyKey: "one", Method: method, Path: path})
 					if err != nil || answer.Status != http.StatusOK || string(answer.Body) != path {
 						t.Errorf("%s %s was answered %d %q (%v)", method, path, answer.Status, answer.Body, err)
 					}
 				}
 			}
 			for i := range 3 {
-				stream, err := engine.Start(t.Context(), Completion{RequestID: fmt.Sprint(i)})
+				stream, err := engine.Start(t.Context(), Completion{RequestID: "one"})
 				if err != nil {
 					t.Errorf("completion %d: %v", i, err)
 					continue
@@ -88,6 +91,9 @@
 				if err := engine.Order(t.Context(), 1, "v"); err != nil {
 					t.Errorf("order %d: %v", i, err)
 				}
+				if load, err := engine.Load(t.Context()); err != nil || load.BootID != "own" {
+					t.Errorf("load report %d: %+v (%v)", i, load, err)
+				}
 			}
 		})
 	}
