fleet, rollout: a refused call ends a target only if another one accepts its name

What callers saw: targets got no request, and engines no new weights, for 20 s and more, until a new entry of theirs was listed, after calls of an entry (cache events, a report, an order) had met a 421 in another target's name.

Cause: the refusal was believed, by reads of cache events twice in a row, by reports and orders at once. Responses to calls name no request: what a faulty target sends late, or as it accepts a connection, is read as the answer.

Now such a refusal starts a check, with new connections that carry nothing else: the address is asked for the target that is meant, and for the one that the refusal names. A target refuses each ID but its own, so another one that has the address accepts the second question, and bytes that are read as the answer to both contradict themselves. Two rounds in a row must show the same other target; an answer of the meant one ends the check, and rounds that show nothing are repeated. Meanwhile the target counts as one that doesn't answer and is used again from its first proper answer on.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -20,8 +20,6 @@
 	readInFlight bool
 	// unresponsive is set while the last read got no answer.
 	unresponsive bool
-	// misdirected is set if the last answer to a read was one of another target.
-	misdirected bool
 	// unsharedChanges are the changes read by this process since its last update to the
 	// other processes.
 	unsharedChanges []change
--- a/fleet/cache_watcher.go
+++ b/fleet/cache_watcher.go
@@ -42,8 +42,8 @@
 }
 
 // CacheEventReader reads the events of a cache. A refused read returns no events and no
-// error; an error means that the target does not answer, or that another one has its
-// address.
+// error; an error means that the target does not answer, or that another one seems to have
+// its address.
 type CacheEventReader interface {
 	CacheEvents(ctx context.Context, r CacheEventRequest) (CacheEvents, error)
 }
@@ -142,29 +142,21 @@
 	if err == nil && read.request.Target != "" {
 		w.fleet.RecordResponse(Instance{ID: read.request.Target, Born: events.Born}, time.Now())
 	}
-	if errors.Is(err, ErrTargetReplaced) && w.fleet.targetReplaced(read) {
-		return
+	if errors.Is(err, ErrTargetReplaced) {
+		w.fleet.suspectRead(read, time.Now())
 	}
 	// If a later instance answered, this cache is that of the former one, which is no
 	// longer used; the new one is read from its first event.
 	w.fleet.finishRead(read.cache, events, err == nil, time.Now())
 }
 
-// targetReplaced removes a target when another one answers at its address twice in a row, and reports
-// whether that is so: it has ended. Kept as unresponsive, it would be taken for one that may come back.
-// A single answer may be a late or foreign response, as those to reads name no request.
-func (f *Fleet) targetReplaced(read cacheRead) bool {
+// suspectRead starts a check of the target of a read that was refused in another's name.
+func (f *Fleet) suspectRead(read cacheRead, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !read.cache.misdirected {
-		read.cache.misdirected = true
-		return false
-	}
-	read.cache.readInFlight, read.cache.unresponsive = false, true
 	if s := f.states[read.request.Target]; s != nil && &s.cache == read.cache && s.target.Address == read.request.Address {
-		f.removeEnded(s)
+		f.suspectReplaced(s, now)
 	}
-	return true
 }
 
 // abandonRead ends a read that a former instance answered.
@@ -184,7 +176,6 @@
 	if !ok {
 		return
 	}
-	c.misdirected = false
 	all := changesOf(e.Events)
 	first := c.nextEvent == 0 || c.bootID != e.Boot
 	c.apply(e.Boot, e.Next, all)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -165,6 +165,10 @@
 	probesInFlight int
 	// orphaned end the requests at targets that were removed while they did not respond.
 	orphaned []func()
+	// replacementChecks are the checks in progress by target ID, holderRounds counts their rounds
+	// in progress.
+	replacementChecks map[string]*replacementCheck
+	holderRounds      int
 }
 
 // group is the targets of one service; candidates has them in the same order, in the form
@@ -193,6 +197,7 @@
 		retained:               map[string]retainedState{},
 		disproved:              map[string]int64{},
 		responseTimesByService: map[string]*responseTimes{},
+		replacementChecks:      map[string]*replacementCheck{},
 
 		serviceSpeeds: map[string]*serviceSpeeds{},
 		zone:          zone,
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -1,6 +1,7 @@
 // Package fleet is one process's view of the targets: the platform's list of them,
 // combined with what the process's own traffic shows and what other processes report.
-// Except for CacheWatcher it does no I/O, and nearly all times are arguments.
+// Except for CacheWatcher and ReplacementChecker it does no I/O, and nearly all times are
+// arguments.
 package fleet
 
 import (
@@ -40,9 +41,9 @@
 	Slowdown float64
 }
 
-// ErrTargetReplaced means that the address belongs to another target by now: the
-// addressed one has ended and must be removed.
-var ErrTargetReplaced = errors.New("the address belongs to another target; the addressed one has ended and is to be removed")
+// ErrTargetReplaced means that a call was refused as one for another target than the one that has
+// the address. The refusal names no request, so that it may be a late or foreign one.
+var ErrTargetReplaced = errors.New("the call was refused in the name of another target; ask there who has the address")
 
 // Status is a target's state as of some hundred milliseconds ago.
 type Status struct {
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	frontend     *platform.Frontend
 	router       *router.Router
 	cacheWatcher *fleet.CacheWatcher
+	replacements *fleet.ReplacementChecker
 	exchange     *peerExchange
 	name         string
 	stopping     chan struct{}
@@ -170,6 +171,7 @@
 	n.registerGauges()
 	n.sharing = newSharingMetrics(n.registry)
 	n.cacheWatcher = fleet.NewCacheWatcher(targets, runners)
+	n.replacements = fleet.NewReplacementChecker(targets, runners, n.view.targetChecked)
 	bounds := router.Bounds{MaxStaleness: n.view.oldWeightsLimit, MaxStartStaleness: time.Duration(s.Bounds.VersionMS)*time.Millisecond - beginMargin}
 	retries := router.RetryBounds{
 		Ratio:  s.Bounds.RetryRatio,
@@ -243,6 +245,7 @@
 	n.cancel, n.cancelDuties = cancel, cancelDuties
 	go n.view.follower.Run(ctx)
 	go n.cacheWatcher.Run(ctx)
+	go n.replacements.Run(ctx)
 	go n.router.CheckTargets(ctx)
 	go n.exchange.run(ctx)
 	go n.lateness.Run(ctx)
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -58,6 +58,17 @@
 	v.verdicts.Table.RecordCrash(previous, time.Now())
 }
 
+// targetChecked is called when it has been settled who has the address of a target whose call was
+// refused in another's name.
+func (v *view) targetChecked(r fleet.ReplacementResult) {
+	line := v.log.WithFields(logrus.Fields{"event": "target_checked", "target": r.Target.ID, "born": r.Target.Born, "address": r.Address, "holder": r.Holder, "replaced": r.Replaced(), "rounds": r.Rounds, "took_ms": r.Took.Milliseconds()})
+	if r.Replaced() {
+		line.Warn("another target has the address; the former one has ended and is removed")
+		return
+	}
+	line.Info("a call was refused in the name of another target, but the target has its address")
+}
+
 // targetBuildChanged is called when a target is listed with another software version.
 func (v *view) targetBuildChanged(r fleet.Target) {
 	v.log.WithFields(logrus.Fields{"event": "target_build_changed", "target": r.ID, "born": r.Born, "build": r.Build}).Info("the target is listed with another software version; what began its latest streams is uncertain")
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -256,9 +256,10 @@
 	askedAt := time.Now()
 	report, err := c.client.Report(reportCtx, r)
 	report.Born, report.AskedAt = fleet.KnownStart(report.Born, askedAt), askedAt
+	if errors.Is(err, fleet.ErrTargetReplaced) {
+		c.fleet.SuspectReplaced(r.Instance(), time.Now())
+	}
 	switch {
-	case errors.Is(err, fleet.ErrTargetReplaced):
-		c.fleet.RecordEnd(r.Instance())
 	case err == nil:
 		c.fleet.RecordResponse(r.Instance(), time.Now())
 		c.mu.Lock()
@@ -347,17 +348,17 @@
 	switch result {
 	case fleet.OrderAlreadyLoaded:
 		c.fleet.RecordWeights(r.Instance(), model, desired, time.Now())
-	case fleet.OrderMisdirected:
-		// Another runner answers at this address, so this one has ended even if it is
-		// still listed.
-		c.fleet.RecordEnd(r.Instance())
 	case fleet.OrderAccepted:
 		if c.awaitLoad(ctx, r, model, desired) {
 			c.recordDuration(time.Since(start))
 		}
-	case fleet.OrderLost, fleet.OrderNotSent:
+	case fleet.OrderLost, fleet.OrderNotSent, fleet.OrderMisdirected:
 		// The order may still be carried out. The next report shows whether it was, and
-		// its order count rules out that both are.
+		// its order count rules out that both are. A refusal in another runner's name need not
+		// be that of the order, which it doesn't name.
+		if result == fleet.OrderMisdirected {
+			c.fleet.SuspectReplaced(r.Instance(), time.Now())
+		}
 		c.mu.Lock()
 		c.contacts.recordFailure(r.Instance(), time.Now())
 		c.mu.Unlock()
--- a/rollout/unresponsive_test.go
+++ b/rollout/unresponsive_test.go
@@ -266,3 +266,59 @@
 		t.Error("the failure of a former instance applies to its successor")
 	}
 }
+
+// misdirectingClient refuses reports, or orders, in another runner's name.
+type misdirectingClient struct {
+	recordingClient
+	reports bool
+}
+
+func (c *misdirectingClient) Report(ctx context.Context, of fleet.Target) (fleet.Status, error) {
+	if c.reports {
+		return fleet.Status{}, fmt.Errorf("report: %w", fleet.ErrTargetReplaced)
+	}
+	return c.recordingClient.Report(ctx, of)
+}
+
+func (c *misdirectingClient) Order(ctx context.Context, o fleet.Order) (fleet.OrderResult, error) {
+	_, _ = c.recordingClient.Order(ctx, o)
+	return fleet.OrderMisdirected, nil
+}
+
+// holderRecorder records the IDs that it is asked for.
+type holderRecorder struct{ asked []string }
+
+func (h *holderRecorder) AskHolder(_ context.Context, _, id string) (fleet.HolderAnswer, error) {
+	h.asked = append(h.asked, id)
+	return fleet.HolderAnswer{}, nil
+}
+
+// Guards against a runner that ends by the refusal of a call in another's name, and against one that
+// is not checked after it.
+func TestMisdirectedCallEndsNoRunner(t *testing.T) {
+	for name, client := range map[string]*misdirectingClient{"report": {reports: true}, "order": {}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fleet.New("z")
+				r := fleet.Target{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}}
+				f.Put(r)
+				f.RecordDesired("m", 2, time.Now(), false)
+				c := NewController("n", Config{Leadership: alwaysLeader{}, Client: client, Fleet: f, Notify: func() {}}, discardLogger())
+				c.updateRunner(t.Context(), Decision{Runner: r}, "m", 2)
+				if !f.IsCurrent(r.Instance()) {
+					t.Error("the runner has ended")
+				}
+				if in := c.planInput("m", 2, []string{"lm"}); !in.Unresponsive["r"] {
+					t.Error("the runner takes a slot")
+				}
+				asker := &holderRecorder{}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				defer cancel()
+				fleet.NewReplacementChecker(f, asker, func(fleet.ReplacementResult) {}).Run(ctx)
+				if len(asker.asked) != 1 || asker.asked[0] != "r" {
+					t.Errorf("asked for %v, want r", asker.asked)
+				}
+			})
+		})
+	}
+}
