rollout: an order refused in another runner's name may still arrive

What could follow: a leader that stops gives up the lock while its order is still on its way, and the order arrives after those of the next leader, as orders of two holders.

Cause: a 421 counted as the answer to the order. It names no request, so that it may be a late or foreign one, and the order unread yet.

Now the lock is kept for as long as after an order without an answer.

Evidence: the new row of TestOrdersAreSettledBeforeTheLockIsReleased failed before (settled after 0.6 s, want 1.8 s) and passes. Other refusals (409, 412) are believed as before.

--- a/rollout/outstanding.go
+++ b/rollout/outstanding.go
@@ -23,7 +23,7 @@
 	// inProgress counts the calls that have not ended; changed is closed when that changes.
 	inProgress int
 	changed    chan struct{}
-	// arrivesUntil is until when an order without an answer may still arrive.
+	// arrivesUntil is until when an order that got no answer of its runner may still arrive.
 	arrivesUntil time.Time
 }
 
@@ -47,7 +47,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.inProgress--
-	if result == fleet.OrderLost {
+	// A refusal in another runner's name need not be that of the order.
+	if result == fleet.OrderLost || result == fleet.OrderMisdirected {
 		o.arrivesUntil = now.Add(o.transit)
 	}
 	close(o.changed)
--- a/rollout/outstanding_test.go
+++ b/rollout/outstanding_test.go
@@ -41,6 +41,7 @@
 		{"answered", 600 * time.Millisecond, fleet.OrderAccepted, 5 * time.Second, 600 * time.Millisecond, false},
 		{"refused", 600 * time.Millisecond, fleet.OrderConflict, 5 * time.Second, 600 * time.Millisecond, false},
 		{"not sent", 600 * time.Millisecond, fleet.OrderNotSent, 5 * time.Second, 600 * time.Millisecond, false},
+		{"refused in another's name", 600 * time.Millisecond, fleet.OrderMisdirected, 5 * time.Second, 600*time.Millisecond + transit, false},
 		{"without an answer", 600 * time.Millisecond, fleet.OrderLost, 5 * time.Second, 600*time.Millisecond + transit, false},
 		{"in progress at the end", time.Second, fleet.OrderAccepted, 300 * time.Millisecond, 300 * time.Millisecond, true},
 		{"maybe on its way at the end", 600 * time.Millisecond, fleet.OrderLost, time.Second, time.Second, true},
