router: a stream that is sent again begins at the version on record

What callers saw: a stream joined from two software versions. A client sends a stream again from its beginning under the same Request-Id, at another entry; the second send runs at another version; the client then resumes it at an entry that knows the first send alone. Where the two were known, the resumption was refused (stream_unknown) for nothing.

Cause: a stream is known by customer and ID, which name an attempt of the client and not one send of it. Two sends with two origins are disputed, but only where both are known: the second record arrives with the next update.

Fix: before a stream begins, the entry looks up its ID. If a version is on record at which streams begin, the choice is bound to that one, so that both sends have one origin and either may be resumed. If no target of it can take the request, it begins at any, as before. What is recorded is still what the target that began it says, so that the binding only steers the choice. Two IDs with one hash (1 in 16,384 at most) are steered for nothing.

--- a/node/origins.go
+++ b/node/origins.go
@@ -170,6 +170,12 @@
 	return o.exchange.view.beginAt(service, !o.cannotSave(), time.Now())
 }
 
+// Recorded implements router.Origins.
+func (o *streamOrigins) Recorded(s origin.Stream) (origin.Origin, bool) {
+	r, ok := o.table.Lookup(s, time.Now())
+	return r.Origin, ok
+}
+
 // ListFresh implements router.Origins.
 func (o *streamOrigins) ListFresh() bool {
 	age, ok := o.exchange.view.follower.Age()
--- a/router/announce_test.go
+++ b/router/announce_test.go
@@ -47,6 +47,9 @@
 func (o *recordingOrigins) ListFresh() bool             { return true }
 func (o *recordingOrigins) Disputed(origin.Stream) bool { return false }
 func (o *recordingOrigins) BeginAt(string) []string     { return nil }
+func (o *recordingOrigins) Recorded(origin.Stream) (origin.Origin, bool) {
+	return origin.Origin{}, false
+}
 func (o *recordingOrigins) Resolve(context.Context, origin.Stream, bool, string) origin.Resolution {
 	return origin.Resolution{Source: origin.Unknown}
 }
--- a/router/resume.go
+++ b/router/resume.go
@@ -35,6 +35,9 @@
 	// BeginAt returns the software versions at whose targets streams of a service that may be
 	// resumed begin; empty for all.
 	BeginAt(service string) []string
+	// Recorded returns the origin that this process knows of a stream; ok is false if there is none,
+	// or a disputed one.
+	Recorded(s origin.Stream) (o origin.Origin, ok bool)
 	// Resolve returns the origin of a stream that is to be continued at a service, and may ask
 	// other processes. If named is false, the client has not named its stream.
 	Resolve(ctx context.Context, s origin.Stream, named bool, service string) origin.Resolution
@@ -83,7 +86,11 @@
 // resolveOrigin finds out what began the stream that the next attempt continues, and refuses
 // the request if that can't be known.
 func (s *session) resolveOrigin(ctx context.Context) *refusal.Error {
-	if s.router.origins == nil || !s.continues() {
+	if s.router.origins == nil {
+		return nil
+	}
+	if !s.continues() {
+		s.bindToEarlierSend()
 		return nil
 	}
 	id, named := s.streamID()
@@ -101,6 +108,24 @@
 		"it is not known which software version of service %s began the stream %q", s.in.service.Name, s.in.Resumes))
 }
 
+// bindToEarlierSend has a stream that the client sends again from its beginning, under the same ID,
+// begin at the version at which it began before. The client may resume either by that ID, also at an
+// entry that does not know yet that there are two.
+func (s *session) bindToEarlierSend() {
+	s.stream.origin = origin.Resolution{}
+	if !s.beginsResumable() {
+		return
+	}
+	id, _ := s.streamID()
+	o, ok := s.router.origins.Recorded(id)
+	if !ok || o.Service != s.in.service.Name {
+		return
+	}
+	if at := s.router.origins.BeginAt(o.Service); len(at) == 0 || slices.Contains(at, o.Build) {
+		s.stream.origin = origin.Resolution{Origin: o, Source: origin.Response}
+	}
+}
+
 // followService sends the request to the service that began its stream if its route divides
 // requests between that one and others.
 func (s *session) followService() {
@@ -158,6 +183,14 @@
 	if _, bound := s.boundBuild(); !bound {
 		return choice, ok
 	}
+	if !s.continues() {
+		if !ok {
+			// The stream may begin at any version, and is then recorded as disputed.
+			s.stream.origin = origin.Resolution{}
+			choice, ok = s.choose()
+		}
+		return choice, ok
+	}
 	if !ok {
 		// The targets of the version failed requests lately.
 		s.identify(ctx, f.UnconfirmedTargets(s.query(), time.Now()))
@@ -220,7 +253,7 @@
 	if s.router.origins == nil || s.stream.began && (!s.stream.origin.Known() || now.Sub(s.stream.recordedAt) < origin.RefreshInterval) {
 		return
 	}
-	if _, bound := s.boundBuild(); !s.stream.began && !bound {
+	if _, bound := s.boundBuild(); !s.stream.began && (!bound || !s.in.resumedByClient()) {
 		// The stream begins here, or goes on at another service, whose versions bind it from
 		// now on.
 		s.stream.origin = s.newOrigin()
