--- a/agent/repeated_call_test.go
+++ b/agent/repeated_call_test.go
@@ -4,15 +4,18 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/ledger"
 	"acaciakeel/refusal"
 	"acaciakeel/store"
+	"acaciakeel/target"
 )
 
 func holdRequest(requestID, key string) *keelv1.CallRequest {
@@ -91,3 +94,50 @@
 		})
 	}
 }
+
+// Guards against a late message that a send is given up, which ends or refuses a later send of the same
+// key, or another attempt at the same stream.
+func TestAbandonEndsOnlyItsOwnSend(t *testing.T) {
+	t.Run("call", func(t *testing.T) {
+		work := make(chan struct{})
+		var calls atomic.Int32
+		service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			calls.Add(1)
+			<-work
+		}))
+		defer service.Close()
+		c := newTestExecutor(service.URL, &mapStore{entries: map[string]store.Entry{}})
+		later := make(chan *keelv1.CallResponse, 1)
+		go func() { later <- c.call(t.Context(), holdRequest("later", "k")) }()
+		for calls.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		abandon := &keelv1.AbandonRequest{RequestId: "earlier", Customer: "c", Service: "s", IdempotencyKey: "k", RequireIncarnation: "i"}
+		if state := c.abandon(abandon); state != ledger.Running {
+			t.Errorf("the earlier send is settled as %s while the call runs", state)
+		}
+		close(work)
+		if answer := <-later; answer.Refusal != nil {
+			t.Errorf("the later send is refused: %v", answer.Refusal)
+		}
+		if copied := c.call(t.Context(), holdRequest("earlier", "k")); copied.Refusal != nil || !copied.Replayed || calls.Load() != 1 {
+			t.Errorf("a late copy of the earlier send: %v, replayed %t, %d calls", copied.Refusal, copied.Replayed, calls.Load())
+		}
+	})
+	t.Run("stream", func(t *testing.T) {
+		r := newRunner(DefaultSettings(), target.NewEngine("http://127.0.0.1:1"), newMetrics(prometheus.NewRegistry()))
+		now := time.Now()
+		var jobs []*job
+		for _, attempt := range []*keelv1.GenerateRequest{{RequestId: "r", Customer: "c", Attempt: 1}, {RequestId: "r", Customer: "c", Attempt: 2}, {RequestId: "r", Customer: "d", Attempt: 1}} {
+			j := newJob(attempt, 0, now)
+			j.phase, r.jobs[j.id] = decoding, j
+			jobs = append(jobs, j)
+		}
+		r.abandon(jobID("c", "r", 1), now)
+		for i, j := range jobs {
+			if gotEnded := j.phase == ended; gotEnded != (i == 0) {
+				t.Errorf("job %s has ended: %t", j.id, gotEnded)
+			}
+		}
+	})
+}
--- a/entry/repeated_call_test.go
+++ b/entry/repeated_call_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/google/uuid"
@@ -81,3 +84,42 @@
 		})
 	}
 }
+
+// Guards against two sends of a client that name one request ID and are taken for one attempt: an agent
+// returns the stream that it has of an attempt.
+func TestRequestIDOfClientNamesNoAttempt(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]string{}
+	agent := &fakeAgent{generate: func(r *keelv1.GenerateRequest) (*keelv1.GenerateResponse, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen[r.RequestId] = string(r.Prompt)
+		return refusalResponse(refusal.New(refusal.QueueFull, "", "full")), nil
+	}}
+	url, _ := agent.start(t)
+	snapshot, err := resource.Build(1, []resource.Resource{
+		{Kind: resource.KindModel, Name: "m", Spec: []byte(`{"weights_version":"v1"}`)},
+		{Kind: resource.KindTarget, Name: "a", Spec: fmt.Appendf(nil, `{"model":"m","vm":"v","agent_url":%q,"data_centre":"d","region":"r"}`, url)},
+		{Kind: resource.KindCustomer, Name: "c", Spec: fmt.Appendf(nil, `{"key_hashes":[%q]}`, HashKey("key"))},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, prompt := range []string{"first", "second"} {
+		// Each is an entry of its own.
+		e := newTestEntry(t, nil)
+		e.table.Store(newRoutingTable(&configsync.State{Snapshot: snapshot}))
+		close(e.configured)
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":"m","prompt":%q}`, prompt)))
+		r.Header.Set("Authorization", "Bearer key")
+		r.Header.Set(headerRequestID, "one")
+		w := httptest.NewRecorder()
+		e.Handler().ServeHTTP(w, r)
+		if w.Code != http.StatusTooManyRequests {
+			t.Errorf("answered %d %s", w.Code, w.Body)
+		}
+	}
+	if len(seen) != 2 || seen["one"] != "" {
+		t.Errorf("attempts by request ID: %v, want two", seen)
+	}
+}
