integration: targets that send answers too many, with real agents

calls/copies-of-answers: each service and engine sends a refusal or a copy of its last answer after every answer, and ahead of every further one on a connection. Calls are sent again under one key while the first send is under way, later, through another entry and by another customer; streams are sent again, resumed at either entry, and interrupted at the engine. What may run once runs once, each answer belongs to its call, and nothing is refused.

The story was known by reading only.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -70,8 +70,10 @@
 	dir       string
 	processes map[string]*process
 	proxies   map[string]*faultproxy.Proxy
-	addr      map[string]string
-	options   fleetOptions
+	// copiers stand between agents and the proxies of targets, by the target's name.
+	copiers map[string]*copier
+	addr    map[string]string
+	options fleetOptions
 }
 
 type fleetOptions struct {
@@ -80,6 +82,8 @@
 	builds int
 	// workMS is the time of one call at a service, in milliseconds.
 	workMS int
+	// copies has targets send answers too many.
+	copies bool
 	// engine, agent and entry are TOML lines for all of a kind.
 	engine string
 	agent  string
@@ -92,6 +96,7 @@
 		dir:       t.TempDir(),
 		processes: map[string]*process{},
 		proxies:   map[string]*faultproxy.Proxy{},
+		copiers:   map[string]*copier{},
 		addr:      map[string]string{},
 		options:   o,
 	}
@@ -148,6 +153,9 @@
 
 // url returns where others reach a process: through its proxy if it has one.
 func (f *fleet) url(name string) string {
+	if c := f.copiers[name]; c != nil {
+		return "http://" + c.addr()
+	}
 	if p := f.proxies[name]; p != nil {
 		return "http://" + p.Addr()
 	}
@@ -184,6 +192,9 @@
 	}
 	for _, name := range append(runners, services...) {
 		f.awaitUp(name)
+		if f.options.copies {
+			f.copiers[name] = newCopier(f.t, f.proxies[name].Addr())
+		}
 	}
 }
 
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -92,6 +92,8 @@
 		return s.hold(a)
 	case "runs":
 		return fmt.Sprintf("%d\n", s.fleet.runs(a.body))
+	case "copies":
+		return s.fleet.describeCopies(a.min)
 	case "fault":
 		return s.fault(t, a)
 	case "process":
@@ -138,6 +140,7 @@
 	d.MaybeScanArgs(t, "entries", &o.entries)
 	d.MaybeScanArgs(t, "work", &o.workMS)
 	d.MaybeScanArgs(t, "builds", &o.builds)
+	d.MaybeScanArgs(t, "copies", &o.copies)
 	engineLines, rest, _ := strings.Cut(d.Input, "--agent--\n")
 	o.engine = engineLines
 	o.agent, o.entry, _ = strings.Cut(rest, "--entry--\n")
