ledger: a full ledger keeps calls that their entry may still ask for

What callers saw: a call that was sent once ran at two services. The ledger of the first was at its bound; the answer was lost between agent and entry.

Cause: a call without a key of the client's was removed from a full ledger as soon as it had ended, as no caller can repeat it. The entry can: it asks what became of the attempt, by key and attempt. No record was taken for "not run", and the entry sent the call to another target. If the record went between that question and the one for the answer, the agent ran the call again.

Fix: such a call is kept for its timeout and 10 s after its end, within which an entry has asked for it (5 questions of up to 1 s, pauses of 2 s). Where answers take the memory, the oldest state that is still true stays: it ran, its answer is lost. Claims prevent a second run of calls with other keys.

Price: with the default of 20,000 records and a timeout of 10 s, a target with over 1,000 such calls a second refuses further ones as ledger_full, which is true of them: their keys are new.

--- a/agent/permit.go
+++ b/agent/permit.go
@@ -16,7 +16,7 @@
 	if req.FreshKey {
 		// The entry generated this key and no client has it. The entry sends the call
 		// again only after a refusal with the outcome "not run".
-		c.setGeneratedKey(record)
+		c.setGeneratedKey(record, callTimeout(req)+outcomeQueryTime)
 		return 0, claim{}, nil
 	}
 	made, carriesTime := ledger.KeyTime(key.IdempotencyKey)
@@ -122,10 +122,14 @@
 	record.Claimed = claimed
 }
 
-func (c *callExecutor) setGeneratedKey(record *ledger.Record) {
+// outcomeQueryTime is how long after the call's timeout an entry asks for the outcome of a call whose
+// answer it has lost.
+const outcomeQueryTime = 10 * time.Second
+
+func (c *callExecutor) setGeneratedKey(record *ledger.Record, minRetention time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	record.GeneratedKey = true
+	record.GeneratedKey, record.MinRetention = true, minRetention
 }
 
 func (c *callExecutor) releaseClaim(ctx context.Context, key ledger.Key, record *ledger.Record, revision int64) {
--- a/agent/repeated_call_test.go
+++ b/agent/repeated_call_test.go
@@ -141,3 +141,39 @@
 		}
 	})
 }
+
+// Guards against a call that runs twice although its caller sent it once: its answer was lost on the
+// way to the entry, which asks for it after the full ledger has forgotten it.
+func TestLostAnswerIsSettledAfterAFullLedger(t *testing.T) {
+	var calls atomic.Int32
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer service.Close()
+	c := newTestExecutor(service.URL, &mapStore{entries: map[string]store.Entry{}})
+	request := func(i int) *keelv1.CallRequest {
+		r := holdRequest(fmt.Sprint(i), fmt.Sprint(i))
+		r.FreshKey = true
+		return r
+	}
+	const sent = 30
+	ran := make([]bool, sent)
+	for i := range sent {
+		answer := c.call(t.Context(), request(i))
+		ran[i] = answer.Refusal == nil
+	}
+	before := calls.Load()
+	for i := range sent {
+		state := c.abandon(&keelv1.AbandonRequest{RequestId: fmt.Sprint(i), Customer: "c", Service: "s", IdempotencyKey: fmt.Sprint(i), RequireIncarnation: "i"})
+		if ran[i] && state == ledger.NotRun {
+			t.Errorf("call %d, which ran, is settled as %s", i, state)
+		}
+		if ran[i] {
+			c.call(t.Context(), request(i))
+		}
+	}
+	if n := calls.Load(); n != before {
+		t.Errorf("%d calls ran again", n-before)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -95,6 +95,9 @@
 	// GeneratedKey is set if the entry generated the key. No caller can repeat
 	// such a call, so its record can be removed like that of a claimed one.
 	GeneratedKey bool
+	// MinRetention is how long after its end a call with a generated key is kept in any case: nothing
+	// else tells an entry that lost the answer what became of it.
+	MinRetention time.Duration
 	// NotSent is set once an attempt of this process ended without sending the call. A claim of
 	// this process that is found then was made in vain; otherwise it is that of a call that may
 	// have run and was forgotten.
@@ -153,7 +156,8 @@
 func (l *Ledger) insert(key Key, bodyHash uint64, now time.Time) (Decision, *Record) {
 	if len(l.records) >= l.limits.MaxRecords || l.answerBytes >= l.limits.MaxAnswerBytes {
 		l.Expire(now)
-		l.evict()
+		l.evict(now)
+		l.dropAnswers(now)
 	}
 	if len(l.records) >= l.limits.MaxRecords || l.answerBytes >= l.limits.MaxAnswerBytes {
 		return RefuseFull, nil
@@ -193,9 +197,9 @@
 // records and answer bytes are below three quarters of their limits. It relies
 // on the claim in the platform's service to have a later attempt with a claimed
 // key refused as unknown instead of sent.
-func (l *Ledger) evict() {
+func (l *Ledger) evict(now time.Time) {
 	for key, r := range l.records {
-		if r.evictable() && r.State != Running {
+		if r.evictable() && r.State != Running && !r.mayBeAsked(now) {
 			l.remove(key, r)
 		}
 		if len(l.records) < l.limits.MaxRecords*3/4 && l.answerBytes < l.limits.MaxAnswerBytes*3/4 {
@@ -204,6 +208,25 @@
 	}
 }
 
+// mayBeAsked reports whether the entry that made a call with a generated key may still ask for it.
+func (r *Record) mayBeAsked(now time.Time) bool {
+	return r.GeneratedKey && !r.NotSent && now.Sub(r.endedAt) < r.MinRetention
+}
+
+// dropAnswers drops the answers of calls that may still be asked for, until answer bytes are below
+// three quarters of their limit. Their outcome is then unknown.
+func (l *Ledger) dropAnswers(now time.Time) {
+	for _, r := range l.records {
+		if l.answerBytes < l.limits.MaxAnswerBytes*3/4 {
+			return
+		}
+		if r.State == Done && r.mayBeAsked(now) {
+			l.answerBytes -= len(r.Answer.Body)
+			r.State, r.Answer = Unknown, Answer{}
+		}
+	}
+}
+
 func (l *Ledger) remove(key Key, r *Record) {
 	if !r.NotSent && !r.GeneratedKey && r.endedAt.After(l.forgottenUntil) {
 		l.forgottenUntil = r.endedAt
@@ -275,7 +298,7 @@
 // Records that are not evictable are kept whatever their age.
 func (l *Ledger) Expire(now time.Time) {
 	for key, r := range l.records {
-		if r.State != Running && r.evictable() && now.Sub(r.endedAt) > l.limits.Retention {
+		if r.State != Running && r.evictable() && !r.mayBeAsked(now) && now.Sub(r.endedAt) > l.limits.Retention {
 			l.remove(key, r)
 		}
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -136,3 +136,40 @@
 		t.Errorf("creation time %v, %v, want about now", created, ok)
 	}
 }
+
+// Guards against a call that runs twice: its answer was lost on the way to the entry, and when the entry
+// asks what became of the attempt, the full ledger has forgotten it.
+func TestAttemptIsSettledAfterAFullLedger(t *testing.T) {
+	for name, limits := range map[string]Limits{
+		"records": {MaxRecords: 8, MaxAnswerBytes: 1 << 20, Retention: time.Hour, TombstoneRetention: time.Minute},
+		"answers": {MaxRecords: 1 << 20, MaxAnswerBytes: 64, Retention: time.Hour, TombstoneRetention: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := New(limits), time.Now()
+			run := func(i int) {
+				key := Key{IdempotencyKey: fmt.Sprint(i)}
+				decision, record := l.Begin(key, Attempt{RequestID: fmt.Sprint(i)}, 0, now)
+				if decision != Run {
+					return
+				}
+				record.GeneratedKey, record.MinRetention = true, 20*time.Second
+				l.Finish(key, Answer{Body: make([]byte, 16)}, now)
+			}
+			for i := range 20 {
+				run(i)
+				now = now.Add(time.Millisecond)
+			}
+			if state := l.Abandon(Key{IdempotencyKey: "0"}, Attempt{RequestID: "0"}, now); state == NotRun {
+				t.Errorf("the first call, which ran, is settled as %s", state)
+			}
+			if l.AnswerBytes() > limits.MaxAnswerBytes || l.Len() > limits.MaxRecords {
+				t.Errorf("%d calls, %d bytes of answers", l.Len(), l.AnswerBytes())
+			}
+			// Later the calls make room.
+			now = now.Add(2 * time.Minute)
+			if decision, _ := l.Begin(Key{IdempotencyKey: "later"}, Attempt{RequestID: "later"}, 0, now); decision != Run {
+				t.Errorf("a later call: %s", decision)
+			}
+		})
+	}
+}
