entry: an agent that has restarted tells nothing of earlier sends of a key

What callers saw: "not run" (agent_restarted, no_target) for a repeated call with a UUIDv7 key, from a home whose process was replaced twice meanwhile, or whose target is no service any more; the call may have run there before.

Cause: takes each refusal of the only agent that may run a call for one of all its sends. Only those hold for all that the agent gives after it has compared the key's age with its own.

Evidence: two more rows of TestRefusedSendIsNoRefusalOfTheKey failed before.

Fix: the kinds of refusals that cover earlier sends are named.

--- a/entry/call.go
+++ b/entry/call.go
@@ -144,13 +144,19 @@
 	return &unknown
 }
 
-// coversEarlierSends reports whether a refusal holds for all sends with the key: the agent that
-// refused is the only one that may run the call, or has ruled out that the call ran.
+// coversEarlierSends reports whether a refusal holds for all sends with the key: it is that of an agent
+// which knows the key, or which is the only one that may run the call and has checked the key's age.
 func (p *pendingCall) coversEarlierSends(refused *refusal.Error) bool {
 	if refused != p.agentRefusal {
 		return false
 	}
-	return p.requiresHomeTarget() || refused.Kind == refusal.KeyReused || refused.Kind == refusal.PlatformDown
+	switch refused.Kind {
+	case refusal.KeyReused, refusal.PlatformDown:
+		return true
+	case refusal.QueueFull, refusal.LedgerFull, refusal.Stopping, refusal.TargetFailed:
+		return p.requiresHomeTarget()
+	}
+	return false
 }
 
 // requiresHomeTarget reports whether only the home target of the key, the first in
