--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -34,12 +34,15 @@
 	misdirects bool
 	// repeatsRefusals has the last refusal on a connection sent once more ahead of the next answer.
 	repeatsRefusals bool
+	// copies counts the refusals that it has sent once more.
+	copies int
 	// again counts the sends that run after the target has refused one with their ID.
 	again int
 }
 
 // rawAnswer is what a target sends in answer to a request: {id} stands for its ID, {instance} for
-// the ID of the target, {run} for the response of a run and {cut} for that without its first byte.
+// the ID of the target, {run} for the response of a run, {cut} for that without its first byte and
+// {none} for nothing.
 type rawAnswer struct {
 	bytes string
 	// closes and resets end the connection after the bytes.
@@ -100,7 +103,7 @@
 		answer := r.run(req)
 		if refusal := carried[req.Header.Get("Request-Id")]; refusal != "" {
 			answer.bytes = refusal + answer.bytes
-		} else if r.repeats() {
+		} else if r.repeats(last) {
 			answer.bytes, last = last+answer.bytes, ""
 		}
 		_, _ = io.WriteString(c, r.expand(answer.bytes, req))
@@ -151,12 +154,22 @@
 	r.repeatsRefusals = true
 }
 
-func (r *rawTarget) repeats() bool {
+// repeats reports whether the last refusal on a connection, empty if there was none, is sent once more.
+func (r *rawTarget) repeats(last string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.repeatsRefusals && last != "" {
+		r.copies++
+	}
 	return r.repeatsRefusals
 }
 
+func (r *rawTarget) sentCopies() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.copies
+}
+
 // misdirect has the target refuse what expects another instance.
 func (r *rawTarget) misdirect() {
 	r.mu.Lock()
@@ -196,7 +209,7 @@
 	id := req.Header.Get("Request-Id")
 	body = strings.ReplaceAll(body, "{id}", id)
 	run := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
-	return strings.NewReplacer("{id}", id, "{instance}", r.calls.ID, "{run}", run, "{cut}", run[1:]).Replace(text)
+	return strings.NewReplacer("{id}", id, "{instance}", r.calls.ID, "{run}", run, "{cut}", run[1:], "{none}", "").Replace(text)
 }
 
 func (r *rawTarget) setAnswer(a rawAnswer, greeting string) {
