soak: a part for copies of refusals and clients that send an ID again

Nothing of the soak had a request under way again on a connection that had carried its refusal, nor told what copies of refusals cost requests that they don't name.

TestSoakCopies (PART=Copies) plays three loads of 3 s, with copies of refusals and no other late responses: "room" and "many entries" of TestSoakShed, with services that refuse for up to 150 ms and clients three of four of which send one ID up to six times, each time after a promise (at once, too soon or after Retry-After to the same entry, or to another one); and "press", two plain targets of 3 slots before one entry with an ID for each attempt. SOAK_COPY_EVERY says which refusal is copied (0: none), SOAK_SENDS how often an ID is sent (1: once).

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,9 @@
 
 # Seeds of the soak on the platform's protocol: SEED, SECONDS_EACH, ENTRIES, LOGS.
 # PART says which part: none is all kinds of faults together, Stops planned stops
-# beside changes, Foreign entries of other writers alone, and '.*' everything.
+# beside changes, Foreign entries of other writers alone, Copies refusals that are repeated
+# (SOAK_COPY_EVERY: which refusal, SOAK_SENDS: how often clients send one ID), and '.*'
+# everything.
 soak-platform:
 	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS_EACH) SOAK_ENTRIES=$(ENTRIES) SOAK_LOGS=$(LOGS) go test ./integration/soak -run '^TestSoak$(PART)$$' -count=1 -v
 
--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -30,6 +30,8 @@
 	small                bool
 	// stalls has targets stand still for a while, and read what was sent to them meanwhile after that.
 	stalls bool
+	// copies has targets send copies of refusals, and no other late responses.
+	copies *copies
 }
 
 const (
@@ -61,14 +63,7 @@
 	if n := number("SOAK_SEED", 0); n != 0 {
 		seeds = []uint64{uint64(n)}
 	}
-	loads := map[string]shedding{
-		"room":            {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond},
-		"full":            {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
-		"silent":          {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
-		"new connections": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, unnamed: true},
-		"many entries":    {runners: 12, desks: 5, slots: 1, work: 40 * time.Millisecond, entries: 8, engineSlots: 8, small: true},
-		"stalls":          {runners: 9, desks: 5, slots: 2, work: 30 * time.Millisecond, stalls: true},
-	}
+	loads := sheddingLoads()
 	for _, seed := range seeds {
 		for _, name := range []string{"room", "full", "silent", "new connections", "many entries", "stalls"} {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
@@ -83,6 +78,19 @@
 	}
 }
 
+// sheddingLoads are "room" and "many entries", which have the shapes of two deployments, and variants
+// of the first.
+func sheddingLoads() map[string]shedding {
+	return map[string]shedding{
+		"room":            {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond},
+		"full":            {runners: 9, desks: 3, slots: 3, work: 60 * time.Millisecond},
+		"silent":          {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, deaf: true},
+		"new connections": {runners: 9, desks: 3, slots: 6, work: 15 * time.Millisecond, unnamed: true},
+		"many entries":    {runners: 12, desks: 5, slots: 1, work: 40 * time.Millisecond, entries: 8, engineSlots: 8, small: true},
+		"stalls":          {runners: 9, desks: 5, slots: 2, work: 30 * time.Millisecond, stalls: true},
+	}
+}
+
 // losesAnswers has several targets of one service lose answers at once, by a reset or by a close.
 func losesAnswers(kind runner.Fault) fault {
 	return fault{"targets " + string(kind), func(b *breaker) (time.Duration, func()) {
@@ -142,6 +150,10 @@
 			tg.SendUnnamedRefusal(pressUnnamedEvery)
 		}
 	}
+	if load.copies != nil {
+		s.copyRefusals(load.copies.every)
+		return
+	}
 	for _, group := range [][]*target{s.runners, s.desks} {
 		for _, tg := range group[1:] {
 			tg.SendLate(shedLateEvery)
@@ -153,6 +165,7 @@
 	for _, tg := range s.targets() {
 		tg.SetRoom(0, 0)
 		tg.SendLate(0)
+		tg.CopyRefusals(0)
 		tg.SendUnnamedRefusal(0)
 		tg.SetLoading(0, 0)
 		tg.SetPace(streamPace)
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -171,7 +171,11 @@
 	}
 	if r.shed != nil {
 		s.shed(r.shed)
-		c.sendShed(r.seed)
+		if r.shed.copies != nil {
+			c.sendBesideCopies(r.shed.copies, r.seed)
+		} else {
+			c.sendShed(r.seed)
+		}
 	}
 	if r.endless {
 		s.watchMemory(c.stop)
@@ -213,6 +217,7 @@
 	}
 	if r.shed != nil {
 		c.judgeShed()
+		c.judgeCopies(r.shed.copies)
 	}
 	if r.endless {
 		c.judgeMemory()
