--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # Seeds of the soak on the platform's protocol: SEED, SECONDS_EACH, ENTRIES, LOGS.
 # PART says which part: none is all kinds of faults together, Stops planned stops
-# beside changes, Foreign entries of other writers alone, Copies copies of refusals
+# beside changes, Foreign entries of other writers alone, Copies refusals that are repeated
 # (SOAK_COPY_EVERY: which refusal, SOAK_SENDS: how often clients send one ID), and '.*'
 # everything.
 soak-platform:
