node: tests that name an entry keep its connections while it is overloaded

Cause: the test, not the entry. An entry that gets too little processor time and knows another one closes new connections unread, so that clients come again at the other one. This test sends each request to a given entry and has nowhere else to go. Each failure follows "event=overloaded" in the entry's log.

Now the entries of this environment run without connection refusal, which has tests of its own; what is asked of the streams stays the same.

--- a/node/world_test.go
+++ b/node/world_test.go
@@ -48,6 +48,8 @@
 	versionMS int
 	// maxBodyBytes is the limit of clients' bodies in the configuration.
 	maxBodyBytes int
+	// options are those of nodes started from now on.
+	options Options
 	// storeVia is the address by which nodes started from now on reach the store; empty for its own.
 	storeVia string
 }
@@ -138,7 +140,7 @@
 		},
 		Store: platform.StoreConfig{Address: cmp.Or(w.storeVia, strings.TrimPrefix(w.kv.URL, "http://")), MinLeaseMS: 1000},
 	}
-	n := New(settings, Options{}, w.log)
+	n := New(settings, w.options, w.log)
 	if err := n.Start(); err != nil {
 		w.t.Fatal(err)
 	}
