--- a/node/world_test.go
+++ b/node/world_test.go
@@ -50,6 +50,8 @@
 	maxBodyBytes int
 	// holdTimeoutMS is the timeout of requests that may run once, in milliseconds.
 	holdTimeoutMS int
+	// options are those of nodes started from now on.
+	options Options
 	// storeVia is the address by which nodes started from now on reach the store; empty for its own.
 	storeVia string
 }
@@ -140,7 +142,7 @@
 		},
 		Store: platform.StoreConfig{Address: cmp.Or(w.storeVia, strings.TrimPrefix(w.kv.URL, "http://")), MinLeaseMS: 1000},
 	}
-	n := New(settings, Options{}, w.log)
+	n := New(settings, w.options, w.log)
 	if err := n.Start(); err != nil {
 		w.t.Fatal(err)
 	}
