integration: sessions wait until their streams run before they break something

What was seen: 503 no_target with an unknown outcome in two-faults and in agent-back-late where the session expects the rest of a stream, each once in 12 plays of four binaries side by side.

Cause: the sessions are about streams that run, and took a stream for running 0.3 to 0.7 s after it was asked for. Beside load the first token comes later. A request of which nothing was sent is refused at once if there is no runner (docs/design/streams.md), and its outcome is unknown as an attempt was sent. The status itself shows that no token had come: an entry writes its header with the first event.

Evidence: with 20 ms in place of 500 ms both sessions end in the refusal that was seen: agent-back-late in 3 of 3 plays (one of them "not_run"), two-faults in 1 of 3.

`progress id=1 tokens=10` waits until so many tokens have reached the caller, without a time, and shows how the stream ended if it has.

--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,6 +52,8 @@
 	result load.Result
 	hold   string
 	done   chan struct{}
+	// tokens is how many tokens have reached the caller.
+	tokens atomic.Int64
 }
 
 // args are the arguments that commands share.
@@ -84,6 +87,8 @@
 		return describeChat(chat, s.send(a, chat, ""), a.version)
 	case "begin":
 		return s.begin(a)
+	case "progress":
+		return s.progress(a)
 	case "await":
 		return s.await(a)
 	case "resume":
@@ -218,11 +223,28 @@
 			p.hold = s.call(a, key)
 			return
 		}
-		p.result = s.send(a, p.chat, "")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		client := s.client(a)
+		client.OnToken = func() { p.tokens.Add(1) }
+		p.result = client.Chat(ctx, p.chat, "")
 	}()
 	return ""
 }
 
+// progress waits until so many tokens of a chat have reached its caller, or it has ended.
+func (s *session) progress(a args) string {
+	p := s.pending[a.id]
+	for p.tokens.Load() < int64(a.tokens) {
+		select {
+		case <-p.done:
+			return fmt.Sprintf("ended after %d tokens: %s", p.tokens.Load(), describeChat(p.chat, p.result, a.version))
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return ""
+}
+
 func (s *session) await(a args) string {
 	p := s.pending[a.id]
 	<-p.done
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -19,6 +19,8 @@
 	base string
 	key  string
 	http *http.Client
+	// OnToken, if set, is called after each token of a stream.
+	OnToken func()
 }
 
 // NewClient returns a client of the entry at base with a customer's key.
@@ -124,7 +126,7 @@
 		r.Total = time.Since(began)
 		return r
 	}
-	r.read(resp.Body, began)
+	r.read(resp.Body, began, c.OnToken)
 	r.Total = time.Since(began)
 	return r
 }
@@ -137,7 +139,7 @@
 	r.Code, r.Outcome = answer.Error.Code, answer.Error.Outcome
 }
 
-func (r *Result) read(body io.Reader, began time.Time) {
+func (r *Result) read(body io.Reader, began time.Time, onToken func()) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 4096), 1<<20)
 	var text strings.Builder
@@ -161,7 +163,11 @@
 		if r.Err = json.Unmarshal([]byte(data), &c); r.Err != nil {
 			return
 		}
+		before := text.Len()
 		last = r.take(c, &text, began, last)
+		if onToken != nil && text.Len() > before {
+			onToken()
+		}
 	}
 	r.Err = lines.Err()
 }
