agent: a stream that its engine canceled is not complete

What callers saw: a chat that ends with [DONE] and finish_reason "canceled" after a part of its text.

Cause: an engine cancels a request that has had no reader for its grace: its agent is away, cut off or late. The agent took any finish reason for the end of a complete stream, as did the entry.

Such a stream is now broken off like one whose connection broke, without being opened again at the engine, which has nothing more of it. Its outcome is unknown, so that the entry goes on at another runner, or at this one again, from the prompt and what was sent, which gives the same text.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -86,7 +86,7 @@
 			return
 		}
 		resumes++
-		if resumes > maxResumes || errors.Is(err, errStreamTooLarge) {
+		if resumes > maxResumes || errors.Is(err, errStreamTooLarge) || errors.Is(err, errCanceledByEngine) {
 			r.breakOff(j, streamBrokenRefusal(err))
 			return
 		}
@@ -133,6 +133,8 @@
 
 var errSilent = errors.New("the engine's stream went silent")
 
+var errCanceledByEngine = errors.New("the engine canceled the request before its last token")
+
 // readChunks reads chunks until the stream ends. A watchdog closes a connection that
 // has gone silent: a network device on the path may have dropped its state, and a read
 // would then block forever.
@@ -147,7 +149,11 @@
 		if err != nil {
 			return stream.Finish{}, fmt.Errorf("%w or broke: %w", errSilent, unexpectedEOF(err))
 		}
-		if c.FinishReason != "" {
+		switch c.FinishReason {
+		case "":
+		case target.FinishCanceled:
+			return stream.Finish{}, errCanceledByEngine
+		default:
 			return finishOf(c), nil
 		}
 		if c.Offset < j.buffer.EndOffset() {
--- a/agent/feed_test.go
+++ b/agent/feed_test.go
@@ -36,16 +36,23 @@
 	j := newJob(&keelv1.GenerateRequest{RequestId: "r", Customer: "c"}, 0, time.Now())
 	t.Cleanup(j.cancel)
 	r.startJob(j, time.Now())
+	awaitUnknownEnd(t, j)
+	return j
+}
+
+// awaitUnknownEnd waits until a job has ended, with an unknown outcome.
+func awaitUnknownEnd(t *testing.T, j *job) {
+	t.Helper()
 	const stallTimeout = 5 * time.Second
 	stalled := time.NewTimer(stallTimeout)
 	end := 0
 	for {
 		_, finish, changed := j.buffer.TokensFrom(j.buffer.EndOffset())
 		if finish != nil {
-			if refusal.From(finish.Err).Outcome != refusal.Unknown {
+			if finish.Err == nil || refusal.From(finish.Err).Outcome != refusal.Unknown {
 				t.Errorf("ended with %+v, want an error with an unknown outcome", finish)
 			}
-			return j
+			return
 		}
 		if held := j.buffer.Bytes(); held > maxHeldBytes+1024+16 {
 			t.Fatalf("the job still runs with %d bytes", held)
@@ -103,6 +110,31 @@
 	return l.Addr().String()
 }
 
+// Guards against a stream that the engine has canceled, as it had no reader for some time, and that
+// ends like a complete one.
+func TestCanceledStreamIsNotComplete(t *testing.T) {
+	const chunks = "data: {\"offset\":0,\"text\":\"a\"}\n\ndata: {\"offset\":1,\"finish_reason\":\"canceled\"}\n\ndata: [DONE]\n\n"
+	var opened atomic.Int64
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodDelete {
+			opened.Add(1)
+			_, _ = io.WriteString(w, chunks)
+		}
+	}))
+	t.Cleanup(engine.Close)
+	if j := runTestJob(t, newTestRunner(engine.URL)); j.buffer.EndOffset() != 1 {
+		t.Errorf("%d tokens are passed on, want 1", j.buffer.EndOffset())
+	}
+	if n := opened.Load(); n != 1 {
+		t.Errorf("the stream was opened %d times, want once", n)
+	}
+	j, refused := newTestRunner(engine.URL).findOrAdopt(t.Context(), &keelv1.GenerateRequest{RequestId: "r", Customer: "c", AttachOnly: true})
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	awaitUnknownEnd(t, j)
+}
+
 // Guards against an engine whose stream never ends: it takes the agent's memory, or keeps the
 // request for good.
 func TestEndlessStreamEndsTheJob(t *testing.T) {
--- a/target/engine.go
+++ b/target/engine.go
@@ -61,6 +61,10 @@
 	WeightsVersion string `json:"weights_version"`
 }
 
+// FinishCanceled is the finish reason of a stream that the engine ended before its last token: it was
+// canceled, or had no reader for longer than the engine keeps it.
+const FinishCanceled = "canceled"
+
 // Load is an engine's load report.
 type Load struct {
 	BootID         string `json:"boot_id"`
