soak: a load of copies goes on until a copy has been sent

A slow machine is no fault of the entries.

The faults of such a load go on until targets have sent a copy, for 30 s at most; a load without any still fails.

--- a/integration/soak/copies_test.go
+++ b/integration/soak/copies_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// copies returns the copies that all targets have sent.
+func (s *site) copies() runner.Copies {
+	all := runner.Copies{}
+	for _, tg := range s.targets() {
+		of := tg.Copies()
+		all.Sent, all.SameID, all.SameRan = all.Sent+of.Sent, all.SameID+of.SameID, all.SameRan+of.SameRan
+	}
+	return all
+}
+
 // sendBesideCopies adds clients to the end of the soak.
 func (c *callers) sendBesideCopies(load *copies, seed uint64) {
 	sends, clients := []func(*rand.Rand){c.sendAgain, c.sendAgain, c.sendAgain, c.sendOnce}, shedCallers
@@ -137,10 +147,8 @@
 	if load == nil {
 		return
 	}
-	sent, connections := runner.Copies{}, 0
+	sent, connections := c.site.copies(), 0
 	for _, tg := range c.site.targets() {
-		of := tg.Copies()
-		sent.Sent, sent.SameID, sent.SameRan = sent.Sent+of.Sent, sent.SameID+of.SameID, sent.SameRan+of.SameRan
 		connections += tg.Connections()
 	}
 	c.site.t.Logf("%v; copies of refusals: %d, %d with the ID of the request under way, %d while it ran; connections to targets: %d",
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -182,6 +182,9 @@
 		c.sendEndless(r.seed)
 	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
+	if r.shed != nil && r.shed.copies != nil {
+		b.shows = func() bool { return r.shed.copies.every == 0 || s.copies().Sent > 0 }
+	}
 	b.breakFor(time.Duration(number("SOAK_SECONDS", cmp.Or(r.seconds, usualSeconds))) * time.Second)
 	c.end()
 	if r.press != nil {
@@ -275,6 +278,9 @@
 	played  []string
 	// under are the faults that last.
 	under sync.WaitGroup
+	// shows, if set, reports whether the load has shown what it is played for. Until then it goes on,
+	// as a slow machine plays little of it in its time.
+	shows func() bool
 }
 
 // fault is one thing that goes wrong; it returns its end, if it lasts.
@@ -284,7 +290,7 @@
 }
 
 func (b *breaker) breakFor(total time.Duration) {
-	for end := time.Now().Add(total); time.Now().Before(end); {
+	for end := time.Now().Add(total); time.Now().Before(end) || b.goesOn(end); {
 		time.Sleep(time.Duration(100+b.random.IntN(500)) * time.Millisecond)
 		f := b.faults[b.random.IntN(len(b.faults))]
 		b.played = append(b.played, f.name)
@@ -303,6 +309,10 @@
 	b.under.Wait()
 }
 
+func (b *breaker) goesOn(end time.Time) bool {
+	return b.shows != nil && !b.shows() && time.Since(end) < patience
+}
+
 // noteStore keeps when a fault of the store began or ended.
 func (b *breaker) noteStore(f fault) {
 	if !strings.HasPrefix(f.name, "store") {
