entry: a stream that waits for a runner asks it while it waits

What callers saw: a stream that is cut with no_target although its runner's agent is back: in 4 of 16 plays of agent-back-late beside load, agents came back 9 s after they were killed, and the streams, which wait for 10 s, were cut 2 s later ("cut after 11 to 16 tokens").

Cause: the time between two probes of a dead target doubles up to 5 s. A stream that waits looks for a runner five times a second, but a dead one was left out until its next probe, which may lie beyond the end of the wait.

While a stream waits, a dead runner is probed each 0.5 s at most; all streams of an entry share the probes. Other requests leave it alone as before.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -32,6 +32,8 @@
 	// build.
 	bound bool
 	build string
+	// waits is set where a stream waits for a runner.
+	waits bool
 }
 
 // chosenTarget is the target of one attempt.
@@ -119,6 +121,9 @@
 }
 
 func (s *targetSelection) usable(r *placement.Runner) bool {
+	if s.query.waits {
+		return s.entry.health.allowWaiting(r.Name)
+	}
 	return s.entry.health.allowRequest(r.Name)
 }
 
--- a/entry/session.go
+++ b/entry/session.go
@@ -130,6 +130,9 @@
 const (
 	maxRunnerWait   = 10 * time.Second
 	runnerWaitPause = 200 * time.Millisecond
+	// waitingProbeInterval is the most time between two probes of a dead runner while streams wait.
+	// Without it, a runner that is back may be asked only after they have given up.
+	waitingProbeInterval = 500 * time.Millisecond
 )
 
 // canWaitForRunner reports whether the session should wait for a runner to become
@@ -200,6 +203,7 @@
 		excluded:   s.triedTargets,
 		bound:      len(s.sentText) > 0,
 		build:      s.build,
+		waits:      s.runnerWait > 0,
 	})
 	if refused != nil {
 		return refused
--- a/entry/table.go
+++ b/entry/table.go
@@ -95,6 +95,13 @@
 	return t.target(name).health.AllowRequest(time.Now())
 }
 
+// allowWaiting is allowRequest for a stream that waits for a runner.
+func (t *healthTable) allowWaiting(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(name).health.AllowRequestWithin(waitingProbeInterval, time.Now())
+}
+
 func (t *healthTable) penalty(name string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/health/health.go
+++ b/health/health.go
@@ -80,10 +80,16 @@
 // allowed one request when its probe interval has passed; the call starts the next
 // interval, so that only one probe is sent at a time.
 func (t *Tracker) AllowRequest(now time.Time) bool {
+	return t.AllowRequestWithin(maxProbeInterval, now)
+}
+
+// AllowRequestWithin is AllowRequest with at most limit between two probes, for a request that waits
+// for the target's return.
+func (t *Tracker) AllowRequestWithin(limit time.Duration, now time.Time) bool {
 	if t.failures < deadThreshold {
 		return true
 	}
-	if now.Before(t.nextProbeAt) {
+	if now.Before(t.nextProbeAt.Add(min(limit, t.probeInterval) - t.probeInterval)) {
 		return false
 	}
 	t.nextProbeAt = now.Add(t.probeInterval)
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -7,6 +7,34 @@
 
 var start = time.Unix(1000, 0)
 
+// Guards against a target that comes back while a request waits for it, and is not asked before the
+// request gives up.
+func TestWaitingRequestIsAllowedWithinItsLimit(t *testing.T) {
+	const wait, pause, limit = 10 * time.Second, 200 * time.Millisecond, 500 * time.Millisecond
+	for failures := deadThreshold; failures < 12; failures++ {
+		var target Tracker
+		for range failures {
+			target.RecordFailure(start)
+		}
+		last := start
+		for now := start; now.Sub(start) < wait; now = now.Add(pause) {
+			if target.AllowRequestWithin(limit, now) {
+				if target.AllowRequestWithin(limit, now) {
+					t.Fatal("two probes were allowed at a time")
+				}
+				target.RecordFailure(now)
+				last = now
+			}
+			if now.Sub(last) > limit+pause {
+				t.Fatalf("after %d failures: no probe for %v", failures, now.Sub(last))
+			}
+		}
+		if target.AllowRequest(last.Add(limit)) {
+			t.Errorf("after %d failures: other requests probe as often", failures)
+		}
+	}
+}
+
 // Guards against a failing target that keeps its full load, gets several probes at a time,
 // or gets all its load back at once.
 func TestStateTransitions(t *testing.T) {
