soak: the press load goes on until a late refusal has been sent

Its faults go on until a late refusal has been sent, for 30 s at most; a load without any still fails.

--- a/integration/soak/press_test.go
+++ b/integration/soak/press_test.go
@@ -109,14 +109,22 @@
 	return 10 * time.Second
 }
 
+// lateRefusals returns how many of the late responses of all targets were refusals.
+func (s *site) lateRefusals() int {
+	n := 0
+	for _, tg := range s.targets() {
+		n += tg.LateRefusals()
+	}
+	return n
+}
+
 // judgePress counts by route what judge reports: refusals of requests that ran, and requests that
 // ran more often than once. Without late refusals a load shows nothing.
 func (c *callers) judgePress() {
-	notRun, late, lateRefusals := 0, 0, 0
+	notRun, late, lateRefusals := 0, 0, c.site.lateRefusals()
 	for _, tg := range c.site.targets() {
 		notRun += tg.NotRun()
 		late += tg.LateSent()
-		lateRefusals += tg.LateRefusals()
 	}
 	c.site.t.Logf("%v; targets refused %d and sent %d late responses, %d of them refusals", c.tally(), notRun, late, lateRefusals)
 	if lateRefusals == 0 {
--- a/integration/soak/shed_test.go
+++ b/integration/soak/shed_test.go
@@ -197,11 +197,10 @@
 // what judge reports.
 func (c *callers) judgeShed() {
 	var all []*runner.Runner
-	late, lateRefusals, notRun := 0, 0, 0
+	late, lateRefusals, notRun := 0, c.site.lateRefusals(), 0
 	for _, tg := range c.site.targets() {
 		all = append(all, tg.Runner)
 		late += tg.LateSent()
-		lateRefusals += tg.LateRefusals()
 		notRun += tg.NotRun()
 	}
 	for _, o := range runner.Overlaps(all, overlapAllowed) {
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -182,6 +182,9 @@
 		c.sendEndless(r.seed)
 	}
 	b := &breaker{site: s, random: rand.New(rand.NewPCG(r.seed, 1<<32)), faults: r.faults, callers: c}
+	if r.press != nil {
+		b.shows = func() bool { return s.lateRefusals() > 0 }
+	}
 	if r.shed != nil && r.shed.copies != nil {
 		b.shows = func() bool { return r.shed.copies.every == 0 || s.copies().Sent > 0 }
 	}
