forecast: the knots of pauses follow limits of up to 0.6 s

What was seen: TestPausesAreLearned fails for a limit of 0.6 s and a short pause without prefill: 237 ms expected for 150 ms of prefill, 180 within 56 are right. Used only by `--with pauses`.

Cause: the limit lies in the part from 0.4 to 1.6 s, in which the fit is straight.

No further coefficient is needed: the parts below 0.6 s are better spread. What entries tell each other keeps its form. Sums of entries of the former build count for other parts while both run; they end with their reports. The bound of the mean prefill stays at 0.4 s.

--- a/forecast/pauses.go
+++ b/forecast/pauses.go
@@ -27,8 +27,12 @@
 
 // pauseKnots divide the time of prefill in progress into parts, in seconds: prefill adds its
 // whole time to a pause up to as many chunks as an event takes steps, and nothing beyond. The
-// parts find that limit for engines whose pauses take tens of milliseconds to over a second.
-var pauseKnots = [...]float64{0.05, 0.15, 0.4, 1.6}
+// parts find that limit for engines whose pauses take tens of milliseconds to over a second. A limit
+// between two knots raises what is expected below it, the more the longer that part is.
+var pauseKnots = [...]float64{0.05, 0.2, 0.6, 1.6}
+
+// maxMeanPrefill bounds the mean prefill that counts for a pause, in seconds.
+const maxMeanPrefill = 0.4
 
 // The coefficients assumed without samples, with their weights in the units of the sums, each
 // like a few dozen samples: a pause of 50 ms, to which prefill adds its time up to about one
@@ -127,7 +131,7 @@
 		out[2+i] = min(max(0, own-from), knot-from)
 		from = knot
 	}
-	out[2+len(pauseKnots)] = min(r.MeanPrefill.Seconds(), pauseKnots[2])
+	out[2+len(pauseKnots)] = min(r.MeanPrefill.Seconds(), maxMeanPrefill)
 	return out
 }
 
