poison: crashes of a refused content are not held against its parts

Callers whose prompts share a part with a content that crashes targets were refused for ten minutes (ends_targets).

Cause: a part counts as explained if a content that the request is not has all of its crashes. One more crash for another reason (a target that restarts) while a prompt with the part runs, and the content explained none of them: a part with five crashes is refused for ten minutes, and as nothing with it is sent, nothing clears it.

Now a content with three crashes or more explains those that it has. Of what it leaves, up to two crashes have the part tried, one request at a time, and a run that its target survives clears it; from three on the part is refused as before. Another part still explains all crashes or none.

TestPartOfARefusedContentIsTried and TestBadPartOfARefusedContentIsRefused failed before (refused for ten minutes after one such crash; after the first crash under other content). A bad part of which one content is refused costs up to two more targets than before, each by a request that goes alone.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -149,12 +149,16 @@
 	out := Decision{Status: Free}
 	for _, p := range parts {
 		r := t.records[p.Fingerprint]
-		if r == nil || r.countedCrashes() < CrashThreshold || t.explainedWithout(r, parts) {
+		if r == nil || r.countedCrashes() < CrashThreshold {
+			continue
+		}
+		unexplained := t.unexplainedWithout(r, parts)
+		if unexplained == 0 {
 			continue
 		}
 		d := Decision{Status: Suspect, Crashes: r.countedCrashes(), Part: p.ID}
 		switch {
-		case r.convicted(now):
+		case r.convicted(now) && unexplained >= CrashThreshold:
 			d.Status, d.Remaining = Refused, r.until.Sub(now)
 		case t.isRunning(p.Fingerprint, now):
 			d.Status = Waiting
@@ -176,30 +180,36 @@
 // statusRank orders the statuses.
 var statusRank = map[Status]int{Free: 0, Suspect: 1, Waiting: 2, Refused: 3}
 
-// explainedWithout reports whether all crashes that count against a part count against another
-// part, or a whole content, that a request with the given parts does not have. The caller holds
-// mu.
-func (t *Table) explainedWithout(r *record, parts []Part) bool {
+// unexplainedWithout returns how many crashes that count against a part are not explained by
+// another part, or a whole content, that a request with the given parts does not have. Another part
+// explains all of them or none: prompts share parts, so that a sound one has many crashes in common
+// with a bad one. A content that crashed targets by itself explains those that it has. The caller
+// holds mu.
+func (t *Table) unexplainedWithout(r *record, parts []Part) int {
+	all := r.countedCrashes()
+	least := all
 	for content, other := range t.records {
 		if len(other.crashes) < CrashThreshold || slices.ContainsFunc(parts, func(p Part) bool { return p.Fingerprint == content }) {
 			continue
 		}
-		if other.countsAll(r) {
-			return true
+		n := other.missing(r)
+		if n == 0 || other.Part == "" && all-n >= CrashThreshold {
+			least = min(least, n)
 		}
 	}
-	return false
+	return least
 }
 
-// countsAll reports whether each crash that counts against another record counts against this
-// one.
-func (r *record) countsAll(other *record) bool {
+// missing returns how many of the crashes that count against another record do not count against
+// this one.
+func (r *record) missing(other *record) int {
+	n := 0
 	for _, e := range other.crashes {
 		if !e.cleared && !slices.ContainsFunc(r.crashes, func(own crashEntry) bool { return !own.cleared && own.instance.Matches(e.instance) }) {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // verdictTooShort reports whether a verdict on a part was made before as many crashes were known
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -194,3 +194,57 @@
 		t.Errorf("decision %+v", d)
 	}
 }
+
+// repeatContent crashes targets, one after the other, while they run the same content with the
+// given parts.
+func repeatContent(t *Table, c Case, first, crashes int, now time.Time, parts []Part) {
+	var accused []Case
+	for _, p := range parts {
+		a := c
+		a.Content, a.Part = p.Fingerprint, p.ID
+		accused = append(accused, a)
+	}
+	for i := range crashes {
+		t.RecordBrokenResponse(c, inst(first+i), now, now, accused...)
+		t.RecordCrash(inst(first+i), now)
+	}
+}
+
+// Guards against refusing a sound part for ten minutes because a refused content that has it
+// crashed targets, and one more crashed for another reason while it ran a prompt with the part.
+func TestPartOfARefusedContentIsTried(t *testing.T) {
+	table, crasher := New(nil), caseOf("crasher")
+	repeatContent(table, crasher, 0, trialCrashes, start, partsOf("head", "group"))
+	wantStatus(t, table, crasher, start, Refused)
+	wantParts(t, table, start, Free, "head", "group")
+	crashParts(table, 20, seconds(1), partsOf("head", "group"))
+	wantParts(t, table, seconds(1), Suspect, "head", "group")
+	trial := table.Track(caseOf("trial").Content, partsOf("head", "group")...)
+	trial.SentTo(inst(30))
+	wantParts(t, table, seconds(1), Waiting, "head", "group")
+	table.RecordPartsSurvived(partsOf("head", "group"), seconds(2))
+	wantParts(t, table, seconds(2), Free, "head", "group")
+	wantStatus(t, table, crasher, seconds(2), Refused)
+}
+
+// Guards against a bad part that is sent on and on because one of the contents that have it is
+// refused.
+func TestBadPartOfARefusedContentIsRefused(t *testing.T) {
+	table, crasher := New(nil), caseOf("crasher")
+	repeatContent(table, crasher, 0, CrashThreshold, start, partsOf("bad"))
+	crashParts(table, 20, start, partsOf("bad", "first"))
+	for i := range CrashThreshold - 1 {
+		wantParts(t, table, start, Suspect, "bad", "other")
+		crashParts(table, 21+i, start, partsOf("bad", fmt.Sprint("other", i)))
+	}
+	wantParts(t, table, start, Refused, "bad", "other")
+}
+
+// Guards against a bad part whose crashes are explained by one refused content after the other.
+func TestBadPartOfSeveralRefusedContentsIsRefused(t *testing.T) {
+	table := New(nil)
+	repeatContent(table, caseOf("one"), 0, CrashThreshold, start, partsOf("bad"))
+	wantParts(t, table, start, Free, "bad", "other")
+	repeatContent(table, caseOf("two"), 20, CrashThreshold, start, partsOf("bad"))
+	wantParts(t, table, start, Refused, "bad", "other")
+}
