door: an overload shows in the queue of ready goroutines

Cause: the entry was overloaded and did not know it. It measured by how much timers are late, but a goroutine whose timer fires runs next, ahead of the queue. One that a connection wakes, such as the one that notices a client that leaves, queues behind all that are ready. With 300 connections on one processor a read waited 99 ms (median) and timers were 0.4 ms late. So the entry went on to take new connections. Fix: after its timer the sampler yields, and the wait for its turn counts as well: 60 ms on average over the last 16 samples is an overload, 20 ms ends it. The new test fails without it, on one processor with 200 goroutines of 1 ms.

--- a/door/lateness_test.go
+++ b/door/lateness_test.go
@@ -1,11 +1,14 @@
 package door
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,19 +22,22 @@
 	ms := time.Millisecond
 	for _, test := range []struct {
 		name    string
-		samples []time.Duration
+		samples []Wait
 		want    bool
 	}{
-		{"quiet", []time.Duration{ms, 0, 3 * ms}, false},
-		{"some late", []time.Duration{60 * ms, 0, 0, 0}, false},
-		{"processor time limited to a tenth", []time.Duration{88 * ms, 0, 90 * ms}, true},
-		{"each late", []time.Duration{40 * ms}, true},
-		{"timers that are early", []time.Duration{-time.Second}, false},
+		{"quiet", []Wait{{Late: ms}, {}, {Late: 3 * ms}}, false},
+		{"some late", []Wait{{Late: 60 * ms}, {}, {}, {}}, false},
+		{"processor time limited to a tenth", []Wait{{Late: 88 * ms}, {}, {Late: 90 * ms}}, true},
+		{"each late", []Wait{{Late: 40 * ms}}, true},
+		{"timers that are early", []Wait{{Late: -time.Second}}, false},
+		{"bursts of work", []Wait{{Queued: 150 * ms}, {}, {}, {Queued: 20 * ms}}, false},
+		{"a long queue", []Wait{{Queued: 80 * ms}}, true},
+		{"a queue that empties at times", []Wait{{Queued: 220 * ms}, {}, {Queued: 150 * ms}}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var l Lateness
 			changes := 0
-			l.OnChange = func(bool, float64) { changes++ }
+			l.OnChange = func(bool, Load) { changes++ }
 			for i := range 4 * latenessSamples {
 				l.Record(test.samples[i%len(test.samples)])
 			}
@@ -39,7 +45,7 @@
 				t.Errorf("overloaded %v after %d changes, want %v", l.Overloaded(), changes, test.want)
 			}
 			for range latenessSamples {
-				l.Record(0)
+				l.Record(Wait{})
 			}
 			if l.Overloaded() {
 				t.Error("it stays overloaded")
@@ -47,12 +53,38 @@
 		})
 	}
 	var stopped Lateness
-	stopped.Record(10 * time.Second)
+	stopped.Record(Wait{Late: 10 * time.Second, Queued: 10 * time.Second})
 	if stopped.Overloaded() {
 		t.Error("a process that was stopped once counts as overloaded")
 	}
 }
 
+// Guards against an overload that is not seen because timers fire in time while connections wait for
+// all goroutines that are ready: clients that had left were noticed after three quarters of a second.
+func TestLatenessIncludesTheQueueOfReadyGoroutines(t *testing.T) {
+	// One processor, as on a small VM.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const queued, turn = 200, time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	var busy sync.WaitGroup
+	defer busy.Wait()
+	defer cancel()
+	for range queued {
+		busy.Go(func() {
+			for ctx.Err() == nil {
+				for end := time.Now().Add(turn); time.Now().Before(end); {
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	l := Lateness{OnChange: func(bool, Load) { cancel() }}
+	l.Run(ctx)
+	if !l.Overloaded() {
+		t.Errorf("a process whose goroutines wait %v to run does not count as overloaded", queued*turn)
+	}
+}
+
 // Guards against an entry that most new connections lead to and that reads more requests than
 // it can serve: it closes new connections unread, and serves those that it has.
 func TestOverloadedDoorClosesNewConnectionsUnread(t *testing.T) {
--- a/node/overload.go
+++ b/node/overload.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/door"
 	"acaciakeel/policy"
 	"acaciakeel/telemetry"
 )
@@ -13,14 +14,14 @@
 func (n *Node) refuseWhileOverloaded() {
 	refused := telemetry.NewCounter(n.registry, "keel_node_connections_refused_total", "New connections closed unread because the process gets too little processor time.").WithLabelValues()
 	late := telemetry.NewGauge(n.registry, "keel_node_overloaded", "1 while the process gets too little processor time.").WithLabelValues()
-	n.lateness.OnChange = func(overloaded bool, share float64) {
+	n.lateness.OnChange = func(overloaded bool, load door.Load) {
 		late.Set(0)
 		message := "the process gets enough processor time again"
 		if overloaded {
 			late.Set(1)
 			message = "the process gets too little processor time; new connections are closed unread"
 		}
-		n.log.WithFields(logrus.Fields{"event": "overloaded", "active": overloaded, "late_share": share}).Warn(message)
+		n.log.WithFields(logrus.Fields{"event": "overloaded", "active": overloaded, "late_share": load.Share, "queued_ms": load.Queued.Milliseconds()}).Warn(message)
 	}
 	if n.options.Disabled[policy.ConnectionRefusal] {
 		return
