router: nothing is sent for clients that have left

What was seen: while an entry is short of processor time, clients give up requests that it has not read. Cause: the HTTP server notices the end of a connection in a goroutine of its own, which runs after the one that handles the request has first waited for something. By then the request is on its way, or a target has been chosen and dialled for it. Fix: before each attempt the kernel is asked whether the client has closed its side, which takes one system call and waits for nobody.

--- a/door/conns.go
+++ b/door/conns.go
@@ -161,6 +161,13 @@
 	return c.writes.writable()
 }
 
+// ClientLeft reports whether the client has closed or reset the connection, also if the server has
+// not noticed that yet.
+func (c *conn) ClientLeft() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	return ok && hungUp(socket)
+}
+
 // SetLinger sets what Close does with unsent bytes; see net.TCPConn.
 func (c *conn) SetLinger(sec int) error {
 	if lingering, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
--- a/door/socket.go
+++ b/door/socket.go
@@ -45,6 +45,18 @@
 	return err == nil && ready
 }
 
+// hungUp reports whether the peer of a socket has closed its side or reset the connection, also if
+// data that arrived before has not been read.
+func hungUp(c syscall.Conn) bool {
+	gone := false
+	err := control(c, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		gone = err == nil && n > 0
+	})
+	return err == nil && gone
+}
+
 // roundTrip returns the smoothed round-trip time of a connection, or 0 if it is unknown.
 func roundTrip(c syscall.Conn) time.Duration {
 	var rtt time.Duration
--- a/router/session.go
+++ b/router/session.go
@@ -86,6 +86,9 @@
 	defer s.tracked.Finish()
 	defer func() { s.held.Release() }()
 	for {
+		if s.writer.ClientLeft() {
+			return s.giveUp(attemptResult{refused: refusal.New(refusal.Canceled, "none", "the client left")})
+		}
 		if refused := s.checkPoison(time.Now()); refused != nil {
 			return s.giveUp(attemptResult{refused: refused})
 		}
--- a/router/unresponsive_test.go
+++ b/router/unresponsive_test.go
@@ -101,11 +101,14 @@
 type recordedResponse struct {
 	body    bytes.Buffer
 	aborted bool
+	// left is set if the client has disconnected.
+	left bool
 }
 
 func (w *recordedResponse) WriteHeader(*Response) error { return nil }
 func (w *recordedResponse) Write(p []byte) error        { w.body.Write(p); return nil }
 func (w *recordedResponse) Finish() error               { return nil }
+func (w *recordedResponse) ClientLeft() bool            { return w.left }
 func (w *recordedResponse) Abort()                      { w.aborted = true }
 
 // serveAtSilentTarget serves one request that is first sent to target a, and returns the
