--- a/router/request.go
+++ b/router/request.go
@@ -254,8 +254,8 @@
 	// Finish waits until the client has been sent the whole response. Until then Write may
 	// hold parts of it.
 	Finish() error
-	// ClientLeft reports whether the client is known to have disconnected. It does not wait for the
-	// goroutine that cancels the request's context then.
+	// ClientLeft reports whether the client is known to have disconnected, where the goroutine that
+	// cancels the request's context then may run late.
 	ClientLeft() bool
 	// Abort ends a partly written response so that it cannot be taken for a complete one.
 	Abort()
