soak: clients come again where an entry counts their connection as closed unread

Cause: the test, not the entry. An entry that gets too little processor time and knows another one closes new connections unread and counts them (keel_node_connections_refused_total); by the protocol clients whose request was not read come again on a new connection, which reaches another entry. The clients of this part never did.

Now a client comes again, at the next entry, if its new connection ended without a byte of an answer, and has to be served in the end. For each entry no more connections may end so than it counts, and no request may have run in a send that did: a reset for another reason is a failure as before, and so is any answer but success. Other parts of the soak don't require that each request is served.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -31,6 +31,8 @@
 	// lost are the requests that ended without an answer where each must have
 	// one, by how they ended.
 	lost map[string][]string
+	// closed is how many sends each entry ended by closing a new connection without an answer.
+	closed map[*entry]int
 }
 
 // outcome is what a caller saw of one send of an attempt.
@@ -50,13 +52,22 @@
 const callerCount = 16
 
 func (s *site) call(seed uint64) *callers {
-	c := &callers{site: s, stop: make(chan struct{}), seen: map[string][]outcome{}, sentTo: map[string]*entry{}, counts: map[string]int{}}
+	c := s.newCallers()
+	c.sendWith(seed, c.sendAny)
+	return c
+}
+
+func (s *site) newCallers() *callers {
+	return &callers{site: s, stop: make(chan struct{}), seen: map[string][]outcome{}, sentTo: map[string]*entry{}, counts: map[string]int{}, closed: map[*entry]int{}}
+}
+
+// sendWith has callers send until c ends.
+func (c *callers) sendWith(seed uint64, send func(*rand.Rand)) {
 	for i := range callerCount {
 		c.done.Add(1)
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		go c.keepSending(c.stop, random, c.sendAny)
+		go c.keepSending(c.stop, random, send)
 	}
-	return c
 }
 
 // keepSending sends one request after the other until stop is closed.
--- a/integration/soak/foreign_test.go
+++ b/integration/soak/foreign_test.go
@@ -202,13 +202,16 @@
 
 // Other writers' entries come, change and go under all keys that the entries
 // read, some in place of good ones, while configurations change too. Nothing else
-// fails, so each request is served, by the target of a good entry. Weights stay,
-// since a rollout alone has requests refused; TestSoak has both.
+// fails, so each request is served, by the target of a good entry: at once, or
+// when its client comes again after an entry without enough processor time has
+// closed its connection unread. Weights stay, since a rollout alone has requests
+// refused; TestSoak has both.
 func TestSoakForeign(t *testing.T) {
 	seed := uint64(number("SOAK_SEED", 1))
 	s := newSite(t, number("SOAK_ENTRIES", 3), regression{})
 	s.await("all entries are ready at the start", s.allReady)
-	c := s.call(seed)
+	c := s.newCallers()
+	c.sendWith(seed, c.sendUntilRead)
 	b := &breaker{
 		site: s, random: rand.New(rand.NewPCG(seed, 1<<32)),
 		faults: []fault{foreignEntry, foreignEntry, foreignEntry, foreignEntry, newConfiguration},
@@ -219,10 +222,11 @@
 	c.judge()
 	t.Logf("soak of foreign entries seed=%d requests=%d outcomes=%v faults=%v", seed, c.seq, c.counts, b.played)
 	for id, sends := range c.seen {
-		if out := sends[0]; out.err != nil || out.status != http.StatusOK {
+		if out := sends[len(sends)-1]; out.err != nil || out.status != http.StatusOK {
 			t.Errorf("%s %s ended with %d, %v beside foreign entries", out.route, id, out.status, out.err)
 		}
 	}
+	c.judgeClosed()
 	for _, v := range c.broken {
 		t.Error(v)
 	}
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -91,8 +91,10 @@
 	name  string
 	front string
 	ready string
-	file  string
-	proxy *faultproxy.Proxy
+	// metricsPort is where it serves its metrics.
+	metricsPort string
+	file        string
+	proxy       *faultproxy.Proxy
 
 	mu  sync.Mutex
 	now *process
@@ -263,7 +265,7 @@
 
 func (s *site) newEntry(i int) *entry {
 	e := &entry{site: s, name: fmt.Sprintf("e%d", i), proxy: s.newProxy(strings.TrimPrefix(s.server.URL, "http://"))}
-	e.front, e.ready = "127.0.0.1:"+freePort(s.t), "127.0.0.1:"+freePort(s.t)
+	e.front, e.ready, e.metricsPort = "127.0.0.1:"+freePort(s.t), "127.0.0.1:"+freePort(s.t), freePort(s.t)
 	e.file = filepath.Join(s.dir, e.name+".toml")
 	settings := fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
@@ -301,7 +303,7 @@
 const (
 	firstPort    = 12000
 	lastPort     = 30000
-	portsOfASoak = 360
+	portsOfASoak = 480
 )
 
 var (
@@ -346,7 +348,7 @@
 		e.site.t.Error(err)
 		return
 	}
-	cmd := exec.Command(filepath.Join(binDir, "acaciakeel-entry"), "platform", "--metrics-port", "0")
+	cmd := exec.Command(filepath.Join(binDir, "acaciakeel-entry"), "platform", "--metrics-port", e.metricsPort)
 	cmd.Env = append(os.Environ(), "ACACIAKEEL_NODE_FILE="+e.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
