poison: a verdict that a process learns ends when it does at its origin

Cause: a report or a stored verdict was merged crash by crash, and the last crash that was needed started a verdict of its own length here. As processes take over whichever verdict ends later, each process that starts prolongs it for all: a part or a content stays refused for as long as entries start within the length of its verdict, ten minutes or more.

Now, if the report has all crashes that count here, its crashes are added without a verdict, and one is started that ends with the sender's. With further crashes of this process it is decided here as before.

TestVerdictsOfOthersAreNotProlonged: from a peer and from the store, one second before the end, a fresh process refused for 10 s, 10 s and ten minutes (three, four and five crashes), and had the first process go on for as long; one second now.

--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -248,3 +248,28 @@
 	repeatContent(table, caseOf("two"), 20, CrashThreshold, start, partsOf("bad"))
 	wantParts(t, table, start, Refused, "bad", "other")
 }
+
+// Guards against verdicts that begin anew with each process that starts, and are told to all.
+func TestVerdictsOfOthersAreNotProlonged(t *testing.T) {
+	for _, crashes := range []int{CrashThreshold, CrashThreshold + 1, trialCrashes} {
+		table := New(nil)
+		for i := range crashes {
+			crashParts(table, i, start, partsOf("bad", fmt.Sprint("other", i)))
+		}
+		left := table.EvaluateParts(partsOf("bad"), start).Remaining
+		now := start.Add(left - time.Second)
+		fromPeer, fromStore := New(nil), New(nil)
+		fromPeer.ApplyReports(table.NextReports(now), now)
+		for _, v := range table.PendingWrites(false, now) {
+			fromStore.ApplyStored(v, now)
+		}
+		for name, fresh := range map[string]*Table{"peer": fromPeer, "store": fromStore} {
+			if d := fresh.EvaluateParts(partsOf("bad"), now); d.Status != Refused || d.Remaining > time.Second {
+				t.Errorf("%d crashes, from the %s: %+v, want refused for a second", crashes, name, d)
+			}
+			fresh.ScheduleResend(now)
+			table.ApplyReports(fresh.NextReports(now), now)
+		}
+		wantParts(t, table, now.Add(2*time.Second), Suspect, "bad")
+	}
+}
--- a/poison/reports.go
+++ b/poison/reports.go
@@ -182,11 +182,13 @@
 		}
 	}
 	add := t.countCrash
-	if report.verdictLapsed() {
-		// The verdict has expired at the sender. Adding the crashes must not start a new
-		// verdict here, as no target has crashed since.
+	inherited := report.Remaining > 0 && t.coveredBy(report)
+	if inherited || report.verdictLapsed() {
+		// The crashes must not start a new verdict here: the sender's holds, or has expired, and no
+		// target has crashed since.
 		add = func(c Case, inst fleet.Instance, o Origin, now time.Time) { t.addCrash(c, inst, o, now) }
 	}
+	var last fleet.Instance
 	for _, e := range report.Crashes {
 		switch {
 		case e.Cleared:
@@ -194,18 +196,37 @@
 			t.clearCrash(report.Case, e.Instance, now)
 		default:
 			add(report.Case, e.Instance, origin, now)
+			last = e.Instance
 		}
 	}
 	r := t.records[report.Content]
 	if r == nil || r.countedCrashes() < CrashThreshold || report.Remaining <= 0 {
 		return
 	}
-	if until := now.Add(min(report.Remaining, maxVerdictDuration)); until.After(r.until) {
+	remaining := min(report.Remaining, maxVerdictDuration)
+	switch until := now.Add(remaining); {
+	case inherited && !r.convicted(now):
+		t.startVerdict(r, report.Case, last, origin, max(r.verdictDuration(), remaining), until)
+	case until.After(r.until):
 		r.until, r.expiryReported = until, false
-		r.duration = max(r.duration, min(report.Remaining, maxVerdictDuration))
+		r.duration = max(r.duration, remaining)
 	}
 }
 
+// coveredBy reports whether a report has all crashes that count here. The caller holds mu.
+func (t *Table) coveredBy(report Report) bool {
+	r := t.records[report.Content]
+	if r == nil {
+		return true
+	}
+	for _, e := range r.crashes {
+		if !e.cleared && !slices.ContainsFunc(report.Crashes, func(c Crash) bool { return !c.Cleared && c.Instance.Matches(e.instance) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // verdictLapsed reports whether the report has enough counted crashes for a verdict, but
 // the verdict has expired.
 func (r Report) verdictLapsed() bool {
--- a/poison/table.go
+++ b/poison/table.go
@@ -235,8 +235,15 @@
 
 // convict starts a verdict. The caller holds mu.
 func (t *Table) convict(r *record, c Case, instance fleet.Instance, origin Origin, now time.Time) {
-	r.duration = r.verdictDuration()
-	r.until, r.expiryReported, r.inStore = now.Add(r.duration), false, origin == OriginStore
+	duration := r.verdictDuration()
+	t.startVerdict(r, c, instance, origin, duration, now.Add(duration))
+}
+
+// startVerdict starts a verdict that expires at until; duration is how long it holds in all. The
+// caller holds mu.
+func (t *Table) startVerdict(r *record, c Case, instance fleet.Instance, origin Origin, duration time.Duration, until time.Time) {
+	r.duration, r.until = duration, until
+	r.expiryReported, r.inStore = false, origin == OriginStore
 	r.needsWrite = r.needsWrite || origin == OriginLocal
 	t.addChange(Change{Kind: Convicted, Origin: origin, Target: instance, Crashes: r.countedCrashes(), Until: r.until}, c)
 }
