router: a request that was not written in time says nothing about its target

Cause: the entry. A request that may be repeated has three times its objective, here 300 ms, for its first send. When the process got no processor time for so long, that time ended before the request was written to a connection that was open. The target then counted as unreachable, and with it as dead at once; the other target had failed twice, truly. Callers were refused for 100 ms and more, while a target served that nobody had asked.

Trace: attempts="d1 not_sent written=0 conn_earlier=8 conn_age_ms=18 at_ms=1 for_ms=326; d0 interrupted status=503 ...", then four times no_target with sends=0.

Now such an attempt counts neither for nor against its target if it had a connection: the kernel takes the first bytes of a request on an open connection at once, so only this process was late. A connection that can't be made, or that ends before it is used, still makes the target unreachable.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -137,6 +137,9 @@
 	case errors.Is(ctx.Err(), context.Canceled), s.guard.hasExpired():
 		// The client disconnected or the guard withdrew the attempt: neither says anything
 		// about the health of the target.
+	case !sent && sendErr.Connected && errors.Is(err, context.DeadlineExceeded):
+		// The kernel takes the first bytes of a request on an open connection at once: this process
+		// did not get to write them in time, which says nothing about the target either.
 	case sent, ctx.Err() != nil:
 		// If the deadline of the client cut the attempt off, it is not known whether the
 		// target is reachable.
--- a/router/request.go
+++ b/router/request.go
@@ -194,6 +194,8 @@
 	// Sent is false if no byte of the request was written to a connection, so that the
 	// target cannot have received any of it.
 	Sent bool
+	// Connected is set if the attempt had a connection to the target.
+	Connected bool
 	// HeadBytes is the number of bytes received if the header of the response was over
 	// MaxResponseHeadBytes, otherwise 0.
 	HeadBytes int64
