node: the tests' entries keep new connections while they are overloaded

Seen: TestNodesShareALimit failed once in a whole run beside load; the entry's log said that it gets too little processor time.

An entry that gets too little processor time and knows another one closes new connections unread, so that clients come again at the other one. The tests of this package send each request to a given entry and have nowhere else to go; here the requests that use the limit up, or those that are to be refused, got a closed connection.

Now the entries of all environments run without connection refusal, as those of the environment with software versions did, and the environment of entries out of step needs none of its own. What the tests ask is the same, without a longer wait. TestOverloadedEntryRefusesOnlyBesideAnother, new, holds what the environments no longer exercise: an overloaded entry closes connections beside another one, not alone, and not with the refusal switched off.

--- a/node/out_of_step_test.go
+++ b/node/out_of_step_test.go
@@ -27,10 +27,6 @@
 	t.Cleanup(proxy.Close)
 	w.proxy, w.storeVia = proxy, proxy.Addr()
 	w.late = w.startPeer("n1")
-	for _, n := range []*Node{w.node, w.late} {
-		// Connections that an overloaded node closes unread are not what these tests are about.
-		n.servers.front.RefuseNew(func() bool { return false }, func() {})
-	}
 	return w
 }
 
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -4,8 +4,13 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"acaciakeel/door"
 	"acaciakeel/internal/standin/client"
+	"acaciakeel/policy"
 )
 
 // Guards against requests that an overloaded entry reads, or that run there and once more where
@@ -48,3 +53,40 @@
 		t.Errorf("after the overload: %d (%v)", a.status, a.err)
 	}
 }
+
+// Guards against an overloaded entry that reads new connections though another one may take them, or
+// closes them though it knows no other one, unless the refusal is switched off.
+func TestOverloadedEntryRefusesOnlyBesideAnother(t *testing.T) {
+	w := newEnv(t)
+	for _, test := range []struct {
+		peer, disabled, refuses bool
+	}{
+		{false, false, false},
+		{true, false, true},
+		{true, true, false},
+	} {
+		if test.peer && len(w.node.view.plan().Peers) == 0 {
+			w.startPeer("n1")
+		}
+		front, err := door.Start("127.0.0.1:0", &http.Server{Handler: http.NotFoundHandler()}, door.Telemetry{Log: w.log})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer front.Close()
+		n := &Node{log: w.log, registry: prometheus.NewRegistry(), view: w.node.view}
+		n.options.Disabled = policy.Disabled{policy.ConnectionRefusal: test.disabled}
+		n.servers.front = front
+		n.refuseWhileOverloaded()
+		for range 100 {
+			n.lateness.Record(time.Second)
+		}
+		http.DefaultClient.CloseIdleConnections()
+		resp, err := http.Get("http://" + front.Address())
+		if err == nil {
+			resp.Body.Close()
+		}
+		if (err != nil) != test.refuses {
+			t.Errorf("%+v: got error %v", test, err)
+		}
+	}
+}
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -16,7 +16,6 @@
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/peering"
 	"acaciakeel/platform"
-	"acaciakeel/policy"
 )
 
 // builds are the software versions of the runners of a versioned environment, in their order.
@@ -26,9 +25,6 @@
 func newVersionEnv(t *testing.T) *testEnv {
 	t.Helper()
 	w := newEnvWith(t, newFailureLog(t), func(w *testEnv) {
-		// The tests send each request to a given node, also while that gets too little processor
-		// time.
-		w.options.Disabled = policy.Disabled{policy.ConnectionRefusal: true}
 		for i := len(w.runners); i < len(builds); i++ {
 			w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
 		}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -19,6 +19,7 @@
 	"acaciakeel/internal/standin/kv"
 	"acaciakeel/internal/standin/runner"
 	"acaciakeel/platform"
+	"acaciakeel/policy"
 	"acaciakeel/quota"
 	"acaciakeel/telemetry"
 )
@@ -110,7 +111,9 @@
 // node starts.
 func newEnvWith(t *testing.T, log logrus.FieldLogger, changes ...func(*testEnv)) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, store: kv.NewStore(0), graceS: 8, lookupService: "desk", streamService: "lm", log: log, versionMS: 8000, maxBodyBytes: 1000, holdTimeoutMS: 15000}
+	// The tests send each request to a given node, also while that gets too little processor time.
+	options := Options{Disabled: policy.Disabled{policy.ConnectionRefusal: true}}
+	w := &testEnv{t: t, options: options, store: kv.NewStore(0), graceS: 8, lookupService: "desk", streamService: "lm", log: log, versionMS: 8000, maxBodyBytes: 1000, holdTimeoutMS: 15000}
 	w.kv = httptest.NewServer(kv.NewServer(w.store).Handler())
 	for i := range 2 {
 		w.runners = append(w.runners, runner.Start(fmt.Sprintf("r%d", i), "lm", map[string]int64{model: 1}))
