poison: a repeated report after the expiry of a verdict starts none

What callers saw: refused twice as long as documented. A content that crashed targets again after its first verdict was refused for 40 minutes instead of 20, and the log and the counters had a verdict that no crash had led to.

Cause: since a report that has all crashes that count here starts a verdict where none holds, also if it brings no crash that is new. Processes start their verdicts at slightly different times, so a report of one whose verdict goes on a little longer doubled the duration that is kept here, from which the next verdict is doubled again.

Fix: such a report starts a verdict only if it brings a new crash, or if there has been no verdict here. Otherwise it extends the verdict, as it did before.

--- a/poison/reports.go
+++ b/poison/reports.go
@@ -181,12 +181,15 @@
 			t.clearCrash(report.Case, e.Instance, now)
 		}
 	}
-	add := t.countCrash
+	add, added := t.countCrash, false
 	inherited := report.Remaining > 0 && t.coveredBy(report)
 	if inherited || report.verdictLapsed() {
 		// The crashes must not start a new verdict here: the sender's holds, or has expired, and no
 		// target has crashed since.
-		add = func(c Case, inst fleet.Instance, o Origin, now time.Time) { t.addCrash(c, inst, o, now) }
+		add = func(c Case, inst fleet.Instance, o Origin, now time.Time) {
+			_, isNew := t.addCrash(c, inst, o, now)
+			added = added || isNew
+		}
 	}
 	var last fleet.Instance
 	for _, e := range report.Crashes {
@@ -205,7 +208,7 @@
 	}
 	remaining := min(report.Remaining, maxVerdictDuration)
 	switch until := now.Add(remaining); {
-	case inherited && !r.convicted(now):
+	case inherited && !r.convicted(now) && (added || r.until.IsZero()):
 		t.startVerdict(r, report.Case, last, origin, max(r.verdictDuration(), remaining), until)
 	case until.After(r.until):
 		r.until, r.expiryReported = until, false
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -450,3 +450,26 @@
 		t.Errorf("%d bytes reported in %d seconds, want at most %d", sent, seconds, most)
 	}
 }
+
+// Guards against a verdict that counts as a further one, and makes the next one twice as long,
+// because a process whose verdict ends a little later reports the same crashes.
+func TestReportAfterTheExpiryDoublesNoVerdict(t *testing.T) {
+	changes := map[ChangeKind]int{}
+	table, peer, c := New(func(c Change) { changes[c.Kind]++ }), New(nil), caseOf("x")
+	for i := range CrashThreshold {
+		crashTarget(table, inst(i), start, c)
+		crashTarget(peer, inst(i), start.Add(time.Second), c)
+	}
+	expired := start.Add(initialVerdictDuration)
+	table.Sweep(expired)
+	table.ApplyReports(peer.NextReports(expired), expired)
+	wantStatus(t, table, c, expired, Refused)
+	if changes[Convicted] != 1 {
+		t.Errorf("%d verdicts after %d crashes, want one", changes[Convicted], CrashThreshold)
+	}
+	later := expired.Add(2 * time.Second)
+	crashTarget(table, inst(CrashThreshold), later, c)
+	if d := table.Evaluate(c.Content, later); d.Remaining != 2*initialVerdictDuration {
+		t.Errorf("the second verdict: %+v, want %v", d, 2*initialVerdictDuration)
+	}
+}
