--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -78,7 +78,7 @@
 		n.servers.front = front
 		n.refuseWhileOverloaded()
 		for range 100 {
-			n.lateness.Record(time.Second)
+			n.lateness.Record(door.Wait{Late: time.Second})
 		}
 		http.DefaultClient.CloseIdleConnections()
 		resp, err := http.Get("http://" + front.Address())
