target: each load report of an engine has a new connection

What callers saw: with a copy of an earlier 200 report ahead of the due one, on the connection that an agent's load reports share, the agent went by weights and a boot of before: requests refused with target_not_ready, the cache view lost.

Cause: reports name no request, so a copy can't be told from the report, and as the next call is sent before the due one arrives, each further report is that of the call before. Reading the connection for surplus bytes before a call doesn't help: the copy comes after it.

Fix: each report has a new connection, which can't bring an earlier one. Its dial has the report's time, not 300 ms. A report that gets no answer is no failure if the engine answers on the connection of the report before, which is asked in the last 350 of the 400 ms, if nothing waits there to be read: what it says isn't believed, but bytes sent after the call show that the engine lives. A refused connection and a refused report are failures as before. New counter keel_agent_load_reports_total.

endless_test.go meters the function that dials, as the client for reports is gone.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -14,6 +14,7 @@
 	claimWrites   *prometheus.CounterVec
 	cacheEvents   *prometheus.CounterVec
 	resyncs       prometheus.Counter
+	loadReports   *prometheus.CounterVec
 	claimedTokens *prometheus.CounterVec
 	queueWait     prometheus.Observer
 	engineResumes prometheus.Counter
@@ -36,6 +37,7 @@
 		claimWrites:   telemetry.NewCounter(r, "keel_agent_claims_total", "Claims at the platform's service, by result.", "result"),
 		cacheEvents:   telemetry.NewCounter(r, "keel_agent_cache_events_total", "Cache events, by what they did to the view.", "verdict"),
 		resyncs:       counter(r, "keel_agent_cache_resyncs_total", "Dumps of the engine's cache taken."),
+		loadReports:   telemetry.NewCounter(r, "keel_agent_load_reports_total", "Load reports of the engine: read, answered on an old connection only, failed.", "result"),
 		claimedTokens: telemetry.NewCounter(r, "keel_agent_claimed_tokens_total", "Tokens believed cached against the engine's answer: held, over, under.", "truth"),
 		queueWait:     telemetry.NewLatency(r, "keel_agent_queue_wait_seconds", "Time in the queue.").WithLabelValues(),
 		engineResumes: counter(r, "keel_agent_engine_resumes_total", "Engine streams opened again at their offset."),
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"acaciakeel/cache"
+	"acaciakeel/target"
 )
 
 const (
@@ -44,10 +46,16 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := r.engine.Load(ctx)
-	if err == nil {
+	switch {
+	case err == nil:
+		r.metrics.loadReports.WithLabelValues("read").Inc()
 		r.setEngineState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, build: load.Build, loading: load.Loading}, time.Now())
 		return 0
+	case errors.Is(err, target.ErrOldConnection):
+		r.metrics.loadReports.WithLabelValues("old_connection").Inc()
+		return 0
 	}
+	r.metrics.loadReports.WithLabelValues("failed").Inc()
 	failures++
 	if failures >= maxLoadFailures {
 		r.setEngineState(engineState{}, time.Now())
--- a/target/cache.go
+++ b/target/cache.go
@@ -20,7 +20,7 @@
 // CacheDump returns all blocks that the engine has cached.
 func (e *Engine) CacheDump(ctx context.Context) (cache.Dump, error) {
 	var raw cacheDump
-	if err := e.call(ctx, e.http, call{method: http.MethodGet, path: "/v1/cache", out: &raw, maxBytes: maxDumpBytes}); err != nil {
+	if err := e.call(ctx, call{method: http.MethodGet, path: "/v1/cache", out: &raw, maxBytes: maxDumpBytes}); err != nil {
 		return cache.Dump{}, err
 	}
 	d := cache.Dump{BootID: raw.BootID, Seq: raw.Seq, Blocks: make([]cache.Block, len(raw.Blocks))}
--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -91,10 +91,11 @@
 	}
 	endless.Check(t, response, most, func(m *endless.Meter, address string) error {
 		engine, service := NewEngine("http://"+address), NewService("http://"+address)
-		for _, client := range []*http.Client{engine.http, engine.loads, service.http} {
+		for _, client := range []*http.Client{engine.http, service.http} {
 			transport := client.Transport.(*http.Transport)
 			transport.DialContext = m.Dial(transport.DialContext)
 		}
+		engine.dial = m.Dial(engine.dial)
 		ctx, cancel := context.WithTimeout(t.Context(), testCallTimeout)
 		defer cancel()
 		return call.run(ctx, engine, service)
--- a/target/engine.go
+++ b/target/engine.go
@@ -12,9 +12,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"acaciakeel/httpbody"
@@ -108,33 +108,26 @@
 type Engine struct {
 	baseURL string
 	http    *http.Client
-	// loads carries the load reports, which are read many times a second on one connection: with a
-	// new one for each, a dial that takes long counts as a report that failed.
-	loads *http.Client
+	// dial opens the connections of load reports.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// lastReport is the connection of the last load report, nil if that failed.
+	lastReport atomic.Pointer[reportConn]
 }
 
 // NewEngine returns a client of the engine at baseURL, such as http://127.0.0.1:8000.
 func NewEngine(baseURL string) *Engine {
-	return &Engine{baseURL: baseURL, http: newHTTPClient(noKeepAlive), loads: newHTTPClient(keepAlive)}
+	return &Engine{baseURL: baseURL, http: newHTTPClient(), dial: dialerFor(baseURL)}
 }
 
-// keepAliveMode is whether a connection carries several calls.
-type keepAliveMode bool
-
-const (
-	keepAlive keepAliveMode = true
-	// noKeepAlive uses a new connection for each call. Responses of engines and services name no
-	// request, so that on a connection that has carried others a late one could be taken for the
-	// answer. Nor does the HTTP library send a call again that it has sent on a new connection.
-	noKeepAlive keepAliveMode = false
-)
-
-func newHTTPClient(mode keepAliveMode) *http.Client {
+// newHTTPClient returns a client that uses a new connection for each call. Responses of engines
+// and services name no request, so that on a connection that has carried others a late one could be
+// taken for the answer. Nor does the HTTP library send a call again that it has sent on a new
+// connection.
+func newHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 		DialContext:            dialer.DialContext,
-		IdleConnTimeout:        30 * time.Second,
-		DisableKeepAlives:      mode == noKeepAlive,
+		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
@@ -265,21 +258,7 @@
 
 // Cancel requests the engine to abort a request.
 func (e *Engine) Cancel(ctx context.Context, requestID string) error {
-	return e.call(ctx, e.http, call{method: http.MethodDelete, path: "/v1/streams/" + url.PathEscape(requestID), maxBytes: maxReportBytes})
-}
-
-// Load returns the engine's load report.
-func (e *Engine) Load(ctx context.Context) (Load, error) {
-	var l Load
-	var conn net.Conn
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
-	err := e.call(ctx, e.loads, call{method: http.MethodGet, path: "/v1/load", out: &l, maxBytes: maxReportBytes})
-	if err != nil && conn != nil {
-		// An engine that sent a refusal once more still owes the report, which the next call on the
-		// connection would get.
-		_ = conn.Close()
-	}
-	return l, err
+	return e.call(ctx, call{method: http.MethodDelete, path: "/v1/streams/" + url.PathEscape(requestID), maxBytes: maxReportBytes})
 }
 
 // Order requests the engine to load weights, with a fencing number, and returns
@@ -292,7 +271,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	return e.call(ctx, e.http, call{method: http.MethodPost, path: "/v1/orders", body: body, maxBytes: maxReportBytes})
+	return e.call(ctx, call{method: http.MethodPost, path: "/v1/orders", body: body, maxBytes: maxReportBytes})
 }
 
 // LookupResult is the actual state of an engine with respect to one prompt.
@@ -314,7 +293,7 @@
 		return LookupResult{}, fmt.Errorf("encode lookup: %w", err)
 	}
 	var a LookupResult
-	err = e.call(ctx, e.http, call{method: http.MethodPost, path: "/truth/lookup", body: body, out: &a, maxBytes: maxReportBytes})
+	err = e.call(ctx, call{method: http.MethodPost, path: "/truth/lookup", body: body, out: &a, maxBytes: maxReportBytes})
 	return a, err
 }
 
@@ -328,12 +307,12 @@
 	maxBytes int64
 }
 
-func (e *Engine) call(ctx context.Context, client *http.Client, c call) error {
+func (e *Engine) call(ctx context.Context, c call) error {
 	req, err := http.NewRequestWithContext(ctx, c.method, e.baseURL+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return fmt.Errorf("build call: %w", err)
 	}
-	resp, err := client.Do(req)
+	resp, err := e.http.Do(req)
 	if err != nil {
 		return sendError(err)
 	}
--- a/target/service.go
+++ b/target/service.go
@@ -23,7 +23,7 @@
 
 // NewService returns a client of the service instance at baseURL.
 func NewService(baseURL string) *Service {
-	return &Service{baseURL: baseURL, http: newHTTPClient(noKeepAlive)}
+	return &Service{baseURL: baseURL, http: newHTTPClient()}
 }
 
 // Call is a request to a plain service.
