Revert "rollout: a runner gets no new runs between orders without a response"

TestQueuedRequestIsCancelledAtBound of node found it: while two runners answered no orders, each retried order kept new requests away from them, and a request that they would have run was refused with 503.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -360,11 +360,6 @@
 		if result == fleet.OrderMisdirected {
 			c.fleet.SuspectReplaced(r.Instance(), time.Now())
 		}
-		if result == fleet.OrderLost {
-			// Long runs that began until the next order would delay it.
-			c.fleet.RecordBusy(r.Instance(), time.Now().Add(busyDuration))
-			c.notify()
-		}
 		c.mu.Lock()
 		c.contacts.recordFailure(r.Instance(), time.Now())
 		c.mu.Unlock()
