--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -285,8 +285,9 @@
 	// no load takes less. pollInterval is the pause between polls.
 	firstPollDelay = 450 * time.Millisecond
 	pollInterval   = 150 * time.Millisecond
-	// orderTimeout is the time after which an order is considered lost.
-	orderTimeout = 6 * time.Second
+	// orderTimeout is the time after which an order is considered lost. Under overload, the runs
+	// that a runner ends first take up to eight seconds.
+	orderTimeout = 12 * time.Second
 	// busyDuration is how long new requests are kept away from a runner each time that
 	// it is marked busy.
 	busyDuration = 700 * time.Millisecond
@@ -378,7 +379,7 @@
 		return fleet.OrderExpired, nil
 	}
 	o.SendBefore = now.Add(remaining - c.outstanding.transit)
-	ctx, cancel := context.WithTimeout(ctx, remaining)
+	ctx, cancel := context.WithTimeout(ctx, min(remaining, orderResponseTimeout))
 	defer cancel()
 	return c.client.Order(ctx, o)
 }
