poison: a decision on a part stops counting where it can't matter

It holds the table's lock, so that all requests of the entry wait for it.

Fix: the count ends once it exceeds what the record may leave unexplained: nothing for a part, and for a content less than the least so far.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -192,21 +192,26 @@
 		if len(other.crashes) < CrashThreshold || slices.ContainsFunc(parts, func(p Part) bool { return p.Fingerprint == content }) {
 			continue
 		}
-		n := other.missing(r)
-		if n == 0 || other.Part == "" && all-n >= CrashThreshold {
-			least = min(least, n)
+		atMost := 0
+		if other.Part == "" {
+			atMost = min(all-CrashThreshold, least-1)
+		}
+		if n := other.missing(r, atMost); n <= atMost {
+			least = n
 		}
 	}
 	return least
 }
 
 // missing returns how many of the crashes that count against another record do not count against
-// this one.
-func (r *record) missing(other *record) int {
+// this one, or atMost+1 if there are more.
+func (r *record) missing(other *record, atMost int) int {
 	n := 0
 	for _, e := range other.crashes {
 		if !e.cleared && !slices.ContainsFunc(r.crashes, func(own crashEntry) bool { return !own.cleared && own.instance.Matches(e.instance) }) {
-			n++
+			if n++; n > atMost {
+				break
+			}
 		}
 	}
 	return n
--- a/poison/parts_bench_test.go
+++ b/poison/parts_bench_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"fmt"
 	"testing"
 )
 
@@ -14,3 +15,19 @@
 		table.RecordPartsSurvived(parts, start)
 	}
 }
+
+// BenchmarkPartsBesideCrashes is what a decision costs while crashes for other reasons count against
+// many parts.
+func BenchmarkPartsBesideCrashes(b *testing.B) {
+	const parts, crashes = 200, 10
+	table := New(nil)
+	for i := range parts {
+		for j := range crashes {
+			crashParts(table, i*crashes+j, start, partsOf(fmt.Sprint("part", i)))
+		}
+	}
+	request := partsOf("part0", "part1", "part2")
+	for b.Loop() {
+		table.EvaluateParts(request, start)
+	}
+}
