--- a/door/lateness_test.go
+++ b/door/lateness_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// Guards against an overload that is not seen because timers fire in time while connections wait for
-// all goroutines that are ready: clients that had left were noticed after three quarters of a second.
+// Guards against an overload that is not seen because timers fire in time while goroutines that a
+// connection wakes wait for all that are ready.
 func TestLatenessIncludesTheQueueOfReadyGoroutines(t *testing.T) {
 	// One processor, as on a small VM.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
--- a/fleet/engine_sim_test.go
+++ b/fleet/engine_sim_test.go
@@ -121,7 +121,7 @@
 	}
 	for i := range processes {
 		f := New("z")
-		// Choices don't change the requests that follow.
+		// A source of its own, so that choices use none of the numbers that requests are drawn from.
 		f.random = rand.New(rand.NewPCG(seed, uint64(i+1))).Float64
 		f.Disable(off)
 		f.RecordDesired("m", 1, start.Add(-time.Hour), false)
--- a/node/departed_request_test.go
+++ b/node/departed_request_test.go
@@ -18,7 +18,7 @@
 func TestRequestsOfDepartedClientsAreNotPassedOn(t *testing.T) {
 	const clients = 50
 	w := newEnv(t)
-	w.node.frontend.AskForClients(func() bool { return true })
+	w.node.frontend.CheckForDepartedClients(func() bool { return true })
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for i := range clients {
 		for _, path := range anyPath {
--- a/node/node.go
+++ b/node/node.go
@@ -188,7 +188,7 @@
 		Log:    log,
 		Panics: telemetry.NewCounter(n.registry, "keel_node_panics_total", "Requests whose serving panicked.").WithLabelValues(),
 	})
-	n.frontend.AskForClients(n.lateness.Overloaded)
+	n.frontend.CheckForDepartedClients(n.lateness.Overloaded)
 	if !o.Disabled[policy.ResponseBuffering] {
 		n.frontend.BufferResponses(buffer)
 	}
