entry: a canceled request that may have run is not reported as not run

What callers saw: a caller that closes its sending side while an agent runs its request reads 499 with "outcome": "not_run", by reading of the door's path; the log has the same.

Cause: when the context has ended, the session returned a refusal of its own, whose outcome is "not run" unless it is set, before it looked at what the attempts had left. set it for the other refusals; the front door keeps the outcome there (classifyContextError).

Evidence: TestCanceledRequestMayHaveRun fails before: canceled, not run, while the agent has the request.

Fix: the outcome of the attempts is settled first, and the refusal takes it over. A request that reached no agent is still reported as not run.

--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// Guards against "not run" for a request whose caller closes its side while an agent may run it: a
+// caller that has closed only its sending side still reads the answer.
+func TestCanceledRequestMayHaveRun(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	agent := &fakeAgent{
+		generate: func(*keelv1.GenerateRequest) (*keelv1.GenerateResponse, error) {
+			cancel()
+			<-t.Context().Done()
+			return nil, errLost
+		},
+		abandon: func(*keelv1.AbandonRequest) (*keelv1.AbandonResponse, error) {
+			return &keelv1.AbandonResponse{}, nil
+		},
+	}
+	url, _ := agent.start(t)
+	s := newTestEntry(t, map[string]string{"a": url}).startSession(ctx, testModelRequest())
+	for range s.events {
+		t.Error("an event")
+	}
+	if s.err == nil || s.err.Kind != refusal.Canceled || s.err.Outcome != refusal.Unknown {
+		t.Errorf("refused with %+v, want canceled with an unknown outcome", s.err)
+	}
+}
+
 // Guards against "not run" for a stream that has run at a target which is no longer configured.
 func TestResumeAtAnUnknownTargetIsNoRefusalOfTheRun(t *testing.T) {
 	_, refused := newTestEntry(t, nil).resumeSession(t.Context(), testModelRequest(), resumePoint{requestID: "r", attempt: 1, target: "gone", offset: 3})
--- a/entry/session.go
+++ b/entry/session.go
@@ -98,17 +98,19 @@
 		if refused == nil {
 			return nil
 		}
-		if ctx.Err() != nil {
-			if shutdown := shutdownRefusal(ctx); shutdown != nil {
-				return shutdown
-			}
-			return refusal.New(refusal.Canceled, "nothing", "the caller left")
-		}
 		s.mayHaveRun = s.mayHaveRun || len(s.sentText) > 0 || refused.Outcome != refusal.NotRun
 		if s.mayHaveRun && refused.Outcome == refusal.NotRun {
 			// The refusal speaks for the last attempt only.
 			refused.Outcome = refusal.Unknown
 		}
+		if ctx.Err() != nil {
+			if shutdown := shutdownRefusal(ctx); shutdown != nil {
+				return shutdown
+			}
+			left := refusal.New(refusal.Canceled, "nothing", "the caller left")
+			left.Outcome = refused.Outcome
+			return left
+		}
 		if s.canWaitForRunner(refused) {
 			if !s.waitForRunner(ctx) {
 				return refused
