--- a/integration/soak/closed_test.go
+++ b/integration/soak/closed_test.go
@@ -19,14 +19,14 @@
 	// refusedMetric counts the new connections that an entry closes unread while it gets too little
 	// processor time.
 	refusedMetric = "keel_node_connections_refused_total"
-	// comesAgainAfter is the pause before a client whose connection was closed unread comes again: a
+	// retryPause is the pause before a client whose connection was closed unread connects again: a
 	// shorter one has starved entries spend their time on that.
-	comesAgainAfter = 200 * time.Millisecond
+	retryPause = 200 * time.Millisecond
 )
 
-// sendUntilRead sends a request at random, again at the next entry each time that an entry closes the
+// sendWithRetries sends a request at random, again at the next entry each time that an entry closes the
 // new connection without an answer. judgeClosed tells whether the entries count these connections.
-func (c *callers) sendUntilRead(random *rand.Rand) {
+func (c *callers) sendWithRetries(random *rand.Rand) {
 	route := []string{"draft", "match", "hold", "stock"}[random.IntN(4)]
 	at, thing := random.IntN(len(c.site.entries)), random.IntN(12)
 	e := c.site.entries[at]
@@ -42,7 +42,7 @@
 		if !time.Now().Before(end) {
 			return
 		}
-		time.Sleep(comesAgainAfter)
+		time.Sleep(retryPause)
 		at++
 		e = c.site.entries[at%len(c.site.entries)]
 	}
--- a/integration/soak/foreign_test.go
+++ b/integration/soak/foreign_test.go
@@ -211,7 +211,7 @@
 	s := newSite(t, number("SOAK_ENTRIES", 3), regression{})
 	s.await("all entries are ready at the start", s.allReady)
 	c := s.newCallers()
-	c.sendWith(seed, c.sendUntilRead)
+	c.sendWith(seed, c.sendWithRetries)
 	b := &breaker{
 		site: s, random: rand.New(rand.NewPCG(seed, 1<<32)),
 		faults: []fault{foreignEntry, foreignEntry, foreignEntry, foreignEntry, newConfiguration},
