node: each form of request is played as it is named

Cause: the test. The loops set path and way of leaving in the value that the clients begun before still read, so that some forms were played twice and others never. Each client has its own value now.

--- a/node/client_departure_test.go
+++ b/node/client_departure_test.go
@@ -429,9 +429,10 @@
 			for _, how := range []departure{leaveClosing, leaveResetting, leaveLate} {
 				number++
 				own := fmt.Sprintf("form-%d", number)
-				form.path, form.how = path, how
+				client := form
+				client.path, client.how = path, how
 				clients.Go(func() {
-					if err := form.play(w, w.node, h, own); err != nil {
+					if err := client.play(w, w.node, h, own); err != nil {
 						t.Errorf("%s %s, the client %s: %v", path, name, how, err)
 					}
 				})
