node: departing clients that expect to continue wait for their response

Cause: the test. The client took 100 Continue for its response and gave the try up unless a target had the request within 5 ms. Evidence: with targets that take 60 ms to note a request (trial), all twelve forms that expect to continue failed before, and no other; none fails now. Five plays side by side with the race detector passed before and after. Informational responses are read over now, so that the forms are played as named.

--- a/node/client_departure_test.go
+++ b/node/client_departure_test.go
@@ -301,7 +301,7 @@
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
-		_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+		awaitResponse(conn)
 	}()
 	if !awaitHeld(h, id, answered) {
 		return false, nil
@@ -324,6 +324,17 @@
 	return true, checkEnded(ctx, h, id, left)
 }
 
+// awaitResponse reads until the head of a response that is not informational.
+func awaitResponse(conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return
+		}
+	}
+}
+
 // awaitHeld reports whether a target holds the request before the client gets the head of a response.
 func awaitHeld(h *holdingTargets, id string, answered <-chan struct{}) bool {
 	r, held := h.state(id)
