--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,30 +105,6 @@
 	}
 }
 
-// Guards against clearing a runner of which no run may be truncated: the order lets its runs end
-// just as well, and its slot was held for up to 3.6 s each time that an order got no response.
-func TestOrderWithoutResumableRunsIsDueAtOnce(t *testing.T) {
-	for _, urgent := range []bool{false, true} {
-		t.Run(fmt.Sprint("urgent ", urgent), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := fleet.New("z")
-				r := fleet.Target{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}}
-				f.Put(r)
-				f.Begin(r.Instance(), fleet.RequestLoad{Long: true}, time.Now())
-				resumable := f.Begin(r.Instance(), fleet.RequestLoad{Resumable: true}, time.Now())
-				time.AfterFunc(drainCheckInterval+drainCheckInterval/2, resumable.End)
-				runners := newLoadingRunners(time.Second)
-				c := NewController("n", Config{Leadership: alwaysLeader{}, Client: runners, Fleet: f, Notify: func() {}}, discardLogger())
-				start := time.Now()
-				c.updateRunner(t.Context(), Decision{Runner: r, Urgent: urgent}, "m", 2)
-				if took := runners.orderedAt["r"].Sub(start); took != 2*drainCheckInterval {
-					t.Errorf("ordered after %v, want %v", took, 2*drainCheckInterval)
-				}
-			})
-		})
-	}
-}
-
 // Guards against an order that loses its slot while its runner ends long runs: the loaded runner
 // stood idle until it got another slot.
 func TestLongOrderKeepsItsSlot(t *testing.T) {
--- a/rollout/drain.go
+++ b/rollout/drain.go
@@ -26,9 +26,7 @@
 // clear keeps new requests away from a runner with long runs until only resumable runs
 // are left, and reports whether these may be truncated. A truncated run is resumed on
 // another runner after its last event. If they are left to end, the last few long runs
-// keep a runner of 40 or 60 slots out of service for four to six seconds. Without any
-// resumable run the order is due at once: it lets the other runs end as well, and one that gets
-// no response is sent again while they do.
+// keep a runner of 40 or 60 slots out of service for four to six seconds.
 func (c *Controller) clear(ctx context.Context, decision Decision) bool {
 	r, checks := decision.Runner, drainChecks
 	if decision.Urgent {
@@ -41,13 +39,9 @@
 		c.fleet.RecordBusy(r.Instance(), time.Now().Add(busyDuration))
 		c.notify()
 		clock.Sleep(ctx, drainCheckInterval)
-		load := c.fleet.Occupancy(r.Instance())
-		if load.Inflight == load.Resumable {
+		if load := c.fleet.Occupancy(r.Instance()); load.Inflight == load.Resumable {
 			return load.Inflight > 0
 		}
-		if load.Resumable == 0 {
-			return false
-		}
 	}
 	return false
 }
--- a/rollout/unresponsive_test.go
+++ b/rollout/unresponsive_test.go
@@ -107,7 +107,7 @@
 }
 
 // runRollout runs a rollout to n runners for a time. Each runner has so many long runs
-// that can't be resumed elsewhere, and as many that can: its order waits first.
+// that can't be resumed elsewhere, for which its order waits first.
 func runRollout(t *testing.T, runners rolloutRunners, n, longRuns int, duration time.Duration) {
 	f := fleet.New("z")
 	for i := range n {
@@ -115,7 +115,6 @@
 		f.Put(r)
 		for range longRuns {
 			f.Begin(r.Instance(), fleet.RequestLoad{Long: true}, time.Now())
-			f.Begin(r.Instance(), fleet.RequestLoad{Long: true, Resumable: true}, time.Now())
 		}
 	}
 	f.RecordDesired("m", 2, time.Now(), false)
