--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -285,9 +285,8 @@
 	// no load takes less. pollInterval is the pause between polls.
 	firstPollDelay = 450 * time.Millisecond
 	pollInterval   = 150 * time.Millisecond
-	// orderTimeout is the time after which an order is considered lost. Under overload, the runs
-	// that a runner ends first take up to eight seconds.
-	orderTimeout = 12 * time.Second
+	// orderTimeout is the time after which an order is considered lost.
+	orderTimeout = 6 * time.Second
 	// busyDuration is how long new requests are kept away from a runner each time that
 	// it is marked busy.
 	busyDuration = 700 * time.Millisecond
