--- a/rollout/contact.go
+++ b/rollout/contact.go
@@ -12,10 +12,6 @@
 	// milliseconds. A runner that takes longer frees its slot. The cost of an error is one
 	// retry after minContactBackoff.
 	reportTimeout = 300 * time.Millisecond
-	// orderResponseTimeout bounds the wait for the response to an order, which takes as long as
-	// a report. An order that was accepted without a response shows in the next report, whose
-	// count of orders keeps a second one from being carried out.
-	orderResponseTimeout = 300 * time.Millisecond
 	// minContactBackoff and maxContactBackoff bound the time between two requests to a
 	// runner that does not respond. With reportTimeout, the upper bound gives a recovered
 	// runner its order within about a second.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -378,7 +378,7 @@
 		return fleet.OrderExpired, nil
 	}
 	o.SendBefore = now.Add(remaining - c.outstanding.transit)
-	ctx, cancel := context.WithTimeout(ctx, min(remaining, orderResponseTimeout))
+	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	return c.client.Order(ctx, o)
 }
