store: revisions are positions, a type of their own

The store's revisions were bare numbers, compared and kept in some thirty places. Tests change their types alone.

--- a/agent/claim.go
+++ b/agent/claim.go
@@ -73,8 +73,8 @@
 // lost may have taken effect, so the claim is read back. If rewrite is set, a claim that
 // this incarnation already owns is written again: a release of it that is still in flight
 // then finds a different revision and has no effect. Otherwise it is held by another call.
-func (c *claimStore) make(ctx context.Context, k ledger.Key, rewrite bool) (claimResult, claim, int64) {
-	revision := int64(0)
+func (c *claimStore) make(ctx context.Context, k ledger.Key, rewrite bool) (claimResult, claim, store.Position) {
+	revision := store.Position(0)
 	own := c.self
 	own.Nonce = uuid.NewString()
 	for range maxClaimWrites {
@@ -105,7 +105,7 @@
 // maxClaimWrites is the maximum number of writes for one claim.
 const maxClaimWrites = 3
 
-func (c *claimStore) put(ctx context.Context, k ledger.Key, own claim, ifRevision int64) (int64, error) {
+func (c *claimStore) put(ctx context.Context, k ledger.Key, own claim, ifRevision store.Position) (store.Position, error) {
 	value, err := json.Marshal(own)
 	if err != nil {
 		return 0, fmt.Errorf("encode claim: %w", err)
@@ -121,7 +121,7 @@
 	return revision, err
 }
 
-func (c *claimStore) read(ctx context.Context, k ledger.Key) (claim, int64, error) {
+func (c *claimStore) read(ctx context.Context, k ledger.Key) (claim, store.Position, error) {
 	entry, err := c.store.Get(ctx, claimKey(k))
 	if err != nil {
 		return claim{}, 0, err
@@ -136,7 +136,7 @@
 // release deletes the claim of a call that was not sent, so that another agent can run
 // it. If that fails, the claim remains, which is safe: calls with this key are then
 // sent to this agent.
-func (c *claimStore) release(ctx context.Context, k ledger.Key, revision int64) {
+func (c *claimStore) release(ctx context.Context, k ledger.Key, revision store.Position) {
 	_, _ = c.store.Delete(ctx, claimKey(k), revision)
 }
 
--- a/agent/full_ledger_test.go
+++ b/agent/full_ledger_test.go
@@ -22,11 +22,13 @@
 	entries map[string]store.Entry
 }
 
-func (*mapStore) Delete(context.Context, string, int64) (int64, error) { return 0, nil }
+func (*mapStore) Delete(context.Context, string, store.Position) (store.Position, error) {
+	return 0, nil
+}
 
 func (*mapStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
 
-func (s *mapStore) Put(_ context.Context, key string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+func (s *mapStore) Put(_ context.Context, key string, value []byte, ifRevision store.Position, _ store.LeaseID) (store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ifRevision != s.entries[key].Revision {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -51,7 +51,7 @@
 	// foreignOrderSince is when another holder's unfinished order was first seen.
 	// lastRevision is the revision of that order, or of the agent's own last write.
 	foreignOrderSince time.Time
-	lastRevision      int64
+	lastRevision      store.Position
 }
 
 func (o *orderController) run(ctx context.Context) {
@@ -211,7 +211,7 @@
 		o.trackPlatform(err)
 		// While the service is down, the last known revision is used: an engine that
 		// checks fencing numbers refuses it if another agent has sent an order since.
-		return o.lastRevision, time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
+		return int64(o.lastRevision), time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
 	}
 	if o.mustAwaitForeignOrder(entry) {
 		return 0, time.Time{}, false
@@ -221,8 +221,8 @@
 	if err != nil {
 		return 0, began, false
 	}
-	fence, err = o.store.Put(ctx, key, value, entry.Revision, "")
-	o.lastRevision = fence
+	o.lastRevision, err = o.store.Put(ctx, key, value, entry.Revision, "")
+	fence = int64(o.lastRevision)
 	return fence, began, err == nil
 }
 
@@ -250,5 +250,5 @@
 	if err != nil {
 		return
 	}
-	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, fence, "")
+	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, store.Position(fence), "")
 }
--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -79,7 +79,7 @@
 
 func (heldStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
 
-func (heldStore) Put(context.Context, string, []byte, int64, store.LeaseID) (int64, error) {
+func (heldStore) Put(context.Context, string, []byte, store.Position, store.LeaseID) (store.Position, error) {
 	return 0, store.ErrConflict
 }
 
@@ -113,7 +113,7 @@
 
 func (*claimedStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "1", nil }
 
-func (s *claimedStore) Put(_ context.Context, key string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+func (s *claimedStore) Put(_ context.Context, key string, value []byte, ifRevision store.Position, _ store.LeaseID) (store.Position, error) {
 	if ifRevision != s.entry.Revision {
 		return 0, store.ErrConflict
 	}
@@ -121,7 +121,7 @@
 	return s.entry.Revision, nil
 }
 
-func (*claimedStore) Delete(context.Context, string, int64) (int64, error) {
+func (*claimedStore) Delete(context.Context, string, store.Position) (store.Position, error) {
 	return 0, store.ErrUnavailable
 }
 
@@ -198,7 +198,7 @@
 	return "", store.ErrUnavailable
 }
 
-func (downStore) Put(context.Context, string, []byte, int64, store.LeaseID) (int64, error) {
+func (downStore) Put(context.Context, string, []byte, store.Position, store.LeaseID) (store.Position, error) {
 	return 0, store.ErrUnavailable
 }
 
--- a/agent/permit.go
+++ b/agent/permit.go
@@ -7,12 +7,13 @@
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/ledger"
 	"acaciakeel/refusal"
+	"acaciakeel/store"
 )
 
 // permit decides whether a call may be sent: with a claim, whose revision it returns,
 // or without one if the key provably cannot have run before. docs/design/calls-once.md
 // gives the reason for each case.
-func (c *callExecutor) permit(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) (int64, claim, *refusal.Error) {
+func (c *callExecutor) permit(ctx context.Context, req *keelv1.CallRequest, key ledger.Key, record *ledger.Record) (store.Position, claim, *refusal.Error) {
 	if req.FreshKey {
 		// The entry generated this key and no client has it. The entry sends the call
 		// again only after a refusal with the outcome "not run".
@@ -132,7 +133,7 @@
 	record.GeneratedKey, record.MinRetention = true, minRetention
 }
 
-func (c *callExecutor) releaseClaim(ctx context.Context, key ledger.Key, record *ledger.Record, revision int64) {
+func (c *callExecutor) releaseClaim(ctx context.Context, key ledger.Key, record *ledger.Record, revision store.Position) {
 	if revision == 0 {
 		return
 	}
--- a/configsync/carry.go
+++ b/configsync/carry.go
@@ -40,12 +40,12 @@
 	if !f.synced {
 		return f.list(ctx)
 	}
-	events, err := f.config.Store.Watch(ctx, resource.KeyPrefix, f.Revision(), watchWait)
+	events, err := f.config.Store.Watch(ctx, resource.KeyPrefix, store.Position(f.Revision()), watchWait)
 	if err != nil {
 		f.synced = false
 		return fmt.Errorf("watch resources: %w", err)
 	}
-	if events.Compacted || events.Revision < f.Revision() {
+	if events.Compacted || int64(events.Revision) < f.Revision() {
 		f.synced = false
 		return nil
 	}
@@ -57,10 +57,10 @@
 	if err != nil {
 		return fmt.Errorf("list resources: %w", err)
 	}
-	if listing.Revision < f.Revision() {
+	if int64(listing.Revision) < f.Revision() {
 		return fmt.Errorf("%w: platform revision %d, local revision %d", ErrOldRevision, listing.Revision, f.Revision())
 	}
-	delta := resource.Delta{Full: true, Revision: listing.Revision}
+	delta := resource.Delta{Full: true, Revision: int64(listing.Revision)}
 	var bad []error
 	for _, e := range listing.Entries {
 		r, err := DecodeEntry(e)
@@ -78,11 +78,11 @@
 	if len(events) == 0 {
 		return nil
 	}
-	delta := resource.Delta{Base: f.Revision(), Revision: events[len(events)-1].Revision}
+	delta := resource.Delta{Base: f.Revision(), Revision: int64(events[len(events)-1].Revision)}
 	var bad []error
 	for _, e := range events {
 		if e.Deleted {
-			delta.Deleted = append(delta.Deleted, resource.Deletion{Key: e.Key, Revision: e.Revision})
+			delta.Deleted = append(delta.Deleted, resource.Deletion{Key: e.Key, Revision: int64(e.Revision)})
 			continue
 		}
 		r, err := DecodeEntry(e.Entry)
@@ -107,6 +107,6 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return r, fmt.Errorf("decode resource %s: %w", e.Key, err)
 	}
-	r.Version = e.Revision
+	r.Version = int64(e.Revision)
 	return r, nil
 }
--- a/entry/write.go
+++ b/entry/write.go
@@ -32,9 +32,9 @@
 	defer cancel()
 	key := resource.Key(r.Kind, r.Name)
 	for try := 0; ; try++ {
-		version, err := e.store.Put(ctx, key, value, r.Version, "")
+		written, err := e.store.Put(ctx, key, value, store.Position(r.Version), "")
 		if err == nil {
-			return version, nil
+			return int64(written), nil
 		}
 		if errors.Is(err, store.ErrUnavailable) && try == 0 {
 			return 0, platformUnavailable()
@@ -90,10 +90,10 @@
 
 // deleteKey deletes a key if it still has the given version.
 func (e *Entry) deleteKey(ctx context.Context, key string, version int64) (int64, error) {
-	revision, err := e.store.Delete(ctx, key, version)
+	revision, err := e.store.Delete(ctx, key, store.Position(version))
 	switch {
 	case err == nil:
-		return revision, nil
+		return int64(revision), nil
 	case errors.Is(err, store.ErrUnavailable):
 		return 0, platformUnavailable()
 	case errors.Is(err, store.ErrNotFound):
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,7 +17,7 @@
 // Handler receives the contents of the store.
 type Handler interface {
 	// Reset replaces the whole view by a listing at the given revision.
-	Reset(entries []store.Entry, revision int64)
+	Reset(entries []store.Entry, revision store.Position)
 	// Apply applies changes in their order.
 	Apply(events []store.Event)
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -48,7 +48,7 @@
 	return l, err
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (store.Events, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after store.Position, _ time.Duration) (store.Events, error) {
 	a, err := s.next(ctx, fmt.Sprintf("watch %d", after))
 	e, _ := a.(store.Events)
 	return e, err
@@ -57,7 +57,7 @@
 // recorder logs what a follower passes to its handler.
 type recorder struct{ log []string }
 
-func (s *recorder) Reset(entries []store.Entry, revision int64) {
+func (s *recorder) Reset(entries []store.Entry, revision store.Position) {
 	s.log = append(s.log, fmt.Sprintf("reset %d at %d", len(entries), revision))
 }
 
@@ -83,7 +83,7 @@
 	return s, handler, f
 }
 
-func changeEvent(key string, revision int64, deleted bool) store.Event {
+func changeEvent(key string, revision store.Position, deleted bool) store.Event {
 	return store.Event{Entry: store.Entry{Key: key, Revision: revision}, Deleted: deleted}
 }
 
--- a/follow/share.go
+++ b/follow/share.go
@@ -17,7 +17,7 @@
 type sharedWatch struct {
 	mu sync.Mutex
 	// revision is the revision up to which the view has all changes.
-	revision int64
+	revision store.Position
 	// compacted is set while the store no longer has the changes after revision.
 	compacted bool
 	// ownConfirmedAt is the time as of which the process's own calls last confirmed the
@@ -33,7 +33,7 @@
 
 // Changes are the events of one watch after the revision After.
 type Changes struct {
-	After  int64
+	After  store.Position
 	Events store.Events
 	// SinceRecovery is the time since the store became reachable again, as seen by the
 	// sender, or 0 if it never was unreachable. Shortly after a recovery, deleted
@@ -44,7 +44,7 @@
 // Confirmation states that a process's view has all changes up to a revision, and how
 // long ago it was known to be complete.
 type Confirmation struct {
-	Revision      int64
+	Revision      store.Position
 	Age           time.Duration
 	SinceRecovery time.Duration
 }
@@ -202,7 +202,7 @@
 }
 
 // Revision returns the revision up to which the view has all changes.
-func (f *Follower) Revision() int64 {
+func (f *Follower) Revision() store.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
@@ -210,7 +210,7 @@
 
 // apply passes the events after the current revision to the handler and advances the
 // revision.
-func (f *Follower) apply(events []store.Event, revision int64) {
+func (f *Follower) apply(events []store.Event, revision store.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var unapplied []store.Event
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -154,7 +154,7 @@
 	recovered []bool
 }
 
-func (r *recoveryRecorder) Reset([]store.Entry, int64) {}
+func (r *recoveryRecorder) Reset([]store.Entry, store.Position) {}
 
 func (r *recoveryRecorder) Apply([]store.Event) {
 	_, recovered := r.f.SinceRecovery()
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -75,7 +75,8 @@
 	if err != nil {
 		return 0, err
 	}
-	return store.Put(ctx, resource.Key(r.Kind, name), value, 0, "")
+	position, err := store.Put(ctx, resource.Key(r.Kind, name), value, 0, "")
+	return int64(position), err
 }
 
 // awaitAll waits until every member has all there is.
@@ -87,7 +88,7 @@
 	for _, url := range b.Members {
 		for {
 			a, err := applied(ctx, url)
-			if err == nil && a.highest() >= listing.Revision {
+			if err == nil && a.highest() >= int64(listing.Revision) {
 				break
 			}
 			if ctx.Err() != nil {
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -21,7 +21,7 @@
 
 type value struct {
 	data     []byte
-	revision int64
+	revision store.Position
 	lease    int64
 }
 
@@ -33,7 +33,7 @@
 // Store is the stand-in's state.
 type Store struct {
 	mu       sync.Mutex
-	revision int64
+	revision store.Position
 	values   map[string]value
 	leases   map[int64]lease
 	granted  int64
@@ -96,7 +96,7 @@
 	removes    []string
 }
 
-func (s *Store) commit(c change) (int64, error) {
+func (s *Store) commit(c change) (store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
@@ -208,7 +208,7 @@
 
 // after returns the events below prefix after a revision, and a channel that
 // closes at the next change.
-func (s *Store) after(prefix string, revision int64) (store.Events, <-chan struct{}) {
+func (s *Store) after(prefix string, revision store.Position) (store.Events, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -133,10 +133,10 @@
 
 // item is one key as the protocol shows it.
 type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision int64  `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
+	Key      string         `json:"key"`
+	Value    []byte         `json:"value,omitempty"`
+	Revision store.Position `json:"revision"`
+	Removed  bool           `json:"removed,omitempty"`
 }
 
 func (s *Server) serveGet(_ http.ResponseWriter, r *http.Request) (any, error) {
@@ -148,9 +148,9 @@
 const pageItems = 500
 
 type page struct {
-	Items    []item `json:"items"`
-	More     bool   `json:"more_pages"`
-	Revision int64  `json:"current_rev"`
+	Items    []item         `json:"items"`
+	More     bool           `json:"more_pages"`
+	Revision store.Position `json:"current_rev"`
 }
 
 func (s *Server) serveList(_ http.ResponseWriter, r *http.Request) (any, error) {
@@ -172,8 +172,8 @@
 }
 
 type changes struct {
-	Events   []item `json:"events"`
-	Revision int64  `json:"current_rev"`
+	Events   []item         `json:"events"`
+	Revision store.Position `json:"current_rev"`
 }
 
 func (s *Server) serveWatch(_ http.ResponseWriter, r *http.Request) (any, error) {
@@ -181,7 +181,7 @@
 	deadline := time.NewTimer(time.Duration(integer(r, "wait_ms")) * time.Millisecond)
 	defer deadline.Stop()
 	for {
-		events, changed := s.store.after(prefix, integer(r, "after"))
+		events, changed := s.store.after(prefix, store.Position(integer(r, "after")))
 		if events.Compacted {
 			return nil, store.ErrCompacted
 		}
@@ -235,7 +235,7 @@
 	}
 	change.removes = t.Removes
 	revision, err := s.store.commit(change)
-	return map[string]int64{"revision": revision}, err
+	return map[string]store.Position{"revision": revision}, err
 }
 
 func (s *Server) serveGrant(_ http.ResponseWriter, r *http.Request) (any, error) {
--- a/node/contradictions.go
+++ b/node/contradictions.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"acaciakeel/fleet"
+	"acaciakeel/store"
 )
 
 // Times of the check of an entry that contradicts what is believed of its target.
@@ -25,15 +26,15 @@
 type earlierStarts struct {
 	mu sync.Mutex
 	// revisions are those of the latest such entries, by target ID.
-	revisions map[string]int64
+	revisions map[string]store.Position
 }
 
 // add records such an entry.
-func (e *earlierStarts) add(id string, revision int64) {
+func (e *earlierStarts) add(id string, revision store.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.revisions == nil {
-		e.revisions = map[string]int64{}
+		e.revisions = map[string]store.Position{}
 	}
 	e.revisions[id] = revision
 }
@@ -47,7 +48,7 @@
 
 // ifLatest calls apply if a target has no later entry than the one of a revision. A later one is
 // applied after that.
-func (e *earlierStarts) ifLatest(id string, revision int64, apply func()) {
+func (e *earlierStarts) ifLatest(id string, revision store.Position, apply func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.revisions[id] == revision {
@@ -57,7 +58,7 @@
 
 // checkEarlierStart finds out whether an entry that names an earlier start than is believed is true,
 // and applies it then: its target says so, or the list goes on saying so.
-func (v *view) checkEarlierStart(r fleet.Target, revision int64) {
+func (v *view) checkEarlierStart(r fleet.Target, revision store.Position) {
 	v.earlier.add(r.ID, revision)
 	listedAt := time.Now()
 	go func() {
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -387,7 +387,7 @@
 func TestChangesAreSplitIntoDatagrams(t *testing.T) {
 	c := follow.Changes{After: 100, Events: store.Events{Revision: 1000}}
 	for i := range 160 {
-		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: fmt.Sprintf("servers/%d", i), Value: make([]byte, 90), Revision: 101 + int64(i/2)}})
+		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: fmt.Sprintf("servers/%d", i), Value: make([]byte, 90), Revision: store.Position(101 + i/2)}})
 	}
 	pieces, ok := splitChanges(c)
 	if !ok || len(pieces) < 10 {
--- a/node/limits.go
+++ b/node/limits.go
@@ -73,12 +73,13 @@
 // were killed at once, each would assume that it is the only one until it hears from the
 // others, and admit the whole of each limit.
 type nodeCount struct {
-	stored, revision int64
-	belowSince       time.Time
+	stored     int64
+	revision   store.Position
+	belowSince time.Time
 }
 
 // setNodeCount applies the count from the store.
-func (v *view) setNodeCount(value string, revision int64) {
+func (v *view) setNodeCount(value string, revision store.Position) {
 	n, err := strconv.ParseInt(value, 10, 64)
 	if value != "" && (err != nil || n < 1 || n > maxNodeCount) {
 		v.EntryRejected(platform.RejectedEntry{Key: v.keys.nodeCount, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue}})
@@ -99,7 +100,7 @@
 
 // nodeCountRejected records that another writer's entry stands in place of the count. The
 // leader replaces it; until then the last count is in force.
-func (v *view) nodeCountRejected(revision int64) {
+func (v *view) nodeCountRejected(revision store.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.nodeCount.stored, v.nodeCount.revision = 0, revision
@@ -107,7 +108,7 @@
 
 // pendingNodeCount returns the count that the store should have, and whether it has to be
 // written.
-func (v *view) pendingNodeCount(now time.Time) (n, revision int64, due bool) {
+func (v *view) pendingNodeCount(now time.Time) (n int64, revision store.Position, due bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n = int64(len(v.members))
--- a/node/membership.go
+++ b/node/membership.go
@@ -25,7 +25,7 @@
 	// lease is the lease that the entry is attached to, and revision the entry's; 0 if the
 	// node does not know that it is registered.
 	lease    store.LeaseID
-	revision int64
+	revision store.Position
 	// failing is set while registrations fail, which is logged once.
 	failing bool
 	// left is set once the node has begun to leave.
@@ -109,7 +109,7 @@
 // selfState is whether the node's entry was among the members at a revision of the store.
 type selfState struct {
 	member   bool
-	revision int64
+	revision store.Position
 }
 
 // selfState returns the latest known state of the node's entry. The revision is read first,
@@ -125,7 +125,7 @@
 // writeMember writes the node's entry and returns its revision. The key has the name of this
 // start of the node: an entry there is either the node's own, of a write whose response was
 // lost, or that of another writer, which is replaced.
-func (n *Node) writeMember(ctx context.Context, lease store.LeaseID) (int64, error) {
+func (n *Node) writeMember(ctx context.Context, lease store.LeaseID) (store.Position, error) {
 	value := encodeMember(n.exchange.address(), n.settings.Zone, n.settings.Limits.LinkMbps)
 	revision, err := n.store.Put(ctx, n.view.self, value, 0, lease)
 	var conflict *store.ConflictError
--- a/node/record_reads.go
+++ b/node/record_reads.go
@@ -67,7 +67,7 @@
 }
 
 // receiveStreamRecords applies saved records; those that this node has saved are known here.
-func (v *view) receiveStreamRecords(key, value string, revision int64) {
+func (v *view) receiveStreamRecords(key, value string, revision store.Position) {
 	if value == "" {
 		v.rejected.removeRecord(key)
 		return
--- a/node/rejected.go
+++ b/node/rejected.go
@@ -11,6 +11,7 @@
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
 	"acaciakeel/platform"
+	"acaciakeel/store"
 	"acaciakeel/telemetry"
 	"acaciakeel/verdicts"
 )
@@ -26,7 +27,7 @@
 	mu sync.Mutex
 	// loggedRevisions is the revision at which each rejected entry was logged, so that a
 	// listing that finds it again does not log it again.
-	loggedRevisions map[string]int64
+	loggedRevisions map[string]store.Position
 	// knownServices are the services named by any configuration since the process started; nil
 	// before the first. A service that is no longer named keeps its targets: no route leads
 	// there, but requests in progress may still be retried there.
@@ -38,14 +39,14 @@
 // pendingTarget is a valid entry whose service no configuration has named yet.
 type pendingTarget struct {
 	target   fleet.Target
-	revision int64
+	revision store.Position
 }
 
 func newRejectedEntries(r *prometheus.Registry, log logrus.FieldLogger) *rejectedEntries {
 	return &rejectedEntries{
 		log:             log,
 		count:           telemetry.NewCounter(r, "keel_node_entries_left_out_total", "Entries of the store left out, by reason.", "reason"),
-		loggedRevisions: map[string]int64{},
+		loggedRevisions: map[string]store.Position{},
 		pending:         map[string]pendingTarget{},
 	}
 }
@@ -95,7 +96,7 @@
 // holdPending stores a target's entry and returns waiting as true if its service is not known
 // yet. judged is true if a configuration has been received, so that the service is missing
 // from it.
-func (s *rejectedEntries) holdPending(r fleet.Target, revision int64) (waiting, judged bool) {
+func (s *rejectedEntries) holdPending(r fleet.Target, revision store.Position) (waiting, judged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.knownServices[r.Service] {
@@ -129,7 +130,7 @@
 
 // serviceKnown reports whether a configuration names the target's service. If not, the target
 // is removed and its entry is kept until one does.
-func (v *view) serviceKnown(r fleet.Target, revision int64) bool {
+func (v *view) serviceKnown(r fleet.Target, revision store.Position) bool {
 	waiting, judged := v.rejected.holdPending(r, revision)
 	if !waiting {
 		v.rejected.removePending(r.ID)
--- a/node/stream_records.go
+++ b/node/stream_records.go
@@ -56,7 +56,7 @@
 // recordKey is a key of the store and the records that it has.
 type recordKey struct {
 	name     string
-	revision int64
+	revision store.Position
 	records  map[origin.Stream]origin.Origin
 	ends     time.Time
 }
--- a/node/version_marks.go
+++ b/node/version_marks.go
@@ -26,7 +26,7 @@
 	// this version.
 	base     string
 	hasBase  bool
-	revision int64
+	revision store.Position
 	// unreadable is set if the mark can't be read: any version may have begun streams.
 	unreadable bool
 	// seenAt is when this node first saw each version marked; zero if that was at its start.
@@ -63,7 +63,7 @@
 }
 
 // setVersionMark applies a mark from the store; an empty value removes it.
-func (v *view) setVersionMark(service, value string, revision int64) {
+func (v *view) setVersionMark(service, value string, revision store.Position) {
 	key := v.keys.versions + service
 	var read markValue
 	var unreadable bool
@@ -195,7 +195,7 @@
 	builds   []string
 	base     string
 	hasBase  bool
-	revision int64
+	revision store.Position
 	// dueFor is how long the change has been due.
 	dueFor time.Duration
 	// urgent is set if no stream can begin until it is written.
@@ -321,7 +321,7 @@
 	}
 }
 
-func (n *Node) putMark(ctx context.Context, c markChange) (value string, revision int64, err error) {
+func (n *Node) putMark(ctx context.Context, c markChange) (value string, revision store.Position, err error) {
 	key := n.view.keys.versions + c.service
 	if len(c.builds) == 0 {
 		revision, err = n.store.Delete(ctx, key, c.revision)
--- a/node/view.go
+++ b/node/view.go
@@ -21,6 +21,7 @@
 	"acaciakeel/poison"
 	"acaciakeel/quota"
 	"acaciakeel/rollout"
+	"acaciakeel/store"
 	"acaciakeel/verdicts"
 )
 
@@ -203,7 +204,7 @@
 }
 
 // SystemKeySet implements platform.StateHandler.
-func (v *view) SystemKeySet(key, value string, revision int64) {
+func (v *view) SystemKeySet(key, value string, revision store.Position) {
 	if key == v.keys.leader {
 		v.leaderChanged(value, revision)
 		return
@@ -245,7 +246,7 @@
 
 // receiveVerdict applies the stored verdict on a content; an empty value means that it was
 // deleted.
-func (v *view) receiveVerdict(key, value string, revision int64, content poison.Fingerprint, err error) {
+func (v *view) receiveVerdict(key, value string, revision store.Position, content poison.Fingerprint, err error) {
 	if err == nil && value == "" {
 		v.rejected.removeRecord(key)
 		v.verdicts.MarkMissing(content)
@@ -262,7 +263,7 @@
 }
 
 // leaderChanged applies the stored leader; an empty value means that there is none.
-func (v *view) leaderChanged(leader string, revision int64) {
+func (v *view) leaderChanged(leader string, revision store.Position) {
 	if leader != "" && !isInstanceName(leader) {
 		v.EntryRejected(platform.RejectedEntry{Key: v.keys.leader, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue}})
 		return
@@ -274,7 +275,7 @@
 
 // leaderHistoryChanged applies the stored record of the latest leaders; an empty value means that
 // there is none.
-func (v *view) leaderHistoryChanged(value string, revision int64) {
+func (v *view) leaderHistoryChanged(value string, revision store.Position) {
 	if value == "" {
 		v.rejected.removeRecord(v.keys.leaderHistory)
 		v.leaderLock.ObserveHistory(nil, false, revision)
@@ -331,7 +332,7 @@
 }
 
 // SystemKeysListed implements platform.StateHandler.
-func (v *view) SystemKeysListed(keys map[string]bool, revision int64) {
+func (v *view) SystemKeysListed(keys map[string]bool, revision store.Position) {
 	v.rejected.prune(platform.SystemPrefix, func(key string) bool { return keys[key] })
 	v.verdicts.Reconcile(keys)
 	if !keys[v.keys.leader] {
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -8,12 +8,13 @@
 
 	"acaciakeel/fleet"
 	"acaciakeel/platform"
+	"acaciakeel/store"
 )
 
 var errStartAhead = errors.New("the start is more than an hour ahead of this VM's clock")
 
 // TargetSet implements platform.StateHandler.
-func (v *view) TargetSet(r fleet.Target, revision int64) {
+func (v *view) TargetSet(r fleet.Target, revision store.Position) {
 	v.earlier.forget(r.ID)
 	if fleet.KnownStart(r.Born, time.Now()) != r.Born {
 		v.EntryRejected(platform.RejectedEntry{Key: platform.TargetKey(r.ID), Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Field: "born", Err: errStartAhead}})
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -24,10 +24,10 @@
 
 func (s *compactingStore) List(context.Context, string) (store.Listing, error) {
 	s.lists++
-	return store.Listing{Revision: int64(s.lists)}, nil
+	return store.Listing{Revision: store.Position(s.lists)}, nil
 }
 
-func (s *compactingStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (store.Events, error) {
+func (s *compactingStore) Watch(ctx context.Context, _ string, after store.Position, _ time.Duration) (store.Events, error) {
 	s.watches++
 	if s.watches == 1 {
 		return store.Events{Revision: after, Compacted: true}, nil
@@ -44,7 +44,7 @@
 	done   chan struct{}
 }
 
-func (n *namingHandler) Reset([]store.Entry, int64) {
+func (n *namingHandler) Reset([]store.Entry, store.Position) {
 	n.listed++
 	n.view.ModelSet(platform.DesiredVersion{Model: "m", Version: n.listed, Listed: true})
 	if n.listed == 2 {
--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -160,7 +160,7 @@
 	if !ok {
 		return nil
 	}
-	out.Revision, out.AgeUs, out.BackUs = c.Revision, pulses.Micros(c.Age), pulses.Micros(c.SinceRecovery)
+	out.Revision, out.AgeUs, out.BackUs = int64(c.Revision), pulses.Micros(c.Age), pulses.Micros(c.SinceRecovery)
 	return out
 }
 
@@ -183,16 +183,16 @@
 		if hash != p.watch.self || i >= len(message.View.HeardUs) {
 			continue
 		}
-		c := follow.Confirmation{Revision: message.View.Revision, Age: pulses.FromMicros(message.View.AgeUs), SinceRecovery: pulses.FromMicros(message.View.BackUs)}
+		c := follow.Confirmation{Revision: store.Position(message.View.Revision), Age: pulses.FromMicros(message.View.AgeUs), SinceRecovery: pulses.FromMicros(message.View.BackUs)}
 		after := clock.BootTime(pulses.FromMicros(message.View.HeardUs[i]))
 		p.view.follower.ReceiveConfirmation(c, after, plan.RanksBefore(p.view.keys.members+message.Sender))
 	}
 }
 
 func encodeChanges(c follow.Changes) *keelv1.StoreChanges {
-	w := &keelv1.StoreChanges{After: c.After, Revision: c.Events.Revision, BackUs: pulses.Micros(c.SinceRecovery)}
+	w := &keelv1.StoreChanges{After: int64(c.After), Revision: int64(c.Events.Revision), BackUs: pulses.Micros(c.SinceRecovery)}
 	for _, e := range c.Events.Events {
-		w.Events = append(w.Events, &keelv1.StoreChange{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		w.Events = append(w.Events, &keelv1.StoreChange{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Deleted: e.Deleted})
 	}
 	return w
 }
@@ -210,9 +210,9 @@
 }
 
 func decodeChanges(w *keelv1.StoreChanges) follow.Changes {
-	c := follow.Changes{After: w.After, Events: store.Events{Revision: w.Revision}, SinceRecovery: pulses.FromMicros(w.BackUs)}
+	c := follow.Changes{After: store.Position(w.After), Events: store.Events{Revision: store.Position(w.Revision)}, SinceRecovery: pulses.FromMicros(w.BackUs)}
 	for _, e := range w.Events {
-		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: e.Key, Value: e.Value, Revision: store.Position(e.Revision)}, Deleted: e.Deleted})
 	}
 	return c
 }
--- a/poison/record.go
+++ b/poison/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciakeel/fleet"
+	"acaciakeel/store"
 )
 
 // record is the state of one content.
@@ -26,7 +27,7 @@
 	// platform's store. inStore is set if the store has a verdict, at the given revision.
 	needsWrite bool
 	inStore    bool
-	revision   int64
+	revision   store.Position
 }
 
 // crashEntry is a target instance that crashed while running a content. It is cleared, and
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciakeel/fleet"
+	"acaciakeel/store"
 )
 
 // Verdict is the entry of a content in the platform's store, from which a starting process
@@ -19,7 +20,7 @@
 	// verdict. A missing entry does not lift a verdict, as the store may have lost it.
 	Lifted bool
 	// Revision is the entry's revision in the store; 0 if it has none.
-	Revision int64
+	Revision store.Position
 }
 
 // Delays before writing to the store.
@@ -60,7 +61,7 @@
 }
 
 // MarkWritten records that the store has a verdict returned by PendingWrites.
-func (t *Table) MarkWritten(v Verdict, revision int64) {
+func (t *Table) MarkWritten(v Verdict, revision store.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.records[v.Content]; r != nil {
@@ -76,7 +77,7 @@
 
 // MarkReplaced records that the store has an entry of another writer, at a revision, in
 // place of a verdict. A verdict that still holds is written over it.
-func (t *Table) MarkReplaced(content Fingerprint, revision int64) {
+func (t *Table) MarkReplaced(content Fingerprint, revision store.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.records[content]; r != nil {
@@ -144,7 +145,7 @@
 
 // DecodeVerdict decodes the store value of a verdict. It rejects a verdict with too few
 // crashes, and limits the expiry to maxVerdictDuration from now.
-func DecodeVerdict(content Fingerprint, value []byte, revision int64, now time.Time) (Verdict, error) {
+func DecodeVerdict(content Fingerprint, value []byte, revision store.Position, now time.Time) (Verdict, error) {
 	var w storedVerdict
 	if err := json.Unmarshal(value, &w); err != nil {
 		return Verdict{}, fmt.Errorf("decode verdict: %w", err)
--- a/rollout/leaderhistory.go
+++ b/rollout/leaderhistory.go
@@ -32,7 +32,7 @@
 	// names and revision are the latest known state of the key; revision is 0 if it does not
 	// exist.
 	names    []string
-	revision int64
+	revision store.Position
 	// lastHeld is when each other machine was last known to hold the lock.
 	lastHeld map[string]clock.BootTime
 	// recorded is the fencing token of this process's hold that the record includes.
@@ -64,7 +64,7 @@
 
 // ObserveHistory records the state of the record of holders at a revision of the store; exists is
 // false if the key does not exist. An unreadable record is one without names.
-func (l *LeaderLock) ObserveHistory(names []string, exists bool, revision int64) {
+func (l *LeaderLock) ObserveHistory(names []string, exists bool, revision store.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.history != nil {
@@ -72,7 +72,7 @@
 	}
 }
 
-func (h *leaderHistory) observe(names []string, exists bool, revision int64) {
+func (h *leaderHistory) observe(names []string, exists bool, revision store.Position) {
 	h.known = true
 	if revision < h.revision {
 		return
@@ -154,7 +154,7 @@
 
 // writeHistory writes the record at the expected revision. An entry that this process has not
 // observed yet is read before the next attempt.
-func (l *LeaderLock) writeHistory(ctx context.Context, names []string, expected int64) (revision int64, err error) {
+func (l *LeaderLock) writeHistory(ctx context.Context, names []string, expected store.Position) (revision store.Position, err error) {
 	value, err := json.Marshal(names)
 	if err != nil {
 		return 0, err
--- a/rollout/leaderhistory_test.go
+++ b/rollout/leaderhistory_test.go
@@ -16,7 +16,7 @@
 	store.Store
 	mu       sync.Mutex
 	entries  map[string]store.Entry
-	revision int64
+	revision store.Position
 	// failing has writes of a key fail, dropping has their responses be lost.
 	failing, dropping string
 }
@@ -26,7 +26,7 @@
 func (s *keyedStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "7", nil }
 func (s *keyedStore) Renew(context.Context, store.LeaseID) error                  { return nil }
 
-func (s *keyedStore) Put(_ context.Context, key string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+func (s *keyedStore) Put(_ context.Context, key string, value []byte, ifRevision store.Position, _ store.LeaseID) (store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.entries[key]
--- a/rollout/leaderlock.go
+++ b/rollout/leaderlock.go
@@ -92,7 +92,7 @@
 	if l.state.owner != ownerSelf {
 		return 0
 	}
-	return l.state.revision
+	return int64(l.state.revision)
 }
 
 // Remaining implements Leadership.
@@ -105,10 +105,10 @@
 // are ignored, since a listing may have been read before it and arrive later. So are
 // observations of an acquisition that was given up since: accepting one would leave the
 // lock with two holders.
-func (l *LeaderLock) Observe(value string, revision int64) {
+func (l *LeaderLock) Observe(value string, revision store.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.fence() || (value != "" && revision <= l.lostFence) {
+	if int64(revision) < l.fence() || (value != "" && int64(revision) <= l.lostFence) {
 		return
 	}
 	if value == "" {
@@ -122,10 +122,10 @@
 // by a controller. Such an entry has no lease and never expires, so waiting for its end
 // would stop all orders. The lock is acquired over it after the backoff, by when a
 // holder whose entry it replaced has noticed that or has lost its lease.
-func (l *LeaderLock) ObserveForeign(revision int64) {
+func (l *LeaderLock) ObserveForeign(revision store.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.fence() {
+	if int64(revision) < l.fence() {
 		return
 	}
 	l.apply(ownerForeign, revision, "")
@@ -143,7 +143,7 @@
 }
 
 // apply replaces the known state of the key, which names holder; the caller holds mu.
-func (l *LeaderLock) apply(owner lockOwner, revision int64, holder string) {
+func (l *LeaderLock) apply(owner lockOwner, revision store.Position, holder string) {
 	next := lockState{owner: owner, revision: revision, learnedAt: clock.Now()}
 	if next.sameAs(l.state) {
 		return
@@ -265,14 +265,14 @@
 	fence := l.fence()
 	if fence != 0 {
 		// The entry remains until it is deleted.
-		l.apply(ownerOther, fence, l.name)
+		l.apply(ownerOther, l.state.revision, l.name)
 	}
 	released := l.state
 	l.mu.Unlock()
 	if fence == 0 {
 		return nil
 	}
-	_, err := l.store.Delete(ctx, l.key, fence)
+	_, err := l.store.Delete(ctx, l.key, store.Position(fence))
 	l.log.WithError(err).WithFields(logrus.Fields{"event": "seat_released", "fence": fence}).Info("leader lock given up")
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrNotFound) {
 		// Another process holds the lock already.
--- a/rollout/leaderlock_test.go
+++ b/rollout/leaderlock_test.go
@@ -17,7 +17,7 @@
 type memoryStore struct {
 	store.Store
 	value    string
-	revision int64
+	revision store.Position
 	// dropResponse makes the next write succeed and its response get lost.
 	dropResponse bool
 	// failReads makes reads fail.
@@ -41,7 +41,7 @@
 	return store.Entry{Value: []byte(m.value), Revision: m.revision}, nil
 }
 
-func (m *memoryStore) Put(_ context.Context, _ string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+func (m *memoryStore) Put(_ context.Context, _ string, value []byte, ifRevision store.Position, _ store.LeaseID) (store.Position, error) {
 	m.writes++
 	if m.value != "" && (ifRevision == 0 || ifRevision != m.revision) {
 		return 0, store.ErrConflict
@@ -138,7 +138,7 @@
 		t.Fatal("acquired a lock whose state is unknown")
 	}
 	lock.Observe("a", m.revision)
-	if fence, ok := lock.Held(); !ok || fence != m.revision {
+	if fence, ok := lock.Held(); !ok || fence != int64(m.revision) {
 		t.Errorf("held = %v with fence %d, want fence %d", ok, fence, m.revision)
 	}
 }
@@ -171,7 +171,7 @@
 	}
 }
 
-func (m *memoryStore) Delete(_ context.Context, _ string, ifRevision int64) (int64, error) {
+func (m *memoryStore) Delete(_ context.Context, _ string, ifRevision store.Position) (store.Position, error) {
 	if m.value == "" || m.revision != ifRevision {
 		return 0, store.ErrConflict
 	}
--- a/rollout/lockmodel_test.go
+++ b/rollout/lockmodel_test.go
@@ -13,7 +13,7 @@
 // modelEvent is one change of the modelled key; an empty value is its deletion.
 type modelEvent struct {
 	value    string
-	revision int64
+	revision store.Position
 }
 
 // modelWorld is a store with one key, the processes that elect a leader over it, and what
@@ -31,7 +31,7 @@
 
 const foreignValue = "somebody"
 
-func (w *modelWorld) change(value string) int64 {
+func (w *modelWorld) change(value string) store.Position {
 	w.key = modelEvent{value: value, revision: w.key.revision + 1}
 	for i := range w.pending {
 		w.pending[i] = append(w.pending[i], w.key)
@@ -99,9 +99,9 @@
 	world *modelWorld
 }
 
-func (s modelStore) Put(_ context.Context, _ string, value []byte, ifRevision int64, _ store.LeaseID) (int64, error) {
+func (s modelStore) Put(_ context.Context, _ string, value []byte, ifRevision store.Position, _ store.LeaseID) (store.Position, error) {
 	w := s.world
-	write := func() (int64, error) {
+	write := func() (store.Position, error) {
 		current := store.Entry{Value: []byte(w.key.value), Revision: w.key.revision}
 		if w.key.value == "" {
 			current = store.Entry{}
@@ -148,7 +148,7 @@
 		if len(w.pending[i]) == 0 && held != (w.key.value == lock.name) {
 			w.t.Fatalf("%s believes %s, the key has %+v", lock.name, lock.state, w.key)
 		}
-		if len(w.pending[i]) == 0 && held && fence != w.key.revision {
+		if len(w.pending[i]) == 0 && held && fence != int64(w.key.revision) {
 			w.t.Fatalf("%s has fence %d, the key %+v", lock.name, fence, w.key)
 		}
 	}
--- a/rollout/lockorder_test.go
+++ b/rollout/lockorder_test.go
@@ -24,7 +24,7 @@
 	return &lateStore{memoryStore: m, written: make(chan struct{}), release: make(chan struct{})}
 }
 
-func (s *lateStore) Put(ctx context.Context, key string, value []byte, ifRevision int64, id store.LeaseID) (int64, error) {
+func (s *lateStore) Put(ctx context.Context, key string, value []byte, ifRevision store.Position, id store.LeaseID) (store.Position, error) {
 	revision, err := s.memoryStore.Put(ctx, key, value, ifRevision, id)
 	if s.detailed && errors.Is(err, store.ErrConflict) {
 		err = &store.ConflictError{Current: store.Entry{Key: key, Value: []byte(s.value), Revision: s.revision}}
@@ -120,7 +120,7 @@
 	if !lock.TryAcquire(t.Context()) {
 		t.Error("the lock is not tried under the new lease")
 	}
-	if fence, _ := lock.Held(); fence != m.revision {
+	if fence, _ := lock.Held(); fence != int64(m.revision) {
 		t.Errorf("the lock has fence %d, want %d", fence, m.revision)
 	}
 }
@@ -134,7 +134,7 @@
 	if !lock.TryAcquire(t.Context()) {
 		t.Fatal("a free lock was not acquired")
 	}
-	if fence, held := lock.Held(); !held || fence != m.revision {
+	if fence, held := lock.Held(); !held || fence != int64(m.revision) {
 		t.Errorf("held = %v with fence %d, want %d", held, fence, m.revision)
 	}
 }
--- a/rollout/lockstate.go
+++ b/rollout/lockstate.go
@@ -26,7 +26,7 @@
 	owner lockOwner
 	// revision is the revision of the entry, or for ownerNone one at which the key did not
 	// exist.
-	revision int64
+	revision store.Position
 	// learnedAt is when this process learned of the state.
 	learnedAt clock.BootTime
 }
@@ -48,7 +48,7 @@
 
 // expectedRevision is the revision that the key must still have for a write after this
 // state; 0 requires that the key does not exist.
-func (s lockState) expectedRevision() int64 {
+func (s lockState) expectedRevision() store.Position {
 	if s.owner == ownerNone {
 		return 0
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -45,22 +45,24 @@
 	return ErrConflict
 }
 
-// Entry is one key with its value and the revision that last changed it.
+// Entry is one key with its value and the position of its last change.
 type Entry struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision int64  `json:"revision"`
+	Key      string   `json:"key"`
+	Value    []byte   `json:"value"`
+	Revision Position `json:"revision"`
 	// DecodeErr is the error from decoding this entry, or nil. It does not affect
 	// the other entries of the same response.
 	DecodeErr error `json:"-"`
 }
 
 // Listing contains the entries below a prefix. Revision is the service's
-// revision when the listing began. A listing read in pages is not a snapshot:
-// its entries may be newer, and a watch after Revision returns them again.
+// position when the listing began, and Through the one when it ended. A listing
+// read in pages is not a snapshot: its entries may be newer than Revision, and a
+// watch after Revision returns them again.
 type Listing struct {
-	Revision int64   `json:"revision"`
-	Entries  []Entry `json:"entries"`
+	Revision Position `json:"revision"`
+	Through  Position `json:"through"`
+	Entries  []Entry  `json:"entries"`
 }
 
 // Event is one change of a key. The Value of a deletion is empty.
@@ -73,9 +75,9 @@
 // Compacted is set if the service has discarded some of them; the caller then
 // lists again.
 type Events struct {
-	Revision  int64   `json:"revision"`
-	Events    []Event `json:"events"`
-	Compacted bool    `json:"compacted"`
+	Revision  Position `json:"revision"`
+	Events    []Event  `json:"events"`
+	Compacted bool     `json:"compacted"`
 }
 
 // LeaseID identifies a lease. Keys attached to a lease are deleted when it expires.
@@ -89,12 +91,12 @@
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Put writes value if the key's revision equals ifRevision, where 0 means
 	// that the key does not exist. It returns the new revision, or ErrConflict.
-	Put(ctx context.Context, key string, value []byte, ifRevision int64, lease LeaseID) (int64, error)
+	Put(ctx context.Context, key string, value []byte, ifRevision Position, lease LeaseID) (Position, error)
 	// Delete removes a key if its revision equals ifRevision.
-	Delete(ctx context.Context, key string, ifRevision int64) (int64, error)
+	Delete(ctx context.Context, key string, ifRevision Position) (Position, error)
 	// Watch returns the changes below prefix after a revision. It blocks for at
 	// most wait if there are none.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Events, error)
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Events, error)
 	// Grant creates a lease, which expires ttl after the service received the
 	// last renewal. A lease whose response was lost expires unused.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/verdicts/syncer.go
+++ b/verdicts/syncer.go
@@ -45,7 +45,7 @@
 
 // storedVerdict is the revision of a stored verdict and the time of its end.
 type storedVerdict struct {
-	revision int64
+	revision store.Position
 	end      time.Time
 }
 
@@ -171,7 +171,7 @@
 }
 
 // ApplyStored applies a verdict read from the store.
-func (s *Syncer) ApplyStored(content poison.Fingerprint, value []byte, revision int64) error {
+func (s *Syncer) ApplyStored(content poison.Fingerprint, value []byte, revision store.Position) error {
 	now := time.Now()
 	verdict, err := poison.DecodeVerdict(content, value, revision, now)
 	if err != nil {
@@ -199,7 +199,7 @@
 
 // MarkReplaced records that another writer's entry stands in the store in place of a verdict.
 // Entries that start would not learn of the verdict, so it is written again if it still holds.
-func (s *Syncer) MarkReplaced(content poison.Fingerprint, revision int64) {
+func (s *Syncer) MarkReplaced(content poison.Fingerprint, revision store.Position) {
 	s.mu.Lock()
 	delete(s.stored, content)
 	s.mu.Unlock()
@@ -225,7 +225,7 @@
 // removeExpired deletes stored verdicts whose retention is over.
 func (s *Syncer) removeExpired(ctx context.Context, now time.Time) {
 	s.mu.Lock()
-	expired := map[poison.Fingerprint]int64{}
+	expired := map[poison.Fingerprint]store.Position{}
 	for content, v := range s.stored {
 		if now.Sub(v.end) > retention {
 			expired[content] = v.revision
@@ -237,7 +237,7 @@
 	}
 }
 
-func (s *Syncer) remove(ctx context.Context, content poison.Fingerprint, revision int64) {
+func (s *Syncer) remove(ctx context.Context, content poison.Fingerprint, revision store.Position) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.store.Delete(ctx, Key(content), revision)
