--- a/store/store.go
+++ b/store/store.go
@@ -50,6 +50,8 @@
 	Key      string   `json:"key"`
 	Value    []byte   `json:"value"`
 	Revision Position `json:"revision"`
+	// Created is the position at which the key was created; 0 if that is not known.
+	Created Position `json:"created"`
 	// DecodeErr is the error from decoding this entry, or nil. It does not affect
 	// the other entries of the same response.
 	DecodeErr error `json:"-"`
@@ -72,12 +74,17 @@
 }
 
 // Events contains the changes after a revision, up to and including Revision.
-// Compacted is set if the service has discarded some of them; the caller then
-// lists again.
 type Events struct {
-	Revision  Position `json:"revision"`
-	Events    []Event  `json:"events"`
-	Compacted bool     `json:"compacted"`
+	Revision Position `json:"revision"`
+	Events   []Event  `json:"events"`
+	// Compacted is set if the service has discarded some of them, or its history
+	// was replaced. The caller lists again.
+	Compacted bool `json:"compacted"`
+	// Unbroken is set if the service was certainly not restarted since the latest
+	// listing or watch of the prefix. Otherwise its history may have been replaced
+	// without a sign: the changes may not follow those of before, and the caller
+	// lists again unless it knows better.
+	Unbroken bool `json:"unbroken"`
 }
 
 // LeaseID identifies a lease. Keys attached to a lease are deleted when it expires.
