--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -19,10 +19,15 @@
 	expires time.Time
 }
 
-type value struct {
-	data     []byte
-	revision store.Position
-	lease    int64
+// item is one key as the protocol shows it.
+type item struct {
+	Key      string         `json:"key"`
+	Value    []byte         `json:"value,omitempty"`
+	Revision store.Position `json:"revision"`
+	// Created is the revision at which the key came to exist, Lease 0 for a key that stays.
+	Created store.Position `json:"created,omitempty"`
+	Lease   int64          `json:"lease,omitempty"`
+	Removed bool           `json:"removed,omitempty"`
 }
 
 type listedVM struct {
@@ -34,13 +39,15 @@
 type Store struct {
 	mu       sync.Mutex
 	revision store.Position
-	values   map[string]value
+	values   map[string]item
 	leases   map[int64]lease
 	granted  int64
-	events   []store.Event
+	events   []item
 	changed  chan struct{}
-	vms      map[string]listedVM
-	lag      time.Duration
+	// era counts the copies that the store came back from.
+	era int
+	vms map[string]listedVM
+	lag time.Duration
 }
 
 // NewStore returns an empty store whose list of VMs lags by lag.
@@ -48,7 +55,7 @@
 	return &Store{
 		// Unlike 0, a start in the thousands shows up code that takes 0 for "none".
 		revision: 1000,
-		values:   map[string]value{},
+		values:   map[string]item{},
 		leases:   map[int64]lease{},
 		changed:  make(chan struct{}),
 		vms:      map[string]listedVM{},
@@ -56,28 +63,28 @@
 	}
 }
 
-func (s *Store) get(key string) (store.Entry, error) {
+func (s *Store) get(key string) (item, store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	v, ok := s.values[key]
 	if !ok {
-		return store.Entry{}, store.ErrNotFound
+		return item{}, 0, store.ErrNotFound
 	}
-	return store.Entry{Key: key, Value: v.data, Revision: v.revision}, nil
+	return v, s.revision, nil
 }
 
-func (s *Store) list(prefix string) store.Listing {
+func (s *Store) list(prefix string) ([]item, store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	l := store.Listing{Revision: s.revision}
+	var out []item
 	for key, v := range s.values {
 		if strings.HasPrefix(key, prefix) {
-			l.Entries = append(l.Entries, store.Entry{Key: key, Value: v.data, Revision: v.revision})
+			out = append(out, v)
 		}
 	}
-	return l
+	return out, s.revision
 }
 
 // write is one put of a change.
@@ -91,7 +98,7 @@
 // change is all-or-nothing: conditions name the keys' present revisions, 0 for
 // keys that are not there.
 type change struct {
-	conditions []store.Entry
+	conditions []item
 	puts       []write
 	removes    []string
 }
@@ -101,7 +108,7 @@
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	for _, condition := range c.conditions {
-		if s.values[condition.Key].revision != condition.Revision {
+		if s.values[condition.Key].Revision != condition.Revision {
 			return 0, &conflict{current: s.entries(c.conditions)}
 		}
 	}
@@ -111,9 +118,7 @@
 		}
 	}
 	for _, p := range c.puts {
-		s.revision++
-		s.values[p.key] = value{data: p.data, revision: s.revision, lease: p.lease}
-		s.publish(store.Event{Entry: store.Entry{Key: p.key, Value: p.data, Revision: s.revision}})
+		s.put(p)
 	}
 	for _, key := range c.removes {
 		if _, ok := s.values[key]; ok {
@@ -123,9 +128,20 @@
 	return s.revision, nil
 }
 
+// put writes a key; the caller holds mu.
+func (s *Store) put(w write) {
+	s.revision++
+	v := item{Key: w.key, Value: w.data, Revision: s.revision, Created: s.revision, Lease: w.lease}
+	if old, ok := s.values[w.key]; ok {
+		v.Created = old.Created
+	}
+	s.values[w.key] = v
+	s.publish(v)
+}
+
 // conflict is store.ErrConflict with the entries of the conditions' keys, in their order.
 type conflict struct {
-	current []store.Entry
+	current []item
 }
 
 func (c *conflict) Error() string { return store.ErrConflict.Error() }
@@ -134,11 +150,12 @@
 
 // entries returns the current entries of the conditions' keys; a missing one has revision 0.
 // The caller holds mu.
-func (s *Store) entries(conditions []store.Entry) []store.Entry {
-	var out []store.Entry
+func (s *Store) entries(conditions []item) []item {
+	out := []item{}
 	for _, c := range conditions {
 		v := s.values[c.Key]
-		out = append(out, store.Entry{Key: c.Key, Value: v.data, Revision: v.revision})
+		v.Key = c.Key
+		out = append(out, v)
 	}
 	return out
 }
@@ -146,13 +163,13 @@
 func (s *Store) remove(key string) {
 	delete(s.values, key)
 	s.revision++
-	s.publish(store.Event{Entry: store.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.publish(item{Key: key, Revision: s.revision, Removed: true})
 }
 
-func (s *Store) publish(e store.Event) {
+func (s *Store) publish(e item) {
 	s.events = append(s.events, e)
 	if len(s.events) > 2*keptEvents {
-		s.events = append([]store.Event{}, s.events[keptEvents:]...)
+		s.events = append([]item{}, s.events[keptEvents:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -165,7 +182,7 @@
 		}
 		delete(s.leases, id)
 		for key, v := range s.values {
-			if v.lease == id {
+			if v.Lease == id {
 				s.remove(key)
 			}
 		}
@@ -206,23 +223,32 @@
 	return nil
 }
 
-// after returns the events below prefix after a revision, and a channel that
-// closes at the next change.
-func (s *Store) after(prefix string, revision store.Position) (store.Events, <-chan struct{}) {
+// history is what a watch gets.
+type history struct {
+	events   []item
+	revision store.Position
+	// lost is set if the events after the revision are not known.
+	lost bool
+	// changed closes at the next change.
+	changed <-chan struct{}
+}
+
+// after returns the events below prefix after a revision.
+func (s *Store) after(prefix string, revision store.Position) history {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	out := store.Events{Revision: s.revision}
-	if len(s.events) > 0 && revision < s.events[0].Revision-1 && s.events[0].Revision > 1001 {
-		out.Compacted = true
-		return out, s.changed
+	out := history{events: []item{}, revision: s.revision, changed: s.changed}
+	if revision > s.revision || len(s.events) > 0 && revision < s.events[0].Revision-1 && s.events[0].Revision > 1001 {
+		out.lost = true
+		return out
 	}
 	for _, e := range s.events {
 		if e.Revision > revision && strings.HasPrefix(e.Key, prefix) {
-			out.Events = append(out.Events, e)
+			out.events = append(out.events, e)
 		}
 	}
-	return out, s.changed
+	return out
 }
 
 // SetVM adds a VM to the list, or marks it as leaving.
@@ -259,9 +285,7 @@
 func (s *Store) Set(key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	s.values[key] = value{data: data, revision: s.revision}
-	s.publish(store.Event{Entry: store.Entry{Key: key, Value: data, Revision: s.revision}})
+	s.put(write{key: key, data: data})
 }
 
 // Remove takes a key away as its writer does.
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -41,6 +41,10 @@
 	faults Faults
 	calls  atomic.Int64
 	writes atomic.Int64
+	// SendsEra has each response carry Store-Era, which rises by one with each restore. It is set
+	// before the server is used.
+	SendsEra bool
+	conns    connections
 }
 
 // NewServer returns a server of the store.
@@ -80,6 +84,10 @@
 		s.calls.Add(1)
 		faults := s.current()
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		era := s.store.Era()
+		if s.SendsEra {
+			w.Header().Set("Store-Era", strconv.Itoa(era))
+		}
 		if faults.Down || faults.ReadOnly && r.Method != http.MethodGet {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -91,6 +99,10 @@
 		if faults.LateMS > 0 && r.Method != http.MethodGet {
 			time.Sleep(time.Duration(rand.IntN(faults.LateMS)) * time.Millisecond)
 		}
+		if s.store.Era() != era {
+			// What the call found or wrote is of the contents before the restore.
+			panic(http.ErrAbortHandler)
+		}
 		answer(w, out, err)
 	}
 }
@@ -117,13 +129,9 @@
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 		return
 	}
-	out := page{Items: []item{}}
-	for _, e := range c.current {
-		out.Items = append(out.Items, item{Key: e.Key, Value: e.Value, Revision: e.Revision})
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusPreconditionFailed)
-	_ = json.NewEncoder(w).Encode(out)
+	_ = json.NewEncoder(w).Encode(page{Items: c.current})
 }
 
 func integer(r *http.Request, name string) int64 {
@@ -131,17 +139,14 @@
 	return n
 }
 
-// item is one key as the protocol shows it.
-type item struct {
-	Key      string         `json:"key"`
-	Value    []byte         `json:"value,omitempty"`
-	Revision store.Position `json:"revision"`
-	Removed  bool           `json:"removed,omitempty"`
+type single struct {
+	item
+	Current store.Position `json:"current_rev"`
 }
 
 func (s *Server) serveGet(_ http.ResponseWriter, r *http.Request) (any, error) {
-	e, err := s.store.get(r.URL.Query().Get("key"))
-	return item{Key: e.Key, Value: e.Value, Revision: e.Revision}, err
+	e, current, err := s.store.get(r.URL.Query().Get("key"))
+	return single{item: e, Current: current}, err
 }
 
 // pageItems is the most items of one page.
@@ -154,11 +159,11 @@
 }
 
 func (s *Server) serveList(_ http.ResponseWriter, r *http.Request) (any, error) {
-	listing := s.store.list(r.URL.Query().Get("path_prefix"))
+	all, revision := s.store.list(r.URL.Query().Get("path_prefix"))
 	after := r.URL.Query().Get("after")
-	slices.SortFunc(listing.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-	out := page{Items: []item{}, Revision: listing.Revision}
-	for _, e := range listing.Entries {
+	slices.SortFunc(all, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	out := page{Items: []item{}, Revision: revision}
+	for _, e := range all {
 		if e.Key <= after {
 			continue
 		}
@@ -166,7 +171,7 @@
 			out.More = true
 			break
 		}
-		out.Items = append(out.Items, item{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		out.Items = append(out.Items, e)
 	}
 	return out, nil
 }
@@ -177,35 +182,31 @@
 }
 
 func (s *Server) serveWatch(_ http.ResponseWriter, r *http.Request) (any, error) {
-	prefix := r.URL.Query().Get("path_prefix")
+	prefix, era := r.URL.Query().Get("path_prefix"), s.store.Era()
 	deadline := time.NewTimer(time.Duration(integer(r, "wait_ms")) * time.Millisecond)
 	defer deadline.Stop()
 	for {
-		events, changed := s.store.after(prefix, store.Position(integer(r, "after")))
-		if events.Compacted {
+		h := s.store.after(prefix, store.Position(integer(r, "after")))
+		if h.lost {
 			return nil, store.ErrCompacted
 		}
-		if len(events.Events) > 0 {
-			return encodeChanges(events), nil
+		out := changes{Events: h.events, Revision: h.revision}
+		if len(h.events) > 0 {
+			return out, nil
 		}
 		select {
-		case <-changed:
+		case <-h.changed:
 		case <-deadline.C:
-			return encodeChanges(events), nil
+			return out, nil
 		case <-r.Context().Done():
-			return encodeChanges(events), nil
+			return out, nil
+		}
+		if s.store.Era() != era {
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-func encodeChanges(events store.Events) changes {
-	out := changes{Events: []item{}, Revision: events.Revision}
-	for _, e := range events.Events {
-		out.Events = append(out.Events, item{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Deleted})
-	}
-	return out
-}
-
 type transaction struct {
 	Conditions []item `json:"precondition"`
 	Puts       []struct {
@@ -225,7 +226,7 @@
 	}
 	var change change
 	for _, c := range t.Conditions {
-		change.conditions = append(change.conditions, store.Entry{Key: c.Key, Revision: c.Revision})
+		change.conditions = append(change.conditions, item{Key: c.Key, Revision: c.Revision})
 	}
 	for _, p := range t.Puts {
 		if len(p.Value) > maxValue {
@@ -300,5 +301,11 @@
 }
 
 func (s *Server) stats(w http.ResponseWriter, _ *http.Request) {
-	answer(w, map[string]int64{"calls": s.calls.Load(), "writes": s.writes.Load()}, nil)
+	calls, writes := s.Stats()
+	answer(w, map[string]int64{"calls": calls, "writes": writes}, nil)
+}
+
+// Stats returns how many calls arrived, and how many of them write or concern leases.
+func (s *Server) Stats() (calls, writes int64) {
+	return s.calls.Load(), s.writes.Load()
 }
