--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -296,3 +296,12 @@
 		s.remove(key)
 	}
 }
+
+// Value returns the value of a key; nil if it does not exist.
+func (s *Store) Value(key string) []byte {
+	v, _, err := s.get(key)
+	if err != nil {
+		return nil
+	}
+	return v.Value
+}
