node: holders of orders are machines in the test of two leaders

The check that another node than the former leader gives orders compared the holder, which names a machine, with the name of a start, and so held for the former leader's own orders too.

--- a/node/restored_store_test.go
+++ b/node/restored_store_test.go
@@ -508,7 +508,7 @@
 // ordered reports whether an order was given after the store's return, by another node than the former
 // leader unless that counts too.
 func (w *restoredEnv) ordered(former int, counts bool) bool {
-	name := w.nodes[former].name
+	name := fmt.Sprintf("n%d", former)
 	return slices.ContainsFunc(w.arrivals(), func(a runner.Arrival) bool {
 		return a.At.After(w.returned) && (counts || a.Holder != name)
 	})
