platform: positions of a replaced history of the store no longer count

Callers saw confirmed routes that were not served, requests at targets that had left, and two leaders' orders with one fencing token: the store had come back from an older copy, and everything that remembers a revision compared it with those that were given out again.

The client numbers the histories. It finds a replaced one by the era of the responses, by a revision that is lower than one known before the call, or is told so; positions and leases of a former history are refused without a call (conflict, unknown lease), a response of one counts as none, and a watch tells whether its connection was opened since the last listing, which is the only sign if the store names no era and has risen beyond the known revisions.

The stand-in's own test uses a client of its own after the restore, as the former one now refuses the lease and the positions that the test gives it again; it checks the same answers.

--- a/internal/standin/kv/restore_test.go
+++ b/internal/standin/kv/restore_test.go
@@ -42,6 +42,8 @@
 		t.Fatal(err)
 	}
 	s.Restore(c)
+	// A client of its own has no former history to refuse the same numbers in.
+	client = platform.NewStore(url)
 	if _, err := client.Get(ctx, "b"); !errors.Is(err, store.ErrNotFound) {
 		t.Errorf("a key that came after the copy: %v", err)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -80,11 +80,11 @@
 	// Compacted is set if the service has discarded some of them, or its history
 	// was replaced. The caller lists again.
 	Compacted bool `json:"compacted"`
-	// Unbroken is set if the service was certainly not restarted since the latest
-	// listing or watch of the prefix. Otherwise its history may have been replaced
-	// without a sign: the changes may not follow those of before, and the caller
-	// lists again unless it knows better.
-	Unbroken bool `json:"unbroken"`
+	// Reconnected is set if the connection was opened since the latest listing or
+	// watch of the prefix. The service may have been restarted in between, and its
+	// history replaced without another sign: the changes may not follow those of
+	// before, and the caller lists again unless it knows better.
+	Reconnected bool `json:"reconnected"`
 }
 
 // LeaseID identifies a lease. Keys attached to a lease are deleted when it expires.
