follow: a view belongs to one history of the store

Callers saw added routes refused and requests at targets that had left for as long as a node lived: after the store came back from an older copy, a node went on watching after a revision that the new history had passed, and never learned of what it has at or below it. Nodes that rely on a member of their group believed its confirmation of a bare revision, in either direction.

A view is listed anew when the watch's connection is not the one that the view was read over, when a revision falls, or when a listing contradicts it. A confirmation without a digest, as of an earlier build, confirms nothing, so that each node watches for itself meanwhile.

TestRevisionNeverGoesBack wanted the node to watch after its old revision again; TestOlderRevisionIsListedAgain wants a listing, and as before that no change of the older answer is applied.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,6 +1,7 @@
 // Package follow keeps a local view of the keys under a prefix of the platform's store.
-// It lists the keys once and then watches for changes, lists them again if the store
-// has compacted the history it needs, and tracks the age of the view.
+// It lists the keys once and then watches for changes, lists them again if the changes
+// it needs are gone or may be of another history of the store, and tracks the age of the
+// view.
 package follow
 
 import (
@@ -16,7 +17,8 @@
 
 // Handler receives the contents of the store.
 type Handler interface {
-	// Reset replaces the whole view by a listing at the given revision.
+	// Reset replaces the whole view by a listing at the given position. Its history is
+	// later than that of all positions before if the store came back from an older copy.
 	Reset(entries []store.Entry, revision store.Position)
 	// Apply applies changes in their order.
 	Apply(events []store.Event)
@@ -33,8 +35,12 @@
 	// PeerTimeout, if set, returns how long the follower relies on its peers'
 	// confirmations before it calls the store itself. With 0 it does not rely on them.
 	PeerTimeout func() time.Duration
-	// OnWatch, if set, is called with the reason for each watch.
+	// OnWatch, if set, is called with the reason for each watch, OnList with that for each
+	// listing.
 	OnWatch func(Reason)
+	OnList  func(ListReason)
+	// Unshared, if set, reports whether changes of a key are not sent to peers.
+	Unshared func(key string) bool
 }
 
 // Follower follows the keys under a prefix. Its methods are safe for concurrent use.
@@ -57,7 +63,7 @@
 
 // New returns a follower; Run starts it.
 func New(s store.Store, prefix string, options Options, handler Handler, log logrus.FieldLogger) *Follower {
-	return &Follower{store: s, prefix: prefix, options: options, handler: handler, log: log, sharedWatch: sharedWatch{wakeup: make(chan struct{}, 1)}}
+	return &Follower{store: s, prefix: prefix, options: options, handler: handler, log: log, sharedWatch: sharedWatch{wakeup: make(chan struct{}, 1), listDue: ListFirst}}
 }
 
 // Age returns the time since the view was last known to be current, including time
@@ -98,11 +104,11 @@
 			continue
 		}
 		var err error
-		if f.listed.Load() && !f.isCompacted() {
-			f.countWatch(reason)
-			err = f.watch(ctx)
+		if due := f.listingDue(); due != "" {
+			err = f.list(ctx, due)
 		} else {
-			err = f.list(ctx)
+			f.countWatch(reason)
+			err = f.watch(ctx, reason)
 		}
 		if err == nil {
 			backoff = initialBackoff
@@ -115,45 +121,69 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context, reason ListReason) error {
 	began := clock.Now()
+	if f.options.OnList != nil {
+		f.options.OnList(reason)
+	}
 	listing, err := f.store.List(ctx, f.prefix)
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.handler.Reset(listing.Entries, listing.Revision)
-	f.revision, f.compacted = listing.Revision, false
-	f.mu.Unlock()
+	if f.contradicted(listing) {
+		// The store came back from an older copy and shows no other sign of it.
+		if a, ok := f.store.(historyAdvancer); ok {
+			a.AdvanceHistory(listing.Revision.History() + 1)
+			return nil
+		}
+	}
+	f.reset(listing)
 	f.confirmOwn(began)
 	f.listed.Store(true)
-	f.log.WithFields(logrus.Fields{"event": "listed", "revision": listing.Revision, "keys": len(listing.Entries)}).Info("listed all keys of the store")
+	f.log.WithFields(logrus.Fields{"event": "listed", "reason": reason, "history": listing.Revision.History(), "revision": listing.Revision.Revision(), "keys": len(listing.Entries), "took_ms": began.Since().Milliseconds()}).Info("listed all keys of the store")
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) error {
+// historyAdvancer is implemented by clients of a store that number its histories.
+type historyAdvancer interface {
+	AdvanceHistory(number int)
+}
+
+func (f *Follower) watch(ctx context.Context, reason Reason) error {
 	began := clock.Now()
 	after := f.Revision()
 	events, err := f.store.Watch(ctx, f.prefix, after, f.options.WatchTimeout)
 	if err != nil {
 		return err
 	}
-	if events.Compacted {
-		f.markCompacted()
-		f.log.WithFields(logrus.Fields{"event": "history_lost", "revision": after}).Warn("the store compacted the history after this revision; listing again")
+	// A process whose peers confirm its view learns from them if the changes belong to
+	// another history.
+	confirmedByPeers := reason == ReasonBehind
+	switch {
+	case events.Compacted || events.Revision < after:
+		f.requireListing(ListHistoryLost)
+		f.log.WithFields(logrus.Fields{"event": "history_lost", "revision": after.Revision()}).Warn("the store no longer has the changes after this revision; listing again")
+		return nil
+	case events.Reconnected && !confirmedByPeers:
+		f.requireListing(ListReconnected)
 		return nil
 	}
 	f.markReachable()
+	f.recordChanges(events.Events)
 	if len(events.Events) > 0 && f.onChanges != nil {
 		// Peers are sent the changes before they are applied here. Otherwise a peer
 		// could receive a confirmation of the new revision before the changes, and
 		// every peer would call the store.
-		f.onChanges(Changes{After: after, Events: events, SinceRecovery: f.sinceRecoveryOrZero()})
+		f.onChanges(Changes{After: after.Revision(), Events: events, SinceRecovery: f.sinceRecoveryOrZero()})
 	}
 	f.apply(events.Events, events.Revision)
-	// The response covers everything up to the arrival of the call, so the view is
-	// complete as of the time the call was made.
-	f.confirmOwn(began)
+	if events.Reconnected {
+		f.caughtUp()
+	} else {
+		// The response covers everything up to the arrival of the call, so the view is
+		// complete as of the time the call was made.
+		f.confirmOwn(began)
+	}
 	if len(events.Events) > 0 {
 		clock.Sleep(ctx, f.options.BatchDelay)
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -119,11 +119,58 @@
 	}
 }
 
-// A restored store may answer a watch with an older revision. Following it would apply
-// old changes, and with them old configurations, again.
-func TestRevisionNeverGoesBack(t *testing.T) {
-	s, _, _ := runScript(t, store.Listing{Revision: 5}, store.Events{Revision: 3})
-	if got := fmt.Sprint(s.calls); got != "[list watch 5 watch 5]" {
+// Guards against a view that keeps what a restored store lost: a watch that is answered with an older
+// revision must lead to a listing, and none of its changes be applied.
+func TestOlderRevisionIsListedAgain(t *testing.T) {
+	s, handler, _ := runScript(t, store.Listing{Revision: 5}, store.Events{Revision: 3, Events: []store.Event{changeEvent("a", 3, false)}}, store.Listing{Revision: store.At(1, 3)})
+	if got := fmt.Sprint(s.calls); got != fmt.Sprintf("[list watch 5 list watch %d]", store.At(1, 3)) {
 		t.Errorf("store calls: %s", got)
 	}
+	if got := fmt.Sprint(handler.log); got != fmt.Sprintf("[reset 0 at 5 reset 0 at %d]", store.At(1, 3)) {
+		t.Errorf("handler calls: %s", got)
+	}
+}
+
+// Guards against changes of a new history that are applied to the view of a former one: the store was
+// restarted between two watches and has passed the revision of the view since.
+func TestWatchOnNewConnectionIsListedAgain(t *testing.T) {
+	s, handler, _ := runScript(t, store.Listing{Revision: 5}, store.Events{Revision: 9, Reconnected: true, Events: []store.Event{changeEvent("a", 9, false)}}, store.Listing{Revision: 9})
+	if got := fmt.Sprint(s.calls); got != "[list watch 5 list watch 9]" {
+		t.Errorf("store calls: %s", got)
+	}
+	if got := fmt.Sprint(handler.log); got != "[reset 0 at 5 reset 0 at 9]" {
+		t.Errorf("handler calls: %s", got)
+	}
+}
+
+// advancingStore is a scriptedStore that numbers its histories.
+type advancingStore struct {
+	*scriptedStore
+	history int
+}
+
+func (s *advancingStore) AdvanceHistory(number int) { s.history = number }
+
+// Guards against a restored store without any other sign of it: a key has another content at the
+// revision that it had before.
+func TestContradictingListingBeginsAHistory(t *testing.T) {
+	for name, listing := range map[string]store.Listing{
+		"other content":  {Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 4, Value: []byte("other")}}},
+		"older revision": {Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 3, Value: []byte("value")}}},
+		"fallen":         {Revision: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, handler, f := newListedFollower(t, 0, store.Events{Compacted: true}, listing, store.Listing{Revision: store.At(1, 9)})
+			f.reset(store.Listing{Revision: 5, Entries: []store.Entry{{Key: "a", Revision: 4, Value: []byte("value")}}})
+			s := &advancingStore{scriptedStore: f.store.(*scriptedStore)}
+			f.store = s
+			f.runFor(100 * time.Millisecond)
+			if s.history != 1 {
+				t.Errorf("history %d, want 1", s.history)
+			}
+			if got := fmt.Sprint(handler.log); got != fmt.Sprintf("[reset 0 at 5 reset 1 at 5 reset 0 at %d]", store.At(1, 9)) {
+				t.Errorf("handler calls: %s", got)
+			}
+		})
+	}
 }
--- a/follow/share.go
+++ b/follow/share.go
@@ -16,10 +16,13 @@
 // for each of 103 processes.
 type sharedWatch struct {
 	mu sync.Mutex
-	// revision is the revision up to which the view has all changes.
-	revision store.Position
-	// compacted is set while the store no longer has the changes after revision.
-	compacted bool
+	// revision is the position up to which the view has all changes, since reachedAt.
+	revision  store.Position
+	reachedAt clock.BootTime
+	digest    viewDigest
+	// listDue is why the keys have to be listed; empty if they have not.
+	listDue ListReason
+	disputes
 	// ownConfirmedAt is the time as of which the process's own calls last confirmed the
 	// view, peerConfirmedAt the same for confirmations by peers that rank before it.
 	ownConfirmedAt  clock.BootTime
@@ -31,9 +34,12 @@
 	onChanges func(Changes)
 }
 
-// Changes are the events of one watch after the revision After.
+// Changes are the events of one watch after the revision After. Their positions are of the
+// sender's count of the store's histories.
 type Changes struct {
-	After  store.Position
+	After int64
+	// Digest is the digest of the sender's view at After.
+	Digest uint64
 	Events store.Events
 	// SinceRecovery is the time since the store became reachable again, as seen by the
 	// sender, or 0 if it never was unreachable. Shortly after a recovery, deleted
@@ -44,7 +50,9 @@
 // Confirmation states that a process's view has all changes up to a revision, and how
 // long ago it was known to be complete.
 type Confirmation struct {
-	Revision      store.Position
+	Revision int64
+	// Digest is the digest of the view at Revision.
+	Digest        uint64
 	Age           time.Duration
 	SinceRecovery time.Duration
 }
@@ -64,8 +72,17 @@
 func (f *Follower) Confirmation() (c Confirmation, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c = Confirmation{Revision: f.revision, Age: f.ownConfirmedAt.Since(), SinceRecovery: f.sinceRecoveryOrZero()}
-	return c, f.listed.Load() && f.ownConfirmedAt != 0 && c.Age < maxConfirmationAge
+	c = Confirmation{Revision: f.revision.Revision(), Age: f.ownConfirmedAt.Since(), SinceRecovery: f.sinceRecoveryOrZero()}
+	c.Digest, ok = f.digest.at(c.Revision)
+	return c, ok && f.listDue == "" && f.ownConfirmedAt != 0 && c.Age < maxConfirmationAge
+}
+
+// DigestAt returns the digest of the view at a revision of the latest changes; ok is false if
+// it is not known.
+func (f *Follower) DigestAt(revision int64) (digest uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.digest.at(revision)
 }
 
 // sinceRecoveryOrZero is SinceRecovery, with 0 for a store that has not recovered.
@@ -78,18 +95,19 @@
 }
 
 // ReceiveChanges applies the changes that a peer's watch returned. If changes before
-// them are missing, the follower calls the store. While a new listing is needed,
-// changes are ignored, because the listing may be older than they are.
+// them are missing, the follower calls the store. While a listing is due, changes are
+// ignored, because the listing may be older than they are.
 func (f *Follower) ReceiveChanges(c Changes) {
-	if !f.listed.Load() || f.isCompacted() {
+	if f.listingDue() != "" {
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
-	if c.After > f.Revision() {
+	switch f.compare(c.After, c.Digest, 0) {
+	case peerAhead:
 		f.requestWatch()
-		return
+	case peerAgrees:
+		f.applyPeers(c.Events)
 	}
-	f.apply(c.Events.Events, c.Events.Revision)
 }
 
 // ReceiveConfirmation applies a confirmation that a peer sent after sentAfter, a time
@@ -98,18 +116,22 @@
 // if the peer precedes this process in the order in which processes take over the
 // watch.
 func (f *Follower) ReceiveConfirmation(c Confirmation, sentAfter clock.BootTime, senderRanksBefore bool) {
-	if !f.listed.Load() {
+	if f.listingDue() != "" {
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
-	if c.Revision > f.Revision() {
+	completeAt := sentAfter.Add(-c.Age)
+	switch f.compare(c.Revision, c.Digest, completeAt) {
+	case peerAhead:
 		f.requestWatch()
 		return
+	case peerUnknown, peerDisputes:
+		return
 	}
-	completeAt := sentAfter.Add(-c.Age)
 	f.markReachable()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.disputes.settle()
 	if senderRanksBefore && completeAt > f.peerConfirmedAt {
 		f.peerConfirmedAt = completeAt
 	}
@@ -153,7 +175,7 @@
 	switch {
 	case peerTimeout == 0:
 		return 0, ReasonFirstInRank
-	case f.behind || f.compacted:
+	case f.behind || f.listDue != "":
 		return 0, ReasonBehind
 	case f.peerConfirmedAt == 0:
 		return 0, ReasonPeersSilent
@@ -195,6 +217,11 @@
 	f.mu.Lock()
 	f.behind = true
 	f.mu.Unlock()
+	f.wake()
+}
+
+// wake ends the current wait.
+func (f *Follower) wake() {
 	select {
 	case f.wakeup <- struct{}{}:
 	default:
@@ -208,23 +235,89 @@
 	return f.revision
 }
 
-// apply passes the events after the current revision to the handler and advances the
-// revision.
+// apply passes the events after the current position to the handler and advances the
+// position.
 func (f *Follower) apply(events []store.Event, revision store.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.applyLocked(events, revision)
+}
+
+// applyLocked is apply for a caller that holds mu.
+func (f *Follower) applyLocked(events []store.Event, revision store.Position) {
 	var unapplied []store.Event
 	for _, e := range events {
 		if e.Revision > f.revision {
 			unapplied = append(unapplied, e)
 		}
 	}
-	f.revision = max(f.revision, revision)
+	if revision > f.revision {
+		f.revision, f.reachedAt = revision, clock.Now()
+	}
 	if len(unapplied) > 0 {
 		f.handler.Apply(unapplied)
 	}
 }
 
+// applyPeers applies changes of a peer, whose positions become those of this process's count of
+// the store's histories.
+func (f *Follower) applyPeers(peers store.Events) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listDue != "" {
+		return
+	}
+	history := f.revision.History()
+	events := make([]store.Event, 0, len(peers.Events))
+	for _, e := range peers.Events {
+		e.Revision = store.At(history, e.Revision.Revision())
+		events = append(events, e)
+	}
+	f.recordLocked(events)
+	f.applyLocked(events, store.At(history, peers.Revision.Revision()))
+}
+
+// recordChanges adds changes to the digest of the view, ahead of the view itself.
+func (f *Follower) recordChanges(events []store.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordLocked(events)
+}
+
+// recordLocked is recordChanges for a caller that holds mu.
+func (f *Follower) recordLocked(events []store.Event) {
+	for _, e := range events {
+		f.digest.apply(e, f.shared)
+	}
+}
+
+// shared reports whether changes of a key are sent to peers.
+func (f *Follower) shared(key string) bool {
+	return f.options.Unshared == nil || !f.options.Unshared(key)
+}
+
+// reset replaces the view by a listing.
+func (f *Follower) reset(listing store.Listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed.Load() && listing.Revision.History() > f.revision.History() {
+		// Entries that were lost with the former history are back within seconds.
+		f.recoveredAt.Store(int64(clock.Now()))
+	}
+	f.handler.Reset(listing.Entries, listing.Revision)
+	f.digest.reset(listing, f.shared)
+	f.revision, f.reachedAt, f.listDue = listing.Revision, clock.Now(), ""
+}
+
+// contradicted reports whether a listing can't be of the history that the view is of, although
+// the store shows no other sign of that.
+func (f *Follower) contradicted(listing store.Listing) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed.Load() && listing.Revision.History() == f.revision.History() &&
+		(listing.Revision < f.revision || f.digest.contradicts(listing))
+}
+
 // confirmOwn records that one of the process's own calls confirmed the view as of
 // completeAt.
 func (f *Follower) confirmOwn(completeAt clock.BootTime) {
@@ -242,16 +335,43 @@
 	}
 }
 
-// markCompacted records that the store no longer has the changes after the current
-// revision.
-func (f *Follower) markCompacted() {
+// caughtUp records that a watch brought changes that only peers can confirm.
+func (f *Follower) caughtUp() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behind = false
+}
+
+// ListReason is why a process lists all keys. It is the label of the counter of listings.
+type ListReason string
+
+const (
+	// ListFirst: the process has no view yet.
+	ListFirst ListReason = "first"
+	// ListHistoryLost: the store no longer has the changes after the view.
+	ListHistoryLost ListReason = "history_lost"
+	// ListReconnected: the store may have been restarted since the view was current.
+	ListReconnected ListReason = "reconnected"
+	// ListDisputed: a peer has another view at the same revision.
+	ListDisputed ListReason = "disputed"
+)
+
+// RequireListing makes the follower list all keys again.
+func (f *Follower) RequireListing(reason ListReason) {
+	f.requireListing(reason)
+	f.wake()
+}
+
+// requireListing makes a listing due.
+func (f *Follower) requireListing(reason ListReason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.compacted = true
+	f.listDue = reason
 }
 
-func (f *Follower) isCompacted() bool {
+// listingDue returns why the keys have to be listed; empty if they have not.
+func (f *Follower) listingDue() ListReason {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.compacted
+	return f.listDue
 }
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -13,6 +13,9 @@
 	"acaciakeel/store"
 )
 
+// emptyDigest is the digest of a view without keys.
+const emptyDigest = 1
+
 // newListedFollower returns a follower with the given peer timeout that has listed the
 // store at revision 5.
 func newListedFollower(t *testing.T, peerTimeout time.Duration, answers ...any) (*scriptedStore, *recorder, *Follower) {
@@ -22,7 +25,7 @@
 	s := &scriptedStore{answers: append([]any{store.Listing{Revision: 5}}, answers...), done: make(chan struct{})}
 	handler := &recorder{}
 	f := New(s, "", Options{WatchTimeout: time.Second, PeerTimeout: func() time.Duration { return peerTimeout }}, handler, log)
-	if err := f.list(t.Context()); err != nil {
+	if err := f.list(t.Context(), ListFirst); err != nil {
 		t.Fatal(err)
 	}
 	return s, handler, f
@@ -38,7 +41,7 @@
 // node with recent confirmations makes none, and calls the store once they stop.
 func TestPeerConfirmationsReplaceOwnWatch(t *testing.T) {
 	s, _, f := newListedFollower(t, time.Hour)
-	f.ReceiveConfirmation(Confirmation{Revision: 5, Age: time.Millisecond}, clock.Now(), true)
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5, Age: time.Millisecond}, clock.Now(), true)
 	f.runFor(50 * time.Millisecond)
 	if got := fmt.Sprint(s.calls); got != "[list]" {
 		t.Errorf("store calls with a watching peer: %s", got)
@@ -47,7 +50,7 @@
 		t.Error("no confirmation directly after a listing")
 	}
 	s, _, f = newListedFollower(t, 20*time.Millisecond)
-	f.ReceiveConfirmation(Confirmation{Revision: 5}, clock.Now(), true)
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5}, clock.Now(), true)
 	f.runFor(100 * time.Millisecond)
 	if got := fmt.Sprint(s.calls); got != "[list watch 5]" {
 		t.Errorf("store calls after the peer became silent: %s", got)
@@ -62,7 +65,7 @@
 	if got := fmt.Sprint(s.calls); got != "[list watch 5]" {
 		t.Errorf("store calls by a node of later rank: %s", got)
 	}
-	f.ReceiveConfirmation(Confirmation{Revision: 5}, clock.Now(), true)
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5}, clock.Now(), true)
 	if _, recovered := f.SinceRecovery(); !recovered || f.Disconnected() {
 		t.Error("a confirmation by a peer did not end the outage")
 	}
@@ -77,7 +80,7 @@
 // own watch: two nodes that rely on each other would both stop watching.
 func TestConfirmationFromLaterRankDoesNotReplaceWatch(t *testing.T) {
 	s, _, f := newListedFollower(t, time.Hour)
-	f.ReceiveConfirmation(Confirmation{Revision: 5}, clock.Now(), false)
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5}, clock.Now(), false)
 	f.runFor(30 * time.Millisecond)
 	if got := fmt.Sprint(s.calls); got != "[list watch 5]" {
 		t.Errorf("store calls: %s", got)
@@ -90,7 +93,7 @@
 	_, _, f := newListedFollower(t, time.Hour)
 	echoed := clock.Now().Add(-20 * time.Second)
 	f.confirmedAt.Store(int64(clock.Now().Add(-time.Minute)))
-	f.ReceiveConfirmation(Confirmation{Revision: 5, Age: 300 * time.Millisecond}, echoed, true)
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5, Age: 300 * time.Millisecond}, echoed, true)
 	if age, _ := f.Age(); age < 20*time.Second+300*time.Millisecond {
 		t.Errorf("view is %v old after a confirmation that echoes a timestamp of 20 s ago", age)
 	}
@@ -100,11 +103,11 @@
 // store; a confirmation beyond the gap would make an incomplete view count as current.
 func TestReceivedChangesApplyOnceInOrder(t *testing.T) {
 	s, handler, f := newListedFollower(t, time.Hour, store.Events{Revision: 9, Events: []store.Event{changeEvent("c", 8, false), changeEvent("d", 9, false)}})
-	f.ReceiveConfirmation(Confirmation{Revision: 5}, clock.Now(), true)
-	six := Changes{After: 5, Events: store.Events{Revision: 6, Events: []store.Event{changeEvent("a", 6, false)}}}
+	f.ReceiveConfirmation(Confirmation{Digest: emptyDigest, Revision: 5}, clock.Now(), true)
+	six := Changes{After: 5, Digest: emptyDigest, Events: store.Events{Revision: 6, Events: []store.Event{changeEvent("a", 6, false)}}}
 	f.ReceiveChanges(six)
 	f.ReceiveChanges(six)
-	f.ReceiveChanges(Changes{After: 5, Events: store.Events{Revision: 7, Events: []store.Event{changeEvent("a", 6, false), changeEvent("b", 7, true)}}})
+	f.ReceiveChanges(Changes{After: 5, Digest: emptyDigest, Events: store.Events{Revision: 7, Events: []store.Event{changeEvent("a", 6, false), changeEvent("b", 7, true)}}})
 	f.ReceiveChanges(Changes{After: 8, Events: store.Events{Revision: 9, Events: []store.Event{changeEvent("d", 9, false)}}})
 	before := f.confirmedAt.Load()
 	f.ReceiveConfirmation(Confirmation{Revision: 9}, clock.Now(), true)
@@ -124,10 +127,10 @@
 // were applied first, the listing would undo it and briefly remove a new target.
 func TestReceivedChangesWaitForRelisting(t *testing.T) {
 	_, handler, f := newListedFollower(t, time.Hour, store.Events{Compacted: true}, store.Listing{Revision: 6}, store.Events{Revision: 7, Events: []store.Event{changeEvent("a", 7, false)}})
-	if err := f.watch(t.Context()); err != nil {
+	if err := f.watch(t.Context(), ReasonFirstInRank); err != nil {
 		t.Fatal(err)
 	}
-	f.ReceiveChanges(Changes{After: 5, Events: store.Events{Revision: 7, Events: []store.Event{changeEvent("a", 7, false)}}})
+	f.ReceiveChanges(Changes{After: 5, Digest: emptyDigest, Events: store.Events{Revision: 7, Events: []store.Event{changeEvent("a", 7, false)}}})
 	f.runFor(100 * time.Millisecond)
 	if got := fmt.Sprint(handler.log); got != "[reset 0 at 5 reset 0 at 6 a deleted=false]" {
 		t.Errorf("handler calls: %s", got)
@@ -141,7 +144,7 @@
 	if _, recovered := f.SinceRecovery(); recovered {
 		t.Fatal("the store counts as recovered without an outage")
 	}
-	f.ReceiveChanges(Changes{After: 5, SinceRecovery: 100 * time.Millisecond, Events: store.Events{Revision: 6, Events: []store.Event{changeEvent("a", 6, true)}}})
+	f.ReceiveChanges(Changes{After: 5, Digest: emptyDigest, SinceRecovery: 100 * time.Millisecond, Events: store.Events{Revision: 6, Events: []store.Event{changeEvent("a", 6, true)}}})
 	if since, back := f.SinceRecovery(); !back || since < 100*time.Millisecond || since > 10*time.Second {
 		t.Errorf("time since recovery %v, known: %v", since, back)
 	}
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -399,11 +399,11 @@
 			t.Errorf("a piece begins after %d, the previous one ends at %d", piece.After, after)
 		}
 		for _, e := range piece.Events.Events {
-			if e.Revision <= piece.After || e.Revision > piece.Events.Revision {
+			if e.Revision.Revision() <= piece.After || e.Revision > piece.Events.Revision {
 				t.Errorf("a change of revision %d is in the piece from %d to %d", e.Revision, piece.After, piece.Events.Revision)
 			}
 		}
-		after, events = piece.Events.Revision, events+len(piece.Events.Events)
+		after, events = piece.Events.Revision.Revision(), events+len(piece.Events.Events)
 		if d, _ := pulses.Encode(&keelv1.Pulse{Changes: []*keelv1.StoreChanges{encodeChanges(piece)}}); len(d) > 1400 {
 			t.Errorf("a piece takes %d bytes", len(d))
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,6 @@
 	"acaciakeel/clock"
 	"acaciakeel/door"
 	"acaciakeel/fleet"
-	"acaciakeel/follow"
 	"acaciakeel/lease"
 	"acaciakeel/peering"
 	"acaciakeel/platform"
@@ -163,10 +162,7 @@
 	targets.OnStartDisproved(n.view.startDisproved)
 	targets.OnBuildChange(n.view.targetBuildChanged)
 	targets.OnEnd(func(l fleet.Instance) { n.view.verdicts.Table.RecordCrash(l, time.Now()) })
-	watchCounter := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
-	timing := follow.Options{WatchTimeout: watchTimeout, BatchDelay: batchDelay, PeerTimeout: n.view.peerTimeout, OnWatch: func(r follow.Reason) { watchCounter.WithLabelValues(string(r)).Inc() }}
-	n.view.follower = follow.New(n.store, platform.AllKeys, timing, platform.NewDecoder(n.view), log)
-	n.view.follower.OnChanges(n.exchange.shareChanges)
+	n.followStore()
 	n.membership.metrics = newMembershipMetrics(n.registry)
 	buffer := newResponseBuffer(n.registry, s.Limits.MemoryMB, log)
 	n.registerGauges()
--- a/node/record_reads.go
+++ b/node/record_reads.go
@@ -102,10 +102,15 @@
 func (v *view) withoutStreamRecords(c follow.Changes) follow.Changes {
 	var kept []store.Event
 	for _, e := range c.Events.Events {
-		if !strings.HasPrefix(e.Key, v.keys.streams) {
+		if !v.isStreamRecord(e.Key) {
 			kept = append(kept, e)
 		}
 	}
 	c.Events.Events = kept
 	return c
 }
+
+// isStreamRecord reports whether a key is that of saved records of streams.
+func (v *view) isStreamRecord(key string) bool {
+	return strings.HasPrefix(key, v.keys.streams)
+}
--- a/node/store_history.go
+++ b/node/store_view.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/follow"
 	"acaciakeel/platform"
 	"acaciakeel/telemetry"
 )
@@ -17,3 +18,16 @@
 		log.WithFields(logrus.Fields{"event": "store_history_replaced", "history": c.Number, "reason": c.Reason, "before": c.Before, "revision": c.Revision, "era_before": c.EraBefore, "era": c.Era}).Warn("the store came back from an older copy; nothing that was read of it before counts")
 	})
 }
+
+// followStore sets up the view's follower of the platform's store.
+func (n *Node) followStore() {
+	watchCounter := telemetry.NewCounter(n.registry, "keel_node_store_watches_total", "Watches of the platform's store, by reason.", "reason")
+	listCounter := telemetry.NewCounter(n.registry, "keel_node_store_listings_total", "Listings of all keys of the platform's store, by reason.", "reason")
+	following := follow.Options{
+		WatchTimeout: watchTimeout, BatchDelay: batchDelay, PeerTimeout: n.view.peerTimeout, Unshared: n.view.isStreamRecord,
+		OnWatch: func(r follow.Reason) { watchCounter.WithLabelValues(string(r)).Inc() },
+		OnList:  func(r follow.ListReason) { listCounter.WithLabelValues(string(r)).Inc() },
+	}
+	n.view.follower = follow.New(n.store, platform.AllKeys, following, platform.NewDecoder(n.view), n.log)
+	n.view.follower.OnChanges(n.exchange.shareChanges)
+}
--- a/node/watchshare.go
+++ b/node/watchshare.go
@@ -90,6 +90,9 @@
 	if !ok {
 		return
 	}
+	for i := range pieces {
+		pieces[i].Digest, _ = p.view.follower.DigestAt(pieces[i].After) // 0 if it is not known
+	}
 	p.watch.mu.Lock()
 	p.watch.changes = append(p.watch.changes, pieces...)
 	p.watch.mu.Unlock()
@@ -110,7 +113,7 @@
 		}
 		if i > 0 && size+bytes > pulses.DatagramBytes && e.Revision > piece.Events.Revision {
 			pieces = append(pieces, piece)
-			piece, size = follow.Changes{After: piece.Events.Revision, SinceRecovery: c.SinceRecovery}, 0
+			piece, size = follow.Changes{After: piece.Events.Revision.Revision(), SinceRecovery: c.SinceRecovery}, 0
 		}
 		piece.Events.Events = append(piece.Events.Events, e)
 		piece.Events.Revision = e.Revision
@@ -160,7 +163,7 @@
 	if !ok {
 		return nil
 	}
-	out.Revision, out.AgeUs, out.BackUs = int64(c.Revision), pulses.Micros(c.Age), pulses.Micros(c.SinceRecovery)
+	out.Revision, out.Digest, out.AgeUs, out.BackUs = c.Revision, c.Digest, pulses.Micros(c.Age), pulses.Micros(c.SinceRecovery)
 	return out
 }
 
@@ -183,16 +186,16 @@
 		if hash != p.watch.self || i >= len(message.View.HeardUs) {
 			continue
 		}
-		c := follow.Confirmation{Revision: store.Position(message.View.Revision), Age: pulses.FromMicros(message.View.AgeUs), SinceRecovery: pulses.FromMicros(message.View.BackUs)}
+		c := follow.Confirmation{Revision: message.View.Revision, Digest: message.View.Digest, Age: pulses.FromMicros(message.View.AgeUs), SinceRecovery: pulses.FromMicros(message.View.BackUs)}
 		after := clock.BootTime(pulses.FromMicros(message.View.HeardUs[i]))
 		p.view.follower.ReceiveConfirmation(c, after, plan.RanksBefore(p.view.keys.members+message.Sender))
 	}
 }
 
 func encodeChanges(c follow.Changes) *keelv1.StoreChanges {
-	w := &keelv1.StoreChanges{After: int64(c.After), Revision: int64(c.Events.Revision), BackUs: pulses.Micros(c.SinceRecovery)}
+	w := &keelv1.StoreChanges{After: c.After, Digest: c.Digest, Revision: c.Events.Revision.Revision(), BackUs: pulses.Micros(c.SinceRecovery)}
 	for _, e := range c.Events.Events {
-		w.Events = append(w.Events, &keelv1.StoreChange{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Deleted: e.Deleted})
+		w.Events = append(w.Events, &keelv1.StoreChange{Key: e.Key, Value: e.Value, Revision: e.Revision.Revision(), Deleted: e.Deleted})
 	}
 	return w
 }
@@ -210,9 +213,9 @@
 }
 
 func decodeChanges(w *keelv1.StoreChanges) follow.Changes {
-	c := follow.Changes{After: store.Position(w.After), Events: store.Events{Revision: store.Position(w.Revision)}, SinceRecovery: pulses.FromMicros(w.BackUs)}
+	c := follow.Changes{After: w.After, Digest: w.Digest, Events: store.Events{Revision: store.At(0, w.Revision)}, SinceRecovery: pulses.FromMicros(w.BackUs)}
 	for _, e := range w.Events {
-		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: e.Key, Value: e.Value, Revision: store.Position(e.Revision)}, Deleted: e.Deleted})
+		c.Events.Events = append(c.Events.Events, store.Event{Entry: store.Entry{Key: e.Key, Value: e.Value, Revision: store.At(0, e.Revision)}, Deleted: e.Deleted})
 	}
 	return c
 }
