node: a target that has left stays away when an older copy lists it

Requests reached a target that had said it was leaving: the store came back from a copy in which it was still ready, and the listing made it ready again until it wrote its entry anew, or for as long as the entry of a target that was gone lasted.

An entry at or before the first listing of the new history does not bring back a target that left less than 30 s ago; a later write of the target does.

--- a/node/view.go
+++ b/node/view.go
@@ -76,8 +76,9 @@
 	// versionMarks name the software versions that may have begun streams, by service.
 	versionMarks map[string]*versionMark
 	// rejected are the store's entries that can't be used.
-	rejected *rejectedEntries
-	earlier  earlierStarts
+	rejected        *rejectedEntries
+	earlier         earlierStarts
+	departedTargets departedTargets
 	// report asks a target for its report; nil asks none.
 	report func(context.Context, fleet.Target) (fleet.Status, error)
 }
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -23,6 +23,7 @@
 	if !v.serviceKnown(r, revision) {
 		return
 	}
+	r = v.checkDeparture(r, revision)
 	if !v.putTarget(r) {
 		v.log.WithFields(logrus.Fields{"event": "target_former", "target": r.ID, "born": r.Born, "believed": v.fleet.Born(r.ID), "draining": r.Draining, "revision": revision}).Warn("the store lists an earlier start of the target; ignored unless the target or a lasting entry confirms it")
 		v.checkEarlierStart(r, revision)
@@ -83,6 +84,7 @@
 	v.rejected.removePending(id)
 	v.rejected.removeRecord(platform.TargetKey(id))
 	v.earlier.forget(id)
+	v.departedTargets.forget(id)
 	since, recovered := v.follower.SinceRecovery()
 	if !recovered || since >= recoveryGrace {
 		v.removeUnlisted(id)
@@ -99,7 +101,11 @@
 	v.mu.Lock()
 	v.cancelRemoval(id)
 	v.mu.Unlock()
-	if last, ok := v.fleet.Remove(id); ok && !last.Draining {
+	last, ok := v.fleet.Remove(id)
+	if ok {
+		v.departedTargets.record(last.Instance(), time.Now())
+	}
+	if ok && !last.Draining {
 		// The target did not announce that it leaves, so responses that broke off shortly
 		// before are taken as a crash. A machine that went silent gives no other sign.
 		v.verdicts.Table.RecordCrash(last.Instance(), time.Now())
