node: a node's entry moves to its new lease, a lost lease leads to a listing

After a restore a node found its own entry of the copy in place, took it for the answer to a lost write and left it attached to a lease that nobody renews: it vanished two seconds later and the others ignored the node for a second. With a new lease the entry is written again.

A lease that the store does not know although it must still last shows that the store has lost what it acknowledged; the keys are listed.

--- a/follow/share.go
+++ b/follow/share.go
@@ -354,6 +354,8 @@
 	ListReconnected ListReason = "reconnected"
 	// ListDisputed: a peer has another view at the same revision.
 	ListDisputed ListReason = "disputed"
+	// ListLeaseLost: the store does not know a lease that must still last.
+	ListLeaseLost ListReason = "lease_lost"
 )
 
 // RequireListing makes the follower list all keys again.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -19,6 +19,8 @@
 	// margin is subtracted from the end of the lease, because a caller may act for a
 	// short while after it has checked the lease.
 	margin time.Duration
+	// onLost, if set, is called when the store does not know a lease that must still last.
+	onLost func()
 
 	mu         sync.Mutex
 	id         store.LeaseID
@@ -32,6 +34,12 @@
 	return &Session{store: s, ttl: ttl, margin: margin}
 }
 
+// OnLost sets the function that is called when the store does not know a lease that must still
+// last: it has lost what it acknowledged. It must be called before Run.
+func (s *Session) OnLost(notify func()) {
+	s.onLost = notify
+}
+
 // renewalsPerTTL is how many times a lease is renewed within its TTL, so that one or
 // two lost renewals don't end it.
 const renewalsPerTTL = 4
@@ -70,6 +78,9 @@
 		if !errors.Is(err, store.ErrNotFound) {
 			return false
 		}
+		if s.Valid() && s.onLost != nil {
+			s.onLost()
+		}
 		s.set("", 0)
 	}
 	sentAt = clock.Now()
--- a/node/membership.go
+++ b/node/membership.go
@@ -80,7 +80,7 @@
 		return
 	}
 	m.metrics.registrations.WithLabelValues(string(reason)).Inc()
-	revision, err := n.writeMember(ctx, lease)
+	revision, err := n.writeMember(ctx, lease, reason == newLease)
 	m.lease, m.revision = lease, revision
 	if err != nil && ctx.Err() == nil && !m.failing {
 		n.log.WithError(err).WithFields(logrus.Fields{"event": "enrol_failed", "reason": reason}).Warn("could not register among the members; the other nodes ignore this node until a later attempt succeeds")
@@ -124,15 +124,15 @@
 
 // writeMember writes the node's entry and returns its revision. The key has the name of this
 // start of the node: an entry there is either the node's own, of a write whose response was
-// lost, or that of another writer, which is replaced.
-func (n *Node) writeMember(ctx context.Context, lease store.LeaseID) (store.Position, error) {
+// lost, or that of another writer, or one of the node's former leases, which are replaced.
+func (n *Node) writeMember(ctx context.Context, lease store.LeaseID, isNewLease bool) (store.Position, error) {
 	value := encodeMember(n.exchange.address(), n.settings.Zone, n.settings.Limits.LinkMbps)
 	revision, err := n.store.Put(ctx, n.view.self, value, 0, lease)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) || conflict.Current.Revision == 0 {
 		return revision, err
 	}
-	if bytes.Equal(conflict.Current.Value, value) {
+	if bytes.Equal(conflict.Current.Value, value) && !isNewLease {
 		return conflict.Current.Revision, nil
 	}
 	return n.store.Put(ctx, n.view.self, value, conflict.Current.Revision, lease)
--- a/node/store_view.go
+++ b/node/store_view.go
@@ -30,4 +30,5 @@
 	}
 	n.view.follower = follow.New(n.store, platform.AllKeys, following, platform.NewDecoder(n.view), n.log)
 	n.view.follower.OnChanges(n.exchange.shareChanges)
+	n.session.OnLost(func() { n.view.follower.RequireListing(follow.ListLeaseLost) })
 }
