--- a/follow/dispute.go
+++ b/follow/dispute.go
@@ -60,10 +60,11 @@
 		return peerAhead
 	}
 	known, ok := f.digest.at(revision)
+	fell := revision < own && completeAt > f.reachedAt
 	switch {
-	case !ok || digest == 0:
+	case digest == 0, !ok && !fell:
 		return peerUnknown
-	case known == digest && (revision == own || completeAt <= f.reachedAt):
+	case known == digest && !fell:
 		return peerAgrees
 	}
 	if f.disputes.due() {
