lease: Since tells whether a lease may have expired in between

A lease that expired by what its owner knew, and whose renewal succeeds nevertheless, counted as the same lease without interruption: a hold under it continued as if nobody else could have held the lock meanwhile. Where the store pauses leases that is so; where it came back from an older copy, another process may have acquired the lock, and the renewal shows nothing of it.

Session remembers since when its lease has lasted without a time in which it may have expired; TTL is readable. TestLeaseIsInterruptedOnlyByItsExpiry.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -23,7 +23,10 @@
 	mu         sync.Mutex
 	id         store.LeaseID
 	validUntil clock.BootTime
-	closed     bool
+	// since is when the lease was granted, or renewed for the first time after it had
+	// expired by what this process knew.
+	since  clock.BootTime
+	closed bool
 }
 
 // NewSession returns a session whose lease expires ttl after its last renewal. Valid
@@ -87,6 +90,9 @@
 	if s.closed {
 		return
 	}
+	if id != s.id || clock.Now() >= s.validUntil.Add(s.margin) {
+		s.since = sentAt
+	}
 	s.id = id
 	s.validUntil = sentAt.Add(s.ttl - s.margin)
 	if id == "" {
@@ -94,6 +100,9 @@
 	}
 }
 
+// TTL returns how long a lease lasts after its last renewal.
+func (s *Session) TTL() time.Duration { return s.ttl }
+
 // ID returns the id of the lease, or "" if there is none.
 func (s *Session) ID() store.LeaseID {
 	s.mu.Lock()
@@ -101,6 +110,15 @@
 	return s.id
 }
 
+// Since returns since when the lease has lasted without a time in which it may have
+// expired by what this process knew. A lease that was renewed after such a time may be
+// that of an older copy of the store; another process may have acted meanwhile.
+func (s *Session) Since() clock.BootTime {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since
+}
+
 // Valid reports whether the lease lasts for at least the margin from now. It uses a
 // clock that continues while the VM is suspended, so that a process that was suspended
 // beyond its lease detects this at once.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,3 +40,40 @@
 		t.Error("the lease is not renewed while its keys are written")
 	}
 }
+
+// failingStore is a renewedStore whose renewals fail while failing is set.
+type failingStore struct {
+	renewedStore
+	failing atomic.Bool
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (s *failingStore) Renew(ctx context.Context, id store.LeaseID) error {
+	if s.failing.Load() {
+		return errNoAnswer
+	}
+	return s.renewedStore.Renew(ctx, id)
+}
+
+// Guards against a lease that seems to have lasted all the time although it may have expired
+// before it was renewed, and against one that seems interrupted by a single lost renewal.
+func TestLeaseIsInterruptedOnlyByItsExpiry(t *testing.T) {
+	const ttl = 200 * time.Millisecond
+	s := &failingStore{}
+	session := NewSession(s, ttl, 0)
+	session.renewOrGrant(t.Context())
+	granted := session.Since()
+	s.failing.Store(true)
+	session.renewOrGrant(t.Context())
+	s.failing.Store(false)
+	session.renewOrGrant(t.Context())
+	if session.Since() != granted {
+		t.Error("one lost renewal counts as an interruption")
+	}
+	time.Sleep(ttl)
+	session.renewOrGrant(t.Context())
+	if session.Since() <= granted {
+		t.Error("a renewal after the expiry does not count as an interruption")
+	}
+}
