--- /dev/null
+++ b/agent/restore_test.go
@@ -0,0 +1,138 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	keelv1 "acaciakeel/api/keel/v1"
+	"acaciakeel/internal/standin/history"
+	"acaciakeel/ledger"
+	"acaciakeel/refusal"
+	"acaciakeel/target"
+)
+
+// newTestOrders returns the controller of orders to the engine beside an agent.
+func newTestOrders(s *history.Service, incarnation string) *orderController {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	settings := DefaultSettings()
+	settings.Platform.URL = "http://127.0.0.1:1"
+	settings.Target.Name, settings.Target.URL = "own", "http://127.0.0.1:1"
+	a := New(settings, log)
+	a.incarnation = incarnation
+	return &orderController{agent: a, store: s.NewClient()}
+}
+
+// Guards against two orders with one fencing number, and a lower one after a higher one: the record
+// of the first order is gone with the copy from which the service came back.
+func TestFencingNumbersRiseOverOlderCopy(t *testing.T) {
+	s := history.NewService()
+	saved := s.Copy()
+	last := int64(0)
+	for i := range 6 {
+		o := newTestOrders(s, fmt.Sprint("agent-", i))
+		fence, _, ok := o.writeRecord(t.Context(), "v2")
+		if !ok || fence <= last {
+			t.Errorf("order %d: fencing number %d after %d, sent: %t", i, fence, last, ok)
+		}
+		last = fence
+		o.markDone(t.Context(), fence, "v2")
+		if i%2 == 0 {
+			s.Restore(saved)
+			// Fencing numbers tell milliseconds apart.
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+// callAgents are two agents beside one service, which counts its calls.
+type callAgents struct {
+	history *history.Service
+	calls   atomic.Int32
+	url     string
+}
+
+func newCallAgents(t *testing.T) *callAgents {
+	t.Helper()
+	a := &callAgents{history: history.NewService()}
+	service := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { a.calls.Add(1) }))
+	t.Cleanup(service.Close)
+	a.url = service.URL
+	return a
+}
+
+// start returns the executor of an agent that is an hour old.
+func (a *callAgents) start(name string, home bool) *callExecutor {
+	hour := time.Now().Add(-time.Hour)
+	return &callExecutor{
+		service:     target.NewService(a.url),
+		claims:      &claimStore{store: a.history.NewClient(), self: claim{Target: name, Incarnation: name}, ttl: 24 * time.Hour},
+		started:     hour,
+		margin:      2 * time.Second,
+		incarnation: name,
+		slots:       1,
+		metrics:     newMetrics(prometheus.NewRegistry()),
+		homeStatus:  func(ledger.Key) (bool, time.Time) { return home, hour },
+		ledger:      ledger.New(ledger.Limits{MaxRecords: 1000, MaxAnswerBytes: 1000, Retention: time.Hour, TombstoneRetention: time.Hour}),
+	}
+}
+
+func onceRequest(key string) *keelv1.CallRequest {
+	return &keelv1.CallRequest{RequestId: key, Customer: "c", Service: "s", IdempotencyKey: key, Method: http.MethodPost, Path: "/"}
+}
+
+// Guards against a call that runs twice: its claim is gone with the copy from which the service
+// came back, and another agent gets it.
+func TestCallWhoseClaimIsLostRunsOnce(t *testing.T) {
+	for _, home := range []bool{false, true} {
+		t.Run(fmt.Sprint("at the home ", home), func(t *testing.T) {
+			a := newCallAgents(t)
+			saved := a.history.Copy()
+			first, second := a.start("first", !home), a.start("second", home)
+			if answer := first.call(t.Context(), onceRequest("k")); answer.Refusal != nil {
+				t.Fatal(answer.Refusal)
+			}
+			a.history.Restore(saved)
+			answer := second.call(t.Context(), onceRequest("k"))
+			if n := a.calls.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+			if answer.Refusal == nil || answer.Refusal.Outcome != string(refusal.Unknown) {
+				t.Errorf("status %d, refusal %v, want an unknown outcome", answer.Status, answer.Refusal)
+			}
+		})
+	}
+}
+
+// Guards against a call whose claim is gone with the copy, and that runs again once its agent has
+// forgotten it.
+func TestLostClaimsArePutBack(t *testing.T) {
+	a := newCallAgents(t)
+	saved := a.history.Copy()
+	first := a.start("first", true)
+	for i := range 5 {
+		if answer := first.call(t.Context(), onceRequest(fmt.Sprint("k", i))); answer.Refusal != nil {
+			t.Fatal(answer.Refusal)
+		}
+	}
+	a.history.Restore(saved)
+	// A call with a key of its own shows the agent that the history was replaced.
+	first.call(t.Context(), onceRequest("other"))
+	for range 10 {
+		first.claimUnclaimed(t.Context())
+	}
+	client := a.history.NewClient()
+	for i := range 5 {
+		key := ledger.Key{Customer: "c", Service: "s", IdempotencyKey: fmt.Sprint("k", i)}
+		if _, err := client.Get(t.Context(), claimKey(key)); err != nil {
+			t.Errorf("the claim of call %d: %v", i, err)
+		}
+	}
+}
