configsync: a carrier follows a service that came back from an older copy

What callers saw: a route, model or key written after the restore was not in force, or a withdrawn key was accepted and an added model was gone again. Cause: a listing below the revision in force was rejected for good, one above it replaced the state, and a watch from the old revision missed what the new history had at or below it. Now the state belongs to a history. A listing of a later one is taken as a whole; one that is lower, or has a resource at a revision that was passed without it, makes the client count a further history. What the listing lacks or has in an older version stays in force, marked as unsaved; what was deleted and is back is withheld; both until the resource is written again. Versions of a resource are ordered by the time of their change, which no history gives out again. Neighbours send what is withheld and which deletions they remember, and a higher number heard from one is adopted. An entry of the service whose value names another resource is left out: two entries could otherwise stand for one resource and contradict each other at each listing.

--- a/configsync/carry.go
+++ b/configsync/carry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"acaciakeel/resource"
 	"acaciakeel/store"
@@ -45,7 +46,7 @@
 		f.synced = false
 		return fmt.Errorf("watch resources: %w", err)
 	}
-	if events.Compacted || int64(events.Revision) < f.Revision() {
+	if events.Compacted || int64(events.Revision) < f.Revision() || f.isLater(events.Revision) {
 		f.synced = false
 		return nil
 	}
@@ -53,12 +54,14 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	known := store.Position(f.Revision())
 	listing, err := f.config.Store.List(ctx, resource.KeyPrefix)
 	if err != nil {
 		return fmt.Errorf("list resources: %w", err)
 	}
-	if int64(listing.Revision) < f.Revision() {
-		return fmt.Errorf("%w: platform revision %d, local revision %d", ErrOldRevision, listing.Revision, f.Revision())
+	if listing.Revision.History() < known.History() {
+		f.advance(known.History())
+		return fmt.Errorf("%w: %d, in force %d", ErrOldRevision, listing.Revision, known)
 	}
 	delta := resource.Delta{Full: true, Revision: int64(listing.Revision)}
 	var bad []error
@@ -70,10 +73,46 @@
 		}
 		delta.Changed = append(delta.Changed, r)
 	}
+	if listing.Revision < known || f.State().Snapshot.Contradicts(delta) {
+		return f.beginHistory(known, listing.Revision)
+	}
+	if f.isLater(listing.Revision) {
+		delta.ReplacedAt = time.Now()
+	}
 	f.synced = true
 	return errors.Join(append(bad, f.apply(delta))...)
 }
 
+// beginHistory makes the client count a further history because the listing cannot follow the state
+// in force within the present one. The next round lists again.
+func (f *Follower) beginHistory(known, listed store.Position) error {
+	if known.History() == store.MaxHistory || !f.advance(known.History()+1) {
+		return fmt.Errorf("%w: %d, in force %d", ErrOldRevision, listed, known)
+	}
+	return nil
+}
+
+// isLater reports whether a position belongs to a later history than the state in force.
+func (f *Follower) isLater(p store.Position) bool {
+	return p.History() > store.Position(f.Revision()).History()
+}
+
+// historyAdvancer is implemented by clients that number the histories of the platform's service.
+type historyAdvancer interface {
+	// AdvanceHistory makes the number of the present history at least number.
+	AdvanceHistory(number int)
+}
+
+// advance makes the client's number of the history at least number, so that positions of this
+// process and its neighbours agree. It reports whether the client numbers histories.
+func (f *Follower) advance(number int) bool {
+	client, ok := f.config.Store.(historyAdvancer)
+	if ok {
+		client.AdvanceHistory(number)
+	}
+	return ok
+}
+
 func (f *Follower) applyEvents(events []store.Event) error {
 	if len(events) == 0 {
 		return nil
@@ -107,6 +146,9 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return r, fmt.Errorf("decode resource %s: %w", e.Key, err)
 	}
+	if key := resource.Key(r.Kind, r.Name); key != e.Key {
+		return r, fmt.Errorf("the resource at %s says that it is %s", e.Key, key)
+	}
 	r.Version = int64(e.Revision)
 	return r, nil
 }
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -32,10 +32,13 @@
 	maxStartupNeighbours = 3
 )
 
-// ErrOldRevision is returned when the platform's service lists an older
-// revision than the one in force here, as when it has come back with an older
-// state. The listing is rejected.
-var ErrOldRevision = errors.New("the platform's service has an older revision than is in force here; restore the service, then write the lost changes again")
+// ErrOldRevision is returned for a listing from before the state in force here. The listing is
+// rejected and made again.
+var ErrOldRevision = errors.New("the platform's service has listed an older revision than is in force here")
+
+// EventHistoryReplaced is the event of a platform's service that has come back from an older copy
+// of its contents. What it lost stays in force until it is written again.
+const EventHistoryReplaced = "history_replaced"
 
 // Config configures a Follower.
 type Config struct {
@@ -47,7 +50,8 @@
 	Store      store.Store
 	Directory  store.Directory
 	Links      *link.Pool
-	// OnEvent, if not nil, is called for each failure, for logs and counters.
+	// OnEvent, if not nil, is called for each failure and for EventHistoryReplaced, for logs and
+	// counters.
 	OnEvent func(event string, err error)
 }
 
@@ -94,11 +98,15 @@
 }
 
 // Hint reports a revision seen in a message from another process. If it is
-// higher than the one in force, the follower starts a new round at once.
+// higher than the one in force, the follower starts a new round at once. If it
+// belongs to a later history, this process counts that history as well.
 func (f *Follower) Hint(revision int64) {
 	if revision <= f.Revision() {
 		return
 	}
+	if position := store.Position(revision); f.isLater(position) {
+		f.advance(position.History())
+	}
 	select {
 	case f.hint <- revision:
 	default:
@@ -241,8 +249,20 @@
 		return
 	}
 	f.current.Store(next)
+	f.reportReplaced(old.Snapshot, s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
+
+// reportReplaced reports a state of a later history than the one before.
+func (f *Follower) reportReplaced(old, next *resource.Snapshot) {
+	before, now := store.Position(old.Revision), store.Position(next.Revision)
+	if before == 0 || now.History() <= before.History() {
+		return
+	}
+	f.config.OnEvent(EventHistoryReplaced, fmt.Errorf(
+		"the platform's service was restored from an older copy: history %d at revision %d after history %d at revision %d; %d resources in force are not in it, %d deleted ones are back and withheld; write them again or delete them",
+		now.History(), now.Revision(), before.History(), before.Revision(), len(next.Unsaved()), len(next.Withheld)))
+}
--- a/configsync/neighbour.go
+++ b/configsync/neighbour.go
@@ -12,6 +12,7 @@
 
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/api/keel/v1/keelv1connect"
+	"acaciakeel/store"
 )
 
 // fetch long-polls a neighbour for up to wait and applies its state if newer.
@@ -37,6 +38,9 @@
 	if err := json.Unmarshal(answer.Msg.State, &u); err != nil {
 		return fmt.Errorf("decode state of neighbour %s: %w", url, err)
 	}
+	if position := store.Position(u.Delta.Revision); f.isLater(position) {
+		f.advance(position.History())
+	}
 	snapshot, err := state.Snapshot.With(u.Delta)
 	f.replaceState(snapshot, u.VMs.apply(state.VMs))
 	return err
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -68,6 +68,9 @@
 	service *Service
 	era     int
 	number  int
+	// told is set from AdvanceHistory until the next call: the replacement that the call shows is the
+	// one that was told of.
+	told bool
 }
 
 var _ store.Store = (*Client)(nil)
@@ -79,7 +82,9 @@
 func (c *Client) AdvanceHistory(number int) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	c.number = max(c.number, number)
+	if number > c.number {
+		c.number, c.told = number, true
+	}
 }
 
 // begin locks the service and notices a replaced history.
@@ -87,9 +92,10 @@
 	c.service.mu.Lock()
 	replaced = c.era != c.service.era
 	c.era = c.service.era
-	if replaced && !c.Blind {
+	if replaced && !c.Blind && !c.told {
 		c.number++
 	}
+	c.told = false
 	return c.service, replaced
 }
 
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -31,9 +31,12 @@
 type Resource struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	// Version is the platform's revision at the last change; 0 if the resource
-	// does not exist yet.
+	// Version is the position (store.Position) of the last change in the platform's service; 0 if
+	// the service does not have the resource.
 	Version int64 `json:"version,omitempty"`
+	// Unsaved is set if the resource is in force but the service, restored from an older copy, does
+	// not have this change. Version is then that of what the service has instead.
+	Unsaved bool `json:"unsaved,omitempty"`
 	// ChangeID identifies the write that created this version, so that a writer
 	// that lost the response can check by reading whether the write took effect.
 	ChangeID string          `json:"change_id,omitempty"`
--- a/resource/snapshot.go
+++ b/resource/snapshot.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Snapshot is all resources at one revision of the platform's service. It is
 // immutable: processes replace it as a whole and never modify it in place.
 type Snapshot struct {
-	// Revision is the platform's revision up to which the snapshot is complete.
+	// Revision is the position (store.Position) in the platform's service up to which the snapshot
+	// is complete.
 	Revision    int64
 	Services    map[string]Service
 	Targets     map[string]Target
@@ -18,6 +20,12 @@
 	Preferences map[string]Preference
 	// Resources holds every resource as stored, by platform key.
 	Resources map[string]Resource
+	// Withheld maps the platform keys of resources that were deleted and are back in the service,
+	// since it was restored from an older copy, to their versions. They are not in force.
+	Withheld map[string]int64
+	// ReplacedAt is when it was noticed that the service was restored from an older copy; zero if
+	// it was not.
+	ReplacedAt time.Time
 
 	customerByKeyHash map[string]string
 	targetsByGroup    map[string][]string
@@ -46,6 +54,7 @@
 		Models:            map[string]Model{},
 		Preferences:       map[string]Preference{},
 		Resources:         map[string]Resource{},
+		Withheld:          map[string]int64{},
 		customerByKeyHash: map[string]string{},
 		targetsByGroup:    map[string][]string{},
 	}
