entry, keelctl: operators learn that the service was restored, and settle what it lost

What callers saw: a change of a version read before the restore was refused as changed by somebody or deleted, and nothing said that the history was replaced. Now such a change is refused as a conflict that says so; the log (event history_replaced), a counter, gauges of the history and keelctl status show it, with the resources that are in force but lost by the service and those that were deleted and are back, withheld. Both are settled by applying or deleting them: keelctl apply writes a lost one again although its spec is in force; a lost one is written before it is deleted, since a process learns of a deletion by a change of the key; a withheld one is created or deleted as version 0. The time of a change is above that of the version before, as resource orders them. The gauges of the revision now leave out the history, which a float can't hold.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -136,12 +136,20 @@
 
 func (a *Agent) recordConfigEvent(event string, err error) {
 	a.metrics.configEvents.WithLabelValues(event).Inc()
-	a.log.WithError(err).WithField("event", event).Debug("failed to update the configuration")
+	log := a.log.WithError(err).WithField("event", event)
+	if event == configsync.EventHistoryReplaced {
+		log.Warn("the platform's service was restored from an older copy")
+		return
+	}
+	log.Debug("failed to update the configuration")
 }
 
 func (a *Agent) registerGauges() {
 	telemetry.NewGaugeFunc(a.registry, "keel_agent_config_revision", "Revision of the configuration in force.", func() float64 {
-		return float64(a.follower.Revision())
+		return float64(store.Position(a.follower.Revision()).Revision())
+	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_config_history", "Number of the history that the revision belongs to: how often the platform's service was restored from an older copy.", func() float64 {
+		return float64(store.Position(a.follower.Revision()).History())
 	})
 	telemetry.NewGaugeFunc(a.registry, "keel_agent_active", "Requests that wait, run or are being read.", func() float64 {
 		return float64(a.active())
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -129,11 +129,10 @@
 
 func (a *app) applyOne(ctx context.Context, c *cli.Command, m Manifest) error {
 	old, err := client(c).Get(ctx, m.Kind, m.Name)
-	var refused *operator.Error
-	if err != nil && !(errors.As(err, &refused) && refused.Status == http.StatusNotFound) {
+	if err != nil && !isNotFound(err) {
 		return err
 	}
-	if err == nil && sameSpec(m.Kind, old.Spec, m.Spec) {
+	if err == nil && !old.Unsaved && sameSpec(m.Kind, old.Spec, m.Spec) {
 		fmt.Fprintf(a.out, "%s %s unchanged (version %d)\n", m.Kind, m.Name, old.Version)
 		return nil
 	}
@@ -150,6 +149,11 @@
 	return nil
 }
 
+func isNotFound(err error) bool {
+	var refused *operator.Error
+	return errors.As(err, &refused) && refused.Status == http.StatusNotFound
+}
+
 func kindArg(c *cli.Command) (resource.Kind, error) {
 	kind := resource.Kind(c.Args().Get(0))
 	for _, known := range resource.Kinds() {
@@ -217,7 +221,8 @@
 				return cli.Exit("give a name", ExitUsage)
 			}
 			r, err := client(c).Get(ctx, kind, name)
-			if err != nil {
+			// A withheld resource is not in force, and deleted as version 0.
+			if err != nil && !isNotFound(err) {
 				return err
 			}
 			if _, err := client(c).Delete(ctx, kind, name, r.Version); err != nil {
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"reflect"
 	"slices"
@@ -92,6 +93,7 @@
 		for _, name := range behind(s, s.Revision) {
 			fmt.Fprintf(w, "behind: %s at %d\n", name, s.InForce[name])
 		}
+		printRestored(w, s)
 		fmt.Fprintln(w, "\nTARGET\tSERVES\tDATA CENTRE\tSTATE\tLEAVING\tINFLIGHT")
 		for _, t := range s.Targets {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%d\n", t.Name, t.Serves, t.DataCentre, t.State, t.Leaving, t.Inflight)
@@ -109,3 +111,18 @@
 	}
 	return names
 }
+
+// printRestored says what an operator has to do after the platform's service was restored.
+func printRestored(w io.Writer, s operator.Status) {
+	if s.History == 0 {
+		return
+	}
+	fmt.Fprintf(w, "the platform's service was restored from an older copy %d times, last noticed at %s\n",
+		s.History, s.ReplacedAt.Format("2006-01-02 15:04:05"))
+	for _, key := range s.Unsaved {
+		fmt.Fprintf(w, "in force, lost by the service: %s; apply it again, or delete it\n", key)
+	}
+	for _, key := range s.Withheld {
+		fmt.Fprintf(w, "deleted, back in the service and withheld: %s; delete it again, or apply it\n", key)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,12 +82,15 @@
 
 func (e *Entry) onConfigEvent(event string, err error) {
 	e.metrics.configEvents.WithLabelValues(event).Inc()
-	e.log.WithError(err).WithField("event", event).Debug("failed to update the configuration")
+	e.logConfigEvent(event, err)
 }
 
 func (e *Entry) registerGauges() {
 	telemetry.NewGaugeFunc(e.registry, "keel_entry_config_revision", "Revision of the configuration in force.", func() float64 {
-		return float64(e.follower.Revision())
+		return float64(store.Position(e.follower.Revision()).Revision())
+	})
+	telemetry.NewGaugeFunc(e.registry, "keel_entry_config_history", "Number of the history that the revision belongs to: how often the platform's service was restored from an older copy.", func() float64 {
+		return float64(historyOf(e.follower.Revision()))
 	})
 	telemetry.NewGaugeFunc(e.registry, "keel_entry_request_bytes_held", "Bytes of requests' bodies that are held.", func() float64 {
 		return float64(e.bodies.Held())
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -103,9 +103,10 @@
 
 func (e *Entry) getEndpoint(_ context.Context, request any) (any, error) {
 	req := request.(resourceRequest)
-	r, ok := e.table.Load().snapshot().Resources[resource.Key(req.kind, req.name)]
+	snapshot := e.table.Load().snapshot()
+	r, ok := snapshot.Resources[resource.Key(req.kind, req.name)]
 	if !ok {
-		return nil, refusal.New(refusal.NotFound, "see `keelctl get "+string(req.kind)+"`", "there is no %s %q", req.kind, req.name)
+		return nil, missingRefusal(req.kind, req.name, snapshot)
 	}
 	return r, nil
 }
@@ -153,19 +154,20 @@
 // putEndpoint validates a change and writes it by compare-and-swap.
 func (e *Entry) putEndpoint(ctx context.Context, request any) (any, error) {
 	req := request.(resourceRequest)
+	snapshot := e.table.Load().snapshot()
+	key := resource.Key(req.kind, req.name)
 	r := resource.Resource{
 		Kind:     req.kind,
 		Name:     req.name,
-		Version:  req.change.Version,
+		Version:  storedVersion(snapshot, key, req.change.Version),
 		ChangeID: req.change.ChangeID,
-		Changed:  time.Now().UTC(),
+		Changed:  snapshot.ChangeTime(key, time.Now().UTC()),
 		Author:   req.operator.Name,
 		Spec:     req.change.Spec,
 	}
 	if r.ChangeID == "" {
 		r.ChangeID = uuid.NewString()
 	}
-	snapshot := e.table.Load().snapshot()
 	r.Spec = resource.KeepPrevious(r, snapshot)
 	if err := resource.Validate(r, snapshot); err != nil {
 		return nil, refusal.New(refusal.InvalidResource, "correct it and apply again", "%s %q: %v", r.Kind, r.Name, err)
@@ -185,11 +187,17 @@
 
 func (e *Entry) deleteEndpoint(ctx context.Context, request any) (any, error) {
 	req := request.(resourceRequest)
-	if err := resource.InUse(req.kind, req.name, e.table.Load().snapshot()); err != nil {
+	snapshot := e.table.Load().snapshot()
+	if err := resource.InUse(req.kind, req.name, snapshot); err != nil {
 		return nil, refusal.New(refusal.InvalidResource, "delete or change those first", "%v", err)
 	}
 	key := resource.Key(req.kind, req.name)
-	revision, err := e.deleteKey(ctx, key, req.version)
+	_, inForce := snapshot.Resources[key]
+	_, withheld := snapshot.Withheld[key]
+	if req.version == 0 && !inForce && !withheld {
+		return nil, missingRefusal(req.kind, req.name, snapshot)
+	}
+	revision, err := e.deleteVersion(ctx, key, req.version, snapshot)
 	e.audit(req, "delete", revision, err)
 	if err != nil {
 		return nil, err
--- a/entry/status.go
+++ b/entry/status.go
@@ -21,9 +21,13 @@
 func (e *Entry) statusEndpoint(ctx context.Context, _ any) (any, error) {
 	t := e.table.Load()
 	s := operator.Status{
-		Entry:    e.settings.Self.Name,
-		Revision: t.snapshot().Revision,
-		InForce:  e.appliedRevisions(ctx, t),
+		Entry:      e.settings.Self.Name,
+		Revision:   t.snapshot().Revision,
+		History:    historyOf(t.snapshot().Revision),
+		ReplacedAt: t.snapshot().ReplacedAt,
+		Unsaved:    t.snapshot().Unsaved(),
+		Withheld:   slices.Sorted(maps.Keys(t.snapshot().Withheld)),
+		InForce:    e.appliedRevisions(ctx, t),
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.snapshot().Targets)) {
 		spec := t.snapshot().Targets[name]
--- a/entry/write.go
+++ b/entry/write.go
@@ -61,6 +61,8 @@
 func (e *Entry) resolveWrite(ctx context.Context, key string, r resource.Resource) (version int64, resolved bool, err error) {
 	storeEntry, err := e.store.Get(ctx, key)
 	switch {
+	case errors.Is(err, store.ErrNotFound) && e.isFormer(ctx, r.Version):
+		return 0, true, restoredRefusal(r.Version)
 	case errors.Is(err, store.ErrNotFound) && r.Version != 0:
 		return 0, true, conflictRefusal("it was deleted meanwhile")
 	case err != nil:
@@ -74,6 +76,8 @@
 		return stored.Version, true, nil
 	case stored.Version == r.Version:
 		return 0, false, nil
+	case r.Version != 0 && historyOf(r.Version) < historyOf(stored.Version):
+		return 0, true, restoredRefusal(r.Version)
 	}
 	return 0, true, conflictRefusal(fmt.Sprintf("its version is %d, changed by %s", stored.Version, stored.Author))
 }
@@ -82,6 +86,30 @@
 	return refusal.New(refusal.Conflict, "read it again, then apply your change to what is there now", "the resource has changed: %s", found)
 }
 
+func historyOf(version int64) int { return store.Position(version).History() }
+
+// restoredRefusal refuses a change of a version of an earlier history.
+func restoredRefusal(version int64) *refusal.Error {
+	return refusal.New(refusal.Conflict, "read it again, then apply your change to what is there now",
+		"the platform's service was restored from an older copy since version %d was read", version)
+}
+
+// isFormer reports whether a version belongs to a history before the service's present one. A listing
+// names that one also for a resource that is missing.
+func (e *Entry) isFormer(ctx context.Context, version int64) bool {
+	if version == 0 {
+		return false
+	}
+	present := historyOf(e.follower.Revision())
+	if listing, err := e.store.List(ctx, formerProbePrefix); err == nil {
+		present = max(present, listing.Revision.History())
+	}
+	return historyOf(version) < present
+}
+
+// formerProbePrefix is a prefix without keys, whose listing names the service's position.
+const formerProbePrefix = "acaciakeel/history-probe/"
+
 func unknownOutcome() *refusal.Error {
 	r := refusal.NewUnknown("the platform's service did not say whether the change took effect")
 	r.Remedy = "read the resource, and apply again with the same change id if it is not there"
@@ -98,6 +126,8 @@
 		return 0, platformUnavailable()
 	case errors.Is(err, store.ErrNotFound):
 		return 0, refusal.New(refusal.NotFound, "nothing", "the resource is not there")
+	case errors.Is(err, store.ErrConflict) && e.isFormer(ctx, version):
+		return 0, restoredRefusal(version)
 	case errors.Is(err, store.ErrConflict):
 		return 0, conflictRefusal("its version is not " + itoa(int(version)))
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -54,6 +54,14 @@
 type Status struct {
 	Entry    string `json:"entry"`
 	Revision int64  `json:"revision"`
+	// History is how often the platform's service was restored from an older copy, ReplacedAt when it
+	// was last. Unsaved are the keys of the resources that are in force although the service does not
+	// have this change of theirs any more; Withheld of those that were deleted and are back in the
+	// service. Both wait for an operator's change.
+	History    int       `json:"history,omitempty"`
+	ReplacedAt time.Time `json:"replaced_at,omitzero"`
+	Unsaved    []string  `json:"unsaved,omitempty"`
+	Withheld   []string  `json:"withheld,omitempty"`
 	// InForce maps each listed process to the configuration revision that it uses;
 	// -1 if it did not answer.
 	InForce map[string]int64 `json:"in_force"`
