agent: fencing numbers of orders are not the service's revisions

What callers saw: two agents' orders with one fencing number, or a lower one after a higher one, so that an engine takes an old order or refuses all new ones. Cause: the number was the revision of the order's record, which a service that comes back from an older copy gives out again. The record now holds a number of order.NextToken: above the recorded one, the one that the engine reports and this process's own, and following the time. Records without one count by their revision. While the service is down an agent uses its own last number, no longer one that it has read of another holder.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -31,12 +31,28 @@
 	maxRecordAge = 2 * time.Second
 )
 
-// orderRecord is the stored record of the order to one engine. Its revision is the
-// fencing number.
+// orderRecord is the stored record of the order to one engine.
 type orderRecord struct {
 	Incarnation    string `json:"incarnation"`
 	WeightsVersion string `json:"weights_version"`
 	Done           bool   `json:"done"`
+	// Token is the order's fencing number; 0 in records of earlier versions, whose revision was.
+	Token int64 `json:"token,omitempty"`
+}
+
+// recordedToken returns the fencing number of a stored record, or 0 for none.
+func recordedToken(entry store.Entry) int64 {
+	var stored orderRecord
+	if entry.Revision == 0 || json.Unmarshal(entry.Value, &stored) != nil {
+		return 0
+	}
+	if stored.Token == 0 {
+		return entry.Revision.Revision()
+	}
+	if !order.ValidToken(stored.Token) {
+		return 0
+	}
+	return stored.Token
 }
 
 // orderController makes one engine load the weights that its model should have. It is
@@ -52,6 +68,8 @@
 	// lastRevision is the revision of that order, or of the agent's own last write.
 	foreignOrderSince time.Time
 	lastRevision      store.Position
+	// ownToken is the fencing number of this process's last order.
+	ownToken int64
 }
 
 func (o *orderController) run(ctx context.Context) {
@@ -172,7 +190,7 @@
 }
 
 // load records the order and sends it to the engine. If the engine checks the fencing
-// number, the record's revision fences off older holders. Otherwise the agent waits
+// number, the record's one fences off older holders. Otherwise the agent waits
 // until another holder's unfinished order has timed out, and sends its own order only
 // while its record is fresh.
 func (o *orderController) load(ctx context.Context, desired string) {
@@ -199,8 +217,9 @@
 	}
 }
 
-// writeRecord writes the record of this order and returns its revision and the time, by
-// the local monotonic clock, at which the write began.
+// writeRecord writes the record of this order and returns its fencing number and the time, by
+// the local monotonic clock, at which the write began. The number is not the record's revision: a
+// service that comes back from an older copy gives revisions out again.
 func (o *orderController) writeRecord(ctx context.Context, desired string) (fence int64, began time.Time, ok bool) {
 	key := orderPrefix + o.agent.settings.Target.Name
 	entry, err := o.store.Get(ctx, key)
@@ -209,21 +228,26 @@
 	}
 	if err != nil {
 		o.trackPlatform(err)
-		// While the service is down, the last known revision is used: an engine that
-		// checks fencing numbers refuses it if another agent has sent an order since.
-		return int64(o.lastRevision), time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
+		// While the service is down, the number of the last order is used: an engine
+		// that checks fencing numbers refuses it if another agent has sent an order since.
+		return o.ownToken, time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
 	}
 	if o.mustAwaitForeignOrder(entry) {
 		return 0, time.Time{}, false
 	}
 	began = time.Now()
-	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired})
+	state, _ := o.agent.runner.engineStateAndIdle()
+	token := order.NextToken(began, o.agent.incarnation, max(o.ownToken, recordedToken(entry), state.fence))
+	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Token: token})
+	if err != nil {
+		return 0, began, false
+	}
+	revision, err := o.store.Put(ctx, key, value, entry.Revision, "")
 	if err != nil {
 		return 0, began, false
 	}
-	o.lastRevision, err = o.store.Put(ctx, key, value, entry.Revision, "")
-	fence = int64(o.lastRevision)
-	return fence, began, err == nil
+	o.lastRevision, o.ownToken = revision, token
+	return token, began, true
 }
 
 // mustAwaitForeignOrder reports whether another holder's order may still reach an
@@ -246,9 +270,9 @@
 // markDone marks the order as done, so that other agents need not wait for it to time
 // out.
 func (o *orderController) markDone(ctx context.Context, fence int64, desired string) {
-	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Done: true})
+	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Done: true, Token: fence})
 	if err != nil {
 		return
 	}
-	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, store.Position(fence), "")
+	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, o.lastRevision, "")
 }
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -14,7 +14,9 @@
 	keelv1 "acaciakeel/api/keel/v1"
 	"acaciakeel/internal/standin/history"
 	"acaciakeel/ledger"
+	"acaciakeel/order"
 	"acaciakeel/refusal"
+	"acaciakeel/store"
 	"acaciakeel/target"
 )
 
@@ -52,6 +54,35 @@
 	}
 }
 
+// Guards against orders that an engine refuses until the agent's clock has passed that of an earlier
+// agent, whose record is gone.
+func TestFencingNumberIsAboveThatOfTheEngine(t *testing.T) {
+	o := newTestOrders(history.NewService(), "agent")
+	ahead := order.NextToken(time.Now().Add(time.Hour), "earlier", 0)
+	o.agent.runner.setEngineState(engineState{up: true, fence: knownFence(uint64(ahead))}, time.Now())
+	if fence, _, ok := o.writeRecord(t.Context(), "v2"); !ok || fence <= ahead {
+		t.Errorf("fencing number %d, the engine had %d", fence, ahead)
+	}
+	if known := knownFence(1 << 63); known != 0 {
+		t.Errorf("a damaged number is taken for %d", known)
+	}
+}
+
+// Guards against records of an earlier version of the agent, without a fencing number, that are
+// taken for none.
+func TestRecordWithoutFencingNumber(t *testing.T) {
+	for value, want := range map[string]int64{
+		`{"incarnation":"x","done":true}`:  1234,
+		`{"incarnation":"x","token":9000}`: 9000,
+		`{"incarnation":"x","token":-9}`:   0,
+		`{"incarnation":"x","token":"9"}`:  0,
+	} {
+		if got := recordedToken(store.Entry{Value: []byte(value), Revision: store.At(2, 1234)}); got != want {
+			t.Errorf("%s: %d, want %d", value, got, want)
+		}
+	}
+}
+
 // callAgents are two agents beside one service, which counts its calls.
 type callAgents struct {
 	history *history.Service
--- a/agent/runner.go
+++ b/agent/runner.go
@@ -19,6 +19,8 @@
 	weightsVersion string
 	build          string
 	loading        bool
+	// fence is the highest fencing number that the engine had; 0 if it says none.
+	fence int64
 }
 
 // runner decides when each model request is sent to the engine and keeps its stream. mu
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciakeel/cache"
+	"acaciakeel/order"
 	"acaciakeel/target"
 )
 
@@ -49,7 +50,7 @@
 	switch {
 	case err == nil:
 		r.metrics.loadReports.WithLabelValues("read").Inc()
-		r.setEngineState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, build: load.Build, loading: load.Loading}, time.Now())
+		r.setEngineState(engineState{up: true, bootID: load.BootID, weightsVersion: load.WeightsVersion, build: load.Build, loading: load.Loading, fence: knownFence(load.Fence)}, time.Now())
 		return 0
 	case errors.Is(err, target.ErrOldConnection):
 		r.metrics.loadReports.WithLabelValues("old_connection").Inc()
@@ -63,6 +64,15 @@
 	return failures
 }
 
+// knownFence returns the highest fencing number that the engine says it had, or 0 if that is none
+// of the numbers that agents give out.
+func knownFence(fence uint64) int64 {
+	if fence > order.MaxToken || !order.ValidToken(int64(fence)) {
+		return 0
+	}
+	return int64(fence)
+}
+
 // watchCache keeps the cache view up to date: it takes a dump of the engine's cache and
 // then follows its events.
 func (r *runner) watchCache(ctx context.Context) {
