agent: claims that a restored service has lost are put back, and guarded until then

What callers saw: a call that may run only once ran twice. Cause: its claim was gone with the older copy from which the platform's service came back, so that another agent, or the same one after it had forgotten the call, found none. A claim whose lease is gone is written with another one at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -110,11 +110,13 @@
 	return placement.RankTargets(a.homeTargets, k.IdempotencyKey)[0] == a.settings.Target.Name, a.homeSince
 }
 
-// watchServiceTargets updates homeTargets whenever the configuration changes.
+// watchServiceTargets updates homeTargets, and the history that claims are in, whenever the
+// configuration changes.
 func (a *Agent) watchServiceTargets(ctx context.Context) {
 	for {
 		changed := a.follower.Changed()
 		snapshot := a.follower.State().Snapshot
+		a.executor.noticeHistory(store.Position(snapshot.Revision).History(), snapshot.ReplacedAt)
 		a.setHomeTargets(snapshot.TargetsOfService(snapshot.Targets[a.settings.Target.Name].Service))
 		select {
 		case <-changed:
@@ -215,7 +217,7 @@
 }
 
 // sweepInterval is the interval at which the ledger is swept.
-const sweepInterval = 5 * time.Second
+const sweepInterval = time.Second
 
 // sweepCalls periodically claims the calls that ran without a claim and removes expired
 // ones from the ledger.
--- a/agent/call.go
+++ b/agent/call.go
@@ -29,10 +29,14 @@
 	// unchanged.
 	homeStatus func(k ledger.Key) (bool, time.Time)
 
-	mu       sync.Mutex
-	ledger   *ledger.Ledger
-	running  int
-	stopping bool
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	// history is the number of the history of the platform's service that the claims are in;
+	// replacedAt is when it began, zero for the first.
+	history    int
+	replacedAt time.Time
+	running    int
+	stopping   bool
 }
 
 // defaultCallTimeout applies to calls without a deadline.
@@ -279,23 +283,6 @@
 	return c.ledger.Abandon(key, ledger.Attempt{RequestID: req.RequestId, Number: req.Attempt}, time.Now())
 }
 
-// claimUnclaimed claims the calls that ran without a claim because the platform's
-// service was down. It stops at the first failure; the next sweep tries again.
-func (c *callExecutor) claimUnclaimed(ctx context.Context) {
-	c.mu.Lock()
-	keys := c.ledger.Unclaimed()
-	c.mu.Unlock()
-	for _, key := range keys {
-		result, _, _ := c.claims.make(ctx, key, true)
-		if result == claimFailed {
-			return
-		}
-		c.mu.Lock()
-		c.ledger.MarkClaimed(key)
-		c.mu.Unlock()
-	}
-}
-
 func (c *callExecutor) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -82,8 +82,11 @@
 		switch {
 		case err == nil:
 			return claimOwned, own, next
-		case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrNotFound):
+		case errors.Is(err, store.ErrUnavailable):
 			return claimFailed, claim{}, 0
+		case errors.Is(err, store.ErrNotFound):
+			// The lease is gone; nothing was written. The next write takes another.
+			continue
 		}
 		found, foundRevision, err := c.read(ctx, k)
 		switch {
--- a/agent/permit.go
+++ b/agent/permit.go
@@ -31,11 +31,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	if !carriesTime && c.claimsUnsettled(home, since) {
+		holder, r := c.refuseUnsettled(ctx, key)
+		return 0, holder, r
+	}
 	result, holder, revision := c.claims.make(ctx, key, c.wasNotSent(record))
 	c.metrics.claimWrites.WithLabelValues(string(result)).Inc()
+	c.noticeHistory(revision.History(), time.Now())
 	switch {
+	case result == claimOwned && !carriesTime && c.claimsUnsettled(home, since):
+		// The claim has shown that the history was replaced.
+		c.claims.release(ctx, key, revision)
+		return 0, claim{}, claimsLostRefusal()
 	case result == claimOwned:
-		c.setClaimed(record, true)
+		c.setClaimed(record, revision)
 		return revision, claim{}, nil
 	case result == claimHeldElsewhere && holder.Target == c.claims.self.Target:
 		return 0, claim{}, refusal.NewUnknown("this agent had the call before and has lost its answer")
@@ -117,10 +126,13 @@
 	return record.NotSent
 }
 
-func (c *callExecutor) setClaimed(record *ledger.Record, claimed bool) {
+// setClaimed records the position of a call's claim, which another call may meanwhile have found to
+// be of an earlier history; 0 is none.
+func (c *callExecutor) setClaimed(record *ledger.Record, position store.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	record.Claimed = claimed
+	lost := position != 0 && position.History() < c.history
+	record.Claimed, record.ClaimLost = position != 0 && !lost, lost
 }
 
 // outcomeQueryTime is how long after the call's timeout an entry asks for the outcome of a call whose
@@ -139,7 +151,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	c.setClaimed(record, false)
+	c.setClaimed(record, 0)
 	c.claims.release(ctx, key, revision)
 }
 
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
@@ -167,3 +168,76 @@
 		}
 	}
 }
+
+// Guards against keys that stay unusable after the service came back, and against a call sent again
+// at an agent that cannot know whether another one has run it.
+func TestCallsAreTakenOnceClaimsAreSettled(t *testing.T) {
+	for name, test := range map[string]struct {
+		home     bool
+		replaced time.Duration
+		key      string
+		sent     bool
+	}{
+		"claims are put back":                 {true, time.Second, "k", false},
+		"at the home, settled":                {true, putBackTime + time.Second, "k", true},
+		"elsewhere, clients may repeat":       {false, putBackTime + time.Second, "k", false},
+		"elsewhere, settled":                  {false, clientRetryWindow + time.Second, "k", true},
+		"at the home, of a time it can prove": {true, time.Second, uuid.Must(uuid.NewV7()).String(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newCallAgents(t)
+			c := a.start("own", test.home)
+			c.noticeHistory(1, time.Now().Add(-test.replaced))
+			c.claims.store.(*history.Client).AdvanceHistory(1)
+			answer := c.call(t.Context(), onceRequest(test.key))
+			if (a.calls.Load() == 1) != test.sent {
+				t.Errorf("sent %d times, refusal %v", a.calls.Load(), answer.Refusal)
+			}
+			if !test.sent && (answer.Refusal == nil || answer.Refusal.Outcome != string(refusal.Unknown)) {
+				t.Errorf("status %d, refusal %v, want an unknown outcome", answer.Status, answer.Refusal)
+			}
+			again := onceRequest(test.key)
+			again.Attempt, c.replacedAt = 1, time.Now().Add(-time.Hour)
+			if answer := c.call(t.Context(), again); answer.Refusal != nil || a.calls.Load() != 1 {
+				t.Errorf("later: sent %d times, refusal %v", a.calls.Load(), answer.Refusal)
+			}
+		})
+	}
+}
+
+// Guards against a burst of writes to a service that has just come back, and against claims put back
+// in an order in which the calls that are repeated first come last.
+func TestPutBackIsBoundedAndLatestFirst(t *testing.T) {
+	const calls = putBackPerSweep + 10
+	a := newCallAgents(t)
+	saved := a.history.Copy()
+	c := a.start("own", true)
+	for i := range calls {
+		if answer := c.call(t.Context(), onceRequest(fmt.Sprint("k", i))); answer.Refusal != nil {
+			t.Fatal(answer.Refusal)
+		}
+	}
+	a.history.Restore(saved)
+	c.claims.store.(*history.Client).AdvanceHistory(1)
+	c.noticeHistory(1, time.Now())
+	client := a.history.NewClient()
+	put := func() (n int, oldest bool) {
+		listing, err := client.List(t.Context(), claimPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = client.Get(t.Context(), claimKey(ledger.Key{Customer: "c", Service: "s", IdempotencyKey: "k0"}))
+		return len(listing.Entries), err == nil
+	}
+	c.claimUnclaimed(t.Context())
+	if n, oldest := put(); n != putBackPerSweep || oldest {
+		t.Errorf("%d claims in the first sweep, the oldest: %t", n, oldest)
+	}
+	c.claimUnclaimed(t.Context())
+	if n, _ := put(); n != calls {
+		t.Errorf("%d claims of %d", n, calls)
+	}
+	if keys := c.ledger.Unclaimed(); len(keys) != 0 {
+		t.Errorf("still without a claim: %v", keys)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 )
 
@@ -92,6 +93,8 @@
 	// The claim outlives this process and is relied on to prevent a second send
 	// once the record is removed.
 	Claimed bool
+	// ClaimLost is set from LoseClaims until the claim is put back.
+	ClaimLost bool
 	// GeneratedKey is set if the entry generated the key. No caller can repeat
 	// such a call, so its record can be removed like that of a claimed one.
 	GeneratedKey bool
@@ -173,23 +176,43 @@
 	return r.Claimed || r.GeneratedKey || r.State == NotRun || r.State == Unsent
 }
 
-// Unclaimed returns the keys of ended calls that ran without a claim. Their
-// records are kept until MarkClaimed, since without them the calls would be
-// accepted as new and sent again.
+// Unclaimed returns the keys of calls that run or ran without a claim: those that ended before it
+// could be made, and those whose claim was lost. Their records are kept until MarkClaimed, since
+// without them the calls would be accepted as new and sent again. The latest come first: the
+// earlier a call, the less likely its caller repeats it.
 func (l *Ledger) Unclaimed() []Key {
 	var keys []Key
 	for key, r := range l.records {
-		if r.State != Running && !r.evictable() {
+		if r.State == Running && r.ClaimLost || r.State != Running && !r.evictable() {
 			keys = append(keys, key)
 		}
 	}
+	slices.SortFunc(keys, func(a, b Key) int { return l.records[b].lastActive().Compare(l.records[a].lastActive()) })
 	return keys
 }
 
+// lastActive returns when the call ended; the end of a running one is later than any.
+func (r *Record) lastActive() time.Time {
+	if r.State == Running {
+		return time.Unix(1<<40, 0)
+	}
+	return r.endedAt
+}
+
 // MarkClaimed records that the platform's service now holds a claim of the call.
 func (l *Ledger) MarkClaimed(key Key) {
 	if r := l.records[key]; r != nil {
-		r.Claimed = true
+		r.Claimed, r.ClaimLost = true, false
+	}
+}
+
+// LoseClaims records that the platform's service may have lost the claims of all calls, as it has
+// come back from an older copy.
+func (l *Ledger) LoseClaims() {
+	for _, r := range l.records {
+		if r.Claimed {
+			r.Claimed, r.ClaimLost = false, true
+		}
 	}
 }
 
