agent: slots and orders that a restored service has lost are waited out

What callers saw: more runners at once out of service than the rollout allows, or an order to an engine that does not check fencing numbers while one of a former holder was under way. Cause: the slot, or the record of the order, was gone with the older copy from which the service came back, and free to others, while its holder went on. An agent that learns of a later history gives its slot up and waits for a longest order before it takes a slot or sends an order. Evidence: TestSlotsLostWithOlderCopyAreWaitedOut failed in both parts (the second agent took the slot, the first sent an order) before and passes five of five times with -race.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -68,6 +68,10 @@
 	// lastRevision is the revision of that order, or of the agent's own last write.
 	foreignOrderSince time.Time
 	lastRevision      store.Position
+	// history is the number of the history of the platform's service that the slot is in;
+	// replacedAt is when it began, zero for the first.
+	history    int
+	replacedAt time.Time
 	// ownToken is the fencing number of this process's last order.
 	ownToken int64
 }
@@ -86,6 +90,8 @@
 }
 
 func (o *orderController) reconcile(ctx context.Context) {
+	snapshot := o.agent.follower.State().Snapshot
+	o.noticeHistory(store.Position(snapshot.Revision), snapshot.ReplacedAt)
 	desired, rank, maxLoads := o.desired()
 	r := o.agent.runner
 	state, idle := r.engineStateAndIdle()
@@ -138,8 +144,17 @@
 	if !o.trackPlatform(err) {
 		return
 	}
-	taken := map[string]bool{}
+	o.noticeHistory(listing.Revision, time.Now())
+	if !o.ordersSettled() {
+		return
+	}
+	// A slot of this process that is in an older copy of the service is taken again, for a new lease.
+	own, taken := map[string]store.Position{}, map[string]bool{}
 	for _, entry := range listing.Entries {
+		if string(entry.Value) == o.agent.incarnation {
+			own[entry.Key] = entry.Revision
+			continue
+		}
 		taken[entry.Key] = true
 	}
 	lease, err := o.store.Grant(ctx, slotTTL)
@@ -148,14 +163,14 @@
 	}
 	for i := range maxLoads {
 		key := fmt.Sprintf("%s%d", slotPrefix, i)
-		if !taken[key] && o.tryAcquireSlot(ctx, key, lease) {
+		if !taken[key] && o.tryAcquireSlot(ctx, key, own[key], lease) {
 			return
 		}
 	}
 }
 
-func (o *orderController) tryAcquireSlot(ctx context.Context, key string, lease store.LeaseID) bool {
-	_, err := o.store.Put(ctx, key, []byte(o.agent.incarnation), 0, lease)
+func (o *orderController) tryAcquireSlot(ctx context.Context, key string, ifRevision store.Position, lease store.LeaseID) bool {
+	_, err := o.store.Put(ctx, key, []byte(o.agent.incarnation), ifRevision, lease)
 	if err != nil {
 		// If the write took effect but its response was lost, the slot is released with
 		// its lease.
@@ -178,6 +193,28 @@
 	return false
 }
 
+// noticeHistory records the history that a position belongs to and when it began. In a later one
+// the slot is gone with the copy, or its lease is older than this process believes.
+func (o *orderController) noticeHistory(position store.Position, began time.Time) {
+	if position.History() <= o.history {
+		return
+	}
+	if began.IsZero() {
+		began = time.Now()
+	}
+	o.history, o.replacedAt = position.History(), began
+	if o.slot != "" {
+		o.slot = ""
+		o.agent.runner.setDraining(false)
+	}
+}
+
+// ordersSettled reports whether all orders have ended whose slots and records may be gone with the
+// copy from which the service came back.
+func (o *orderController) ordersSettled() bool {
+	return o.replacedAt.IsZero() || time.Since(o.replacedAt) >= order.OrderTimeout
+}
+
 func (o *orderController) releaseSlot(ctx context.Context) {
 	if o.slot == "" {
 		return
@@ -247,7 +284,8 @@
 		return 0, began, false
 	}
 	o.lastRevision, o.ownToken = revision, token
-	return token, began, true
+	o.noticeHistory(revision, time.Now())
+	return token, began, o.ordersSettled()
 }
 
 // mustAwaitForeignOrder reports whether another holder's order may still reach an
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// Guards against more loads at once than there are slots, and against a holder that loads with a slot
+// that it has lost: the slots taken since the copy are free again.
+func TestSlotsLostWithOlderCopyAreWaitedOut(t *testing.T) {
+	s := history.NewService()
+	saved := s.Copy()
+	first, second := newTestOrders(s, "first"), newTestOrders(s, "second")
+	first.acquireSlot(t.Context(), 1)
+	second.acquireSlot(t.Context(), 1)
+	if first.slot == "" || second.slot != "" {
+		t.Fatalf("slots %q and %q", first.slot, second.slot)
+	}
+	s.Restore(saved)
+	second.nextSlotTry = time.Time{}
+	second.acquireSlot(t.Context(), 1)
+	if second.slot != "" {
+		t.Error("the second agent takes the slot in which the first may load")
+	}
+	if _, _, ok := first.writeRecord(t.Context(), "v2"); ok || first.slot != "" {
+		t.Errorf("the first agent sends an order with the slot %q that it has lost", first.slot)
+	}
+}
+
 // Guards against orders that an engine refuses until the agent's clock has passed that of an earlier
 // agent, whose record is gone.
 func TestFencingNumberIsAboveThatOfTheEngine(t *testing.T) {
