configsync: a listing that does not follow is repeated once, then delayed

Cause: the round ended without an error. The resources are now listed again at once as of the next history, and after that with the usual delay. A watch that may not be unbroken, as after a new connection, is followed by a listing: a service that has come back may have passed the revision in force.

--- a/configsync/carry.go
+++ b/configsync/carry.go
@@ -46,22 +46,33 @@
 		f.synced = false
 		return fmt.Errorf("watch resources: %w", err)
 	}
-	if events.Compacted || int64(events.Revision) < f.Revision() || f.isLater(events.Revision) {
+	if events.Compacted || events.Reconnected || int64(events.Revision) < f.Revision() || f.isLater(events.Revision) {
 		f.synced = false
 		return nil
 	}
 	return f.applyEvents(events.Events)
 }
 
+// list lists the resources. If the listing cannot follow the state in force within its history, the
+// client counts a further one and the resources are listed again, as of that one.
 func (f *Follower) list(ctx context.Context) error {
 	known := store.Position(f.Revision())
+	err := f.listOnce(ctx)
+	if !errors.Is(err, ErrOldRevision) || known.History() == store.MaxHistory || !f.advance(known.History()+1) {
+		return err
+	}
+	return f.listOnce(ctx)
+}
+
+func (f *Follower) listOnce(ctx context.Context) error {
+	known := store.Position(f.Revision())
+	f.advance(known.History())
 	listing, err := f.config.Store.List(ctx, resource.KeyPrefix)
 	if err != nil {
 		return fmt.Errorf("list resources: %w", err)
 	}
 	if listing.Revision.History() < known.History() {
-		f.advance(known.History())
-		return fmt.Errorf("%w: %d, in force %d", ErrOldRevision, listing.Revision, known)
+		return fmt.Errorf("list resources: listed in history %d, in force is %d", listing.Revision.History(), known.History())
 	}
 	delta := resource.Delta{Full: true, Revision: int64(listing.Revision)}
 	var bad []error
@@ -74,7 +85,7 @@
 		delta.Changed = append(delta.Changed, r)
 	}
 	if listing.Revision < known || f.State().Snapshot.Contradicts(delta) {
-		return f.beginHistory(known, listing.Revision)
+		return fmt.Errorf("%w: %d, in force %d", ErrOldRevision, listing.Revision, known)
 	}
 	if f.isLater(listing.Revision) {
 		delta.ReplacedAt = time.Now()
@@ -83,15 +94,6 @@
 	return errors.Join(append(bad, f.apply(delta))...)
 }
 
-// beginHistory makes the client count a further history because the listing cannot follow the state
-// in force within the present one. The next round lists again.
-func (f *Follower) beginHistory(known, listed store.Position) error {
-	if known.History() == store.MaxHistory || !f.advance(known.History()+1) {
-		return fmt.Errorf("%w: %d, in force %d", ErrOldRevision, listed, known)
-	}
-	return nil
-}
-
 // isLater reports whether a position belongs to a later history than the state in force.
 func (f *Follower) isLater(p store.Position) bool {
 	return p.History() > store.Position(f.Revision()).History()
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -32,8 +32,8 @@
 	maxStartupNeighbours = 3
 )
 
-// ErrOldRevision is returned for a listing from before the state in force here. The listing is
-// rejected and made again.
+// ErrOldRevision is returned for a listing that cannot follow the state in force here within one
+// history of the platform's service. The listing is rejected.
 var ErrOldRevision = errors.New("the platform's service has listed an older revision than is in force here")
 
 // EventHistoryReplaced is the event of a platform's service that has come back from an older copy
--- a/configsync/restore_test.go
+++ b/configsync/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -227,6 +228,41 @@
 	}
 }
 
+// unnumbered is a client that does not number histories; it counts listings.
+type unnumbered struct {
+	store.Store
+	listings int
+}
+
+func (u *unnumbered) List(ctx context.Context, prefix string) (store.Listing, error) {
+	u.listings++
+	return u.Store.List(ctx, prefix)
+}
+
+func (*unnumbered) AdvanceHistory(int) {}
+
+// Guards against a loop of listings without a pause, at a service that has just come back, where the
+// client goes on counting them as of the earlier history.
+func TestListingThatDoesNotFollowIsDelayed(t *testing.T) {
+	s := history.NewService()
+	operator, client := newTestOperator(s), s.NewClient()
+	client.Blind = true
+	carrier := newTestCarrierWith(client)
+	counted := &unnumbered{Store: client}
+	carrier.config.Store = counted
+	saved := s.Copy()
+	operator.put(t, resource.KindModel, "m", resource.Model{WeightsVersion: "v1"})
+	carrier.sync()
+	s.Restore(saved)
+	carrier.synced, counted.listings = false, 0
+	if err := carrier.syncResources(t.Context()); !errors.Is(err, ErrOldRevision) || counted.listings > 2 {
+		t.Errorf("%d listings, then %v", counted.listings, err)
+	}
+	if _, ok := carrier.State().Snapshot.Models["m"]; !ok {
+		t.Error("the state in force is gone")
+	}
+}
+
 // Guards against any order of changes, copies and restored copies after which a process has an
 // older version of a resource in force than before, or not what was written last.
 func TestStateOverReplacedHistories(t *testing.T) {
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -188,7 +188,8 @@
 	s, replaced := c.begin()
 	defer s.mu.Unlock()
 	out := store.Events{Revision: store.At(c.number, s.content.revision)}
-	if replaced || after.History() != c.number {
+	out.Reconnected = replaced
+	if replaced && !c.Blind || after.History() != c.number {
 		out.Compacted = true
 		return out
 	}
