agent: a claim that is missing shows that the history was replaced

What callers saw: a call that may run only once ran twice, after the service had come back from an older copy and the agents that had claimed calls were killed 3 s later. Cause: an agent that is no carrier asks the service nothing between claims, so that it never learnt that its claims were gone. Every 2 s, while callers may still repeat its latest call, an agent looks for the claim that was its latest one at the look before; if that one is gone without having been released, the history was replaced.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -219,14 +219,15 @@
 // sweepInterval is the interval at which the ledger is swept.
 const sweepInterval = time.Second
 
-// sweepCalls periodically claims the calls that ran without a claim and removes expired
-// ones from the ledger.
+// sweepCalls periodically looks for lost claims, claims the calls that have none and removes
+// expired ones from the ledger.
 func (a *Agent) sweepCalls(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			a.executor.verifyClaims(ctx, time.Now())
 			a.executor.claimUnclaimed(ctx)
 			a.executor.sweep(time.Now())
 		case <-ctx.Done():
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -57,6 +57,21 @@
 	mu        sync.Mutex
 	lease     store.LeaseID
 	grantedAt time.Time
+	// latest are the latest claims made and not released, the last one at the end; madeAt is when it
+	// was made. probe is the one that is looked for next, verifying the one that is being looked for,
+	// and verifiedAt when one was last.
+	latest     []claimedCall
+	madeAt     time.Time
+	probe      claimedCall
+	verifying  claimedCall
+	verifiedAt time.Time
+}
+
+// claimedCall is a claim as it was written.
+type claimedCall struct {
+	key      ledger.Key
+	claim    claim
+	position store.Position
 }
 
 // leasesPerTTL is the number of leases that an agent takes during the lifetime of a
@@ -81,6 +96,7 @@
 		next, err := c.put(ctx, k, own, revision)
 		switch {
 		case err == nil:
+			c.addLatest(claimedCall{key: k, claim: own, position: next})
 			return claimOwned, own, next
 		case errors.Is(err, store.ErrUnavailable):
 			return claimFailed, claim{}, 0
@@ -140,6 +156,7 @@
 // it. If that fails, the claim remains, which is safe: calls with this key are then
 // sent to this agent.
 func (c *claimStore) release(ctx context.Context, k ledger.Key, revision store.Position) {
+	c.forget(k)
 	_, _ = c.store.Delete(ctx, claimKey(k), revision)
 }
 
--- a/agent/lost_claims.go
+++ b/agent/lost_claims.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"acaciakeel/ledger"
@@ -16,8 +18,101 @@
 	// putBackPerSweep is how many claims an agent puts back in each sweep, so that all agents
 	// together do not overload a service that has just come back.
 	putBackPerSweep = 100
+	// verifyInterval is the interval at which an agent looks for its latest claim while callers may
+	// still repeat that call. Not every agent watches the service, which does not always show that
+	// its history was replaced.
+	verifyInterval = 2 * time.Second
 )
 
+// keptLatest is how many of the latest claims are remembered, since some are released.
+const keptLatest = 8
+
+// addLatest records a claim that was made.
+func (c *claimStore) addLatest(made claimedCall) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.latest) == keptLatest {
+		c.latest = slices.Delete(c.latest, 0, 1)
+	}
+	c.latest = append(c.latest, made)
+	c.madeAt = time.Now()
+	if c.probe.position == 0 || c.probe.key == made.key {
+		c.probe = made
+	}
+	if c.verifying.key == made.key {
+		c.verifying = claimedCall{}
+	}
+}
+
+// forget ends the verification of a claim that is about to be released.
+func (c *claimStore) forget(k ledger.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.latest = slices.DeleteFunc(c.latest, func(made claimedCall) bool { return made.key == k })
+	if c.probe.key == k {
+		c.probe = c.last()
+	}
+	if c.verifying.key == k {
+		c.verifying = claimedCall{}
+	}
+}
+
+// last returns the latest claim, if there is one. The caller holds mu.
+func (c *claimStore) last() claimedCall {
+	if len(c.latest) == 0 {
+		return claimedCall{}
+	}
+	return c.latest[len(c.latest)-1]
+}
+
+// dueForVerification returns the claim that is to be looked for now, if there is one. It was made
+// before the last time: a later one may have been made since the history was replaced.
+func (c *claimStore) dueForVerification(now time.Time) (claimedCall, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due := c.probe
+	if due.position == 0 || now.Sub(c.madeAt) > clientRetryWindow || now.Sub(c.verifiedAt) < verifyInterval {
+		return claimedCall{}, false
+	}
+	c.verifiedAt, c.verifying, c.probe = now, due, c.last()
+	return due, true
+}
+
+// isHeld reports whether the claim that is being looked for was neither released nor written again.
+func (c *claimStore) isHeld(made claimedCall) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.verifying == made
+}
+
+// historyAdvancer is implemented by clients that number the histories of the platform's service.
+type historyAdvancer interface {
+	AdvanceHistory(number int)
+}
+
+// verifyClaims looks for the latest claim. Nobody deletes claims that are not released, and they
+// expire after much longer; one that is missing is gone with the copy from which the service came
+// back.
+func (c *callExecutor) verifyClaims(ctx context.Context, now time.Time) {
+	made, due := c.claims.dueForVerification(now)
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	found, position, err := c.claims.read(ctx, made.key)
+	c.noticeHistory(position.History(), now)
+	lost := errors.Is(err, store.ErrNotFound) || err == nil && found != made.claim
+	if !lost || !c.claims.isHeld(made) {
+		return
+	}
+	next := made.position.History() + 1
+	if client, ok := c.claims.store.(historyAdvancer); ok && next <= store.MaxHistory {
+		client.AdvanceHistory(next)
+	}
+	c.noticeHistory(next, now)
+}
+
 // noticeHistory records the number of the history of the platform's service and when it began. In a
 // later one, the claims that were made since the copy are gone.
 func (c *callExecutor) noticeHistory(number int, began time.Time) {
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -191,6 +191,38 @@
 	}
 }
 
+// Guards against lost claims that an agent never puts back because nothing that it asks the service
+// shows the replaced history.
+func TestMissingClaimShowsReplacedHistory(t *testing.T) {
+	for name, releasedLatest := range map[string]bool{"latest held": false, "latest released": true} {
+		t.Run(name, func(t *testing.T) {
+			a := newCallAgents(t)
+			saved := a.history.Copy()
+			c := a.start("own", true)
+			c.claims.store.(*history.Client).Blind = true
+			if answer := c.call(t.Context(), onceRequest("k")); answer.Refusal != nil {
+				t.Fatal(answer.Refusal)
+			}
+			if releasedLatest {
+				c.service = target.NewService("http://127.0.0.1:1")
+				c.call(t.Context(), onceRequest("unsent"))
+			}
+			later := time.Now().Add(verifyInterval)
+			c.verifyClaims(t.Context(), later)
+			if c.history != 0 {
+				t.Fatal("a replaced history is noticed where there is none")
+			}
+			a.history.Restore(saved)
+			c.verifyClaims(t.Context(), later.Add(verifyInterval))
+			c.claimUnclaimed(t.Context())
+			_, err := a.history.NewClient().Get(t.Context(), claimKey(ledger.Key{Customer: "c", Service: "s", IdempotencyKey: "k"}))
+			if err != nil {
+				t.Errorf("the claim: %v", err)
+			}
+		})
+	}
+}
+
 // Guards against keys that stay unusable after the service came back, and against a call sent again
 // at an agent that cannot know whether another one has run it.
 func TestCallsAreTakenOnceClaimsAreSettled(t *testing.T) {
