integration: the platform's service comes back from an older copy

The stand-in of the platform makes and restores a copy over HTTP, and cuts its connections then. Session commands copy and restore; times in keelctl's output are masked.

--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -61,6 +61,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return serveOn(listener, handler)
+}
+
+func serveOn(listener net.Listener, handler http.Handler) error {
 	fmt.Fprintf(os.Stderr, "event=started listen=%s\n", listener.Addr())
 	return http.Serve(listener, handler)
 }
@@ -84,7 +88,11 @@
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			server := kv.NewServer(kv.NewStore(c.Duration("lag")))
-			return serve(c.String("listen"), server.Handler())
+			listener, err := net.Listen("tcp", c.String("listen"))
+			if err != nil {
+				return fmt.Errorf("listen: %w", err)
+			}
+			return serveOn(server.Listen(listener), server.Handler())
 		},
 	}
 }
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -117,7 +117,7 @@
 	if s.History == 0 {
 		return
 	}
-	fmt.Fprintf(w, "the platform's service was restored from an older copy %d times, last noticed at %s\n",
+	fmt.Fprintf(w, "the platform's service was restored from an older copy (history %d), noticed %s\n",
 		s.History, s.ReplacedAt.Format("2006-01-02 15:04:05"))
 	for _, key := range s.Unsaved {
 		fmt.Fprintf(w, "in force, lost by the service: %s; apply it again, or delete it\n", key)
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -119,6 +119,10 @@
 	case "platform":
 		s.fleet.http(http.MethodPost, s.fleet.direct("platform")+"/faults", d.Input)
 		return ""
+	case "copy", "restore":
+		// The platform's service is copied, or comes back from the copy.
+		s.fleet.http(http.MethodPost, s.fleet.direct("platform")+"/admin/"+d.Cmd, "")
+		return ""
 	case "sleep":
 		time.Sleep(time.Duration(a.ms) * time.Millisecond)
 		return ""
@@ -381,12 +385,13 @@
 // Numbers and times that differ from run to run.
 var (
 	numbers = regexp.MustCompile(`(version|revision|at) -?\d+`)
+	times   = regexp.MustCompile(`\d{4}-\d\d-\d\d \d\d:\d\d:\d\d`)
 	columns = regexp.MustCompile(` {2,}\d+ {2,}\d{4}-\d\d-\d\d \d\d:\d\d:\d\d`)
 )
 
 // masked hides them.
 func masked(out string) string {
-	return columns.ReplaceAllString(numbers.ReplaceAllString(out, "$1 N"), "  N  TIME")
+	return times.ReplaceAllString(columns.ReplaceAllString(numbers.ReplaceAllString(out, "$1 N"), "  N  TIME"), "TIME")
 }
 
 func (s *session) keelctl(t *testing.T, d *datadriven.TestData) string {
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -39,6 +39,7 @@
 	store  *Store
 	mu     sync.Mutex
 	faults Faults
+	saved  savedCopy
 	calls  atomic.Int64
 	writes atomic.Int64
 	// SendsEra has each response carry Store-Era, which rises by one with each restore. It is set
@@ -52,7 +53,8 @@
 	return &Server{store: store}
 }
 
-// Handler returns the platform's protocol and, for trials, POST /faults and GET /stats.
+// Handler returns the platform's protocol and, for trials, POST /faults, /admin/copy and /admin/restore
+// and GET /stats.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.counted(s.serveGet))
@@ -65,6 +67,8 @@
 	mux.HandleFunc("GET /v1/vms", s.counted(s.serveVMs))
 	mux.HandleFunc("PUT /admin/vms", s.setVM)
 	mux.HandleFunc("DELETE /admin/vms", s.deleteVM)
+	mux.HandleFunc("POST /admin/copy", s.saveCopy)
+	mux.HandleFunc("POST /admin/restore", s.restoreCopy)
 	mux.HandleFunc("POST /faults", s.setFaults)
 	mux.HandleFunc("GET /stats", s.stats)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
