configsync, resource: further tests of replaced histories

The property test now has a neighbour that fetches, and deletions; the test of a replaced history has services that have passed the revision in force; that of withdrawals, those that were only listed or came in the new history. Parts of TestCarrierFollowsReplacedHistory keep their names.

--- a/configsync/neighbour.go
+++ b/configsync/neighbour.go
@@ -38,6 +38,11 @@
 	if err := json.Unmarshal(answer.Msg.State, &u); err != nil {
 		return fmt.Errorf("decode state of neighbour %s: %w", url, err)
 	}
+	return f.applyUpdate(state, u)
+}
+
+// applyUpdate applies a neighbour's changes since a state of this process.
+func (f *Follower) applyUpdate(state *State, u update) error {
 	if position := store.Position(u.Delta.Revision); f.isLater(position) {
 		f.advance(position.History())
 	}
--- a/configsync/restore_test.go
+++ b/configsync/restore_test.go
@@ -93,30 +93,53 @@
 	}
 }
 
-// Guards against changes that a process never applies because the service came back from an older
-// copy and gave them revisions that the process had passed.
+// Guards against changes that a process, or the neighbour that fetches from it, never applies or loses
+// because the service came back from an older copy and gave their revisions out again.
 func TestCarrierFollowsReplacedHistory(t *testing.T) {
-	for _, blind := range []bool{false, true} {
-		t.Run(fmt.Sprint("blind ", blind), func(t *testing.T) {
+	const lost = 5
+	for name, test := range map[string]struct {
+		// blind clients do not notice by themselves.
+		blind bool
+		// written is how many changes there are before the carrier looks.
+		written int
+	}{
+		"blind false": {false, 1}, "blind true": {true, 1}, "revision passed": {false, lost + 2}, "blind, revision passed": {true, lost + 2},
+	} {
+		t.Run(name, func(t *testing.T) {
 			s := history.NewService()
 			operator, client := newTestOperator(s), s.NewClient()
-			client.Blind = blind
-			carrier := newTestCarrierWith(client)
+			client.Blind = test.blind
+			carrier, neighbour := newTestCarrierWith(client), newTestCarrier(s)
 			saved := s.Copy()
-			for i := range 5 {
+			for i := range lost {
 				operator.put(t, resource.KindModel, fmt.Sprint("lost-", i), resource.Model{WeightsVersion: "v1"})
 			}
 			carrier.sync()
+			neighbour.fetchFrom(t, carrier)
 			s.Restore(saved)
-			operator.put(t, resource.KindModel, "new", resource.Model{WeightsVersion: "v2"})
-			carrier.sync()
-			if _, ok := carrier.State().Snapshot.Models["new"]; !ok {
-				t.Fatalf("at %d: %v", carrier.Revision(), carrier.State().Snapshot.Models)
+			for i := range test.written {
+				operator.put(t, resource.KindModel, fmt.Sprint("new-", i), resource.Model{WeightsVersion: "v2"})
 			}
+			carrier.sync()
+			neighbour.fetchFrom(t, carrier)
 			operator.put(t, resource.KindModel, "newer", resource.Model{WeightsVersion: "v2"})
 			carrier.sync()
-			if _, ok := carrier.State().Snapshot.Models["newer"]; !ok {
-				t.Fatalf("at %d: %v", carrier.Revision(), carrier.State().Snapshot.Models)
+			neighbour.fetchFrom(t, carrier)
+			for who, f := range map[string]*Follower{"carrier": carrier, "neighbour": neighbour} {
+				models := f.State().Snapshot.Models
+				if _, ok := models["newer"]; !ok {
+					t.Errorf("%s at %d: %v", who, f.Revision(), models)
+				}
+				for i := range test.written {
+					if _, ok := models[fmt.Sprint("new-", i)]; !ok {
+						t.Errorf("%s at %d: change %d is missing: %v", who, f.Revision(), i, models)
+					}
+				}
+				for i := range lost {
+					if _, ok := models[fmt.Sprint("lost-", i)]; !ok {
+						t.Errorf("%s at %d: the acknowledged change %d is gone: %v", who, f.Revision(), i, models)
+					}
+				}
 			}
 		})
 	}
@@ -263,53 +286,118 @@
 	}
 }
 
-// Guards against any order of changes, copies and restored copies after which a process has an
-// older version of a resource in force than before, or not what was written last.
+// fetchFrom brings a follower to a neighbour's state, if that is newer, as fetch does.
+func (f *Follower) fetchFrom(t fataler, neighbour *Follower) {
+	state, theirs := f.State(), neighbour.State()
+	if theirs.Snapshot.Revision <= state.Snapshot.Revision {
+		return
+	}
+	data, err := theirs.encodeFor(state.Snapshot.Revision, state.VMsHash)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var u update
+	if err := json.Unmarshal(data, &u); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.applyUpdate(state, u); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// seenVersions checks that no version of a resource at a follower is followed by an older one.
+type seenVersions struct {
+	changed map[string]time.Time
+	deleted map[string]time.Time
+}
+
+func (s *seenVersions) check(t *rapid.T, who string, f *Follower, names []string) {
+	for _, name := range names {
+		r, ok := f.State().Snapshot.Resources[resource.Key(resource.KindModel, name)]
+		if ok && !s.deleted[name].IsZero() && !r.Changed.After(s.deleted[name]) {
+			t.Fatalf("%s: %s of %v, deleted", who, name, r.Changed)
+		}
+		if seen, known := s.changed[name]; known && (!ok || r.Changed.Before(seen)) {
+			t.Fatalf("%s: %s of %v after %v", who, name, r.Changed, seen)
+		}
+		if ok {
+			s.changed[name] = r.Changed
+		}
+	}
+}
+
+// delete notes that a follower knows of a deletion.
+func (s *seenVersions) delete(name string) {
+	if changed, known := s.changed[name]; known {
+		s.deleted[name] = changed
+		delete(s.changed, name)
+	}
+}
+
+func newSeenVersions() *seenVersions {
+	return &seenVersions{changed: map[string]time.Time{}, deleted: map[string]time.Time{}}
+}
+
+// Guards against any order of changes, copies, restored copies and fetches after which a process has an
+// older version of a resource in force than before, a deleted one again, or not what was written last.
 func TestStateOverReplacedHistories(t *testing.T) {
+	names := []string{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
 		s := history.NewService()
 		operator, client := newTestOperator(s), s.NewClient()
+		// Where nothing shows that the history was replaced, what it lacks counts as deleted.
 		client.Blind = rapid.Bool().Draw(t, "blind")
-		carrier := newTestCarrierWith(client)
+		carrier, neighbour := newTestCarrierWith(client), newTestCarrier(s)
+		atCarrier, atNeighbour := newSeenVersions(), newSeenVersions()
 		saved := s.Copy()
-		names := []string{"a", "b", "c"}
-		seen := map[string]time.Time{}
-		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "name")
-			switch rapid.IntRange(0, 6).Draw(t, "op") {
+			switch rapid.IntRange(0, 7).Draw(t, "op") {
 			case 0, 1:
 				operator.put(t, resource.KindModel, name, resource.Model{WeightsVersion: fmt.Sprint(step)})
 			case 2:
-				// A deletion is known only where it is seen before the next restored copy.
+				// Both know of the deletion before the next restored copy.
+				carrier.sync()
+				neighbour.fetchFrom(t, carrier)
+				if !client.Blind {
+					atCarrier.check(t, "carrier", carrier, names)
+					atNeighbour.check(t, "neighbour", neighbour, names)
+				}
 				operator.delete(t, resource.KindModel, name)
 				carrier.sync()
-				delete(seen, name)
+				neighbour.fetchFrom(t, carrier)
+				if _, err := operator.client.Get(context.Background(), resource.Key(resource.KindModel, name)); err == nil {
+					t.Fatal("not deleted")
+				}
+				if _, kept := carrier.State().Snapshot.Resources[resource.Key(resource.KindModel, name)]; !kept {
+					atCarrier.delete(name)
+					atNeighbour.delete(name)
+				}
 			case 3:
 				saved = s.Copy()
 			case 4:
 				s.Restore(saved)
 				carrier.sync()
+			case 5:
+				neighbour.fetchFrom(t, carrier)
 			default:
 				carrier.sync()
 			}
-			for _, name := range names {
-				r, ok := carrier.State().Snapshot.Resources[resource.Key(resource.KindModel, name)]
-				// Where nothing shows that the history was replaced, what it lacks counts as deleted.
-				if !client.Blind && (!ok && !seen[name].IsZero() || r.Changed.Before(seen[name])) {
-					t.Fatalf("%s of %v after %v", name, r.Changed, seen[name])
-				}
-				if ok {
-					seen[name] = r.Changed
-				}
+			if !client.Blind {
+				atCarrier.check(t, "carrier", carrier, names)
+				atNeighbour.check(t, "neighbour", neighbour, names)
 			}
 		}
 		for _, name := range names {
 			operator.put(t, resource.KindModel, name, resource.Model{WeightsVersion: "last"})
 		}
 		carrier.sync()
-		for _, name := range names {
-			if got := carrier.State().Snapshot.Models[name].WeightsVersion; got != "last" {
-				t.Fatalf("%s has %q at %d", name, got, carrier.Revision())
+		neighbour.fetchFrom(t, carrier)
+		for who, f := range map[string]*Follower{"carrier": carrier, "neighbour": neighbour} {
+			for _, name := range names {
+				if got := f.State().Snapshot.Models[name].WeightsVersion; got != "last" {
+					t.Fatalf("%s: %s has %q at %d", who, name, got, f.Revision())
+				}
 			}
 		}
 	})
--- a/resource/restore_test.go
+++ b/resource/restore_test.go
@@ -43,12 +43,27 @@
 // Guards against a withdrawn resource that is in force again at a process that keeps it, because it
 // did not see the withdrawal, although its neighbour did.
 func TestWithdrawalIsLearntFromNeighbour(t *testing.T) {
+	key := Key(KindModel, "withdrawn")
+	copied := Delta{Full: true, Revision: int64(store.At(1, 4)), Changed: []Resource{changed("withdrawn", store.At(1, 3), 1)}}
 	behind, _ := Build(5, []Resource{changed("withdrawn", 3, 1)})
-	ahead, _ := behind.With(Delta{Base: 5, Revision: 6, Deleted: []Deletion{{Key: Key(KindModel, "withdrawn"), Revision: 6}}})
-	ahead, _ = ahead.With(Delta{Full: true, Revision: int64(store.At(1, 4)), Changed: []Resource{changed("withdrawn", store.At(1, 3), 1)}})
-	behind, _ = behind.With(ahead.Since(behind.Revision))
-	if _, ok := behind.Models["withdrawn"]; ok {
-		t.Error("in force")
+	for name, deltas := range map[string][]Delta{
+		"before, seen":         {{Base: 5, Revision: 6, Deleted: []Deletion{{Key: key, Revision: 6}}}, copied},
+		"before, not listed":   {{Full: true, Revision: 6}, copied},
+		"in the new history":   {copied, {Base: copied.Revision, Revision: copied.Revision + 1, Deleted: []Deletion{{Key: key, Revision: copied.Revision + 1}}}},
+		"in the new, unlisted": {copied, {Full: true, Revision: copied.Revision + 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ahead := behind
+			for _, d := range deltas {
+				ahead, _ = ahead.With(d)
+			}
+			next, _ := behind.With(ahead.Since(behind.Revision))
+			for who, s := range map[string]*Snapshot{"ahead": ahead, "behind": next} {
+				if _, ok := s.Models["withdrawn"]; ok {
+					t.Errorf("in force at the one %s", who)
+				}
+			}
+		})
 	}
 }
 
