keelctl: wait for a revision from before a restore fails

It now fails and says why. Tests of ctl against a scripted entry, also of what status and apply do after a restore. Evidence: TestWaitTellsThatTheRevisionMayBeLost failed ('in force at 1 processes') and passes.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -14,6 +14,7 @@
 	"acaciakeel/entry"
 	"acaciakeel/operator"
 	"acaciakeel/resource"
+	"acaciakeel/store"
 )
 
 // Exit codes of keelctl.
@@ -290,6 +291,9 @@
 				if err != nil {
 					return err
 				}
+				if awaited := store.Position(c.Int64("revision")); awaited != 0 && awaited.History() < s.History {
+					return fmt.Errorf("the platform's service was restored from an older copy since revision %d, which it may have lost; see keelctl status", awaited)
+				}
 				behind := behind(s, max(s.Revision, c.Int64("revision")))
 				if len(behind) == 0 && len(s.InForce) >= c.Int("processes") {
 					fmt.Fprintf(a.out, "revision %d is in force at %d processes\n", s.Revision, len(s.InForce))
