--- a/agent/agent.go
+++ b/agent/agent.go
@@ -110,11 +110,13 @@
 	return placement.RankTargets(a.homeTargets, k.IdempotencyKey)[0] == a.settings.Target.Name, a.homeSince
 }
 
-// watchServiceTargets updates homeTargets whenever the configuration changes.
+// watchServiceTargets updates homeTargets, and the history that claims are in, whenever the
+// configuration changes.
 func (a *Agent) watchServiceTargets(ctx context.Context) {
 	for {
 		changed := a.follower.Changed()
 		snapshot := a.follower.State().Snapshot
+		a.executor.noticeHistory(store.Position(snapshot.Revision).History(), snapshot.ReplacedAt)
 		a.setHomeTargets(snapshot.TargetsOfService(snapshot.Targets[a.settings.Target.Name].Service))
 		select {
 		case <-changed:
@@ -136,12 +138,20 @@
 
 func (a *Agent) recordConfigEvent(event string, err error) {
 	a.metrics.configEvents.WithLabelValues(event).Inc()
-	a.log.WithError(err).WithField("event", event).Debug("failed to update the configuration")
+	log := a.log.WithError(err).WithField("event", event)
+	if event == configsync.EventHistoryReplaced {
+		log.Warn("the platform's service was restored from an older copy")
+		return
+	}
+	log.Debug("failed to update the configuration")
 }
 
 func (a *Agent) registerGauges() {
 	telemetry.NewGaugeFunc(a.registry, "keel_agent_config_revision", "Revision of the configuration in force.", func() float64 {
-		return float64(a.follower.Revision())
+		return float64(store.Position(a.follower.Revision()).Revision())
+	})
+	telemetry.NewGaugeFunc(a.registry, "keel_agent_config_history", "Number of the history that the revision belongs to: how often the platform's service was restored from an older copy.", func() float64 {
+		return float64(store.Position(a.follower.Revision()).History())
 	})
 	telemetry.NewGaugeFunc(a.registry, "keel_agent_active", "Requests that wait, run or are being read.", func() float64 {
 		return float64(a.active())
@@ -207,16 +217,17 @@
 }
 
 // sweepInterval is the interval at which the ledger is swept.
-const sweepInterval = 5 * time.Second
+const sweepInterval = time.Second
 
-// sweepCalls periodically claims the calls that ran without a claim and removes expired
-// ones from the ledger.
+// sweepCalls periodically looks for lost claims, claims the calls that have none and removes
+// expired ones from the ledger.
 func (a *Agent) sweepCalls(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			a.executor.verifyClaims(ctx, time.Now())
 			a.executor.claimUnclaimed(ctx)
 			a.executor.sweep(time.Now())
 		case <-ctx.Done():
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -31,12 +31,28 @@
 	maxRecordAge = 2 * time.Second
 )
 
-// orderRecord is the stored record of the order to one engine. Its revision is the
-// fencing number.
+// orderRecord is the stored record of the order to one engine.
 type orderRecord struct {
 	Incarnation    string `json:"incarnation"`
 	WeightsVersion string `json:"weights_version"`
 	Done           bool   `json:"done"`
+	// Token is the order's fencing number; 0 in records of earlier versions, whose revision was.
+	Token int64 `json:"token,omitempty"`
+}
+
+// recordedToken returns the fencing number of a stored record, or 0 for none.
+func recordedToken(entry store.Entry) int64 {
+	var stored orderRecord
+	if entry.Revision == 0 || json.Unmarshal(entry.Value, &stored) != nil {
+		return 0
+	}
+	if stored.Token == 0 {
+		return entry.Revision.Revision()
+	}
+	if !order.ValidToken(stored.Token) {
+		return 0
+	}
+	return stored.Token
 }
 
 // orderController makes one engine load the weights that its model should have. It is
@@ -52,6 +68,12 @@
 	// lastRevision is the revision of that order, or of the agent's own last write.
 	foreignOrderSince time.Time
 	lastRevision      store.Position
+	// history is the number of the history of the platform's service that the slot is in;
+	// replacedAt is when it began, zero for the first.
+	history    int
+	replacedAt time.Time
+	// ownToken is the fencing number of this process's last order.
+	ownToken int64
 }
 
 func (o *orderController) run(ctx context.Context) {
@@ -68,6 +90,8 @@
 }
 
 func (o *orderController) reconcile(ctx context.Context) {
+	snapshot := o.agent.follower.State().Snapshot
+	o.noticeHistory(store.Position(snapshot.Revision), snapshot.ReplacedAt)
 	desired, rank, maxLoads := o.desired()
 	r := o.agent.runner
 	state, idle := r.engineStateAndIdle()
@@ -120,8 +144,17 @@
 	if !o.trackPlatform(err) {
 		return
 	}
-	taken := map[string]bool{}
+	o.noticeHistory(listing.Revision, time.Now())
+	if !o.ordersSettled() {
+		return
+	}
+	// A slot of this process that is in an older copy of the service is taken again, for a new lease.
+	own, taken := map[string]store.Position{}, map[string]bool{}
 	for _, entry := range listing.Entries {
+		if string(entry.Value) == o.agent.incarnation {
+			own[entry.Key] = entry.Revision
+			continue
+		}
 		taken[entry.Key] = true
 	}
 	lease, err := o.store.Grant(ctx, slotTTL)
@@ -130,14 +163,14 @@
 	}
 	for i := range maxLoads {
 		key := fmt.Sprintf("%s%d", slotPrefix, i)
-		if !taken[key] && o.tryAcquireSlot(ctx, key, lease) {
+		if !taken[key] && o.tryAcquireSlot(ctx, key, own[key], lease) {
 			return
 		}
 	}
 }
 
-func (o *orderController) tryAcquireSlot(ctx context.Context, key string, lease store.LeaseID) bool {
-	_, err := o.store.Put(ctx, key, []byte(o.agent.incarnation), 0, lease)
+func (o *orderController) tryAcquireSlot(ctx context.Context, key string, ifRevision store.Position, lease store.LeaseID) bool {
+	_, err := o.store.Put(ctx, key, []byte(o.agent.incarnation), ifRevision, lease)
 	if err != nil {
 		// If the write took effect but its response was lost, the slot is released with
 		// its lease.
@@ -160,6 +193,28 @@
 	return false
 }
 
+// noticeHistory records the history that a position belongs to and when it began. In a later one
+// the slot is gone with the copy, or its lease is older than this process believes.
+func (o *orderController) noticeHistory(position store.Position, began time.Time) {
+	if position.History() <= o.history {
+		return
+	}
+	if began.IsZero() {
+		began = time.Now()
+	}
+	o.history, o.replacedAt = position.History(), began
+	if o.slot != "" {
+		o.slot = ""
+		o.agent.runner.setDraining(false)
+	}
+}
+
+// ordersSettled reports whether all orders have ended whose slots and records may be gone with the
+// copy from which the service came back.
+func (o *orderController) ordersSettled() bool {
+	return o.replacedAt.IsZero() || time.Since(o.replacedAt) >= order.OrderTimeout
+}
+
 func (o *orderController) releaseSlot(ctx context.Context) {
 	if o.slot == "" {
 		return
@@ -172,7 +227,7 @@
 }
 
 // load records the order and sends it to the engine. If the engine checks the fencing
-// number, the record's revision fences off older holders. Otherwise the agent waits
+// number, the record's one fences off older holders. Otherwise the agent waits
 // until another holder's unfinished order has timed out, and sends its own order only
 // while its record is fresh.
 func (o *orderController) load(ctx context.Context, desired string) {
@@ -199,8 +254,9 @@
 	}
 }
 
-// writeRecord writes the record of this order and returns its revision and the time, by
-// the local monotonic clock, at which the write began.
+// writeRecord writes the record of this order and returns its fencing number and the time, by
+// the local monotonic clock, at which the write began. The number is not the record's revision: a
+// service that comes back from an older copy gives revisions out again.
 func (o *orderController) writeRecord(ctx context.Context, desired string) (fence int64, began time.Time, ok bool) {
 	key := orderPrefix + o.agent.settings.Target.Name
 	entry, err := o.store.Get(ctx, key)
@@ -209,21 +265,27 @@
 	}
 	if err != nil {
 		o.trackPlatform(err)
-		// While the service is down, the last known revision is used: an engine that
-		// checks fencing numbers refuses it if another agent has sent an order since.
-		return int64(o.lastRevision), time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
+		// While the service is down, the number of the last order is used: an engine
+		// that checks fencing numbers refuses it if another agent has sent an order since.
+		return o.ownToken, time.Now(), !o.platformDownSince.IsZero() && time.Since(o.platformDownSince) > order.PlatformGracePeriod
 	}
 	if o.mustAwaitForeignOrder(entry) {
 		return 0, time.Time{}, false
 	}
 	began = time.Now()
-	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired})
+	state, _ := o.agent.runner.engineStateAndIdle()
+	token := order.NextToken(began, o.agent.incarnation, max(o.ownToken, recordedToken(entry), state.fence))
+	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Token: token})
+	if err != nil {
+		return 0, began, false
+	}
+	revision, err := o.store.Put(ctx, key, value, entry.Revision, "")
 	if err != nil {
 		return 0, began, false
 	}
-	o.lastRevision, err = o.store.Put(ctx, key, value, entry.Revision, "")
-	fence = int64(o.lastRevision)
-	return fence, began, err == nil
+	o.lastRevision, o.ownToken = revision, token
+	o.noticeHistory(revision, time.Now())
+	return token, began, o.ordersSettled()
 }
 
 // mustAwaitForeignOrder reports whether another holder's order may still reach an
@@ -246,9 +308,9 @@
 // markDone marks the order as done, so that other agents need not wait for it to time
 // out.
 func (o *orderController) markDone(ctx context.Context, fence int64, desired string) {
-	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Done: true})
+	value, err := json.Marshal(orderRecord{Incarnation: o.agent.incarnation, WeightsVersion: desired, Done: true, Token: fence})
 	if err != nil {
 		return
 	}
-	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, store.Position(fence), "")
+	_, _ = o.store.Put(ctx, orderPrefix+o.agent.settings.Target.Name, value, o.lastRevision, "")
 }
