node: tests of early answers whose connection is reset, which fail

Callers got a part of an answer as the whole one: a target answers a long upload at once, without a length, sends part of the body and resets the connection while the upload is still being written.

So a socket tells its reset once, to the call that comes first; the reader sees an orderly end where that is the write, and may see it before the write has returned. And an orderly end may precede the reset.

--- /dev/null
+++ b/node/early_reset_test.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// earlyEnd is how a target ends a connection on which it answers before it has read the request.
+type earlyEnd string
+
+const (
+	// endsByReset resets the connection, endsUnread closes it with unread bytes, which makes the
+	// kernel reset it, and endsHalf closes its sending side in order and resets later.
+	endsByReset earlyEnd = "reset"
+	endsUnread  earlyEnd = "unread"
+	endsHalf    earlyEnd = "half-close and reset"
+	// endsLingering closes the sending side in order and reads on to the end of the request.
+	endsLingering earlyEnd = "half-close and read on"
+	// keeps leaves the connection open and reads on.
+	keeps earlyEnd = "keep"
+)
+
+// earlyAnswer is the answer of a target that does not wait for the request's body.
+type earlyAnswer struct {
+	name string
+	// text has {id} for the request's ID.
+	text string
+	end  earlyEnd
+	// after is how much of the body is read before the answer, pause the time between the answer and
+	// the end.
+	after int64
+	pause time.Duration
+}
+
+// earlyTarget answers each request whose path ends in /early before it has read the body. All others
+// reach the target behind it.
+type earlyTarget struct {
+	behind *rawTarget
+	answer atomic.Pointer[earlyAnswer]
+	mu     sync.Mutex
+	runs   map[string]int
+}
+
+func (e *earlyTarget) serve(c *net.TCPConn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if strings.HasSuffix(req.URL.Path, "/early") {
+			if !e.respond(c, req) {
+				return
+			}
+			continue
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if req.Header.Get("Request-Id") == "" {
+			e.behind.call(c, req)
+			continue
+		}
+		_, _ = io.WriteString(c, e.behind.expand("{run}", req))
+	}
+}
+
+// respond answers a request early and reports whether the connection stays.
+func (e *earlyTarget) respond(c *net.TCPConn, req *http.Request) bool {
+	id, answer := req.Header.Get("Request-Id"), e.answer.Load()
+	e.mu.Lock()
+	e.runs[id]++
+	e.mu.Unlock()
+	_, _ = io.CopyN(io.Discard, req.Body, answer.after)
+	_, _ = io.WriteString(c, strings.ReplaceAll(answer.text, "{id}", id))
+	time.Sleep(answer.pause)
+	switch answer.end {
+	case endsByReset:
+		_ = c.SetLinger(0)
+	case endsHalf:
+		_ = c.CloseWrite()
+		time.Sleep(answer.pause)
+		_ = c.SetLinger(0)
+	case endsLingering:
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, req.Body)
+	case keeps:
+		_, err := io.Copy(io.Discard, req.Body)
+		return err == nil
+	}
+	return false
+}
+
+// earlyEnv is an environment whose targets answer before they have read the body.
+type earlyEnv struct {
+	*testEnv
+	targets []*earlyTarget
+}
+
+func newEarlyEnv(t *testing.T) *earlyEnv {
+	t.Helper()
+	out := &earlyEnv{testEnv: newEnvWith(t, newFailureLog(t), func(w *testEnv) { w.maxBodyBytes = 16 << 20 })}
+	addresses := map[string]bool{}
+	for _, calls := range append(out.runners, out.plainTargets...) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		target := &earlyTarget{behind: &rawTarget{calls: calls}, runs: map[string]int{}}
+		out.targets = append(out.targets, target)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go target.serve(c.(*net.TCPConn))
+			}
+		}()
+		entry := calls.EntryAt("ready", l.Addr().String())
+		addresses[l.Addr().String()] = true
+		out.store.Set(entry.Key, entry.Value)
+	}
+	out.until("the node knows the addresses", func() bool {
+		known := 0
+		for _, service := range []string{"desk", "lm"} {
+			for _, target := range out.node.view.fleet.Targets(service) {
+				if addresses[target.Address] {
+					known++
+				}
+			}
+		}
+		return known == len(addresses)
+	})
+	return out
+}
+
+// runsOf returns how often the targets have begun a request.
+func (e *earlyEnv) runsOf(id string) int {
+	n := 0
+	for _, target := range e.targets {
+		target.mu.Lock()
+		n += target.runs[id]
+		target.mu.Unlock()
+	}
+	return n
+}
+
+// sendEarly sends a request whose targets give the answer. Its body has a length, or comes in chunks.
+func (e *earlyEnv) sendEarly(answer earlyAnswer, path, id string, size int, chunks bool, headers map[string]string) response {
+	e.t.Helper()
+	for _, target := range e.targets {
+		target.answer.Store(&answer)
+	}
+	var body io.Reader = strings.NewReader(strings.Repeat("x", size))
+	if chunks {
+		body = io.MultiReader(body)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.node.FrontAddress()+path+"early", body)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Key", goodKey)
+	req.Header.Set("Deadline-Ms", "5000")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// earlyRoutes are the kinds of routes, and what their targets send of a body.
+var earlyRoutes = []struct {
+	path       string
+	headers    map[string]string
+	stream     bool
+	repeatable bool
+}{
+	{"/hold/", nil, false, false},
+	{"/stock/", nil, false, true},
+	{"/match/", promptHeaders(), true, false},
+	{"/draft/", promptHeaders(), true, true},
+}
+
+// earlyBody returns what a target sends ahead of the body, and of the body, of an answer that is cut.
+func earlyBody(stream bool) (header, part string) {
+	if stream {
+		return "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n", "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	}
+	return "Content-Type: text/plain\r\n", "a part of the answer"
+}
+
+// cutAnswers returns answers of which a part of the body is sent.
+func cutAnswers(stream bool) []earlyAnswer {
+	header, part := earlyBody(stream)
+	var out []earlyAnswer
+	for _, status := range []string{"200 OK", "500 Internal Server Error"} {
+		for _, framing := range []struct{ name, version, line, body string }{
+			{"until close", "1.1", "", part},
+			{"until close, stated", "1.1", "Connection: close\r\n", part},
+			{"HTTP 1.0", "1.0", "", part},
+			{"chunks", "1.1", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(part), part)},
+			{"length", "1.1", fmt.Sprintf("Content-Length: %d\r\n", len(part)+10), part},
+			{"until close, no body", "1.1", "", ""},
+		} {
+			for _, end := range []earlyEnd{endsByReset, endsUnread, endsHalf} {
+				out = append(out, earlyAnswer{
+					name: fmt.Sprintf("%s, %s, %s", status[:3], framing.name, end),
+					text: fmt.Sprintf("HTTP/%s %s\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n%s%s\r\n%s", framing.version, status, header, framing.line, framing.body),
+					end:  end,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// Guards against a part of a target's answer that counts as whole because the connection is reset
+// while the request is still being written.
+func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
+	for _, route := range earlyRoutes {
+		t.Run(strings.Trim(route.path, "/"), func(t *testing.T) {
+			e := newEarlyEnv(t)
+			sent, wrong := 0, 0
+			for _, answer := range cutAnswers(route.stream) {
+				for i, upload := range []struct {
+					size   int
+					chunks bool
+				}{{12 << 20, false}, {12 << 20, true}, {1 << 20, false}, {1 << 20, true}} {
+					answer.after, answer.pause = int64(i%2*100_000), time.Duration(1+i)*time.Millisecond
+					sent++
+					id := fmt.Sprintf("early-%s-%d", strings.Trim(route.path, "/"), sent)
+					got := e.sendEarly(answer, route.path, id, upload.size, upload.chunks, route.headers)
+					if got.err == nil && got.status != http.StatusBadGateway {
+						wrong++
+						t.Errorf("%s, upload %+v: answered %d %q, want 502 or a response that breaks off", answer.name, upload, got.status, got.body)
+					}
+					if n := e.runsOf(id); n != 1 && !route.repeatable {
+						t.Errorf("%s: %d runs, want 1", answer.name, n)
+					}
+					if got := e.sendEarly(earlyAnswer{}, route.path+"sound/not-", "sound-"+id, 10, false, route.headers); got.err != nil {
+						t.Errorf("%s: a request after it failed: %v", answer.name, got.err)
+					}
+				}
+			}
+			t.Logf("%d of %d answers counted as whole", wrong, sent)
+		})
+	}
+}
+
+// Guards against whole answers that are refused because they come before the request has been read.
+func TestWholeEarlyAnswerIsServed(t *testing.T) {
+	for _, route := range earlyRoutes {
+		t.Run(strings.Trim(route.path, "/"), func(t *testing.T) {
+			e := newEarlyEnv(t)
+			header, body := earlyBody(route.stream)
+			for _, answer := range []earlyAnswer{
+				{name: "length", text: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), end: keeps},
+				{name: "chunks", text: fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body), end: keeps},
+				{name: "until close", text: "\r\n" + body, end: endsLingering},
+			} {
+				answer.text = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n" + header + answer.text
+				for _, size := range []int{10, 1 << 20, 12 << 20} {
+					id := fmt.Sprintf("whole-%s-%s-%d", strings.Trim(route.path, "/"), answer.name, size)
+					got := e.sendEarly(answer, route.path, id, size, false, route.headers)
+					if got.err != nil || got.status != http.StatusOK || got.body != body {
+						t.Errorf("%s, %d bytes sent: answered %d %q (%v)", answer.name, size, got.status, got.body, got.err)
+					}
+					if n := e.runsOf(id); n != 1 {
+						t.Errorf("%s: %d runs, want 1", answer.name, n)
+					}
+				}
+			}
+		})
+	}
+}
