target: the other door's calls end with their connection only in order

Callers got a part of a service's answer as the result of a call that runs once, and a cut refusal of an engine sent a request elsewhere that may have run: the same early reset as at the platform's door.

The calls of engines and services use the connections of connend, too.

Load reports write and read in turn on one goroutine, so that no other call can take the reset; connections between entries and agents are HTTP/2, whose streams have an end of their own. Both stay as they are.

--- a/target/cache.go
+++ b/target/cache.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"acaciakeel/cache"
+	"acaciakeel/connend"
 )
 
 type cacheDump struct {
@@ -46,7 +47,7 @@
 	if err != nil {
 		return fmt.Errorf("build event stream: %w", err)
 	}
-	resp, err := e.http.Do(req)
+	resp, err := e.http.Do(connend.Track(req))
 	if err != nil {
 		return sendError(err)
 	}
--- a/target/engine.go
+++ b/target/engine.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciakeel/connend"
 	"acaciakeel/httpbody"
 )
 
@@ -126,7 +127,7 @@
 func newHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            connend.Dial(dialer.DialContext),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -171,7 +172,7 @@
 }
 
 func (e *Engine) openStream(req *http.Request) (*Stream, error) {
-	resp, err := e.http.Do(req)
+	resp, err := e.http.Do(connend.Track(req))
 	if err != nil {
 		return nil, sendError(err)
 	}
@@ -312,7 +313,7 @@
 	if err != nil {
 		return fmt.Errorf("build call: %w", err)
 	}
-	resp, err := e.http.Do(req)
+	resp, err := e.http.Do(connend.Track(req))
 	if err != nil {
 		return sendError(err)
 	}
--- a/target/service.go
+++ b/target/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 
+	"acaciakeel/connend"
 	"acaciakeel/httpbody"
 )
 
@@ -58,7 +59,7 @@
 	if c.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", c.IdempotencyKey)
 	}
-	resp, err := s.http.Do(req)
+	resp, err := s.http.Do(connend.Track(req))
 	if err != nil {
 		return Answer{}, sendError(err)
 	}
