soak: targets answer large requests early and break the answer off

No stand-in answered a request before it had read the body, and the soak's requests were too small to be under way when an answer came, so that no test met a reset beside an upload.

The stand-in of a target can answer the next large request at once, without a length, with a part of its answer, and end the connection by a reset, a close with unread bytes, or an orderly end of its side with a reset later. TestSoakTruncation plays these as faults, with clients that send bodies of 512 KB on all four kinds of routes.

--- a/integration/soak/deadly_test.go
+++ b/integration/soak/deadly_test.go
@@ -30,6 +30,9 @@
 	if content, ok := contentOf(id); ok {
 		return deadlyID + " " + content
 	}
+	if strings.HasPrefix(id, largeID) {
+		return strings.Repeat("large ", runner.EarlyBody/len("large ")+1) + id
+	}
 	return "body of " + id
 }
 
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -162,6 +162,9 @@
 	if r.badPart {
 		c.sendBadPart(r.seed)
 	}
+	if r.framings {
+		c.sendLarge(r.seed)
+	}
 	if r.scarce {
 		c.readSlowly(r.seed)
 	}
@@ -206,6 +209,9 @@
 		s.await("the entries' own keys stand in the store", s.ownEntriesStand)
 	}
 	c.judge()
+	if r.framings {
+		t.Logf("%d requests were answered early", s.answeredEarly())
+	}
 	if r.versionMS != 0 {
 		c.judgeWeights(time.Duration(r.versionMS) * time.Millisecond)
 	}
--- a/integration/soak/truncation_test.go
+++ b/integration/soak/truncation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -61,5 +62,48 @@
 			chosen = append(chosen, truncated(runner.Truncation{At: at, By: runner.ByReset}), truncated(runner.Truncation{At: at, By: runner.ByCrash}))
 		}
 	}
+	for _, end := range []runner.EarlyEnd{runner.EarlyReset, runner.EarlyUnread, runner.EarlyHalfClose} {
+		chosen = append(chosen, answeredEarly(end), answeredEarly(end))
+	}
 	return chosen
 }
+
+// answeredEarly has a target answer the next request with a large body before it has read that, and
+// break the answer off.
+func answeredEarly(end runner.EarlyEnd) fault {
+	return fault{fmt.Sprintf("response early and cut by %s", end), func(b *breaker) (time.Duration, func()) {
+		runner.AnswerEarlyNext([]*runner.Runner{b.target().Runner}, end)
+		return 0, nil
+	}}
+}
+
+const (
+	// largeID begins the IDs of requests with a body that takes time to send.
+	largeID = "large-"
+	// largeEvery is the longest time between two of them.
+	largeEvery = 150 * time.Millisecond
+)
+
+// sendLarge sends requests with large bodies, at random entries.
+func (c *callers) sendLarge(seed uint64) {
+	c.done.Add(1)
+	go c.keepSending(c.stop, rand.New(rand.NewPCG(seed, 1<<35)), func(random *rand.Rand) {
+		time.Sleep(time.Duration(random.Int64N(int64(largeEvery))))
+		e := c.site.anyEntry(random)
+		routes := []string{"hold", "stock", "match", "draft"}
+		c.sendAs(e, routes[random.IntN(len(routes))], c.newID(largeID, e), random.IntN(12))
+	})
+}
+
+// answeredEarly returns how many requests were answered before their body was read.
+func (s *site) answeredEarly() int {
+	n := 0
+	for _, tg := range s.targets() {
+		for _, seen := range tg.Seen() {
+			if seen.Unread {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/standin/runner/truncation.go
+++ b/internal/standin/runner/truncation.go
@@ -117,6 +117,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+func (r *Runner) answerPlain(w http.ResponseWriter, req *http.Request) {
+	r.workPlain(req)
+	body := "answer to " + req.Header.Get("Request-Id")
+	r.setFraming(w.Header(), len(body))
+	if cut := r.takeTruncation(); cut != nil {
+		sent := body[:len(body)/2]
+		if cut.At == BeforeBody {
+			sent = ""
+		}
+		r.truncate(w, sent, cut.By)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
 // reset resets the connection of a request.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
