node, platform, follow: nodes whose peers watch for them notice a restored store by their leases

A node was missing among the members for over two seconds after a restore (1 of 2 plays of TestMembersAreBackAfterRestore/away_beyond with the race detector). Its lease's number had been given out again, to another node, so that its renewals succeeded, and the node that watched for it no longer sent to it, as the restored listing had no entry of it.

A renewal over a connection that was opened after the one before leads to a listing, unless one has begun since. Members that an older copy lacks stay members for two seconds, in which they write their entries again: without them a node would also take each limit for its own.

--- a/follow/dispute_test.go
+++ b/follow/dispute_test.go
@@ -12,7 +12,7 @@
 func newFollowerWith(t *testing.T, value string) *Follower {
 	t.Helper()
 	_, _, f := newListedFollower(t, time.Hour)
-	f.reset(store.Listing{Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 8, Value: []byte(value)}}})
+	f.reset(store.Listing{Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 8, Value: []byte(value)}}}, clock.Now())
 	return f
 }
 
@@ -75,7 +75,7 @@
 		f.ReceiveConfirmation(peer.confirmed(t), clock.Now(), true)
 		if f.listingDue() != "" {
 			listings++
-			f.reset(store.Listing{Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 8, Value: []byte("right")}}})
+			f.reset(store.Listing{Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 8, Value: []byte("right")}}}, clock.Now())
 		}
 	}
 	if listings != 1 {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -137,7 +137,7 @@
 			return nil
 		}
 	}
-	f.reset(listing)
+	f.reset(listing, began)
 	f.confirmOwn(began)
 	f.listed.Store(true)
 	f.log.WithFields(logrus.Fields{"event": "listed", "reason": reason, "history": listing.Revision.History(), "revision": listing.Revision.Revision(), "keys": len(listing.Entries), "took_ms": began.Since().Milliseconds()}).Info("listed all keys of the store")
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/clock"
 	"acaciakeel/store"
 )
 
@@ -161,7 +162,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, handler, f := newListedFollower(t, 0, store.Events{Compacted: true}, listing, store.Listing{Revision: store.At(1, 9)})
-			f.reset(store.Listing{Revision: 5, Entries: []store.Entry{{Key: "a", Revision: 4, Value: []byte("value")}}})
+			f.reset(store.Listing{Revision: 5, Entries: []store.Entry{{Key: "a", Revision: 4, Value: []byte("value")}}}, clock.Now())
 			s := &advancingStore{scriptedStore: f.store.(*scriptedStore)}
 			f.store = s
 			f.runFor(100 * time.Millisecond)
--- a/follow/share.go
+++ b/follow/share.go
@@ -20,8 +20,10 @@
 	revision  store.Position
 	reachedAt clock.BootTime
 	digest    viewDigest
-	// listDue is why the keys have to be listed; empty if they have not.
-	listDue ListReason
+	// listDue is why the keys have to be listed; empty if they have not. listBegan is when the
+	// latest listing began.
+	listDue   ListReason
+	listBegan clock.BootTime
 	disputes
 	// ownConfirmedAt is the time as of which the process's own calls last confirmed the
 	// view, peerConfirmedAt the same for confirmations by peers that rank before it.
@@ -297,7 +299,7 @@
 }
 
 // reset replaces the view by a listing.
-func (f *Follower) reset(listing store.Listing) {
+func (f *Follower) reset(listing store.Listing, began clock.BootTime) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listed.Load() && listing.Revision.History() > f.revision.History() {
@@ -306,7 +308,7 @@
 	}
 	f.handler.Reset(listing.Entries, listing.Revision)
 	f.digest.reset(listing, f.shared)
-	f.revision, f.reachedAt, f.listDue = listing.Revision, clock.Now(), ""
+	f.revision, f.reachedAt, f.listDue, f.listBegan = listing.Revision, clock.Now(), "", began
 }
 
 // contradicted reports whether a listing can't be of the history that the view is of, although
@@ -358,10 +360,15 @@
 	ListLeaseLost ListReason = "lease_lost"
 )
 
-// RequireListing makes the follower list all keys again.
-func (f *Follower) RequireListing(reason ListReason) {
-	f.requireListing(reason)
-	f.wake()
+// RequireListing makes the follower list all keys again, unless it has begun to do so since the
+// given time.
+func (f *Follower) RequireListing(reason ListReason, since clock.BootTime) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listDue == "" && f.listBegan < since {
+		f.listDue = reason
+		f.wake()
+	}
 }
 
 // requireListing makes a listing due.
--- a/node/departed.go
+++ b/node/departed.go
@@ -140,6 +140,7 @@
 func (v *view) setMember(key, value string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.restoredMembers.returned(key)
 	if value == "" {
 		v.removeMember(key)
 	} else {
--- a/node/store_view.go
+++ b/node/store_view.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"acaciakeel/clock"
 	"acaciakeel/follow"
 	"acaciakeel/platform"
 	"acaciakeel/telemetry"
@@ -30,5 +31,9 @@
 	}
 	n.view.follower = follow.New(n.store, platform.AllKeys, following, platform.NewDecoder(n.view), n.log)
 	n.view.follower.OnChanges(n.exchange.shareChanges)
-	n.session.OnLost(func() { n.view.follower.RequireListing(follow.ListLeaseLost) })
+	n.session.OnLost(func() { n.view.follower.RequireListing(follow.ListLeaseLost, clock.Now()) })
+	// A node whose peers watch for it learns from its own renewals that the store was restarted.
+	n.store.OnReconnect(func(openedAt clock.BootTime) {
+		n.view.follower.RequireListing(follow.ListReconnected, openedAt)
+	})
 }
--- a/node/view.go
+++ b/node/view.go
@@ -79,6 +79,7 @@
 	rejected        *rejectedEntries
 	earlier         earlierStarts
 	departedTargets departedTargets
+	restoredMembers restoredMembers
 	// report asks a target for its report; nil asks none.
 	report func(context.Context, fleet.Target) (fleet.Status, error)
 }
@@ -351,11 +352,14 @@
 		return !keys[v.keys.versions+service] && m.revision <= revision
 	})
 	for key := range v.members {
-		if !keys[key] {
+		if !keys[key] && !v.restoredMembers.await(key, revision) {
 			v.removeMember(key)
 		}
 	}
 	v.membersChanged()
+	if v.restoredMembers.begin(revision) {
+		time.AfterFunc(memberReturnGrace, v.removeUnreturned)
+	}
 }
 
 // isMember reports whether the process of a name is among the members.
