--- a/follow/follow.go
+++ b/follow/follow.go
@@ -54,9 +54,10 @@
 	// confirmedAt is the latest time at which the view is known to have been complete.
 	confirmedAt atomic.Int64
 	// unreachableSince is the time of the first of the current run of failed calls, or
-	// 0 while the store is reachable. recoveredAt is when the store last became
-	// reachable again.
+	// 0 while the store is reachable, and failedAt that of the latest. recoveredAt is
+	// since when the store may have been reachable again.
 	unreachableSince atomic.Int64
+	failedAt         atomic.Int64
 	recoveredAt      atomic.Int64
 	sharedWatch
 }
@@ -75,8 +76,9 @@
 	return clock.BootTime(f.confirmedAt.Load()).Since(), true
 }
 
-// SinceRecovery returns the time since the store became reachable again. ok is false if
-// it has never been unreachable or is unreachable now.
+// SinceRecovery returns the longest time for which the store may have been reachable
+// again: since the last call that failed. ok is false if it has never been unreachable or
+// is unreachable now.
 func (f *Follower) SinceRecovery() (since time.Duration, ok bool) {
 	recoveredAt := f.recoveredAt.Load()
 	return clock.BootTime(recoveredAt).Since(), recoveredAt != 0 && f.unreachableSince.Load() == 0
@@ -192,7 +194,7 @@
 
 func (f *Follower) markReachable() {
 	if f.unreachableSince.Swap(0) != 0 {
-		f.recoveredAt.Store(int64(clock.Now()))
+		f.recoveredAt.Store(f.failedAt.Load())
 		f.log.WithField("event", "store_back").Info("the store is reachable again")
 	}
 }
@@ -201,7 +203,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if f.unreachableSince.CompareAndSwap(0, int64(clock.Now())) {
+	now := int64(clock.Now())
+	f.failedAt.Store(now)
+	if f.unreachableSince.CompareAndSwap(0, now) {
 		f.log.WithError(err).WithField("event", "store_lost").Warn("the store is unreachable; continuing with the last known view")
 	}
 }
--- a/node/view_targets.go
+++ b/node/view_targets.go
@@ -49,8 +49,9 @@
 }
 
 // recoveryGrace is how long after the store's recovery an entry that vanished during the
-// outage may reappear before its target is removed.
-const recoveryGrace = 1800 * time.Millisecond
+// outage may reappear before its target is removed: entries are back within two seconds, and
+// a target without one gets nothing after that.
+const recoveryGrace = 1900 * time.Millisecond
 
 // targetRestarted is called when a target is first known to have restarted.
 func (v *view) targetRestarted(current, previous fleet.Instance) {
