follow: what a restored store lacks has as long to return, however late that is noticed

The time runs from the latest confirmation or failed call before, which is as late as the replacement can be known to be.

--- a/follow/share.go
+++ b/follow/share.go
@@ -303,8 +303,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listed.Load() && listing.Revision.History() > f.revision.History() {
-		// Entries that were lost with the former history are back within seconds.
-		f.recoveredAt.Store(int64(clock.Now()))
+		// Entries that were lost with the former history are back within seconds of the
+		// replacement, which was after the latest confirmation and the latest failed call.
+		f.recoveredAt.Store(max(f.recoveredAt.Load(), f.confirmedAt.Load(), f.failedAt.Load()))
 	}
 	f.handler.Reset(listing.Entries, listing.Revision)
 	f.digest.reset(listing, f.shared)
