rollout: the leader lock is safe when the store comes back from an older copy

What runners saw: orders of two holders with one fencing token, a lower token after a higher one, and nobody that gives orders.

- The token was the revision of the lock's entry, and a restored store gives revisions out again.
The record of leaders keeps it; the record of earlier builds is still read.
- A hold lasted as long as its lease was renewed.
After a restore the lease's id may be another process's.
An order now needs a recent write or read of the key that shows the holder's entry (Confirm, Remaining): one read in a quarter of the TTL while orders are given, none otherwise.
- A noticed restore did not end the hold, and an absent key counted as free at once.
The lock is now not tried for a TTL after a restore, or after a listing that lacks another holder's entry.
A deletion that was observed and a first listing cause no wait.
A hold whose lease may have expired before it was renewed gives no orders for a TTL and gets a new token.
- An entry of a former hold of this process counted as its hold, and an entry whose lease the store no longer knows never ended.
The former is written anew as a new hold: at once if a recorded hold lasted until the restore, else after the wait.
The latter is replaced, with orders a TTL after that.

Fakes of Leadership have Confirm.

--- a/node/node.go
+++ b/node/node.go
@@ -149,6 +149,7 @@
 	n.view.verdicts = verdicts.NewSyncer(n.store, n.registry, log)
 	n.view.leaderLock = rollout.NewLeaderLock(n.store, n.session, n.view.keys.leader, n.name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, log)
 	n.view.leaderLock.KeepHistory(n.view.keys.leaderHistory)
+	n.view.leaderLock.SetHolderAlive(n.view.isMember)
 	n.view.leaderLock.SetMetrics(rollout.NewLockMetrics(n.registry, n.view.leaderLock))
 	n.exchange = newPeerExchange(n.name, targets, n.view.verdicts.Table, n.view, log)
 	n.view.verdicts.Leadership, n.view.verdicts.PublishNow = n.view.leaderLock, n.exchange.sendSoon
--- a/node/rejected.go
+++ b/node/rejected.go
@@ -11,6 +11,7 @@
 	"acaciakeel/catalog"
 	"acaciakeel/fleet"
 	"acaciakeel/platform"
+	"acaciakeel/rollout"
 	"acaciakeel/store"
 	"acaciakeel/telemetry"
 	"acaciakeel/verdicts"
@@ -186,7 +187,7 @@
 		v.controller.Wake()
 	}
 	if e.Key == v.keys.leaderHistory {
-		v.leaderLock.ObserveHistory(nil, true, e.Revision)
+		v.leaderLock.ObserveHistory(rollout.LeaderRecord{}, true, e.Revision)
 	}
 	if e.Key == v.keys.nodeCount {
 		v.nodeCountRejected(e.Revision)
--- a/node/view.go
+++ b/node/view.go
@@ -278,16 +278,16 @@
 func (v *view) leaderHistoryChanged(value string, revision store.Position) {
 	if value == "" {
 		v.rejected.removeRecord(v.keys.leaderHistory)
-		v.leaderLock.ObserveHistory(nil, false, revision)
+		v.leaderLock.ObserveHistory(rollout.LeaderRecord{}, false, revision)
 		return
 	}
-	names, err := rollout.ParseHistory(value)
+	record, err := rollout.ParseHistory(value)
 	if err != nil {
 		v.EntryRejected(platform.RejectedEntry{Key: v.keys.leaderHistory, Revision: revision, Err: &platform.EntryError{Reason: platform.BadValue, Err: err}})
 		return
 	}
 	v.rejected.removeRecord(v.keys.leaderHistory)
-	v.leaderLock.ObserveHistory(names, true, revision)
+	v.leaderLock.ObserveHistory(record, true, revision)
 }
 
 // membersChanged discards the cached plan; it is computed again when it is next needed, since
@@ -336,10 +336,10 @@
 	v.rejected.prune(platform.SystemPrefix, func(key string) bool { return keys[key] })
 	v.verdicts.Reconcile(keys)
 	if !keys[v.keys.leader] {
-		v.leaderLock.Observe("", revision)
+		v.leaderLock.ObserveAbsent(revision)
 	}
 	if !keys[v.keys.leaderHistory] {
-		v.leaderLock.ObserveHistory(nil, false, revision)
+		v.leaderLock.ObserveHistory(rollout.LeaderRecord{}, false, revision)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -357,6 +357,14 @@
 	v.membersChanged()
 }
 
+// isMember reports whether the process of a name is among the members.
+func (v *view) isMember(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, ok := v.members[v.keys.members+name]
+	return ok
+}
+
 // otherCount returns how many other nodes serve.
 func (v *view) otherCount() int {
 	v.mu.Lock()
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -26,9 +26,13 @@
 // Leadership tells whether this process may send orders now, and with which fencing
 // token.
 type Leadership interface {
+	// Held reports whether this process holds the leadership by what it knows.
 	Held() (fence int64, ok bool)
-	// Remaining returns for how long the leadership lasts at least.
+	// Remaining returns for how long the leadership lasts at least, as far as it has been
+	// confirmed. Orders may arrive only until then.
 	Remaining() time.Duration
+	// Confirm has Remaining be long enough for orders, if the leadership lasts.
+	Confirm(ctx context.Context)
 }
 
 // ServicesByModel returns the services that run each model.
@@ -304,6 +308,7 @@
 		}
 	}
 	truncate := c.clear(ctx, decision)
+	c.leadership.Confirm(ctx)
 	drainTime, remaining := time.Since(start), c.fleet.Occupancy(r.Instance())
 	report, err := c.report(ctx, r, model, desired)
 	if err != nil {
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -36,11 +36,13 @@
 
 func (alwaysLeader) Held() (int64, bool)      { return 1, true }
 func (alwaysLeader) Remaining() time.Duration { return time.Minute }
+func (alwaysLeader) Confirm(context.Context)  {}
 
 // expiringLeader is a leadership that ends soon.
 type expiringLeader struct{ alwaysLeader }
 
 func (expiringLeader) Remaining() time.Duration { return 50 * time.Millisecond }
+func (expiringLeader) Confirm(context.Context)  {}
 
 // blockedClient blocks each order until its context ends.
 type blockedClient struct{ recordingClient }
--- a/rollout/lease_end_test.go
+++ b/rollout/lease_end_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 func (l endingLease) Held() (int64, bool)      { return l.fence, l.fence != 0 }
 func (l endingLease) Remaining() time.Duration { return l.remaining }
+func (l endingLease) Confirm(context.Context)  {}
 
 // Guards against an order that is on its way when the leader is killed or its lease ends: it
 // arrives after those of the next leader, with a lower fencing token.
--- a/rollout/lockreport.go
+++ b/rollout/lockreport.go
@@ -38,6 +38,11 @@
 	LossBackoff AcquireBlocker = "loss_backoff"
 	// ForeignBackoff: the key got the entry of another writer a short time ago.
 	ForeignBackoff AcquireBlocker = "foreign_backoff"
+	// HistoryReplaced: the store came back from an older copy a short time ago, and the
+	// holder before that may not have noticed yet.
+	HistoryReplaced AcquireBlocker = "history_replaced"
+	// HolderVanished: the entry of another holder is gone and its end was not observed.
+	HolderVanished AcquireBlocker = "holder_vanished"
 )
 
 // attemptResult is the outcome of one attempt to write the lock's key.
--- a/rollout/lockstate.go
+++ b/rollout/lockstate.go
@@ -17,6 +17,9 @@
 	ownerSelf lockOwner = "self"
 	// ownerOther: another process holds the lock.
 	ownerOther lockOwner = "other"
+	// ownerFormer: the entry is that of an earlier hold of this process, which has ended. It
+	// came back from an older copy of the store.
+	ownerFormer lockOwner = "former"
 	// ownerForeign: the entry was not written by a controller.
 	ownerForeign lockOwner = "foreign"
 )
@@ -29,6 +32,10 @@
 	revision store.Position
 	// learnedAt is when this process learned of the state.
 	learnedAt clock.BootTime
+	// listed is set if this is the first state that was observed in a history of the store,
+	// so that a holder need not have been alive since. cameBack is set if the entry was known before the store came back from an older
+	// copy, so that its holder need not exist any more.
+	listed, cameBack bool
 }
 
 // String implements fmt.Stringer for the log.
@@ -63,6 +70,8 @@
 	entry store.Entry
 	// known is false if the response does not tell.
 	known bool
+	// written is set if the call has written the entry.
+	written bool
 }
 
 // String implements fmt.Stringer for the log.
--- a/rollout/restart_test.go
+++ b/rollout/restart_test.go
@@ -55,6 +55,7 @@
 }
 
 func (o leaderFunc) Remaining() time.Duration { return time.Minute }
+func (o leaderFunc) Confirm(context.Context)  {}
 
 // fleetWithRunner returns a fleet with one runner, in the instance that started at
 // 10.
