rollout: orders of a later hold wait for those of the earlier one

A process that held the lock until the store came back from an older copy, and finds its entry there, continues at once with a new fencing token. Its order of before may still be on its way, or have no answer, and arrive after one with the new token: a lower token after a higher one.

Orders with a new token are not given while orders of this process are in progress or may still arrive, and none with a lower token than the latest. TestOrdersOfLaterHoldFollowEarlierOnes; without the condition both are given. TestLaterHoldGivesOrders passes the time, its assertions are unchanged.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -342,7 +342,7 @@
 	if !c.fleet.IsCurrent(r.Instance()) {
 		return
 	}
-	if !c.outstanding.begin(fence) {
+	if !c.outstanding.begin(fence, time.Now()) {
 		return
 	}
 	leaseLeft, sentAt := c.leadership.Remaining(), time.Now()
--- a/rollout/outstanding.go
+++ b/rollout/outstanding.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// stopped is the fencing token up to which no further orders are given.
 	stopped int64
+	// latest is the fencing token of the latest order.
+	latest int64
 	// inProgress counts the calls that have not ended; changed is closed when that changes.
 	inProgress int
 	changed    chan struct{}
@@ -31,13 +33,16 @@
 	return &outstandingOrders{transit: transit, changed: make(chan struct{})}
 }
 
-// begin reports whether an order with a fencing token may be given, and counts it.
-func (o *outstandingOrders) begin(fence int64) bool {
+// begin reports whether an order with a fencing token may be given, and counts it. An order of an
+// earlier hold that may still arrive would arrive after one with a higher token.
+func (o *outstandingOrders) begin(fence int64, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if fence <= o.stopped {
+	earlier := fence > o.latest && (o.inProgress > 0 || now.Before(o.arrivesUntil))
+	if fence <= o.stopped || fence < o.latest || earlier {
 		return false
 	}
+	o.latest = fence
 	o.inProgress++
 	return true
 }
--- a/rollout/outstanding_test.go
+++ b/rollout/outstanding_test.go
@@ -78,8 +78,32 @@
 	o := newOutstandingOrders(0)
 	o.stop(7)
 	for fence, want := range map[int64]bool{6: false, 7: false, 8: true} {
-		if got := o.begin(fence); got != want {
+		if got := o.begin(fence, time.Now()); got != want {
 			t.Errorf("order with fence %d: %v, want %v", fence, got, want)
 		}
 	}
 }
+
+// Guards against a lower fencing token after a higher one where a process has acquired the lock
+// again while its orders under the earlier hold may still arrive.
+func TestOrdersOfLaterHoldFollowEarlierOnes(t *testing.T) {
+	const transit = time.Second
+	o, now := newOutstandingOrders(transit), time.Now()
+	for range 2 {
+		if !o.begin(7, now) {
+			t.Fatal("an order of the present hold is not given")
+		}
+	}
+	check := func(when string, fence int64, at time.Time, want bool) {
+		t.Helper()
+		if got := o.begin(fence, at); got != want {
+			t.Errorf("%s: order with token %d: %t, want %t", when, fence, got, want)
+		}
+	}
+	check("in progress", 8, now, false)
+	o.end(fleet.OrderLost, now)
+	o.end(fleet.OrderAccepted, now)
+	check("may still arrive", 8, now.Add(transit-1), false)
+	check("have arrived", 8, now.Add(transit), true)
+	check("after a later one", 7, now.Add(transit), false)
+}
