--- a/node/view.go
+++ b/node/view.go
@@ -370,6 +370,14 @@
 	return ok
 }
 
+// isMember reports whether the process of a name is among the members.
+func (v *view) isMember(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, ok := v.members[v.keys.members+name]
+	return ok
+}
+
 // otherCount returns how many other nodes serve.
 func (v *view) otherCount() int {
 	v.mu.Lock()
--- a/rollout/lockrestore.go
+++ b/rollout/lockrestore.go
@@ -87,7 +87,7 @@
 	l.number = position.History()
 	before, token := l.state, l.token
 	l.unlisted, l.unbroken = true, 0
-	if before.owner == ownerSelf && l.underLease() && l.session.Valid() {
+	if l.recordedHold() && l.underLease() && l.session.Valid() {
 		l.unbroken = before.revision.Revision()
 	}
 	l.apply(ownerNone, store.At(l.number, 0), "")
@@ -103,6 +103,13 @@
 	return true
 }
 
+// recordedHold reports whether this process holds the lock and has recorded that; the caller
+// holds mu. The entry of a hold that is not recorded may have been written in a later history
+// than this process knew, by a call whose response was lost.
+func (l *LeaderLock) recordedHold() bool {
+	return l.history != nil && l.token != 0 && l.history.recorded == l.token
+}
+
 // continues reports whether the known entry is that with which this process held the lock
 // until the history was replaced; the caller holds mu. Nobody else held it in the former
 // history then, nor in this one since, so that its entry may be replaced at once.
--- a/rollout/lockrestore_test.go
+++ b/rollout/lockrestore_test.go
@@ -210,20 +210,29 @@
 }
 
 // Guards against a wait where the process held the lock until the restore and its entry is in the
-// copy, and against the token of before.
+// copy, against the token of before, and against no wait where its entry may be of after the restore.
 func TestUnbrokenHoldIsRenewedAtOnce(t *testing.T) {
-	m := &memoryStore{}
-	lock, lease := newRestoreLock(m)
-	lock.TryAcquire(t.Context())
-	first, _ := lock.Held()
-	m.revision = restored(1)
-	lock.Observe("a", restored(1))
-	checkNotHeld(t, lock, "not renewed yet")
-	lease.id = "8"
-	lock.TryAcquire(t.Context())
-	checkHold(t, lock, restored(2))
-	if token, _ := lock.Held(); token <= first {
-		t.Errorf("the token is %d after %d", token, first)
+	for _, recorded := range []bool{true, false} {
+		m := newKeyedStore()
+		lock, lease := newRestoreLock(m)
+		lock.KeepHistory("leaders")
+		lock.ObserveHistory(LeaderRecord{}, false, 1)
+		if !recorded {
+			m.failing = "leaders"
+		}
+		lock.TryAcquire(t.Context())
+		first, _ := lock.Held()
+		revision := restored(lock.state.revision.Revision())
+		m.failing, m.revision = "", revision
+		m.entries = map[string]store.Entry{"seat": {Key: "seat", Value: []byte("a"), Revision: revision}}
+		lock.Observe("a", revision)
+		lock.ObserveHistory(LeaderRecord{}, false, revision)
+		checkNotHeld(t, lock, "not renewed yet")
+		lease.id = "8"
+		lock.TryAcquire(t.Context())
+		if token, held := lock.Held(); held != recorded || (held && token <= first) {
+			t.Errorf("recorded = %t: held = %t with token %d after %d", recorded, held, token, first)
+		}
 	}
 }
 
