agent: an expired claim shows no replaced history

What callers saw: after a pause longer than claims last, the agent's next look found its last claim expired, took the history for replaced and refused opaque keys for 15 s. Cause: the age of the latest claim, not of the one looked for, bounded the look. A claim is looked for only within half of its time, five minutes at most. Evidence: TestExpiredClaimShowsNoReplacedHistory failed (history 1 at the first look) and passes; the tests of claims three times with -race and the sessions of calls pass.

--- a/agent/claim.go
+++ b/agent/claim.go
@@ -57,11 +57,10 @@
 	mu        sync.Mutex
 	lease     store.LeaseID
 	grantedAt time.Time
-	// latest are the latest claims made and not released, the last one at the end; madeAt is when it
-	// was made. probe is the one that is looked for next, verifying the one that is being looked for,
-	// and verifiedAt when one was last.
+	// latest are the latest claims made and not released, the last one at the end. probe is the one
+	// that is looked for next, verifying the one that is being looked for, and verifiedAt when one was
+	// last.
 	latest     []claimedCall
-	madeAt     time.Time
 	probe      claimedCall
 	verifying  claimedCall
 	verifiedAt time.Time
@@ -72,6 +71,7 @@
 	key      ledger.Key
 	claim    claim
 	position store.Position
+	madeAt   time.Time
 }
 
 // leasesPerTTL is the number of leases that an agent takes during the lifetime of a
@@ -93,10 +93,11 @@
 	own := c.self
 	own.Nonce = uuid.NewString()
 	for range maxClaimWrites {
+		began := time.Now()
 		next, err := c.put(ctx, k, own, revision)
 		switch {
 		case err == nil:
-			c.addLatest(claimedCall{key: k, claim: own, position: next})
+			c.addLatest(claimedCall{key: k, claim: own, position: next, madeAt: began})
 			return claimOwned, own, next
 		case errors.Is(err, store.ErrUnavailable):
 			return claimFailed, claim{}, 0
--- a/agent/lost_claims.go
+++ b/agent/lost_claims.go
@@ -35,7 +35,6 @@
 		c.latest = slices.Delete(c.latest, 0, 1)
 	}
 	c.latest = append(c.latest, made)
-	c.madeAt = time.Now()
 	if c.probe.position == 0 || c.probe.key == made.key {
 		c.probe = made
 	}
@@ -66,16 +65,17 @@
 }
 
 // dueForVerification returns the claim that is to be looked for now, if there is one. It was made
-// before the last time: a later one may have been made since the history was replaced.
+// before the last time: a later one may have been made since the history was replaced. One that may
+// have expired shows nothing.
 func (c *claimStore) dueForVerification(now time.Time) (claimedCall, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	due := c.probe
-	if due.position == 0 || now.Sub(c.madeAt) > clientRetryWindow || now.Sub(c.verifiedAt) < verifyInterval {
+	if now.Sub(c.verifiedAt) < verifyInterval {
 		return claimedCall{}, false
 	}
+	due := c.probe
 	c.verifiedAt, c.verifying, c.probe = now, due, c.last()
-	return due, true
+	return due, due.position != 0 && now.Sub(due.madeAt) <= min(clientRetryWindow, c.ttl/2)
 }
 
 // isHeld reports whether the claim that is being looked for was neither released nor written again.
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -223,6 +223,32 @@
 	}
 }
 
+// Guards against a history that counts as replaced, so that calls are refused, because a claim that was
+// looked for had expired: the agent had no calls for longer than claims last.
+func TestExpiredClaimShowsNoReplacedHistory(t *testing.T) {
+	a := newCallAgents(t)
+	c := a.start("own", true)
+	c.claims.ttl = time.Minute
+	if answer := c.call(t.Context(), onceRequest("early")); answer.Refusal != nil {
+		t.Fatal(answer.Refusal)
+	}
+	client := a.history.NewClient()
+	key := claimKey(ledger.Key{Customer: "c", Service: "s", IdempotencyKey: "early"})
+	entry, err := client.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Delete(t.Context(), key, entry.Revision); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		c.verifyClaims(t.Context(), time.Now().Add(2*time.Minute+time.Duration(i)*verifyInterval))
+		if c.history != 0 {
+			t.Fatalf("look %d: history %d", i, c.history)
+		}
+	}
+}
+
 // Guards against keys that stay unusable after the service came back, and against a call sent again
 // at an agent that cannot know whether another one has run it.
 func TestCallsAreTakenOnceClaimsAreSettled(t *testing.T) {
