--- a/cmd/acaciakeel-standin/main.go
+++ b/cmd/acaciakeel-standin/main.go
@@ -85,9 +85,11 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.DurationFlag{Name: "lag", Usage: "age of the list of VMs", Value: 500 * time.Millisecond},
+			&cli.BoolFlag{Name: "era", Usage: "say in each response how often the service was restored"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			server := kv.NewServer(kv.NewStore(c.Duration("lag")))
+			server.SendsEra = c.Bool("era")
 			listener, err := net.Listen("tcp", c.String("listen"))
 			if err != nil {
 				return fmt.Errorf("listen: %w", err)
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -84,6 +84,8 @@
 	workMS int
 	// copies has targets send answers too many.
 	copies bool
+	// era has the platform's service say how often it was restored.
+	era bool
 	// engine, agent and entry are TOML lines for all of a kind.
 	engine string
 	agent  string
@@ -178,7 +180,7 @@
 
 func (f *fleet) startStandins() {
 	f.place("platform", true)
-	f.spawn("platform", "acaciakeel-standin", "platform", "--lag", "100ms", "--listen", f.addr["platform"])
+	f.spawn("platform", "acaciakeel-standin", "platform", "--lag", "100ms", "--listen", f.addr["platform"], fmt.Sprintf("--era=%t", f.options.era))
 	f.awaitUp("platform")
 	f.write("engine.toml", f.options.engine)
 	runners, services := f.targets()
--- a/integration/session_test.go
+++ b/integration/session_test.go
@@ -150,6 +150,7 @@
 	d.MaybeScanArgs(t, "work", &o.workMS)
 	d.MaybeScanArgs(t, "builds", &o.builds)
 	d.MaybeScanArgs(t, "copies", &o.copies)
+	d.MaybeScanArgs(t, "era", &o.era)
 	engineLines, rest, _ := strings.Cut(d.Input, "--agent--\n")
 	o.engine = engineLines
 	o.agent, o.entry, _ = strings.Cut(rest, "--entry--\n")
