node: a test of copies of early refusals

Callers saw promises of requests that had run on a large deployment; the fact beside it is that an answer too many may be the copy of a refusal. A refusal that comes while the request is still being written was not tried.

--- a/node/early_reset_test.go
+++ b/node/early_reset_test.go
@@ -49,19 +49,28 @@
 type earlyTarget struct {
 	behind *rawTarget
 	answer atomic.Pointer[earlyAnswer]
-	mu     sync.Mutex
-	runs   map[string]int
+	// refusal is how the target refuses instead; nil answers.
+	refusal atomic.Pointer[earlyRefusal]
+	mu      sync.Mutex
+	runs    map[string]int
+	refused map[string]bool
 }
 
 func (e *earlyTarget) serve(c *net.TCPConn) {
 	defer c.Close()
-	in := bufio.NewReader(c)
+	in, refusal := bufio.NewReader(c), ""
 	for {
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
 		if strings.HasSuffix(req.URL.Path, "/early") {
+			if how := e.refusal.Load(); how != nil {
+				if !e.refuse(c, req, how, &refusal) {
+					return
+				}
+				continue
+			}
 			if !e.respond(c, req) {
 				return
 			}
@@ -120,7 +129,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { l.Close() })
-		target := &earlyTarget{behind: &rawTarget{calls: calls}, runs: map[string]int{}}
+		target := &earlyTarget{behind: &rawTarget{calls: calls}, runs: map[string]int{}, refused: map[string]bool{}}
 		out.targets = append(out.targets, target)
 		go func() {
 			for {
