connend: a test that a cut body is not taken for ended in order

Where the write of an upload took the reset, a body with a length or in chunks ended with io.ErrUnexpectedEOF, which counts as the target's own end of its work on the request: a stream that may be resumed went on elsewhere at once, beside a run that may last. The check of ends makes it a reset, which "may come from elsewhere on the way".

--- a/connend/connend_test.go
+++ b/connend/connend_test.go
@@ -196,3 +196,33 @@
 		t.Errorf("the end of a connection whose next request has not begun: %v, want EOF", err)
 	}
 }
+
+// Guards against a cut body, of a length or in chunks, whose reset a write took and which then counts as
+// ended by its peer's own word.
+func TestResetOfCutBodyIsNoOrderlyEnd(t *testing.T) {
+	for name, head := range map[string]string{"length": "Content-Length: 10\r\n\r\npart", "chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+		for how, end := range map[string]func(*net.TCPConn, io.Reader){"reset": reset, "half closed and reset": halfCloseAndReset} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				client := http.Client{Transport: &http.Transport{DialContext: Dial((&net.Dialer{}).DialContext), DisableKeepAlives: true}}
+				address, orderly := peer(t, "HTTP/1.1 200 OK\r\n"+head, end), 0
+				for range 30 {
+					req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, io.MultiReader(strings.NewReader(strings.Repeat("x", large))))
+					if err != nil {
+						t.Fatal(err)
+					}
+					resp, err := client.Do(Track(req))
+					if err != nil {
+						continue // the write failed first
+					}
+					if _, err := io.ReadAll(resp.Body); err == nil || errors.Is(err, io.ErrUnexpectedEOF) {
+						orderly++
+					}
+					resp.Body.Close()
+				}
+				if orderly > 0 {
+					t.Errorf("%d of 30 resets seen as orderly ends", orderly)
+				}
+			})
+		}
+	}
+}
