node: leases of a restored store that others get

After a restore the leases granted since the copy are given out again. A node renews by the former number what is another's by then, or gets its own former number again, and takes its entry for written.

--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -189,7 +189,8 @@
 	}
 }
 
-func (s *Store) grant(ttl time.Duration) int64 {
+// Grant grants a lease, which ends after ttl unless it is renewed.
+func (s *Store) Grant(ttl time.Duration) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.granted++
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -247,7 +247,7 @@
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		return nil, err
 	}
-	id := s.store.grant(time.Duration(in.TTLMS) * time.Millisecond)
+	id := s.store.Grant(time.Duration(in.TTLMS) * time.Millisecond)
 	return map[string]int64{"lease": id, "ttl_ms": in.TTLMS}, nil
 }
 
--- a/node/restored_store_test.go
+++ b/node/restored_store_test.go
@@ -44,11 +44,13 @@
 	twice bool
 	// restart has a node restart meanwhile.
 	restart bool
+	// leases has other processes get the leases that were granted after the copy.
+	leases bool
 }
 
 func (r restore) String() string {
 	var parts []string
-	for name, set := range map[string]bool{"1era": r.era, "2away": r.away > 0, "3early": r.early, "4beyond": r.beyond, "5twice": r.twice, "6restart": r.restart} {
+	for name, set := range map[string]bool{"1era": r.era, "2away": r.away > 0, "3early": r.early, "4beyond": r.beyond, "5twice": r.twice, "6restart": r.restart, "7leases": r.leases} {
 		if set {
 			parts = append(parts, name)
 		}
@@ -180,6 +182,9 @@
 // lostBeats is how many changes come after the copy and are lost, at least.
 const lostBeats = 20
 
+// lostLeases is how many leases were granted after a copy, at most.
+const lostLeases = 5
+
 // beat has a target write its entry so many times.
 func (w *restoredEnv) beat(times int) {
 	for range times {
@@ -309,6 +314,11 @@
 	}
 	time.Sleep(w.how.away / 2)
 	w.service.Restore(w.copied)
+	if w.how.leases {
+		for range lostLeases {
+			w.store.Grant(time.Minute)
+		}
+	}
 	early := w.how.early || w.how.beyond
 	if early {
 		change()
@@ -564,7 +574,7 @@
 // Guards against nodes that the others ignore as the store came back without their entries, and against
 // a burst of writes by which they put them back.
 func TestMembersAreBackAfterRestore(t *testing.T) {
-	for _, how := range restores {
+	for _, how := range append(slices.Clone(restores), restore{leases: true}, restore{away: longAway, leases: true}, restore{away: longAway, beyond: true, leases: true, era: true}) {
 		t.Run(how.String(), func(t *testing.T) {
 			w := newRestoredEnv(t, how)
 			w.copied = w.store.Copy()
