--- a/integration/soak/restore_test.go
+++ b/integration/soak/restore_test.go
@@ -18,7 +18,7 @@
 // Figures of a store that comes back from copies.
 const (
 	// restoreSeconds is how long a seed is played.
-	restoreSeconds = 9
+	restoreSeconds = 6
 	// storeCopyEvery is the pause between two copies, of which the last copiesKept are kept.
 	storeCopyEvery = 250 * time.Millisecond
 	copiesKept     = 20
@@ -50,7 +50,7 @@
 }
 
 func playRestores(t *testing.T, seed uint64) {
-	s := newSite(t, number("SOAK_ENTRIES", usualEntries), regression{sendsEra: seed%2 == 1})
+	s := newSite(t, number("SOAK_ENTRIES", usualEntries), regression{sendsEra: seed%2 == 1, desks: 3})
 	s.await("all entries are ready at the start", s.allReady)
 	r := &restorer{site: s, callers: s.call(seed), random: rand.New(rand.NewPCG(seed, 1<<37)), stop: make(chan struct{}), leavers: map[*target][]span{}}
 	r.addRoute()
@@ -68,8 +68,10 @@
 	stopNaming()
 	h.starts.Wait()
 	s.await("all entries are ready after the faults", s.allReady)
-	r.restoreLast()
+	endLast := r.restoreLast()
+	time.Sleep(applyBound)
 	r.callers.end()
+	endLast()
 	s.await("every runner has the newest weights", s.allLoaded)
 	s.await("the entries' own keys stand in the store", s.ownEntriesStand)
 	if t.Failed() {
@@ -78,13 +80,13 @@
 	r.askLast()
 	r.callers.judge()
 	r.judgeRoutes()
-	r.judgeLeavers()
+	leavers := r.judgeLeavers()
 	for _, tg := range s.runners {
 		for _, wrong := range h.judge(tg.OrderArrivals()) {
 			t.Errorf("%s: %s", tg.ID, wrong)
 		}
 	}
-	t.Logf("soak of restores seed=%d restores=%d requests=%d holders=%d weights=%d routes=%d outcomes=%v faults=%v", seed, r.restores, r.callers.seq, h.count(), s.weights, len(r.added), r.callers.counts, b.played)
+	t.Logf("soak of restores seed=%d restores=%d requests=%d holders=%d weights=%d routes=%d leavers=%d outcomes=%v faults=%v", seed, r.restores, r.callers.seq, h.count(), s.weights, len(r.added), leavers, r.callers.counts, b.played)
 	for _, v := range r.callers.broken {
 		t.Error(v)
 	}
@@ -177,8 +179,11 @@
 )
 
 // restoreLast restores the store beside no other fault; what is written afterwards must be known, as
-// nothing newer follows that would make up for it.
-func (r *restorer) restoreLast() {
+// nothing newer follows that would make up for it. A target leaves that all entries know of before, and
+// one afterwards, until end.
+func (r *restorer) restoreLast() (end func()) {
+	known := r.leave(r.site.desks[0])
+	time.Sleep(drainBound + quietPause)
 	for range lastRestores {
 		r.addRoute()
 		time.Sleep(quietPause)
@@ -186,6 +191,28 @@
 		r.addRoute()
 		r.site.nameWeights()
 	}
+	missed := r.leave(r.site.desks[1])
+	return func() { known(); missed() }
+}
+
+// leave has a target say that it leaves; end is when it starts again.
+func (r *restorer) leave(tg *target) (end func()) {
+	s := r.site
+	s.mu.Lock()
+	tg.leaves = true
+	s.mu.Unlock()
+	s.register(tg, true)
+	said := time.Now()
+	return func() {
+		r.mu.Lock()
+		r.leavers[tg] = append(r.leavers[tg], span{said, time.Now()})
+		r.mu.Unlock()
+		tg.Reborn()
+		s.mu.Lock()
+		tg.leaves = false
+		s.mu.Unlock()
+		s.register(tg, true)
+	}
 }
 
 // rewrites are the writes of the operator and of the targets after a restore.
@@ -250,28 +277,15 @@
 	return []fault{ended("entry killed", syscall.SIGKILL), ended("entry stopped and started", syscall.SIGTERM), added, added, added, drains, drains, drains, away}
 }
 
-// drain has a target say that it leaves, and start again later. One at a time leaves.
+// drain has a target leave and start again later. One at a time leaves.
 func (r *restorer) drain(b *breaker) (time.Duration, func()) {
-	s, tg := r.site, r.site.desks[b.random.IntN(len(r.site.desks))]
-	s.mu.Lock()
-	busy := slices.ContainsFunc(s.desks, func(tg *target) bool { return tg.leaves })
-	tg.leaves = tg.leaves || !busy
-	s.mu.Unlock()
+	r.site.mu.Lock()
+	busy := slices.ContainsFunc(r.site.desks, func(tg *target) bool { return tg.leaves })
+	r.site.mu.Unlock()
 	if busy {
 		return 0, nil
 	}
-	s.register(tg, true)
-	said := time.Now()
-	return drainBound + b.upTo(4*time.Second), func() {
-		r.mu.Lock()
-		r.leavers[tg] = append(r.leavers[tg], span{said, time.Now()})
-		r.mu.Unlock()
-		tg.Reborn()
-		s.mu.Lock()
-		tg.leaves = false
-		s.mu.Unlock()
-		s.register(tg, true)
-	}
+	return drainBound + b.upTo(4*time.Second), r.leave(r.site.desks[b.random.IntN(len(r.site.desks))])
 }
 
 // routePrefix begins the IDs of requests at added routes, addedRoutePrefix the routes' names.
@@ -313,7 +327,6 @@
 
 // askLast has each entry asked for each added route after all is quiet.
 func (r *restorer) askLast() {
-	time.Sleep(applyBound)
 	for _, e := range r.site.entries {
 		for route := range len(r.added) {
 			if !r.isServed(e, route) {
@@ -396,10 +409,16 @@
 	}
 }
 
-// judgeLeavers: a target that leaves gets nothing from entries that must know.
-func (r *restorer) judgeLeavers() {
+// judgeLeavers: a target that leaves gets nothing from entries that must know. It returns how many times
+// an entry had to know of one while that was leaving.
+func (r *restorer) judgeLeavers() (judged int) {
 	for tg, times := range r.leavers {
 		for _, leaves := range times {
+			for _, e := range r.site.entries {
+				if r.knownFrom(e, leaves.from, leaves.until, drainBound).Before(leaves.until) {
+					judged++
+				}
+			}
 			arrived := map[string]int{}
 			for _, s := range tg.Seen() {
 				if e := r.callers.sentTo[s.ID]; e != nil && r.isLate(e, s, leaves) {
@@ -411,6 +430,7 @@
 			}
 		}
 	}
+	return judged
 }
 
 func (r *restorer) isLate(e *entry, s runner.Seen, leaves span) bool {
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -99,6 +99,8 @@
 	endless bool
 	// sendsEra has the store's responses say in which history they are.
 	sendsEra bool
+	// desks is how many targets plain services have; 0 is the usual number.
+	desks int
 	// ownEntries has the entries' own keys in the store checked in the end.
 	ownEntries bool
 }
--- a/integration/soak/world_test.go
+++ b/integration/soak/world_test.go
@@ -138,7 +138,7 @@
 	s.server.Start()
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
-	runners, desks := 4, 2
+	runners, desks := 4, cmp.Or(r.desks, 2)
 	if r.shed != nil {
 		runners, desks = r.shed.runners, r.shed.desks
 	}
