--- a/node/false_refusal_test.go
+++ b/node/false_refusal_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"acaciakeel/internal/standin/runner"
 )
@@ -41,7 +43,8 @@
 }
 
 // rawAnswer is what a target sends in answer to a request: {id} stands for its ID, {instance} for
-// the ID of the target, {run} for the response of a run, {cut} for that without its first byte and
+// the ID of the target, {run} for the response of a run, {cut} for that without its first byte,
+// {lines}, {length} and {body} for parts of it, {chunked} for that in chunks up to its trailer and
 // {none} for nothing.
 type rawAnswer struct {
 	bytes string
@@ -49,6 +52,8 @@
 	closes, resets bool
 	// refused is set if the target does not run the request.
 	refused bool
+	// slow is set if each byte is sent by itself.
+	slow bool
 	// spoilsConn is set if further bytes follow the answer: a request that the entry sends on the
 	// connection before they arrive meets them.
 	spoilsConn bool
@@ -106,7 +111,7 @@
 		} else if r.repeats(last) {
 			answer.bytes, last = last+answer.bytes, ""
 		}
-		_, _ = io.WriteString(c, r.expand(answer.bytes, req))
+		write(c, r.expand(answer.bytes, req), answer.slow)
 		if answer.resets {
 			_ = c.SetLinger(0)
 		}
@@ -116,6 +121,21 @@
 	}
 }
 
+// byteInterval is the time between the bytes of an answer that are sent by themselves.
+const byteInterval = 50 * time.Microsecond
+
+// write sends a text as a whole or, if slow is set, byte by byte.
+func write(c net.Conn, text string, slow bool) {
+	for slow && len(text) > 0 {
+		if _, err := io.WriteString(c, text[:1]); err != nil {
+			return
+		}
+		text = text[1:]
+		time.Sleep(byteInterval)
+	}
+	_, _ = io.WriteString(c, text)
+}
+
 // refuses returns the refusal of a request; empty if it runs.
 func (r *rawTarget) refuses(req *http.Request) string {
 	r.mu.Lock()
@@ -209,7 +229,10 @@
 	id := req.Header.Get("Request-Id")
 	body = strings.ReplaceAll(body, "{id}", id)
 	run := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
-	return strings.NewReplacer("{id}", id, "{instance}", r.calls.ID, "{run}", run, "{cut}", run[1:], "{none}", "").Replace(text)
+	lines := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s\r\n%sContent-Length: %d", id, more, len(body))
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%sTransfer-Encoding: chunked\r\n\r\n3\r\n%s\r\n%X;a=b\r\n%s\r\n0\r\n", id, more, body[:3], len(body)-3, body[3:])
+	return strings.NewReplacer("{id}", id, "{instance}", r.calls.ID, "{run}", run, "{cut}", run[1:], "{none}", "",
+		"{lines}", lines, "{length}", strconv.Itoa(len(body)), "{body}", body, "{chunked}", chunked).Replace(text)
 }
 
 func (r *rawTarget) setAnswer(a rawAnswer, greeting string) {
