--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,5 +12,6 @@
 for target in FuzzDecodeHead FuzzForwardedURI FuzzParsePrefix FuzzParseTokenCount FuzzDecodeRunner FuzzDecodeConfig FuzzDecodeWeights FuzzDecodeItem FuzzDecodeCacheEvent; do
   go test ./platform -run xxx -fuzz "^$target\$" -fuzztime "${SECONDS_EACH:-15}s"
 done
+go test ./httphead -run xxx -fuzz '^FuzzResponseHead$' -fuzztime "${SECONDS_EACH:-15}s"
 go test ./node -run xxx -fuzz '^FuzzPulse$' -fuzztime "${SECONDS_EACH:-15}s"
 go test ./router -run xxx -fuzz '^FuzzReadEvent$' -fuzztime "${SECONDS_EACH:-15}s"
