platform, router: pass on no response that the protocol does not allow

Clients got responses with a blank in a field name, a blank before a colon, a folded line, a status of 600 or 999, HTTP/3.7 or a control byte in the phrase as answers, and a folded line beside Not-Executed made requests that had run look refused. The HTTP library accepts all of these, and the platform's door asked only refusals for invalid names.

Connections to targets and to the store now check what they receive (package httphead), behind the filter of surplus responses, so that the check sees what the library reads. A malformed response never completes: the attempt counts as one that may have run, the client gets 502 or a cut stream, a repeatable request may be sent again within its budget, and the target is blamed once, as for an unmatched response. The log has response_malformed, the counters part and fault, the retry reason is malformed. What is named in a header is checked with the same table.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -27,12 +27,14 @@
 	Unmatched Reason = "unmatched"
 	// Oversized: the target sent more than a response may have.
 	Oversized Reason = "oversized"
+	// Malformed: the target sent a response that the protocol does not allow.
+	Malformed Reason = "malformed"
 	// Misplaced: the target did not continue the stream after the last event that the client has.
 	Misplaced Reason = "misplaced"
 )
 
 func Reasons() []Reason {
-	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched, Oversized, Misplaced}
+	return []Reason{Unreachable, TargetUnavailable, Interrupted, Continued, Resumed, WeightsReplaced, Unresponsive, Unmatched, Oversized, Malformed, Misplaced}
 }
 
 // MaxAttempts is the maximum number of times that one request is sent, including the
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -32,6 +32,7 @@
 	resends         *prometheus.HistogramVec
 	runEnds         *prometheus.HistogramVec
 	oversized       *prometheus.CounterVec
+	badResponses    *prometheus.CounterVec
 	saveWait        *prometheus.HistogramVec
 	misplacedEvents *prometheus.CounterVec
 }
@@ -61,6 +62,7 @@
 		resends:         telemetry.NewLatency(r, "keel_router_resend_seconds", "Time from the end of an attempt that its target may still work on to the next one, by the reason of the retry.", "reason"),
 		runEnds:         telemetry.NewLatency(r, "keel_router_run_end_seconds", "Time for which a request waited until it was known whether the engine of its last attempt still works on it, by result.", "result"),
 		oversized:       telemetry.NewCounter(r, "keel_router_oversized_responses_total", "Responses of targets that were ended because a part of them was over its bound, by that part.", "part"),
+		badResponses:    telemetry.NewCounter(r, "keel_router_malformed_responses_total", "Responses of targets that the protocol does not allow, by the part with the fault and by the fault.", "part", "fault"),
 		saveWait:        telemetry.NewLatency(r, "keel_router_save_wait_seconds", "Time for which the first event of a stream waited until what began the stream was saved, by result.", "result"),
 		misplacedEvents: telemetry.NewCounter(r, "keel_router_misplaced_streams_total", "Responses of targets that were ended because an event did not follow what the client had of the stream, by whether the request has a prompt.", "prompt"),
 		startStaleness:  telemetry.NewAges(r, "keel_router_replaced_weights_seconds", "For how long newer weights had been wanted when runs began on older ones."),
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -76,6 +76,9 @@
 	s.guard.stop()
 	if err := readRefusal(resp, cancel); err != nil {
 		s.executions++
+		if malformed, ok := malformedResponse(err); ok {
+			return s.handleMalformed(choice, malformed)
+		}
 		s.recordInterruption(ctx, choice)
 		return s.brokeOff(retry.Interrupted, choice, err)
 	}
@@ -133,6 +136,10 @@
 		s.executions++
 		return s.handleOversized(choice, &oversizedError{partHead, sendErr.HeadBytes})
 	}
+	if malformed, ok := malformedResponse(err); ok && sent {
+		s.executions++
+		return s.handleMalformed(choice, malformed)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), s.guard.hasExpired():
 		// The client disconnected or the guard withdrew the attempt: neither says anything
@@ -212,6 +219,9 @@
 	if errors.As(err, &oversized) {
 		return s.handleOversized(choice, oversized)
 	}
+	if malformed, ok := malformedResponse(err); ok {
+		return s.handleMalformed(choice, malformed)
+	}
 	if err != io.EOF {
 		s.recordInterruption(clientCtx, choice)
 		s.recordBrokenResponse(choice, err)
--- a/router/response_end.go
+++ b/router/response_end.go
@@ -19,6 +19,7 @@
 	endInsideEvent = "inside_event"
 	endUnconfirmed = "unconfirmed"
 	endOversized   = "oversized"
+	endMalformed   = "malformed"
 	endError       = "error"
 )
 
@@ -105,6 +106,8 @@
 		s.end.reason = endUnconfirmed
 	case isOversized(err):
 		s.end.reason = endOversized
+	case isMalformed(err):
+		s.end.reason = endMalformed
 	default:
 		s.end.reason = endError
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -46,6 +46,9 @@
 		if errors.As(err, &oversized) {
 			return s.handleOversized(choice, oversized)
 		}
+		if malformed, ok := malformedResponse(err); ok {
+			return s.handleMalformed(choice, malformed)
+		}
 		if err != nil {
 			s.recordInterruption(clientCtx, choice)
 			s.recordBrokenResponse(choice, err)
