target, store: believe no response that the protocol does not allow

The other door's calls of engines and services, its load reports, and the fetch of the list of VMs took any response that the HTTP library takes: a blank in a field name, a folded line, a version such as HTTP/2.0 on a plain connection.

They now check what they receive with package httphead, over TLS behind the decryption. The list of VMs is checked on plain connections only: its transport may use a proxy or HTTP/2 over TLS. Connections between the product's own processes (package link) are HTTP/2 between one version of this code and are left as they are.

--- a/httphead/conn.go
+++ b/httphead/conn.go
@@ -79,7 +79,7 @@
 			c.Close()
 			return nil, err
 		}
-		secured := tls.Client(c, &tls.Config{ServerName: host})
+		secured := tls.Client(c, tlsConfig(t, host))
 		if err := secured.HandshakeContext(ctx); err != nil {
 			c.Close()
 			return nil, err
@@ -87,3 +87,15 @@
 		return newConn(secured), nil
 	}
 }
+
+// tlsConfig returns the TLS settings of a transport for a host.
+func tlsConfig(t *http.Transport, host string) *tls.Config {
+	config := t.TLSClientConfig.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		config.ServerName = host
+	}
+	return config
+}
--- a/store/directory.go
+++ b/store/directory.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"acaciakeel/httpbody"
+	"acaciakeel/httphead"
 	"acaciakeel/vm"
 )
 
@@ -29,6 +31,10 @@
 func NewVMList(baseURL string) *VMList {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = maxListHeaderBytes
+	if strings.HasPrefix(baseURL, "http:") {
+		// Over TLS the list may come by a proxy or HTTP/2, whose bytes are others.
+		transport.DialContext = httphead.Checked(transport.DialContext)
+	}
 	return &VMList{baseURL: baseURL, http: &http.Client{Timeout: listTimeout, Transport: transport}}
 }
 
--- a/target/engine.go
+++ b/target/engine.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"acaciakeel/httpbody"
+	"acaciakeel/httphead"
 )
 
 // Errors that callers distinguish.
@@ -125,12 +126,14 @@
 // connection.
 func newHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+	httphead.CheckTransport(transport)
+	return &http.Client{CheckRedirect: keepRedirect, Transport: transport}
 }
 
 // keepRedirect makes a redirect the answer of the target, which may have executed the call. To
--- a/target/report.go
+++ b/target/report.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"acaciakeel/httpbody"
+	"acaciakeel/httphead"
 )
 
 // ErrOldConnection is returned if the engine answered a load report only on a connection that has
@@ -110,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bound := &io.LimitedReader{R: conn}
+	bound := &io.LimitedReader{R: httphead.NewReader(conn)}
 	return &reportConn{conn: conn, bound: bound, in: bufio.NewReader(bound)}, nil
 }
 
