soak: targets that send responses which the protocol does not allow

The stand-in of a target has six faults more: a status of 000, a blank after a field name, after Content-Length, in an interim response, in a trailer, and in a refusal.

--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -43,4 +43,12 @@
 	EndlessChunks     Fault = "endless_chunks"
 	EndlessUntilClose Fault = "endless_until_close"
 	EndlessRefusal    Fault = "endless_refusal"
+	// The malformed faults execute the request and answer, or seem to refuse, with a response that
+	// the protocol does not allow.
+	MalformedStatus  Fault = "malformed_status"
+	MalformedName    Fault = "malformed_name"
+	MalformedLength  Fault = "malformed_length"
+	MalformedInterim Fault = "malformed_interim"
+	MalformedTrailer Fault = "malformed_trailer"
+	MalformedRefusal Fault = "malformed_refusal"
 )
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -277,7 +277,7 @@
 	case r.crashesOn(string(body)):
 		r.crash()
 		panic(http.ErrAbortHandler)
-	case sendWithoutEnd(w, req, fault):
+	case sendWithoutEnd(w, req, fault), sendMalformed(w, req, fault):
 		return
 	case fault == LoseAnswer:
 		panic(http.ErrAbortHandler)
