--- a/target/engine.go
+++ b/target/engine.go
@@ -19,6 +19,7 @@
 
 	"acaciakeel/connend"
 	"acaciakeel/httpbody"
+	"acaciakeel/httphead"
 )
 
 // Errors that callers distinguish.
@@ -126,12 +127,14 @@
 // connection.
 func newHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:            connend.Dial(dialer.DialContext),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+	httphead.CheckTransport(transport)
+	return &http.Client{CheckRedirect: keepRedirect, Transport: transport}
 }
 
 // keepRedirect makes a redirect the answer of the target, which may have executed the call. To
