follow: late changes of peers leave the digest as it is

Nodes with the same keys disputed each other's view, and listed all keys again; and a node could be confirmed by a peer whose view had a key that its own lacked.

recordLocked added all changes of a peer to the digest, the view took only those after its own revision. A put that arrived after the deletion of its key (a datagram that came late or twice, or a peer's that overlaps the node's own watch) brought the key back into the digest alone. After a restore, a change at a revision that the view had reached in the former history was in the digest and not in the view, which the digest then hid from its peers.

The digest now takes what the view takes: changes after the revision that the view, or the digest ahead of it, has reached.

--- a/follow/digest.go
+++ b/follow/digest.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// latest returns the revision of the latest change that the digest has.
+func (d *viewDigest) latest() int64 { return d.points[len(d.points)-1].revision }
+
 // at returns the digest of the view at a revision up to which it has all changes, never 0; ok is false if it
 // is not known any more, or not yet.
 func (d *viewDigest) at(revision int64) (sum uint64, ok bool) {
--- a/follow/dispute_test.go
+++ b/follow/dispute_test.go
@@ -92,3 +92,37 @@
 		t.Errorf("confirmed at %d, listing due %q", f.peerConfirmedAt, f.listingDue())
 	}
 }
+
+// Guards against a digest that brings back a deleted key: a peer's changes that arrive late, or
+// twice, are older than the view.
+func TestLateChangesLeaveTheDigest(t *testing.T) {
+	f, peer := newFollowerWith(t, "value"), newFollowerWith(t, "value")
+	before := peer.confirmed(t).Digest
+	put := Changes{After: 9, Digest: before, Events: store.Events{Revision: 10, Events: []store.Event{changeEvent("b", 10, false)}}}
+	both := Changes{After: 9, Digest: before, Events: store.Events{Revision: 11, Events: []store.Event{changeEvent("b", 10, false), changeEvent("b", 11, true)}}}
+	peer.ReceiveChanges(both)
+	f.ReceiveChanges(both)
+	f.ReceiveChanges(put)
+	later := Changes{After: 11, Digest: peer.confirmed(t).Digest, Events: store.Events{Revision: 12, Events: []store.Event{changeEvent("c", 12, false)}}}
+	peer.ReceiveChanges(later)
+	f.ReceiveChanges(later)
+	f.ReceiveConfirmation(peer.confirmed(t), clock.Now(), true)
+	if f.Revision() != 12 || f.listingDue() != "" {
+		t.Errorf("revision %d, listing due %q; both views have the same keys", f.Revision(), f.listingDue())
+	}
+}
+
+// Guards against a view that is confirmed without a change of the present history: the change is at
+// a revision that the view had reached in the former one, and counted in the digest only.
+func TestChangeThatIsNotAppliedIsNotInTheDigest(t *testing.T) {
+	f, peer := newFollowerWith(t, "value"), newFollowerWith(t, "value")
+	before := peer.confirmed(t).Digest
+	f.ReceiveChanges(Changes{After: 9, Digest: before, Events: store.Events{Revision: 10, Events: []store.Event{changeEvent("lost", 10, false)}}})
+	restored := Changes{After: 9, Digest: before, Events: store.Events{Revision: 11, Events: []store.Event{changeEvent("new", 10, false), changeEvent("lost", 11, false)}}}
+	peer.ReceiveChanges(restored)
+	f.ReceiveChanges(restored)
+	f.ReceiveConfirmation(peer.confirmed(t), clock.Now(), true)
+	if f.listingDue() != ListDisputed {
+		t.Error("the view lacks a key of the peer's, and the peer confirms it")
+	}
+}
--- a/follow/share.go
+++ b/follow/share.go
@@ -286,10 +286,14 @@
 	f.recordLocked(events)
 }
 
-// recordLocked is recordChanges for a caller that holds mu.
+// recordLocked is recordChanges for a caller that holds mu. Changes that the view has reached, or
+// the digest has, are left out: they are a peer's that came late, or are of another history.
 func (f *Follower) recordLocked(events []store.Event) {
+	reached := max(f.revision.Revision(), f.digest.latest())
 	for _, e := range events {
-		f.digest.apply(e, f.shared)
+		if e.Revision.Revision() > reached {
+			f.digest.apply(e, f.shared)
+		}
 	}
 }
 
