follow: a peer that agrees does not end the pause between disputed listings

While one peer's view was wrong and another one confirmed this process's, the process listed all keys at each update of the former: the latter's confirmation set the interval to 0, with which the next dispute was due at once.

TestDisputesAreBoundedBesidePeersThatAgree: 100 listings for 100 updates at once before, 1 now.

The least interval holds after an agreement as well.

--- a/follow/dispute.go
+++ b/follow/dispute.go
@@ -37,7 +37,7 @@
 
 // due reports whether a listing may be made for a dispute now, and if so counts it.
 func (d *disputes) due() bool {
-	if d.interval != 0 && d.listedAt.Since() < d.interval {
+	if d.listedAt != 0 && d.listedAt.Since() < max(d.interval, minDisputeInterval) {
 		return false
 	}
 	d.listedAt = clock.Now()
--- a/follow/dispute_test.go
+++ b/follow/dispute_test.go
@@ -126,3 +126,21 @@
 		t.Error("the view lacks a key of the peer's, and the peer confirms it")
 	}
 }
+
+// Guards against a listing for each update of a peer whose view is wrong while other peers confirm
+// this process's.
+func TestDisputesAreBoundedBesidePeersThatAgree(t *testing.T) {
+	f, agrees, disputes := newFollowerWith(t, "right"), newFollowerWith(t, "right"), newFollowerWith(t, "wrong")
+	listings := 0
+	for range 100 {
+		f.ReceiveConfirmation(agrees.confirmed(t), clock.Now(), true)
+		f.ReceiveConfirmation(disputes.confirmed(t), clock.Now(), true)
+		if f.listingDue() != "" {
+			listings++
+			f.reset(store.Listing{Revision: 9, Entries: []store.Entry{{Key: "a", Revision: 8, Value: []byte("right")}}}, clock.Now())
+		}
+	}
+	if listings != 1 {
+		t.Errorf("%d listings for 100 updates at once, want 1", listings)
+	}
+}
