rollout: the leadership is confirmed after the target's report

While the store's responses took 0.4 s and more, a target whose report took 0.3 s got no order: a confirmation counts from when it was sent and must last for longer than an order's way (1.3 of 2 s), and the report came in between.

The confirmation is now the last call before the order. The report's count of orders is still the condition of the order.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -308,7 +308,6 @@
 		}
 	}
 	truncate := c.clear(ctx, decision)
-	c.leadership.Confirm(ctx)
 	drainTime, remaining := time.Since(start), c.fleet.Occupancy(r.Instance())
 	report, err := c.report(ctx, r, model, desired)
 	if err != nil {
@@ -330,6 +329,7 @@
 		clock.Sleep(ctx, pollInterval)
 		return
 	}
+	c.leadership.Confirm(ctx)
 	// Leadership is checked immediately before the order is sent: a process that was
 	// suspended in the meantime must not send orders after another one has taken over.
 	fence, ok := c.leadership.Held()
