rollout: a pause where an order must wait for those of an earlier hold

A leader that had the lock again, or was giving it up, while one of its orders was still under way asked each target that was due for its report without a pause, for up to 3.3 s: the update returned at once and woke the planning.

TestTargetIsAskedWithPausesWhileEarlierOrdersMayArrive: 21,969 reports of one target (without a network) within half a second before, at most 10 now.

The update pauses as for a target that is busy.

--- a/rollout/confirm_order_test.go
+++ b/rollout/confirm_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,3 +44,31 @@
 		t.Errorf("got %d orders, want 1", len(client.orders))
 	}
 }
+
+// countingClient counts the reports.
+type countingClient struct {
+	recordingClient
+	reports atomic.Int64
+}
+
+func (c *countingClient) Report(ctx context.Context, of fleet.Target) (fleet.Status, error) {
+	c.reports.Add(1)
+	return c.recordingClient.Report(ctx, of)
+}
+
+// Guards against a leader that asks a target without a pause while an order of its earlier hold may
+// still arrive.
+func TestTargetIsAskedWithPausesWhileEarlierOrdersMayArrive(t *testing.T) {
+	f := fleet.New("z")
+	f.Put(fleet.Target{ID: "r", Service: "lm", Address: "r:1", Slots: 8, Weights: map[string]int64{"m": 1}})
+	f.RecordDesired("m", 2, time.Now(), false)
+	client := &countingClient{}
+	c := NewController("n", Config{Leadership: alwaysLeader{}, Client: client, Fleet: f, Services: modelOfLM, Notify: func() {}}, discardLogger())
+	c.outstanding.inProgress = 1 // an order with a lower token
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	c.Run(ctx)
+	if n := client.reports.Load(); n > 10 || n == 0 {
+		t.Errorf("%d reports within 500 ms", n)
+	}
+}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -343,6 +343,7 @@
 		return
 	}
 	if !c.outstanding.begin(fence, time.Now()) {
+		clock.Sleep(ctx, pollInterval)
 		return
 	}
 	leaseLeft, sentAt := c.leadership.Remaining(), time.Now()
