node: the view enters a new history of the store whatever call shows it

A node could go on reading its view in the former history while it wrote in the new one: its conditions were refused by its own client, its lock ignored what the view said, it never had the record of leaders and so never gave orders, and it didn't register again when its entry was gone. It got there if a renewal showed the new era when its lease had ended anyway (the store was away for longer than 1.6 s), and nothing that the node knew was lost, so that its peers confirmed the view and went on sending changes to it.

--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,6 @@
 		stopping: make(chan struct{}),
 	}
 	n.requestCtx, n.cancelRequests = context.WithCancelCause(context.Background())
-	reportStoreHistory(n.store, n.registry, log)
 	runners := platform.NewRunnerClient()
 	targets := fleet.New(s.Zone)
 	targets.Disable(o.Disabled)
--- a/node/restored_store_test.go
+++ b/node/restored_store_test.go
@@ -628,3 +628,21 @@
 		})
 	}
 }
+
+// Guards against a node that writes in the store's new history and reads its view in the former one: it
+// learned of the new one by a call other than a watch, when its lease had ended anyway, and its peers
+// go on confirming the view, as nothing was lost.
+func TestViewEntersTheHistoryThatAnyCallShows(t *testing.T) {
+	w := newRestoredEnv(t, restore{})
+	w.startPeers()
+	time.Sleep(time.Second) // the peers watch for it by then
+	n := w.nodes[slices.IndexFunc(w.nodes, func(n *Node) bool { return n.view.plan().Rank > 0 })]
+	if err := n.session.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	n.store.AdvanceHistory(1)
+	time.Sleep(300 * time.Millisecond)
+	if got := n.view.follower.Revision().History(); got != 1 {
+		t.Errorf("the view is in history %d", got)
+	}
+}
