follow: changes of a peer are compared and applied to one view

Found in review: a peer's changes were compared with the view, and applied in a second step. A listing in between could put the view into the store's new history, and changes of the former one were applied to it; a configuration among them stays in force, as versions never fall. Both steps are under one lock now. No test: the window needs a hook.

--- a/follow/dispute.go
+++ b/follow/dispute.go
@@ -52,9 +52,9 @@
 // if they can't be of one history. completeAt is when the peer's view was complete, 0 if that is not
 // known: a store that has since fallen behind a revision that was reached here before that has
 // come back from an older copy.
+//
+// The caller holds mu: what follows from the result must apply to the same view.
 func (f *Follower) compare(revision int64, digest uint64, completeAt clock.BootTime) peerView {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	own := f.revision.Revision()
 	if revision > own {
 		return peerAhead
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -164,7 +164,7 @@
 	switch {
 	case events.Compacted || events.Revision < after:
 		f.requireListing(ListHistoryLost)
-		f.log.WithFields(logrus.Fields{"event": "history_lost", "revision": after.Revision()}).Warn("the store no longer has the changes after this revision; listing again")
+		f.log.WithFields(logrus.Fields{"event": "history_lost", "revision": after.Revision()}).Warn("the store no longer has the changes after this revision, or they are of another history; listing again")
 		return nil
 	case events.Reconnected && !confirmedByPeers:
 		f.requireListing(ListReconnected)
--- a/follow/share.go
+++ b/follow/share.go
@@ -100,7 +100,9 @@
 // them are missing, the follower calls the store. While a listing is due, changes are
 // ignored, because the listing may be older than they are.
 func (f *Follower) ReceiveChanges(c Changes) {
-	if f.listingDue() != "" {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listDue != "" {
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
@@ -118,7 +120,9 @@
 // if the peer precedes this process in the order in which processes take over the
 // watch.
 func (f *Follower) ReceiveConfirmation(c Confirmation, sentAfter clock.BootTime, senderRanksBefore bool) {
-	if f.listingDue() != "" {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listDue != "" {
 		return
 	}
 	f.receiveRecovery(c.SinceRecovery)
@@ -131,8 +135,6 @@
 		return
 	}
 	f.markReachable()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.disputes.settle()
 	if senderRanksBefore && completeAt > f.peerConfirmedAt {
 		f.peerConfirmedAt = completeAt
@@ -214,11 +216,9 @@
 }
 
 // requestWatch ends the current wait and makes the next call due at once, because a
-// peer has newer changes.
+// peer has newer changes. The caller holds mu.
 func (f *Follower) requestWatch() {
-	f.mu.Lock()
 	f.behind = true
-	f.mu.Unlock()
 	f.wake()
 }
 
@@ -262,13 +262,8 @@
 }
 
 // applyPeers applies changes of a peer, whose positions become those of this process's count of
-// the store's histories.
+// the store's histories. The caller holds mu.
 func (f *Follower) applyPeers(peers store.Events) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.listDue != "" {
-		return
-	}
 	history := f.revision.History()
 	events := make([]store.Event, 0, len(peers.Events))
 	for _, e := range peers.Events {
