node: an entry that was held back is released or removed, not both

Found in review: the entry of a target that had departed was released by a timer in two steps, between which its removal could come: the target was then back without an entry. The release is one step, as that of earlier starts is. The position that is kept is named for what it is.

--- a/node/departed_targets.go
+++ b/node/departed_targets.go
@@ -19,9 +19,9 @@
 // from an older copy.
 type departedTargets struct {
 	mu sync.Mutex
-	// copied is the position of the first listing after the store came back: what is not later may be
-	// of the copy. Zero if the store never did.
-	copied store.Position
+	// firstListed is the position of the first listing after the store came back: what is not later may
+	// be of the copy. Zero if the store never did.
+	firstListed store.Position
 	// departed are the latest departures, by target ID.
 	departed map[string]targetDeparture
 	// held are the entries of the copy that don't count, by target ID.
@@ -37,8 +37,8 @@
 func (d *departedTargets) beginListing(at store.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if at.History() > d.copied.History() {
-		d.copied = at
+	if at.History() > d.firstListed.History() {
+		d.firstListed = at
 	}
 }
 
@@ -64,7 +64,7 @@
 	defer d.mu.Unlock()
 	delete(d.held, r.ID)
 	last, ok := d.departed[r.ID]
-	ofCopy := d.copied != 0 && at <= d.copied
+	ofCopy := d.firstListed != 0 && at <= d.firstListed
 	if ok && ofCopy && last.instance == r.Instance() && now.Sub(last.at) < departureHold {
 		if d.held == nil {
 			d.held = map[string]store.Position{}
@@ -83,16 +83,17 @@
 	delete(d.held, id)
 }
 
-// release reports whether the entry at a position is still held, and releases it.
-func (d *departedTargets) release(id string, at store.Position) bool {
+// release calls apply if the entry at a position is still held, which it then is no more. A later
+// entry or a removal is applied after that.
+func (d *departedTargets) release(id string, at store.Position, apply func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.held[id] != at {
-		return false
+		return
 	}
 	delete(d.held, id)
 	delete(d.departed, id)
-	return true
+	apply()
 }
 
 // ListingBegins implements platform.StateHandler.
@@ -115,9 +116,7 @@
 	v.log.WithFields(logrus.Fields{"event": "target_departed", "target": r.ID, "born": r.Born, "revision": at.Revision()}).Warn("an older copy of the store lists a target as ready that has left since; it gets nothing until it writes its entry again")
 	ready := r
 	time.AfterFunc(departureHold, func() {
-		if v.departedTargets.release(ready.ID, at) {
-			v.putTarget(ready)
-		}
+		v.departedTargets.release(ready.ID, at, func() { v.putTarget(ready) })
 	})
 	r.Draining = true
 	return r
