--- a/rollout/lockrestore.go
+++ b/rollout/lockrestore.go
@@ -17,9 +17,9 @@
 	// state of the key in it has been observed.
 	number   int
 	unlisted bool
-	// unbroken is the revision of the entry with which this process held the lock until
+	// unbrokenRevision is the revision of the entry with which this process held the lock until
 	// the history was replaced; 0 if it did not.
-	unbroken int64
+	unbrokenRevision int64
 	// waitUntil is until when the lock is not tried because of waitReason.
 	waitUntil  clock.BootTime
 	waitReason AcquireBlocker
@@ -86,9 +86,9 @@
 	}
 	l.number = position.History()
 	before, token := l.state, l.token
-	l.unlisted, l.unbroken = true, 0
+	l.unlisted, l.unbrokenRevision = true, 0
 	if l.recordedHold() && l.underLease() && l.session.Valid() {
-		l.unbroken = before.revision.Revision()
+		l.unbrokenRevision = before.revision.Revision()
 	}
 	l.apply(ownerNone, store.At(l.number, 0), "")
 	// Entries of this process were written in the former history or under its leases.
@@ -114,7 +114,7 @@
 // until the history was replaced; the caller holds mu. Nobody else held it in the former
 // history then, nor in this one since, so that its entry may be replaced at once.
 func (l *LeaderLock) continues() bool {
-	return l.state.owner == ownerFormer && l.state.listed && l.state.revision.Revision() == l.unbroken
+	return l.state.owner == ownerFormer && l.state.listed && l.state.revision.Revision() == l.unbrokenRevision
 }
 
 // wait has the lock not be tried until a hold that ends now unnoticed by its holder has
--- a/rollout/lockstate.go
+++ b/rollout/lockstate.go
@@ -33,9 +33,11 @@
 	// learnedAt is when this process learned of the state.
 	learnedAt clock.BootTime
 	// listed is set if this is the first state that was observed in a history of the store,
-	// so that a holder need not have been alive since. cameBack is set if the entry was known before the store came back from an older
-	// copy, so that its holder need not exist any more.
-	listed, cameBack bool
+	// so that a holder need not have been alive since.
+	listed bool
+	// cameBack is set if the entry was known before the store came back from an older copy,
+	// so that its holder need not exist any more.
+	cameBack bool
 }
 
 // String implements fmt.Stringer for the log.
