--- a/node/restored_store_test.go
+++ b/node/restored_store_test.go
@@ -629,9 +629,7 @@
 	}
 }
 
-// Guards against a node that writes in the store's new history and reads its view in the former one: it
-// learned of the new one by a call other than a watch, when its lease had ended anyway, and its peers
-// go on confirming the view, as nothing was lost.
+// Guards against a node that writes in the store's new history and reads its view in the former one.
 func TestViewEntersTheHistoryThatAnyCallShows(t *testing.T) {
 	w := newRestoredEnv(t, restore{})
 	w.startPeers()
--- a/resource/restore_test.go
+++ b/resource/restore_test.go
@@ -13,9 +13,7 @@
 	return Resource{Kind: KindModel, Name: name, Version: int64(version), ChangeID: at.String(), Changed: at, Spec: json.RawMessage(`{"weights_version":"v"}`)}
 }
 
-// Guards against a listing within the same history, as after a failed watch, or a neighbour's state
-// that ends what was kept of an earlier history: a withdrawn resource back in force, a lost one out
-// of it.
+// Guards against a later listing, or a neighbour's state, that ends what was kept of an earlier history.
 func TestListingAgainKeepsWhatTheServiceLost(t *testing.T) {
 	s, _ := Build(int64(store.At(0, 9)), []Resource{changed("withdrawn", 3, 1), changed("lost", 4, 2), changed("older", 6, 4)})
 	s, _ = s.With(Delta{Base: s.Revision, Revision: 10, Deleted: []Deletion{{Key: Key(KindModel, "withdrawn"), Revision: 10}}})
